Add the design, the build and the foundation modules

Cause: the repository was empty; every program needs the same typed failures, settings reader, metrics, log, HTTP client and server and platform services.

Found on the way: libcurl resends a request on a fresh connection if a reused one closes before the first answer byte, which would run a request twice. A server that closes on the second request shows it. Ruled out: disabling connection reuse, because it would cost a connect per request. Change: CURLOPT_PREREQFUNCTION counts the sends and aborts the second one. Before (guard taken out): the closing server counts 3 requests for 2 calls. After: 2 requests, and the second call is reported as sent without an answer. Conclusion: the send count is exact enough to tell not_run from unknown.

--- /dev/null
+++ b/src/base/json_document.cpp
@@ -0,0 +1,241 @@
+#include "base/json_document.h"
+
+#include <nlohmann/json.hpp>
+
+#include <fstream>
+#include <iterator>
+#include <sstream>
+
+namespace daisypass {
+namespace {
+
+// Input iterator that counts lines and columns. The lexer reads each character once and in order, so at
+// every SAX event the count stands at the end of the token that caused it.
+struct position_counter
+{
+    int line = 1;
+    int column = 0;
+};
+
+class counting_iterator
+{
+public:
+    using iterator_category = std::input_iterator_tag;
+    using value_type = char;
+    using difference_type = std::ptrdiff_t;
+    using pointer = const char *;
+    using reference = const char &;
+
+    counting_iterator(const char *at, position_counter *counter)
+        : m_at(at)
+        , m_counter(counter)
+    {
+    }
+
+    reference operator*() const
+    {
+        return *m_at;
+    }
+
+    counting_iterator &operator++()
+    {
+        if (*m_at == '\n') {
+            ++m_counter->line;
+            m_counter->column = 0;
+        } else {
+            ++m_counter->column;
+        }
+        ++m_at;
+        return *this;
+    }
+
+    bool operator==(const counting_iterator &other) const
+    {
+        return m_at == other.m_at;
+    }
+
+    bool operator!=(const counting_iterator &other) const
+    {
+        return m_at != other.m_at;
+    }
+
+private:
+    const char *m_at;
+    position_counter *m_counter;
+};
+
+class tree_builder : public nlohmann::json_sax<nlohmann::json>
+{
+public:
+    tree_builder(std::string_view file, const position_counter &counter, failure &reason)
+        : m_file(file)
+        , m_counter(counter)
+        , m_reason(reason)
+    {
+    }
+
+    std::unique_ptr<json_value> takeRoot()
+    {
+        return std::move(m_root);
+    }
+
+    bool null() override
+    {
+        return add(nullptr);
+    }
+
+    bool boolean(bool value) override
+    {
+        return add(value);
+    }
+
+    bool number_integer(number_integer_t value) override
+    {
+        return add(static_cast<std::int64_t>(value));
+    }
+
+    bool number_unsigned(number_unsigned_t value) override
+    {
+        return add(static_cast<std::int64_t>(value));
+    }
+
+    bool number_float(number_float_t value, const string_t &) override
+    {
+        return add(value);
+    }
+
+    bool string(string_t &value) override
+    {
+        return add(std::move(value));
+    }
+
+    bool binary(binary_t &) override
+    {
+        return false;
+    }
+
+    bool start_object(std::size_t) override
+    {
+        return open(json_object{});
+    }
+
+    bool key(string_t &value) override
+    {
+        json_object &object = std::get<json_object>(m_open.back()->data);
+        for (const json_member &member : object) {
+            if (member.key == value) {
+                m_reason = failure{failure_code::Duplicate, value, here(), "each key once"};
+                return false;
+            }
+        }
+        object.push_back(json_member{std::move(value), here(), nullptr});
+        return true;
+    }
+
+    bool end_object() override
+    {
+        m_open.pop_back();
+        return true;
+    }
+
+    bool start_array(std::size_t) override
+    {
+        return open(json_array{});
+    }
+
+    bool end_array() override
+    {
+        m_open.pop_back();
+        return true;
+    }
+
+    bool parse_error(std::size_t, const std::string &token, const nlohmann::detail::exception &) override
+    {
+        m_reason = failure{failure_code::SyntaxError, token, here(), "valid JSON (comments are allowed)"};
+        return false;
+    }
+
+private:
+    source_position here() const
+    {
+        return {m_file, m_counter.line, m_counter.column};
+    }
+
+    template<typename T>
+    bool add(T &&data)
+    {
+        place(std::make_unique<json_value>(json_value{std::forward<T>(data), here()}));
+        return true;
+    }
+
+    template<typename T>
+    bool open(T &&data)
+    {
+        m_open.push_back(place(std::make_unique<json_value>(json_value{std::forward<T>(data), here()})));
+        return true;
+    }
+
+    json_value *place(std::unique_ptr<json_value> value)
+    {
+        json_value *placed = value.get();
+        if (m_open.empty()) {
+            m_root = std::move(value);
+        } else if (json_array *array = std::get_if<json_array>(&m_open.back()->data)) {
+            array->push_back(std::move(value));
+        } else {
+            std::get<json_object>(m_open.back()->data).back().value = std::move(value);
+        }
+        return placed;
+    }
+
+    std::string m_file;
+    const position_counter &m_counter;
+    failure &m_reason;
+    std::unique_ptr<json_value> m_root;
+    std::vector<json_value *> m_open;
+};
+
+} // namespace
+
+const json_value *json_value::find(std::string_view key) const
+{
+    const json_object *object = std::get_if<json_object>(&data);
+    if (object == nullptr) {
+        return nullptr;
+    }
+    for (const json_member &member : *object) {
+        if (member.key == key) {
+            return member.value.get();
+        }
+    }
+    return nullptr;
+}
+
+std::optional<json_document> json_document::parse(std::string_view text, std::string_view file, failure &reason)
+{
+    position_counter counter;
+    tree_builder builder(file, counter, reason);
+    constexpr bool strict = true;
+    constexpr bool ignoreComments = true;
+    const counting_iterator begin(text.data(), &counter);
+    const counting_iterator end(text.data() + text.size(), &counter);
+    if (!nlohmann::json::sax_parse(begin, end, &builder, nlohmann::json::input_format_t::json, strict, ignoreComments)) {
+        return std::nullopt;
+    }
+    json_document document;
+    document.m_root = builder.takeRoot();
+    return document;
+}
+
+std::optional<json_document> json_document::load(const std::string &path, failure &reason)
+{
+    std::ifstream stream(path, std::ios::binary);
+    std::stringstream text;
+    if (!stream || !(text << stream.rdbuf())) {
+        reason = failure{failure_code::FileUnreadable, path, {path}, "a readable, non-empty file"};
+        return std::nullopt;
+    }
+    return parse(text.str(), path, reason);
+}
+
+} // namespace daisypass
--- /dev/null
+++ b/src/kernel/configuration.h
@@ -0,0 +1,133 @@
+#pragma once
+
+// The configuration that operators apply: pools, VMs, teams, maintenance waves and the deployment's weights.
+//
+//     std::vector<failure> failures;
+//     std::optional<configuration> accepted = parseConfiguration(files, failures);
+//
+// All failures are collected, each with file, line and column. A configuration is valid as a whole or not at all.
+
+#include "base/failure.h"
+#include "base/settings_reader.h"
+#include "base/time.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace daisypass {
+
+/** Processors, memory and accelerators, of a VM or needed by a request. */
+struct machine_size
+{
+    std::int64_t processors = 0;
+    std::int64_t memoryMib = 0;
+    std::int64_t accelerators = 0;
+
+    bool operator==(const machine_size &) const = default;
+};
+
+/** The largest loss that must fit in a pool's budget on top of what is unavailable already. */
+enum class failure_headroom {
+    None,
+    Vm,
+    Rack,
+    Zone,
+};
+
+/** How a pool keeps requests that are not repeatable from running twice. */
+enum class at_most_once_mode {
+    Claim,
+    Ticket,
+};
+
+struct pool_config
+{
+    std::string name;
+    int slotsPerTarget = 8;
+    int connectionsPerTarget = 64;
+    int minAvailable = 0;
+    failure_headroom headroom = failure_headroom::Vm;
+    at_most_once_mode atMostOnce = at_most_once_mode::Claim;
+    /** Queued requests per entry, for the pool and for one team. */
+    int queueLimit = 10'000;
+    int teamQueueLimit = 2'000;
+    std::string scheduling = "bands";
+    std::string balancing = "hysteresis";
+    /** Share of the slots that long work may hold. */
+    double longShare = 0.5;
+    /** Retries per request, on average. */
+    double retryBudget = 0.1;
+    std::int64_t defaultDeadlineMs = 10'000;
+    double maxEjectedShare = 0.3;
+    std::string targetPath = "/run";
+    machine_size vm;
+};
+
+struct vm_config
+{
+    std::string id;
+    std::string pool;
+    endpoint address;
+    std::string availabilityZone;
+    std::string rack;
+};
+
+struct team_config
+{
+    std::string name;
+    double weight = 1;
+    /** Pools that the team may use; empty means all. */
+    std::vector<std::string> pools;
+    /** Processors that the team's tasks may hold at once; 0 means no limit. */
+    std::int64_t quotaProcessors = 0;
+    bool urgent = false;
+};
+
+struct wave_config
+{
+    std::string name;
+    std::vector<std::string> pools;
+    int periodDays = 35;
+    /** VMs of one pool in maintenance at once. */
+    int parallel = 1;
+    /** Daily window in minutes after midnight UTC; the whole day by default. */
+    int windowStartMinute = 0;
+    int windowLengthMinutes = 1440;
+    /** Weekdays on which the window opens, 0 is Sunday; empty means every day. */
+    std::vector<int> weekdays;
+};
+
+/** Relative weights of the four measures of the deployment. */
+struct measure_weights
+{
+    double buffer = 1;
+    double rollout = 1;
+    double moves = 1;
+    double waiting = 1;
+};
+
+struct configuration
+{
+    std::map<std::string, pool_config, std::less<>> pools;
+    std::map<std::string, vm_config, std::less<>> vms;
+    std::map<std::string, team_config, std::less<>> teams;
+    std::map<std::string, wave_config, std::less<>> waves;
+    measure_weights weights;
+};
+
+/** One file of a configuration directory; the name is relative to the directory. */
+struct configuration_file
+{
+    std::string name;
+    std::string text;
+};
+
+/** Checks and reads all files. Returns nothing and at least one failure if any file is wrong. */
+std::optional<configuration> parseConfiguration(std::span<const configuration_file> files, std::vector<failure> &failures);
+
+} // namespace daisypass
--- /dev/null
+++ b/src/net/http_client.cpp
@@ -0,0 +1,319 @@
+#include "net/http_client.h"
+
+#include <curl/curl.h>
+
+#include <algorithm>
+#include <atomic>
+#include <cctype>
+#include <deque>
+#include <future>
+#include <mutex>
+#include <optional>
+#include <thread>
+#include <unordered_map>
+
+namespace daisypass {
+namespace {
+
+constexpr int keptHandles = 256;
+constexpr long maxConnectionsInCache = 4'096;
+
+struct transfer
+{
+    http_call call;
+    std::function<void(http_result)> done;
+    http_response response;
+    curl_slist *headerList = nullptr;
+    int sends = 0;
+    bool resent = false;
+
+    ~transfer()
+    {
+        curl_slist_free_all(headerList);
+    }
+};
+
+std::string_view trimmed(std::string_view text)
+{
+    const char *blanks = " \t\r\n";
+    const std::size_t first = text.find_first_not_of(blanks);
+    if (first == std::string_view::npos) {
+        return {};
+    }
+    return text.substr(first, text.find_last_not_of(blanks) - first + 1);
+}
+
+std::size_t writeBody(char *data, std::size_t size, std::size_t count, void *user)
+{
+    static_cast<transfer *>(user)->response.body.append(data, size * count);
+    return size * count;
+}
+
+std::size_t writeHeader(char *data, std::size_t size, std::size_t count, void *user)
+{
+    transfer &current = *static_cast<transfer *>(user);
+    const std::string_view line(data, size * count);
+    const std::size_t colon = line.find(':');
+    if (line.starts_with("HTTP/")) {
+        // A new status line follows a 1xx answer; its headers do not belong to the final answer.
+        current.response.headers.clear();
+    } else if (colon != std::string_view::npos) {
+        current.response.headers.push_back({std::string(trimmed(line.substr(0, colon))), std::string(trimmed(line.substr(colon + 1)))});
+    }
+    return size * count;
+}
+
+// libcurl calls this just before it sends a request, and again before it resends one whose reused connection closed
+// early. The server may have run the first, so the second is aborted.
+int beforeSend(void *user, char *, char *, int, int)
+{
+    transfer &current = *static_cast<transfer *>(user);
+    if (++current.sends > 1) {
+        current.resent = true;
+        return CURL_PREREQFUNC_ABORT;
+    }
+    return CURL_PREREQFUNC_OK;
+}
+
+failure_code codeOf(CURLcode code)
+{
+    switch (code) {
+    case CURLE_OPERATION_TIMEDOUT:
+        return failure_code::Timeout;
+    case CURLE_COULDNT_CONNECT:
+    case CURLE_COULDNT_RESOLVE_HOST:
+        return failure_code::ConnectFailed;
+    default:
+        return failure_code::BadAnswer;
+    }
+}
+
+void initialiseLibrary()
+{
+    static std::once_flag once;
+    std::call_once(once, [] {
+        curl_global_init(CURL_GLOBAL_DEFAULT);
+    });
+}
+
+// One thread with one multi handle: its connections are reused by its own transfers only, so no lock is held while sending.
+class client_worker
+{
+public:
+    explicit client_worker(const http_client_options &options)
+        : m_options(options)
+        , m_multi(curl_multi_init())
+    {
+        curl_multi_setopt(m_multi, CURLMOPT_MAX_HOST_CONNECTIONS, static_cast<long>(options.maxConnectionsPerHost));
+        curl_multi_setopt(m_multi, CURLMOPT_MAXCONNECTS, maxConnectionsInCache);
+        m_thread = std::thread([this] {
+            run();
+        });
+    }
+
+    ~client_worker()
+    {
+        m_stopping = true;
+        curl_multi_wakeup(m_multi);
+        m_thread.join();
+        for (CURL *handle : m_idleHandles) {
+            curl_easy_cleanup(handle);
+        }
+        curl_multi_cleanup(m_multi);
+    }
+
+    void add(std::unique_ptr<transfer> item)
+    {
+        bool wake = false;
+        {
+            const std::lock_guard<std::mutex> guard(m_lock);
+            wake = m_waiting.empty();
+            m_waiting.push_back(std::move(item));
+        }
+        if (wake) {
+            curl_multi_wakeup(m_multi);
+        }
+    }
+
+private:
+    void run()
+    {
+        constexpr int pollMs = 1'000;
+        while (!m_stopping) {
+            startWaiting();
+            int active = 0;
+            curl_multi_perform(m_multi, &active);
+            finishDone();
+            if (!hasWaiting()) {
+                curl_multi_poll(m_multi, nullptr, 0, pollMs, nullptr);
+            }
+        }
+        abandonAll();
+    }
+
+    bool hasWaiting()
+    {
+        const std::lock_guard<std::mutex> guard(m_lock);
+        return !m_waiting.empty();
+    }
+
+    void startWaiting()
+    {
+        std::deque<std::unique_ptr<transfer>> starting;
+        {
+            const std::lock_guard<std::mutex> guard(m_lock);
+            starting.swap(m_waiting);
+        }
+        for (std::unique_ptr<transfer> &item : starting) {
+            CURL *handle = takeHandle();
+            prepare(handle, *item);
+            m_active.emplace(handle, std::move(item));
+            curl_multi_add_handle(m_multi, handle);
+        }
+    }
+
+    CURL *takeHandle()
+    {
+        if (m_idleHandles.empty()) {
+            return curl_easy_init();
+        }
+        CURL *handle = m_idleHandles.back();
+        m_idleHandles.pop_back();
+        return handle;
+    }
+
+    void prepare(CURL *handle, transfer &item)
+    {
+        curl_easy_reset(handle);
+        for (const http_header &header : item.call.headers) {
+            // libcurl drops a header without a value unless it ends in a semicolon.
+            const std::string line = header.value.empty() ? header.name + ';' : header.name + ": " + header.value;
+            item.headerList = curl_slist_append(item.headerList, line.c_str());
+        }
+        // Without this, libcurl waits up to one second for "100 Continue" before it sends a large body.
+        item.headerList = curl_slist_append(item.headerList, "Expect:");
+        curl_easy_setopt(handle, CURLOPT_URL, item.call.url.c_str());
+        curl_easy_setopt(handle, CURLOPT_HTTPHEADER, item.headerList);
+        curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, item.call.method.c_str());
+        if (item.call.method == "HEAD") {
+            curl_easy_setopt(handle, CURLOPT_NOBODY, 1L);
+        } else if (item.call.method != "GET" && item.call.method != "DELETE") {
+            curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(item.call.body.size()));
+            curl_easy_setopt(handle, CURLOPT_POSTFIELDS, item.call.body.data());
+        }
+        curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, writeBody);
+        curl_easy_setopt(handle, CURLOPT_WRITEDATA, &item);
+        curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, writeHeader);
+        curl_easy_setopt(handle, CURLOPT_HEADERDATA, &item);
+        curl_easy_setopt(handle, CURLOPT_PREREQFUNCTION, beforeSend);
+        curl_easy_setopt(handle, CURLOPT_PREREQDATA, &item);
+        curl_easy_setopt(handle, CURLOPT_PROTOCOLS_STR, "http");
+        curl_easy_setopt(handle, CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
+        curl_easy_setopt(handle, CURLOPT_PROXY, "");
+        curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
+        curl_easy_setopt(handle, CURLOPT_TCP_NODELAY, 1L);
+        curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(item.call.connectTimeout.count()));
+        curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, static_cast<long>(item.call.totalTimeout.count()));
+        curl_easy_setopt(handle, CURLOPT_MAXAGE_CONN, std::max(1L, static_cast<long>(m_options.maxIdle.count() / 1'000)));
+        curl_easy_setopt(handle, CURLOPT_PRIVATE, handle);
+    }
+
+    void finishDone()
+    {
+        int left = 0;
+        while (CURLMsg *message = curl_multi_info_read(m_multi, &left)) {
+            if (message->msg == CURLMSG_DONE) {
+                complete(message->easy_handle, message->data.result);
+            }
+        }
+    }
+
+    void complete(CURL *handle, CURLcode code)
+    {
+        const auto found = m_active.find(handle);
+        std::unique_ptr<transfer> item = std::move(found->second);
+        m_active.erase(found);
+        http_result result;
+        long status = 0;
+        curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &status);
+        if (code == CURLE_OK) {
+            result.state = send_state::Answered;
+            result.response = std::move(item->response);
+            result.response.status = static_cast<int>(status);
+        } else {
+            result.state = item->sends == 0 ? send_state::NotSent : send_state::Sent;
+            const char *text = item->resent ? "connection closed before the answer" : curl_easy_strerror(code);
+            result.reason = failure{item->resent ? failure_code::BadAnswer : codeOf(code), text};
+        }
+        curl_multi_remove_handle(m_multi, handle);
+        releaseHandle(handle);
+        item->done(std::move(result));
+    }
+
+    void releaseHandle(CURL *handle)
+    {
+        if (m_idleHandles.size() < keptHandles) {
+            m_idleHandles.push_back(handle);
+        } else {
+            curl_easy_cleanup(handle);
+        }
+    }
+
+    void abandonAll()
+    {
+        startWaiting();
+        while (!m_active.empty()) {
+            complete(m_active.begin()->first, CURLE_OPERATION_TIMEDOUT);
+        }
+    }
+
+    http_client_options m_options;
+    CURLM *m_multi;
+    std::atomic<bool> m_stopping{false};
+    std::mutex m_lock;
+    std::deque<std::unique_ptr<transfer>> m_waiting;
+    // Touched by the worker's own thread only.
+    std::unordered_map<CURL *, std::unique_ptr<transfer>> m_active;
+    std::vector<CURL *> m_idleHandles;
+    std::thread m_thread;
+};
+
+} // namespace
+
+struct http_client::implementation
+{
+    std::vector<std::unique_ptr<client_worker>> workers;
+    std::atomic<std::size_t> next{0};
+};
+
+http_client::http_client(http_client_options options)
+    : m_implementation(std::make_unique<implementation>())
+{
+    initialiseLibrary();
+    for (int i = 0; i < std::max(1, options.threads); ++i) {
+        m_implementation->workers.push_back(std::make_unique<client_worker>(options));
+    }
+}
+
+http_client::~http_client() = default;
+
+void http_client::send(http_call call, std::function<void(http_result)> done)
+{
+    std::unique_ptr<transfer> item = std::make_unique<transfer>();
+    item->call = std::move(call);
+    item->done = std::move(done);
+    const std::size_t chosen = m_implementation->next.fetch_add(1, std::memory_order_relaxed) % m_implementation->workers.size();
+    m_implementation->workers[chosen]->add(std::move(item));
+}
+
+http_result http_client::fetch(http_call call)
+{
+    std::promise<http_result> promise;
+    std::future<http_result> future = promise.get_future();
+    send(std::move(call), [&promise](http_result result) {
+        promise.set_value(std::move(result));
+    });
+    return future.get();
+}
+
+} // namespace daisypass
--- /dev/null
+++ b/src/net/http_server.cpp
@@ -0,0 +1,183 @@
+#include "net/http_server.h"
+
+#include <restinio/all.hpp>
+
+#include <algorithm>
+#include <atomic>
+#include <cctype>
+#include <thread>
+
+namespace daisypass {
+namespace {
+
+struct server_traits : public restinio::default_traits_t
+{
+    // The name is RESTinio's.
+    static constexpr bool use_connection_count_limiter = true; // NOLINT(readability-identifier-naming)
+};
+
+using native_server = restinio::http_server_t<server_traits>;
+
+bool equalIgnoringCase(std::string_view a, std::string_view b)
+{
+    return std::equal(a.begin(), a.end(), b.begin(), b.end(), [](unsigned char x, unsigned char y) {
+        return std::tolower(x) == std::tolower(y);
+    });
+}
+
+http_request toRequest(const restinio::request_t &native)
+{
+    http_request request;
+    request.method = native.header().method().c_str();
+    request.path = std::string(native.header().path());
+    for (const restinio::http_header_field_t &field : native.header()) {
+        request.headers.push_back({field.name(), field.value()});
+    }
+    if (!native.header().query().empty()) {
+        const restinio::query_string_params_t parameters = restinio::parse_query<restinio::parse_query_traits::javascript_compatible>(native.header().query());
+        for (const restinio::query_string_params_t::parameters_container_t::value_type &parameter : parameters) {
+            request.query.push_back({std::string(parameter.first), std::string(parameter.second)});
+        }
+    }
+    request.body = native.body();
+    return request;
+}
+
+void sendResponse(restinio::request_t &native, http_response response)
+{
+    // Content-Length and Connection are RESTinio's to set.
+    restinio::response_builder_t<restinio::restinio_controlled_output_t> builder
+        = native.create_response(restinio::http_status_line_t{restinio::http_status_code_t{static_cast<std::uint16_t>(response.status)}, "-"});
+    for (http_header &header : response.headers) {
+        if (!equalIgnoringCase(header.name, "Content-Length") && !equalIgnoringCase(header.name, "Connection")
+            && !equalIgnoringCase(header.name, "Transfer-Encoding")) {
+            builder.append_header(std::move(header.name), std::move(header.value));
+        }
+    }
+    builder.set_body(std::move(response.body));
+    builder.done();
+}
+
+} // namespace
+
+std::string_view findHeader(const std::vector<http_header> &headers, std::string_view name)
+{
+    const auto found = std::find_if(headers.begin(), headers.end(), [&](const http_header &header) {
+        return equalIgnoringCase(header.name, name);
+    });
+    return found == headers.end() ? std::string_view() : std::string_view(found->value);
+}
+
+struct http_server::implementation
+{
+    http_server_options options;
+    http_handler handler;
+    asio::io_context context;
+    std::unique_ptr<native_server> server;
+    std::vector<std::thread> threads;
+    std::uint16_t port = 0;
+    bool running = false;
+
+    restinio::request_handling_status_t handle(const restinio::request_handle_t &native)
+    {
+        std::shared_ptr<std::atomic<bool>> answered = std::make_shared<std::atomic<bool>>(false);
+        http_responder respond = [native, answered](http_response response) {
+            if (!answered->exchange(true)) {
+                sendResponse(*native, std::move(response));
+            }
+        };
+        handler(toRequest(*native), std::move(respond));
+        return restinio::request_accepted();
+    }
+};
+
+http_server::http_server(http_server_options options, http_handler handler)
+    : m_implementation(std::make_unique<implementation>())
+{
+    m_implementation->options = std::move(options);
+    m_implementation->handler = std::move(handler);
+}
+
+http_server::~http_server()
+{
+    stop();
+}
+
+bool http_server::start(failure &reason)
+{
+    implementation &self = *m_implementation;
+    const http_server_options &options = self.options;
+    restinio::server_settings_t<server_traits> settings;
+    settings.address(options.listen.address)
+        .port(options.listen.port)
+        .protocol(options.listen.address.find(':') == std::string::npos ? asio::ip::tcp::v4() : asio::ip::tcp::v6())
+        .read_next_http_message_timelimit(options.readTimeout)
+        .write_http_response_timelimit(options.readTimeout)
+        .handle_request_timeout(options.handleTimeout)
+        .max_parallel_connections(static_cast<std::size_t>(options.maxConnections))
+        .concurrent_accepts_count(8)
+        .separate_accept_and_create_connect(true)
+        .incoming_http_msg_limits(restinio::incoming_http_msg_limits_t{}
+                                      .max_url_size(4'096)
+                                      .max_field_name_size(256)
+                                      .max_field_value_size(options.maxHeaderBytes)
+                                      .max_field_count(100)
+                                      .max_body_size(options.maxBodyBytes))
+        .acceptor_options_setter([](restinio::acceptor_options_t &acceptor) {
+            acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true));
+        })
+        .socket_options_setter([](restinio::socket_options_t &socket) {
+            socket.set_option(asio::ip::tcp::no_delay(true));
+        })
+        .acceptor_post_bind_hook([&self](asio::ip::tcp::acceptor &acceptor) {
+            self.port = acceptor.local_endpoint().port();
+        })
+        .request_handler([&self](const restinio::request_handle_t &native) {
+            return self.handle(native);
+        });
+    try {
+        self.server = std::make_unique<native_server>(restinio::external_io_context(self.context), std::move(settings));
+        self.server->open_sync();
+    } catch (const std::exception &error) {
+        reason = failure{failure_code::ListenFailed, toString(options.listen) + ' ' + error.what(), {}, "a free local address"};
+        self.server.reset();
+        return false;
+    }
+    self.running = true;
+    for (int i = 0; i < std::max(1, options.threads); ++i) {
+        self.threads.emplace_back([&self] {
+            self.context.run();
+        });
+    }
+    return true;
+}
+
+void http_server::stop()
+{
+    implementation &self = *m_implementation;
+    if (!self.running) {
+        return;
+    }
+    self.running = false;
+    self.server->close_async(
+        [] {
+        },
+        [](const std::exception_ptr &) {
+        });
+    // Connections close as their answers are written; a grace period keeps a stuck client from holding up the stop.
+    constexpr std::chrono::milliseconds grace{200};
+    std::this_thread::sleep_for(grace);
+    self.context.stop();
+    for (std::thread &thread : self.threads) {
+        thread.join();
+    }
+    self.threads.clear();
+    self.server.reset();
+}
+
+std::uint16_t http_server::port() const
+{
+    return m_implementation->port;
+}
+
+} // namespace daisypass
--- /dev/null
+++ b/tests/http_test.cpp
@@ -0,0 +1,129 @@
+// HTTP client and server together on loopback.
+
+#include "net/http_client.h"
+#include "net/http_server.h"
+
+#include <asio.hpp>
+#include <doctest/doctest.h>
+
+#include <thread>
+
+using namespace daisypass;
+
+namespace {
+
+std::string urlOf(std::uint16_t port, std::string_view path)
+{
+    return "http://127.0.0.1:" + std::to_string(port) + std::string(path);
+}
+
+// A server that answers the first request of a connection and closes the connection when the second arrives.
+class closing_server
+{
+public:
+    closing_server()
+        : m_acceptor(m_context, {asio::ip::address_v4::loopback(), 0})
+        , m_thread([this] {
+            run();
+        })
+    {
+    }
+
+    ~closing_server()
+    {
+        asio::ip::tcp::socket wake(m_context);
+        asio::error_code ignored;
+        m_stopping = true;
+        wake.connect(m_acceptor.local_endpoint(), ignored);
+        m_thread.join();
+    }
+
+    std::uint16_t port() const
+    {
+        return m_acceptor.local_endpoint().port();
+    }
+
+    int requests() const
+    {
+        return m_requests;
+    }
+
+private:
+    void run()
+    {
+        while (true) {
+            asio::ip::tcp::socket connection = m_acceptor.accept();
+            if (m_stopping) {
+                return;
+            }
+            asio::error_code error;
+            std::string input;
+            asio::read_until(connection, asio::dynamic_buffer(input), "\r\n\r\n", error);
+            if (error) {
+                continue;
+            }
+            ++m_requests;
+            asio::write(connection, asio::buffer(std::string("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")), error);
+            input.clear();
+            asio::read_until(connection, asio::dynamic_buffer(input), "\r\n\r\n", error);
+            if (!error) {
+                ++m_requests;
+            }
+        }
+    }
+
+    asio::io_context m_context;
+    asio::ip::tcp::acceptor m_acceptor;
+    std::atomic<bool> m_stopping{false};
+    std::atomic<int> m_requests{0};
+    std::thread m_thread;
+};
+
+} // namespace
+
+TEST_CASE("the HTTP client reports how far a request got")
+{
+    http_client client({});
+
+    SUBCASE("a whole answer arrives with its headers and body")
+    {
+        http_server server({.listen = {"127.0.0.1", 0}}, [](http_request request, http_responder respond) {
+            respond({201, {{"X-Path", request.path}, {"X-Value", std::string(findHeader(request.query, "a b"))}}, request.method + request.body});
+        });
+        failure reason;
+        REQUIRE(server.start(reason));
+        http_call call;
+        call.method = "POST";
+        call.url = urlOf(server.port(), "/x?a%20b=c%2Fd");
+        call.body = "body";
+        const http_result result = client.fetch(call);
+        CHECK(result.state == send_state::Answered);
+        CHECK(result.response.status == 201);
+        CHECK(result.response.body == "POSTbody");
+        CHECK(findHeader(result.response.headers, "x-path") == "/x");
+        CHECK(findHeader(result.response.headers, "x-value") == "c/d");
+    }
+
+    SUBCASE("nothing is sent when nobody listens")
+    {
+        http_call call;
+        call.url = urlOf(1, "/");
+        const http_result result = client.fetch(call);
+        CHECK(result.state == send_state::NotSent);
+        CHECK(result.reason.code == failure_code::ConnectFailed);
+    }
+
+    // Guards against libcurl's silent resend, which would run a request twice.
+    SUBCASE("a request on a reused connection that closes early is not sent again")
+    {
+        closing_server server;
+        http_client reusing({});
+        http_call call;
+        call.method = "POST";
+        call.url = urlOf(server.port(), "/run");
+        CHECK(reusing.fetch(call).state == send_state::Answered);
+        const http_result second = reusing.fetch(call);
+        CHECK(second.state == send_state::Sent);
+        CHECK(server.requests() == 2);
+    }
+}
