--- /dev/null
+++ b/src/policies/sizing_policies.cpp
@@ -0,0 +1,123 @@
+#include "kernel/pool_balancer.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace daisypass {
+namespace {
+
+// Demand is averaged over this time, so that a peak of some seconds moves the average by a few percent only.
+constexpr double levelSeconds = 600;
+constexpr double slowLevelSeconds = 1'800;
+// A pool has to be off its share this long before a VM moves.
+constexpr duration holdTime = std::chrono::seconds(300);
+// How far ahead a forecast looks: a drain with long work and a reboot are over by then.
+constexpr double leadSeconds = 2'700;
+// Weight of the newest week in the learnt weekly profile.
+constexpr double weekWeight = 0.5;
+// Until an estimate has seen this much, it proposes no change.
+constexpr double settleSeconds = 600;
+constexpr double bucketSeconds = 1'800;
+constexpr double weekSeconds = 7 * 86'400;
+
+double seconds(duration time)
+{
+    return static_cast<double>(time.count()) / 1e6;
+}
+
+int bucketOf(timestamp now, int bucketCount)
+{
+    const double inWeek = std::fmod(seconds(now), weekSeconds);
+    return std::min(bucketCount - 1, static_cast<int>(inWeek / bucketSeconds));
+}
+
+// The heavier moves weigh against waiting and buffer, the wider the dead band, in VMs.
+double deadBand(const measure_weights &weights)
+{
+    const double others = std::max(1e-9, (weights.buffer + weights.waiting) / 2);
+    return std::clamp(weights.moves / others, 1.0, 3.0);
+}
+
+[[maybe_unused]] const bool fixedRegistered = registerSizing("none", [] {
+    return sizing_policy{fixed_sizing{}};
+});
+[[maybe_unused]] const bool followRegistered = registerSizing("follow-demand", [] {
+    return sizing_policy{follow_demand_sizing{}};
+});
+[[maybe_unused]] const bool hysteresisRegistered = registerSizing("hysteresis", [] {
+    return sizing_policy{hysteresis_sizing{}};
+});
+
+} // namespace
+
+double fillShare(const measure_weights &weights)
+{
+    // With equal weights sustained work fills about two thirds of the slots. A square root balances the two costs: waiting
+    // falls with the slack about as one over it, while the buffer grows linearly with it.
+    constexpr double balanced = 0.65;
+    const double both = std::max(1e-9, weights.buffer + weights.waiting);
+    return std::clamp(balanced * std::sqrt(2 * weights.buffer / both), 0.4, balanced);
+}
+
+size_estimate fixed_sizing::update(const pool_sample &, const measure_weights &, timestamp)
+{
+    return {};
+}
+
+size_estimate follow_demand_sizing::update(const pool_sample &sample, const measure_weights &, timestamp)
+{
+    return {.expectedSlots = sample.offeredSlots};
+}
+
+double hysteresis_sizing::forecast(timestamp now) const
+{
+    // A mean over T seconds lags a steady rise by T seconds of it, so the difference of two means gives the rise per second.
+    // Only a rise is extrapolated: giving VMs away early would save little and cost two moves if it was wrong.
+    const double rise = std::max(0.0, (m_level - m_slowLevel) / (slowLevelSeconds - levelSeconds));
+    double highest = m_level + rise * (levelSeconds + leadSeconds);
+    for (double ahead = 0; ahead <= leadSeconds; ahead += bucketSeconds / 2) {
+        const week_bucket &bucket = m_week[bucketOf(now + duration(static_cast<std::int64_t>(ahead * 1e6)), bucketsPerWeek)];
+        highest = bucket.known ? std::max(highest, bucket.mean) : highest;
+    }
+    return highest;
+}
+
+void hysteresis_sizing::learn(double offered, duration elapsed, timestamp now)
+{
+    const double step = seconds(elapsed);
+    m_level += (offered - m_level) * (1 - std::exp(-step / levelSeconds));
+    m_slowLevel += (offered - m_slowLevel) * (1 - std::exp(-step / slowLevelSeconds));
+    const int bucket = bucketOf(now, bucketsPerWeek);
+    if (bucket != m_bucket) {
+        // A bucket that was seen only in part would bias the profile.
+        if (m_bucket >= 0 && m_bucketSeconds > bucketSeconds / 2) {
+            week_bucket &ended = m_week[m_bucket];
+            const double mean = m_bucketSum / m_bucketSeconds;
+            ended.mean = ended.known ? ended.mean + (mean - ended.mean) * weekWeight : mean;
+            ended.known = true;
+        }
+        m_bucket = bucket;
+        m_bucketSum = 0;
+        m_bucketSeconds = 0;
+    }
+    m_bucketSum += offered * step;
+    m_bucketSeconds += step;
+}
+
+size_estimate hysteresis_sizing::update(const pool_sample &sample, const measure_weights &weights, timestamp now)
+{
+    if (!m_last) {
+        m_first = now;
+        m_level = sample.offeredSlots;
+        m_slowLevel = sample.offeredSlots;
+    } else {
+        learn(sample.offeredSlots, now - *m_last, now);
+    }
+    m_last = now;
+    if (seconds(now - *m_first) < settleSeconds) {
+        return {};
+    }
+    return {.expectedSlots = forecast(now), .band = deadBand(weights), .hold = holdTime};
+}
+
+} // namespace daisypass
