--- a/src/base/json_document.cpp
+++ b/src/base/json_document.cpp
@@ -10,13 +10,22 @@
 namespace {
 
 // Input iterator that counts lines and columns. The lexer reads each character once and in order, so at
-// every SAX event the count stands at the end of the token that caused it.
+// every SAX event the count stands at the end of the token that caused it, except that the lexer knows the end of a
+// number only from the character after it.
 struct position_counter
 {
     int line = 1;
     int column = 0;
+    int previousLine = 1;
+    int previousColumn = 0;
+    char last = '\0';
 };
 
+bool isNumberCharacter(char c)
+{
+    return (c >= '0' && c <= '9') || c == '.' || c == '-' || c == '+' || c == 'e' || c == 'E';
+}
+
 class counting_iterator
 {
 public:
@@ -39,6 +48,9 @@
 
     counting_iterator &operator++()
     {
+        m_counter->previousLine = m_counter->line;
+        m_counter->previousColumn = m_counter->column;
+        m_counter->last = *m_at;
         if (*m_at == '\n') {
             ++m_counter->line;
             m_counter->column = 0;
@@ -91,17 +103,17 @@
 
     bool number_integer(number_integer_t value) override
     {
-        return add(static_cast<std::int64_t>(value));
+        return addNumber(static_cast<std::int64_t>(value));
     }
 
     bool number_unsigned(number_unsigned_t value) override
     {
-        return add(static_cast<std::int64_t>(value));
+        return addNumber(static_cast<std::int64_t>(value));
     }
 
     bool number_float(number_float_t value, const string_t &) override
     {
-        return add(value);
+        return addNumber(value);
     }
 
     bool string(string_t &value) override
@@ -151,7 +163,8 @@
 
     bool parse_error(std::size_t, const std::string &token, const nlohmann::detail::exception &) override
     {
-        m_reason = failure{failure_code::SyntaxError, token, here(), "valid JSON (comments are allowed)"};
+        const bool readAhead = !token.empty() && token.back() != m_counter.last;
+        m_reason = failure{failure_code::SyntaxError, token, readAhead ? beforeLast() : here(), "valid JSON (comments are allowed)"};
         return false;
     }
 
@@ -161,6 +174,11 @@
         return {m_file, m_counter.line, m_counter.column};
     }
 
+    source_position beforeLast() const
+    {
+        return {m_file, m_counter.previousLine, m_counter.previousColumn};
+    }
+
     template<typename T>
     bool add(T &&data)
     {
@@ -168,6 +186,13 @@
         return true;
     }
 
+    template<typename T>
+    bool addNumber(T number)
+    {
+        place(std::make_unique<json_value>(json_value{number, isNumberCharacter(m_counter.last) ? here() : beforeLast()}));
+        return true;
+    }
+
     template<typename T>
     bool open(T &&data)
     {
