--- /dev/null
+++ b/src/entry/request_table.cpp
@@ -0,0 +1,249 @@
+#include "entry/request_table.h"
+
+#include <algorithm>
+
+namespace daisypass {
+namespace {
+
+// A record's share of the maps and queues that hold it, on top of its strings.
+constexpr std::size_t recordOverhead = 384;
+
+std::size_t answerBytes(const request_outcome &outcome)
+{
+    std::size_t bytes = outcome.answer.body.size();
+    for (const http_header &header : outcome.answer.headers) {
+        bytes += header.name.size() + header.value.size() + sizeof(http_header);
+    }
+    return bytes;
+}
+
+} // namespace
+
+request_table::request_table(request_table_options options)
+    : m_options(options)
+{
+}
+
+request_table::number_shard &request_table::shardOf(request_number number)
+{
+    return m_shards[number % shardCount];
+}
+
+const request_table::number_shard &request_table::shardOf(request_number number) const
+{
+    return m_shards[number % shardCount];
+}
+
+request_table::key_shard &request_table::shardOfKey(std::string_view key)
+{
+    return m_keyShards[std::hash<std::string_view>{}(key) % shardCount];
+}
+
+const request_table::key_shard &request_table::shardOfKey(std::string_view key) const
+{
+    return m_keyShards[std::hash<std::string_view>{}(key) % shardCount];
+}
+
+request_registration request_table::add(request_number number, std::string_view key)
+{
+    number_shard &shard = shardOf(number);
+    {
+        const std::lock_guard<std::mutex> guard(shard.lock);
+        const std::size_t bytes = recordOverhead + 2 * key.size();
+        const std::size_t limit = m_options.maxBytes / shardCount;
+        if (shard.bytes + bytes > limit) {
+            dropAnswers(shard);
+        }
+        if (shard.bytes + bytes > limit) {
+            return {registration_result::Full, 0};
+        }
+        record added;
+        added.key = std::string(key);
+        added.outcome.fate = request_fate::Pending;
+        added.bytes = bytes;
+        shard.bytes += bytes;
+        shard.records.emplace(number, std::move(added));
+    }
+    if (key.empty()) {
+        return {};
+    }
+    // The record exists before its key can be found, so a duplicate that finds the key also finds the record.
+    request_number existing = 0;
+    {
+        key_shard &keys = shardOfKey(key);
+        const std::lock_guard<std::mutex> guard(keys.lock);
+        const auto inserted = keys.numbers.try_emplace(std::string(key), number);
+        if (inserted.second) {
+            return {};
+        }
+        existing = inserted.first->second;
+    }
+    const std::lock_guard<std::mutex> guard(shard.lock);
+    removeRecord(shard, number);
+    return {registration_result::Duplicate, existing};
+}
+
+void request_table::setRunning(request_number number)
+{
+    number_shard &shard = shardOf(number);
+    const std::lock_guard<std::mutex> guard(shard.lock);
+    const auto found = shard.records.find(number);
+    if (found != shard.records.end() && !found->second.outcome.isFinal()) {
+        found->second.outcome.fate = request_fate::Running;
+    }
+}
+
+void request_table::finish(request_number number, request_outcome outcome, timestamp now)
+{
+    std::vector<waiter> waiters;
+    {
+        number_shard &shard = shardOf(number);
+        const std::lock_guard<std::mutex> guard(shard.lock);
+        const auto found = shard.records.find(number);
+        if (found == shard.records.end() || found->second.outcome.isFinal()) {
+            return;
+        }
+        record &ending = found->second;
+        const std::size_t bytes = answerBytes(outcome);
+        ending.bytes += bytes;
+        shard.bytes += bytes;
+        waiters.swap(ending.waiters);
+        if (waiters.empty()) {
+            ending.outcome = std::move(outcome);
+        } else {
+            ending.outcome = outcome;
+        }
+        shard.finished.push_back({number, now});
+        if (bytes > 0) {
+            shard.withAnswer.push_back(number);
+        }
+        dropAnswers(shard);
+    }
+    for (const waiter &told : waiters) {
+        told(outcome);
+    }
+}
+
+std::optional<request_outcome> request_table::find(request_number number) const
+{
+    const number_shard &shard = shardOf(number);
+    const std::lock_guard<std::mutex> guard(shard.lock);
+    const auto found = shard.records.find(number);
+    return found == shard.records.end() ? std::nullopt : std::optional<request_outcome>(found->second.outcome);
+}
+
+std::optional<request_number> request_table::findKey(std::string_view key) const
+{
+    const key_shard &keys = shardOfKey(key);
+    const std::lock_guard<std::mutex> guard(keys.lock);
+    const auto found = keys.numbers.find(std::string(key));
+    return found == keys.numbers.end() ? std::nullopt : std::optional<request_number>(found->second);
+}
+
+bool request_table::wait(request_number number, waiter told)
+{
+    request_outcome known;
+    {
+        number_shard &shard = shardOf(number);
+        const std::lock_guard<std::mutex> guard(shard.lock);
+        const auto found = shard.records.find(number);
+        if (found == shard.records.end()) {
+            return false;
+        }
+        if (!found->second.outcome.isFinal()) {
+            found->second.waiters.push_back(std::move(told));
+            return true;
+        }
+        known = found->second.outcome;
+    }
+    told(std::move(known));
+    return true;
+}
+
+// The oldest answers go first, down to the bound; their records keep the key taken.
+void request_table::dropAnswers(number_shard &shard) const
+{
+    const std::size_t limit = m_options.maxBytes / shardCount;
+    while (shard.bytes > limit && !shard.withAnswer.empty()) {
+        const auto found = shard.records.find(shard.withAnswer.front());
+        shard.withAnswer.pop_front();
+        if (found == shard.records.end()) {
+            continue;
+        }
+        record &oldest = found->second;
+        const std::size_t bytes = answerBytes(oldest.outcome);
+        oldest.outcome = request_outcome{request_fate::Expired, "answer_dropped", "the bound on held answers was reached", {}, {}};
+        oldest.bytes -= bytes;
+        shard.bytes -= bytes;
+    }
+}
+
+void request_table::removeRecord(number_shard &shard, request_number number)
+{
+    const auto found = shard.records.find(number);
+    if (found != shard.records.end()) {
+        shard.bytes -= found->second.bytes;
+        shard.records.erase(found);
+    }
+}
+
+void request_table::removeExpired(timestamp now)
+{
+    for (number_shard &shard : m_shards) {
+        std::vector<std::pair<std::string, request_number>> keys;
+        {
+            const std::lock_guard<std::mutex> guard(shard.lock);
+            while (!shard.finished.empty() && shard.finished.front().at + m_options.retention <= now) {
+                const request_number number = shard.finished.front().number;
+                shard.finished.pop_front();
+                const auto found = shard.records.find(number);
+                if (found != shard.records.end() && !found->second.key.empty()) {
+                    keys.emplace_back(found->second.key, number);
+                }
+                removeRecord(shard, number);
+                if (!shard.withAnswer.empty() && shard.withAnswer.front() == number) {
+                    shard.withAnswer.pop_front();
+                }
+            }
+        }
+        for (const std::pair<std::string, request_number> &key : keys) {
+            key_shard &holder = shardOfKey(key.first);
+            const std::lock_guard<std::mutex> guard(holder.lock);
+            holder.numbers.erase(key.first);
+        }
+    }
+}
+
+std::size_t request_table::bytes() const
+{
+    std::size_t sum = 0;
+    for (const number_shard &shard : m_shards) {
+        const std::lock_guard<std::mutex> guard(shard.lock);
+        sum += shard.bytes;
+    }
+    return sum;
+}
+
+std::size_t request_table::size() const
+{
+    std::size_t sum = 0;
+    for (const number_shard &shard : m_shards) {
+        const std::lock_guard<std::mutex> guard(shard.lock);
+        sum += shard.records.size();
+    }
+    return sum;
+}
+
+std::vector<std::pair<request_number, request_outcome>> request_table::all() const
+{
+    std::vector<std::pair<request_number, request_outcome>> records;
+    for (const number_shard &shard : m_shards) {
+        const std::lock_guard<std::mutex> guard(shard.lock);
+        for (const std::pair<const request_number, record> &held : shard.records) {
+            records.emplace_back(held.first, held.second.outcome);
+        }
+    }
+    return records;
+}
+
+} // namespace daisypass
--- /dev/null
+++ b/src/entry/request_table.h
@@ -0,0 +1,119 @@
+#pragma once
+
+// Outcomes of this entry's requests that somebody may ask for again: those with an idempotency key or a ticket, and asynchronous ones.
+//
+//     request_table table({});
+//     request_registration registered = table.add(number, "booking/zagreb/key-1");
+//     table.finish(number, outcome, now);
+//     std::optional<request_outcome> outcome = table.find(number);
+//
+// A record stays for `retention` after its end, so a key cannot start a second run within that time. The bound on bytes drops the oldest answers
+// first and keeps their records, whose outcome then reads Expired; when the records alone fill the bound, add() refuses.
+// Sharded by number and by key, one lock per shard; callbacks run outside the locks.
+
+#include "base/time.h"
+#include "entry/request_outcome.h"
+#include "kernel/request.h"
+
+#include <array>
+#include <cstddef>
+#include <deque>
+#include <functional>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace daisypass {
+
+struct request_table_options
+{
+    duration retention = std::chrono::minutes(15);
+    std::size_t maxBytes = std::size_t{64} << 20;
+};
+
+enum class registration_result {
+    Added,
+    /** The key belongs to `existing`. */
+    Duplicate,
+    Full,
+};
+
+struct request_registration
+{
+    registration_result result = registration_result::Added;
+    request_number existing = 0;
+};
+
+class request_table
+{
+public:
+    using waiter = std::function<void(request_outcome)>;
+
+    explicit request_table(request_table_options options);
+
+    /** `key` names pool, team and idempotency key; empty if there is none. */
+    request_registration add(request_number number, std::string_view key);
+    void setRunning(request_number number);
+    /** Only the first call counts. */
+    void finish(request_number number, request_outcome outcome, timestamp now);
+
+    std::optional<request_outcome> find(request_number number) const;
+    std::optional<request_number> findKey(std::string_view key) const;
+    /** Calls `told` with the final outcome, at once if it is known. Returns false if there is no such record. */
+    bool wait(request_number number, waiter told);
+
+    /** Call about once per second. */
+    void removeExpired(timestamp now);
+    std::size_t bytes() const;
+    std::size_t size() const;
+    /** All records, for the hand-over at a graceful stop. */
+    std::vector<std::pair<request_number, request_outcome>> all() const;
+
+private:
+    struct record
+    {
+        std::string key;
+        request_outcome outcome;
+        std::vector<waiter> waiters;
+        std::size_t bytes = 0;
+    };
+    struct ended
+    {
+        request_number number = 0;
+        timestamp at{};
+    };
+    struct number_shard
+    {
+        mutable std::mutex lock;
+        std::unordered_map<request_number, record> records;
+        /** In the order of their ends. */
+        std::deque<ended> finished;
+        /** Ended records whose answers are still held, oldest first. */
+        std::deque<request_number> withAnswer;
+        std::size_t bytes = 0;
+    };
+    struct key_shard
+    {
+        mutable std::mutex lock;
+        std::unordered_map<std::string, request_number> numbers;
+    };
+
+    static constexpr std::size_t shardCount = 16;
+
+    number_shard &shardOf(request_number number);
+    const number_shard &shardOf(request_number number) const;
+    key_shard &shardOfKey(std::string_view key);
+    const key_shard &shardOfKey(std::string_view key) const;
+    void dropAnswers(number_shard &shard) const;
+    static void removeRecord(number_shard &shard, request_number number);
+
+    request_table_options m_options;
+    std::array<number_shard, shardCount> m_shards;
+    std::array<key_shard, shardCount> m_keyShards;
+};
+
+} // namespace daisypass
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <atomic>
 #include <cctype>
+#include <charconv>
 #include <deque>
 #include <future>
 #include <mutex>
@@ -26,6 +27,8 @@
     curl_slist *headerList = nullptr;
     int sends = 0;
     bool resent = false;
+    // The answer lacks the header that the call asks for.
+    bool foreign = false;
 
     ~transfer()
     {
@@ -43,12 +46,35 @@
     return text.substr(first, text.find_last_not_of(blanks) - first + 1);
 }
 
+// The status of a line such as "HTTP/1.1 200 OK", or 0.
+int statusIn(std::string_view line)
+{
+    int status = 0;
+    const std::size_t blank = line.find(' ');
+    if (blank != std::string_view::npos) {
+        std::from_chars(line.data() + blank + 1, line.data() + line.size(), status);
+    }
+    return status;
+}
+
 std::size_t writeBody(char *data, std::size_t size, std::size_t count, void *user)
 {
     static_cast<transfer *>(user)->response.body.append(data, size * count);
     return size * count;
 }
 
+bool isInterim(const transfer &current)
+{
+    constexpr int leastFinalStatus = 200;
+    return current.response.status < leastFinalStatus;
+}
+
+bool echoMatches(const transfer &current)
+{
+    const std::optional<http_header> &echo = current.call.echo;
+    return !echo || isInterim(current) || findHeader(current.response.headers, echo->name) == echo->value;
+}
+
 std::size_t writeHeader(char *data, std::size_t size, std::size_t count, void *user)
 {
     transfer &current = *static_cast<transfer *>(user);
@@ -57,8 +83,13 @@
     if (line.starts_with("HTTP/")) {
         // A new status line follows a 1xx answer; its headers do not belong to the final answer.
         current.response.headers.clear();
+        current.response.status = statusIn(line);
     } else if (colon != std::string_view::npos) {
         current.response.headers.push_back({std::string(trimmed(line.substr(0, colon))), std::string(trimmed(line.substr(colon + 1)))});
+    } else if (trimmed(line).empty() && !echoMatches(current)) {
+        // Ending the transfer here makes libcurl close the connection, whose further bytes may belong to other requests too.
+        current.foreign = true;
+        return CURL_WRITEFUNC_ERROR;
     }
     return size * count;
 }
@@ -88,6 +119,17 @@
     }
 }
 
+failure reasonOf(const transfer &item, CURLcode code)
+{
+    if (item.resent) {
+        return failure{failure_code::BadAnswer, "connection closed before the answer"};
+    }
+    if (item.foreign) {
+        return failure{failure_code::BadAnswer, "answer without the header that the call asks for", {}, item.call.echo->name};
+    }
+    return failure{codeOf(code), curl_easy_strerror(code)};
+}
+
 void initialiseLibrary()
 {
     static std::once_flag once;
@@ -242,8 +284,7 @@
             result.response.status = static_cast<int>(status);
         } else {
             result.state = item->sends == 0 ? send_state::NotSent : send_state::Sent;
-            const char *text = item->resent ? "connection closed before the answer" : curl_easy_strerror(code);
-            result.reason = failure{item->resent ? failure_code::BadAnswer : codeOf(code), text};
+            result.reason = reasonOf(*item, code);
         }
         curl_multi_remove_handle(m_multi, handle);
         releaseHandle(handle);
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -13,6 +13,7 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace daisypass {
@@ -34,6 +35,8 @@
     std::string url;
     std::vector<http_header> headers;
     std::string body;
+    /** If set, the answer must carry this header; otherwise the call ends with BadAnswer and its connection is closed. */
+    std::optional<http_header> echo;
     std::chrono::milliseconds connectTimeout{1'000};
     /** Zero means no limit. */
     std::chrono::milliseconds totalTimeout{30'000};
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -18,13 +18,6 @@
 
 using native_server = restinio::http_server_t<server_traits>;
 
-bool equalIgnoringCase(std::string_view a, std::string_view b)
-{
-    return std::equal(a.begin(), a.end(), b.begin(), b.end(), [](unsigned char x, unsigned char y) {
-        return std::tolower(x) == std::tolower(y);
-    });
-}
-
 http_request toRequest(const restinio::request_t &native)
 {
     http_request request;
@@ -60,6 +53,13 @@
 
 } // namespace
 
+bool equalIgnoringCase(std::string_view a, std::string_view b)
+{
+    return std::equal(a.begin(), a.end(), b.begin(), b.end(), [](unsigned char x, unsigned char y) {
+        return std::tolower(x) == std::tolower(y);
+    });
+}
+
 std::string_view findHeader(const std::vector<http_header> &headers, std::string_view name)
 {
     const auto found = std::find_if(headers.begin(), headers.end(), [&](const http_header &header) {
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -30,6 +30,9 @@
     std::string value;
 };
 
+/** Comparison of header names. */
+bool equalIgnoringCase(std::string_view a, std::string_view b);
+
 /** Value of the first header with this name (letter case ignored), or empty. */
 std::string_view findHeader(const std::vector<http_header> &headers, std::string_view name);
 
