--- /dev/null
+++ b/src/entry/fleet_follower.h
@@ -0,0 +1,92 @@
+#pragma once
+
+// Follows the fleet log: replays it from the store, or from peers while the store does not answer or a peer is ahead.
+//
+//     fleet_follower follower(table, objects, options);
+//     follower.addListener([](std::shared_ptr<const fleet_state> state) { ... });
+//     follower.setPeers(source);
+//     follower.start();
+//     std::shared_ptr<const fleet_state> state = follower.state();
+//
+// One thread polls and replays; listeners run on it, in the order of revisions, and must not call stop(). The revision never falls.
+// Used by daisypass-entry and daisypass-control.
+
+#include "base/time.h"
+#include "kernel/fleet_state.h"
+#include "net/peer_messages.h"
+#include "platform/object_store.h"
+#include "platform/table_service.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace daisypass {
+
+struct fleet_follower_options
+{
+    duration pollInterval = std::chrono::seconds(1);
+    /** Bounds of the back-off towards the store after failures; full jitter. */
+    duration leastBackOff = std::chrono::milliseconds(100);
+    duration mostBackOff = std::chrono::seconds(10);
+    /** Records kept in memory for peers that lag. */
+    std::size_t keptRecords = 2'000;
+    std::uint64_t seed = 1;
+};
+
+/** Where the follower finds peers. Both functions block up to their own deadline and return nothing if no peer has an answer. */
+struct follower_peers
+{
+    std::function<std::optional<log_page>(revision_number after, int limit)> fetchLog;
+    std::function<std::optional<std::string>(std::string_view hash)> fetchFile;
+};
+
+class fleet_follower
+{
+public:
+    using listener = std::function<void(std::shared_ptr<const fleet_state>)>;
+
+    fleet_follower(table_service table, object_store objects, fleet_follower_options options);
+    ~fleet_follower();
+
+    /** Before start(). */
+    void addListener(listener told);
+    void setPeers(follower_peers peers);
+
+    void start();
+    /** Waits for the thread. Idempotent. */
+    void stop();
+
+    /** Never null; the empty state of revision 0 before the first replay. */
+    std::shared_ptr<const fleet_state> state() const;
+
+    /** Makes the next poll happen now, regardless of the back-off; does not wait for it. */
+    void pollNow();
+    /** Polls now and waits for the end of a poll that began after the call. Fails with StoreUnavailable, StoreOverloaded or Timeout. */
+    bool refresh(duration limit, failure &reason);
+    /** A peer reported this revision; if it is ahead, the records are fetched now. */
+    void peerRevision(revision_number revision);
+
+    /** When the last successful read of the store was started (steady clock), or no value if there was none. */
+    std::optional<timestamp> lastStoreContact() const;
+    /** Highest revision known to exist, from the store or peers; may be ahead of state(). */
+    revision_number highestRevision() const;
+
+    /** Records after this revision for a peer, at most `limit`; a snapshot if they are no longer held. */
+    log_page page(revision_number after, int limit) const;
+    /** A configuration file body, if it is held. */
+    std::optional<std::string> file(std::string_view hash) const;
+    /** Adds a body that this process is about to name in a change. */
+    void keepFile(std::string_view text);
+
+private:
+    struct implementation;
+
+    std::unique_ptr<implementation> m_implementation;
+};
+
+} // namespace daisypass
--- /dev/null
+++ b/src/net/peer_client.h
@@ -0,0 +1,75 @@
+#pragma once
+
+// Asynchronous calls to other entries over gRPC, kept behind one source file.
+//
+//     peer_client client({});
+//     client.gossip({place, incarnation}, message, [](std::optional<gossip_message> answer, const failure &reason) { ... });
+//
+// Every call has a deadline and ends exactly once, with an answer or a typed failure: PeerUnreachable, Timeout, WrongIncarnation, or BadAnswer if
+// the peer refuses the call. The callback runs on a client thread and must not block. Answers that arrive after the deadline are dropped.
+
+#include "base/failure.h"
+#include "base/settings_reader.h"
+#include "net/peer_messages.h"
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace daisypass {
+
+struct peer_client_options
+{
+    int threads = 1;
+    std::chrono::milliseconds deadline{300};
+    /** For FetchLog and FetchFile, whose answers can be large. */
+    std::chrono::milliseconds fetchDeadline{2'000};
+    int maxMessageBytes = 8 << 20;
+};
+
+/** A peer as the fleet state names it. With incarnation 0 any incarnation may answer. */
+struct peer_address
+{
+    endpoint place;
+    incarnation_number incarnation = 0;
+};
+
+template<typename T>
+using peer_callback = std::function<void(std::optional<T> answer, const failure &reason)>;
+
+/** An answer without content. */
+struct peer_acknowledgement
+{
+};
+
+class peer_client
+{
+public:
+    explicit peer_client(peer_client_options options);
+    /** Cancels calls in flight, runs their callbacks with PeerUnreachable and waits for the threads. */
+    ~peer_client();
+
+    void gossip(const peer_address &peer, const gossip_message &message, peer_callback<gossip_message> done);
+    void borrowSlots(const peer_address &peer, const borrow_call &call, peer_callback<std::vector<peer_grant>> done);
+    void returnSlots(const peer_address &peer, const return_call &call, peer_callback<peer_acknowledgement> done);
+    void getFate(const peer_address &peer, std::string_view requestId, peer_callback<fate_answer> done);
+    void cancelRequest(const peer_address &peer, std::string_view requestId, peer_callback<cancel_answer> done);
+    void fetchLog(const peer_address &peer, revision_number after, int limit, peer_callback<log_page> done);
+    /** Fails with NotFound if the peer does not hold the file. */
+    void fetchFile(const peer_address &peer, std::string_view hash, peer_callback<std::string> done);
+    void confirmDrain(const peer_address &peer, const drain_question &question, peer_callback<drain_answer> done);
+
+    /** Closes the channels to all other places. Calls in flight on them still end. */
+    void keepOnly(const std::vector<endpoint> &places);
+
+private:
+    struct implementation;
+
+    std::unique_ptr<implementation> m_implementation;
+};
+
+} // namespace daisypass
