--- /dev/null
+++ b/src/entry/claim_logic.h
@@ -0,0 +1,150 @@
+#pragma once
+
+// Decides how claims on idempotency keys reach the table service: which are written together, and what each answer means.
+//
+//     claim_logic logic(incarnation);
+//     std::vector<claim_action> actions;
+//     logic.handle(claim_requested{claim}, now, random, actions);
+//
+// One transaction is in progress at a time and inserts up to 64 rows, each only if absent. A row's value names the claiming request, so a row that
+// holds the value of a claim settles it as won, whichever write put it there; another value means a duplicate. After a lost answer or a conflict the
+// rows are read; rows that are absent are written again. Failures of the store are retried after a back-off with full jitter.
+// Pure: no clock, thread or random source.
+
+#include "base/time.h"
+#include "kernel/fleet_change.h"
+#include "kernel/request.h"
+#include "platform/table_service.h"
+
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace daisypass {
+
+struct claim
+{
+    request_number number = 0;
+    /** Row key, see claimKey(). */
+    std::string key;
+    /** Row value, see claimValue(). */
+    std::string value;
+    timestamp deadline{};
+};
+
+struct claim_requested
+{
+    claim wanted;
+};
+
+/** The request was cancelled; its claim is not reported any more. A write in progress may still take effect. */
+struct claim_cancelled
+{
+    request_number number = 0;
+};
+
+/** How the write asked for last ended. */
+struct claims_written
+{
+    commit_outcome outcome = commit_outcome::Unknown;
+};
+
+/** The rows asked for last, in that order; `read` is false if the store did not answer for this row. */
+struct claim_row
+{
+    bool read = false;
+    /** Empty if the row is absent. */
+    std::optional<std::string> value;
+};
+
+struct claims_read
+{
+    std::vector<claim_row> rows;
+};
+
+struct claim_tick
+{
+};
+
+using claim_event = std::variant<claim_requested, claim_cancelled, claims_written, claims_read, claim_tick>;
+
+struct write_claims
+{
+    table_transaction transaction;
+};
+
+struct read_claims
+{
+    std::vector<std::string> keys;
+};
+
+/** The key belongs to this request now: it may be run. */
+struct claim_won
+{
+    request_number number = 0;
+};
+
+struct claim_duplicate
+{
+    request_number number = 0;
+    /** Value of the row, which names the claiming request. */
+    std::string value;
+};
+
+/** The deadline passed before the claim was settled: the request must not be run. */
+struct claim_refused
+{
+    request_number number = 0;
+};
+
+using claim_action = std::variant<write_claims, read_claims, claim_won, claim_duplicate, claim_refused>;
+
+class claim_logic
+{
+public:
+    explicit claim_logic(incarnation_number incarnation);
+
+    /** `random` is uniform over 64 bits and used for jitter. */
+    void handle(const claim_event &event, timestamp now, std::uint64_t random, std::vector<claim_action> &actions);
+
+    /** Claims not settled yet. */
+    std::size_t waiting() const;
+
+private:
+    enum class store_phase {
+        Idle,
+        Writing,
+        Reading,
+        /** The batch's rows must be read, after the back-off. */
+        MustRead,
+    };
+
+    void written(commit_outcome outcome, timestamp now, std::uint64_t random, std::vector<claim_action> &actions);
+    void rowsRead(const claims_read &read, timestamp now, std::uint64_t random, std::vector<claim_action> &actions);
+    void settle(claim &settled, const std::string &value, std::vector<claim_action> &actions);
+    void requeueBatch();
+    void backOff(timestamp now, std::uint64_t random);
+    void refuseLate(timestamp now, std::vector<claim_action> &actions);
+    void proceed(timestamp now, std::vector<claim_action> &actions);
+    void startWrite(std::vector<claim_action> &actions);
+
+    incarnation_number m_incarnation;
+    store_phase m_phase = store_phase::Idle;
+    std::deque<claim> m_queue;
+    /** The claims of the write in progress; `number` 0 marks one that is settled already. */
+    std::vector<claim> m_batch;
+    std::uint64_t m_writes = 0;
+    int m_failures = 0;
+    timestamp m_notBefore{};
+};
+
+std::string claimKey(std::string_view pool, std::string_view team, std::string_view key);
+std::string claimValue(std::string_view entry, std::string_view requestId);
+/** The request id in a row's value, or nothing if the value is not a claim. */
+std::optional<std::string> claimantOf(std::string_view value);
+
+} // namespace daisypass
