Add the first pool scheduler

Change: a request table with intrusive lists, a timing wheel for deadlines, a deficit round robin queue, a slot ledger, a retry budget, rendezvous hashing and a registry of policies. Ruled out: a heap for deadlines, because cancelled requests would stay in it until their deadline. Every accepted request ends with exactly one refuse or finish.

--- a/src/kernel/pool_scheduler.h
+++ b/src/kernel/pool_scheduler.h
@@ -8,6 +8,8 @@
 //     for (const scheduler_action &action : actions) { ... }
 //
 // The scheduler is fed events with the time and returns actions; it keeps no clock, thread or socket.
+// Every request_arrived is answered by exactly one refuse or finish in the end, also after request_cancelled: a cancelled request that was queued ends with
+// refuse (Cancelled), one that was running with finish (Unknown), and later events for it are ignored.
 // The caller holds one lock per scheduler. Cost per event: O(log n) in queued requests or better; cancellation O(1).
 
 #include "base/time.h"
@@ -31,7 +33,7 @@
     /** Entry that owns the target's slots. */
     std::string owner;
     machine_size size;
-    /** When the target came back into service; its slots ramp up from here. */
+    /** When the target came back into service; its slots ramp up from here. Zero means long ago. */
     timestamp servingSince{};
 };
 
@@ -61,6 +63,14 @@
     std::vector<team_config> teams;
     /** No contact with store or peers: nothing new may be dispatched. */
     bool isolated = false;
+    /** All live entries; needed by the slot policy `static-shares` only. */
+    std::vector<std::string> entries = {};
+};
+
+struct target_load
+{
+    std::string vm;
+    int count = 0;
 };
 
 /** What a peer told about this pool in its last gossip message. */
@@ -69,6 +79,8 @@
     std::string peer;
     int queued = 0;
     int freeSlots = 0;
+    /** Requests of the peer in flight; needed by the slot policy `refusal-only` only. */
+    std::vector<target_load> running = {};
 };
 
 struct slot_grant
@@ -162,7 +174,8 @@
 class pool_scheduler
 {
 public:
-    pool_scheduler(const pool_config &config, std::uint64_t seed);
+    /** `slotPolicy` is the name of a registered slot policy; an unknown name means "lend". */
+    pool_scheduler(const pool_config &config, std::uint64_t seed, std::string_view slotPolicy = "lend");
     ~pool_scheduler();
     pool_scheduler(pool_scheduler &&) noexcept;
     pool_scheduler &operator=(pool_scheduler &&) noexcept;
--- /dev/null
+++ b/src/kernel/rendezvous.cpp
@@ -0,0 +1,42 @@
+#include "kernel/pool_scheduler.h"
+
+namespace daisypass {
+
+namespace {
+
+// FNV-1a with a final mix. Every entry must compute the same value in every build, which std::hash does not promise.
+std::uint64_t stableHash(std::string_view first, std::string_view second)
+{
+    constexpr std::uint64_t Offset = 14695981039346656037ULL;
+    constexpr std::uint64_t Prime = 1099511628211ULL;
+    std::uint64_t hash = Offset;
+    for (std::string_view part : {first, second}) {
+        for (char character : part) {
+            hash = (hash ^ static_cast<unsigned char>(character)) * Prime;
+        }
+        // A separator keeps ("a", "bc") apart from ("ab", "c").
+        hash = (hash ^ 0xFFU) * Prime;
+    }
+    hash = (hash ^ (hash >> 33)) * 0xff51afd7ed558ccdULL;
+    hash = (hash ^ (hash >> 33)) * 0xc4ceb9fe1a85ec53ULL;
+    return hash ^ (hash >> 33);
+}
+
+} // namespace
+
+std::string_view rendezvousOwner(std::span<const std::string> entries, std::string_view target)
+{
+    std::string_view owner;
+    std::uint64_t best = 0;
+    for (const std::string &entry : entries) {
+        const std::uint64_t hash = stableHash(entry, target);
+        // Equal hashes are decided by name, so that the order of the entries does not matter.
+        if (owner.empty() || hash > best || (hash == best && entry > owner)) {
+            owner = entry;
+            best = hash;
+        }
+    }
+    return owner;
+}
+
+} // namespace daisypass
--- /dev/null
+++ b/src/kernel/request_table.h
@@ -0,0 +1,92 @@
+#pragma once
+
+// The requests that a pool_scheduler holds, queued or running, in one array with stable indices.
+//
+// A record carries the links of the lists that it is in, so that leaving a list costs O(1) and no allocation.
+
+#include "base/time.h"
+#include "kernel/request.h"
+
+#include <cstdint>
+#include <unordered_map>
+#include <vector>
+
+namespace daisypass {
+
+using request_index = std::uint32_t;
+constexpr request_index NoRequest = 0xFFFFFFFFU;
+using target_index = std::uint32_t;
+constexpr target_index NoTargetIndex = 0xFFFFFFFFU;
+
+enum class request_phase : std::uint8_t {
+    Free,
+    /** In a team's queue. */
+    Queued,
+    /** Was refused or not sent; waits for its retry time or for another target. */
+    Retrying,
+    Running,
+};
+
+struct list_links
+{
+    request_index previous = NoRequest;
+    request_index next = NoRequest;
+};
+
+struct request_record
+{
+    request_number number = 0;
+    timestamp deadline{};
+    /** Start of the current attempt while running, earliest next attempt while retrying. */
+    timestamp since{};
+    machine_size needs;
+    /** Expected run time when it was queued, in seconds; what the queue's work sums were increased by. */
+    float work = 0;
+    list_links queueLinks;
+    list_links deadlineLinks;
+    std::uint32_t deadlineSlot = 0;
+    std::uint32_t team = 0;
+    std::uint32_t runClass = 0;
+    /** The target of the current attempt while running, of the last attempt otherwise. */
+    target_index target = NoTargetIndex;
+    /** Position in the list of running or retrying requests. */
+    std::uint32_t position = 0;
+    request_phase phase = request_phase::Free;
+    std::uint8_t band = 0;
+    std::uint8_t attempts = 0;
+};
+
+class request_table
+{
+public:
+    /** Returns NoRequest if the number is in use. */
+    request_index insert(request_number number);
+    request_index find(request_number number) const;
+    void erase(request_index index);
+
+    request_record &operator[](request_index index)
+    {
+        return m_records[index];
+    }
+    const request_record &operator[](request_index index) const
+    {
+        return m_records[index];
+    }
+
+private:
+    std::vector<request_record> m_records;
+    std::vector<request_index> m_free;
+    std::unordered_map<request_number, request_index> m_byNumber;
+};
+
+/** A doubly linked list through one of the links of the records. */
+struct request_list
+{
+    request_index first = NoRequest;
+    request_index last = NoRequest;
+
+    void pushBack(request_table &table, list_links request_record::*links, request_index index);
+    void remove(request_table &table, list_links request_record::*links, request_index index);
+};
+
+} // namespace daisypass
