--- /dev/null
+++ b/src/kernel/fleet_state.cpp
@@ -0,0 +1,639 @@
+#include "kernel/fleet_state.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace daisypass {
+namespace {
+
+constexpr std::array<std::string_view, 4> StateNames{"serving", "draining", "stopped", "failed"};
+constexpr std::array<std::string_view, 3> CauseNames{"maintenance", "move", "removal"};
+
+bool removeFile(std::vector<file_reference> &files, std::string_view name)
+{
+    const auto found = std::find_if(files.begin(), files.end(), [name](const file_reference &file) {
+        return file.name == name;
+    });
+    if (found == files.end()) {
+        return false;
+    }
+    files.erase(found);
+    return true;
+}
+
+std::optional<configuration> loadConfiguration(const std::vector<file_reference> &references, const file_source &files, failure &reason)
+{
+    std::vector<configuration_file> loaded;
+    for (const file_reference &reference : references) {
+        std::optional<std::string> body = files(reference.hash);
+        if (!body) {
+            reason = failure{failure_code::NotFound, reference.hash, {reference.name}, "the body of the configuration file"};
+            return std::nullopt;
+        }
+        loaded.push_back({reference.name, std::move(*body)});
+    }
+    std::vector<failure> failures;
+    std::optional<configuration> config = parseConfiguration(loaded, failures);
+    if (!config) {
+        reason = failures.front();
+    }
+    return config;
+}
+
+} // namespace
+
+// Applies the changes of one record and can take them back: a record counts as a whole or not at all.
+struct fleet_state::change_applier
+{
+    fleet_state &state;
+    const log_record &record;
+    const file_source &files;
+    failure &reason;
+
+    struct saved_configuration
+    {
+        revision_number revision;
+        configuration config;
+        std::vector<file_reference> files;
+    };
+
+    std::vector<std::pair<std::string, std::optional<vm_record>>> savedVms;
+    std::vector<std::pair<std::string, std::optional<entry_record>>> savedEntries;
+    std::vector<saved_configuration> savedConfigurations;
+
+    void undo()
+    {
+        while (!savedVms.empty()) {
+            restore(savedVms.back().first, std::move(savedVms.back().second));
+            savedVms.pop_back();
+        }
+        while (!savedEntries.empty()) {
+            state.m_entries.erase(savedEntries.back().first);
+            if (savedEntries.back().second) {
+                state.m_entries.emplace(savedEntries.back().first, std::move(*savedEntries.back().second));
+            }
+            savedEntries.pop_back();
+        }
+        if (!savedConfigurations.empty()) {
+            saved_configuration &first = savedConfigurations.front();
+            state.m_configurationRevision = first.revision;
+            state.m_config = std::move(first.config);
+            state.m_files = std::move(first.files);
+        }
+    }
+
+    void restore(const std::string &id, std::optional<vm_record> before)
+    {
+        const auto found = state.m_vms.find(id);
+        if (found != state.m_vms.end()) {
+            state.count(found->second, -1);
+            state.m_vms.erase(found);
+        }
+        if (before) {
+            state.count(*before, 1);
+            state.m_vms.emplace(id, std::move(*before));
+        }
+    }
+
+    void put(vm_record vm)
+    {
+        const auto found = state.m_vms.find(vm.id);
+        if (found == state.m_vms.end()) {
+            savedVms.emplace_back(vm.id, std::nullopt);
+            state.count(vm, 1);
+            state.m_vms.emplace(vm.id, std::move(vm));
+            return;
+        }
+        savedVms.emplace_back(vm.id, found->second);
+        state.count(found->second, -1);
+        state.count(vm, 1);
+        found->second = std::move(vm);
+    }
+
+    void erase(const std::string &id)
+    {
+        const auto found = state.m_vms.find(id);
+        savedVms.emplace_back(id, found->second);
+        state.count(found->second, -1);
+        state.m_vms.erase(found);
+    }
+
+    bool fail(failure_code code, std::string_view argument, std::string_view expected = {})
+    {
+        reason = failure{code, std::string(argument), {}, std::string(expected)};
+        return false;
+    }
+
+    const vm_record *find(const std::string &id)
+    {
+        const auto found = state.m_vms.find(id);
+        if (found == state.m_vms.end()) {
+            fail(failure_code::UnknownVm, id);
+            return nullptr;
+        }
+        return &found->second;
+    }
+
+    const vm_record *find(const std::string &id, std::uint64_t epoch, vm_state wanted)
+    {
+        const vm_record *vm = find(id);
+        if (vm != nullptr && vm->state != wanted) {
+            fail(failure_code::WrongState, id, "state " + std::string(stateName(wanted)) + ", not " + std::string(stateName(vm->state)));
+            return nullptr;
+        }
+        if (vm != nullptr && vm->epoch != epoch) {
+            fail(failure_code::WrongEpoch, id, "epoch " + std::to_string(vm->epoch) + ", not " + std::to_string(epoch));
+            return nullptr;
+        }
+        return vm;
+    }
+
+    void change(const vm_record &before, vm_state wanted)
+    {
+        vm_record after = before;
+        after.state = wanted;
+        after.changedAt = record.at;
+        put(std::move(after));
+    }
+
+    bool operator()(const configuration_applied &change)
+    {
+        if (change.base != state.m_configurationRevision) {
+            return fail(failure_code::RevisionConflict, std::to_string(change.base), "base revision " + std::to_string(state.m_configurationRevision));
+        }
+        std::vector<file_reference> references = state.m_files;
+        for (const std::string &name : change.removed) {
+            if (!removeFile(references, name)) {
+                return fail(failure_code::NotFound, name, "the name of a configuration file");
+            }
+        }
+        for (const file_reference &file : change.changed) {
+            removeFile(references, file.name);
+            references.push_back(file);
+        }
+        std::sort(references.begin(), references.end(), [](const file_reference &left, const file_reference &right) {
+            return left.name < right.name;
+        });
+        std::optional<configuration> config = loadConfiguration(references, files, reason);
+        if (!config || !checkMachines(*config)) {
+            return false;
+        }
+        savedConfigurations.push_back({state.m_configurationRevision, std::move(state.m_config), std::move(state.m_files)});
+        state.m_config = std::move(*config);
+        state.m_files = std::move(references);
+        state.m_configurationRevision = record.revision;
+        addMachines();
+        removeMachines();
+        return true;
+    }
+
+    // A VM id stands for one machine at one place; requests in flight and confirmations name the id only.
+    bool checkMachines(const configuration &config)
+    {
+        for (const std::pair<const std::string, vm_config> &vm : config.vms) {
+            const auto known = state.m_vms.find(vm.first);
+            if (known != state.m_vms.end()
+                && (known->second.address != vm.second.address || known->second.availabilityZone != vm.second.availabilityZone
+                    || known->second.rack != vm.second.rack)) {
+                return fail(failure_code::NotPermitted, vm.first, "a new id for a VM with another address, availability zone or rack");
+            }
+        }
+        return true;
+    }
+
+    void addMachines()
+    {
+        for (const std::pair<const std::string, vm_config> &vm : state.m_config.vms) {
+            if (!state.m_vms.contains(vm.first)) {
+                vm_record added;
+                added.id = vm.first;
+                added.pool = vm.second.pool;
+                added.address = vm.second.address;
+                added.availabilityZone = vm.second.availabilityZone;
+                added.rack = vm.second.rack;
+                added.state = vm_state::Stopped;
+                added.epoch = record.revision;
+                added.detail = JoinDetail;
+                added.changedAt = record.at;
+                put(std::move(added));
+            }
+        }
+    }
+
+    void removeMachines()
+    {
+        std::vector<std::string> ended;
+        for (const std::pair<const std::string, vm_record> &vm : state.m_vms) {
+            const bool idle = vm.second.state == vm_state::Stopped || vm.second.state == vm_state::Failed;
+            if (idle && !state.m_config.vms.contains(vm.first)) {
+                ended.push_back(vm.first);
+            }
+        }
+        for (const std::string &id : ended) {
+            erase(id);
+        }
+    }
+
+    bool operator()(const entry_joined &change)
+    {
+        const auto found = state.m_entries.find(change.entry);
+        std::optional<entry_record> before;
+        if (found != state.m_entries.end()) {
+            // A process that holds the address of the earlier one proves that the earlier one has ended.
+            if (found->second.incarnation == change.incarnation || found->second.peers != change.peers) {
+                return fail(
+                    failure_code::WrongState, change.entry, "an entry that has not joined, or a new process on the address " + toString(found->second.peers));
+            }
+            before = found->second;
+        }
+        savedEntries.emplace_back(change.entry, std::move(before));
+        state.m_entries[change.entry] = entry_record{change.entry, change.incarnation, change.callers, change.peers, change.availabilityZone, record.revision};
+        return true;
+    }
+
+    bool removeEntry(const std::string &id, incarnation_number incarnation)
+    {
+        const auto found = state.m_entries.find(id);
+        if (found == state.m_entries.end() || found->second.incarnation != incarnation) {
+            return fail(failure_code::UnknownEntry, id, "an entry that has joined, with its incarnation");
+        }
+        savedEntries.emplace_back(id, found->second);
+        state.m_entries.erase(found);
+        return true;
+    }
+
+    bool operator()(const entry_left &change)
+    {
+        return removeEntry(change.entry, change.incarnation);
+    }
+
+    bool operator()(const entry_removed &change)
+    {
+        return removeEntry(change.entry, change.incarnation);
+    }
+
+    bool operator()(const drain_begun &change)
+    {
+        const vm_record *vm = find(change.vm);
+        if (vm == nullptr || !state.mayDrain(change.vm, reason)) {
+            return false;
+        }
+        if (change.epoch != vm->epoch + 1) {
+            return fail(failure_code::WrongEpoch, change.vm, "epoch " + std::to_string(vm->epoch + 1) + ", not " + std::to_string(change.epoch));
+        }
+        if (change.cause == drain_cause::Move && (!state.m_config.pools.contains(change.detail) || change.detail == vm->pool)) {
+            return fail(failure_code::UnknownPool, change.detail, "another pool of the configuration");
+        }
+        vm_record after = *vm;
+        after.state = vm_state::Draining;
+        after.epoch = change.epoch;
+        after.cause = change.cause;
+        after.detail = change.detail;
+        after.drainRevision = record.revision;
+        after.changedAt = record.at;
+        put(std::move(after));
+        return true;
+    }
+
+    bool operator()(const drain_cancelled &change)
+    {
+        const vm_record *vm = find(change.vm, change.epoch, vm_state::Draining);
+        if (vm == nullptr) {
+            return false;
+        }
+        this->change(*vm, vm_state::Serving);
+        return true;
+    }
+
+    bool operator()(const vm_stopped &change)
+    {
+        const vm_record *vm = find(change.vm, change.epoch, vm_state::Draining);
+        if (vm == nullptr) {
+            return false;
+        }
+        for (const drain_confirmation &required : state.requiredConfirmations(change.vm)) {
+            if (std::find(change.confirmations.begin(), change.confirmations.end(), required) == change.confirmations.end()) {
+                return fail(failure_code::Unconfirmed, change.vm, "a confirmation of entry " + required.entry);
+            }
+        }
+        if (vm->cause == drain_cause::Removal && !state.m_config.vms.contains(change.vm)) {
+            erase(change.vm);
+            return true;
+        }
+        this->change(*vm, vm_state::Stopped);
+        return true;
+    }
+
+    bool operator()(const vm_returned &change)
+    {
+        const vm_record *vm = find(change.vm, change.epoch, vm_state::Stopped);
+        if (vm == nullptr) {
+            return false;
+        }
+        vm_record after = *vm;
+        after.state = vm_state::Serving;
+        after.detail.clear();
+        after.changedAt = record.at;
+        after.maintainedAt = record.at;
+        put(std::move(after));
+        return true;
+    }
+
+    bool operator()(const vm_failed &change)
+    {
+        const vm_record *vm = find(change.vm);
+        if (vm == nullptr) {
+            return false;
+        }
+        if (vm->state == vm_state::Failed) {
+            return fail(failure_code::WrongState, change.vm, "a state other than failed");
+        }
+        if (!state.m_config.vms.contains(change.vm)) {
+            erase(change.vm);
+            return true;
+        }
+        this->change(*vm, vm_state::Failed);
+        return true;
+    }
+
+    bool operator()(const vm_recovered &change)
+    {
+        const vm_record *vm = find(change.vm);
+        if (vm == nullptr) {
+            return false;
+        }
+        if (vm->state != vm_state::Failed) {
+            return fail(failure_code::WrongState, change.vm, "state failed, not " + std::string(stateName(vm->state)));
+        }
+        this->change(*vm, vm_state::Serving);
+        return true;
+    }
+
+    bool operator()(const vm_moved &change)
+    {
+        const vm_record *vm = find(change.vm, change.epoch, vm_state::Stopped);
+        if (vm == nullptr) {
+            return false;
+        }
+        if (vm->cause != drain_cause::Move || vm->detail != change.pool) {
+            return fail(failure_code::WrongState, change.vm, "a drain for a move to pool " + change.pool);
+        }
+        if (!state.m_config.pools.contains(change.pool)) {
+            return fail(failure_code::UnknownPool, change.pool, "a pool of the configuration");
+        }
+        vm_record after = *vm;
+        after.pool = change.pool;
+        after.epoch = change.epoch + 1;
+        after.detail.clear();
+        after.changedAt = record.at;
+        put(std::move(after));
+        return true;
+    }
+};
+
+bool fleet_state::apply(const log_record &record, const file_source &files, failure &reason)
+{
+    if (record.revision != m_revision + 1) {
+        reason = failure{failure_code::RevisionGap, std::to_string(record.revision), {}, "revision " + std::to_string(m_revision + 1)};
+        return false;
+    }
+    change_applier applier{*this, record, files, reason, {}, {}, {}};
+    for (const fleet_change &change : record.changes) {
+        if (!std::visit(applier, change)) {
+            applier.undo();
+            return false;
+        }
+    }
+    m_revision = record.revision;
+    return true;
+}
+
+std::string_view fleet_state::stateName(vm_state state)
+{
+    return StateNames.at(static_cast<std::size_t>(state));
+}
+
+void fleet_state::count(const vm_record &vm, int step)
+{
+    pool_tally &tally = m_tallies[vm.pool];
+    tally.members += step;
+    if (vm.state == vm_state::Serving) {
+        tally.serving += step;
+        if ((tally.servingByRack[vm.rack] += step) == 0) {
+            tally.servingByRack.erase(vm.rack);
+        }
+        if ((tally.servingByZone[vm.availabilityZone] += step) == 0) {
+            tally.servingByZone.erase(vm.availabilityZone);
+        }
+    }
+    if (tally.members == 0) {
+        m_tallies.erase(vm.pool);
+    }
+}
+
+int fleet_state::unavailable(std::string_view pool) const
+{
+    const auto found = m_tallies.find(pool);
+    return found == m_tallies.end() ? 0 : found->second.members - found->second.serving;
+}
+
+int fleet_state::serving(std::string_view pool) const
+{
+    const auto found = m_tallies.find(pool);
+    return found == m_tallies.end() ? 0 : found->second.serving;
+}
+
+int fleet_state::minAvailable(std::string_view pool) const
+{
+    const auto found = m_config.pools.find(pool);
+    return found == m_config.pools.end() ? 0 : found->second.minAvailable;
+}
+
+int fleet_state::largestLoss(std::string_view pool) const
+{
+    return loss(pool, nullptr);
+}
+
+int fleet_state::loss(std::string_view pool, const vm_record *without) const
+{
+    const auto config = m_config.pools.find(pool);
+    const auto found = m_tallies.find(pool);
+    if (config == m_config.pools.end() || found == m_tallies.end()) {
+        return 0;
+    }
+    const pool_tally &tally = found->second;
+    const failure_headroom headroom = config->second.headroom;
+    if (headroom == failure_headroom::None || headroom == failure_headroom::Vm) {
+        const int left = tally.serving - (without != nullptr ? 1 : 0);
+        return headroom == failure_headroom::Vm && left > 0 ? 1 : 0;
+    }
+    const bool zone = headroom == failure_headroom::Zone;
+    int largest = 0;
+    for (const std::pair<const std::string, int> &domain : zone ? tally.servingByZone : tally.servingByRack) {
+        const bool own = without != nullptr && domain.first == (zone ? without->availabilityZone : without->rack);
+        largest = std::max(largest, domain.second - (own ? 1 : 0));
+    }
+    return largest;
+}
+
+std::vector<drain_confirmation> fleet_state::requiredConfirmations(std::string_view vm) const
+{
+    std::vector<drain_confirmation> required;
+    const auto found = m_vms.find(vm);
+    if (found == m_vms.end() || found->second.state != vm_state::Draining) {
+        return required;
+    }
+    for (const std::pair<const std::string, entry_record> &entry : m_entries) {
+        if (entry.second.joinRevision <= found->second.drainRevision) {
+            required.push_back({entry.first, entry.second.incarnation});
+        }
+    }
+    return required;
+}
+
+bool fleet_state::mayDrain(std::string_view vm, failure &reason) const
+{
+    const auto found = m_vms.find(vm);
+    if (found == m_vms.end()) {
+        reason = failure{failure_code::UnknownVm, std::string(vm)};
+        return false;
+    }
+    const vm_record &record = found->second;
+    if (record.state != vm_state::Serving) {
+        reason = failure{failure_code::WrongState, record.id, {}, "state serving, not " + std::string(stateName(record.state))};
+        return false;
+    }
+    const int left = serving(record.pool) - 1;
+    const int lost = loss(record.pool, &record);
+    const int needed = minAvailable(record.pool);
+    if (left - lost < needed) {
+        reason
+            = failure{failure_code::BudgetBreach,
+                      record.pool,
+                      {},
+                      std::to_string(needed) + " serving VMs; " + std::to_string(left) + " would serve, of which a failure may take " + std::to_string(lost)};
+        return false;
+    }
+    return true;
+}
+
+std::string fleet_state::encode() const
+{
+    nlohmann::json files = nlohmann::json::object();
+    for (const file_reference &file : m_files) {
+        files[file.name] = file.hash;
+    }
+    nlohmann::json vms = nlohmann::json::array();
+    for (const std::pair<const std::string, vm_record> &item : m_vms) {
+        const vm_record &vm = item.second;
+        nlohmann::json encoded{{"id", vm.id},
+                               {"pool", vm.pool},
+                               {"address", toString(vm.address)},
+                               {"zone", vm.availabilityZone},
+                               {"rack", vm.rack},
+                               {"state", StateNames.at(static_cast<std::size_t>(vm.state))},
+                               {"epoch", vm.epoch},
+                               {"cause", CauseNames.at(static_cast<std::size_t>(vm.cause))},
+                               {"drain_revision", vm.drainRevision},
+                               {"changed_at_us", vm.changedAt.count()},
+                               {"maintained_at_us", vm.maintainedAt.count()}};
+        if (!vm.detail.empty()) {
+            encoded["detail"] = vm.detail;
+        }
+        vms.push_back(std::move(encoded));
+    }
+    nlohmann::json entries = nlohmann::json::array();
+    for (const std::pair<const std::string, entry_record> &item : m_entries) {
+        const entry_record &entry = item.second;
+        entries.push_back({{"id", entry.id},
+                           {"incarnation", entry.incarnation},
+                           {"callers", toString(entry.callers)},
+                           {"peers", toString(entry.peers)},
+                           {"zone", entry.availabilityZone},
+                           {"join_revision", entry.joinRevision}});
+    }
+    const nlohmann::json state{{"revision", m_revision},
+                               {"configuration_revision", m_configurationRevision},
+                               {"files", std::move(files)},
+                               {"vms", std::move(vms)},
+                               {"entries", std::move(entries)}};
+    return state.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+std::optional<fleet_state> fleet_state::decode(std::string_view text, const file_source &files, failure &reason)
+{
+    const nlohmann::json parsed = nlohmann::json::parse(text, nullptr, false);
+    const failure malformed{failure_code::SyntaxError, "snapshot", {}, "a fleet state"};
+    reason = malformed;
+    if (parsed.is_discarded() || !parsed.is_object()) {
+        return std::nullopt;
+    }
+    const auto nameIndex = [](std::span<const std::string_view> names, const std::string &name) {
+        return static_cast<std::size_t>(std::find(names.begin(), names.end(), name) - names.begin());
+    };
+    fleet_state state;
+    // The JSON library reports missing members and wrong types by exceptions.
+    try {
+        state.m_revision = parsed.at("revision").get<revision_number>();
+        state.m_configurationRevision = parsed.at("configuration_revision").get<revision_number>();
+        for (auto file = parsed.at("files").begin(); file != parsed.at("files").end(); ++file) {
+            state.m_files.push_back({file.key(), file->get<std::string>()});
+        }
+        for (const nlohmann::json &item : parsed.at("vms")) {
+            vm_record vm;
+            vm.id = item.at("id").get<std::string>();
+            vm.pool = item.at("pool").get<std::string>();
+            vm.availabilityZone = item.at("zone").get<std::string>();
+            vm.rack = item.at("rack").get<std::string>();
+            vm.epoch = item.at("epoch").get<std::uint64_t>();
+            vm.detail = item.value("detail", "");
+            vm.drainRevision = item.at("drain_revision").get<revision_number>();
+            vm.changedAt = timestamp(item.at("changed_at_us").get<std::int64_t>());
+            vm.maintainedAt = timestamp(item.at("maintained_at_us").get<std::int64_t>());
+            const std::size_t stateIndex = nameIndex(StateNames, item.at("state").get<std::string>());
+            const std::size_t causeIndex = nameIndex(CauseNames, item.at("cause").get<std::string>());
+            const std::optional<endpoint> address = parseEndpoint(item.at("address").get<std::string>(), reason);
+            if (stateIndex == StateNames.size() || causeIndex == CauseNames.size() || !address) {
+                return std::nullopt;
+            }
+            vm.state = static_cast<vm_state>(stateIndex);
+            vm.cause = static_cast<drain_cause>(causeIndex);
+            vm.address = *address;
+            if (!state.m_vms.emplace(vm.id, vm).second) {
+                return std::nullopt;
+            }
+            state.count(vm, 1);
+        }
+        for (const nlohmann::json &item : parsed.at("entries")) {
+            const std::optional<endpoint> callers = parseEndpoint(item.at("callers").get<std::string>(), reason);
+            const std::optional<endpoint> peers = parseEndpoint(item.at("peers").get<std::string>(), reason);
+            if (!callers || !peers) {
+                return std::nullopt;
+            }
+            const std::string id = item.at("id").get<std::string>();
+            state.m_entries[id] = entry_record{id,
+                                               item.at("incarnation").get<incarnation_number>(),
+                                               *callers,
+                                               *peers,
+                                               item.at("zone").get<std::string>(),
+                                               item.at("join_revision").get<revision_number>()};
+        }
+    } catch (const nlohmann::json::exception &) {
+        reason = malformed;
+        return std::nullopt;
+    }
+    if (state.m_files.empty()) {
+        return state;
+    }
+    std::optional<configuration> config = loadConfiguration(state.m_files, files, reason);
+    if (!config) {
+        return std::nullopt;
+    }
+    state.m_config = std::move(*config);
+    return state;
+}
+
+} // namespace daisypass
--- a/src/kernel/fleet_state.h
+++ b/src/kernel/fleet_state.h
@@ -8,6 +8,10 @@
 //
 // apply() accepts record n only after n-1 and refuses a change that would break a promise; the state is then unchanged.
 // Replay is deterministic: entries and controllers that hold the same revision hold the same state.
+//
+// A VM that a configuration names for the first time is Stopped with the detail JoinDetail, because nothing is known about it
+// yet; vm_returned makes it serve once a probe succeeded. A VM that a configuration no longer names is drained with the cause
+// Removal, and its record ends with vm_stopped. If it is Stopped or Failed, its record ends at once.
 
 #include "kernel/configuration.h"
 #include "kernel/fleet_change.h"
@@ -21,6 +25,9 @@
 
 namespace daisypass {
 
+/** Detail of a VM that was named by the configuration and has not served yet. */
+inline constexpr std::string_view JoinDetail = "join";
+
 enum class vm_state {
     Serving,
     Draining,
@@ -33,7 +40,12 @@
     std::string id;
     /** The one pool that the VM belongs to; changed by vm_moved only. */
     std::string pool;
+    /** Kept here because a VM that the configuration no longer names is still drained. */
+    endpoint address;
+    std::string availabilityZone;
+    std::string rack;
     vm_state state = vm_state::Serving;
+    /** Grows with each drain and each move. A new VM begins at the revision that named it, so that no epoch of an id is ever used twice. */
     std::uint64_t epoch = 0;
     drain_cause cause = drain_cause::Maintenance;
     std::string detail;
@@ -92,9 +104,16 @@
         return m_entries;
     }
 
+    /** Texts of the states, for example "serving". */
+    static std::string_view stateName(vm_state state);
+
     /** VMs of the pool that are not serving. */
     int unavailable(std::string_view pool) const;
     int serving(std::string_view pool) const;
+    /** Serving VMs that the pool would lose with the largest failure domain that its headroom names. */
+    int largestLoss(std::string_view pool) const;
+    /** VMs that must serve; 0 for a pool that is not configured any more. */
+    int minAvailable(std::string_view pool) const;
 
     /** Entries that must confirm before this draining VM may stop. */
     std::vector<drain_confirmation> requiredConfirmations(std::string_view vm) const;
@@ -109,12 +128,25 @@
 private:
     struct change_applier;
 
+    // Serving VMs of one pool, counted by failure domain, so that a budget check costs no walk over all VMs.
+    struct pool_tally
+    {
+        int members = 0;
+        int serving = 0;
+        std::map<std::string, int, std::less<>> servingByRack;
+        std::map<std::string, int, std::less<>> servingByZone;
+    };
+
+    void count(const vm_record &vm, int step);
+    int loss(std::string_view pool, const vm_record *without) const;
+
     revision_number m_revision = 0;
     revision_number m_configurationRevision = 0;
     configuration m_config;
     std::vector<file_reference> m_files;
     std::map<std::string, vm_record, std::less<>> m_vms;
     std::map<std::string, entry_record, std::less<>> m_entries;
+    std::map<std::string, pool_tally, std::less<>> m_tallies;
 };
 
 } // namespace daisypass
