--- a/src/entry/claim_logic.cpp
+++ b/src/entry/claim_logic.cpp
@@ -53,10 +53,9 @@
 
 std::size_t claim_logic::waiting() const
 {
-    return m_queue.size()
-        + static_cast<std::size_t>(std::count_if(m_batch.begin(), m_batch.end(), [](const claim &batched) {
-              return batched.number != 0;
-          }));
+    return m_queue.size() + static_cast<std::size_t>(std::count_if(m_batch.begin(), m_batch.end(), [](const claim &batched) {
+               return batched.number != 0;
+           }));
 }
 
 void claim_logic::handle(const claim_event &event, timestamp now, std::uint64_t random, std::vector<claim_action> &actions)
--- /dev/null
+++ b/src/entry/fate_lookup.cpp
@@ -0,0 +1,207 @@
+#include "entry/fate_lookup.h"
+
+#include "entry/request_id.h"
+
+#include <nlohmann/json.hpp>
+
+namespace daisypass {
+namespace {
+
+constexpr duration askAgainAfter{200'000};
+
+constexpr std::pair<peer_fate, request_fate> fatePairs[] = {{peer_fate::Unknown, request_fate::Unknown},
+                                                            {peer_fate::Pending, request_fate::Pending},
+                                                            {peer_fate::Running, request_fate::Running},
+                                                            {peer_fate::Completed, request_fate::Completed},
+                                                            {peer_fate::Failed, request_fate::Failed},
+                                                            {peer_fate::NotRun, request_fate::NotRun},
+                                                            {peer_fate::Expired, request_fate::Expired}};
+
+request_outcome unknownOutcome(std::string_view reason, std::string_view detail)
+{
+    request_outcome outcome;
+    outcome.reason = reason;
+    outcome.detail = detail;
+    return outcome;
+}
+
+std::optional<request_fate> fateByName(const std::string &name)
+{
+    for (const std::pair<peer_fate, request_fate> &pair : fatePairs) {
+        if (fateName(pair.second) == name) {
+            return pair.second;
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+request_outcome toOutcome(fate_answer answer)
+{
+    request_outcome outcome;
+    for (const std::pair<peer_fate, request_fate> &pair : fatePairs) {
+        if (pair.first == answer.fate) {
+            outcome.fate = pair.second;
+        }
+    }
+    outcome.reason = std::move(answer.reason);
+    if (outcome.fate == request_fate::Completed) {
+        outcome.answer.status = answer.status;
+        outcome.answer.body = std::move(answer.body);
+        for (peer_header &header : answer.headers) {
+            outcome.answer.headers.push_back({std::move(header.name), std::move(header.value)});
+        }
+    }
+    return outcome;
+}
+
+fate_answer toFateAnswer(request_outcome outcome)
+{
+    fate_answer answer;
+    for (const std::pair<peer_fate, request_fate> &pair : fatePairs) {
+        if (pair.second == outcome.fate) {
+            answer.fate = pair.first;
+        }
+    }
+    answer.reason = std::move(outcome.reason);
+    if (outcome.fate == request_fate::Completed) {
+        answer.status = outcome.answer.status;
+        answer.body = std::move(outcome.answer.body);
+        for (http_header &header : outcome.answer.headers) {
+            answer.headers.push_back({std::move(header.name), std::move(header.value)});
+        }
+    }
+    return answer;
+}
+
+fate_lookup::fate_lookup(object_store objects, ask_function ask)
+    : m_objects(std::move(objects))
+    , m_ask(std::move(ask))
+{
+}
+
+void fate_lookup::stop()
+{
+    m_timers.stop();
+    m_reads.stop();
+}
+
+void fate_lookup::find(fate_question question, callback done)
+{
+    if (!m_ask) {
+        readHandedOver(std::move(question), std::move(done));
+        return;
+    }
+    const incarnation_number incarnation = question.incarnation;
+    const std::string id = question.id;
+    m_ask(incarnation, id, [this, question = std::move(question), done = std::move(done)](std::optional<fate_answer> answer, const failure &reason) {
+        answered(question, done, std::move(answer), reason);
+    });
+}
+
+void fate_lookup::answered(fate_question question, callback done, std::optional<fate_answer> answer, const failure &reason)
+{
+    if (answer) {
+        request_outcome outcome = toOutcome(*std::move(answer));
+        if (outcome.isFinal() || !question.untilEnd) {
+            done(std::move(outcome));
+        } else {
+            again(std::move(question), std::move(done), std::move(outcome));
+        }
+    } else if (reason.code == failure_code::WrongIncarnation) {
+        readHandedOver(std::move(question), std::move(done));
+    } else {
+        again(std::move(question), std::move(done), unknownOutcome("peer_unreachable", "the entry that accepted the request does not answer"));
+    }
+}
+
+void fate_lookup::readHandedOver(fate_question question, callback done)
+{
+    m_reads.post([this, question = std::move(question), done = std::move(done)] {
+        failure reason;
+        const std::optional<std::string> object = m_objects.get(fatesObject(question.incarnation), reason);
+        if (object) {
+            done(findFate(*object, question.id).value_or(unknownOutcome("not_recorded", "the entry that accepted the request left no record of it")));
+        } else if (reason.code == failure_code::NotFound) {
+            done(unknownOutcome("entry_gone", "the entry that accepted the request is gone"));
+        } else {
+            again(question, done, unknownOutcome("store_unavailable", "the entry that accepted the request is gone and the store does not answer"));
+        }
+    });
+}
+
+void fate_lookup::again(fate_question question, callback done, request_outcome otherwise)
+{
+    const timestamp next = steadyNow() + askAgainAfter;
+    if (next >= question.deadline) {
+        // The last outcome known is still true; waiting for the rest of the time would change nothing.
+        m_timers.postAt(question.untilEnd ? question.deadline : timestamp{}, [done = std::move(done), otherwise = std::move(otherwise)] {
+            done(otherwise);
+        });
+        return;
+    }
+    m_timers.postAt(next, [this, question = std::move(question), done = std::move(done)] {
+        find(question, done);
+    });
+}
+
+std::string fatesObject(incarnation_number incarnation)
+{
+    return "fates/" + formatIncarnation(incarnation);
+}
+
+std::string encodeFates(std::span<const std::pair<std::string, request_outcome>> outcomes, std::size_t maxAnswerBytes)
+{
+    nlohmann::json all = nlohmann::json::object();
+    std::size_t answerBytes = 0;
+    for (auto held = outcomes.rbegin(); held != outcomes.rend(); ++held) {
+        const request_outcome &outcome = held->second;
+        nlohmann::json encoded{{"fate", fateName(outcome.fate)}, {"reason", outcome.reason}};
+        if (outcome.fate == request_fate::Completed) {
+            answerBytes += outcome.answer.body.size();
+            if (answerBytes > maxAnswerBytes) {
+                encoded = {{"fate", fateName(request_fate::Expired)}, {"reason", "answer_dropped"}};
+            } else {
+                encoded["status"] = outcome.answer.status;
+                encoded["body"] = nlohmann::json::binary({outcome.answer.body.begin(), outcome.answer.body.end()});
+                for (const http_header &header : outcome.answer.headers) {
+                    encoded["headers"].push_back({header.name, nlohmann::json::binary({header.value.begin(), header.value.end()})});
+                }
+            }
+        }
+        all[held->first] = std::move(encoded);
+    }
+    std::string object;
+    nlohmann::json::to_cbor(all, object);
+    return object;
+}
+
+std::optional<request_outcome> findFate(std::string_view object, std::string_view id)
+{
+    try {
+        const nlohmann::json all = nlohmann::json::from_cbor(object);
+        const auto found = all.find(std::string(id));
+        if (found == all.end()) {
+            return std::nullopt;
+        }
+        request_outcome outcome;
+        outcome.fate = fateByName(found->at("fate").get<std::string>()).value_or(request_fate::Unknown);
+        outcome.reason = found->at("reason").get<std::string>();
+        if (outcome.fate == request_fate::Completed) {
+            outcome.answer.status = found->at("status").get<int>();
+            const nlohmann::json::binary_t &body = found->at("body").get_binary();
+            outcome.answer.body.assign(body.begin(), body.end());
+            for (const nlohmann::json &header : found->value("headers", nlohmann::json::array())) {
+                const nlohmann::json::binary_t &value = header.at(1).get_binary();
+                outcome.answer.headers.push_back({header.at(0).get<std::string>(), std::string(value.begin(), value.end())});
+            }
+        }
+        return outcome;
+    } catch (const nlohmann::json::exception &) {
+        // A damaged object tells nothing, so the request counts as not recorded.
+        return std::nullopt;
+    }
+}
+
+} // namespace daisypass
--- a/src/entry/request_table.cpp
+++ b/src/entry/outcome_table.cpp
@@ -1,4 +1,4 @@
-#include "entry/request_table.h"
+#include "entry/outcome_table.h"
 
 #include <algorithm>
 
@@ -19,36 +19,40 @@
 
 } // namespace
 
-request_table::request_table(request_table_options options)
+outcome_table::outcome_table(outcome_table_options options)
     : m_options(options)
 {
 }
 
-request_table::number_shard &request_table::shardOf(request_number number)
+outcome_table::number_shard &outcome_table::shardOf(request_number number)
 {
     return m_shards[number % shardCount];
 }
 
-const request_table::number_shard &request_table::shardOf(request_number number) const
+const outcome_table::number_shard &outcome_table::shardOf(request_number number) const
 {
     return m_shards[number % shardCount];
 }
 
-request_table::key_shard &request_table::shardOfKey(std::string_view key)
+outcome_table::key_shard &outcome_table::shardOfKey(std::string_view key)
 {
     return m_keyShards[std::hash<std::string_view>{}(key) % shardCount];
 }
 
-const request_table::key_shard &request_table::shardOfKey(std::string_view key) const
+const outcome_table::key_shard &outcome_table::shardOfKey(std::string_view key) const
 {
     return m_keyShards[std::hash<std::string_view>{}(key) % shardCount];
 }
 
-request_registration request_table::add(request_number number, std::string_view key)
+outcome_registration outcome_table::add(request_number number, std::string_view key)
 {
     number_shard &shard = shardOf(number);
     {
         const std::lock_guard<std::mutex> guard(shard.lock);
+        const auto known = shard.records.find(number);
+        if (known != shard.records.end()) {
+            return {known->second.key == key ? registration_result::Duplicate : registration_result::NumberTaken, number};
+        }
         const std::size_t bytes = recordOverhead + 2 * key.size();
         const std::size_t limit = m_options.maxBytes / shardCount;
         if (shard.bytes + bytes > limit) {
@@ -83,7 +87,7 @@
     return {registration_result::Duplicate, existing};
 }
 
-void request_table::setRunning(request_number number)
+void outcome_table::setRunning(request_number number)
 {
     number_shard &shard = shardOf(number);
     const std::lock_guard<std::mutex> guard(shard.lock);
@@ -93,7 +97,7 @@
     }
 }
 
-void request_table::finish(request_number number, request_outcome outcome, timestamp now)
+void outcome_table::finish(request_number number, request_outcome outcome, timestamp now)
 {
     std::vector<waiter> waiters;
     {
@@ -124,7 +128,32 @@
     }
 }
 
-std::optional<request_outcome> request_table::find(request_number number) const
+void outcome_table::forget(request_number number, request_outcome outcome)
+{
+    std::vector<waiter> waiters;
+    std::string key;
+    {
+        number_shard &shard = shardOf(number);
+        const std::lock_guard<std::mutex> guard(shard.lock);
+        const auto found = shard.records.find(number);
+        if (found == shard.records.end() || found->second.outcome.isFinal()) {
+            return;
+        }
+        waiters.swap(found->second.waiters);
+        key = found->second.key;
+        removeRecord(shard, number);
+    }
+    if (!key.empty()) {
+        key_shard &keys = shardOfKey(key);
+        const std::lock_guard<std::mutex> guard(keys.lock);
+        keys.numbers.erase(key);
+    }
+    for (const waiter &told : waiters) {
+        told(outcome);
+    }
+}
+
+std::optional<request_outcome> outcome_table::find(request_number number) const
 {
     const number_shard &shard = shardOf(number);
     const std::lock_guard<std::mutex> guard(shard.lock);
@@ -132,7 +161,7 @@
     return found == shard.records.end() ? std::nullopt : std::optional<request_outcome>(found->second.outcome);
 }
 
-std::optional<request_number> request_table::findKey(std::string_view key) const
+std::optional<request_number> outcome_table::findKey(std::string_view key) const
 {
     const key_shard &keys = shardOfKey(key);
     const std::lock_guard<std::mutex> guard(keys.lock);
@@ -140,7 +169,7 @@
     return found == keys.numbers.end() ? std::nullopt : std::optional<request_number>(found->second);
 }
 
-bool request_table::wait(request_number number, waiter told)
+bool outcome_table::wait(request_number number, waiter told)
 {
     request_outcome known;
     {
@@ -161,7 +190,7 @@
 }
 
 // The oldest answers go first, down to the bound; their records keep the key taken.
-void request_table::dropAnswers(number_shard &shard) const
+void outcome_table::dropAnswers(number_shard &shard) const
 {
     const std::size_t limit = m_options.maxBytes / shardCount;
     while (shard.bytes > limit && !shard.withAnswer.empty()) {
@@ -178,7 +207,7 @@
     }
 }
 
-void request_table::removeRecord(number_shard &shard, request_number number)
+void outcome_table::removeRecord(number_shard &shard, request_number number)
 {
     const auto found = shard.records.find(number);
     if (found != shard.records.end()) {
@@ -187,7 +216,7 @@
     }
 }
 
-void request_table::removeExpired(timestamp now)
+void outcome_table::removeExpired(timestamp now)
 {
     for (number_shard &shard : m_shards) {
         std::vector<std::pair<std::string, request_number>> keys;
@@ -214,7 +243,7 @@
     }
 }
 
-std::size_t request_table::bytes() const
+std::size_t outcome_table::bytes() const
 {
     std::size_t sum = 0;
     for (const number_shard &shard : m_shards) {
@@ -224,7 +253,7 @@
     return sum;
 }
 
-std::size_t request_table::size() const
+std::size_t outcome_table::size() const
 {
     std::size_t sum = 0;
     for (const number_shard &shard : m_shards) {
@@ -234,7 +263,7 @@
     return sum;
 }
 
-std::vector<std::pair<request_number, request_outcome>> request_table::all() const
+std::vector<std::pair<request_number, request_outcome>> outcome_table::all() const
 {
     std::vector<std::pair<request_number, request_outcome>> records;
     for (const number_shard &shard : m_shards) {
--- a/src/entry/request_table.h
+++ b/src/entry/outcome_table.h
@@ -2,8 +2,8 @@
 
 // Outcomes of this entry's requests that somebody may ask for again: those with an idempotency key or a ticket, and asynchronous ones.
 //
-//     request_table table({});
-//     request_registration registered = table.add(number, "booking/zagreb/key-1");
+//     outcome_table table({});
+//     outcome_registration registered = table.add(number, "booking/zagreb/key-1");
 //     table.finish(number, outcome, now);
 //     std::optional<request_outcome> outcome = table.find(number);
 //
@@ -29,7 +29,7 @@
 
 namespace daisypass {
 
-struct request_table_options
+struct outcome_table_options
 {
     duration retention = std::chrono::minutes(15);
     std::size_t maxBytes = std::size_t{64} << 20;
@@ -37,30 +37,35 @@
 
 enum class registration_result {
     Added,
-    /** The key belongs to `existing`. */
+    /** The key belongs to `existing`, which can be the same number. */
     Duplicate,
+    /** The number belongs to another key. */
+    NumberTaken,
     Full,
 };
 
-struct request_registration
+struct outcome_registration
 {
     registration_result result = registration_result::Added;
     request_number existing = 0;
 };
 
-class request_table
+class outcome_table
 {
 public:
     using waiter = std::function<void(request_outcome)>;
 
-    explicit request_table(request_table_options options);
+    explicit outcome_table(outcome_table_options options);
 
-    /** `key` names pool, team and idempotency key; empty if there is none. */
-    request_registration add(request_number number, std::string_view key);
+    /** `key` names pool, team and idempotency key; empty if there is none. A number must not be added again after it ended, except for a ticket's. */
+    outcome_registration add(request_number number, std::string_view key);
     void setRunning(request_number number);
     /** Only the first call counts. */
     void finish(request_number number, request_outcome outcome, timestamp now);
 
+    /** Tells the waiters this outcome and drops the record and its key. */
+    void forget(request_number number, request_outcome outcome);
+
     std::optional<request_outcome> find(request_number number) const;
     std::optional<request_number> findKey(std::string_view key) const;
     /** Calls `told` with the final outcome, at once if it is known. Returns false if there is no such record. */
@@ -111,7 +116,7 @@
     void dropAnswers(number_shard &shard) const;
     static void removeRecord(number_shard &shard, request_number number);
 
-    request_table_options m_options;
+    outcome_table_options m_options;
     std::array<number_shard, shardCount> m_shards;
     std::array<key_shard, shardCount> m_keyShards;
 };
--- a/src/entry/pool_shard.cpp
+++ b/src/entry/pool_shard.cpp
@@ -14,6 +14,8 @@
 // Classes are free text from callers, and each set of labels costs three histograms for the life of the process.
 constexpr std::size_t maxLabelSets = 256;
 constexpr std::string_view otherClass = "other";
+// One refused connection can be a target that is just restarting.
+constexpr int unreachableAfter = 2;
 constexpr duration retryLater{1'000'000};
 
 double seconds(duration span)
@@ -230,6 +232,9 @@
         m_view = std::move(view);
         m_urls = std::move(urls);
         m_revision = revision;
+        std::erase_if(m_connectFailures, [&](const std::pair<const std::string, int> &failures) {
+            return !m_urls.contains(failures.first);
+        });
         feed(m_view, now, found);
     });
 }
@@ -415,6 +420,27 @@
     });
 }
 
+std::vector<std::string> pool_shard::unreachable() const
+{
+    const std::lock_guard<std::mutex> guard(m_lock);
+    std::vector<std::string> vms;
+    for (const std::pair<const std::string, int> &failures : m_connectFailures) {
+        if (failures.second >= unreachableAfter) {
+            vms.push_back(failures.first);
+        }
+    }
+    return vms;
+}
+
+void pool_shard::noteConnection(const std::string &vm, const http_result &result)
+{
+    if (result.state != send_state::NotSent) {
+        m_connectFailures.erase(vm);
+    } else if (result.reason.code == failure_code::ConnectFailed && m_urls.contains(vm)) {
+        ++m_connectFailures[vm];
+    }
+}
+
 // The attempt no longer counts as a call on the VM, and the request may be dispatched again.
 void pool_shard::endCall(request_number number, const std::string &vm)
 {
@@ -432,6 +458,7 @@
 {
     const attempt_outcome outcome = classifyAttempt(result, id);
     decide([&](effects &found, timestamp now) {
+        noteConnection(vm, result);
         duration runTime{};
         const auto held = m_held.find(number);
         if (held != m_held.end()) {
--- a/src/entry/pool_shard.h
+++ b/src/entry/pool_shard.h
@@ -88,6 +88,8 @@
     void peerLoad(const std::string &peer, int queued, int freeSlots);
 
     pool_load_figures load() const;
+    /** Targets to which the last two calls or more could not connect. */
+    std::vector<std::string> unreachable() const;
     /** Requests held, queued or on a target. */
     std::size_t held() const;
     /** Calls on the VM, if the pool already knows this revision; 1 otherwise, because a call may still follow from the older view. */
@@ -110,6 +112,7 @@
     void collectEnd(request_number number, request_outcome outcome, effects &found);
     void perform(effects &found, std::vector<scheduler_event> &next);
     void startCall(call_start &started, std::vector<scheduler_event> &next);
+    void noteConnection(const std::string &vm, const http_result &result);
     void endCall(request_number number, const std::string &vm);
     void answered(request_number number, const std::string &id, const std::string &vm, http_result result);
     void recordEnd(const held_request &ended, const request_outcome &outcome);
@@ -128,6 +131,8 @@
     std::unordered_map<request_number, held_request> m_held;
     /** Calls between the decision to dispatch and the end of the call, by VM. */
     std::map<std::string, int, std::less<>> m_calls;
+    /** Failed connections in a row, by VM. */
+    std::map<std::string, int, std::less<>> m_connectFailures;
     std::map<std::string, std::shared_ptr<request_metrics>, std::less<>> m_requestMetrics;
     std::vector<scheduler_action> m_actions;
     std::atomic<bool> m_hasQueued{false};
--- a/src/entry/request_id.cpp
+++ b/src/entry/request_id.cpp
@@ -81,7 +81,7 @@
 
 ticket_validity checkTicket(const ticket &shown, std::int64_t nowMs, std::uint64_t issuedCount)
 {
-    if (shown.issuedMs < 0 || shown.issuedMs > nowMs || shown.number == 0 || shown.number > issuedCount) {
+    if (shown.issuedMs < 0 || shown.issuedMs > nowMs || shown.number <= firstTicketNumber || shown.number > firstTicketNumber + issuedCount) {
         return ticket_validity::Forged;
     }
     return nowMs - shown.issuedMs > ticketLifeMs ? ticket_validity::Expired : ticket_validity::Valid;
--- a/src/entry/request_id.h
+++ b/src/entry/request_id.h
@@ -26,11 +26,14 @@
 std::string formatRequestId(const request_id &id);
 std::optional<request_id> parseRequestId(std::string_view text);
 
-/** The right to start one run on the issuing incarnation; see mayStart(). */
+/** Numbers of requests that run on a ticket start above this, so a forged ticket cannot name another request. */
+constexpr request_number firstTicketNumber = request_number{1} << 62;
+
+/** The right to start one run on the issuing incarnation, whose request then has the ticket's number; see checkTicket(). */
 struct ticket
 {
     incarnation_number incarnation = 0;
-    std::uint64_t number = 0;
+    request_number number = 0;
     /** Milliseconds after the start of the issuing process. */
     std::int64_t issuedMs = 0;
 
--- /dev/null
+++ b/tests/claim_logic_test.cpp
@@ -0,0 +1,248 @@
+// Claims on idempotency keys: the decisions on their own, and two entries that race over one table.
+
+#include "entry/claim_logic.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <map>
+#include <optional>
+
+using namespace daisypass;
+
+namespace {
+
+constexpr timestamp deadline{1'000'000};
+
+claim claimOf(request_number number, const std::string &key, incarnation_number entry = 1, timestamp until = deadline)
+{
+    return {number, key, claimValue("e", std::to_string(entry) + "/" + std::to_string(number)), until};
+}
+
+struct ended_claim
+{
+    std::string how;
+    timestamp at{};
+};
+
+// One entry: its logic, and a store call that is under way.
+class claim_actor
+{
+public:
+    claim_actor(incarnation_number incarnation, memory_table table)
+        : m_logic(incarnation)
+        , m_table(std::move(table))
+    {
+    }
+
+    void handle(const claim_event &event, timestamp now, std::uint64_t random = 0)
+    {
+        std::vector<claim_action> actions;
+        m_logic.handle(event, now, random, actions);
+        for (claim_action &action : actions) {
+            if (write_claims *write = std::get_if<write_claims>(&action)) {
+                REQUIRE_FALSE(m_write);
+                m_write = write->transaction;
+                ++writes;
+                mostRows = std::max(mostRows, write->transaction.puts.size());
+            } else if (read_claims *read = std::get_if<read_claims>(&action)) {
+                m_read = read->keys;
+            } else if (const claim_won *won = std::get_if<claim_won>(&action)) {
+                end(won->number, "won", now);
+            } else if (const claim_duplicate *duplicate = std::get_if<claim_duplicate>(&action)) {
+                end(duplicate->number, "duplicate", now);
+            } else if (const claim_refused *refused = std::get_if<claim_refused>(&action)) {
+                end(refused->number, "refused", now);
+            }
+        }
+    }
+
+    /** Performs the store call that is under way, if there is one. */
+    bool callStore(timestamp now)
+    {
+        failure reason;
+        if (m_write) {
+            const table_transaction transaction = *std::exchange(m_write, std::nullopt);
+            handle(claims_written{m_table.commit(transaction, reason)}, now);
+            return true;
+        }
+        if (m_read) {
+            claims_read read;
+            for (const std::string &key : *std::exchange(m_read, std::nullopt)) {
+                const std::optional<table_row> row = m_table.read(key, reason);
+                read.rows.push_back({row || reason.code == failure_code::NotFound, row ? std::optional<std::string>(row->value) : std::nullopt});
+            }
+            handle(read, now);
+            return true;
+        }
+        return false;
+    }
+
+    std::size_t waiting() const
+    {
+        return m_logic.waiting();
+    }
+
+    std::map<request_number, ended_claim> ends;
+    int writes = 0;
+    std::size_t mostRows = 0;
+
+private:
+    void end(request_number number, const std::string &how, timestamp now)
+    {
+        CHECK_FALSE(ends.contains(number));
+        ends[number] = {how, now};
+    }
+
+    claim_logic m_logic;
+    memory_table m_table;
+    std::optional<table_transaction> m_write;
+    std::optional<std::vector<std::string>> m_read;
+};
+
+} // namespace
+
+TEST_CASE("claims reach the store in groups")
+{
+    memory_table table;
+    claim_actor entry(1, table);
+
+    // Guards against one write transaction per request, which the store's write limit does not allow.
+    SUBCASE("claims that arrive during a write go out together, 64 at most")
+    {
+        for (request_number number = 1; number <= 100; ++number) {
+            entry.handle(claim_requested{claimOf(number, "k" + std::to_string(number))}, timestamp(1));
+        }
+        while (entry.callStore(timestamp(2))) {
+        }
+        CHECK(entry.writes == 3);
+        CHECK(entry.mostRows == 64);
+        CHECK(entry.ends.size() == 100);
+        CHECK(entry.ends[100].how == "won");
+    }
+
+    SUBCASE("a key that exists is a duplicate and the others of the group are won")
+    {
+        claim_actor other(2, table);
+        other.handle(claim_requested{claimOf(1, "k2", 2)}, timestamp(1));
+        other.callStore(timestamp(1));
+        for (request_number number = 1; number <= 3; ++number) {
+            entry.handle(claim_requested{claimOf(number, "k" + std::to_string(number))}, timestamp(2));
+        }
+        while (entry.callStore(timestamp(3))) {
+        }
+        CHECK(entry.ends[1].how == "won");
+        CHECK(entry.ends[2].how == "duplicate");
+        CHECK(entry.ends[3].how == "won");
+    }
+
+    // Guards against a claim that is lost, or taken for a duplicate of itself, when only the store's answer is lost.
+    SUBCASE("a write whose answer is lost is found by reading")
+    {
+        table.loseAnswers(1);
+        entry.handle(claim_requested{claimOf(1, "k")}, timestamp(1));
+        entry.callStore(timestamp(2));
+        CHECK(entry.ends.empty());
+        entry.handle(claim_tick{}, timestamp(200'000));
+        while (entry.callStore(timestamp(200'000))) {
+        }
+        CHECK(entry.ends[1].how == "won");
+        CHECK(entry.writes == 1);
+    }
+
+    SUBCASE("in an outage claims wait with growing pauses until their deadline and are then refused")
+    {
+        table.setOutage(true);
+        entry.handle(claim_requested{claimOf(1, "k")}, timestamp(0));
+        for (timestamp now{0}; now < deadline + duration(20'000); now += duration(10'000)) {
+            // The largest pause that the jitter allows.
+            entry.handle(claim_tick{}, now, 0);
+            entry.callStore(now);
+            if (now < deadline) {
+                CHECK(entry.ends.empty());
+            }
+        }
+        REQUIRE(entry.ends.contains(1));
+        CHECK(entry.ends[1].how == "refused");
+        CHECK(entry.ends[1].at == deadline);
+        CHECK(entry.waiting() == 0);
+    }
+
+    // Guards against a claim that wins after its caller was told that it did not run.
+    SUBCASE("a write that ends after the deadline wins nothing")
+    {
+        entry.handle(claim_requested{claimOf(1, "k")}, timestamp(1));
+        entry.handle(claim_tick{}, deadline);
+        CHECK(entry.ends[1].how == "refused");
+        entry.callStore(deadline + duration(1));
+        CHECK(entry.ends.size() == 1);
+    }
+
+    SUBCASE("a cancelled claim is not reported")
+    {
+        entry.handle(claim_requested{claimOf(1, "a")}, timestamp(1));
+        entry.handle(claim_requested{claimOf(2, "b")}, timestamp(1));
+        entry.handle(claim_cancelled{1}, timestamp(1));
+        entry.handle(claim_cancelled{2}, timestamp(1));
+        while (entry.callStore(timestamp(2))) {
+        }
+        CHECK(entry.ends.empty());
+        CHECK(entry.waiting() == 0);
+    }
+}
+
+// Guards against two entries that both run the request of one key, under lost answers and outages in any order.
+TEST_CASE("at most one entry wins a key")
+{
+    const bool held = rc::check([](const std::vector<std::uint8_t> &steps) {
+        memory_table table;
+        claim_actor entries[2] = {{1, table}, {2, table}};
+        request_number numbers[2] = {0, 0};
+        std::map<std::pair<int, request_number>, std::string> keys;
+        timestamp now{0};
+        for (const std::uint8_t step : steps) {
+            now += duration(5'000);
+            const int who = step & 1;
+            claim_actor &entry = entries[who];
+            switch ((step >> 1) % 6) {
+            case 0:
+            case 1: {
+                const std::string key = "k" + std::to_string((step >> 4) % 4);
+                const request_number number = ++numbers[who];
+                keys[{who, number}] = key;
+                entry.handle(claim_requested{claimOf(number, key, static_cast<incarnation_number>(who) + 1, now + duration(300'000))}, now, step);
+                break;
+            }
+            case 2:
+                table.loseAnswers(1);
+                break;
+            case 3:
+                table.setOutage((step & 0x10) != 0);
+                break;
+            default:
+                entry.callStore(now);
+                entry.handle(claim_tick{}, now, step * 977);
+                break;
+            }
+        }
+        table.setOutage(false);
+        table.loseAnswers(0);
+        for (int round = 0; round < 400; ++round) {
+            now += duration(5'000);
+            for (claim_actor &entry : entries) {
+                entry.handle(claim_tick{}, now, 0);
+                entry.callStore(now);
+            }
+        }
+        std::map<std::string, int> winners;
+        for (const std::pair<const std::pair<int, request_number>, std::string> &claimed : keys) {
+            claim_actor &entry = entries[claimed.first.first];
+            RC_ASSERT(entry.ends.contains(claimed.first.second));
+            winners[claimed.second] += entry.ends[claimed.first.second].how == "won" ? 1 : 0;
+        }
+        for (const std::pair<const std::string, int> &won : winners) {
+            RC_ASSERT(won.second <= 1);
+        }
+    });
+    CHECK(held);
+}
