Lend slots, learn run times and eject failing targets

Change: slot_ledger counts owned, lent and borrowed slots, slot_borrower asks peers, run_time_model and band_queues order the queue, target_health ejects. The scheduler's state moves to pool_state.h, dispatch to pool_dispatch.cpp. Ruled out: forgetting loans when the ownership of a target changes, because an ownership that returns within a second would count the slots twice.

--- /dev/null
+++ b/src/kernel/band_queues.cpp
@@ -0,0 +1,164 @@
+#include "kernel/band_queues.h"
+
+#include <algorithm>
+
+namespace daisypass {
+
+namespace {
+
+int longLimit(const slot_use &use)
+{
+    return std::max(1, static_cast<int>(use.longShare * use.usable));
+}
+
+/** With fewer slots than this, a slot of its own would give longer work a quarter or more; it then gets every `FewSlotsTurn`-th start instead. */
+constexpr int FewSlots = 4;
+constexpr unsigned FewSlotsTurn = 16;
+
+int guaranteedSlots(const band_order &order, const slot_use &use, unsigned starts)
+{
+    if (use.usable < FewSlots) {
+        return starts % FewSlotsTurn == 0 ? 1 : 0;
+    }
+    return std::max(1, static_cast<int>(order.guaranteedShare * use.usable));
+}
+
+} // namespace
+
+band_queues::band_queues(request_table &table, const run_time_model &model, const scheduling_policy &policy)
+    : m_table(&table)
+    , m_model(&model)
+    , m_policy(policy)
+    , m_bands{team_queue(table), team_queue(table), team_queue(table)}
+{
+}
+
+void band_queues::setPolicy(const scheduling_policy &policy)
+{
+    std::vector<request_index> queued;
+    for (team_queue &band : m_bands) {
+        while (band.size() > 0) {
+            const request_index index = band.choose([](request_index) {
+                return true;
+            });
+            queued.push_back(index);
+            remove(index);
+        }
+    }
+    m_policy = policy;
+    for (request_index index : queued) {
+        push(index);
+    }
+}
+
+void band_queues::setWeights(const std::vector<double> &weights)
+{
+    for (team_queue &band : m_bands) {
+        band.setWeights(weights);
+    }
+}
+
+std::uint32_t band_queues::teamOf(const request_record &request) const
+{
+    return std::holds_alternative<arrival_order>(m_policy) ? 0 : request.team;
+}
+
+run_band band_queues::bandOf(std::uint32_t runClass) const
+{
+    const band_order *order = std::get_if<band_order>(&m_policy);
+    return order != nullptr ? m_model->band(runClass, *order) : ShortBand;
+}
+
+run_band band_queues::bandOfElapsed(duration elapsed) const
+{
+    const band_order *order = std::get_if<band_order>(&m_policy);
+    return order != nullptr ? m_model->bandOfElapsed(elapsed, *order) : ShortBand;
+}
+
+void band_queues::push(request_index index)
+{
+    request_record &request = (*m_table)[index];
+    request.band = bandOf(request.runClass);
+    m_bands[request.band].push(index, teamOf(request));
+}
+
+void band_queues::remove(request_index index)
+{
+    const request_record &request = (*m_table)[index];
+    m_bands[request.band].remove(index, teamOf(request));
+}
+
+void band_queues::take(request_index index)
+{
+    ++m_starts;
+    const request_record &request = (*m_table)[index];
+    const double average = m_bands[request.band].work() / std::max(1, m_bands[request.band].size());
+    // Relative to the band's average, around the middle of the cost range.
+    const double cost = average > 0 ? 2 * request.work / average : 1;
+    m_bands[request.band].take(index, teamOf(request), cost);
+}
+
+bool band_queues::reband(request_index index)
+{
+    const request_record &request = (*m_table)[index];
+    if (bandOf(request.runClass) == request.band) {
+        return false;
+    }
+    remove(index);
+    push(index);
+    return true;
+}
+
+bool band_queues::permitted(int band, const slot_use &use) const
+{
+    return m_bands[band].size() > 0 && (band != LongBand || use.running[LongBand] < longLimit(use));
+}
+
+request_index band_queues::choose(const slot_use &use, const std::function<bool(request_index)> &fits)
+{
+    const band_order *order = std::get_if<band_order>(&m_policy);
+    for (int band = LongBand; order != nullptr && band > ShortBand; --band) {
+        if (permitted(band, use) && use.running[band] < guaranteedSlots(*order, use, m_starts)) {
+            const request_index index = m_bands[band].choose(fits);
+            if (index != NoRequest) {
+                return index;
+            }
+        }
+    }
+    for (int band = ShortBand; band < BandCount; ++band) {
+        const request_index index = permitted(band, use) ? m_bands[band].choose(fits) : NoRequest;
+        if (index != NoRequest) {
+            return index;
+        }
+    }
+    return NoRequest;
+}
+
+int band_queues::startable(const slot_use &use) const
+{
+    const int longRoom = std::max(0, longLimit(use) - use.running[LongBand]);
+    return m_bands[ShortBand].size() + m_bands[MediumBand].size() + std::min(m_bands[LongBand].size(), longRoom);
+}
+
+duration band_queues::estimatedWait(std::uint32_t runClass, std::uint32_t team, const slot_use &use) const
+{
+    const int band = bandOf(runClass);
+    double work = m_bands[band].workAhead(std::holds_alternative<arrival_order>(m_policy) ? 0 : team);
+    for (int shorter = ShortBand; shorter < band; ++shorter) {
+        work += m_bands[shorter].work();
+    }
+    // Long requests that run now keep their slots for longer than the queues of shorter bands last.
+    const int slots = band == LongBand ? longLimit(use) : std::max(1, use.usable - use.running[LongBand]);
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(work / slots));
+}
+
+int band_queues::size() const
+{
+    int total = 0;
+    for (const team_queue &band : m_bands) {
+        total += band.size();
+    }
+    return total;
+}
+
+} // namespace daisypass
--- /dev/null
+++ b/src/kernel/pool_dispatch.cpp
@@ -0,0 +1,250 @@
+#include "kernel/pool_state.h"
+
+#include <algorithm>
+
+namespace daisypass {
+
+namespace {
+
+/** Retries wait up to this long, doubled with each attempt, so that requests refused together do not return together. */
+constexpr duration RetryDelay = std::chrono::milliseconds(4);
+constexpr duration MaxRetryDelay = std::chrono::milliseconds(256);
+/** How often running requests are compared with the bounds of their bands. */
+constexpr duration RebandPeriod = std::chrono::milliseconds(10);
+/** A borrowed slot must outlast the expected run time, but at most this long, so that long work can use loans at all. */
+constexpr duration MaxLoanNeed = std::chrono::milliseconds(500);
+
+// Lists of requests in which a record keeps its own position, so that removal costs O(1).
+void append(std::vector<request_index> &list, request_table &requests, request_index index)
+{
+    requests[index].position = static_cast<std::uint32_t>(list.size());
+    list.push_back(index);
+}
+
+void removeFrom(std::vector<request_index> &list, request_table &requests, request_index index)
+{
+    const std::uint32_t position = requests[index].position;
+    list[position] = list.back();
+    requests[list[position]].position = position;
+    list.pop_back();
+}
+
+} // namespace
+
+bool fitsInto(const machine_size &needs, const machine_size &size)
+{
+    return size == machine_size{} || (needs.processors <= size.processors && needs.memoryMib <= size.memoryMib && needs.accelerators <= size.accelerators);
+}
+
+duration pool_scheduler::state::jitter(duration most)
+{
+    return duration(std::uniform_int_distribution<std::int64_t>(0, most.count())(random));
+}
+
+bool pool_scheduler::state::retriableElsewhere(const request_record &request) const
+{
+    for (target_index target = 0; target < ledger.size(); ++target) {
+        if (target != request.target && ledger[target].inView && fitsInto(request.needs, ledger[target].size)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+target_index pool_scheduler::state::chooseTarget(const request_record &request)
+{
+    const duration need = std::min(model.mean(request.runClass), MaxLoanNeed);
+    // Long work prefers own slots, because it outlives a loan.
+    const int ownBonus = request.band == LongBand ? config.slotsPerTarget : 0;
+    const int choices = ledger.choices();
+    target_index best = NoTargetIndex;
+    int bestScore = 0;
+    candidates.clear();
+    for (target_index index = 0; index < ledger.size(); ++index) {
+        const int free = index == request.target ? 0 : ledger.available(index, now, need);
+        if (free <= 0 || !health.permits(index, ledger[index].inFlight, now) || !fitsInto(request.needs, ledger[index].size)) {
+            continue;
+        }
+        const int score = free + (ledger[index].owned ? ownBonus : 0);
+        if (score > bestScore) {
+            best = index;
+            bestScore = score;
+        }
+        if (choices > 0) {
+            candidates.push_back(index);
+        }
+    }
+    if (choices == 0 || candidates.empty()) {
+        return best;
+    }
+    best = NoTargetIndex;
+    for (int choice = 0; choice < choices; ++choice) {
+        const target_index sampled = candidates[random() % candidates.size()];
+        best = best == NoTargetIndex || ledger.knownLoad(sampled) < ledger.knownLoad(best) ? sampled : best;
+    }
+    return best;
+}
+
+void pool_scheduler::state::start(request_index index, target_index target)
+{
+    request_record &request = requests[index];
+    request.phase = request_phase::Running;
+    request.since = now;
+    request.target = target;
+    request.attempts = static_cast<std::uint8_t>(std::min(request.attempts + 1, 255));
+    append(running, requests, index);
+    ++use.running[request.band];
+    ledger.start(target, now);
+    actions->emplace_back(dispatch{request.number, ledger[target].vm});
+}
+
+void pool_scheduler::state::stop(request_index index)
+{
+    removeFrom(running, requests, index);
+    --use.running[requests[index].band];
+    ledger.end(requests[index].target);
+}
+
+void pool_scheduler::state::dispatchRetries()
+{
+    for (std::size_t position = 0; position < retrying.size();) {
+        const request_index index = retrying[position];
+        if (requests[index].deadline <= now) {
+            drop(index, refusal_reason::DeadlinePassed);
+            continue;
+        }
+        const target_index target = requests[index].since <= now ? chooseTarget(requests[index]) : NoTargetIndex;
+        if (target == NoTargetIndex) {
+            ++position;
+            continue;
+        }
+        leave(index);
+        start(index, target);
+    }
+}
+
+void pool_scheduler::state::dispatchQueued()
+{
+    target_index target = NoTargetIndex;
+    const std::function<bool(request_index)> fits = [&](request_index index) {
+        target = chooseTarget(requests[index]);
+        return target != NoTargetIndex;
+    };
+    while (queues.size() > 0) {
+        const request_index index = queues.choose(use, fits);
+        if (index == NoRequest) {
+            return;
+        }
+        if (requests[index].deadline <= now) {
+            drop(index, refusal_reason::DeadlinePassed);
+            continue;
+        }
+        if (queues.reband(index)) {
+            continue;
+        }
+        queues.take(index);
+        deadlines.remove(index);
+        --queuedByTeam[requests[index].team];
+        --queuedCount;
+        start(index, target);
+    }
+}
+
+void pool_scheduler::state::rebandRunning()
+{
+    if (now < rebandAt) {
+        return;
+    }
+    rebandAt = now + RebandPeriod;
+    for (request_index index : running) {
+        request_record &request = requests[index];
+        const run_band band = queues.bandOfElapsed(now - request.since);
+        if (band > request.band) {
+            --use.running[request.band];
+            ++use.running[band];
+            request.band = band;
+            model.observeRunning(request.runClass, now - request.since);
+        }
+    }
+}
+
+void pool_scheduler::state::noteOutcome(target_index target, attempt_outcome outcome)
+{
+    if (outcome == attempt_outcome::Refused) {
+        ledger.noteRefusal(target, now);
+    }
+    const std::optional<health_change> change = ledger[target].inView ? health.note(target, outcome, now) : std::nullopt;
+    if (change == health_change::Ejected) {
+        actions->emplace_back(target_ejected{ledger[target].vm, health.coolDown(target)});
+    } else if (change == health_change::Restored) {
+        actions->emplace_back(target_restored{ledger[target].vm});
+    }
+}
+
+void pool_scheduler::state::retryOrFinish(request_index index, attempt_outcome outcome)
+{
+    request_record &request = requests[index];
+    const bool certainlyNotRun = outcome == attempt_outcome::Refused || outcome == attempt_outcome::NotSent;
+    if (!certainlyNotRun || request.deadline <= now || !retriableElsewhere(request) || !budget.take()) {
+        actions->emplace_back(finish{request.number, outcome});
+        requests.erase(index);
+        return;
+    }
+    const int doublings = std::min<int>(request.attempts, 6);
+    request.phase = request_phase::Retrying;
+    request.since = now + jitter(std::min(RetryDelay * (1 << doublings), MaxRetryDelay));
+    enter(index);
+}
+
+void pool_scheduler::state::lendAndBorrow()
+{
+    if (question) {
+        const std::function<bool(target_index)> healthy = [this](target_index index) {
+            return !health.ejected(index);
+        };
+        const int count = isolated ? 0 : question->count;
+        actions->emplace_back(lend_slots{question->peer, ledger.lend(question->peer, count, now, healthy)});
+        question.reset();
+    }
+    if (isolated || !ledger.lends()) {
+        return;
+    }
+    const int need = queues.startable(use);
+    if (need > 0) {
+        for (const borrow_slots &asked : borrower.ask(need, now)) {
+            actions->emplace_back(asked);
+        }
+    } else if (queuedCount == 0) {
+        for (const std::pair<const std::string, std::vector<slot_grant>> &idle : ledger.releaseIdle(now)) {
+            actions->emplace_back(return_slots{idle.first, idle.second});
+        }
+    }
+}
+
+void pool_scheduler::state::enter(request_index index)
+{
+    request_record &request = requests[index];
+    if (request.phase == request_phase::Queued) {
+        queues.push(index);
+    } else {
+        append(retrying, requests, index);
+    }
+    deadlines.add(index);
+    ++queuedByTeam[request.team];
+    ++queuedCount;
+}
+
+void pool_scheduler::state::leave(request_index index)
+{
+    request_record &request = requests[index];
+    if (request.phase == request_phase::Queued) {
+        queues.remove(index);
+    } else {
+        removeFrom(retrying, requests, index);
+    }
+    deadlines.remove(index);
+    --queuedByTeam[request.team];
+    --queuedCount;
+}
+
+} // namespace daisypass
--- a/src/kernel/pool_scheduler.cpp
+++ b/src/kernel/pool_scheduler.cpp
@@ -1,90 +1,28 @@
 #include "kernel/pool_scheduler.h"
 
-#include "kernel/deadline_wheel.h"
 #include "kernel/policy_registry.h"
-#include "kernel/request_table.h"
-#include "kernel/retry_budget.h"
-#include "kernel/slot_ledger.h"
-#include "kernel/team_queue.h"
+#include "kernel/pool_state.h"
 
 #include <algorithm>
-#include <map>
-#include <random>
 
 namespace daisypass {
 
 namespace {
 
-/** Retries wait up to this long, doubled with each attempt, so that requests refused together do not return together. */
-constexpr duration RetryDelay = std::chrono::milliseconds(4);
-constexpr duration MaxRetryDelay = std::chrono::milliseconds(256);
-
-bool fitsInto(const machine_size &needs, const machine_size &size)
-{
-    // A size that was not declared accepts everything.
-    return size == machine_size{} || (needs.processors <= size.processors && needs.memoryMib <= size.memoryMib && needs.accelerators <= size.accelerators);
-}
+/** Bounds of Retry-After. */
+constexpr duration MinRetryAfter = std::chrono::milliseconds(100);
+constexpr duration MaxRetryAfter = std::chrono::seconds(30);
 
 } // namespace
 
-struct pool_scheduler::state
+pool_scheduler::state::state(const pool_config &initial, std::uint64_t seed, std::string_view slotPolicy)
+    : config(initial)
+    , random(seed)
+    , ledger(findPolicy<slot_policy>(slotPolicy).value_or(lent_slots{}))
+    , queues(requests, model, findPolicy<scheduling_policy>(initial.scheduling).value_or(band_order{}))
+    , deadlines(requests)
 {
-    state(const pool_config &initial, std::uint64_t seed, std::string_view slotPolicy)
-        : config(initial)
-        , random(seed)
-        , ledger(findPolicy<slot_policy>(slotPolicy).value_or(lent_slots{}))
-        , queue(requests)
-        , deadlines(requests)
-    {
-        budget.setRatio(config.retryBudget);
-    }
-
-    void handle(const request_arrived &event);
-    void handle(const request_cancelled &event);
-    void handle(const target_answered &event);
-    void handle(const view_changed &event);
-    void handle(const peer_load &event);
-    void handle(const slots_granted &event);
-    void handle(const slots_requested &event);
-    void handle(const slots_returned &event);
-    void handle(const tick &event);
-
-    std::uint32_t teamNumber(const std::string &name);
-    void leaveQueue(request_index index);
-    void drop(request_index index, refusal_reason reason, duration retryAfter);
-    void expireDeadlines();
-    void retryOrFinish(request_index index, attempt_outcome outcome);
-    void start(request_index index, target_index target);
-    void dispatchRetries();
-    void dispatchQueued();
-    bool runnableAnywhere(const machine_size &needs) const;
-    target_index chooseTarget(const request_record &request);
-    duration jitter(duration most);
-
-    pool_config config;
-    std::string self;
-    bool isolated = false;
-    timestamp now{};
-    std::vector<scheduler_action> *actions = nullptr;
-
-    std::mt19937_64 random;
-    request_table requests;
-    slot_ledger ledger;
-    team_queue queue;
-    deadline_wheel deadlines;
-    retry_budget budget;
-    std::map<std::string, std::uint32_t, std::less<>> teams;
-    std::vector<double> weights;
-    std::vector<int> queuedByTeam;
-    std::vector<request_index> retrying;
-    std::vector<request_index> due;
-    int queuedCount = 0;
-    int runningCount = 0;
-};
-
-duration pool_scheduler::state::jitter(duration most)
-{
-    return duration(std::uniform_int_distribution<std::int64_t>(0, most.count())(random));
+    budget.setRatio(config.retryBudget);
 }
 
 std::uint32_t pool_scheduler::state::teamNumber(const std::string &name)
@@ -112,58 +50,84 @@
     return !anyTarget && fitsInto(needs, config.vm);
 }
 
-void pool_scheduler::state::leaveQueue(request_index index)
+// Half to one and a half times the wait, so that refused callers do not return together.
+duration pool_scheduler::state::retryAfter(duration wait)
 {
-    request_record &request = requests[index];
-    deadlines.remove(index);
-    --queuedByTeam[request.team];
-    --queuedCount;
-    if (request.phase == request_phase::Queued) {
-        queue.remove(index, request.team);
-    } else {
-        retrying[request.position] = retrying.back();
-        requests[retrying.back()].position = request.position;
-        retrying.pop_back();
+    const duration base = std::clamp(wait, MinRetryAfter, MaxRetryAfter);
+    return std::min(base / 2 + jitter(base), MaxRetryAfter);
+}
+
+void pool_scheduler::state::refreshUse()
+{
+    use.usable = ledger.usable(now);
+    use.longShare = config.longShare;
+}
+
+std::optional<refuse> pool_scheduler::state::refusalOf(const request_info &info, std::uint32_t team, std::uint32_t runClass)
+{
+    if (!runnableAnywhere(info.needs)) {
+        return refuse{info.number, refusal_reason::NeverRunnable, {}};
+    }
+    if (queuedCount >= config.queueLimit) {
+        return refuse{info.number, refusal_reason::Overloaded, retryAfter(queues.estimatedWait(runClass, team, use))};
     }
+    if (queuedByTeam[team] >= config.teamQueueLimit) {
+        return refuse{info.number, refusal_reason::TeamOverLimit, retryAfter(queues.estimatedWait(runClass, team, use))};
+    }
+    return overload(info, team, runClass);
 }
 
-void pool_scheduler::state::drop(request_index index, refusal_reason reason, duration retryAfter)
+std::optional<refuse> pool_scheduler::state::overload(const request_info &info, std::uint32_t team, std::uint32_t runClass)
 {
-    leaveQueue(index);
-    actions->emplace_back(refuse{requests[index].number, reason, retryAfter});
+    if (isolated || queues.size() == 0) {
+        return std::nullopt;
+    }
+    // Slots that peers may lend count too; otherwise an entry that owns little would refuse work for which others have room.
+    slot_use expected = use;
+    expected.usable = std::max(use.usable, ledger.poolCapacity(now) / ownerCount) + borrower.knownFree();
+    const duration wait = queues.estimatedWait(runClass, team, expected);
+    if (wait <= info.deadline - now) {
+        return std::nullopt;
+    }
+    return refuse{info.number, refusal_reason::Overloaded, retryAfter(wait)};
+}
+
+void pool_scheduler::state::drop(request_index index, refusal_reason reason)
+{
+    const request_record request = requests[index];
+    leave(index);
+    const bool mayHelp = reason == refusal_reason::DeadlinePassed || reason == refusal_reason::Isolated;
+    const duration wait = mayHelp ? retryAfter(queues.estimatedWait(request.runClass, request.team, use)) : duration{};
+    actions->emplace_back(refuse{request.number, reason, wait});
     requests.erase(index);
 }
 
 void pool_scheduler::state::handle(const request_arrived &event)
 {
-    const request_info &info = event.request;
+    request_info info = event.request;
     if (requests.find(info.number) != NoRequest) {
         return;
     }
-    const std::uint32_t team = teamNumber(info.team);
-    if (!runnableAnywhere(info.needs)) {
-        actions->emplace_back(refuse{info.number, refusal_reason::NeverRunnable, {}});
-        return;
-    }
-    if (queuedCount >= config.queueLimit) {
-        actions->emplace_back(refuse{info.number, refusal_reason::Overloaded, std::chrono::seconds(1)});
-        return;
+    if (info.deadline == timestamp{}) {
+        info.deadline = now + std::chrono::milliseconds(config.defaultDeadlineMs);
     }
-    if (queuedByTeam[team] >= config.teamQueueLimit) {
-        actions->emplace_back(refuse{info.number, refusal_reason::TeamOverLimit, std::chrono::seconds(1)});
+    const std::uint32_t team = teamNumber(info.team);
+    const std::uint32_t runClass = model.classNumber(info.team, info.requestClass);
+    const std::optional<refuse> refusal = refusalOf(info, team, runClass);
+    if (refusal) {
+        actions->emplace_back(*refusal);
         return;
     }
     const request_index index = requests.insert(info.number);
     request_record &request = requests[index];
-    request.deadline = info.deadline == timestamp{} ? now + std::chrono::milliseconds(config.defaultDeadlineMs) : info.deadline;
+    request.deadline = info.deadline;
     request.needs = info.needs;
     request.team = team;
+    request.runClass = runClass;
+    request.work = std::chrono::duration<float>(model.mean(runClass)).count();
     request.phase = request_phase::Queued;
     budget.addRequest();
-    queue.push(index, team);
-    deadlines.add(index);
-    ++queuedByTeam[team];
-    ++queuedCount;
+    enter(index);
 }
 
 void pool_scheduler::state::handle(const request_cancelled &event)
@@ -173,11 +137,10 @@
         return;
     }
     if (requests[index].phase != request_phase::Running) {
-        drop(index, refusal_reason::Cancelled, {});
+        drop(index, refusal_reason::Cancelled);
         return;
     }
-    ledger.end(requests[index].target);
-    --runningCount;
+    stop(index);
     actions->emplace_back(finish{event.request, attempt_outcome::Unknown});
     requests.erase(index);
 }
@@ -188,63 +151,60 @@
     if (index == NoRequest || requests[index].phase != request_phase::Running) {
         return;
     }
-    ledger.end(requests[index].target);
-    --runningCount;
-    if (event.outcome == attempt_outcome::Refused) {
-        ledger.noteRefusal(requests[index].target, now);
+    stop(index);
+    if (event.outcome == attempt_outcome::Completed) {
+        model.observe(requests[index].runClass, event.runTime);
     }
+    noteOutcome(requests[index].target, event.outcome);
     retryOrFinish(index, event.outcome);
 }
 
-void pool_scheduler::state::retryOrFinish(request_index index, attempt_outcome outcome)
-{
-    request_record &request = requests[index];
-    const bool certainlyNotRun = outcome == attempt_outcome::Refused || outcome == attempt_outcome::NotSent;
-    bool otherTarget = false;
-    for (target_index target = 0; target < ledger.size(); ++target) {
-        otherTarget = otherTarget || (target != request.target && ledger[target].inView && fitsInto(request.needs, ledger[target].size));
-    }
-    if (!certainlyNotRun || !otherTarget || !budget.take()) {
-        actions->emplace_back(finish{request.number, outcome});
-        requests.erase(index);
-        return;
-    }
-    const int doublings = std::min<int>(request.attempts, 6);
-    request.phase = request_phase::Retrying;
-    request.since = now + jitter(std::min(RetryDelay * (1 << doublings), MaxRetryDelay));
-    request.position = static_cast<std::uint32_t>(retrying.size());
-    retrying.push_back(index);
-    deadlines.add(index);
-    ++queuedByTeam[request.team];
-    ++queuedCount;
-}
-
 void pool_scheduler::state::handle(const view_changed &event)
 {
+    if (event.config.scheduling != config.scheduling) {
+        queues.setPolicy(findPolicy<scheduling_policy>(event.config.scheduling).value_or(band_order{}));
+    }
     config = event.config;
     self = event.self;
     isolated = event.isolated;
     budget.setRatio(config.retryBudget);
     ledger.update(event);
+    std::vector<std::string> owners;
+    for (const target_view &target : event.targets) {
+        if (target.owner != self && std::find(owners.begin(), owners.end(), target.owner) == owners.end()) {
+            owners.push_back(target.owner);
+        }
+    }
+    borrower.setOwners(owners);
+    ownerCount = std::max({1, static_cast<int>(owners.size()) + 1, static_cast<int>(event.entries.size())});
+    health.setLimit(static_cast<int>(config.maxEjectedShare * static_cast<double>(event.targets.size())));
+    for (target_index index = 0; index < ledger.size(); ++index) {
+        if (!ledger[index].inView) {
+            health.reset(index);
+        }
+    }
     for (const team_config &team : event.teams) {
         weights[teamNumber(team.name)] = std::max(team.weight, 0.001);
     }
-    queue.setWeights(weights);
+    queues.setWeights(weights);
 }
 
 void pool_scheduler::state::handle(const peer_load &event)
 {
     ledger.notePeer(event);
+    borrower.notePeer(event);
 }
 
 void pool_scheduler::state::handle(const slots_granted &event)
 {
+    borrower.noteAnswer(event, now);
     ledger.borrow(event, now);
 }
 
 void pool_scheduler::state::handle(const slots_requested &event)
 {
-    actions->emplace_back(lend_slots{event.peer, {}});
+    // Answered after the own queue has been served; the owner's demand comes first.
+    question = event;
 }
 
 void pool_scheduler::state::handle(const slots_returned &event)
@@ -261,76 +221,7 @@
     due.clear();
     deadlines.collect(now, due);
     for (request_index index : due) {
-        drop(index, isolated ? refusal_reason::Isolated : refusal_reason::DeadlinePassed, {});
-    }
-}
-
-target_index pool_scheduler::state::chooseTarget(const request_record &request)
-{
-    target_index best = NoTargetIndex;
-    int most = 0;
-    for (target_index index = 0; index < ledger.size(); ++index) {
-        const int free = index == request.target ? 0 : ledger.available(index, now, {});
-        if (free > most && fitsInto(request.needs, ledger[index].size)) {
-            best = index;
-            most = free;
-        }
-    }
-    return best;
-}
-
-void pool_scheduler::state::start(request_index index, target_index target)
-{
-    request_record &request = requests[index];
-    request.phase = request_phase::Running;
-    request.since = now;
-    request.target = target;
-    request.attempts = static_cast<std::uint8_t>(std::min(request.attempts + 1, 255));
-    ledger.start(target, now);
-    ++runningCount;
-    actions->emplace_back(dispatch{request.number, ledger[target].vm});
-}
-
-void pool_scheduler::state::dispatchRetries()
-{
-    for (std::size_t position = 0; position < retrying.size();) {
-        const request_index index = retrying[position];
-        if (requests[index].deadline <= now) {
-            drop(index, refusal_reason::DeadlinePassed, {});
-            continue;
-        }
-        const target_index target = requests[index].since <= now ? chooseTarget(requests[index]) : NoTargetIndex;
-        if (target == NoTargetIndex) {
-            ++position;
-            continue;
-        }
-        leaveQueue(index);
-        start(index, target);
-    }
-}
-
-void pool_scheduler::state::dispatchQueued()
-{
-    target_index target = NoTargetIndex;
-    const std::function<bool(request_index)> fits = [&](request_index index) {
-        target = chooseTarget(requests[index]);
-        return target != NoTargetIndex;
-    };
-    while (queue.size() > 0) {
-        const request_index index = queue.choose(fits);
-        if (index == NoRequest) {
-            return;
-        }
-        if (requests[index].deadline <= now) {
-            drop(index, refusal_reason::DeadlinePassed, {});
-            continue;
-        }
-        const std::uint32_t team = requests[index].team;
-        queue.take(index, team, 1);
-        deadlines.remove(index);
-        --queuedByTeam[team];
-        --queuedCount;
-        start(index, target);
+        drop(index, isolated ? refusal_reason::Isolated : refusal_reason::DeadlinePassed);
     }
 }
 
@@ -349,15 +240,19 @@
     own.now = now;
     own.actions = &actions;
     own.ledger.expire(now);
+    own.refreshUse();
     own.expireDeadlines();
+    own.rebandRunning();
     const auto handleOne = [&own](const auto &typed) {
         own.handle(typed);
     };
     std::visit(handleOne, event);
+    own.refreshUse();
     if (!own.isolated) {
         own.dispatchRetries();
         own.dispatchQueued();
     }
+    own.lendAndBorrow();
     own.actions = nullptr;
 }
 
@@ -368,7 +263,7 @@
 
 int pool_scheduler::running() const
 {
-    return m_state->runningCount;
+    return static_cast<int>(m_state->running.size());
 }
 
 int pool_scheduler::runningOn(std::string_view vm) const
--- a/src/kernel/slot_ledger.cpp
+++ b/src/kernel/slot_ledger.cpp
@@ -87,8 +87,8 @@
         target_slots &target = m_targets[place(seen.vm)];
         target.inView = true;
         if (target.owner != seen.owner) {
-            // Loans are contracts with the owner; the new owner knows nothing of them.
-            target.lent.clear();
+            // A new owner knows nothing of its predecessor's loans, so the borrowers stop using them. What was lent stays reserved until it expires, in case
+            // the ownership returns at once.
             target.borrowed.clear();
         }
         target.owner = seen.owner;
@@ -100,7 +100,6 @@
     for (target_slots &target : m_targets) {
         if (!target.inView) {
             target.owned = false;
-            target.lent.clear();
             target.borrowed.clear();
         }
     }
@@ -168,6 +167,21 @@
     return total;
 }
 
+int slot_ledger::choices() const
+{
+    const unowned_slots *policy = std::get_if<unowned_slots>(&m_policy);
+    return policy != nullptr ? policy->choices : 0;
+}
+
+int slot_ledger::knownLoad(target_index index) const
+{
+    int load = m_targets[index].inFlight;
+    for (const std::pair<const std::string, int> &other : m_targets[index].othersInFlight) {
+        load += other.second;
+    }
+    return load;
+}
+
 int slot_ledger::poolCapacity(timestamp now) const
 {
     int total = 0;
--- a/src/kernel/slot_ledger.h
+++ b/src/kernel/slot_ledger.h
@@ -53,6 +53,10 @@
     }
 
     void update(const view_changed &view);
+    bool lends() const
+    {
+        return std::holds_alternative<lent_slots>(m_policy);
+    }
     std::size_t size() const
     {
         return m_targets.size();
@@ -71,6 +75,10 @@
     int usable(timestamp now) const;
     /** Free slots that could be lent. */
     int lendable(timestamp now) const;
+    /** Random targets to compare for each request; 0 means all. */
+    int choices() const;
+    /** Requests in flight on the target as far as this entry knows. */
+    int knownLoad(target_index index) const;
     int poolCapacity(timestamp now) const;
 
     void start(target_index index, timestamp now);
--- /dev/null
+++ b/tests/pool_scheduler_property_test.cpp
@@ -0,0 +1,484 @@
+// Several pool_schedulers whose messages arrive late or never, checked after every step against independent records of each request, slot and loan.
+
+#include "kernel/pool_scheduler.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <stdexcept>
+
+using namespace daisypass;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr int Entries = 3;
+constexpr int Targets = 4;
+constexpr int Slots = 2;
+
+void require(bool condition, const std::string &promise)
+{
+    if (!condition) {
+        throw std::runtime_error(promise);
+    }
+}
+
+enum class stage {
+    Queued,
+    Running,
+    Done,
+};
+
+struct request_trace
+{
+    std::size_t entry = 0;
+    stage at = stage::Queued;
+    bool cancelled = false;
+    attempt_outcome outcome = attempt_outcome::Completed;
+    std::string vm;
+    int dispatches = 0;
+    int notRun = 0;
+};
+
+// A loan as an observer sees it: the lender has reserved it, the borrower may or may not have received it.
+struct loan_trace
+{
+    std::size_t borrower = 0;
+    std::size_t lender = 0;
+    std::string vm;
+    int reserved = 0;
+    int usable = 0;
+    timestamp expires{};
+};
+
+struct message
+{
+    std::size_t to = 0;
+    scheduler_event event;
+};
+
+class cluster
+{
+public:
+    cluster(std::uint64_t seed, std::string_view slotPolicy)
+    {
+        const std::vector<std::string> names{"a", "b", "c"};
+        for (const std::string &name : names) {
+            m_views.emplace_back().self = name;
+            m_views.back().config.slotsPerTarget = Slots;
+            m_views.back().config.maxEjectedShare = 0.5;
+            m_views.back().entries = names;
+            m_schedulers.emplace_back(m_views.back().config, seed + m_views.size(), slotPolicy);
+        }
+        for (std::size_t entry = 0; entry < Entries; ++entry) {
+            changeView(entry, 0);
+        }
+    }
+
+    // One random step; `kind` selects the event and `detail` its arguments.
+    void step(unsigned kind, unsigned detail)
+    {
+        const std::size_t entry = detail % Entries;
+        switch (kind % 16) {
+        case 0:
+        case 1:
+        case 2:
+        case 3:
+            arrive(entry, detail / Entries);
+            break;
+        case 4:
+        case 5:
+        case 6:
+        case 7:
+            answer(detail);
+            break;
+        case 8:
+        case 9:
+        case 10:
+            deliver(detail, false);
+            break;
+        case 11:
+            deliver(detail, detail % 4 == 0);
+            break;
+        case 12:
+        case 13:
+            pass(duration(1000 * (1 + detail % 300)));
+            break;
+        case 14:
+            cancel(detail);
+            break;
+        default:
+            detail % 3 == 0 ? changeView(entry, detail / 3) : gossip(entry);
+        }
+    }
+
+    // Ends everything, lets deadlines and loans pass, and checks that nothing is left.
+    void drain()
+    {
+        for (std::size_t entry = 0; entry < Entries; ++entry) {
+            changeView(entry, 0);
+        }
+        m_messages.clear();
+        for (int round = 0; round < 2000; ++round) {
+            const request_number running = pick(stage::Running, 0);
+            if (running == 0) {
+                break;
+            }
+            m_requests[running].outcome = attempt_outcome::Completed;
+            send(m_requests[running].entry, target_answered{running, attempt_outcome::Completed, 20ms});
+        }
+        pass(20s);
+        for (std::size_t entry = 0; entry < Entries; ++entry) {
+            require(m_schedulers[entry].queued() == 0 && m_schedulers[entry].running() == 0, "counts return to zero");
+        }
+        for (const std::pair<const request_number, request_trace> &each : m_requests) {
+            require(each.second.at == stage::Done, "every request ends");
+        }
+    }
+
+private:
+    void send(std::size_t entry, const scheduler_event &event)
+    {
+        std::vector<scheduler_action> actions;
+        m_schedulers[entry].handle(event, m_now, actions);
+        for (const scheduler_action &action : actions) {
+            std::visit(
+                [&](const auto &typed) {
+                    observe(entry, typed);
+                },
+                action);
+        }
+        checkCounts();
+    }
+
+    request_trace &open(std::size_t from, request_number number)
+    {
+        request_trace &request = m_requests.at(number);
+        require(request.entry == from, "an action names a request of its own entry");
+        require(request.at != stage::Done, "nothing follows the end of a request");
+        return request;
+    }
+
+    void observe(std::size_t from, const dispatch &action)
+    {
+        request_trace &request = open(from, action.request);
+        require(!request.cancelled, "a cancelled request is not dispatched");
+        require(request.at == stage::Queued, "a running request is not dispatched again");
+        require(request.dispatches == request.notRun, "a second dispatch only after Refused or NotSent");
+        require(request.vm != action.vm, "a retry goes to another target");
+        require(!m_views[from].isolated, "an isolated entry dispatches nothing");
+        require(ownerOf(from, action.vm) != "", "only targets of the view get work");
+        const int allowed = owned(from, action.vm) - reserved(from, action.vm) + usable(from, action.vm);
+        require(runningOn(from, action.vm) < allowed, "slots in use never exceed what is owned plus what was granted");
+        request.at = stage::Running;
+        request.vm = action.vm;
+        ++request.dispatches;
+    }
+
+    void observe(std::size_t from, const refuse &action)
+    {
+        request_trace &request = open(from, action.request);
+        require(request.at == stage::Queued, "a refused request is not running");
+        request.at = stage::Done;
+    }
+
+    void observe(std::size_t from, const finish &action)
+    {
+        request_trace &request = open(from, action.request);
+        require(action.outcome == request.outcome, "a request ends with its last attempt's outcome");
+        request.at = stage::Done;
+    }
+
+    void observe(std::size_t from, const borrow_slots &action)
+    {
+        require(action.count > 0, "an entry asks for at least one slot");
+        m_messages.push_back({number(action.peer), slots_requested{m_views[from].self, action.count}});
+    }
+
+    void observe(std::size_t from, const lend_slots &action)
+    {
+        for (const slot_grant &grant : action.grants) {
+            require(ownerOf(from, grant.vm) == m_views[from].self, "only owned slots are lent");
+            m_loans.push_back({number(action.peer), from, grant.vm, grant.count, 0, grant.expires});
+            require(runningOn(from, grant.vm) + reserved(from, grant.vm) <= Slots, "only free slots are lent");
+        }
+        m_messages.push_back({number(action.peer), slots_granted{m_views[from].self, action.grants}});
+    }
+
+    void observe(std::size_t from, const return_slots &action)
+    {
+        for (const slot_grant &grant : action.grants) {
+            int left = grant.count;
+            for (loan_trace &loan : m_loans) {
+                const bool same = loan.borrower == from && m_views[loan.lender].self == action.peer && loan.vm == grant.vm && loan.expires == grant.expires;
+                const int taken = same ? std::min(left, loan.usable) : 0;
+                loan.usable -= taken;
+                left -= taken;
+            }
+            require(left == 0, "only granted slots are returned");
+        }
+        m_messages.push_back({number(action.peer), slots_returned{m_views[from].self, action.grants}});
+    }
+
+    void observe(std::size_t from, const target_ejected &action)
+    {
+        require(action.coolDown >= 1s && action.coolDown <= 60s, "a cool-down lasts 1 s to 60 s");
+        m_ejected[from].insert(action.vm);
+        require(m_ejected[from].size() <= Targets / 2, "at most max_ejected_share is ejected");
+    }
+
+    void observe(std::size_t from, const target_restored &action)
+    {
+        require(m_ejected[from].erase(action.vm) == 1, "only an ejected target is restored");
+    }
+
+    void checkCounts() const
+    {
+        for (std::size_t entry = 0; entry < Entries; ++entry) {
+            int queued = 0;
+            int running = 0;
+            for (const std::pair<const request_number, request_trace> &each : m_requests) {
+                queued += each.second.entry == entry && each.second.at == stage::Queued ? 1 : 0;
+                running += each.second.entry == entry && each.second.at == stage::Running ? 1 : 0;
+            }
+            require(m_schedulers[entry].queued() == queued, "queued() counts the queue");
+            require(m_schedulers[entry].running() == running, "running() counts what is in flight");
+            for (int target = 0; target < Targets; ++target) {
+                const std::string vm = "t" + std::to_string(target);
+                require(m_schedulers[entry].runningOn(vm) == runningOn(entry, vm), "runningOn() counts what is in flight");
+            }
+        }
+    }
+
+    void arrive(std::size_t entry, unsigned detail)
+    {
+        request_info info;
+        info.number = m_next++;
+        info.team = detail % 2 == 0 ? "red" : "blue";
+        info.requestClass = detail % 5 == 0 ? "batch" : "lookup";
+        info.deadline = m_now + duration(1000 * (detail % 2000));
+        m_requests[info.number].entry = entry;
+        send(entry, request_arrived{info});
+    }
+
+    void answer(unsigned detail)
+    {
+        const request_number chosen = pick(stage::Running, detail);
+        if (chosen == 0) {
+            return;
+        }
+        request_trace &request = m_requests[chosen];
+        // t0 fails most of what it starts, so that ejections occur.
+        const bool failing = request.vm == "t0" && detail % 16 != 0;
+        request.outcome = failing ? attempt_outcome::Failed : static_cast<attempt_outcome>(detail / 7 % 5);
+        const bool notRun = request.outcome == attempt_outcome::Refused || request.outcome == attempt_outcome::NotSent;
+        request.notRun += notRun ? 1 : 0;
+        request.at = stage::Queued;
+        send(request.entry, target_answered{chosen, request.outcome, detail % 3 == 0 ? 10s : 20ms});
+        require(notRun || request.at == stage::Done, "an outcome that may have run ends the request");
+    }
+
+    void cancel(unsigned detail)
+    {
+        const request_number chosen = 1 + detail % m_next;
+        const auto found = m_requests.find(chosen);
+        if (found == m_requests.end()) {
+            return;
+        }
+        const bool ended = found->second.at == stage::Done;
+        found->second.cancelled = true;
+        found->second.outcome = ended ? found->second.outcome : attempt_outcome::Unknown;
+        send(found->second.entry, request_cancelled{chosen});
+        require(found->second.at == stage::Done, "a cancelled request ends at once");
+        send(found->second.entry, target_answered{chosen, attempt_outcome::Completed, 20ms});
+    }
+
+    void deliver(unsigned detail, bool lose)
+    {
+        if (m_messages.empty()) {
+            return;
+        }
+        const std::size_t position = detail / 4 % m_messages.size();
+        const message chosen = m_messages[position];
+        m_messages.erase(m_messages.begin() + static_cast<std::ptrdiff_t>(position));
+        if (lose) {
+            return;
+        }
+        if (const slots_granted *granted = std::get_if<slots_granted>(&chosen.event)) {
+            for (const slot_grant &grant : granted->grants) {
+                markUsable(chosen.to, number(granted->peer), grant);
+            }
+        }
+        if (const slots_returned *returned = std::get_if<slots_returned>(&chosen.event)) {
+            for (const slot_grant &grant : returned->grants) {
+                release(chosen.to, number(returned->peer), grant);
+            }
+        }
+        send(chosen.to, chosen.event);
+    }
+
+    void markUsable(std::size_t borrower, std::size_t lender, const slot_grant &grant)
+    {
+        for (loan_trace &loan : m_loans) {
+            if (loan.borrower == borrower && loan.lender == lender && loan.vm == grant.vm && loan.expires == grant.expires && loan.usable == 0) {
+                loan.usable = grant.count;
+                return;
+            }
+        }
+    }
+
+    // The lender may release its reservations of one borrower in any order; the trace releases those that expire first.
+    void release(std::size_t lender, std::size_t borrower, const slot_grant &grant)
+    {
+        int left = grant.count;
+        for (loan_trace &loan : m_loans) {
+            const bool same = loan.borrower == borrower && loan.lender == lender && loan.vm == grant.vm && loan.expires > m_now;
+            const int taken = same ? std::min(left, loan.reserved) : 0;
+            loan.reserved -= taken;
+            left -= taken;
+        }
+    }
+
+    void pass(duration time)
+    {
+        m_now += time;
+        for (std::size_t entry = 0; entry < Entries; ++entry) {
+            send(entry, tick{});
+        }
+    }
+
+    void gossip(std::size_t from)
+    {
+        for (std::size_t to = 0; to < Entries; ++to) {
+            if (to != from) {
+                send(to, peer_load{m_views[from].self, m_schedulers[from].queued(), m_schedulers[from].freeSlots(), {}});
+            }
+        }
+    }
+
+    // Detail 0 is the common view. Otherwise one target may be absent, one peer suspected, and the entry isolated.
+    void changeView(std::size_t entry, unsigned detail)
+    {
+        view_changed &view = m_views[entry];
+        std::vector<std::string> live{"a", "b", "c"};
+        if (detail % 4 == 1 && live[detail / 4 % 3] != view.self) {
+            live.erase(live.begin() + static_cast<std::ptrdiff_t>(detail / 4 % 3));
+        }
+        view.isolated = detail % 7 == 3;
+        view.targets.clear();
+        for (int target = 0; target < Targets; ++target) {
+            const std::string vm = "t" + std::to_string(target);
+            if (detail % 3 != 2 || target != static_cast<int>(detail / 3 % Targets)) {
+                view.targets.push_back({vm, std::string(rendezvousOwner(live, vm)), {}, {}});
+            } else {
+                m_ejected[entry].erase(vm);
+            }
+        }
+        for (loan_trace &loan : m_loans) {
+            const bool ownerLeft = loan.borrower == entry && ownerOf(entry, loan.vm) != m_views[loan.lender].self;
+            loan.usable = ownerLeft ? 0 : loan.usable;
+        }
+        send(entry, view);
+    }
+
+    std::string ownerOf(std::size_t entry, const std::string &vm) const
+    {
+        for (const target_view &target : m_views[entry].targets) {
+            if (target.vm == vm) {
+                return target.owner;
+            }
+        }
+        return "";
+    }
+
+    int owned(std::size_t entry, const std::string &vm) const
+    {
+        return ownerOf(entry, vm) == m_views[entry].self ? Slots : 0;
+    }
+
+    int reserved(std::size_t entry, const std::string &vm) const
+    {
+        int count = 0;
+        for (const loan_trace &loan : m_loans) {
+            count += loan.lender == entry && loan.vm == vm && loan.expires > m_now && owned(entry, vm) > 0 ? loan.reserved : 0;
+        }
+        return count;
+    }
+
+    int usable(std::size_t entry, const std::string &vm) const
+    {
+        int count = 0;
+        for (const loan_trace &loan : m_loans) {
+            count += loan.borrower == entry && loan.vm == vm && loan.expires > m_now ? loan.usable : 0;
+        }
+        return count;
+    }
+
+    int runningOn(std::size_t entry, const std::string &vm) const
+    {
+        int count = 0;
+        for (const std::pair<const request_number, request_trace> &each : m_requests) {
+            count += each.second.entry == entry && each.second.at == stage::Running && each.second.vm == vm ? 1 : 0;
+        }
+        return count;
+    }
+
+    std::size_t number(const std::string &name) const
+    {
+        return static_cast<std::size_t>(name[0] - 'a');
+    }
+
+    request_number pick(stage at, unsigned detail) const
+    {
+        std::vector<request_number> found;
+        for (const std::pair<const request_number, request_trace> &each : m_requests) {
+            if (each.second.at == at) {
+                found.push_back(each.first);
+            }
+        }
+        return found.empty() ? 0 : found[detail % found.size()];
+    }
+
+    timestamp m_now = 100s;
+    std::vector<view_changed> m_views;
+    std::vector<pool_scheduler> m_schedulers;
+    std::map<request_number, request_trace> m_requests;
+    std::vector<loan_trace> m_loans;
+    std::vector<message> m_messages;
+    std::map<std::size_t, std::set<std::string>> m_ejected;
+    request_number m_next = 1;
+};
+
+} // namespace
+
+// Guards against double runs, lost requests, slots counted twice within one entry, and counts that drift, over random orders of events.
+TEST_CASE("schedulers: promises hold in every order of events")
+{
+    rc::detail::TestParams params;
+    params.seed = 20261204;
+    params.maxSuccess = 400;
+    params.maxSize = 400;
+    rc::detail::TestMetadata metadata;
+    metadata.id = "schedulers";
+    std::string broken;
+    const rc::detail::TestResult result = rc::detail::checkTestable(
+        [&](const std::vector<std::pair<std::uint16_t, std::uint16_t>> &steps, std::uint16_t seed) {
+            try {
+                cluster tested(seed, "lend");
+                for (const std::pair<std::uint16_t, std::uint16_t> &step : steps) {
+                    tested.step(step.first, step.second);
+                }
+                tested.drain();
+            } catch (const std::runtime_error &error) {
+                broken = error.what();
+                RC_FAIL(broken);
+            }
+        },
+        metadata,
+        params);
+    CAPTURE(broken);
+    CHECK(result.is<rc::detail::SuccessResult>());
+}
