--- a/tests/claim_logic_test.cpp
+++ b/tests/claim_logic_test.cpp
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <optional>
+#include <utility>
 
 using namespace daisypass;
 
@@ -68,7 +69,8 @@
         }
         if (m_read) {
             claims_read read;
-            for (const std::string &key : *std::exchange(m_read, std::nullopt)) {
+            const std::vector<std::string> keys = *std::exchange(m_read, std::nullopt);
+            for (const std::string &key : keys) {
                 const std::optional<table_row> row = m_table.read(key, reason);
                 read.rows.push_back({row || reason.code == failure_code::NotFound, row ? std::optional<std::string>(row->value) : std::nullopt});
             }
