--- /dev/null
+++ b/src/entry/fleet_follower.cpp
@@ -0,0 +1,379 @@
+#include "entry/fleet_follower.h"
+
+#include "base/log.h"
+#include "entry/log_replica.h"
+#include "kernel/poll_schedule.h"
+#include "platform/fleet_log.h"
+
+#include <algorithm>
+#include <condition_variable>
+#include <mutex>
+#include <random>
+#include <thread>
+#include <vector>
+
+namespace daisypass {
+namespace {
+
+constexpr int PageRecords = 500;
+
+} // namespace
+
+struct fleet_follower::implementation
+{
+    implementation(table_service table, object_store objects, const fleet_follower_options &options)
+        : log(table, objects)
+        , bodies(std::move(objects))
+        , replica(replica_limits{.records = options.keptRecords})
+        , schedule(poll_timing{options.pollInterval, options.leastBackOff, options.mostBackOff})
+        , random(options.seed)
+    {
+    }
+
+    void runStore();
+    void runPeers();
+    bool pollStore(failure &reason);
+    bool takeSnapshot(failure &reason);
+    void pollPeers();
+    bool extend(std::vector<log_record> records, failure &reason);
+    std::optional<std::string> findBody(std::string_view hash);
+    void noteRevision(revision_number revision);
+    void finishPoll(std::uint64_t request, timestamp startedAt, bool succeeded, const failure &reason);
+
+    fleet_log log; // Used by the store's thread only.
+    object_store bodies;
+    log_replica replica;
+    follower_peers peers;
+    std::vector<contact_listener> contactListeners;
+    std::thread storeThread;
+    std::thread peerThread;
+
+    mutable std::mutex lock;
+    std::condition_variable wakeStore;
+    std::condition_variable wakePeers;
+    std::condition_variable polled;
+    poll_schedule schedule;
+    std::mt19937_64 random;
+    bool stopping = false;
+    // Polls asked for, and the last of them that a finished poll covers.
+    std::uint64_t requested = 0;
+    std::uint64_t covered = 0;
+    failure lastReason;
+    bool storeAnswers = true;
+    std::optional<timestamp> storeContact;
+    revision_number highest = 0;
+    // Set by each report of a revision that is ahead; one attempt per report keeps a failing peer from being asked in a loop.
+    bool peerAhead = false;
+};
+
+std::optional<std::string> fleet_follower::implementation::findBody(std::string_view hash)
+{
+    if (std::optional<std::string> held = replica.file(hash)) {
+        return held;
+    }
+    failure ignored;
+    std::optional<std::string> body = bodies.get("file/" + std::string(hash), ignored);
+    if (!body || contentHash(*body) != hash) {
+        body = peers.fetchFile ? peers.fetchFile(hash) : std::nullopt;
+    }
+    if (!body || contentHash(*body) != hash) {
+        return std::nullopt;
+    }
+    replica.keepFile(*body);
+    return body;
+}
+
+bool fleet_follower::implementation::extend(std::vector<log_record> records, failure &reason)
+{
+    // Bodies are fetched before the replica is locked, because a fetch can take seconds.
+    for (const std::string &hash : replica.missingFiles(records)) {
+        findBody(hash);
+    }
+    return replica.extend(records, reason);
+}
+
+bool fleet_follower::implementation::takeSnapshot(failure &reason)
+{
+    std::optional<fleet_state> snapshot = log.loadSnapshot(reason);
+    if (!snapshot) {
+        return false;
+    }
+    if (snapshot->revision() <= replica.state()->revision()) {
+        reason = failure{failure_code::RevisionGap, std::to_string(snapshot->revision()), {}, "a snapshot of a later revision"};
+        return false;
+    }
+    replica.replace(std::move(*snapshot));
+    // Peers may ask for the bodies, and the next configuration needs them.
+    for (const std::string &hash : replica.missingFiles({})) {
+        findBody(hash);
+    }
+    return true;
+}
+
+bool fleet_follower::implementation::pollStore(failure &reason)
+{
+    const timestamp startedAt = steadyNow();
+    const std::optional<log_head> head = log.readHead(reason);
+    if (!head) {
+        return false;
+    }
+    noteRevision(head->revision);
+    while (replica.state()->revision() < head->revision) {
+        failure why;
+        std::optional<std::vector<log_record>> records = log.readAfter(replica.state()->revision(), PageRecords, why);
+        const bool gap = records ? records->empty() : why.code == failure_code::RevisionGap;
+        if (gap ? !takeSnapshot(reason) : !records) {
+            reason = gap ? reason : why;
+            return false;
+        }
+        if (!gap && !extend(std::move(*records), reason)) {
+            return false;
+        }
+    }
+    {
+        const std::lock_guard<std::mutex> guard(lock);
+        storeContact = startedAt;
+    }
+    for (const contact_listener &told : contactListeners) {
+        told(startedAt, head->revision);
+    }
+    return true;
+}
+
+void fleet_follower::implementation::pollPeers()
+{
+    if (!peers.fetchLog) {
+        return;
+    }
+    failure reason;
+    while (true) {
+        const revision_number before = replica.state()->revision();
+        const std::optional<log_page> page = peers.fetchLog(before, PageRecords);
+        if (!page) {
+            return;
+        }
+        if (!page->snapshot.empty()) {
+            const file_source files = [this](std::string_view hash) {
+                return findBody(hash);
+            };
+            if (std::optional<fleet_state> snapshot = fleet_state::decode(page->snapshot, files, reason)) {
+                replica.replace(std::move(*snapshot));
+            }
+        }
+        std::vector<log_record> records;
+        for (const std::string &text : page->records) {
+            std::optional<log_record> record = decodeRecord(text, reason);
+            if (!record) {
+                break;
+            }
+            records.push_back(std::move(*record));
+        }
+        extend(std::move(records), reason);
+        const std::lock_guard<std::mutex> guard(lock);
+        if (stopping || replica.state()->revision() == before || replica.state()->revision() >= highest) {
+            return;
+        }
+    }
+}
+
+void fleet_follower::implementation::noteRevision(revision_number revision)
+{
+    const std::lock_guard<std::mutex> guard(lock);
+    highest = std::max(highest, revision);
+}
+
+void fleet_follower::implementation::finishPoll(std::uint64_t request, timestamp startedAt, bool succeeded, const failure &reason)
+{
+    bool changed = false;
+    {
+        const std::lock_guard<std::mutex> guard(lock);
+        covered = request;
+        lastReason = succeeded ? failure{} : reason;
+        changed = storeAnswers != succeeded;
+        storeAnswers = succeeded;
+        if (succeeded) {
+            schedule.succeeded(startedAt, random());
+        } else {
+            schedule.failed(steadyNow(), random());
+        }
+    }
+    polled.notify_all();
+    if (changed) {
+        logChange(succeeded ? "store_followed" : "store_lost", {{"revision", replica.state()->revision()}, {"reason", succeeded ? "" : describe(reason)}});
+    }
+}
+
+void fleet_follower::implementation::runStore()
+{
+    while (true) {
+        std::uint64_t request = 0;
+        {
+            std::unique_lock<std::mutex> guard(lock);
+            while (!stopping && requested == covered && steadyNow() < schedule.due()) {
+                wakeStore.wait_for(guard, schedule.due() - steadyNow());
+            }
+            if (stopping) {
+                return;
+            }
+            request = requested;
+        }
+        const timestamp startedAt = steadyNow();
+        failure reason;
+        const bool succeeded = pollStore(reason);
+        finishPoll(request, startedAt, succeeded, reason);
+    }
+}
+
+void fleet_follower::implementation::runPeers()
+{
+    while (true) {
+        {
+            std::unique_lock<std::mutex> guard(lock);
+            wakePeers.wait(guard, [this] {
+                return stopping || peerAhead;
+            });
+            if (stopping) {
+                return;
+            }
+            peerAhead = false;
+        }
+        pollPeers();
+    }
+}
+
+fleet_follower::fleet_follower(table_service table, object_store objects, fleet_follower_options options)
+    : m_implementation(std::make_unique<implementation>(std::move(table), std::move(objects), options))
+{
+}
+
+fleet_follower::~fleet_follower()
+{
+    stop();
+}
+
+void fleet_follower::addListener(listener told)
+{
+    m_implementation->replica.addListener(std::move(told));
+}
+
+void fleet_follower::addContactListener(contact_listener told)
+{
+    m_implementation->contactListeners.push_back(std::move(told));
+}
+
+void fleet_follower::setPeers(follower_peers peers)
+{
+    m_implementation->peers = std::move(peers);
+}
+
+void fleet_follower::start()
+{
+    implementation &self = *m_implementation;
+    self.storeThread = std::thread([&self] {
+        self.runStore();
+    });
+    self.peerThread = std::thread([&self] {
+        self.runPeers();
+    });
+}
+
+void fleet_follower::stop()
+{
+    implementation &self = *m_implementation;
+    {
+        const std::lock_guard<std::mutex> guard(self.lock);
+        self.stopping = true;
+    }
+    self.wakeStore.notify_all();
+    self.wakePeers.notify_all();
+    self.polled.notify_all();
+    for (std::thread *thread : {&self.storeThread, &self.peerThread}) {
+        if (thread->joinable()) {
+            thread->join();
+        }
+    }
+}
+
+std::shared_ptr<const fleet_state> fleet_follower::state() const
+{
+    return m_implementation->replica.state();
+}
+
+void fleet_follower::pollNow()
+{
+    {
+        const std::lock_guard<std::mutex> guard(m_implementation->lock);
+        ++m_implementation->requested;
+    }
+    m_implementation->wakeStore.notify_one();
+}
+
+bool fleet_follower::refresh(duration limit, failure &reason)
+{
+    implementation &self = *m_implementation;
+    std::unique_lock<std::mutex> guard(self.lock);
+    const std::uint64_t request = ++self.requested;
+    self.wakeStore.notify_one();
+    const bool ended = self.polled.wait_for(guard, limit, [&self, request] {
+        return self.stopping || self.covered >= request;
+    });
+    if (!ended || self.covered < request) {
+        reason = failure{failure_code::Timeout, "poll"};
+        return false;
+    }
+    if (self.lastReason.code != failure_code::None) {
+        reason = self.lastReason;
+        return false;
+    }
+    return true;
+}
+
+void fleet_follower::peerRevision(revision_number revision)
+{
+    implementation &self = *m_implementation;
+    const revision_number replayed = self.replica.state()->revision();
+    {
+        const std::lock_guard<std::mutex> guard(self.lock);
+        self.highest = std::max(self.highest, revision);
+        if (revision <= replayed) {
+            return;
+        }
+        self.peerAhead = true;
+    }
+    self.wakePeers.notify_one();
+}
+
+std::optional<timestamp> fleet_follower::lastStoreContact() const
+{
+    const std::lock_guard<std::mutex> guard(m_implementation->lock);
+    return m_implementation->storeContact;
+}
+
+bool fleet_follower::storeAnswers() const
+{
+    const std::lock_guard<std::mutex> guard(m_implementation->lock);
+    return m_implementation->storeAnswers;
+}
+
+revision_number fleet_follower::highestRevision() const
+{
+    const std::lock_guard<std::mutex> guard(m_implementation->lock);
+    return m_implementation->highest;
+}
+
+log_page fleet_follower::page(revision_number after, int limit) const
+{
+    return m_implementation->replica.page(after, limit);
+}
+
+std::optional<std::string> fleet_follower::file(std::string_view hash) const
+{
+    return m_implementation->replica.file(hash);
+}
+
+void fleet_follower::keepFile(std::string_view text)
+{
+    m_implementation->replica.keepFile(text);
+}
+
+} // namespace daisypass
--- a/src/entry/fleet_follower.h
+++ b/src/entry/fleet_follower.h
@@ -1,15 +1,15 @@
 #pragma once
 
-// Follows the fleet log: replays it from the store, or from peers while the store does not answer or a peer is ahead.
+// Follows the fleet log: replays it from the store, and from peers that are ahead or while the store does not answer.
 //
 //     fleet_follower follower(table, objects, options);
 //     follower.addListener([](std::shared_ptr<const fleet_state> state) { ... });
-//     follower.setPeers(source);
 //     follower.start();
 //     std::shared_ptr<const fleet_state> state = follower.state();
 //
-// One thread polls and replays; listeners run on it, in the order of revisions, and must not call stop(). The revision never falls.
-// Used by daisypass-entry and daisypass-control.
+// One thread polls the store and one fetches from peers, so that a store that hangs does not delay what peers know. Listeners run on
+// these threads, one at a time, in the order in which they were added and in the order of revisions; they must not call stop() or
+// refresh(). The revision never falls. Used by daisypass-entry and daisypass-control.
 
 #include "base/time.h"
 #include "kernel/fleet_state.h"
@@ -49,16 +49,21 @@
 {
 public:
     using listener = std::function<void(std::shared_ptr<const fleet_state>)>;
+    /** The store answered a read started at this time (steady clock), and `revision` was the last one then. */
+    using contact_listener = std::function<void(timestamp startedAt, revision_number revision)>;
 
     fleet_follower(table_service table, object_store objects, fleet_follower_options options);
     ~fleet_follower();
 
     /** Before start(). */
     void addListener(listener told);
+    /** Before start(). Called on the store's thread after each successful read of the head, once its revision is replayed. */
+    void addContactListener(contact_listener told);
+    /** Before start(). */
     void setPeers(follower_peers peers);
 
     void start();
-    /** Waits for the thread. Idempotent. */
+    /** Waits for the threads. Idempotent. */
     void stop();
 
     /** Never null; the empty state of revision 0 before the first replay. */
@@ -66,13 +71,15 @@
 
     /** Makes the next poll happen now, regardless of the back-off; does not wait for it. */
     void pollNow();
-    /** Polls now and waits for the end of a poll that began after the call. Fails with StoreUnavailable, StoreOverloaded or Timeout. */
+    /** Polls now and waits for the end of a poll that began after the call. Fails with the reason of that poll, or with Timeout. */
     bool refresh(duration limit, failure &reason);
-    /** A peer reported this revision; if it is ahead, the records are fetched now. */
+    /** A peer reported this revision; if it is ahead, the records are fetched from peers now. */
     void peerRevision(revision_number revision);
 
     /** When the last successful read of the store was started (steady clock), or no value if there was none. */
     std::optional<timestamp> lastStoreContact() const;
+    /** Whether the last poll succeeded. */
+    bool storeAnswers() const;
     /** Highest revision known to exist, from the store or peers; may be ahead of state(). */
     revision_number highestRevision() const;
 
--- /dev/null
+++ b/src/entry/membership.cpp
@@ -0,0 +1,606 @@
+#include "entry/membership.h"
+
+#include "base/log.h"
+#include "entry/entry_registration.h"
+#include "entry/incarnation_index.h"
+#include "entry/peer_loads.h"
+#include "kernel/membership_view.h"
+
+#include <algorithm>
+#include <atomic>
+#include <condition_variable>
+#include <deque>
+#include <future>
+#include <mutex>
+#include <random>
+#include <thread>
+#include <utility>
+
+namespace daisypass {
+namespace {
+
+// Sources asked per fetch; each may take its whole deadline.
+constexpr std::size_t MostSources = 2;
+constexpr std::size_t MostLookUps = 1'000;
+// Longest wait for one poll of the store; the platform's own limit is 2 s.
+constexpr duration RefreshLimit = std::chrono::milliseconds(2'500);
+// The store counts as reachable this long after the last successful read was started.
+constexpr duration StoreReachableFor = std::chrono::seconds(3);
+
+std::vector<entry_record> entriesOf(const fleet_state &state)
+{
+    std::vector<entry_record> entries;
+    for (const std::pair<const std::string, entry_record> &entry : state.entries()) {
+        entries.push_back(entry.second);
+    }
+    return entries;
+}
+
+} // namespace
+
+struct membership::implementation
+{
+    implementation(membership_options chosen, fleet_follower &follows, fleet_log appendsTo, membership_handlers given);
+
+    // Events and answers.
+    void handle(const membership_event &event);
+    void replayed(const std::shared_ptr<const fleet_state> &state);
+    void sendGossip(const entry_record &peer);
+    gossip_message compose(std::string_view peer, incarnation_number incarnation);
+    gossip_message answerGossip(const gossip_message &message);
+    void takeLoads(const gossip_message &message);
+    drain_answer answerDrain(const drain_question &question) const;
+    peer_handlers serviceHandlers();
+    follower_peers sources();
+    template<typename T, typename Call>
+    std::optional<T> askSources(Call call);
+
+    // Threads.
+    void runTimer();
+    void runWorker();
+    void withIncarnation(incarnation_number incarnation, std::function<void(std::optional<peer_address>, const failure &)> then);
+    void answerLookUps(std::deque<std::function<void()>> &asked);
+
+    membership_options options;
+    fleet_follower &follower;
+    entry_registration registration;
+    incarnation_index index;
+    membership_handlers handlers;
+    std::vector<listener> listeners;
+    std::vector<load_listener> loadListeners;
+    std::atomic<std::int64_t> dispatchUntil{timestamp::min().count()};
+
+    mutable std::mutex lock;
+    std::condition_variable wakeTimer;
+    std::condition_variable wakeWorker;
+    bool stopping = false;
+    bool leaving = false;
+    membership_view view;
+    peer_loads loads;
+    std::mt19937_64 random;
+    revision_number revision = 0;
+    membership_status current;
+    bool changed = false;
+    std::deque<std::function<void()>> lookUps;
+
+    std::unique_ptr<peer_service> service;
+    std::unique_ptr<peer_client> client;
+    std::thread timerThread;
+    std::thread workerThread;
+};
+
+membership::implementation::implementation(membership_options chosen, fleet_follower &follows, fleet_log appendsTo, membership_handlers given)
+    : options(std::move(chosen))
+    , follower(follows)
+    , registration({options.entry, options.incarnation, options.callers, {}, options.availabilityZone}, follower, std::move(appendsTo), options.seed)
+    , handlers(std::move(given))
+    , view(options.entry, options.incarnation, {})
+    , loads(options.entry, options.incarnation)
+    , random(options.seed)
+{
+    peer_service_options served;
+    served.listen = options.peers;
+    service = std::make_unique<peer_service>(served, serviceHandlers());
+    client = std::make_unique<peer_client>(peer_client_options{});
+    follower.addListener([this](const std::shared_ptr<const fleet_state> &next) {
+        replayed(next);
+    });
+    follower.addContactListener([this](timestamp startedAt, revision_number last) {
+        handle(store_contacted{startedAt, last});
+    });
+    follower.setPeers(sources());
+}
+
+void membership::implementation::handle(const membership_event &event)
+{
+    std::vector<membership_action> actions;
+    bool wake = std::holds_alternative<fleet_replayed>(event);
+    {
+        const std::lock_guard<std::mutex> guard(lock);
+        const timestamp now = steadyNow();
+        view.handle(event, now, actions);
+        dispatchUntil.store(view.dispatchUntil().count());
+        for (const membership_action &action : actions) {
+            if (std::holds_alternative<view_updated>(action)) {
+                current = membership_status{view.live(now), view.isolated(now), view.ready(now), view.removed()};
+                changed = true;
+            }
+        }
+        wake = wake || changed || view.nextDue(now) <= now;
+    }
+    for (const membership_action &action : actions) {
+        if (const send_gossip *send = std::get_if<send_gossip>(&action)) {
+            sendGossip(send->peer);
+        } else if (const fetch_log *fetch = std::get_if<fetch_log>(&action)) {
+            follower.peerRevision(fetch->revision);
+        }
+    }
+    // Ticks come from the timer's own thread, which looks for changes itself.
+    if (wake && !std::holds_alternative<membership_tick>(event)) {
+        wakeTimer.notify_one();
+    }
+}
+
+void membership::implementation::replayed(const std::shared_ptr<const fleet_state> &next)
+{
+    std::vector<endpoint> places;
+    std::map<std::string, incarnation_number, std::less<>> peers;
+    for (const std::pair<const std::string, entry_record> &entry : next->entries()) {
+        if (entry.first != options.entry) {
+            places.push_back(entry.second.peers);
+            peers.emplace(entry.first, entry.second.incarnation);
+        }
+    }
+    index.update(next);
+    {
+        const std::lock_guard<std::mutex> guard(lock);
+        revision = next->revision();
+        loads.keepOnly(peers);
+    }
+    client->keepOnly(places);
+    handle(fleet_replayed{next->revision(), entriesOf(*next)});
+}
+
+gossip_message membership::implementation::compose(std::string_view peer, incarnation_number incarnation)
+{
+    const std::vector<peer_pool_load> own = handlers.loads ? handlers.loads() : std::vector<peer_pool_load>();
+    const std::optional<timestamp> contact = follower.lastStoreContact();
+    const std::lock_guard<std::mutex> guard(lock);
+    const timestamp now = steadyNow();
+    loads.setOwn(own);
+    gossip_message message = loads.compose(peer, incarnation);
+    message.revision = revision;
+    message.ready = view.ready(now);
+    message.storeReachable = contact && now - *contact < StoreReachableFor;
+    return message;
+}
+
+void membership::implementation::takeLoads(const gossip_message &message)
+{
+    const std::optional<peer_address> known = index.findEntry(message.entry);
+    if (!known || known->incarnation != message.incarnation) {
+        return;
+    }
+    {
+        const std::lock_guard<std::mutex> guard(lock);
+        if (!loads.take(message)) {
+            return;
+        }
+    }
+    for (const load_listener &told : loadListeners) {
+        told(message.entry, *message.pools);
+    }
+}
+
+void membership::implementation::sendGossip(const entry_record &peer)
+{
+    const gossip_message message = compose(peer.id, peer.incarnation);
+    const timestamp startedAt = steadyNow();
+    client->gossip({peer.peers, peer.incarnation}, message, [this, peer, startedAt](std::optional<gossip_message> answer, const failure &reason) {
+        if (!answer) {
+            handle(gossip_failed{peer.id, peer.incarnation, reason.code == failure_code::WrongIncarnation});
+            return;
+        }
+        takeLoads(*answer);
+        handle(gossip_answered{peer.id, peer.incarnation, startedAt, answer->revision, answer->ready});
+    });
+}
+
+gossip_message membership::implementation::answerGossip(const gossip_message &message)
+{
+    // A controller sends no entry; its revision still shows that there is more to fetch.
+    handle(gossip_received{message.entry, message.incarnation, message.revision});
+    takeLoads(message);
+    return compose(message.entry, message.incarnation);
+}
+
+drain_answer membership::implementation::answerDrain(const drain_question &question) const
+{
+    drain_answer answer{options.entry, options.incarnation};
+    const std::shared_ptr<const fleet_state> state = index.state();
+    answer.revision = state->revision();
+    const auto vm = state->vms().find(question.vm);
+    if (answer.revision < question.revision || vm == state->vms().end() || vm->second.state != vm_state::Draining || vm->second.epoch != question.epoch) {
+        return answer;
+    }
+    answer.inFlight = handlers.inFlight ? handlers.inFlight(question.vm) : 0;
+    answer.confirmed = answer.inFlight == 0;
+    return answer;
+}
+
+peer_handlers membership::implementation::serviceHandlers()
+{
+    peer_handlers served;
+    served.gossip = [this](const gossip_message &message) {
+        return answerGossip(message);
+    };
+    served.borrowSlots = handlers.borrowSlots;
+    served.returnSlots = handlers.returnSlots;
+    served.getFate = [this](incarnation_number asked, std::string_view requestId) -> std::optional<fate_answer> {
+        if (asked != options.incarnation || !handlers.getFate) {
+            return std::nullopt;
+        }
+        return handlers.getFate(requestId);
+    };
+    served.cancelRequest = [this](incarnation_number asked, std::string_view requestId) -> std::optional<cancel_answer> {
+        if (asked != options.incarnation || !handlers.cancelRequest) {
+            return std::nullopt;
+        }
+        return handlers.cancelRequest(requestId);
+    };
+    served.fetchLog = [this](revision_number after, int limit) {
+        return follower.page(after, limit);
+    };
+    served.fetchFile = [this](std::string_view hash) {
+        return follower.file(hash);
+    };
+    served.confirmDrain = [this](const drain_question &question) {
+        return answerDrain(question);
+    };
+    return served;
+}
+
+// Asks live peers one after the other until one has an answer.
+template<typename T, typename Call>
+std::optional<T> membership::implementation::askSources(Call call)
+{
+    std::vector<entry_record> candidates;
+    {
+        const std::lock_guard<std::mutex> guard(lock);
+        candidates = view.sources(steadyNow(), random());
+    }
+    candidates.resize(std::min(candidates.size(), MostSources));
+    for (const entry_record &candidate : candidates) {
+        std::promise<std::optional<T>> promise;
+        std::future<std::optional<T>> ended = promise.get_future();
+        call(peer_address{candidate.peers, candidate.incarnation}, [&promise](std::optional<T> answer, const failure &) {
+            promise.set_value(std::move(answer));
+        });
+        std::optional<T> answer = ended.get();
+        if (answer) {
+            return answer;
+        }
+    }
+    return std::nullopt;
+}
+
+follower_peers membership::implementation::sources()
+{
+    follower_peers peers;
+    peers.fetchLog = [this](revision_number after, int limit) {
+        return askSources<log_page>([this, after, limit](const peer_address &peer, peer_callback<log_page> done) {
+            client->fetchLog(peer, after, limit, std::move(done));
+        });
+    };
+    peers.fetchFile = [this](std::string_view hash) {
+        return askSources<std::string>([this, hash](const peer_address &peer, peer_callback<std::string> done) {
+            client->fetchFile(peer, hash, std::move(done));
+        });
+    };
+    return peers;
+}
+
+void membership::implementation::runTimer()
+{
+    while (true) {
+        std::optional<membership_status> told;
+        {
+            std::unique_lock<std::mutex> guard(lock);
+            const timestamp now = steadyNow();
+            const timestamp due = view.nextDue(now);
+            if (!changed && !stopping && due > now) {
+                if (due == timestamp::max()) {
+                    wakeTimer.wait(guard);
+                } else {
+                    wakeTimer.wait_for(guard, due - now);
+                }
+            }
+            if (stopping) {
+                return;
+            }
+            if (changed) {
+                changed = false;
+                told = current;
+            }
+        }
+        if (told) {
+            logChange("membership_changed", {{"live", told->live.size()}, {"isolated", told->isolated}, {"ready", told->ready}, {"removed", told->removed}});
+            for (const listener &listening : listeners) {
+                listening(*told);
+            }
+        }
+        std::uint64_t value = 0;
+        {
+            const std::lock_guard<std::mutex> guard(lock);
+            value = random();
+        }
+        handle(membership_tick{value});
+    }
+}
+
+void membership::implementation::runWorker()
+{
+    std::string lastLogged;
+    while (true) {
+        std::deque<std::function<void()>> asked;
+        bool joining = false;
+        {
+            std::unique_lock<std::mutex> guard(lock);
+            const auto woken = [this] {
+                return stopping || !lookUps.empty();
+            };
+            if (!leaving && !view.joined() && !view.removed()) {
+                joining = !wakeWorker.wait_for(guard, registration.delay(), woken) && !leaving;
+            } else {
+                wakeWorker.wait(guard, woken);
+            }
+            if (stopping) {
+                return;
+            }
+            std::swap(asked, lookUps);
+        }
+        if (!asked.empty()) {
+            answerLookUps(asked);
+        }
+        failure reason;
+        if (joining && !registration.join(reason) && describe(reason) != lastLogged) {
+            lastLogged = describe(reason);
+            logChange("join_delayed", {{"reason", lastLogged}});
+        }
+    }
+}
+
+void membership::implementation::answerLookUps(std::deque<std::function<void()>> &asked)
+{
+    failure ignored;
+    // While the store does not answer, its back-off is kept and the questions stay open to the callers.
+    if (follower.storeAnswers()) {
+        follower.refresh(RefreshLimit, ignored);
+    }
+    for (const std::function<void()> &lookUp : asked) {
+        lookUp();
+    }
+}
+
+void membership::implementation::withIncarnation(incarnation_number incarnation, std::function<void(std::optional<peer_address>, const failure &)> then)
+{
+    const failure ended{failure_code::WrongIncarnation, std::to_string(incarnation)};
+    const failure unknown{failure_code::PeerUnreachable, std::to_string(incarnation)};
+    peer_address place;
+    switch (index.find(incarnation, place)) {
+    case incarnation_status::Named:
+        then(place, {});
+        return;
+    case incarnation_status::Ended:
+        then(std::nullopt, ended);
+        return;
+    case incarnation_status::NeverSeen:
+        break;
+    }
+    {
+        const std::lock_guard<std::mutex> guard(lock);
+        if (!stopping && lookUps.size() < MostLookUps) {
+            const timestamp askedAt = steadyNow();
+            lookUps.emplace_back([this, incarnation, then, ended, unknown, askedAt] {
+                peer_address found;
+                const bool named = index.find(incarnation, found) == incarnation_status::Named;
+                const std::optional<timestamp> contact = follower.lastStoreContact();
+                then(named ? std::optional<peer_address>(found) : std::nullopt, contact && *contact >= askedAt ? ended : unknown);
+            });
+            wakeWorker.notify_one();
+            return;
+        }
+    }
+    then(std::nullopt, unknown);
+}
+
+membership::membership(membership_options options, fleet_follower &follower, fleet_log log, membership_handlers handlers)
+    : m_implementation(std::make_unique<implementation>(std::move(options), follower, std::move(log), std::move(handlers)))
+{
+}
+
+membership::~membership()
+{
+    stop();
+}
+
+void membership::addListener(listener told)
+{
+    m_implementation->listeners.push_back(std::move(told));
+}
+
+void membership::addLoadListener(load_listener told)
+{
+    m_implementation->loadListeners.push_back(std::move(told));
+}
+
+bool membership::start(failure &reason)
+{
+    implementation &self = *m_implementation;
+    // The address is bound before the entry joins: only its one holder may take over the entry's record from an earlier process.
+    if (!self.service->start(reason)) {
+        return false;
+    }
+    self.registration.setPeerPlace(self.service->place());
+    self.timerThread = std::thread([&self] {
+        self.runTimer();
+    });
+    self.workerThread = std::thread([&self] {
+        self.runWorker();
+    });
+    return true;
+}
+
+bool membership::leave(duration limit)
+{
+    implementation &self = *m_implementation;
+    {
+        const std::lock_guard<std::mutex> guard(self.lock);
+        self.leaving = true;
+    }
+    self.wakeWorker.notify_all();
+    const timestamp end = steadyNow() + limit;
+    failure reason;
+    for (timestamp now = steadyNow(); now < end; now = steadyNow()) {
+        if (self.registration.leave(end - now, reason)) {
+            return true;
+        }
+        std::unique_lock<std::mutex> guard(self.lock);
+        if (self.wakeTimer.wait_for(guard, std::min(self.registration.delay(), std::max(duration{}, end - steadyNow())), [&self] {
+                return self.stopping;
+            })) {
+            break;
+        }
+    }
+    logChange("leave_failed", {{"reason", describe(reason)}});
+    return false;
+}
+
+void membership::stop()
+{
+    implementation &self = *m_implementation;
+    {
+        const std::lock_guard<std::mutex> guard(self.lock);
+        if (self.stopping) {
+            return;
+        }
+        self.stopping = true;
+        self.dispatchUntil.store(timestamp::min().count());
+    }
+    self.wakeTimer.notify_all();
+    self.wakeWorker.notify_all();
+    self.follower.stop();
+    for (std::thread *thread : {&self.timerThread, &self.workerThread}) {
+        if (thread->joinable()) {
+            thread->join();
+        }
+    }
+    self.service->stop();
+    self.client->stop();
+    std::deque<std::function<void()>> left;
+    {
+        const std::lock_guard<std::mutex> guard(self.lock);
+        std::swap(left, self.lookUps);
+    }
+    for (const std::function<void()> &lookUp : left) {
+        lookUp();
+    }
+}
+
+membership_status membership::status() const
+{
+    const std::lock_guard<std::mutex> guard(m_implementation->lock);
+    const timestamp now = steadyNow();
+    const membership_view &view = m_implementation->view;
+    return membership_status{view.live(now), view.isolated(now), view.ready(now), view.removed()};
+}
+
+bool membership::mayDispatch() const
+{
+    return steadyNow().count() < m_implementation->dispatchUntil.load();
+}
+
+std::vector<peer_status> membership::peers() const
+{
+    const std::lock_guard<std::mutex> guard(m_implementation->lock);
+    std::vector<peer_status> statuses;
+    for (const peer_view &peer : m_implementation->view.peers(steadyNow())) {
+        statuses.push_back({peer.record.id,
+                            peer.record.incarnation,
+                            peer.live,
+                            peer.ready,
+                            peer.revision,
+                            m_implementation->loads.of(peer.record.id, peer.record.incarnation)});
+    }
+    return statuses;
+}
+
+incarnation_number membership::incarnation() const
+{
+    return m_implementation->options.incarnation;
+}
+
+endpoint membership::place() const
+{
+    return m_implementation->service->place();
+}
+
+void membership::borrowSlots(std::string_view entry, std::string_view pool, int count, peer_callback<std::vector<peer_grant>> done)
+{
+    implementation &self = *m_implementation;
+    const std::optional<peer_address> peer = self.index.findEntry(entry);
+    if (!peer) {
+        done(std::nullopt, failure{failure_code::PeerUnreachable, std::string(entry)});
+        return;
+    }
+    self.client->borrowSlots(*peer, {self.options.entry, self.options.incarnation, std::string(pool), count}, std::move(done));
+}
+
+void membership::returnSlots(std::string_view entry, std::string_view pool, std::vector<peer_grant> grants)
+{
+    implementation &self = *m_implementation;
+    const std::optional<peer_address> peer = self.index.findEntry(entry);
+    if (!peer) {
+        return;
+    }
+    // A return that is lost is made up for by the expiry of the loan.
+    self.client->returnSlots(
+        *peer, {self.options.entry, self.options.incarnation, std::string(pool), std::move(grants)}, [](std::optional<peer_acknowledgement>, const failure &) {
+        });
+}
+
+void membership::getFate(incarnation_number incarnation, std::string_view requestId, peer_callback<fate_answer> done)
+{
+    implementation &self = *m_implementation;
+    if (incarnation == self.options.incarnation && self.handlers.getFate) {
+        done(self.handlers.getFate(requestId), {});
+        return;
+    }
+    self.withIncarnation(incarnation,
+                         [&self, requestId = std::string(requestId), done = std::move(done)](std::optional<peer_address> peer, const failure &reason) {
+                             if (!peer) {
+                                 done(std::nullopt, reason);
+                                 return;
+                             }
+                             self.client->getFate(*peer, requestId, done);
+                         });
+}
+
+void membership::cancelRequest(incarnation_number incarnation, std::string_view requestId, peer_callback<cancel_answer> done)
+{
+    implementation &self = *m_implementation;
+    if (incarnation == self.options.incarnation && self.handlers.cancelRequest) {
+        done(self.handlers.cancelRequest(requestId), {});
+        return;
+    }
+    self.withIncarnation(incarnation,
+                         [&self, requestId = std::string(requestId), done = std::move(done)](std::optional<peer_address> peer, const failure &reason) {
+                             if (!peer) {
+                                 done(std::nullopt, reason);
+                                 return;
+                             }
+                             self.client->cancelRequest(*peer, requestId, done);
+                         });
+}
+
+} // namespace daisypass
--- a/src/entry/membership.h
+++ b/src/entry/membership.h
@@ -17,6 +17,7 @@
 #include "entry/fleet_follower.h"
 #include "net/peer_client.h"
 #include "net/peer_service.h"
+#include "platform/fleet_log.h"
 
 #include <cstdint>
 #include <functional>
@@ -27,8 +28,6 @@
 
 namespace daisypass {
 
-class fleet_log;
-
 struct membership_options
 {
     std::string entry;
@@ -49,7 +48,7 @@
     /** The incarnation asked for is this process's. */
     std::function<fate_answer(std::string_view requestId)> getFate;
     std::function<cancel_answer(std::string_view requestId)> cancelRequest;
-    /** Asked only once the state holds the drain at this epoch and revision; returns the requests in flight on the VM. */
+    /** Requests in flight on the VM. Asked only once the follower's listeners have seen the drain. */
     std::function<int(std::string_view vm)> inFlight;
     /** This entry's load per pool, asked before each round of gossip. */
     std::function<std::vector<peer_pool_load>()> loads;
@@ -70,8 +69,12 @@
 {
     /** Entries of the fleet state that are not suspected, this one included once it joined; sorted. */
     std::vector<std::string> live;
-    bool isolated = false;
+    bool isolated = true;
     bool ready = false;
+    /** The log removed this incarnation. Drains no longer wait for it, so it never dispatches again; the process should end. */
+    bool removed = false;
+
+    bool operator==(const membership_status &) const = default;
 };
 
 class membership
@@ -80,8 +83,11 @@
     using listener = std::function<void(const membership_status &)>;
     using load_listener = std::function<void(const std::string &peer, const std::vector<peer_pool_load> &pools)>;
 
-    /** The follower and the log must outlive the membership. */
-    membership(membership_options options, fleet_follower &follower, fleet_log &log, membership_handlers handlers);
+    /**
+     * Registers with the follower, which must not be started yet and must outlive the membership. Add the entry's own listeners to the
+     * follower first: contact counts and drains are confirmed only after they have run, so they must have taken effect on return.
+     */
+    membership(membership_options options, fleet_follower &follower, fleet_log log, membership_handlers handlers);
     ~membership();
 
     /** Before start(). Called whenever the status changes, from the membership's thread. */
@@ -91,8 +97,9 @@
 
     /** Listens, then joins and gossips in the background. Fails with ListenFailed. */
     bool start(failure &reason);
-    /** Appends entry_left; false if it could not be appended within the limit. Gossip continues until stop(). */
+    /** Appends entry_left; false if it could not be appended within the limit. Gossip continues until stop(). Not for listeners. */
     bool leave(duration limit);
+    /** Also stops the follower, which calls this object. Idempotent. */
     void stop();
 
     membership_status status() const;
@@ -106,7 +113,10 @@
     /** Calls to a peer by its entry id; PeerUnreachable if the fleet state does not name it. */
     void borrowSlots(std::string_view entry, std::string_view pool, int count, peer_callback<std::vector<peer_grant>> done);
     void returnSlots(std::string_view entry, std::string_view pool, std::vector<peer_grant> grants);
-    /** Calls to an incarnation; WrongIncarnation if no entry of the fleet state has it, which means that it is gone. */
+    /**
+     * Calls to an incarnation, also this one. WrongIncarnation means that it has ended: the fleet state named it once, or does not name it
+     * after a read of the store. PeerUnreachable or Timeout means that this could not be found out.
+     */
     void getFate(incarnation_number incarnation, std::string_view requestId, peer_callback<fate_answer> done);
     void cancelRequest(incarnation_number incarnation, std::string_view requestId, peer_callback<cancel_answer> done);
 
--- /dev/null
+++ b/src/entry/peer_loads.h
@@ -0,0 +1,58 @@
+#pragma once
+
+// The loads that entries tell each other, with the versions that keep them from being sent again unchanged.
+//
+//     peer_loads loads(self, incarnation);
+//     loads.setOwn(pools);
+//     gossip_message message = loads.compose("entry-2", incarnation);
+//     if (loads.take(answer)) { tell(loads.of("entry-2")); }
+//
+// Not synchronised; the owner holds its lock.
+
+#include "net/peer_messages.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace daisypass {
+
+class peer_loads
+{
+public:
+    peer_loads(std::string entry, incarnation_number incarnation);
+
+    void setOwn(std::vector<peer_pool_load> pools);
+
+    /** A message to this peer, with the own loads if the peer does not hold them. Revision and flags are left to the caller. */
+    gossip_message compose(std::string_view peer, incarnation_number incarnation) const;
+
+    /** Takes over what a peer told; true if its loads changed. Messages may arrive in any order. */
+    bool take(const gossip_message &message);
+
+    /** The last loads of this incarnation of a peer; empty if none are known. */
+    std::vector<peer_pool_load> of(std::string_view peer, incarnation_number incarnation) const;
+
+    /** Forgets all peers but these. */
+    void keepOnly(const std::map<std::string, incarnation_number, std::less<>> &peers);
+
+private:
+    struct held
+    {
+        incarnation_number incarnation = 0;
+        std::uint64_t version = 0;
+        std::vector<peer_pool_load> pools;
+        /** Version of the own loads that the peer said it holds. */
+        std::uint64_t ownKnown = 0;
+    };
+
+    std::string m_entry;
+    incarnation_number m_incarnation;
+    std::uint64_t m_version = 1;
+    std::vector<peer_pool_load> m_own;
+    std::map<std::string, held, std::less<>> m_peers;
+};
+
+} // namespace daisypass
--- /dev/null
+++ b/src/kernel/membership_view.cpp
@@ -0,0 +1,272 @@
+#include "kernel/membership_view.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace daisypass {
+namespace {
+
+// Spreads the calls of entries that started together.
+constexpr int JitterDivisor = 10;
+// More waiting contacts than calls can end within the isolation time; older ones are dropped.
+constexpr std::size_t MostWaiting = 16;
+
+} // namespace
+
+struct membership_view::event_handler
+{
+    membership_view &view;
+    timestamp now;
+    std::vector<membership_action> &actions;
+
+    void operator()(const fleet_replayed &event) const
+    {
+        // A replica never goes back; an older state can only be a message out of order.
+        if (event.revision < view.m_revision) {
+            return;
+        }
+        view.m_revision = event.revision;
+        bool joined = false;
+        std::map<std::string, peer_state, std::less<>> peers;
+        for (const entry_record &entry : event.entries) {
+            if (entry.id == view.m_entry) {
+                joined = entry.incarnation == view.m_incarnation;
+                continue;
+            }
+            peer_state &peer = peers[entry.id];
+            if (peer_state *known = view.find(entry.id, entry.incarnation)) {
+                peer = std::move(*known);
+            } else {
+                peer.answeredAt = now;
+                peer.gossipDue = now;
+            }
+            peer.record = entry;
+        }
+        view.m_peers = std::move(peers);
+        view.m_removed = view.m_removed || (view.m_joined && !joined);
+        view.m_joined = joined && !view.m_removed;
+        view.m_caughtUp = view.m_caughtUp && view.m_joined;
+        view.promote(view.m_store);
+        for (std::pair<const std::string, peer_state> &peer : view.m_peers) {
+            view.promote(peer.second.contacts);
+        }
+    }
+
+    void operator()(const gossip_answered &event) const
+    {
+        peer_state *peer = view.find(event.entry, event.incarnation);
+        if (peer == nullptr) {
+            return;
+        }
+        peer->outstanding = false;
+        peer->answered = true;
+        peer->replaced = false;
+        peer->answeredAt = std::max(peer->answeredAt, event.startedAt);
+        peer->ready = event.ready;
+        view.countContact(peer->contacts, {event.startedAt, event.revision});
+        learn(*peer, event.revision);
+    }
+
+    void operator()(const gossip_failed &event) const
+    {
+        if (peer_state *peer = view.find(event.entry, event.incarnation)) {
+            peer->outstanding = false;
+            peer->replaced = peer->replaced || event.replaced;
+        }
+    }
+
+    void operator()(const gossip_received &event) const
+    {
+        if (peer_state *peer = view.find(event.entry, event.incarnation)) {
+            learn(*peer, event.revision);
+        } else if (event.revision > view.m_revision) {
+            actions.emplace_back(fetch_log{event.revision});
+        }
+    }
+
+    void operator()(const store_contacted &event) const
+    {
+        view.countContact(view.m_store, {event.startedAt, event.revision});
+    }
+
+    void operator()(const membership_tick &event) const
+    {
+        std::uint64_t random = event.random;
+        for (std::pair<const std::string, peer_state> &item : view.m_peers) {
+            peer_state &peer = item.second;
+            if (peer.outstanding || peer.gossipDue > now) {
+                continue;
+            }
+            const std::int64_t spread = view.m_timing.gossipInterval.count() / JitterDivisor;
+            random = random * 6364136223846793005U + 1442695040888963407U;
+            const duration jitter{static_cast<std::int64_t>((random >> 32U) % static_cast<std::uint64_t>(2 * spread + 1)) - spread};
+            peer.gossipDue = now + view.m_timing.gossipInterval + jitter;
+            peer.outstanding = true;
+            actions.emplace_back(send_gossip{peer.record});
+        }
+    }
+
+    void learn(peer_state &peer, revision_number revision) const
+    {
+        peer.revision = std::max(peer.revision, revision);
+        if (peer.revision > view.m_revision) {
+            actions.emplace_back(fetch_log{peer.revision});
+        }
+    }
+};
+
+membership_view::membership_view(std::string entry, incarnation_number incarnation, membership_timing timing)
+    : m_entry(std::move(entry))
+    , m_incarnation(incarnation)
+    , m_timing(timing)
+{
+}
+
+void membership_view::handle(const membership_event &event, timestamp now, std::vector<membership_action> &actions)
+{
+    // A process that was frozen heard no answers; without this it would suspect every peer and take over all targets on resuming.
+    if (m_lastEvent != timestamp::min() && now - m_lastEvent >= m_timing.frozenAfter) {
+        m_resumedAt = now;
+    }
+    m_lastEvent = std::max(m_lastEvent, now);
+    std::visit(event_handler{*this, now, actions}, event);
+    checkCaughtUp(now);
+    summary current{live(now), isolated(now), ready(now), m_removed};
+    if (current != m_published) {
+        m_published = std::move(current);
+        actions.emplace_back(view_updated{});
+    }
+}
+
+void membership_view::countContact(contact_history &history, contact made) const
+{
+    if (history.waiting.size() == MostWaiting) {
+        history.waiting.erase(history.waiting.begin());
+    }
+    history.waiting.push_back(made);
+    promote(history);
+}
+
+void membership_view::promote(contact_history &history) const
+{
+    std::erase_if(history.waiting, [&](const contact &made) {
+        if (made.revision > m_revision) {
+            return false;
+        }
+        history.latest = std::max(history.latest, made.startedAt);
+        return true;
+    });
+}
+
+timestamp membership_view::suspectedFrom(const peer_state &peer) const
+{
+    return std::max(peer.answeredAt, m_resumedAt) + m_timing.suspectAfter;
+}
+
+bool membership_view::suspected(const peer_state &peer, timestamp now) const
+{
+    return peer.replaced || now >= suspectedFrom(peer);
+}
+
+void membership_view::checkCaughtUp(timestamp now)
+{
+    if (m_caughtUp || !m_joined) {
+        return;
+    }
+    for (const std::pair<const std::string, peer_state> &peer : m_peers) {
+        if (!suspected(peer.second, now) && (!peer.second.answered || peer.second.revision > m_revision)) {
+            return;
+        }
+    }
+    m_caughtUp = true;
+}
+
+membership_view::peer_state *membership_view::find(std::string_view entry, incarnation_number incarnation)
+{
+    const auto found = m_peers.find(entry);
+    return found != m_peers.end() && found->second.record.incarnation == incarnation ? &found->second : nullptr;
+}
+
+std::vector<std::string> membership_view::live(timestamp now) const
+{
+    std::vector<std::string> entries;
+    if (m_joined) {
+        entries.push_back(m_entry);
+    }
+    for (const std::pair<const std::string, peer_state> &peer : m_peers) {
+        if (!suspected(peer.second, now)) {
+            entries.push_back(peer.first);
+        }
+    }
+    std::sort(entries.begin(), entries.end());
+    return entries;
+}
+
+std::vector<peer_view> membership_view::peers(timestamp now) const
+{
+    std::vector<peer_view> views;
+    for (const std::pair<const std::string, peer_state> &peer : m_peers) {
+        views.push_back({peer.second.record, !suspected(peer.second, now), peer.second.ready, peer.second.revision});
+    }
+    return views;
+}
+
+timestamp membership_view::dispatchUntil() const
+{
+    if (!m_joined) {
+        return timestamp::min();
+    }
+    if (m_peers.empty()) {
+        return timestamp::max();
+    }
+    // A majority of all entries, this one included, was reached at the time of the `needed`-th latest contact with a peer.
+    std::vector<timestamp> contacts;
+    for (const std::pair<const std::string, peer_state> &peer : m_peers) {
+        contacts.push_back(peer.second.contacts.latest);
+    }
+    const std::size_t needed = (m_peers.size() + 1) / 2;
+    std::sort(contacts.begin(), contacts.end(), std::greater<>());
+    const timestamp reached = std::max(m_store.latest, contacts[needed - 1]);
+    return reached == timestamp::min() ? reached : reached + m_timing.isolateAfter;
+}
+
+std::vector<entry_record> membership_view::sources(timestamp now, std::uint64_t random) const
+{
+    std::vector<entry_record> ahead;
+    std::vector<entry_record> others;
+    for (const std::pair<const std::string, peer_state> &peer : m_peers) {
+        if (!suspected(peer.second, now)) {
+            (peer.second.revision > m_revision ? ahead : others).push_back(peer.second.record);
+        }
+    }
+    if (!ahead.empty()) {
+        std::rotate(ahead.begin(), ahead.begin() + static_cast<std::ptrdiff_t>(random % ahead.size()), ahead.end());
+    }
+    ahead.insert(ahead.end(), others.begin(), others.end());
+    return ahead;
+}
+
+timestamp membership_view::nextDue(timestamp now) const
+{
+    timestamp due = timestamp::max();
+    const auto consider = [&](timestamp candidate) {
+        if (candidate > now) {
+            due = std::min(due, candidate);
+        }
+    };
+    for (const std::pair<const std::string, peer_state> &peer : m_peers) {
+        // A call that is still outstanding when the next is due delays it until it has ended.
+        if (peer.second.outstanding) {
+            consider(peer.second.gossipDue);
+        } else {
+            due = std::min(due, std::max(peer.second.gossipDue, now));
+        }
+        if (!peer.second.replaced) {
+            consider(suspectedFrom(peer.second));
+        }
+    }
+    consider(dispatchUntil());
+    return due;
+}
+
+} // namespace daisypass
--- /dev/null
+++ b/src/kernel/membership_view.h
@@ -0,0 +1,214 @@
+#pragma once
+
+// Decides, for one entry, which entries are alive, whether it may dispatch, whether it is ready, and when to gossip with whom.
+//
+//     membership_view view("entry-1", incarnation, {});
+//     std::vector<membership_action> actions;
+//     view.handle(membership_tick{random}, now, actions);
+//     for (const membership_action &action : actions) { ... }
+//     bool allowed = now < view.dispatchUntil();
+//
+// It is fed events with the time and returns actions; it keeps no clock, thread or socket. Times are of the process's steady clock.
+//
+// Contact with the store or a peer counts from when the successful call was started, and only once every revision that the answer told is
+// replayed: only then does the entry know all that was known at the other side at that moment.
+
+#include "base/time.h"
+#include "kernel/fleet_state.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace daisypass {
+
+struct membership_timing
+{
+    duration gossipInterval = std::chrono::milliseconds(500);
+    /** A peer that has not answered for this long is suspected. */
+    duration suspectAfter = std::chrono::seconds(2);
+    /** Without contact for this long the entry is isolated. */
+    duration isolateAfter = std::chrono::seconds(3);
+    /** A gap between two events from which the process counts as having been frozen. */
+    duration frozenAfter = std::chrono::seconds(1);
+};
+
+/** The fleet state was replayed up to this revision. */
+struct fleet_replayed
+{
+    revision_number revision = 0;
+    std::vector<entry_record> entries;
+};
+
+struct gossip_answered
+{
+    std::string entry;
+    incarnation_number incarnation = 0;
+    timestamp startedAt{};
+    revision_number revision = 0;
+    bool ready = false;
+};
+
+struct gossip_failed
+{
+    std::string entry;
+    incarnation_number incarnation = 0;
+    /** Another incarnation answered at the peer's address, so this one has ended. */
+    bool replaced = false;
+};
+
+/** A peer called. This tells its revision; it is no contact, because the message may have been under way for any time. */
+struct gossip_received
+{
+    std::string entry;
+    incarnation_number incarnation = 0;
+    revision_number revision = 0;
+};
+
+/** The store answered a read that was started at this time and showed this revision as the last. */
+struct store_contacted
+{
+    timestamp startedAt{};
+    revision_number revision = 0;
+};
+
+/** Send at nextDue() or earlier. */
+struct membership_tick
+{
+    std::uint64_t random = 0;
+};
+
+using membership_event = std::variant<fleet_replayed, gossip_answered, gossip_failed, gossip_received, store_contacted, membership_tick>;
+
+struct send_gossip
+{
+    entry_record peer;
+};
+
+/** A peer holds this revision, which is ahead of the replayed one. */
+struct fetch_log
+{
+    revision_number revision = 0;
+};
+
+/** live(), isolated(), ready() or removed() changed. */
+struct view_updated
+{
+};
+
+using membership_action = std::variant<send_gossip, fetch_log, view_updated>;
+
+/** What is known of a peer. */
+struct peer_view
+{
+    entry_record record;
+    bool live = false;
+    bool ready = false;
+    revision_number revision = 0;
+};
+
+class membership_view
+{
+public:
+    membership_view(std::string entry, incarnation_number incarnation, membership_timing timing);
+
+    void handle(const membership_event &event, timestamp now, std::vector<membership_action> &actions);
+
+    /** Entries of the fleet state that are not suspected, this one included once it joined; sorted. */
+    std::vector<std::string> live(timestamp now) const;
+    std::vector<peer_view> peers(timestamp now) const;
+
+    /** The fleet state names this incarnation. */
+    bool joined() const
+    {
+        return m_joined;
+    }
+    /** The fleet state named this incarnation and no longer does. Drains do not wait for it, so it must never dispatch again. */
+    bool removed() const
+    {
+        return m_removed;
+    }
+    /** Nothing may be dispatched from this time on, unless there is new contact. Far in the past if the entry has not joined or is removed. */
+    timestamp dispatchUntil() const;
+    bool isolated(timestamp now) const
+    {
+        return now >= dispatchUntil();
+    }
+    /** Joined, caught up with all live peers once, and not isolated. */
+    bool ready(timestamp now) const
+    {
+        return m_caughtUp && !isolated(now);
+    }
+
+    /** Live peers to fetch records and files from: first those that are ahead, starting at a random one, then the others. */
+    std::vector<entry_record> sources(timestamp now, std::uint64_t random) const;
+
+    /** When the next gossip is due or a peer becomes suspected or this entry isolated. */
+    timestamp nextDue(timestamp now) const;
+
+private:
+    struct contact
+    {
+        timestamp startedAt{};
+        revision_number revision = 0;
+    };
+
+    /** Contacts with one other side: the newest that counts, and newer ones whose revision is not replayed yet. */
+    struct contact_history
+    {
+        timestamp latest = timestamp::min();
+        std::vector<contact> waiting;
+    };
+
+    struct peer_state
+    {
+        entry_record record;
+        contact_history contacts;
+        /** Start of the last answered call, or when the peer became known. */
+        timestamp answeredAt{};
+        bool answered = false;
+        bool replaced = false;
+        bool outstanding = false;
+        timestamp gossipDue{};
+        revision_number revision = 0;
+        bool ready = false;
+    };
+
+    struct summary
+    {
+        std::vector<std::string> live;
+        bool isolated = true;
+        bool ready = false;
+        bool removed = false;
+
+        bool operator==(const summary &) const = default;
+    };
+
+    struct event_handler;
+
+    void countContact(contact_history &history, contact made) const;
+    void promote(contact_history &history) const;
+    bool suspected(const peer_state &peer, timestamp now) const;
+    timestamp suspectedFrom(const peer_state &peer) const;
+    void checkCaughtUp(timestamp now);
+    peer_state *find(std::string_view entry, incarnation_number incarnation);
+
+    std::string m_entry;
+    incarnation_number m_incarnation;
+    membership_timing m_timing;
+    revision_number m_revision = 0;
+    bool m_joined = false;
+    bool m_removed = false;
+    bool m_caughtUp = false;
+    contact_history m_store;
+    std::map<std::string, peer_state, std::less<>> m_peers;
+    timestamp m_lastEvent = timestamp::min();
+    /** When the process last resumed after it was frozen; peers then have their full time to answer. */
+    timestamp m_resumedAt = timestamp::min();
+    summary m_published;
+};
+
+} // namespace daisypass
--- a/src/net/peer_client.cpp
+++ b/src/net/peer_client.cpp
@@ -174,6 +174,7 @@
 peer_client::peer_client(peer_client_options options)
     : m_implementation(std::make_unique<implementation>(options))
 {
+    silenceTransportLog();
     for (int i = 0; i < options.threads; ++i) {
         m_implementation->threads.emplace_back([this] {
             m_implementation->run();
@@ -182,9 +183,17 @@
 }
 
 peer_client::~peer_client()
+{
+    stop();
+}
+
+void peer_client::stop()
 {
     {
         const std::lock_guard<std::mutex> guard(m_implementation->lock);
+        if (m_implementation->closed) {
+            return;
+        }
         m_implementation->closed = true;
         for (pending_call *call : m_implementation->pending) {
             call->context.TryCancel();
--- a/src/net/peer_client.h
+++ b/src/net/peer_client.h
@@ -50,9 +50,12 @@
 {
 public:
     explicit peer_client(peer_client_options options);
-    /** Cancels calls in flight, runs their callbacks with PeerUnreachable and waits for the threads. */
     ~peer_client();
 
+    /** Cancels calls in flight, whose callbacks end with PeerUnreachable, and waits for the threads. Later calls fail at once. Idempotent;
+     * not for callbacks. */
+    void stop();
+
     void gossip(const peer_address &peer, const gossip_message &message, peer_callback<gossip_message> done);
     void borrowSlots(const peer_address &peer, const borrow_call &call, peer_callback<std::vector<peer_grant>> done);
     void returnSlots(const peer_address &peer, const return_call &call, peer_callback<peer_acknowledgement> done);
--- a/src/net/peer_service.cpp
+++ b/src/net/peer_service.cpp
@@ -261,6 +261,7 @@
 
 bool peer_service::start(failure &reason)
 {
+    silenceTransportLog();
     implementation &self = *m_implementation;
     grpc::ServerBuilder builder;
     int port = 0;
--- a/src/net/peer_wire.cpp
+++ b/src/net/peer_wire.cpp
@@ -2,6 +2,8 @@
 
 #include "net/proto/peer.pb.h"
 
+#include <grpc/support/log.h>
+
 namespace daisypass {
 namespace {
 
@@ -23,6 +25,11 @@
 
 } // namespace
 
+void silenceTransportLog()
+{
+    gpr_set_log_function([](gpr_log_func_args *) {});
+}
+
 void toWire(const gossip_message &from, peer::GossipMessage &to)
 {
     to.set_entry(from.entry);
--- a/src/net/peer_wire.h
+++ b/src/net/peer_wire.h
@@ -15,6 +15,9 @@
 
 } // namespace peer
 
+/** Drops gRPC's own log lines: failures are reported as typed values, and its lines do not have the form of log.h. */
+void silenceTransportLog();
+
 void toWire(const gossip_message &from, peer::GossipMessage &to);
 gossip_message fromWire(const peer::GossipMessage &from);
 
