--- /dev/null
+++ b/src/kernel/pool_scheduler.cpp
@@ -0,0 +1,280 @@
+#include "kernel/pool_scheduler.h"
+
+#include "kernel/policy_registry.h"
+#include "kernel/pool_state.h"
+
+#include <algorithm>
+
+namespace daisypass {
+
+namespace {
+
+/** Bounds of Retry-After. */
+constexpr duration MinRetryAfter = std::chrono::milliseconds(100);
+constexpr duration MaxRetryAfter = std::chrono::seconds(30);
+
+} // namespace
+
+pool_scheduler::state::state(const pool_config &initial, std::uint64_t seed, std::string_view slotPolicy)
+    : config(initial)
+    , random(seed)
+    , ledger(findPolicy<slot_policy>(slotPolicy).value_or(lent_slots{}))
+    , queues(requests, model, findPolicy<scheduling_policy>(initial.scheduling).value_or(band_order{}))
+    , deadlines(requests)
+{
+    budget.setRatio(config.retryBudget);
+}
+
+std::uint32_t pool_scheduler::state::teamNumber(const std::string &name)
+{
+    const std::uint32_t fresh = static_cast<std::uint32_t>(teams.size());
+    const auto placed = teams.try_emplace(name, fresh);
+    if (placed.second) {
+        weights.push_back(1);
+        queuedByTeam.push_back(0);
+    }
+    return placed.first->second;
+}
+
+bool pool_scheduler::state::runnableAnywhere(const machine_size &needs) const
+{
+    bool anyTarget = false;
+    for (target_index index = 0; index < ledger.size(); ++index) {
+        if (ledger[index].inView) {
+            anyTarget = true;
+            if (fitsInto(needs, ledger[index].size)) {
+                return true;
+            }
+        }
+    }
+    return !anyTarget && fitsInto(needs, config.vm);
+}
+
+// Half to one and a half times the wait, so that refused callers do not return together.
+duration pool_scheduler::state::retryAfter(duration wait)
+{
+    const duration base = std::clamp(wait, MinRetryAfter, MaxRetryAfter);
+    return std::min(base / 2 + jitter(base), MaxRetryAfter);
+}
+
+void pool_scheduler::state::refreshUse()
+{
+    use.usable = ledger.usable(now);
+    use.longShare = config.longShare;
+}
+
+std::optional<refuse> pool_scheduler::state::refusalOf(const request_info &info, std::uint32_t team, std::uint32_t runClass)
+{
+    if (!runnableAnywhere(info.needs)) {
+        return refuse{info.number, refusal_reason::NeverRunnable, {}};
+    }
+    if (queuedCount >= config.queueLimit) {
+        return refuse{info.number, refusal_reason::Overloaded, retryAfter(queues.estimatedWait(runClass, team, use))};
+    }
+    if (queuedByTeam[team] >= config.teamQueueLimit) {
+        return refuse{info.number, refusal_reason::TeamOverLimit, retryAfter(queues.estimatedWait(runClass, team, use))};
+    }
+    return overload(info, team, runClass);
+}
+
+std::optional<refuse> pool_scheduler::state::overload(const request_info &info, std::uint32_t team, std::uint32_t runClass)
+{
+    if (isolated || queues.size() == 0) {
+        return std::nullopt;
+    }
+    // Slots that peers may lend count too; otherwise an entry that owns little would refuse work for which others have room.
+    slot_use expected = use;
+    expected.usable = std::max(use.usable, ledger.poolCapacity(now) / ownerCount) + borrower.knownFree();
+    const duration wait = queues.estimatedWait(runClass, team, expected);
+    if (wait <= info.deadline - now) {
+        return std::nullopt;
+    }
+    return refuse{info.number, refusal_reason::Overloaded, retryAfter(wait)};
+}
+
+void pool_scheduler::state::drop(request_index index, refusal_reason reason)
+{
+    const request_record request = requests[index];
+    leave(index);
+    const bool mayHelp = reason == refusal_reason::DeadlinePassed || reason == refusal_reason::Isolated;
+    const duration wait = mayHelp ? retryAfter(queues.estimatedWait(request.runClass, request.team, use)) : duration{};
+    actions->emplace_back(refuse{request.number, reason, wait});
+    requests.erase(index);
+}
+
+void pool_scheduler::state::handle(const request_arrived &event)
+{
+    request_info info = event.request;
+    if (requests.find(info.number) != NoRequest) {
+        return;
+    }
+    if (info.deadline == timestamp{}) {
+        info.deadline = now + std::chrono::milliseconds(config.defaultDeadlineMs);
+    }
+    const std::uint32_t team = teamNumber(info.team);
+    const std::uint32_t runClass = model.classNumber(info.team, info.requestClass);
+    const std::optional<refuse> refusal = refusalOf(info, team, runClass);
+    if (refusal) {
+        actions->emplace_back(*refusal);
+        return;
+    }
+    const request_index index = requests.insert(info.number);
+    request_record &request = requests[index];
+    request.deadline = info.deadline;
+    request.needs = info.needs;
+    request.team = team;
+    request.runClass = runClass;
+    request.work = std::chrono::duration<float>(model.mean(runClass)).count();
+    request.phase = request_phase::Queued;
+    budget.addRequest();
+    enter(index);
+}
+
+void pool_scheduler::state::handle(const request_cancelled &event)
+{
+    const request_index index = requests.find(event.request);
+    if (index == NoRequest) {
+        return;
+    }
+    if (requests[index].phase != request_phase::Running) {
+        drop(index, refusal_reason::Cancelled);
+        return;
+    }
+    stop(index);
+    actions->emplace_back(finish{event.request, attempt_outcome::Unknown});
+    requests.erase(index);
+}
+
+void pool_scheduler::state::handle(const target_answered &event)
+{
+    const request_index index = requests.find(event.request);
+    if (index == NoRequest || requests[index].phase != request_phase::Running) {
+        return;
+    }
+    stop(index);
+    if (event.outcome == attempt_outcome::Completed) {
+        model.observe(requests[index].runClass, event.runTime);
+    }
+    noteOutcome(requests[index].target, event.outcome);
+    retryOrFinish(index, event.outcome);
+}
+
+void pool_scheduler::state::handle(const view_changed &event)
+{
+    if (event.config.scheduling != config.scheduling) {
+        queues.setPolicy(findPolicy<scheduling_policy>(event.config.scheduling).value_or(band_order{}));
+    }
+    config = event.config;
+    self = event.self;
+    isolated = event.isolated;
+    budget.setRatio(config.retryBudget);
+    ledger.update(event);
+    std::vector<std::string> owners;
+    for (const target_view &target : event.targets) {
+        if (target.owner != self && std::find(owners.begin(), owners.end(), target.owner) == owners.end()) {
+            owners.push_back(target.owner);
+        }
+    }
+    borrower.setOwners(owners);
+    ownerCount = std::max({1, static_cast<int>(owners.size()) + 1, static_cast<int>(event.entries.size())});
+    health.setLimit(static_cast<int>(config.maxEjectedShare * static_cast<double>(event.targets.size())));
+    for (target_index index = 0; index < ledger.size(); ++index) {
+        if (!ledger[index].inView) {
+            health.reset(index);
+        }
+    }
+    for (const team_config &team : event.teams) {
+        weights[teamNumber(team.name)] = std::max(team.weight, 0.001);
+    }
+    queues.setWeights(weights);
+}
+
+void pool_scheduler::state::handle(const peer_load &event)
+{
+    ledger.notePeer(event);
+    borrower.notePeer(event);
+}
+
+void pool_scheduler::state::handle(const slots_granted &event)
+{
+    borrower.noteAnswer(event, now);
+    ledger.borrow(event, now);
+}
+
+void pool_scheduler::state::handle(const slots_requested &event)
+{
+    // Answered after the own queue has been served; the owner's demand comes first.
+    question = event;
+}
+
+void pool_scheduler::state::handle(const slots_returned &event)
+{
+    ledger.takeBack(event);
+}
+
+void pool_scheduler::state::handle(const tick &event)
+{
+}
+
+void pool_scheduler::state::expireDeadlines()
+{
+    due.clear();
+    deadlines.collect(now, due);
+    for (request_index index : due) {
+        drop(index, isolated ? refusal_reason::Isolated : refusal_reason::DeadlinePassed);
+    }
+}
+
+pool_scheduler::pool_scheduler(const pool_config &config, std::uint64_t seed, std::string_view slotPolicy)
+    : m_state(std::make_unique<state>(config, seed, slotPolicy))
+{
+}
+
+pool_scheduler::~pool_scheduler() = default;
+pool_scheduler::pool_scheduler(pool_scheduler &&) noexcept = default;
+pool_scheduler &pool_scheduler::operator=(pool_scheduler &&) noexcept = default;
+
+void pool_scheduler::handle(const scheduler_event &event, timestamp now, std::vector<scheduler_action> &actions)
+{
+    state &own = *m_state;
+    own.now = now;
+    own.actions = &actions;
+    own.ledger.expire(now);
+    own.refreshUse();
+    own.expireDeadlines();
+    own.rebandRunning();
+    const auto handleOne = [&own](const auto &typed) {
+        own.handle(typed);
+    };
+    std::visit(handleOne, event);
+    own.refreshUse();
+    if (!own.isolated) {
+        own.dispatchRetries();
+        own.dispatchQueued();
+    }
+    own.lendAndBorrow();
+    own.actions = nullptr;
+}
+
+int pool_scheduler::queued() const
+{
+    return m_state->queuedCount;
+}
+
+int pool_scheduler::running() const
+{
+    return static_cast<int>(m_state->running.size());
+}
+
+int pool_scheduler::runningOn(std::string_view vm) const
+{
+    const target_index index = m_state->ledger.find(vm);
+    return index == NoTargetIndex ? 0 : m_state->ledger[index].inFlight;
+}
+
+int pool_scheduler::freeSlots() const
+{
+    return m_state->isolated ? 0 : m_state->ledger.lendable(m_state->now);
+}
+
+} // namespace daisypass
