Add fleet_controller and maintenance waves

Change: fleet_controller::decide() keeps no state of its own; observations come with the input. vm_record has desiredPool, so that a file that names another pool asks for a move while a balancer's move is not undone by an unchanged file. fleet_state can skip a record that is refused for good, so that one bad record cannot stop the log.

Ruled out: returning a VM at the first answer after the reboot was accepted. The target can still answer before it goes down, so the outage must have been seen, or a grace time must have passed.

--- a/src/kernel/configuration.cpp
+++ b/src/kernel/configuration.cpp
@@ -1,6 +1,7 @@
 #include "kernel/configuration.h"
 
 #include "kernel/configuration_keys.h"
+#include "kernel/maintenance_wave.h"
 
 #include <algorithm>
 #include <cstdlib>
@@ -8,8 +9,6 @@
 namespace daisypass {
 namespace {
 
-// Planning time for drain, reboot and probe of one VM. Feasibility of a wave and its forecast are computed with it.
-constexpr int MinutesPerVm = 15;
 constexpr int DaysPerWeek = 7;
 
 // Reads keys of one section with the ranges and defaults of the table of keys.
@@ -410,4 +409,23 @@
     return parser.take();
 }
 
+std::optional<configuration> parseReferences(std::span<const file_reference> references, const file_source &files, failure &reason)
+{
+    std::vector<configuration_file> loaded;
+    for (const file_reference &reference : references) {
+        std::optional<std::string> body = files(reference.hash);
+        if (!body) {
+            reason = failure{failure_code::NotFound, reference.hash, {reference.name}, "the body of the configuration file"};
+            return std::nullopt;
+        }
+        loaded.push_back({reference.name, std::move(*body)});
+    }
+    std::vector<failure> failures;
+    std::optional<configuration> config = parseConfiguration(loaded, failures);
+    if (!config) {
+        reason = failures.front();
+    }
+    return config;
+}
+
 } // namespace daisypass
--- a/src/kernel/configuration.h
+++ b/src/kernel/configuration.h
@@ -12,6 +12,7 @@
 #include "base/time.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <span>
@@ -130,4 +131,19 @@
 /** Checks and reads all files. Returns nothing and at least one failure if any file is wrong. */
 std::optional<configuration> parseConfiguration(std::span<const configuration_file> files, std::vector<failure> &failures);
 
+/** Name and content hash of a configuration file. */
+struct file_reference
+{
+    std::string name;
+    std::string hash;
+
+    bool operator==(const file_reference &) const = default;
+};
+
+/** Returns the text of a configuration file by its hash, or nothing. */
+using file_source = std::function<std::optional<std::string>(std::string_view hash)>;
+
+/** Reads the bodies and parses them. Fails with NotFound if a body is missing, or with the first failure of the configuration. */
+std::optional<configuration> parseReferences(std::span<const file_reference> references, const file_source &files, failure &reason);
+
 } // namespace daisypass
--- a/src/kernel/fleet_change.h
+++ b/src/kernel/fleet_change.h
@@ -6,6 +6,7 @@
 #include "base/failure.h"
 #include "base/settings_reader.h"
 #include "base/time.h"
+#include "kernel/configuration.h"
 
 #include <cstdint>
 #include <optional>
@@ -20,14 +21,6 @@
 using revision_number = std::uint64_t;
 using incarnation_number = std::uint64_t;
 
-struct file_reference
-{
-    std::string name;
-    std::string hash;
-
-    bool operator==(const file_reference &) const = default;
-};
-
 struct configuration_applied
 {
     /** Revision of the configuration that the operator started from. */
--- /dev/null
+++ b/src/kernel/fleet_controller.cpp
@@ -0,0 +1,463 @@
+#include "kernel/fleet_controller.h"
+
+#include "kernel/maintenance_wave.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace daisypass {
+namespace {
+
+using days = std::chrono::duration<std::int64_t, std::ratio<86'400>>;
+
+bool reached(const entry_record &entry, const controller_input &input, duration within)
+{
+    const auto seen = input.entries.find(entry.id);
+    return seen != input.entries.end() && seen->second.incarnation == entry.incarnation && seen->second.answeredAt
+        && input.now - *seen->second.answeredAt <= within;
+}
+
+bool listedAs(const controller_input &input, std::string_view vm, platform_vm_state wanted)
+{
+    if (!input.platformVms) {
+        return false;
+    }
+    const auto found = input.platformVms->find(vm);
+    return found != input.platformVms->end() && found->second == wanted;
+}
+
+const target_observation &observed(const controller_input &input, std::string_view vm)
+{
+    static const target_observation nothing;
+    const auto found = input.targets.find(vm);
+    return found == input.targets.end() ? nothing : found->second;
+}
+
+std::vector<drain_confirmation> missingConfirmations(const fleet_state &state, const controller_input &input, const vm_record &vm)
+{
+    std::vector<drain_confirmation> missing = state.requiredConfirmations(vm.id);
+    const auto found = input.confirmations.find(vm.id);
+    if (found != input.confirmations.end()) {
+        for (const confirmation_observation &item : found->second) {
+            if (item.epoch == vm.epoch) {
+                missing.erase(std::remove(missing.begin(), missing.end(), item.by), missing.end());
+            }
+        }
+    }
+    return missing;
+}
+
+// When the last of the confirmations of this drain arrived, or the begin of the drain.
+timestamp confirmedAt(const controller_input &input, const vm_record &vm)
+{
+    timestamp last = vm.changedAt;
+    const auto found = input.confirmations.find(vm.id);
+    if (found != input.confirmations.end()) {
+        for (const confirmation_observation &item : found->second) {
+            last = item.epoch == vm.epoch ? std::max(last, item.at) : last;
+        }
+    }
+    return last;
+}
+
+// Why the VM does not return yet, or an empty text.
+std::string returnBlockedBy(const fleet_controller_options &options, const controller_input &input, const vm_record &vm)
+{
+    timestamp since = vm.changedAt;
+    if (vm.detail != JoinDetail && vm.cause != drain_cause::Removal) {
+        const auto accepted = input.rebootsAccepted.find(rebootOperation(vm));
+        if (accepted == input.rebootsAccepted.end()) {
+            return "the platform's acceptance of the reboot";
+        }
+        since = accepted->second;
+        const target_observation &target = observed(input, vm.id);
+        const bool sawOutage = target.failedAt && *target.failedAt > since;
+        if (!sawOutage && input.now - since < options.rebootGrace) {
+            return "the outage of the reboot, or the end of its grace time";
+        }
+        since = sawOutage ? *target.failedAt : since + options.rebootGrace;
+    }
+    const target_observation &target = observed(input, vm.id);
+    if (!target.answeredAt || *target.answeredAt < since || target.failingSince) {
+        return "an answer of the target to a probe";
+    }
+    return "";
+}
+
+class decision_maker
+{
+public:
+    decision_maker(const fleet_controller_options &options, const fleet_state &state, const controller_input &input)
+        : m_options(options)
+        , m_state(state)
+        , m_input(input)
+    {
+    }
+
+    void removeEntries();
+    void detectFailures();
+    void advance();
+    void cancelDrains();
+    void plan(const fleet_controller::balancer &policy);
+
+    controller_decision take()
+    {
+        return std::move(m_decision);
+    }
+
+private:
+    bool full() const
+    {
+        return m_decision.changes.size() >= m_options.maxBatch;
+    }
+
+    // Each VM changes at most once per record, and a pool whose figures changed in this record gets no planned change in it.
+    template<typename T>
+    void propose(const vm_record &vm, T change)
+    {
+        if (full() || !m_touched.insert(vm.id).second) {
+            return;
+        }
+        m_changedPools.insert(vm.pool);
+        m_decision.changes.emplace_back(std::move(change));
+    }
+
+    bool reportedUnreachable(const vm_record &vm) const;
+    bool unreachableForAll(const vm_record &vm) const;
+    void advanceDraining(const vm_record &vm);
+    void advanceStopped(const vm_record &vm);
+    void advanceFailed(const vm_record &vm);
+    void cancelInPool(std::string_view pool, const std::vector<const vm_record *> &draining);
+    bool begin(const vm_record &vm, drain_cause cause, std::string_view detail);
+    void planMaintenance(const wave_config &wave, const std::string &pool, const std::vector<const vm_record *> &members);
+
+    const fleet_controller_options &m_options;
+    const fleet_state &m_state;
+    const controller_input &m_input;
+    controller_decision m_decision;
+    std::set<std::string, std::less<>> m_touched;
+    std::set<std::string, std::less<>> m_changedPools;
+};
+
+void decision_maker::removeEntries()
+{
+    for (const std::pair<const std::string, entry_record> &entry : m_state.entries()) {
+        // The list lags: an entry that answers is a new process of the same name.
+        if (listedAs(m_input, entry.first, platform_vm_state::Gone) && !reached(entry.second, m_input, m_options.reachedWithin) && !full()) {
+            m_decision.changes.emplace_back(entry_removed{entry.first, entry.second.incarnation});
+        }
+    }
+}
+
+bool decision_maker::reportedUnreachable(const vm_record &vm) const
+{
+    int live = 0;
+    int reports = 0;
+    for (const std::pair<const std::string, entry_record> &entry : m_state.entries()) {
+        if (reached(entry.second, m_input, m_options.reachedWithin)) {
+            ++live;
+            reports += m_input.entries.find(entry.first)->second.unreachableVms.contains(vm.id) ? 1 : 0;
+        }
+    }
+    return 2 * reports > live;
+}
+
+bool decision_maker::unreachableForAll(const vm_record &vm) const
+{
+    return std::all_of(m_state.entries().begin(), m_state.entries().end(), [this, &vm](const std::pair<const std::string, entry_record> &entry) {
+        return reached(entry.second, m_input, m_options.reachedWithin) && m_input.entries.find(entry.first)->second.unreachableVms.contains(vm.id);
+    });
+}
+
+void decision_maker::detectFailures()
+{
+    // Only VMs that some entry reports are examined, so that a healthy fleet costs no count of reports.
+    std::set<std::string, std::less<>> reported;
+    for (const std::pair<const std::string, entry_observation> &entry : m_input.entries) {
+        reported.insert(entry.second.unreachableVms.begin(), entry.second.unreachableVms.end());
+    }
+    for (const std::pair<const std::string, vm_record> &item : m_state.vms()) {
+        const vm_record &vm = item.second;
+        if (vm.state == vm_state::Failed) {
+            continue;
+        }
+        if (listedAs(m_input, vm.id, platform_vm_state::Gone)) {
+            propose(vm, vm_failed{vm.id});
+            continue;
+        }
+        const bool inUse = vm.state == vm_state::Serving || vm.state == vm_state::Draining;
+        if (inUse && reported.contains(vm.id) && reportedUnreachable(vm)) {
+            m_decision.commands.emplace_back(probe_target{vm.id, vm.address});
+            const target_observation &target = observed(m_input, vm.id);
+            if (target.failingSince && target.failedAt && m_input.now - *target.failedAt <= m_options.reachedWithin) {
+                propose(vm, vm_failed{vm.id});
+            }
+        }
+    }
+}
+
+void decision_maker::advance()
+{
+    for (const std::pair<const std::string, vm_record> &item : m_state.vms()) {
+        if (item.second.state == vm_state::Draining) {
+            advanceDraining(item.second);
+        } else if (item.second.state == vm_state::Stopped) {
+            advanceStopped(item.second);
+        } else if (item.second.state == vm_state::Failed) {
+            advanceFailed(item.second);
+        }
+    }
+}
+
+void decision_maker::advanceDraining(const vm_record &vm)
+{
+    if (!missingConfirmations(m_state, m_input, vm).empty()) {
+        m_decision.commands.emplace_back(ask_confirmations{vm.id, vm.epoch});
+        return;
+    }
+    // A request of an entry that died can still run on the target, so the target itself is asked after the last confirmation.
+    m_decision.commands.emplace_back(probe_target{vm.id, vm.address});
+    const timestamp confirmed = confirmedAt(m_input, vm);
+    const target_observation &target = observed(m_input, vm.id);
+    if (target.failingSince) {
+        if (m_input.now - std::max(*target.failingSince, confirmed) >= m_options.probeFailureLimit) {
+            propose(vm, vm_failed{vm.id});
+        }
+        return;
+    }
+    if (target.answeredAt && *target.answeredAt >= confirmed && target.inFlight == 0) {
+        propose(vm, vm_stopped{vm.id, vm.epoch, m_state.requiredConfirmations(vm.id)});
+    }
+}
+
+void decision_maker::advanceStopped(const vm_record &vm)
+{
+    if (vm.cause == drain_cause::Move && !vm.detail.empty() && vm.detail != JoinDetail) {
+        if (m_state.config().pools.contains(vm.detail)) {
+            propose(vm, vm_moved{vm.id, vm.epoch, vm.detail});
+            m_changedPools.insert(vm.detail);
+            return;
+        }
+    }
+    const bool leaving = listedAs(m_input, vm.id, platform_vm_state::Leaving);
+    if (vm.detail != JoinDetail && vm.cause != drain_cause::Removal && !m_input.rebootsAccepted.contains(rebootOperation(vm)) && !leaving) {
+        m_decision.commands.emplace_back(reboot_vm{vm.id, rebootOperation(vm)});
+    }
+    m_decision.commands.emplace_back(probe_target{vm.id, vm.address});
+    if (leaving) {
+        return;
+    }
+    if (returnBlockedBy(m_options, m_input, vm).empty()) {
+        propose(vm, vm_returned{vm.id, vm.epoch});
+    } else if (m_input.now - vm.changedAt >= m_options.returnLimit) {
+        propose(vm, vm_failed{vm.id});
+    }
+}
+
+void decision_maker::advanceFailed(const vm_record &vm)
+{
+    if (listedAs(m_input, vm.id, platform_vm_state::Gone)) {
+        return;
+    }
+    m_decision.commands.emplace_back(probe_target{vm.id, vm.address});
+    const std::int64_t turn = (m_input.now - vm.changedAt) / m_options.recoveryInterval;
+    if (turn < 1) {
+        return;
+    }
+    const target_observation &target = observed(m_input, vm.id);
+    if (target.answeredAt && !target.failingSince && m_input.now - *target.answeredAt <= m_options.reachedWithin && !reportedUnreachable(vm)) {
+        propose(vm, vm_recovered{vm.id});
+        return;
+    }
+    // A reboot could cut off requests of an entry that still reaches the VM, so every entry must report it unreachable.
+    if (target.failingSince && unreachableForAll(vm)) {
+        const std::string operation = vm.id + "-failed-" + std::to_string(vm.changedAt.count()) + '-' + std::to_string(turn);
+        if (!m_input.rebootsAccepted.contains(operation)) {
+            m_decision.commands.emplace_back(reboot_vm{vm.id, operation});
+        }
+    }
+}
+
+void decision_maker::cancelDrains()
+{
+    std::map<std::string_view, std::vector<const vm_record *>> draining;
+    for (const std::pair<const std::string, vm_record> &item : m_state.vms()) {
+        if (item.second.state == vm_state::Draining && !m_touched.contains(item.first)) {
+            draining[item.second.pool].push_back(&item.second);
+        }
+    }
+    for (const std::pair<const std::string_view, std::vector<const vm_record *>> &pool : draining) {
+        cancelInPool(pool.first, pool.second);
+    }
+}
+
+void decision_maker::cancelInPool(std::string_view pool, const std::vector<const vm_record *> &draining)
+{
+    const int missing = m_state.minAvailable(pool) + m_state.largestLoss(pool) - m_state.serving(pool);
+    std::vector<const vm_record *> newest = draining;
+    std::sort(newest.begin(), newest.end(), [](const vm_record *left, const vm_record *right) {
+        return left->drainRevision > right->drainRevision;
+    });
+    for (int index = 0; index < missing && index < static_cast<int>(newest.size()); ++index) {
+        const vm_record &vm = *newest[static_cast<std::size_t>(index)];
+        propose(vm, drain_cancelled{vm.id, vm.epoch});
+    }
+}
+
+bool decision_maker::begin(const vm_record &vm, drain_cause cause, std::string_view detail)
+{
+    failure ignored;
+    if (full() || m_changedPools.contains(vm.pool) || !m_state.mayDrain(vm.id, ignored)) {
+        return false;
+    }
+    propose(vm, drain_begun{vm.id, vm.epoch + 1, cause, std::string(detail)});
+    return true;
+}
+
+void decision_maker::plan(const fleet_controller::balancer &policy)
+{
+    std::map<std::string_view, std::vector<const vm_record *>> pools;
+    for (const std::pair<const std::string, vm_record> &item : m_state.vms()) {
+        const vm_record &vm = item.second;
+        pools[vm.pool].push_back(&vm);
+        if (vm.state != vm_state::Serving) {
+            continue;
+        }
+        if (!m_state.config().vms.contains(vm.id)) {
+            begin(vm, drain_cause::Removal, "configuration");
+        } else if (listedAs(m_input, vm.id, platform_vm_state::Leaving)) {
+            begin(vm, drain_cause::Removal, "platform");
+        } else if (vm.desiredPool != vm.pool) {
+            begin(vm, drain_cause::Move, vm.desiredPool);
+        }
+    }
+    for (const std::pair<const std::string, wave_config> &wave : m_state.config().waves) {
+        if (windowOpen(wave.second, m_input.now)) {
+            for (const std::string &pool : wave.second.pools) {
+                planMaintenance(wave.second, pool, pools[pool]);
+            }
+        }
+    }
+    if (!policy) {
+        return;
+    }
+    for (const pool_move &move : policy(m_state, m_input)) {
+        const auto vm = m_state.vms().find(move.vm);
+        if (vm != m_state.vms().end() && m_state.config().pools.contains(move.pool) && vm->second.pool != move.pool) {
+            begin(vm->second, drain_cause::Move, move.pool);
+        }
+    }
+}
+
+void decision_maker::planMaintenance(const wave_config &wave, const std::string &pool, const std::vector<const vm_record *> &members)
+{
+    int inProgress = 0;
+    std::set<std::string_view> racks;
+    std::vector<const vm_record *> due;
+    const duration lead = leadTime(wave, static_cast<int>(members.size()));
+    for (const vm_record *vm : members) {
+        const bool stopping = vm->state == vm_state::Draining || (vm->state == vm_state::Stopped && vm->detail != JoinDetail);
+        if (stopping && vm->cause == drain_cause::Maintenance) {
+            ++inProgress;
+            racks.insert(vm->rack);
+        } else if (vm->state == vm_state::Serving && m_input.now >= vm->maintainedAt + days(wave.periodDays) - lead) {
+            due.push_back(vm);
+        }
+    }
+    if (inProgress >= wave.parallel) {
+        return;
+    }
+    // A VM in a failure domain that is in maintenance already comes first: the pool then exposes one domain at a time.
+    std::sort(due.begin(), due.end(), [&racks](const vm_record *left, const vm_record *right) {
+        const bool leftOther = !racks.contains(left->rack);
+        const bool rightOther = !racks.contains(right->rack);
+        return std::tie(leftOther, left->maintainedAt, left->id) < std::tie(rightOther, right->maintainedAt, right->id);
+    });
+    for (const vm_record *vm : due) {
+        if (begin(*vm, drain_cause::Maintenance, wave.name) || m_changedPools.contains(pool)) {
+            return;
+        }
+    }
+}
+
+} // namespace
+
+fleet_controller::fleet_controller(fleet_controller_options options)
+    : m_options(options)
+{
+}
+
+void fleet_controller::setBalancer(balancer policy)
+{
+    m_balancer = std::move(policy);
+}
+
+controller_decision fleet_controller::decide(const fleet_state &state, const controller_input &input) const
+{
+    // Without the store no change can be appended, and commands that belong to a stop are repeated once it answers.
+    if (!input.storeAnswers) {
+        return {};
+    }
+    decision_maker maker(m_options, state, input);
+    maker.removeEntries();
+    maker.detectFailures();
+    maker.advance();
+    maker.cancelDrains();
+    if (planningBlockedBy(state, input).empty()) {
+        maker.plan(m_balancer);
+    }
+    return maker.take();
+}
+
+std::string fleet_controller::planningBlockedBy(const fleet_state &state, const controller_input &input) const
+{
+    if (!input.storeAnswers) {
+        return "the table service does not answer";
+    }
+    if (!input.platformVms) {
+        return "the platform's VM list could not be read";
+    }
+    for (const std::pair<const std::string, entry_record> &entry : state.entries()) {
+        if (!reached(entry.second, input, m_options.reachedWithin)) {
+            return "entry " + entry.first + " has not answered";
+        }
+        if (input.entries.find(entry.first)->second.revision < state.revision()) {
+            return "entry " + entry.first + " has not replayed revision " + std::to_string(state.revision());
+        }
+    }
+    return "";
+}
+
+std::string fleet_controller::waitsFor(const fleet_state &state, const controller_input &input, std::string_view id) const
+{
+    const auto found = state.vms().find(id);
+    if (found == state.vms().end()) {
+        return "";
+    }
+    const vm_record &vm = found->second;
+    if (vm.state == vm_state::Stopped) {
+        return returnBlockedBy(m_options, input, vm);
+    }
+    if (vm.state != vm_state::Draining) {
+        return "";
+    }
+    std::string waiting;
+    for (const drain_confirmation &missing : missingConfirmations(state, input, vm)) {
+        waiting += (waiting.empty() ? "confirmation of " : ", ") + missing.entry;
+    }
+    if (!waiting.empty()) {
+        return waiting;
+    }
+    const target_observation &target = observed(input, id);
+    if (target.failingSince) {
+        return "an answer of the target to a probe";
+    }
+    return target.inFlight > 0 ? std::to_string(target.inFlight) + " requests in flight on the target" : "the next step";
+}
+
+std::string rebootOperation(const vm_record &vm)
+{
+    return vm.id + '-' + std::to_string(vm.epoch);
+}
+
+} // namespace daisypass
--- a/src/kernel/fleet_state.cpp
+++ b/src/kernel/fleet_state.cpp
@@ -1,7 +1,5 @@
 #include "kernel/fleet_state.h"
 
-#include <nlohmann/json.hpp>
-
 #include <algorithm>
 #include <array>
 #include <utility>
@@ -10,7 +8,6 @@
 namespace {
 
 constexpr std::array<std::string_view, 4> StateNames{"serving", "draining", "stopped", "failed"};
-constexpr std::array<std::string_view, 3> CauseNames{"maintenance", "move", "removal"};
 
 bool removeFile(std::vector<file_reference> &files, std::string_view name)
 {
@@ -24,25 +21,6 @@
     return true;
 }
 
-std::optional<configuration> loadConfiguration(const std::vector<file_reference> &references, const file_source &files, failure &reason)
-{
-    std::vector<configuration_file> loaded;
-    for (const file_reference &reference : references) {
-        std::optional<std::string> body = files(reference.hash);
-        if (!body) {
-            reason = failure{failure_code::NotFound, reference.hash, {reference.name}, "the body of the configuration file"};
-            return std::nullopt;
-        }
-        loaded.push_back({reference.name, std::move(*body)});
-    }
-    std::vector<failure> failures;
-    std::optional<configuration> config = parseConfiguration(loaded, failures);
-    if (!config) {
-        reason = failures.front();
-    }
-    return config;
-}
-
 } // namespace
 
 // Applies the changes of one record and can take them back: a record counts as a whole or not at all.
@@ -177,19 +155,36 @@
         std::sort(references.begin(), references.end(), [](const file_reference &left, const file_reference &right) {
             return left.name < right.name;
         });
-        std::optional<configuration> config = loadConfiguration(references, files, reason);
+        std::optional<configuration> config = parseReferences(references, files, reason);
         if (!config || !checkMachines(*config)) {
             return false;
         }
         savedConfigurations.push_back({state.m_configurationRevision, std::move(state.m_config), std::move(state.m_files)});
+        const configuration &before = savedConfigurations.back().config;
         state.m_config = std::move(*config);
         state.m_files = std::move(references);
         state.m_configurationRevision = record.revision;
         addMachines();
         removeMachines();
+        nameDesiredPools(before);
         return true;
     }
 
+    // A file that names another pool than before asks for a move. A file that is unchanged leaves the balancer's moves alone.
+    void nameDesiredPools(const configuration &before)
+    {
+        for (const std::pair<const std::string, vm_config> &vm : state.m_config.vms) {
+            const vm_record &known = state.m_vms.find(vm.first)->second;
+            const auto earlier = before.vms.find(vm.first);
+            const bool renamed = earlier == before.vms.end() || earlier->second.pool != vm.second.pool;
+            if ((renamed || !state.m_config.pools.contains(known.desiredPool)) && known.desiredPool != vm.second.pool) {
+                vm_record after = known;
+                after.desiredPool = vm.second.pool;
+                put(std::move(after));
+            }
+        }
+    }
+
     // A VM id stands for one machine at one place; requests in flight and confirmations name the id only.
     bool checkMachines(const configuration &config)
     {
@@ -211,6 +206,7 @@
                 vm_record added;
                 added.id = vm.first;
                 added.pool = vm.second.pool;
+                added.desiredPool = vm.second.pool;
                 added.address = vm.second.address;
                 added.availabilityZone = vm.second.availabilityZone;
                 added.rack = vm.second.rack;
@@ -368,7 +364,13 @@
         if (vm->state != vm_state::Failed) {
             return fail(failure_code::WrongState, change.vm, "state failed, not " + std::string(stateName(vm->state)));
         }
-        this->change(*vm, vm_state::Serving);
+        vm_record after = *vm;
+        after.state = vm_state::Serving;
+        after.changedAt = record.at;
+        // A VM that failed before it ever served counts as new from here.
+        after.maintainedAt = vm->detail == JoinDetail ? record.at : vm->maintainedAt;
+        after.detail.clear();
+        put(std::move(after));
         return true;
     }
 
@@ -386,6 +388,7 @@
         }
         vm_record after = *vm;
         after.pool = change.pool;
+        after.desiredPool = change.pool;
         after.epoch = change.epoch + 1;
         after.detail.clear();
         after.changedAt = record.at;
@@ -411,6 +414,16 @@
     return true;
 }
 
+bool fleet_state::skip(const log_record &record, failure &reason)
+{
+    if (record.revision != m_revision + 1) {
+        reason = failure{failure_code::RevisionGap, std::to_string(record.revision), {}, "revision " + std::to_string(m_revision + 1)};
+        return false;
+    }
+    m_revision = record.revision;
+    return true;
+}
+
 std::string_view fleet_state::stateName(vm_state state)
 {
     return StateNames.at(static_cast<std::size_t>(state));
@@ -520,120 +533,4 @@
     return true;
 }
 
-std::string fleet_state::encode() const
-{
-    nlohmann::json files = nlohmann::json::object();
-    for (const file_reference &file : m_files) {
-        files[file.name] = file.hash;
-    }
-    nlohmann::json vms = nlohmann::json::array();
-    for (const std::pair<const std::string, vm_record> &item : m_vms) {
-        const vm_record &vm = item.second;
-        nlohmann::json encoded{{"id", vm.id},
-                               {"pool", vm.pool},
-                               {"address", toString(vm.address)},
-                               {"zone", vm.availabilityZone},
-                               {"rack", vm.rack},
-                               {"state", StateNames.at(static_cast<std::size_t>(vm.state))},
-                               {"epoch", vm.epoch},
-                               {"cause", CauseNames.at(static_cast<std::size_t>(vm.cause))},
-                               {"drain_revision", vm.drainRevision},
-                               {"changed_at_us", vm.changedAt.count()},
-                               {"maintained_at_us", vm.maintainedAt.count()}};
-        if (!vm.detail.empty()) {
-            encoded["detail"] = vm.detail;
-        }
-        vms.push_back(std::move(encoded));
-    }
-    nlohmann::json entries = nlohmann::json::array();
-    for (const std::pair<const std::string, entry_record> &item : m_entries) {
-        const entry_record &entry = item.second;
-        entries.push_back({{"id", entry.id},
-                           {"incarnation", entry.incarnation},
-                           {"callers", toString(entry.callers)},
-                           {"peers", toString(entry.peers)},
-                           {"zone", entry.availabilityZone},
-                           {"join_revision", entry.joinRevision}});
-    }
-    const nlohmann::json state{{"revision", m_revision},
-                               {"configuration_revision", m_configurationRevision},
-                               {"files", std::move(files)},
-                               {"vms", std::move(vms)},
-                               {"entries", std::move(entries)}};
-    return state.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
-}
-
-std::optional<fleet_state> fleet_state::decode(std::string_view text, const file_source &files, failure &reason)
-{
-    const nlohmann::json parsed = nlohmann::json::parse(text, nullptr, false);
-    const failure malformed{failure_code::SyntaxError, "snapshot", {}, "a fleet state"};
-    reason = malformed;
-    if (parsed.is_discarded() || !parsed.is_object()) {
-        return std::nullopt;
-    }
-    const auto nameIndex = [](std::span<const std::string_view> names, const std::string &name) {
-        return static_cast<std::size_t>(std::find(names.begin(), names.end(), name) - names.begin());
-    };
-    fleet_state state;
-    // The JSON library reports missing members and wrong types by exceptions.
-    try {
-        state.m_revision = parsed.at("revision").get<revision_number>();
-        state.m_configurationRevision = parsed.at("configuration_revision").get<revision_number>();
-        for (auto file = parsed.at("files").begin(); file != parsed.at("files").end(); ++file) {
-            state.m_files.push_back({file.key(), file->get<std::string>()});
-        }
-        for (const nlohmann::json &item : parsed.at("vms")) {
-            vm_record vm;
-            vm.id = item.at("id").get<std::string>();
-            vm.pool = item.at("pool").get<std::string>();
-            vm.availabilityZone = item.at("zone").get<std::string>();
-            vm.rack = item.at("rack").get<std::string>();
-            vm.epoch = item.at("epoch").get<std::uint64_t>();
-            vm.detail = item.value("detail", "");
-            vm.drainRevision = item.at("drain_revision").get<revision_number>();
-            vm.changedAt = timestamp(item.at("changed_at_us").get<std::int64_t>());
-            vm.maintainedAt = timestamp(item.at("maintained_at_us").get<std::int64_t>());
-            const std::size_t stateIndex = nameIndex(StateNames, item.at("state").get<std::string>());
-            const std::size_t causeIndex = nameIndex(CauseNames, item.at("cause").get<std::string>());
-            const std::optional<endpoint> address = parseEndpoint(item.at("address").get<std::string>(), reason);
-            if (stateIndex == StateNames.size() || causeIndex == CauseNames.size() || !address) {
-                return std::nullopt;
-            }
-            vm.state = static_cast<vm_state>(stateIndex);
-            vm.cause = static_cast<drain_cause>(causeIndex);
-            vm.address = *address;
-            if (!state.m_vms.emplace(vm.id, vm).second) {
-                return std::nullopt;
-            }
-            state.count(vm, 1);
-        }
-        for (const nlohmann::json &item : parsed.at("entries")) {
-            const std::optional<endpoint> callers = parseEndpoint(item.at("callers").get<std::string>(), reason);
-            const std::optional<endpoint> peers = parseEndpoint(item.at("peers").get<std::string>(), reason);
-            if (!callers || !peers) {
-                return std::nullopt;
-            }
-            const std::string id = item.at("id").get<std::string>();
-            state.m_entries[id] = entry_record{id,
-                                               item.at("incarnation").get<incarnation_number>(),
-                                               *callers,
-                                               *peers,
-                                               item.at("zone").get<std::string>(),
-                                               item.at("join_revision").get<revision_number>()};
-        }
-    } catch (const nlohmann::json::exception &) {
-        reason = malformed;
-        return std::nullopt;
-    }
-    if (state.m_files.empty()) {
-        return state;
-    }
-    std::optional<configuration> config = loadConfiguration(state.m_files, files, reason);
-    if (!config) {
-        return std::nullopt;
-    }
-    state.m_config = std::move(*config);
-    return state;
-}
-
 } // namespace daisypass
--- a/src/kernel/fleet_state.h
+++ b/src/kernel/fleet_state.h
@@ -40,6 +40,8 @@
     std::string id;
     /** The one pool that the VM belongs to; changed by vm_moved only. */
     std::string pool;
+    /** The pool that the configuration named last or that a move chose since; differs from `pool` until the VM is moved. */
+    std::string desiredPool;
     /** Kept here because a VM that the configuration no longer names is still drained. */
     endpoint address;
     std::string availabilityZone;
@@ -65,9 +67,6 @@
     revision_number joinRevision = 0;
 };
 
-/** Returns the text of a configuration file by its hash, or nothing. */
-using file_source = std::function<std::optional<std::string>(std::string_view hash)>;
-
 class fleet_state
 {
 public:
@@ -78,6 +77,12 @@
      */
     bool apply(const log_record &record, const file_source &files, failure &reason);
 
+    /**
+     * Counts a record that apply() refused for good as one without effect, so that one bad record cannot stop the log.
+     * Not for NotFound: a missing file body is a fault of the reader, not of the record. Fails with RevisionGap.
+     */
+    bool skip(const log_record &record, failure &reason);
+
     revision_number revision() const
     {
         return m_revision;
