--- /dev/null
+++ b/src/control/control_loop.cpp
@@ -0,0 +1,358 @@
+#include "control/control_loop.h"
+
+#include "base/log.h"
+#include "control/control_lease.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <cinttypes>
+#include <condition_variable>
+#include <cstdio>
+#include <mutex>
+#include <random>
+#include <thread>
+
+namespace daisypass {
+namespace {
+
+constexpr duration StoreContactLimit = std::chrono::seconds(3);
+constexpr duration RefreshLimit = std::chrono::seconds(2);
+constexpr std::chrono::milliseconds ProbeTimeout{1'000};
+// Old log rows deleted with one snapshot step; below the table service's 300 writes/s.
+constexpr int TrimLimit = 200;
+// How often the need for a snapshot is checked; a check costs one read.
+constexpr int StepsPerSnapshotCheck = 30;
+
+struct command_runner
+{
+    const fleet_state &state;
+    observation_board &board;
+    peer_client &peers;
+    http_client &http;
+    vm_list &vms;
+    const steady_wall_clock &clock;
+
+    void operator()(const ask_confirmations &command) const
+    {
+        const drain_question question{command.vm, command.epoch, state.revision()};
+        for (const drain_confirmation &wanted : state.requiredConfirmations(command.vm)) {
+            const entry_record &entry = state.entries().find(wanted.entry)->second;
+            observation_board &target = board;
+            const steady_wall_clock &time = clock;
+            peers.confirmDrain({entry.peers, entry.incarnation}, question, [question, &target, &time](std::optional<drain_answer> answer, const failure &) {
+                if (answer) {
+                    target.drainAnswered(question, *answer, time.now());
+                }
+            });
+        }
+    }
+
+    void operator()(const probe_target &command) const
+    {
+        http_call call;
+        call.url = "http://" + toString(command.address) + "/status";
+        call.connectTimeout = ProbeTimeout;
+        call.totalTimeout = ProbeTimeout;
+        // An answer describes a moment after the probe was sent, so the time of sending is the safe one to compare with.
+        const timestamp sentAt = clock.now();
+        observation_board &target = board;
+        http.send(std::move(call), [vm = command.vm, sentAt, &target](http_result result) {
+            const nlohmann::json body = nlohmann::json::parse(result.response.body, nullptr, false);
+            const bool valid = result.state == send_state::Answered && result.response.status == 200 && body.is_object() && body.contains("in_flight")
+                && body["in_flight"].is_number_integer();
+            if (valid) {
+                target.targetAnswered(vm, body["in_flight"].get<int>(), sentAt);
+            } else {
+                target.targetFailed(vm, sentAt);
+            }
+        });
+    }
+
+    void operator()(const reboot_vm &command) const
+    {
+        failure reason;
+        if (vms.reboot(command.vm, command.operation, reason)) {
+            board.rebootAccepted(command.operation, clock.now());
+            logChange("reboot_accepted", {{"vm", command.vm}, {"operation", command.operation}});
+        }
+    }
+};
+
+std::string_view changeName(const fleet_change &change)
+{
+    static constexpr std::string_view Names[] = {"configuration_applied",
+                                                 "entry_joined",
+                                                 "entry_left",
+                                                 "entry_removed",
+                                                 "drain_begun",
+                                                 "drain_cancelled",
+                                                 "vm_stopped",
+                                                 "vm_returned",
+                                                 "vm_failed",
+                                                 "vm_recovered",
+                                                 "vm_moved"};
+    return Names[change.index()];
+}
+
+std::string subject(const fleet_change &change)
+{
+    return std::visit(
+        [](const auto &item) -> std::string {
+            if constexpr (requires { item.vm; }) {
+                return item.vm;
+            } else if constexpr (requires { item.entry; }) {
+                return item.entry;
+            } else {
+                return item.author;
+            }
+        },
+        change);
+}
+
+} // namespace
+
+steady_wall_clock::steady_wall_clock()
+    : m_wallAtStart(wallNow())
+    , m_steadyAtStart(steadyNow())
+{
+}
+
+timestamp steady_wall_clock::now() const
+{
+    return m_wallAtStart + (steadyNow() - m_steadyAtStart);
+}
+
+std::string newWriteId()
+{
+    static thread_local std::random_device device;
+    const std::uint64_t high = std::uint64_t{device()} << 32 | device();
+    const std::uint64_t low = std::uint64_t{device()} << 32 | device();
+    char text[33];
+    std::snprintf(text, sizeof text, "%016" PRIx64 "%016" PRIx64, high, low);
+    return text;
+}
+
+struct control_loop::implementation
+{
+    implementation(control_loop_options chosen, fleet_follower &followed, fleet_log fleetLog, table_service table, vm_list list, metrics_registry &registry)
+        : options(std::move(chosen))
+        , follower(followed)
+        , log(std::move(fleetLog))
+        , vms(std::move(list))
+        , metrics(registry)
+        , controller(options.decisions)
+        , lease(std::move(table), options.controller)
+    {
+    }
+
+    control_loop_options options;
+    fleet_follower &follower;
+    fleet_log log;
+    vm_list vms;
+    metrics_registry &metrics;
+    fleet_controller controller;
+    control_lease lease;
+    steady_wall_clock clock;
+    observation_board board;
+    // Declared after the board: their destructors wait for callbacks that use it.
+    http_client http{http_client_options{}};
+    peer_client peers{peer_client_options{}};
+    bool holdsLease = false;
+    int steps = 0;
+    bool stopping = false;
+    mutable std::mutex lock;
+    std::condition_variable wake;
+    std::thread thread;
+
+    void run()
+    {
+        std::unique_lock<std::mutex> guard(lock);
+        while (!stopping) {
+            guard.unlock();
+            const timestamp begun = steadyNow();
+            step();
+            metrics.findHistogram("daisypass_control_step_seconds").record(std::chrono::duration<double>(steadyNow() - begun).count());
+            guard.lock();
+            wake.wait_for(guard, options.stepInterval, [this] {
+                return stopping;
+            });
+        }
+    }
+
+    bool storeAnswers() const
+    {
+        const std::optional<timestamp> contact = follower.lastStoreContact();
+        return contact && steadyNow() - *contact <= StoreContactLimit;
+    }
+
+    void step()
+    {
+        failure reason;
+        follower.refresh(RefreshLimit, reason);
+        const std::shared_ptr<const fleet_state> state = follower.state();
+        board.prune(*state);
+        gossip(*state);
+        const bool store = storeAnswers();
+        const bool held = store && lease.hold(clock.now(), newWriteId());
+        if (held != holdsLease) {
+            logChange(held ? "lease_taken" : "lease_lost", {{"revision", state->revision()}});
+        }
+        {
+            const std::lock_guard<std::mutex> guard(lock);
+            holdsLease = held;
+        }
+        metrics.findGauge("daisypass_control_lease_held").set(held ? 1 : 0);
+        metrics.findGauge("daisypass_control_revision").set(static_cast<double>(state->revision()));
+        metrics.findGauge("daisypass_control_store_answers").set(store ? 1 : 0);
+        if (held) {
+            readPlatform();
+            decide(*state);
+            snapshot(*state);
+        }
+    }
+
+    void gossip(const fleet_state &state)
+    {
+        for (const std::pair<const std::string, entry_record> &entry : state.entries()) {
+            gossip_message message;
+            message.revision = state.revision();
+            message.storeReachable = storeAnswers();
+            message.knownVersion = board.heldLoads(entry.first);
+            const timestamp sentAt = clock.now();
+            peers.gossip({entry.second.peers, entry.second.incarnation},
+                         message,
+                         [this, name = entry.first, sentAt](std::optional<gossip_message> answer, const failure &) {
+                             if (answer) {
+                                 board.entryAnswered(name, *answer, sentAt);
+                             }
+                         });
+        }
+    }
+
+    void readPlatform()
+    {
+        failure reason;
+        const std::optional<std::vector<listed_vm>> listed = vms.list(reason);
+        if (!listed) {
+            board.setPlatformVms(std::nullopt);
+            return;
+        }
+        std::map<std::string, platform_vm_state, std::less<>> states;
+        for (const listed_vm &vm : *listed) {
+            states[vm.id] = vm.state == listed_state::Live ? platform_vm_state::Live
+                : vm.state == listed_state::Leaving        ? platform_vm_state::Leaving
+                                                           : platform_vm_state::Gone;
+        }
+        board.setPlatformVms(std::move(states));
+    }
+
+    void decide(const fleet_state &state)
+    {
+        failure reason;
+        const std::optional<log_head> head = log.readHead(reason);
+        // A decision is made on the newest state only; the follower catches up until the next step.
+        if (!head || head->revision != state.revision()) {
+            return;
+        }
+        const controller_decision decision = controller.decide(state, board.input(clock.now(), true));
+        const command_runner runner{state, board, peers, http, vms, clock};
+        for (const controller_command &command : decision.commands) {
+            std::visit(runner, command);
+        }
+        if (!decision.changes.empty()) {
+            append(state, *head, decision.changes);
+        }
+    }
+
+    void append(const fleet_state &state, const log_head &head, const std::vector<fleet_change> &changes)
+    {
+        const log_record record{head.revision + 1, newWriteId(), clock.now(), changes};
+        failure reason;
+        fleet_state copy = state;
+        if (!copy.apply(record, log.files(), reason)) {
+            metrics.findCounter("daisypass_control_rejected_decisions_total", {{"code", std::string(codeName(reason.code))}}).add();
+            logChange("decision_rejected", {{"reason", describe(reason)}});
+            return;
+        }
+        const commit_outcome outcome = log.append(record, head, reason);
+        metrics
+            .findCounter("daisypass_control_appends_total",
+                         {{"outcome", outcome == commit_outcome::Committed ? "committed" : std::string(codeName(reason.code))}})
+            .add();
+        if (outcome != commit_outcome::Committed) {
+            return;
+        }
+        for (const fleet_change &change : changes) {
+            metrics.findCounter("daisypass_control_changes_total", {{"change", std::string(changeName(change))}}).add();
+            logChange(changeName(change), {{"revision", record.revision}, {"subject", subject(change)}});
+        }
+        follower.pollNow();
+    }
+
+    void snapshot(const fleet_state &state)
+    {
+        if (++steps % StepsPerSnapshotCheck != 0) {
+            return;
+        }
+        failure reason;
+        const std::optional<revision_number> named = log.snapshotRevision(reason);
+        if (named && state.revision() >= *named + fleet_log::SnapshotInterval && log.writeSnapshot(state, TrimLimit, reason)) {
+            logChange("snapshot_written", {{"revision", state.revision()}});
+        } else if (named && *named > fleet_log::KeptRecords) {
+            log.trim(*named, TrimLimit, reason);
+        }
+    }
+};
+
+control_loop::control_loop(control_loop_options options, fleet_follower &follower, fleet_log log, table_service table, vm_list vms, metrics_registry &metrics)
+    : m_implementation(std::make_unique<implementation>(std::move(options), follower, std::move(log), std::move(table), std::move(vms), metrics))
+{
+}
+
+control_loop::~control_loop()
+{
+    stop();
+}
+
+void control_loop::setBalancer(fleet_controller::balancer policy)
+{
+    m_implementation->controller.setBalancer(std::move(policy));
+}
+
+void control_loop::start()
+{
+    m_implementation->thread = std::thread([this] {
+        m_implementation->run();
+    });
+}
+
+void control_loop::stop()
+{
+    {
+        const std::lock_guard<std::mutex> guard(m_implementation->lock);
+        m_implementation->stopping = true;
+    }
+    m_implementation->wake.notify_all();
+    if (m_implementation->thread.joinable()) {
+        m_implementation->thread.join();
+    }
+}
+
+control_status control_loop::status() const
+{
+    control_status status;
+    status.state = m_implementation->follower.state();
+    status.input = m_implementation->board.input(m_implementation->clock.now(), m_implementation->storeAnswers());
+    status.planningBlockedBy = m_implementation->controller.planningBlockedBy(*status.state, status.input);
+    const std::lock_guard<std::mutex> guard(m_implementation->lock);
+    status.holdsLease = m_implementation->holdsLease;
+    return status;
+}
+
+std::string control_loop::waitsFor(const control_status &status, std::string_view vm) const
+{
+    return m_implementation->controller.waitsFor(*status.state, status.input, vm);
+}
+
+} // namespace daisypass
--- /dev/null
+++ b/src/control/control_settings.cpp
@@ -0,0 +1,58 @@
+#include "control/control_settings.h"
+
+namespace daisypass {
+namespace {
+
+constexpr std::size_t LeastTokenLength = 16;
+constexpr integer_range StepRange{50, 5'000};
+constexpr integer_range RebootGraceRange{100, 600'000};
+
+std::optional<control_settings> readControlSettings(const json_document &document, std::vector<failure> &failures)
+{
+    const std::size_t before = failures.size();
+    control_settings settings;
+    settings_reader reader(document.root(), failures);
+    settings.controller = reader.text("controller");
+    settings.platform = reader.address("platform");
+    reader.object("admin", true, [&settings](settings_reader &admin) {
+        settings.adminListen = admin.address("listen");
+        settings.adminToken = admin.text("token");
+        if (!settings.adminToken.empty() && settings.adminToken.size() < LeastTokenLength) {
+            admin.report(failure_code::OutOfRange, "token", "token", "at least 16 characters");
+        }
+    });
+    settings.stepInterval = std::chrono::milliseconds(reader.integer("step_ms", StepRange, 1'000));
+    // Longer than the platform's reboot of a VM; see docs/operations.md.
+    settings.rebootGrace = std::chrono::milliseconds(reader.integer("reboot_grace_ms", RebootGraceRange, 30'000));
+    reader.finish();
+    if (failures.size() != before) {
+        return std::nullopt;
+    }
+    return settings;
+}
+
+} // namespace
+
+std::optional<control_settings> loadControlSettings(const std::string &path, std::vector<failure> &failures)
+{
+    failure reason;
+    const std::optional<json_document> document = json_document::load(path, reason);
+    if (!document) {
+        failures.push_back(reason);
+        return std::nullopt;
+    }
+    return readControlSettings(*document, failures);
+}
+
+std::optional<control_settings> parseControlSettings(std::string_view text, std::string_view file, std::vector<failure> &failures)
+{
+    failure reason;
+    const std::optional<json_document> document = json_document::parse(text, file, reason);
+    if (!document) {
+        failures.push_back(reason);
+        return std::nullopt;
+    }
+    return readControlSettings(*document, failures);
+}
+
+} // namespace daisypass
--- /dev/null
+++ b/src/ctl/control_client.h
@@ -0,0 +1,59 @@
+#pragma once
+
+// The operator's side of the administration API.
+//
+//     control_client client({"127.0.0.1", 7100}, token);
+//     std::optional<nlohmann::json> status = client.get("status", reason);
+
+#include "base/failure.h"
+#include "ctl/configuration_directory.h"
+#include "net/http_client.h"
+
+#include <nlohmann/json.hpp>
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace daisypass {
+
+enum class reported_outcome {
+    Applied,
+    Unchanged,
+    Conflict,
+    Invalid,
+    /** Nothing was written: the controller or its store did not answer. */
+    Refused,
+    /** The write may have taken effect. */
+    Unknown,
+};
+
+struct apply_report
+{
+    reported_outcome outcome = reported_outcome::Unknown;
+    revision_number revision = 0;
+    /** Lines for people: failures and the difference of a conflict. */
+    std::string details;
+};
+
+class control_client
+{
+public:
+    control_client(endpoint service, std::string token);
+
+    /** The body of a 200 answer. Fails with ConnectFailed, Timeout, BadAnswer, NotPermitted or StoreUnavailable. */
+    std::optional<nlohmann::json> get(std::string_view path, failure &reason);
+
+    /** Sends the files. A lost answer is settled by repeating the request with the same write id, which counts once. */
+    apply_report apply(const std::vector<configuration_file> &files, revision_number base, std::string_view author, std::string_view writeId);
+
+private:
+    http_result fetch(http_call call);
+
+    endpoint m_service;
+    std::string m_token;
+    http_client m_client;
+};
+
+} // namespace daisypass
--- a/src/platform/fleet_log.cpp
+++ b/src/platform/fleet_log.cpp
@@ -153,16 +153,32 @@
         }
         named = state.revision();
     }
-    if (named <= KeptRecords) {
-        return true;
+    return named <= KeptRecords || trim(named, deleteLimit, reason);
+}
+
+std::optional<revision_number> fleet_log::snapshotRevision(failure &reason)
+{
+    failure why;
+    const std::optional<table_row> row = m_table.read(SnapshotKey, why);
+    if (row) {
+        return decodeRevision(*row, reason);
     }
-    const std::optional<std::vector<table_row>> old = m_table.scan(LogPrefix, "", deleteLimit, reason);
+    if (why.code == failure_code::NotFound) {
+        return 0;
+    }
+    reason = why;
+    return std::nullopt;
+}
+
+bool fleet_log::trim(revision_number snapshot, int limit, failure &reason)
+{
+    const std::optional<std::vector<table_row>> old = m_table.scan(LogPrefix, "", limit, reason);
     if (!old) {
         return false;
     }
-    table_transaction removal{"trim/" + std::to_string(named), {}, {}, {}};
+    table_transaction removal{"trim/" + std::to_string(snapshot), {}, {}, {}};
     for (const table_row &record : *old) {
-        if (record.key < logKey(named - KeptRecords)) {
+        if (record.key < logKey(snapshot - KeptRecords)) {
             removal.deletes.push_back(record.key);
         }
     }
--- a/src/platform/fleet_log.h
+++ b/src/platform/fleet_log.h
@@ -64,6 +64,10 @@
 
     /** Writes a snapshot, names it, and deletes up to `deleteLimit` old rows. A newer snapshot is left alone. */
     bool writeSnapshot(const fleet_state &state, int deleteLimit, failure &reason);
+    /** Revision of the newest snapshot; 0 if there is none. */
+    std::optional<revision_number> snapshotRevision(failure &reason);
+    /** Deletes up to `limit` rows that are KeptRecords or more below the snapshot with this revision. */
+    bool trim(revision_number snapshot, int limit, failure &reason);
     /** The newest snapshot. Fails with NotFound if there is none. */
     std::optional<fleet_state> loadSnapshot(failure &reason);
 
