--- /dev/null
+++ b/src/entry/entry_main.cpp
@@ -0,0 +1,81 @@
+// daisypass-entry: accepts callers' requests, schedules them and sends them to targets.
+
+#include "base/log.h"
+#include "entry/entry_process.h"
+#include "entry/request_id.h"
+
+#include <CLI/CLI.hpp>
+
+#include <csignal>
+#include <iostream>
+#include <random>
+
+namespace daisypass {
+namespace {
+
+constexpr int exitSettings = 2;
+constexpr int exitListen = 3;
+constexpr int exitUnclean = 4;
+
+std::uint64_t randomSeed()
+{
+    std::random_device device;
+    constexpr int wordBits = 32;
+    return (static_cast<std::uint64_t>(device()) << wordBits) | device();
+}
+
+// All threads inherit the mask, so the signals are taken by the waiting thread only.
+sigset_t blockStopSignals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+    return signals;
+}
+
+int run(const entry_settings &settings)
+{
+    const sigset_t signals = blockStopSignals();
+    startLog("daisypass-entry", settings.entry);
+    entry_process entry(settings, randomSeed());
+    failure reason;
+    if (!entry.start(reason)) {
+        std::cerr << describe(reason) << '\n';
+        return exitListen;
+    }
+    logChange("ready_to_accept",
+              {{"callers_port", entry.callersPort()},
+               {"peers_port", entry.peersPlace().port},
+               {"incarnation", formatIncarnation(entry.incarnation())},
+               {"version", DAISYPASS_VERSION}});
+    int signal = 0;
+    sigwait(&signals, &signal);
+    return entry.stop() ? 0 : exitUnclean;
+}
+
+} // namespace
+} // namespace daisypass
+
+int main(int argc, char **argv)
+{
+    CLI::App app("Accepts callers' requests, schedules them and sends them to targets");
+    std::string path;
+    bool checkOnly = false;
+    app.add_option("--settings", path, "settings file (JSON with comments)")->required();
+    app.add_flag("--check", checkOnly, "check the settings file and exit");
+    app.set_version_flag("--version", std::string("daisypass-entry ") + DAISYPASS_VERSION);
+    CLI11_PARSE(app, argc, argv);
+
+    std::vector<daisypass::failure> failures;
+    const std::optional<daisypass::entry_settings> settings = daisypass::loadEntrySettings(path, failures);
+    for (const daisypass::failure &found : failures) {
+        std::cerr << daisypass::describe(found) << '\n';
+    }
+    if (!settings) {
+        return daisypass::exitSettings;
+    }
+    return checkOnly ? 0 : daisypass::run(*settings);
+}
--- a/tests/entry_headers_test.cpp
+++ b/tests/entry_headers_test.cpp
@@ -129,8 +129,14 @@
         const request_id id{0xc0ffee, 17};
         CHECK(formatRequestId(id) == "0000000000c0ffee-17");
         CHECK(parseRequestId("0000000000c0ffee-17") == id);
-        for (const std::string_view wrong :
-             {"", "0000000000c0ffee", "0000000000c0ffee-", "0000000000c0ffee-017", "0000000000C0FFEE-17", "c0ffee-17", "0000000000c0ffee-17x", "0000000000c0ffee-+1"}) {
+        for (const std::string_view wrong : {"",
+                                             "0000000000c0ffee",
+                                             "0000000000c0ffee-",
+                                             "0000000000c0ffee-017",
+                                             "0000000000C0FFEE-17",
+                                             "c0ffee-17",
+                                             "0000000000c0ffee-17x",
+                                             "0000000000c0ffee-+1"}) {
             CAPTURE(wrong);
             CHECK_FALSE(parseRequestId(wrong));
         }
