--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -43,14 +43,43 @@
     return request;
 }
 
-void sendResponse(restinio::request_t &native, http_response response)
+bool isSetByServer(const http_header &header)
+{
+    return equalIgnoringCase(header.name, "Content-Length") || equalIgnoringCase(header.name, "Connection")
+        || equalIgnoringCase(header.name, "Transfer-Encoding");
+}
+
+void sendTruncated(restinio::request_t &native, http_response response)
+{
+    restinio::response_builder_t<restinio::user_controlled_output_t> builder = native.create_response<restinio::user_controlled_output_t>(
+        restinio::http_status_line_t{restinio::http_status_code_t{static_cast<std::uint16_t>(response.status)}, "-"});
+    for (http_header &header : response.headers) {
+        if (!isSetByServer(header)) {
+            builder.append_header(std::move(header.name), std::move(header.value));
+        }
+    }
+    builder.set_content_length(response.body.size() + 1);
+    builder.set_body(response.body.substr(0, response.body.size() / 2));
+    builder.connection_close();
+    builder.done();
+}
+
+void closeUnanswered(restinio::request_t &native)
+{
+    // A response builder always writes a status line, so the final part of the answer, without a byte, goes to the connection itself.
+    restinio::impl::access_req_connection(native)->write_response_parts(
+        native.request_id(),
+        restinio::response_output_flags_t{restinio::response_parts_attr_t::final_parts, restinio::response_connection_attr_t::connection_close},
+        restinio::write_group_t{restinio::writable_items_container_t{}});
+}
+
+void sendWhole(restinio::request_t &native, http_response response)
 {
     // Content-Length and Connection are RESTinio's to set.
     restinio::response_builder_t<restinio::restinio_controlled_output_t> builder
         = native.create_response(restinio::http_status_line_t{restinio::http_status_code_t{static_cast<std::uint16_t>(response.status)}, "-"});
     for (http_header &header : response.headers) {
-        if (!equalIgnoringCase(header.name, "Content-Length") && !equalIgnoringCase(header.name, "Connection")
-            && !equalIgnoringCase(header.name, "Transfer-Encoding")) {
+        if (!isSetByServer(header)) {
             builder.append_header(std::move(header.name), std::move(header.value));
         }
     }
@@ -58,6 +87,21 @@
     builder.done();
 }
 
+void sendResponse(restinio::request_t &native, http_response response)
+{
+    switch (response.delivery) {
+    case answer_delivery::Whole:
+        sendWhole(native, std::move(response));
+        break;
+    case answer_delivery::Truncated:
+        sendTruncated(native, std::move(response));
+        break;
+    case answer_delivery::Closed:
+        closeUnanswered(native);
+        break;
+    }
+}
+
 } // namespace
 
 std::string_view findHeader(const std::vector<http_header> &headers, std::string_view name)
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -44,11 +44,21 @@
     std::string body;
 };
 
+/** How much of an answer is written. Everything but Whole is for stand-ins that imitate a failing server. */
+enum class answer_delivery {
+    Whole,
+    /** The headers announce the whole body, half of it is written, and the connection closes. */
+    Truncated,
+    /** The connection closes without a byte of the answer. */
+    Closed,
+};
+
 struct http_response
 {
     int status = 200;
     std::vector<http_header> headers;
     std::string body;
+    answer_delivery delivery = answer_delivery::Whole;
 };
 
 /** Answers one request; copies share the same answer, and only the first call counts. */
--- /dev/null
+++ b/src/standins/platform_standin.h
@@ -0,0 +1,111 @@
+#pragma once
+
+// Stand-in for the platform: table service, object store and lagging VM list behind the HTTP forms of the design's section 3.9.
+//
+//     platform_standin platform(options);
+//     failure reason;
+//     if (platform.start(reason)) { std::uint16_t port = platform.port(); }
+//
+// Faults are set with POST /admin/faults (`outage`, `delay_ms`, `lose_answers`, `fail_next`) and touch every call but /admin.
+
+#include "net/http_client.h"
+#include "net/http_server.h"
+#include "platform/object_store.h"
+#include "platform/table_service.h"
+#include "standins/standin_process.h"
+
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <mutex>
+#include <string>
+
+namespace daisypass {
+
+struct platform_options
+{
+    endpoint listen{"127.0.0.1", 0};
+    /** Rows written and reads per clock second; calls beyond are answered 429. */
+    int writesPerSecond = 300;
+    int readsPerSecond = 2'000;
+    /** Time until a change of the VM list is visible. */
+    std::chrono::milliseconds listLag{2'000};
+};
+
+class platform_standin
+{
+public:
+    explicit platform_standin(platform_options options);
+    ~platform_standin();
+
+    /** Fails with ListenFailed. */
+    bool start(failure &reason);
+    std::uint16_t port() const;
+
+    /** Replaces the VM list; visible after the lag, or at once if it is the first. */
+    void setVms(nlohmann::json vms);
+
+private:
+    using clock = std::chrono::steady_clock;
+
+    struct fault_state
+    {
+        bool outage = false;
+        std::chrono::milliseconds delay{0};
+        int answersToLose = 0;
+        int callsToFail = 0;
+    };
+
+    struct statistics
+    {
+        std::uint64_t reads = 0;
+        std::uint64_t writes = 0;
+        std::uint64_t refusals = 0;
+        std::uint64_t mostWritesInSecond = 0;
+        std::uint64_t mostReadsInSecond = 0;
+    };
+
+    struct listed_version
+    {
+        clock::time_point visible;
+        nlohmann::json vms;
+    };
+
+    void handle(http_request request, const http_responder &respond);
+    http_response route(const http_request &request);
+    http_response admin(const http_request &request);
+    http_response commit(const http_request &request);
+    http_response readRow(const http_request &request);
+    http_response scanRows(const http_request &request);
+    http_response object(const http_request &request);
+    http_response listVms();
+    http_response reboot(const http_request &request);
+    void forwardReboot(const std::string &vm);
+
+    bool takeFailure();
+    bool takeLostAnswer();
+    bool spend(int reads, int writes);
+    void setFaults(const nlohmann::json &body);
+    nlohmann::json stats();
+
+    platform_options m_options;
+    memory_table m_table;
+    memory_objects m_objects;
+    std::mutex m_lock;
+    fault_state m_faults;
+    statistics m_statistics;
+    std::int64_t m_second = 0;
+    int m_readsInSecond = 0;
+    int m_writesInSecond = 0;
+    std::deque<listed_version> m_lists;
+    // Operation id to VM; the order of the operations is kept beside it for /admin/stats.
+    std::map<std::string, std::string> m_rebooted;
+    std::vector<std::string> m_rebootOrder;
+    http_client m_client;
+    http_server m_server;
+    // After the server, because waiting answers hold connections that must end before the server's context does.
+    timer_thread m_timers;
+};
+
+} // namespace daisypass
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -126,4 +126,21 @@
         CHECK(second.state == send_state::Sent);
         CHECK(server.requests() == 2);
     }
+
+    // Guards against a cut answer that passes for a whole one.
+    SUBCASE("a truncated answer and a connection closed before the answer end as sent")
+    {
+        http_server server({.listen = {"127.0.0.1", 0}}, [](http_request request, http_responder respond) {
+            respond({200, {}, "body", request.path == "/truncated" ? answer_delivery::Truncated : answer_delivery::Closed});
+        });
+        failure reason;
+        REQUIRE(server.start(reason));
+        for (const char *path : {"/truncated", "/closed"}) {
+            http_call call;
+            call.url = urlOf(server.port(), path);
+            const http_result result = client.fetch(call);
+            CHECK(result.state == send_state::Sent);
+            CHECK(result.reason.code == failure_code::BadAnswer);
+        }
+    }
 }
