--- a/src/standins/standin_process.cpp
+++ b/src/standins/standin_process.cpp
@@ -33,7 +33,7 @@
     m_thread.join();
 }
 
-void timer_thread::after(std::chrono::milliseconds delay, std::function<void()> action)
+void timer_thread::after(std::chrono::microseconds delay, std::function<void()> action)
 {
     std::shared_ptr<asio::steady_timer> timer = std::make_shared<asio::steady_timer>(m_context, delay);
     timer->async_wait([timer, action = std::move(action)](const asio::error_code &error) {
--- a/src/standins/standin_process.h
+++ b/src/standins/standin_process.h
@@ -21,7 +21,7 @@
     timer_thread();
     ~timer_thread();
 
-    void after(std::chrono::milliseconds delay, std::function<void()> action);
+    void after(std::chrono::microseconds delay, std::function<void()> action);
 
 private:
     asio::io_context m_context;
--- a/tests/standins_test.cpp
+++ b/tests/standins_test.cpp
@@ -1,6 +1,7 @@
 // The stand-ins keep their own contracts; the integration tests and the load runs rest on them.
 
 #include "platform/vm_list.h"
+#include "standins/demand.h"
 #include "standins/fault_proxy.h"
 #include "standins/platform_standin.h"
 #include "standins/target_standin.h"
@@ -207,3 +208,21 @@
         CHECK(answer.get().state == send_state::Answered);
     }
 }
+
+// Guards against a load that never peaks, and hence never shows a queue.
+TEST_CASE("demand peaks in turn and keeps its mean")
+{
+    const demand_options options{.pools = 5, .meanRate = 100, .peakLength = std::chrono::seconds(2)};
+    for (std::size_t pool = 0; pool < options.pools; ++pool) {
+        std::mt19937_64 random(pool + 1);
+        int arrivals = 0;
+        int inPeak = 0;
+        for (duration at = nextArrival(options, pool, {}, random); at < std::chrono::seconds(20); at = nextArrival(options, pool, at, random)) {
+            ++arrivals;
+            inPeak += demandRate(options, pool, at) > 400 ? 1 : 0;
+        }
+        CHECK(arrivals > 1'800);
+        CHECK(arrivals < 2'400);
+        CHECK(inPeak > arrivals * 9 / 10);
+    }
+}
