--- a/src/control/control_loop.cpp
+++ b/src/control/control_loop.cpp
@@ -2,15 +2,13 @@
 
 #include "base/log.h"
 #include "control/control_lease.h"
+#include "platform/write_id.h"
 
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
-#include <cinttypes>
 #include <condition_variable>
-#include <cstdio>
 #include <mutex>
-#include <random>
 #include <thread>
 
 namespace daisypass {
@@ -79,37 +77,6 @@
     }
 };
 
-std::string_view changeName(const fleet_change &change)
-{
-    static constexpr std::string_view Names[] = {"configuration_applied",
-                                                 "entry_joined",
-                                                 "entry_left",
-                                                 "entry_removed",
-                                                 "drain_begun",
-                                                 "drain_cancelled",
-                                                 "vm_stopped",
-                                                 "vm_returned",
-                                                 "vm_failed",
-                                                 "vm_recovered",
-                                                 "vm_moved"};
-    return Names[change.index()];
-}
-
-std::string subject(const fleet_change &change)
-{
-    return std::visit(
-        [](const auto &item) -> std::string {
-            if constexpr (requires { item.vm; }) {
-                return item.vm;
-            } else if constexpr (requires { item.entry; }) {
-                return item.entry;
-            } else {
-                return item.author;
-            }
-        },
-        change);
-}
-
 } // namespace
 
 steady_wall_clock::steady_wall_clock()
@@ -123,16 +90,6 @@
     return m_wallAtStart + (steadyNow() - m_steadyAtStart);
 }
 
-std::string newWriteId()
-{
-    static thread_local std::random_device device;
-    const std::uint64_t high = std::uint64_t{device()} << 32 | device();
-    const std::uint64_t low = std::uint64_t{device()} << 32 | device();
-    char text[33];
-    std::snprintf(text, sizeof text, "%016" PRIx64 "%016" PRIx64, high, low);
-    return text;
-}
-
 struct control_loop::implementation
 {
     implementation(control_loop_options chosen, fleet_follower &followed, fleet_log fleetLog, table_service table, vm_list list, metrics_registry &registry)
@@ -285,7 +242,7 @@
         }
         for (const fleet_change &change : changes) {
             metrics.findCounter("daisypass_control_changes_total", {{"change", std::string(changeName(change))}}).add();
-            logChange(changeName(change), {{"revision", record.revision}, {"subject", subject(change)}});
+            logChange(changeName(change), {{"revision", record.revision}, {"change", describeChange(change)}});
         }
         follower.pollNow();
     }
--- a/src/control/control_loop.h
+++ b/src/control/control_loop.h
@@ -53,9 +53,6 @@
     timestamp m_steadyAtStart;
 };
 
-/** Random and unique; names one transaction. */
-std::string newWriteId();
-
 class control_loop
 {
 public:
--- a/src/kernel/fleet_change.cpp
+++ b/src/kernel/fleet_change.cpp
@@ -13,6 +13,66 @@
 
 constexpr std::array<std::string_view, 3> CauseNames{"maintenance", "move", "removal"};
 
+// In the order of the alternatives of fleet_change.
+constexpr std::array<std::string_view, std::variant_size_v<fleet_change>> ChangeNames{"configuration_applied",
+                                                                                      "entry_joined",
+                                                                                      "entry_left",
+                                                                                      "entry_removed",
+                                                                                      "drain_begun",
+                                                                                      "drain_cancelled",
+                                                                                      "vm_stopped",
+                                                                                      "vm_returned",
+                                                                                      "vm_failed",
+                                                                                      "vm_recovered",
+                                                                                      "vm_moved"};
+
+std::string withEpoch(const std::string &vm, std::uint64_t epoch)
+{
+    return ' ' + vm + " epoch " + std::to_string(epoch);
+}
+
+struct change_describer
+{
+    std::string operator()(const configuration_applied &change) const
+    {
+        std::string text = " base " + std::to_string(change.base) + " by " + change.author;
+        for (const file_reference &file : change.changed) {
+            text += ' ' + file.name;
+        }
+        for (const std::string &file : change.removed) {
+            text += " -" + file;
+        }
+        return text;
+    }
+
+    std::string operator()(const drain_begun &change) const
+    {
+        return withEpoch(change.vm, change.epoch) + ' ' + std::string(CauseNames.at(static_cast<std::size_t>(change.cause))) + ' ' + change.detail;
+    }
+
+    std::string operator()(const vm_stopped &change) const
+    {
+        return withEpoch(change.vm, change.epoch) + ", " + std::to_string(change.confirmations.size()) + " confirmations";
+    }
+
+    std::string operator()(const vm_moved &change) const
+    {
+        return withEpoch(change.vm, change.epoch) + " to " + change.pool;
+    }
+
+    template<typename T>
+    std::string operator()(const T &change) const
+    {
+        if constexpr (requires { change.entry; }) {
+            return ' ' + change.entry;
+        } else if constexpr (requires { change.epoch; }) {
+            return withEpoch(change.vm, change.epoch);
+        } else {
+            return ' ' + change.vm;
+        }
+    }
+};
+
 json encodeFiles(const std::vector<file_reference> &files)
 {
     json list = json::object();
@@ -351,6 +411,16 @@
 
 } // namespace
 
+std::string_view changeName(const fleet_change &change)
+{
+    return ChangeNames.at(change.index());
+}
+
+std::string describeChange(const fleet_change &change)
+{
+    return std::string(changeName(change)) + std::visit(change_describer{}, change);
+}
+
 std::string encodeRecord(const log_record &record)
 {
     json changes = json::array();
--- a/src/kernel/fleet_change.h
+++ b/src/kernel/fleet_change.h
@@ -125,6 +125,12 @@
                                   vm_recovered,
                                   vm_moved>;
 
+/** The fixed lower-case name of the type, for example "drain_begun". */
+std::string_view changeName(const fleet_change &change);
+
+/** One line for people, for example "drain_begun vm-03 epoch 8 maintenance monthly". */
+std::string describeChange(const fleet_change &change);
+
 /** One row of the log: what was decided together, by whom, and at which wall-clock time. */
 struct log_record
 {
--- a/src/platform/fleet_log.cpp
+++ b/src/platform/fleet_log.cpp
@@ -186,6 +186,11 @@
 }
 
 std::optional<fleet_state> fleet_log::loadSnapshot(failure &reason)
+{
+    return loadSnapshot(files(), reason);
+}
+
+std::optional<fleet_state> fleet_log::loadSnapshot(const file_source &files, failure &reason)
 {
     const std::optional<table_row> row = m_table.read(SnapshotKey, reason);
     if (!row) {
@@ -199,7 +204,7 @@
     if (!body) {
         return std::nullopt;
     }
-    return fleet_state::decode(*body, files(), reason);
+    return fleet_state::decode(*body, files, reason);
 }
 
 std::optional<std::string> fleet_log::putFile(std::string_view text, failure &reason)
--- a/src/platform/fleet_log.h
+++ b/src/platform/fleet_log.h
@@ -70,6 +70,8 @@
     bool trim(revision_number snapshot, int limit, failure &reason);
     /** The newest snapshot. Fails with NotFound if there is none. */
     std::optional<fleet_state> loadSnapshot(failure &reason);
+    /** The same, with the bodies of configuration files from `files`. */
+    std::optional<fleet_state> loadSnapshot(const file_source &files, failure &reason);
 
     /** Stores the body of a configuration file and returns its hash. */
     std::optional<std::string> putFile(std::string_view text, failure &reason);
