--- a/src/kernel/fleet_change.h
+++ b/src/kernel/fleet_change.h
@@ -6,6 +6,7 @@
 #include "base/failure.h"
 #include "base/settings_reader.h"
 #include "base/time.h"
+#include "kernel/configuration.h"
 
 #include <cstdint>
 #include <optional>
@@ -20,14 +21,6 @@
 using revision_number = std::uint64_t;
 using incarnation_number = std::uint64_t;
 
-struct file_reference
-{
-    std::string name;
-    std::string hash;
-
-    bool operator==(const file_reference &) const = default;
-};
-
 struct configuration_applied
 {
     /** Revision of the configuration that the operator started from. */
@@ -132,6 +125,12 @@
                                   vm_recovered,
                                   vm_moved>;
 
+/** The fixed lower-case name of the type, for example "drain_begun". */
+std::string_view changeName(const fleet_change &change);
+
+/** One line for people, for example "drain_begun vm-03 epoch 8 maintenance monthly". */
+std::string describeChange(const fleet_change &change);
+
 /** One row of the log: what was decided together, by whom, and at which wall-clock time. */
 struct log_record
 {
