--- a/src/kernel/band_queues.cpp
+++ b/src/kernel/band_queues.cpp
@@ -1,14 +1,20 @@
 #include "kernel/band_queues.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace daisypass {
 
 namespace {
 
+/** Standard deviations of the shorter work's demand that stay free of long work. Demand of independent requests varies with the square root of its mean. */
+constexpr double DemandMargin = 3;
+
+// A long request holds its slot for long, so shorter work's usual demand must fit into what long work leaves.
 int longLimit(const slot_use &use)
 {
-    return std::max(1, static_cast<int>(use.longShare * use.usable));
+    const double left = use.owned - use.shorterDemand - DemandMargin * std::sqrt(use.shorterDemand);
+    return std::max(1, static_cast<int>(std::min(use.longShare * use.owned, left)));
 }
 
 /** With fewer slots than this, a slot of its own would give longer work a quarter or more; it then gets every `FewSlotsTurn`-th start instead. */
@@ -118,7 +124,7 @@
 {
     const band_order *order = std::get_if<band_order>(&m_policy);
     for (int band = LongBand; order != nullptr && band > ShortBand; --band) {
-        if (permitted(band, use) && use.running[band] < guaranteedSlots(*order, use, m_starts)) {
+        if (m_bands[band].size() > 0 && use.running[band] < guaranteedSlots(*order, use, m_starts)) {
             const request_index index = m_bands[band].choose(fits);
             if (index != NoRequest) {
                 return index;
--- a/src/kernel/band_queues.h
+++ b/src/kernel/band_queues.h
@@ -16,7 +16,11 @@
 struct slot_use
 {
     int usable = 0;
+    /** Slots that belong to the entry. Long work outlives loans, so its limit does not grow with what is borrowed. */
+    int owned = 0;
     double longShare = 0.5;
+    /** Slots that shorter work held lately, on average; what is lent to peers included. */
+    double shorterDemand = 0;
     std::array<int, BandCount> running{};
 };
 
--- a/src/kernel/pool_dispatch.cpp
+++ b/src/kernel/pool_dispatch.cpp
@@ -11,6 +11,8 @@
 constexpr duration MaxRetryDelay = std::chrono::milliseconds(256);
 /** How often running requests are compared with the bounds of their bands. */
 constexpr duration RebandPeriod = std::chrono::milliseconds(10);
+/** Weight of one sample of the shorter work's demand: about the last 5 s count. */
+constexpr double DemandWeight = 0.002;
 /** A borrowed slot must outlast the expected run time, but at most this long, so that long work can use loans at all. */
 constexpr duration MaxLoanNeed = std::chrono::milliseconds(500);
 
@@ -54,21 +56,21 @@
 target_index pool_scheduler::state::chooseTarget(const request_record &request)
 {
     const duration need = std::min(model.mean(request.runClass), MaxLoanNeed);
-    // Long work prefers own slots, because it outlives a loan.
-    const int ownBonus = request.band == LongBand ? config.slotsPerTarget : 0;
+    // Long work outlives a loan, and the lender would find its slot taken. Only an entry that owns nothing uses loans for it.
+    const bool ownedOnly = ledger.lends() && request.band == LongBand && use.owned > 0;
     const int choices = ledger.choices();
     target_index best = NoTargetIndex;
-    int bestScore = 0;
+    int most = 0;
     candidates.clear();
     for (target_index index = 0; index < ledger.size(); ++index) {
-        const int free = index == request.target ? 0 : ledger.available(index, now, need);
+        const bool excluded = index == request.target || (ownedOnly && !ledger[index].owned);
+        const int free = excluded ? 0 : ledger.available(index, now, need);
         if (free <= 0 || !health.permits(index, ledger[index].inFlight, now) || !fitsInto(request.needs, ledger[index].size)) {
             continue;
         }
-        const int score = free + (ledger[index].owned ? ownBonus : 0);
-        if (score > bestScore) {
+        if (free > most) {
             best = index;
-            bestScore = score;
+            most = free;
         }
         if (choices > 0) {
             candidates.push_back(index);
@@ -130,7 +132,7 @@
         target = chooseTarget(requests[index]);
         return target != NoTargetIndex;
     };
-    while (queues.size() > 0) {
+    while (queues.size() > 0 && ledger.anyAvailable(now)) {
         const request_index index = queues.choose(use, fits);
         if (index == NoRequest) {
             return;
@@ -156,6 +158,8 @@
         return;
     }
     rebandAt = now + RebandPeriod;
+    const int shorter = use.running[ShortBand] + use.running[MediumBand] + ledger.lentOut(now);
+    use.shorterDemand += DemandWeight * (shorter - use.shorterDemand);
     for (request_index index : running) {
         request_record &request = requests[index];
         const run_band band = queues.bandOfElapsed(now - request.since);
--- a/src/kernel/pool_scheduler.cpp
+++ b/src/kernel/pool_scheduler.cpp
@@ -60,6 +60,7 @@
 void pool_scheduler::state::refreshUse()
 {
     use.usable = ledger.usable(now);
+    use.owned = ledger.owned(now);
     use.longShare = config.longShare;
 }
 
--- a/src/kernel/run_time_model.cpp
+++ b/src/kernel/run_time_model.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace daisypass {
 
@@ -11,6 +12,8 @@
 constexpr double Weight = 0.1;
 /** Run times below this are all short; differences there are noise of the network. */
 constexpr double ShortestSeconds = 0.001;
+/** Observations between two searches for the shortest class, which look at every class. */
+constexpr int RescanPeriod = 32;
 
 double secondsOf(duration time)
 {
@@ -71,12 +74,22 @@
         m_estimates[own.parent].add(seconds);
     }
     m_pool.add(seconds);
-    double shortest = 0;
+    const double typicalSeconds = std::exp(m_estimates[own.parent].logMean);
+    if (m_pool.samples % RescanPeriod == 1 || m_shortest == 0) {
+        findShortest();
+    } else if (typicalSeconds < m_shortest) {
+        m_shortest = std::max(typicalSeconds, ShortestSeconds);
+    }
+}
+
+void run_time_model::findShortest()
+{
+    double shortest = std::numeric_limits<double>::infinity();
     for (std::uint32_t each : m_classes) {
-        const double typicalSeconds = m_estimates[each].samples > 0 ? std::exp(m_estimates[each].logMean) : 0;
-        shortest = typicalSeconds > 0 && (shortest == 0 || typicalSeconds < shortest) ? typicalSeconds : shortest;
+        const double logMean = m_estimates[each].logMean;
+        shortest = m_estimates[each].samples > 0 ? std::min(shortest, logMean) : shortest;
     }
-    m_shortest = std::max(shortest, ShortestSeconds);
+    m_shortest = std::max(std::exp(shortest), ShortestSeconds);
 }
 
 void run_time_model::observeRunning(std::uint32_t runClass, duration elapsed)
--- a/src/kernel/run_time_model.h
+++ b/src/kernel/run_time_model.h
@@ -62,6 +62,7 @@
 
     std::uint32_t number(const std::string &key, std::uint32_t parent);
     const estimate *known(std::uint32_t runClass) const;
+    void findShortest();
     run_band bandOf(double seconds, const band_order &order) const;
 
     std::vector<estimate> m_estimates;
--- a/src/kernel/slot_borrower.cpp
+++ b/src/kernel/slot_borrower.cpp
@@ -10,7 +10,7 @@
 constexpr duration AnswerTimeout = std::chrono::milliseconds(500);
 /** A free slot may idle this long while a peer's queue waits, in the best case and after many empty answers. */
 constexpr duration MinBackOff = std::chrono::milliseconds(5);
-constexpr duration MaxBackOff = std::chrono::milliseconds(160);
+constexpr duration MaxBackOff = std::chrono::milliseconds(20);
 
 } // namespace
 
--- a/src/kernel/slot_ledger.cpp
+++ b/src/kernel/slot_ledger.cpp
@@ -158,6 +158,35 @@
     return total;
 }
 
+bool slot_ledger::anyAvailable(timestamp now) const
+{
+    for (target_index index = 0; index < m_targets.size(); ++index) {
+        if (available(index, now, {}) > 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+int slot_ledger::owned(timestamp now) const
+{
+    int total = lentOut(now);
+    for (const target_slots &target : m_targets) {
+        total += target.inView ? ownSlots(target, now) : 0;
+    }
+    return total;
+}
+
+int slot_ledger::lentOut(timestamp now) const
+{
+    const lent_slots *policy = std::get_if<lent_slots>(&m_policy);
+    int total = 0;
+    for (const target_slots &target : m_targets) {
+        total += policy != nullptr && target.owned ? activeCount(target.lent, now - policy->grace) : 0;
+    }
+    return total;
+}
+
 int slot_ledger::lendable(timestamp now) const
 {
     int total = 0;
--- a/src/kernel/slot_ledger.h
+++ b/src/kernel/slot_ledger.h
@@ -73,6 +73,11 @@
     int available(target_index index, timestamp now, duration need) const;
     /** Slots that this entry may use over all targets, in flight or free. */
     int usable(timestamp now) const;
+    /** Whether any slot is free for a short request, in O(targets). */
+    bool anyAvailable(timestamp now) const;
+    /** Slots that belong to this entry, lent or not. */
+    int owned(timestamp now) const;
+    int lentOut(timestamp now) const;
     /** Free slots that could be lent. */
     int lendable(timestamp now) const;
     /** Random targets to compare for each request; 0 means all. */
--- a/src/kernel/team_queue.cpp
+++ b/src/kernel/team_queue.cpp
@@ -64,16 +64,19 @@
 
 request_index team_queue::choose(const std::function<bool(request_index)> &fits)
 {
-    for (std::size_t passed = 0; passed <= m_ring.size() && m_size > 0; ++passed) {
-        team_line &own = m_lines[m_ring[m_turn]];
+    for (std::size_t passed = 0; passed < m_ring.size(); ++passed) {
+        const std::size_t position = (m_turn + passed) % m_ring.size();
+        team_line &own = m_lines[m_ring[position]];
+        if (!fits(own.requests.first)) {
+            continue;
+        }
+        // The turn moves only when a request is found. If it moved at each attempt, the attempts without a free slot would decide who is next.
+        m_turn = position;
         if (own.deficit <= 0) {
             // The quantum covers the largest cost even for the smallest weight, so each visit serves at least one request.
             own.deficit += MaxCost * own.weight / m_minWeight;
         }
-        if (fits(own.requests.first)) {
-            return own.requests.first;
-        }
-        nextTurn();
+        return own.requests.first;
     }
     return NoRequest;
 }
