--- a/src/entry/fleet_follower.cpp
+++ b/src/entry/fleet_follower.cpp
@@ -112,12 +112,18 @@
 
 bool fleet_follower::implementation::pollStore(failure &reason)
 {
+    // Read before the head, because the peers' thread may replay more in between.
+    const revision_number replayed = replica.state()->revision();
     const timestamp startedAt = steadyNow();
     const std::optional<log_head> head = log.readHead(reason);
     if (!head) {
         return false;
     }
     noteRevision(head->revision);
+    if (head->revision < replayed) {
+        reason = failure{failure_code::BadAnswer, std::to_string(head->revision), {}, "revision " + std::to_string(replayed) + " or later"};
+        return false;
+    }
     while (replica.state()->revision() < head->revision) {
         failure why;
         std::optional<std::vector<log_record>> records = log.readAfter(replica.state()->revision(), PageRecords, why);
