--- /dev/null
+++ b/tests/fleet_stories_test.cpp
@@ -0,0 +1,201 @@
+#include "fleet_world.h"
+
+using namespace daisypass;
+
+namespace {
+
+// Long enough that every VM is due: the period of 35 days less the lead time.
+constexpr std::chrono::hours AllDue{24 * 34};
+
+void joinAll(fleet_world &world)
+{
+    world.until(30, [&world] {
+        return world.count(vm_state::Stopped) == 0;
+    });
+}
+
+int maintainedSince(fleet_world &world, timestamp since)
+{
+    int found = 0;
+    for (const std::pair<const std::string, vm_record> &vm : world.state().vms()) {
+        found += vm.second.maintainedAt >= since ? 1 : 0;
+    }
+    return found;
+}
+
+} // namespace
+
+TEST_CASE("Story: a whole maintenance wave")
+{
+    // Guards against a VM that is left out, maintained twice, stopped without confirmations or returned before its reboot.
+    fleet_world world(6, 2, "rack", 2, 3);
+    world.addController("control-1");
+    joinAll(world);
+    world.jump(AllDue);
+    const timestamp since = world.now;
+    world.targets["vm-02"].inFlight = 1;
+    world.entries["entry-2"].inFlight["vm-03"] = 1;
+    world.run(60);
+    world.note("the last requests on vm-02 and vm-03 end");
+    world.targets["vm-02"].inFlight = 0;
+    world.entries["entry-2"].inFlight.clear();
+    world.until(900, [&world, since] {
+        return maintainedSince(world, since) == 6;
+    });
+    world.run(60);
+    CHECK(world.reboots.size() == 6);
+    checkGolden("whole_wave", world.transcript);
+}
+
+TEST_CASE("Story: a rack is lost in a wave")
+{
+    // Guards against drains that go on while an unexpected failure has used up the headroom.
+    fleet_world world(8, 4, "rack", 2, 2);
+    world.addController("control-1");
+    joinAll(world);
+    world.jump(AllDue);
+    world.entries["entry-1"].inFlight["vm-00"] = 1;
+    world.run(5);
+    world.note("rack r3 is lost");
+    for (const std::string &vm : {std::string("vm-06"), std::string("vm-07")}) {
+        world.targets[vm].down = true;
+        world.entries["entry-1"].unreachable.insert(vm);
+        world.entries["entry-2"].unreachable.insert(vm);
+    }
+    world.run(30);
+    CHECK(world.count(vm_state::Failed) == 2);
+    CHECK(world.count(vm_state::Draining) == 0);
+    world.note("rack r3 is back");
+    for (const std::string &vm : {std::string("vm-06"), std::string("vm-07")}) {
+        world.targets[vm].down = false;
+    }
+    world.entries["entry-1"].unreachable.clear();
+    world.entries["entry-2"].unreachable.clear();
+    world.run(90);
+    CHECK(world.count(vm_state::Failed) == 0);
+    checkGolden("rack_lost", world.transcript);
+}
+
+TEST_CASE("Story: a controller is paused in a wave and replaced")
+{
+    // Guards against a stale append that takes effect, a step done twice, and a wave that stops with its controller.
+    fleet_world world(6, 2, "rack", 1, 2);
+    world.addController("control-1");
+    joinAll(world);
+    world.jump(AllDue);
+    world.until(30, [&world] {
+        return world.count(vm_state::Draining) == 1;
+    });
+    simulated_controller &first = *world.controllers["control-1"];
+    // A decision that was made before the pause and is appended after it.
+    failure reason;
+    const log_head head = *world.log.readHead(reason);
+    first.heldBack = {log_record{head.revision + 1, "stale", world.now, {vm_failed{"vm-05"}}}, head};
+    first.paused = true;
+    world.note("control-1 is paused before an append");
+    world.addController("control-2");
+    world.until(120, [&world] {
+        return world.reboots.size() == 2;
+    });
+    world.note("control-1 resumes");
+    first.paused = false;
+    world.run(120);
+    CHECK(world.count(vm_state::Failed) == 0);
+    checkGolden("controller_replaced", world.transcript);
+}
+
+TEST_CASE("Story: an entry that cannot confirm")
+{
+    // Guards against a stop while an entry that may still send is cut off, and against a drain begun without all entries.
+    fleet_world world(6, 2, "rack", 1, 3);
+    world.addController("control-1");
+    joinAll(world);
+    world.jump(AllDue);
+    world.entries["entry-3"].inFlight["vm-00"] = 1;
+    world.run(5);
+    world.note("entry-3 is cut off");
+    world.entries["entry-3"].cut = true;
+    world.run(120);
+    CHECK(world.count(vm_state::Stopped) == 0);
+    CHECK(world.reboots.empty());
+    simulated_controller &controller = *world.controllers["control-1"];
+    world.note("vm-00 waits for: " + controller.decisions.waitsFor(controller.state, controller.board.input(world.now, true), "vm-00"));
+
+    SUBCASE("its VM is gone")
+    {
+        world.note("the platform lists entry-3 as gone");
+        world.platform["entry-3"] = platform_vm_state::Gone;
+        world.targets["vm-00"].inFlight = 1;
+        world.run(10);
+        CHECK(world.reboots.empty());
+        world.note("the dead entry's request on vm-00 ends");
+        world.targets["vm-00"].inFlight = 0;
+        world.run(60);
+        checkGolden("entry_gone", world.transcript);
+    }
+    SUBCASE("it comes back")
+    {
+        world.note("entry-3 is back");
+        world.entries["entry-3"].cut = false;
+        world.entries["entry-3"].inFlight.clear();
+        world.run(60);
+        checkGolden("entry_back", world.transcript);
+    }
+}
+
+TEST_CASE("Story: the store is down in a wave")
+{
+    // Guards against planned changes and reboots during an outage, and against a wave that does not go on after it.
+    fleet_world world(6, 2, "rack", 1, 2);
+    world.addController("control-1");
+    joinAll(world);
+    world.jump(AllDue);
+    world.run(3);
+    world.table.setOutage(true);
+    world.note("the store is down");
+    const std::size_t reboots = world.reboots.size();
+    world.run(300);
+    CHECK(world.reboots.size() == reboots);
+    world.table.setOutage(false);
+    world.note("the store is back");
+    world.run(120);
+    checkGolden("store_down", world.transcript);
+}
+
+TEST_CASE("Story: operators race")
+{
+    // Guards against a configuration that reverts another one, and against a dropped VM that is cut off.
+    fleet_world world(6, 2, "none", 1, 2);
+    world.addController("control-1");
+    joinAll(world);
+    const revision_number base = world.state().configurationRevision();
+    CHECK(world.apply("ana", base, "vms.json", vmsText(5)) == failure_code::None);
+    CHECK(world.apply("luis", base, "pools.json", poolsText(1, "none")) == failure_code::RevisionConflict);
+    world.targets["vm-05"].inFlight = 1;
+    world.run(20);
+    CHECK(world.state().vms().contains("vm-05"));
+    world.note("the last request on vm-05 ends");
+    world.targets["vm-05"].inFlight = 0;
+    world.run(20);
+    CHECK_FALSE(world.state().vms().contains("vm-05"));
+    std::string moved = vmsText(5);
+    moved.replace(moved.find("\"pool\": \"a\""), 11, "\"pool\": \"b\"");
+    CHECK(world.apply("luis", world.state().configurationRevision(), "vms.json", moved) == failure_code::None);
+    world.run(90);
+    CHECK(world.state().vms().find("vm-00")->second.pool == "b");
+    checkGolden("operators_race", world.transcript);
+}
+
+TEST_CASE("Forecast of a wave")
+{
+    // Guards against a wave that falls behind without notice.
+    fleet_world world(8, 2, "none", 1, 1);
+    world.addController("control-1");
+    joinAll(world);
+    CHECK(forecastWaves(world.state(), world.now).front().late == 0);
+    const wave_forecast behind = forecastWaves(world.state(), world.now + std::chrono::hours(24 * 35) - std::chrono::minutes(61)).front();
+    CHECK(behind.due == 8);
+    CHECK(behind.overdue == 0);
+    // Four turns of 15 minutes fit into the last 61 minutes.
+    CHECK(behind.late == 4);
+}
