Never reboot a failed VM from the controller

Cause: a controller that is paused between a decision and its command would send the reboot late and cut off requests on a VM that recovered meanwhile. The reboot of a stop is safe: the VM returns only after the platform accepted the same operation id. Change: failed VMs are only probed and recovered (once per 60 s); a reboot command older than 2 s is dropped and decided again.

--- a/src/control/control_loop.cpp
+++ b/src/control/control_loop.cpp
@@ -16,6 +16,7 @@
 
 constexpr duration StoreContactLimit = std::chrono::seconds(3);
 constexpr duration RefreshLimit = std::chrono::seconds(2);
+constexpr duration CommandLimit = std::chrono::seconds(2);
 constexpr std::chrono::milliseconds ProbeTimeout{1'000};
 // Old log rows deleted with one snapshot step; below the table service's 300 writes/s.
 constexpr int TrimLimit = 200;
@@ -30,6 +31,7 @@
     http_client &http;
     vm_list &vms;
     const steady_wall_clock &clock;
+    timestamp decidedAt;
 
     void operator()(const ask_confirmations &command) const
     {
@@ -69,6 +71,10 @@
 
     void operator()(const reboot_vm &command) const
     {
+        // After a pause the decision is made again on the state as it is then.
+        if (clock.now() - decidedAt > CommandLimit) {
+            return;
+        }
         failure reason;
         if (vms.reboot(command.vm, command.operation, reason)) {
             board.rebootAccepted(command.operation, clock.now());
@@ -212,8 +218,9 @@
         if (!head || head->revision != state.revision()) {
             return;
         }
-        const controller_decision decision = controller.decide(state, board.input(clock.now(), true));
-        const command_runner runner{state, board, peers, http, vms, clock};
+        const timestamp decidedAt = clock.now();
+        const controller_decision decision = controller.decide(state, board.input(decidedAt, true));
+        const command_runner runner{state, board, peers, http, vms, clock, decidedAt};
         for (const controller_command &command : decision.commands) {
             std::visit(runner, command);
         }
--- a/src/kernel/fleet_controller.cpp
+++ b/src/kernel/fleet_controller.cpp
@@ -123,7 +123,6 @@
     }
 
     bool reportedUnreachable(const vm_record &vm) const;
-    bool unreachableForAll(const vm_record &vm) const;
     void advanceDraining(const vm_record &vm);
     void advanceStopped(const vm_record &vm);
     void advanceFailed(const vm_record &vm);
@@ -162,13 +161,6 @@
     return 2 * reports > live;
 }
 
-bool decision_maker::unreachableForAll(const vm_record &vm) const
-{
-    return std::all_of(m_state.entries().begin(), m_state.entries().end(), [this, &vm](const std::pair<const std::string, entry_record> &entry) {
-        return reached(entry.second, m_input, m_options.reachedWithin) && m_input.entries.find(entry.first)->second.unreachableVms.contains(vm.id);
-    });
-}
-
 void decision_maker::detectFailures()
 {
     // Only VMs that some entry reports are examined, so that a healthy fleet costs no count of reports.
@@ -260,21 +252,14 @@
         return;
     }
     m_decision.commands.emplace_back(probe_target{vm.id, vm.address});
-    const std::int64_t turn = (m_input.now - vm.changedAt) / m_options.recoveryInterval;
-    if (turn < 1) {
+    // A failed VM is never rebooted from here: a reboot that a paused controller sends late would cut off requests on a VM that has
+    // recovered meanwhile. The reboot of a stop is safe, because the VM returns only after the platform accepted the same operation.
+    if (m_input.now - vm.changedAt < m_options.recoveryInterval) {
         return;
     }
     const target_observation &target = observed(m_input, vm.id);
     if (target.answeredAt && !target.failingSince && m_input.now - *target.answeredAt <= m_options.reachedWithin && !reportedUnreachable(vm)) {
         propose(vm, vm_recovered{vm.id});
-        return;
-    }
-    // A reboot could cut off requests of an entry that still reaches the VM, so every entry must report it unreachable.
-    if (target.failingSince && unreachableForAll(vm)) {
-        const std::string operation = vm.id + "-failed-" + std::to_string(vm.changedAt.count()) + '-' + std::to_string(turn);
-        if (!m_input.rebootsAccepted.contains(operation)) {
-            m_decision.commands.emplace_back(reboot_vm{vm.id, operation});
-        }
     }
 }
 
--- a/src/kernel/fleet_controller.h
+++ b/src/kernel/fleet_controller.h
@@ -132,7 +132,7 @@
 {
     /** An entry counts as reached if it answered within this time (section 3.7 of the design). */
     duration reachedWithin = std::chrono::seconds(2);
-    /** Least time between a VM's failure and its recovery, and between reboots of a failed VM, against flapping. */
+    /** Least time between a VM's failure and its recovery, against flapping. */
     duration recoveryInterval = std::chrono::seconds(60);
     /** Failed probes of a fully confirmed drain last this long before the VM counts as failed. */
     duration probeFailureLimit = std::chrono::seconds(10);
