--- a/src/net/peer_wire.cpp
+++ b/src/net/peer_wire.cpp
@@ -27,7 +27,8 @@
 
 void silenceTransportLog()
 {
-    gpr_set_log_function([](gpr_log_func_args *) {});
+    gpr_set_log_function([](gpr_log_func_args *) {
+    });
 }
 
 void toWire(const gossip_message &from, peer::GossipMessage &to)
