--- a/src/control/control_loop.cpp
+++ b/src/control/control_loop.cpp
@@ -2,15 +2,13 @@
 
 #include "base/log.h"
 #include "control/control_lease.h"
+#include "platform/write_id.h"
 
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
-#include <cinttypes>
 #include <condition_variable>
-#include <cstdio>
 #include <mutex>
-#include <random>
 #include <thread>
 
 namespace daisypass {
@@ -18,6 +16,7 @@
 
 constexpr duration StoreContactLimit = std::chrono::seconds(3);
 constexpr duration RefreshLimit = std::chrono::seconds(2);
+constexpr duration CommandLimit = std::chrono::seconds(2);
 constexpr std::chrono::milliseconds ProbeTimeout{1'000};
 // Old log rows deleted with one snapshot step; below the table service's 300 writes/s.
 constexpr int TrimLimit = 200;
@@ -32,6 +31,7 @@
     http_client &http;
     vm_list &vms;
     const steady_wall_clock &clock;
+    timestamp decidedAt;
 
     void operator()(const ask_confirmations &command) const
     {
@@ -71,6 +71,10 @@
 
     void operator()(const reboot_vm &command) const
     {
+        // After a pause the decision is made again on the state as it is then.
+        if (clock.now() - decidedAt > CommandLimit) {
+            return;
+        }
         failure reason;
         if (vms.reboot(command.vm, command.operation, reason)) {
             board.rebootAccepted(command.operation, clock.now());
@@ -79,37 +83,6 @@
     }
 };
 
-std::string_view changeName(const fleet_change &change)
-{
-    static constexpr std::string_view Names[] = {"configuration_applied",
-                                                 "entry_joined",
-                                                 "entry_left",
-                                                 "entry_removed",
-                                                 "drain_begun",
-                                                 "drain_cancelled",
-                                                 "vm_stopped",
-                                                 "vm_returned",
-                                                 "vm_failed",
-                                                 "vm_recovered",
-                                                 "vm_moved"};
-    return Names[change.index()];
-}
-
-std::string subject(const fleet_change &change)
-{
-    return std::visit(
-        [](const auto &item) -> std::string {
-            if constexpr (requires { item.vm; }) {
-                return item.vm;
-            } else if constexpr (requires { item.entry; }) {
-                return item.entry;
-            } else {
-                return item.author;
-            }
-        },
-        change);
-}
-
 } // namespace
 
 steady_wall_clock::steady_wall_clock()
@@ -123,16 +96,6 @@
     return m_wallAtStart + (steadyNow() - m_steadyAtStart);
 }
 
-std::string newWriteId()
-{
-    static thread_local std::random_device device;
-    const std::uint64_t high = std::uint64_t{device()} << 32 | device();
-    const std::uint64_t low = std::uint64_t{device()} << 32 | device();
-    char text[33];
-    std::snprintf(text, sizeof text, "%016" PRIx64 "%016" PRIx64, high, low);
-    return text;
-}
-
 struct control_loop::implementation
 {
     implementation(control_loop_options chosen, fleet_follower &followed, fleet_log fleetLog, table_service table, vm_list list, metrics_registry &registry)
@@ -255,8 +218,9 @@
         if (!head || head->revision != state.revision()) {
             return;
         }
-        const controller_decision decision = controller.decide(state, board.input(clock.now(), true));
-        const command_runner runner{state, board, peers, http, vms, clock};
+        const timestamp decidedAt = clock.now();
+        const controller_decision decision = controller.decide(state, board.input(decidedAt, true));
+        const command_runner runner{state, board, peers, http, vms, clock, decidedAt};
         for (const controller_command &command : decision.commands) {
             std::visit(runner, command);
         }
@@ -285,7 +249,7 @@
         }
         for (const fleet_change &change : changes) {
             metrics.findCounter("daisypass_control_changes_total", {{"change", std::string(changeName(change))}}).add();
-            logChange(changeName(change), {{"revision", record.revision}, {"subject", subject(change)}});
+            logChange(changeName(change), {{"revision", record.revision}, {"change", describeChange(change)}});
         }
         follower.pollNow();
     }
