--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -6,7 +6,7 @@
 mapfile -t files < <(git ls-files '*.cpp' '*.h' | grep -v '\.pb\.')
 clang-format --dry-run --Werror "${files[@]}"
 # `auto` is for iterators and lambdas only.
-if grep -nE '\bauto\b' "${files[@]}" | grep -vE 'auto[ &*]+[A-Za-z_]+ = \[|auto[ &*]+[A-Za-z_]+ = .*(begin|end|find|find_if|lower_bound|upper_bound|erase|emplace|insert|max_element|min_element|remove_if|partition|prev|next|equal_range|find_first_of|unique|rbegin|try_emplace)\(|\]\(.*auto|//.*\bauto\b'; then
+if grep -nE '\bauto\b' "${files[@]}" | grep -vE 'auto[ &*]+[A-Za-z0-9_]+ = \[|auto[ &*]+[A-Za-z0-9_]+ = .*(begin|end|find|find_if|lower_bound|upper_bound|erase|emplace|insert|max_element|min_element|remove_if|partition|prev|next|equal_range|find_first_of|unique|rbegin|try_emplace)\(|\]\(.*auto|//.*\bauto\b'; then
     echo "lint: auto is for iterators and lambdas only" >&2
     exit 1
 fi
