Test a whole entry against a target that misbehaves

Cause: the outcomes of the design are promises about truncated, foreign, late and refused answers, duplicates, dead incarnations, tickets and graceful stops. A target that fails on command checks each of them through the HTTP interface. The address of a target now comes from the fleet state's VM record.

--- a/src/entry/pool_set.cpp
+++ b/src/entry/pool_set.cpp
@@ -24,14 +24,13 @@
     const configuration &config = state.config();
     for (const std::pair<const std::string, vm_record> &entry : state.vms()) {
         const vm_record &vm = entry.second;
-        const auto placed = config.vms.find(vm.id);
         const auto pool = config.pools.find(vm.pool);
-        if (vm.state != vm_state::Serving || placed == config.vms.end() || pool == config.pools.end()) {
+        if (vm.state != vm_state::Serving || pool == config.pools.end()) {
             continue;
         }
         pool_targets &targets = byPool[vm.pool];
         targets.views.push_back({vm.id, std::string(rendezvousOwner(live, vm.id)), pool->second.vm, toSteady(vm.changedAt)});
-        targets.urls.emplace(vm.id, "http://" + toString(placed->second.address) + pool->second.targetPath);
+        targets.urls.emplace(vm.id, "http://" + toString(vm.address) + pool->second.targetPath);
     }
     return byPool;
 }
--- /dev/null
+++ b/tests/entry_process_test.cpp
@@ -0,0 +1,479 @@
+// A whole entry inside the test process, with a table in memory and a target that misbehaves on command.
+
+#include "entry/entry_process.h"
+#include "entry/request_id.h"
+
+#include <asio.hpp>
+#include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+#include <poll.h>
+
+#include <atomic>
+#include <functional>
+#include <thread>
+
+using namespace daisypass;
+
+namespace {
+
+enum class target_mode {
+    Answer,
+    Fail,
+    Refuse,
+    Truncate,
+    OtherId,
+    CloseEarly,
+    Silent,
+};
+
+// Reads one request per connection at a time and answers as told. Runs count only requests that a real target would have run.
+class unruly_target
+{
+public:
+    unruly_target()
+        : m_acceptor(m_context, {asio::ip::address_v4::loopback(), 0})
+        , m_thread([this] {
+            run();
+        })
+    {
+    }
+
+    ~unruly_target()
+    {
+        m_stopping = true;
+        asio::ip::tcp::socket wake(m_context);
+        asio::error_code ignored;
+        wake.connect(m_acceptor.local_endpoint(), ignored);
+        m_thread.join();
+        for (std::thread &served : m_connections) {
+            served.join();
+        }
+    }
+
+    std::uint16_t port() const
+    {
+        return m_acceptor.local_endpoint().port();
+    }
+
+    std::atomic<target_mode> mode{target_mode::Answer};
+    std::atomic<int> runs{0};
+    std::atomic<int> accepted{0};
+    /** In mode Silent: whether the silent requests are answered now. */
+    std::atomic<bool> released{false};
+
+private:
+    void run()
+    {
+        while (true) {
+            std::shared_ptr<asio::ip::tcp::socket> connection = std::make_shared<asio::ip::tcp::socket>(m_context);
+            m_acceptor.accept(*connection);
+            if (m_stopping) {
+                return;
+            }
+            ++accepted;
+            m_connections.emplace_back([this, connection] {
+                serve(*connection);
+            });
+        }
+    }
+
+    bool waitReadable(asio::ip::tcp::socket &connection) const
+    {
+        while (!m_stopping) {
+            pollfd wanted{connection.native_handle(), POLLIN, 0};
+            constexpr int sliceMs = 10;
+            if (poll(&wanted, 1, sliceMs) > 0) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    void serve(asio::ip::tcp::socket &connection)
+    {
+        std::string input;
+        while (waitReadable(connection)) {
+            asio::error_code error;
+            const std::size_t length = asio::read_until(connection, asio::dynamic_buffer(input), "\r\n\r\n", error);
+            if (error) {
+                return;
+            }
+            const std::string head = input.substr(0, length);
+            input.clear();
+            if (!answer(connection, valueOf(head, "Daisypass-Request-Id: "))) {
+                return;
+            }
+        }
+    }
+
+    static std::string valueOf(const std::string &head, const std::string &name)
+    {
+        const std::size_t at = head.find(name);
+        return at == std::string::npos ? "" : head.substr(at + name.size(), head.find('\r', at) - at - name.size());
+    }
+
+    bool answer(asio::ip::tcp::socket &connection, const std::string &id)
+    {
+        const target_mode chosen = mode;
+        if (chosen != target_mode::Refuse) {
+            ++runs;
+        }
+        if (chosen == target_mode::CloseEarly) {
+            return false;
+        }
+        while (chosen == target_mode::Silent && !released) {
+            if (m_stopping) {
+                return false;
+            }
+            std::this_thread::yield();
+        }
+        std::string status = "200 OK";
+        std::string headers = "Daisypass-Request-Id: " + (chosen == target_mode::OtherId ? "0000000000000001-1" : id) + "\r\n";
+        if (chosen == target_mode::Refuse) {
+            status = "503 Busy";
+            headers += "Daisypass-Not-Run: slots\r\n";
+        } else if (chosen == target_mode::Fail) {
+            status = "500 Failed";
+        }
+        const std::string body = "answer to " + id;
+        const std::size_t announced = body.size() + (chosen == target_mode::Truncate ? 10 : 0);
+        const std::string text = "HTTP/1.1 " + status + "\r\n" + headers + "Content-Length: " + std::to_string(announced) + "\r\n\r\n" + body;
+        asio::error_code error;
+        asio::write(connection, asio::buffer(text), error);
+        return !error && chosen != target_mode::Truncate;
+    }
+
+    asio::io_context m_context;
+    asio::ip::tcp::acceptor m_acceptor;
+    std::atomic<bool> m_stopping{false};
+    std::vector<std::thread> m_connections;
+    std::thread m_thread;
+};
+
+bool eventually(const std::function<bool()> &condition)
+{
+    constexpr std::chrono::seconds limit{10};
+    const std::chrono::steady_clock::time_point until = std::chrono::steady_clock::now() + limit;
+    while (!condition()) {
+        if (std::chrono::steady_clock::now() > until) {
+            return false;
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+    return true;
+}
+
+class small_deployment
+{
+public:
+    explicit small_deployment(int targetCount = 1)
+    {
+        for (int i = 0; i < targetCount; ++i) {
+            targets.push_back(std::make_unique<unruly_target>());
+        }
+        applyConfiguration();
+        entry = startEntry("entry-1", 1);
+    }
+
+    std::unique_ptr<entry_process> startEntry(const std::string &name, std::uint64_t seed)
+    {
+        std::vector<failure> failures;
+        const std::string text = R"({"entry": ")" + name + R"(", "availability_zone": "z", "callers_listen": "127.0.0.1:0", "peers_listen": "127.0.0.1:0",
+            "platform": "127.0.0.1:1", "threads": {"callers": 1, "targets": 1}, "intervals": {"poll_ms": 50}})";
+        const std::optional<entry_settings> settings = parseEntrySettings(text, "entry.json", failures);
+        REQUIRE(settings);
+        std::unique_ptr<entry_process> started = std::make_unique<entry_process>(*settings, seed, table_service(table), object_store(objects));
+        failure reason;
+        REQUIRE(started->start(reason));
+        REQUIRE(eventually([&] {
+            return started->ready();
+        }));
+        return started;
+    }
+
+    http_response call(const std::string &method, const std::string &path, std::vector<http_header> headers = {}, entry_process *at = nullptr)
+    {
+        http_call wanted;
+        wanted.method = method;
+        wanted.url = "http://127.0.0.1:" + std::to_string((at == nullptr ? *entry : *at).callersPort()) + path;
+        wanted.headers = std::move(headers);
+        wanted.headers.push_back({"Daisypass-Team", "zagreb"});
+        http_result result = client.fetch(wanted);
+        CHECK(result.state == send_state::Answered);
+        return result.response;
+    }
+
+    http_response post(std::vector<http_header> headers = {}, const std::string &pool = "booking", entry_process *at = nullptr)
+    {
+        return call("POST", "/v1/pools/" + pool + "/requests", std::move(headers), at);
+    }
+
+    int runs() const
+    {
+        int sum = 0;
+        for (const std::unique_ptr<unruly_target> &target : targets) {
+            sum += target->runs;
+        }
+        return sum;
+    }
+
+    memory_table table;
+    memory_objects objects;
+    std::vector<std::unique_ptr<unruly_target>> targets;
+    http_client client{{}};
+    std::unique_ptr<entry_process> entry;
+
+private:
+    void applyConfiguration()
+    {
+        fleet_log log{table_service(table), object_store(objects)};
+        nlohmann::json vms = nlohmann::json::array();
+        for (std::size_t i = 0; i < targets.size(); ++i) {
+            const std::string address = "127.0.0.1:" + std::to_string(targets[i]->port());
+            vms.push_back({{"id", "vm-" + std::to_string(i)}, {"pool", "booking"}, {"address", address}, {"availability_zone", "z"}, {"rack", "r"}});
+        }
+        const std::vector<configuration_file> files{
+            {"pools.json",
+             R"({"pools": [{"name": "booking", "min_available": 0, "headroom": "none"}, {"name": "orders", "min_available": 0, "headroom": "none", "at_most_once": "ticket"}]})"},
+            {"vms.json", nlohmann::json{{"vms", vms}}.dump()},
+            {"teams.json", R"({"teams": [{"name": "zagreb"}]})"},
+        };
+        configuration_applied applied;
+        applied.author = "test";
+        failure reason;
+        for (const configuration_file &file : files) {
+            applied.changed.push_back({file.name, *log.putFile(file.text, reason)});
+        }
+        append(log, {applied});
+        // New VMs are stopped until a controller has seen them answer.
+        std::vector<fleet_change> returned;
+        for (std::size_t i = 0; i < targets.size(); ++i) {
+            returned.emplace_back(vm_returned{"vm-" + std::to_string(i), m_state.vms().find("vm-" + std::to_string(i))->second.epoch});
+        }
+        append(log, returned);
+    }
+
+    void append(fleet_log &log, const std::vector<fleet_change> &changes)
+    {
+        failure reason;
+        const std::optional<log_head> head = log.readHead(reason);
+        REQUIRE(head);
+        // Long ago, so that the slots are past their gradual return.
+        const log_record record{head->revision + 1, "write-" + std::to_string(head->revision), wallNow() - std::chrono::hours(1), changes};
+        REQUIRE_MESSAGE(m_state.apply(record, log.files(), reason), describe(reason));
+        REQUIRE(log.append(record, *head, reason) == commit_outcome::Committed);
+    }
+
+    fleet_state m_state;
+};
+
+std::string_view outcomeOf(const http_response &response)
+{
+    return findHeader(response.headers, "Daisypass-Outcome");
+}
+
+} // namespace
+
+TEST_CASE("an entry reports what became of a call on a target")
+{
+    small_deployment deployment;
+    unruly_target &target = *deployment.targets[0];
+
+    SUBCASE("the whole answer is passed on")
+    {
+        const http_response response = deployment.post();
+        CHECK(response.status == 200);
+        CHECK(outcomeOf(response) == "completed");
+        CHECK(response.body == "answer to " + std::string(findHeader(response.headers, "Daisypass-Request-Id")));
+    }
+
+    // Guards against an incomplete or foreign answer that reaches a caller, and against a second run after a lost answer.
+    SUBCASE("a misbehaving target gives the true outcome")
+    {
+        struct misbehaviour
+        {
+            target_mode mode;
+            std::string_view outcome;
+            int runs;
+        };
+        const std::vector<misbehaviour> rows{
+            {target_mode::Fail, "failed", 1},
+            {target_mode::Refuse, "not_run", 0},
+            {target_mode::Truncate, "unknown", 1},
+            {target_mode::OtherId, "unknown", 1},
+            {target_mode::CloseEarly, "unknown", 1},
+        };
+        for (const misbehaviour &row : rows) {
+            CAPTURE(row.outcome);
+            target.mode = target_mode::Answer;
+            CHECK(outcomeOf(deployment.post()) == "completed");
+            target.runs = 0;
+            target.mode = row.mode;
+            const http_response response = deployment.post({{"Daisypass-Repeatable", "true"}});
+            CHECK(outcomeOf(response) == row.outcome);
+            CHECK(response.body.find("answer to ") == std::string::npos);
+            CHECK(target.runs == row.runs);
+        }
+    }
+
+    // Guards against a late answer of one request that is read as the answer of the next.
+    SUBCASE("after a wrong answer the connection is not used again")
+    {
+        target.mode = target_mode::OtherId;
+        CHECK(outcomeOf(deployment.post()) == "unknown");
+        const int before = target.accepted;
+        target.mode = target_mode::Answer;
+        CHECK(outcomeOf(deployment.post()) == "completed");
+        CHECK(target.accepted == before + 1);
+    }
+
+    SUBCASE("a call that outlives the deadline is unknown and its answer is dropped")
+    {
+        target.mode = target_mode::Silent;
+        const http_response response = deployment.post({{"Daisypass-Deadline-Ms", "50"}});
+        CHECK(response.status == 504);
+        CHECK(outcomeOf(response) == "unknown");
+        target.released = true;
+    }
+
+    SUBCASE("a target that does not listen gives not_run")
+    {
+        deployment.targets.clear();
+        const http_response response = deployment.post();
+        CHECK(outcomeOf(response) == "not_run");
+    }
+}
+
+TEST_CASE("a request that certainly did not run is tried on another target")
+{
+    small_deployment deployment(2);
+    deployment.targets[0]->mode = target_mode::Refuse;
+    // The budget for retries grows with the requests, so the first ones earn it.
+    int completed = 0;
+    for (int i = 0; i < 40; ++i) {
+        completed += outcomeOf(deployment.post()) == "completed" ? 1 : 0;
+    }
+    CHECK(deployment.runs() == completed);
+    CHECK(completed > 0);
+}
+
+TEST_CASE("a key runs once")
+{
+    small_deployment deployment;
+    unruly_target &target = *deployment.targets[0];
+    const std::vector<http_header> keyed{{"Idempotency-Key", "key-1"}};
+
+    SUBCASE("on the same entry")
+    {
+        const http_response first = deployment.post(keyed);
+        const http_response second = deployment.post(keyed);
+        CHECK(outcomeOf(first) == "completed");
+        CHECK(second.body == first.body);
+        CHECK(target.runs == 1);
+    }
+
+    SUBCASE("on another entry, which asks the first")
+    {
+        std::unique_ptr<entry_process> other = deployment.startEntry("entry-2", 2);
+        const http_response first = deployment.post(keyed);
+        const http_response second = deployment.post(keyed, "booking", other.get());
+        CHECK(outcomeOf(second) == "completed");
+        CHECK(second.body == first.body);
+        CHECK(target.runs == 1);
+    }
+
+    // Guards against outcomes that are lost with an entry that stops gracefully.
+    SUBCASE("after the first entry stopped gracefully")
+    {
+        std::unique_ptr<entry_process> other = deployment.startEntry("entry-2", 2);
+        const http_response first = deployment.post(keyed);
+        CHECK(deployment.entry->stop());
+        CHECK(eventually([&] {
+            return outcomeOf(deployment.post(keyed, "booking", other.get())) == "completed";
+        }));
+        CHECK(deployment.post(keyed, "booking", other.get()).body == first.body);
+        CHECK(target.runs == 1);
+    }
+
+    // Guards against a second run of a request whose entry died.
+    SUBCASE("after the incarnation that claimed it is gone")
+    {
+        failure reason;
+        const std::string id = formatRequestId({0xdead, 1});
+        const table_transaction row{"w", {}, {{claimKey("booking", "zagreb", "key-1"), claimValue("entry-0", id)}}, {}};
+        REQUIRE(deployment.table.commit(row, reason) == commit_outcome::Committed);
+        CHECK(outcomeOf(deployment.post(keyed)) == "unknown");
+        CHECK(outcomeOf(deployment.post(keyed)) == "unknown");
+        CHECK(target.runs == 0);
+    }
+
+    SUBCASE("with a store that fails until the deadline it is not run")
+    {
+        deployment.table.setOutage(true);
+        const http_response response = deployment.post({{"Idempotency-Key", "key-2"}, {"Daisypass-Deadline-Ms", "100"}});
+        CHECK(outcomeOf(response) == "not_run");
+        CHECK(nlohmann::json::parse(response.body).at("reason") == "store_unavailable");
+        CHECK(target.runs == 0);
+    }
+}
+
+TEST_CASE("tickets")
+{
+    small_deployment deployment;
+    const http_response issued = deployment.call("POST", "/v1/pools/orders/tickets");
+    CHECK(issued.status == 201);
+    const std::string shown = nlohmann::json::parse(issued.body).at("ticket");
+
+    SUBCASE("a key that is no ticket is refused")
+    {
+        CHECK(nlohmann::json::parse(deployment.post({{"Idempotency-Key", "k"}}, "orders").body).at("reason") == "ticket_required");
+    }
+
+    // Guards against a ticket that works on two entries at once.
+    SUBCASE("another entry sends the caller to the issuer")
+    {
+        std::unique_ptr<entry_process> other = deployment.startEntry("entry-2", 2);
+        const http_response response = deployment.post({{"Idempotency-Key", shown}}, "orders", other.get());
+        CHECK(response.status == 307);
+        CHECK(findHeader(response.headers, "Location") == "http://127.0.0.1:" + std::to_string(deployment.entry->callersPort()) + "/v1/pools/orders/requests");
+    }
+}
+
+TEST_CASE("asynchronous requests")
+{
+    small_deployment deployment;
+    unruly_target &target = *deployment.targets[0];
+    target.mode = target_mode::Silent;
+    const http_response accepted = deployment.post({{"Prefer", "respond-async"}});
+    CHECK(accepted.status == 202);
+    const std::string path(findHeader(accepted.headers, "Location"));
+    CHECK(eventually([&] {
+        return outcomeOf(deployment.call("GET", path)) == "running";
+    }));
+
+    SUBCASE("a running request is not cancelled, and its answer is kept")
+    {
+        const http_response cancelled = deployment.call("DELETE", path);
+        CHECK(cancelled.status == 409);
+        CHECK_FALSE(nlohmann::json::parse(cancelled.body).at("cancelled").get<bool>());
+        target.released = true;
+        CHECK(eventually([&] {
+            return outcomeOf(deployment.call("GET", path)) == "completed";
+        }));
+    }
+
+    // Guards against a stop that cuts off a request on a target.
+    SUBCASE("a stop waits for it and refuses new requests")
+    {
+        std::thread stopping([&] {
+            CHECK(deployment.entry->stop());
+        });
+        CHECK(eventually([&] {
+            return deployment.call("GET", "/readyz").status == 503;
+        }));
+        CHECK(nlohmann::json::parse(deployment.post().body).at("reason") == "shutting_down");
+        target.released = true;
+        stopping.join();
+        CHECK(target.runs == 1);
+    }
+}
