Let a key run again after its request was not run

Cause: a caller that was told not_run with Retry-After and submitted the same key again got the held not_run outcome for 15 minutes, and through other entries as long as the claim row existed. It could never succeed. Found by reading the submission path; new tests show it. Ruled out: restarting the held record in pools with claims, because another entry may start the key at the same time. Change: a new request replaces the claim row only if the row still has the version that named the refused request; in pools with tickets the issuer restarts it. Property test: exactly one of two racing replacements wins.

--- a/src/entry/claim_logic.cpp
+++ b/src/entry/claim_logic.cpp
@@ -92,7 +92,7 @@
     switch (outcome) {
     case commit_outcome::Committed:
         for (claim &batched : m_batch) {
-            settle(batched, batched.value, actions);
+            settle(batched, {true, batched.value, 0}, actions);
         }
         m_batch.clear();
         m_failures = 0;
@@ -123,8 +123,12 @@
     }
     bool complete = read.rows.size() == m_batch.size();
     for (std::size_t i = 0; i < std::min(read.rows.size(), m_batch.size()); ++i) {
-        if (read.rows[i].value) {
-            settle(m_batch[i], *read.rows[i].value, actions);
+        const claim_row &row = read.rows[i];
+        if (!row.value) {
+            // The row that was to be replaced has been deleted.
+            m_batch[i].replaces = row.read ? 0 : m_batch[i].replaces;
+        } else if (*row.value == m_batch[i].value || row.version != m_batch[i].replaces) {
+            settle(m_batch[i], row, actions);
         }
         complete = complete && read.rows[i].read;
     }
@@ -138,15 +142,15 @@
     m_phase = store_phase::Idle;
 }
 
-void claim_logic::settle(claim &settled, const std::string &value, std::vector<claim_action> &actions)
+void claim_logic::settle(claim &settled, const claim_row &row, std::vector<claim_action> &actions)
 {
     if (settled.number == 0) {
         return;
     }
-    if (value == settled.value) {
+    if (*row.value == settled.value) {
         actions.emplace_back(claim_won{settled.number});
     } else {
-        actions.emplace_back(claim_duplicate{settled.number, value});
+        actions.emplace_back(claim_duplicate{settled.number, *row.value, row.version});
     }
     settled.number = 0;
 }
@@ -219,7 +223,7 @@
             later.push_back(std::move(next));
             continue;
         }
-        write.transaction.conditions.push_back({next.key, 0});
+        write.transaction.conditions.push_back({next.key, next.replaces});
         write.transaction.puts.push_back({next.key, next.value});
         m_batch.push_back(std::move(next));
     }
--- a/src/entry/claim_logic.h
+++ b/src/entry/claim_logic.h
@@ -6,10 +6,10 @@
 //     std::vector<claim_action> actions;
 //     logic.handle(claim_requested{claim}, now, random, actions);
 //
-// One transaction is in progress at a time and inserts up to 64 rows, each only if absent. A row's value names the claiming request, so a row that
-// holds the value of a claim settles it as won, whichever write put it there; another value means a duplicate. After a lost answer or a conflict the
-// rows are read; rows that are absent are written again. Failures of the store are retried after a back-off with full jitter.
-// Pure: no clock, thread or random source.
+// One transaction is in progress at a time and writes up to 64 rows, each only if it is absent or has the version that the claim replaces. A row's value names
+// the claiming request, so a row that holds the value of a claim settles it as won, whichever write put it there; another value means a duplicate. After a lost
+// answer or a conflict the rows are read; rows that are absent are written again. Failures of the store are retried after a back-off with full jitter. Pure: no
+// clock, thread or random source.
 
 #include "base/time.h"
 #include "kernel/fleet_change.h"
@@ -34,6 +34,8 @@
     /** Row value, see claimValue(). */
     std::string value;
     timestamp deadline{};
+    /** Version of the row that the claim replaces, whose request was not run; 0 if the row must be absent. */
+    std::uint64_t replaces = 0;
 };
 
 struct claim_requested
@@ -59,6 +61,7 @@
     bool read = false;
     /** Empty if the row is absent. */
     std::optional<std::string> value;
+    std::uint64_t version = 0;
 };
 
 struct claims_read
@@ -91,8 +94,9 @@
 struct claim_duplicate
 {
     request_number number = 0;
-    /** Value of the row, which names the claiming request. */
+    /** Value of the row, which names the claiming request, and the row's version. */
     std::string value;
+    std::uint64_t version = 0;
 };
 
 /** The deadline passed before the claim was settled: the request must not be run. */
@@ -125,7 +129,7 @@
 
     void written(commit_outcome outcome, timestamp now, std::uint64_t random, std::vector<claim_action> &actions);
     void rowsRead(const claims_read &read, timestamp now, std::uint64_t random, std::vector<claim_action> &actions);
-    void settle(claim &settled, const std::string &value, std::vector<claim_action> &actions);
+    void settle(claim &settled, const claim_row &row, std::vector<claim_action> &actions);
     void requeueBatch();
     void backOff(timestamp now, std::uint64_t random);
     void refuseLate(timestamp now, std::vector<claim_action> &actions);
--- a/src/entry/claim_writer.cpp
+++ b/src/entry/claim_writer.cpp
@@ -101,6 +101,7 @@
         found.read = row || reason.code == failure_code::NotFound;
         if (row) {
             found.value = row->value;
+            found.version = row->version;
         }
         read.rows.push_back(std::move(found));
         if (!read.rows.back().read) {
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -93,7 +93,8 @@
 
 bool entry_process::ready() const
 {
-    return !m_stopping && m_membership && m_membership->status().ready;
+    // The membership reports readiness to its listeners after its status shows it, so both are asked.
+    return !m_stopping && m_membership && m_requests->isOpen() && m_membership->status().ready;
 }
 
 std::uint16_t entry_process::callersPort() const
--- a/src/entry/outcome_table.cpp
+++ b/src/entry/outcome_table.cpp
@@ -117,6 +117,7 @@
         } else {
             ending.outcome = outcome;
         }
+        ending.endedAt = now;
         shard.finished.push_back({number, now});
         if (bytes > 0) {
             shard.withAnswer.push_back(number);
@@ -128,6 +129,39 @@
     }
 }
 
+void outcome_table::releaseKey(request_number number, std::string_view key)
+{
+    {
+        number_shard &shard = shardOf(number);
+        const std::lock_guard<std::mutex> guard(shard.lock);
+        const auto found = shard.records.find(number);
+        if (found != shard.records.end()) {
+            if (found->second.outcome.fate != request_fate::NotRun) {
+                return;
+            }
+            found->second.key.clear();
+        }
+    }
+    key_shard &keys = shardOfKey(key);
+    const std::lock_guard<std::mutex> guard(keys.lock);
+    const auto mapped = keys.numbers.find(std::string(key));
+    if (mapped != keys.numbers.end() && mapped->second == number) {
+        keys.numbers.erase(mapped);
+    }
+}
+
+bool outcome_table::restart(request_number number)
+{
+    number_shard &shard = shardOf(number);
+    const std::lock_guard<std::mutex> guard(shard.lock);
+    const auto found = shard.records.find(number);
+    if (found == shard.records.end() || found->second.outcome.fate != request_fate::NotRun) {
+        return false;
+    }
+    found->second.outcome = request_outcome{request_fate::Pending, {}, {}, {}, {}};
+    return true;
+}
+
 void outcome_table::forget(request_number number, request_outcome outcome)
 {
     std::vector<waiter> waiters;
@@ -223,9 +257,13 @@
         {
             const std::lock_guard<std::mutex> guard(shard.lock);
             while (!shard.finished.empty() && shard.finished.front().at + m_options.retention <= now) {
-                const request_number number = shard.finished.front().number;
+                const ended oldest = shard.finished.front();
+                const request_number number = oldest.number;
                 shard.finished.pop_front();
                 const auto found = shard.records.find(number);
+                if (found != shard.records.end() && (found->second.endedAt != oldest.at || !found->second.outcome.isFinal())) {
+                    continue;
+                }
                 if (found != shard.records.end() && !found->second.key.empty()) {
                     keys.emplace_back(found->second.key, number);
                 }
--- a/src/entry/outcome_table.h
+++ b/src/entry/outcome_table.h
@@ -63,6 +63,11 @@
     /** Only the first call counts. */
     void finish(request_number number, request_outcome outcome, timestamp now);
 
+    /** Frees the key of a record that ended as not run, so that it can be added with another number. The record stays. */
+    void releaseKey(request_number number, std::string_view key);
+    /** Makes a record that ended as not run pending again; false if it is not such a record. */
+    bool restart(request_number number);
+
     /** Tells the waiters this outcome and drops the record and its key. */
     void forget(request_number number, request_outcome outcome);
 
@@ -85,6 +90,8 @@
         request_outcome outcome;
         std::vector<waiter> waiters;
         std::size_t bytes = 0;
+        /** When it ended; a record that was restarted has an older entry in `finished` that no longer counts. */
+        timestamp endedAt{};
     };
     struct ended
     {
--- a/src/entry/submissions.cpp
+++ b/src/entry/submissions.cpp
@@ -68,6 +68,11 @@
     m_open = true;
 }
 
+bool submissions::isOpen() const
+{
+    return m_open;
+}
+
 void submissions::close()
 {
     m_closed = true;
@@ -178,8 +183,15 @@
     const outcome_registration registered = m_outcomes.add(number, wanted->scope);
     switch (registered.result) {
     case registration_result::Duplicate:
-        answerDuplicate(wanted, registered.existing);
-        return;
+        if (!mayRunAgain(wanted, registered.existing)) {
+            answerDuplicate(wanted, registered.existing);
+            return;
+        }
+        if (registered.existing != number) {
+            beginRetained(wanted, number);
+            return;
+        }
+        break;
     case registration_result::NumberTaken:
         refuseSubmission(pool, notRun(refusal_reason::BadRequest, "Idempotency-Key: the ticket belongs to another pool or team"), wanted->respond);
         return;
@@ -195,12 +207,28 @@
     }
     const bool claims = !wanted->scope.empty() && wanted->pool->atMostOnce == at_most_once_mode::Claim;
     if (claims) {
-        startClaim(wanted);
+        startClaim(wanted, 0);
     } else {
         schedule(wanted);
     }
 }
 
+// A key whose request was not run may be used again, or a caller that was told to retry could never succeed. A ticket's
+// request starts again under its number, since only this incarnation can run it. In a pool with claims the key is freed
+// for a new request, which must replace the claim row of the earlier one: of several entries that try, one succeeds.
+bool submissions::mayRunAgain(const std::shared_ptr<prepared> &wanted, request_number existing)
+{
+    if (wanted->pool->atMostOnce == at_most_once_mode::Ticket) {
+        return m_outcomes.restart(existing);
+    }
+    const std::optional<request_outcome> known = m_outcomes.find(existing);
+    if (!known || known->fate != request_fate::NotRun) {
+        return false;
+    }
+    m_outcomes.releaseKey(existing, wanted->scope);
+    return true;
+}
+
 // From here on the submission counts as unfinished; false if the entry was closed meanwhile.
 bool submissions::accept(const std::shared_ptr<prepared> &wanted, request_number number)
 {
@@ -251,13 +279,13 @@
     --m_unfinished;
 }
 
-void submissions::startClaim(const std::shared_ptr<prepared> &wanted)
+void submissions::startClaim(const std::shared_ptr<prepared> &wanted, std::uint64_t replaces)
 {
     {
         const std::lock_guard<std::mutex> guard(m_lock);
         m_claiming.emplace(wanted->number, wanted);
     }
-    claim row{wanted->number, wanted->scope, claimValue(m_identity.entry, wanted->id), wanted->read.info.deadline};
+    claim row{wanted->number, wanted->scope, claimValue(m_identity.entry, wanted->id), wanted->read.info.deadline, replaces};
     m_claims.submit(std::move(row), [this, wanted](claim_result result) {
         claimSettled(wanted, std::move(result));
     });
@@ -284,17 +312,27 @@
     if (!id) {
         end(wanted, request_outcome{request_fate::Unknown, "claim_unreadable", "the key's claim names no request", {}, {}});
     } else if (id->incarnation == m_identity.incarnation) {
+        const std::optional<request_outcome> earlier = m_outcomes.find(id->number);
+        if (earlier && earlier->fate == request_fate::NotRun) {
+            startClaim(wanted, duplicate->version);
+            return;
+        }
         // The record of an own request goes only after its retention, and its claim row stays longer.
         end(wanted, expiredOutcome("the outcome of the first request with this key is no longer held"));
     } else {
-        m_lookup.find({*claimant, id->incarnation, wanted->read.info.deadline, true}, [this, wanted](request_outcome outcome) {
-            endDuplicate(wanted, std::move(outcome));
+        const fate_question question{*claimant, id->incarnation, wanted->read.info.deadline, true};
+        m_lookup.find(question, [this, wanted, rowVersion = duplicate->version](request_outcome outcome) {
+            endDuplicate(wanted, std::move(outcome), rowVersion);
         });
     }
 }
 
-void submissions::endDuplicate(const std::shared_ptr<prepared> &wanted, request_outcome outcome)
+void submissions::endDuplicate(const std::shared_ptr<prepared> &wanted, request_outcome outcome, std::uint64_t rowVersion)
 {
+    if (outcome.fate == request_fate::NotRun && steadyNow() < wanted->read.info.deadline && !m_closed) {
+        startClaim(wanted, rowVersion);
+        return;
+    }
     const bool settled = outcome.isFinal() && outcome.fate != request_fate::Unknown;
     if (settled || wanted->read.respondAsync) {
         if (!outcome.isFinal()) {
@@ -334,7 +372,8 @@
 {
     const fate_question question{wanted->read.idempotencyKey, shown.incarnation, wanted->read.info.deadline, false};
     m_lookup.find(question, [this, wanted, shown](request_outcome outcome) {
-        if (outcome.fate == request_fate::Pending && outcome.reason == notStarted) {
+        const bool mayStart = outcome.fate == request_fate::NotRun || (outcome.fate == request_fate::Pending && outcome.reason == notStarted);
+        if (mayStart) {
             redirectToIssuer(wanted, shown.incarnation);
         } else {
             wanted->respond(toResponse(std::move(outcome), formatRequestId({shown.incarnation, shown.number})));
--- a/src/entry/submissions.h
+++ b/src/entry/submissions.h
@@ -63,6 +63,7 @@
 
     /** New requests are refused until this is called, because a view that is not replayed yet may name a target that is leaving. */
     void open();
+    bool isOpen() const;
     /** New requests are refused as shutting_down from now on. */
     void close();
     /** Stops the threads; requests that wait for a claim or a peer get no answer any more. */
@@ -96,9 +97,10 @@
     bool accept(const std::shared_ptr<prepared> &wanted, request_number number);
     void schedule(const std::shared_ptr<prepared> &wanted);
     void end(const std::shared_ptr<prepared> &wanted, request_outcome outcome);
-    void startClaim(const std::shared_ptr<prepared> &wanted);
+    bool mayRunAgain(const std::shared_ptr<prepared> &wanted, request_number existing);
+    void startClaim(const std::shared_ptr<prepared> &wanted, std::uint64_t replaces);
     void claimSettled(const std::shared_ptr<prepared> &wanted, claim_result result);
-    void endDuplicate(const std::shared_ptr<prepared> &wanted, request_outcome outcome);
+    void endDuplicate(const std::shared_ptr<prepared> &wanted, request_outcome outcome, std::uint64_t rowVersion);
     void answerDuplicate(const std::shared_ptr<prepared> &wanted, request_number existing);
     void askIssuer(const std::shared_ptr<prepared> &wanted, const ticket &shown);
     void redirectToIssuer(const std::shared_ptr<prepared> &wanted, incarnation_number issuer);
--- a/tests/claim_logic_test.cpp
+++ b/tests/claim_logic_test.cpp
@@ -72,7 +72,8 @@
             const std::vector<std::string> keys = *std::exchange(m_read, std::nullopt);
             for (const std::string &key : keys) {
                 const std::optional<table_row> row = m_table.read(key, reason);
-                read.rows.push_back({row || reason.code == failure_code::NotFound, row ? std::optional<std::string>(row->value) : std::nullopt});
+                read.rows.push_back(
+                    {row || reason.code == failure_code::NotFound, row ? std::optional<std::string>(row->value) : std::nullopt, row ? row->version : 0});
             }
             handle(read, now);
             return true;
@@ -248,3 +249,35 @@
     });
     CHECK(held);
 }
+
+TEST_CASE("a claim whose request was not run can be replaced")
+{
+    // Guards against two runs after two entries saw the same request refused.
+    rc::check([] {
+        memory_table table;
+        failure reason;
+        RC_ASSERT(table.commit({"first", {}, {{"k", claimValue("e", "9/9")}}, {}}, reason) == commit_outcome::Committed);
+        const std::uint64_t version = table.read("k", reason)->version;
+        std::vector<claim_actor> entries{{1, table}, {2, table}};
+        for (std::size_t i = 0; i < entries.size(); ++i) {
+            claim wanted = claimOf(1, "k", i + 1, timestamp(100'000'000));
+            wanted.replaces = version;
+            entries[i].handle(claim_requested{wanted}, timestamp(1));
+        }
+        for (std::int64_t now = 1'000'000; now < 60'000'000; now += 1'000'000) {
+            table.loseAnswers(*rc::gen::inRange(0, 2));
+            claim_actor &next = entries[*rc::gen::inRange(0, 2)];
+            if (!next.callStore(timestamp(now))) {
+                next.handle(claim_tick{}, timestamp(now));
+            }
+        }
+        table.loseAnswers(0);
+        for (claim_actor &entry : entries) {
+            entry.handle(claim_tick{}, timestamp(80'000'000));
+            while (entry.callStore(timestamp(80'000'000))) {
+            }
+        }
+        const int won = (entries[0].ends[1].how == "won" ? 1 : 0) + (entries[1].ends[1].how == "won" ? 1 : 0);
+        RC_ASSERT(won == 1);
+    });
+}
--- a/tests/entry_process_test.cpp
+++ b/tests/entry_process_test.cpp
@@ -166,7 +166,9 @@
 class small_deployment
 {
 public:
-    explicit small_deployment(int targetCount = 1)
+    /** The target with the index `ordersTarget` serves pool orders, all others serve pool booking. */
+    explicit small_deployment(int targetCount = 1, int ordersTarget = -1)
+        : m_ordersTarget(ordersTarget)
     {
         for (int i = 0; i < targetCount; ++i) {
             targets.push_back(std::make_unique<unruly_target>());
@@ -230,7 +232,11 @@
         nlohmann::json vms = nlohmann::json::array();
         for (std::size_t i = 0; i < targets.size(); ++i) {
             const std::string address = "127.0.0.1:" + std::to_string(targets[i]->port());
-            vms.push_back({{"id", "vm-" + std::to_string(i)}, {"pool", "booking"}, {"address", address}, {"availability_zone", "z"}, {"rack", "r"}});
+            vms.push_back({{"id", "vm-" + std::to_string(i)},
+                           {"pool", static_cast<int>(i) == m_ordersTarget ? "orders" : "booking"},
+                           {"address", address},
+                           {"availability_zone", "z"},
+                           {"rack", "r"}});
         }
         const std::vector<configuration_file> files{
             {"pools.json",
@@ -264,6 +270,7 @@
         REQUIRE(log.append(record, *head, reason) == commit_outcome::Committed);
     }
 
+    int m_ordersTarget;
     fleet_state m_state;
 };
 
@@ -414,12 +421,53 @@
         CHECK(outcomeOf(response) == "not_run");
         CHECK(nlohmann::json::parse(response.body).at("reason") == "store_unavailable");
         CHECK(target.runs == 0);
+
+        // Guards against a caller that follows Retry-After and can never succeed.
+        SUBCASE("and runs once when its caller submits it again")
+        {
+            deployment.table.setOutage(false);
+            CHECK(outcomeOf(deployment.post({{"Idempotency-Key", "key-2"}})) == "completed");
+            CHECK(outcomeOf(deployment.post({{"Idempotency-Key", "key-2"}})) == "completed");
+            CHECK(target.runs == 1);
+        }
+    }
+
+    SUBCASE("a key that a target refused runs once on a later submission")
+    {
+        target.mode = target_mode::Refuse;
+        const std::vector<http_header> refused{{"Idempotency-Key", "key-3"}, {"Daisypass-Deadline-Ms", "200"}};
+        CHECK(outcomeOf(deployment.post(refused)) == "not_run");
+        target.mode = target_mode::Answer;
+
+        SUBCASE("through the same entry")
+        {
+            CHECK(outcomeOf(deployment.post({{"Idempotency-Key", "key-3"}})) == "completed");
+        }
+
+        // Guards against two runs when callers submit the key again through several entries at once.
+        SUBCASE("through several entries at once")
+        {
+            std::unique_ptr<entry_process> other = deployment.startEntry("entry-2", 2);
+            std::vector<std::thread> callers;
+            std::atomic<int> completed{0};
+            for (int i = 0; i < 8; ++i) {
+                callers.emplace_back([&, i] {
+                    const http_response response = deployment.post({{"Idempotency-Key", "key-3"}}, "booking", i % 2 == 0 ? other.get() : nullptr);
+                    completed += outcomeOf(response) == "completed" ? 1 : 0;
+                });
+            }
+            for (std::thread &caller : callers) {
+                caller.join();
+            }
+            CHECK(completed == 8);
+        }
+        CHECK(target.runs == 1);
     }
 }
 
 TEST_CASE("tickets")
 {
-    small_deployment deployment;
+    small_deployment deployment(2, 1);
     const http_response issued = deployment.call("POST", "/v1/pools/orders/tickets");
     CHECK(issued.status == 201);
     const std::string shown = nlohmann::json::parse(issued.body).at("ticket");
@@ -429,6 +477,17 @@
         CHECK(nlohmann::json::parse(deployment.post({{"Idempotency-Key", "k"}}, "orders").body).at("reason") == "ticket_required");
     }
 
+    SUBCASE("a ticket whose request was refused runs once on a later submission")
+    {
+        unruly_target &target = *deployment.targets[1];
+        target.mode = target_mode::Refuse;
+        CHECK(outcomeOf(deployment.post({{"Idempotency-Key", shown}, {"Daisypass-Deadline-Ms", "200"}}, "orders")) == "not_run");
+        target.mode = target_mode::Answer;
+        CHECK(outcomeOf(deployment.post({{"Idempotency-Key", shown}}, "orders")) == "completed");
+        CHECK(outcomeOf(deployment.post({{"Idempotency-Key", shown}}, "orders")) == "completed");
+        CHECK(target.runs == 1);
+    }
+
     // Guards against a ticket that works on two entries at once.
     SUBCASE("another entry sends the caller to the issuer")
     {
