--- a/bench/pool_simulation.h
+++ b/bench/pool_simulation.h
@@ -231,8 +231,8 @@
 {
     simulated_request &request = m_requests[index];
     // The balancer stops using an entry that has not been ready for a second.
-    constexpr duration BalancerLag = std::chrono::seconds(1);
-    const duration notReadyAfter = m_options.frozen ? BalancerLag : std::chrono::seconds(3) + BalancerLag;
+    constexpr duration balancerLag = std::chrono::seconds(1);
+    const duration notReadyAfter = m_options.frozen ? balancerLag : std::chrono::seconds(3) + balancerLag;
     if (request.entry == m_options.faultyEntry && inFault(m_now) && m_now >= m_options.faultFrom + notReadyAfter) {
         request.entry = (request.entry + 1 + index % (m_names.size() - 1)) % m_names.size();
     }
@@ -256,8 +256,7 @@
 inline void pool_simulation::handle(std::size_t entry, const scheduler_event &event)
 {
     if (frozen(entry)) {
-        const scheduler_event copy = event;
-        at(m_options.faultUntil + std::chrono::milliseconds(1), [this, entry, copy] {
+        at(m_options.faultUntil + std::chrono::milliseconds(1), [this, entry, copy = event] {
             handle(entry, copy);
         });
         return;
--- a/bench/scheduling_bench.cpp
+++ b/bench/scheduling_bench.cpp
@@ -17,33 +17,40 @@
 
 namespace {
 
-constexpr int Targets = 10;
-constexpr int Slots = 8;
-constexpr duration ShortRun = 20ms;
-constexpr duration LongRun = 10s;
-constexpr duration RoundTrip = 2ms;
+constexpr int targetCount = 10;
+constexpr int slotCount = 8;
+constexpr duration shortRun = 20ms;
+constexpr duration longRun = 10s;
+constexpr duration roundTrip = 2ms;
 // An entry holds a slot from dispatch to answer, so the pool can serve this many short requests per second.
-const double Capacity = Targets * Slots / std::chrono::duration<double>(ShortRun + RoundTrip).count();
+const double capacity = targetCount * slotCount / std::chrono::duration<double>(shortRun + roundTrip).count();
 
 struct stream
 {
     double perSecond = 0;
     timestamp from{};
     timestamp until{};
-    duration run = ShortRun;
+    duration run = shortRun;
     duration deadline = 2s;
     int group = 0;
     std::string team = "counter";
     std::string requestClass = "lookup";
 };
 
-// Poisson arrivals with exponential run times. The entry is drawn with weight 1 / (rank + 1), so the first gets several times the last one's share.
-std::vector<simulated_request> generate(const std::vector<stream> &streams, std::size_t entries, std::uint64_t seed)
+enum class caller_spread {
+    /** Every entry gets the same share, as from a balancer. */
+    Even,
+    /** The entry is drawn with weight 1 / (rank + 1), so the first gets several times the last one's share. */
+    Uneven,
+};
+
+// Poisson arrivals with exponential run times.
+std::vector<simulated_request> generate(const std::vector<stream> &streams, std::size_t entries, std::uint64_t seed, caller_spread spread)
 {
     std::mt19937_64 random(seed);
     std::vector<double> weights;
     for (std::size_t entry = 0; entry < entries; ++entry) {
-        weights.push_back(1.0 / static_cast<double>(entry + 1));
+        weights.push_back(spread == caller_spread::Even ? 1 : 1.0 / static_cast<double>(entry + 1));
     }
     std::discrete_distribution<std::size_t> entryOf(weights.begin(), weights.end());
     std::vector<simulated_request> requests;
@@ -112,7 +119,7 @@
     for (const simulated_request &request : simulation.requests()) {
         started += request.completed && request.started >= from && request.started < until ? 1 : 0;
     }
-    return started / (Capacity * std::chrono::duration<double>(until - from).count());
+    return started / (capacity * std::chrono::duration<double>(until - from).count());
 }
 
 // The smallest share of an entry's arrivals that completed: shows an entry that others starve.
@@ -135,19 +142,19 @@
 
 double percentOfSlots(double slotSeconds, timestamp from, timestamp until)
 {
-    return 100 * slotSeconds / (Targets * Slots * std::chrono::duration<double>(until - from).count());
+    return 100 * slotSeconds / (targetCount * slotCount * std::chrono::duration<double>(until - from).count());
 }
 
 simulation_options baseOptions(std::uint64_t seed)
 {
     simulation_options options;
-    options.targets = Targets;
+    options.targets = targetCount;
     options.seed = seed;
-    options.config.slotsPerTarget = Slots;
+    options.config.slotsPerTarget = slotCount;
     return options;
 }
 
-const char *const SlotPolicies[] = {"static-shares", "pool-owner", "refusal-only", "lend"};
+const char *const slotPolicies[] = {"static-shares", "pool-owner", "refusal-only", "lend"};
 
 void printSlotRow(const char *policy, std::size_t entries, const char *phase, const pool_simulation &simulation, timestamp from, timestamp until)
 {
@@ -178,10 +185,13 @@
     bool cutOff;
 };
 
-void slotSection(std::uint64_t seed)
+void slotPhases(std::uint64_t seed, caller_spread spread)
 {
-    std::printf("\n(a) Slot policies: %d targets of %d slots, 20 ms work, callers spread 1 : 1/2 : 1/3 ... over the entries, deadline 2 s\n", Targets, Slots);
-    std::printf("load is relative to the %.0f requests/s that the pool serves when a slot is held for run time and round trip\n", Capacity);
+    std::printf("\n(a) Slot policies: %d targets of %d slots, 20 ms work, callers %s, deadline 2 s\n",
+                targetCount,
+                slotCount,
+                spread == caller_spread::Even ? "spread evenly over the entries" : "spread 1 : 1/2 : 1/3 ... over the entries");
+    std::printf("load is relative to the %.0f requests/s that the pool serves when a slot is held for run time and round trip\n", capacity);
     std::printf("%-14s %7s %-8s %6s %8s %8s %8s %8s %8s %8s %8s %8s %9s\n",
                 "policy",
                 "entries",
@@ -202,7 +212,7 @@
             if (entries == 1 && (phase.frozen || phase.cutOff)) {
                 continue;
             }
-            for (const char *policy : SlotPolicies) {
+            for (const char *policy : slotPolicies) {
                 simulation_options options = baseOptions(seed);
                 options.entries = entries;
                 options.slotPolicy = policy;
@@ -219,9 +229,9 @@
                 }
                 options.faultyEntry = static_cast<std::size_t>(std::find(names.begin(), names.end(), rendezvousOwner(names, "pool")) - names.begin());
                 // The mean before a peak is half the capacity.
-                const double before = (phase.load > 1 ? 0.5 : phase.load) * Capacity;
-                const std::vector<stream> streams{{before, 0s, options.windowFrom}, {phase.load * Capacity, options.windowFrom, options.windowUntil}};
-                pool_simulation simulation(options, generate(streams, entries, seed));
+                const double before = (phase.load > 1 ? 0.5 : phase.load) * capacity;
+                const std::vector<stream> streams{{before, 0s, options.windowFrom}, {phase.load * capacity, options.windowFrom, options.windowUntil}};
+                pool_simulation simulation(options, generate(streams, entries, seed, spread));
                 simulation.run(options.windowUntil + 8s);
                 printSlotRow(policy, entries, phase.name, simulation, options.windowFrom, options.windowUntil);
             }
@@ -229,26 +239,37 @@
     }
 }
 
+void slotSection(std::uint64_t seed)
+{
+    slotPhases(seed, caller_spread::Uneven);
+    slotPhases(seed, caller_spread::Even);
+}
+
 struct blocking_case
 {
     const char *name;
     const char *scheduling;
-    bool longWork;
+    /** Long work offered, as a share of the slots. */
+    double longLoad;
     const char *longTeam;
     const char *longClass;
 };
 
 void blockingSection(std::uint64_t seed)
 {
-    std::printf("\n(b) Head-of-line blocking: short 20 ms work; long 10 s work offered for all slots; long_share 0.5, long deadline 120 s\n");
-    std::printf("%-26s %7s %5s %8s %8s %8s %8s %9s %9s\n", "case", "entries", "load", "p50 ms", "p99 ms", "ratio", "done%", "long/min", "long max");
+    std::printf(
+        "\n(b) Head-of-line blocking: short 20 ms work; long 10 s work offered for 1.0 or 0.4 of all slots; long_share 0.5, deadlines 30 s and 120 s\n");
+    std::printf("%-28s %7s %5s %8s %8s %8s %8s %9s %9s\n", "case", "entries", "load", "p50 ms", "p99 ms", "ratio", "done%", "long/min", "long max");
     const blocking_case cases[] = {
-        {"fifo, none", "fifo", false, "", ""},
-        {"fifo, long", "fifo", true, "recon", "reconcile"},
-        {"bands, none", "bands", false, "", ""},
-        {"bands, long", "bands", true, "recon", "reconcile"},
-        {"bands, wrong (own team)", "bands", true, "recon", "lookup"},
-        {"bands, wrong (same team)", "bands", true, "counter", "lookup"},
+        {"fifo, none", "fifo", 0, "", ""},
+        {"fifo, long 1.0", "fifo", 1, "recon", "reconcile"},
+        {"bands, none", "bands", 0, "", ""},
+        {"bands, long 1.0", "bands", 1, "recon", "reconcile"},
+        {"bands, wrong, own team", "bands", 1, "recon", "lookup"},
+        {"bands, wrong, same team", "bands", 1, "counter", "lookup"},
+        {"fifo, long 0.4", "fifo", 0.4, "recon", "reconcile"},
+        {"bands, long 0.4", "bands", 0.4, "recon", "reconcile"},
+        {"bands, wrong 0.4, same team", "bands", 0.4, "counter", "lookup"},
     };
     for (std::size_t entries : {1U, 4U}) {
         for (double load : {0.2, 0.3, 0.4}) {
@@ -261,12 +282,12 @@
                 const timestamp until = 120s;
                 options.windowFrom = from;
                 options.windowUntil = until;
-                std::vector<stream> streams{{load * Capacity, 0s, until, ShortRun, 30s}};
-                if (each.longWork) {
-                    const double perSecond = Targets * Slots / std::chrono::duration<double>(LongRun).count();
-                    streams.push_back({perSecond, 5s, until, LongRun, 120s, 1, each.longTeam, each.longClass});
+                std::vector<stream> streams{{load * capacity, 0s, until, shortRun, 30s}};
+                if (each.longLoad > 0) {
+                    const double perSecond = each.longLoad * targetCount * slotCount / std::chrono::duration<double>(longRun).count();
+                    streams.push_back({perSecond, 5s, until, longRun, 120s, 1, each.longTeam, each.longClass});
                 }
-                pool_simulation simulation(options, generate(streams, entries, seed));
+                pool_simulation simulation(options, generate(streams, entries, seed, caller_spread::Even));
                 simulation.run(until + 20s);
                 const group_figures figures = summarise(simulation, 0, from, until);
                 int longStarted = 0;
@@ -277,8 +298,8 @@
                         longWait = std::max(longWait, std::chrono::duration<double>(request.started - request.arrival).count());
                     }
                 }
-                without = each.longWork ? without : figures.p99Ms;
-                std::printf("%-26s %7zu %5.2f %8.2f %8.2f %8.2f %8.1f %9d %8.1fs\n",
+                without = each.longLoad > 0 ? without : figures.p99Ms;
+                std::printf("%-28s %7zu %5.2f %8.2f %8.2f %8.2f %8.1f %9d %8.1fs\n",
                             each.name,
                             entries,
                             load,
@@ -315,10 +336,10 @@
             options.windowUntil = 15s;
             std::vector<stream> streams;
             for (int team = 0; team < 4; ++team) {
-                streams.push_back({0.5 * Capacity * demand[team], 0s, 10s, ShortRun, 1s, team, teams[team].name});
-                streams.push_back({2.5 * Capacity * demand[team], 10s, 15s, ShortRun, 1s, team, teams[team].name});
+                streams.push_back({0.5 * capacity * demand[team], 0s, 10s, shortRun, 1s, team, teams[team].name});
+                streams.push_back({2.5 * capacity * demand[team], 10s, 15s, shortRun, 1s, team, teams[team].name});
             }
-            pool_simulation simulation(options, generate(streams, entries, seed));
+            pool_simulation simulation(options, generate(streams, entries, seed, caller_spread::Even));
             simulation.run(20s);
             std::string served;
             double p50 = 0;
@@ -348,7 +369,7 @@
 
 void ejectionSection(std::uint64_t seed)
 {
-    std::printf("\n(d) One of %d targets fails everything within 1 ms from second 10 to 30, load 0.6\n", Targets);
+    std::printf("\n(d) One of %d targets fails everything within 1 ms from second 10 to 30, load 0.6\n", targetCount);
     std::printf("%-18s %7s %9s %9s %8s %8s\n", "ejection", "entries", "failed", "failed%", "p50 ms", "p99 ms");
     for (std::size_t entries : {1U, 4U, 8U}) {
         for (double share : {0.0, 0.3}) {
@@ -358,7 +379,7 @@
             options.failingFrom = 10s;
             options.windowFrom = 10s;
             options.windowUntil = 30s;
-            pool_simulation simulation(options, generate({{0.6 * Capacity, 0s, 30s}}, entries, seed));
+            pool_simulation simulation(options, generate({{0.6 * capacity, 0s, 30s}}, entries, seed, caller_spread::Even));
             simulation.run(35s);
             const group_figures figures = summarise(simulation, 0, 10s, 30s);
             std::printf("%-18s %7zu %9d %9.3f %8.2f %8.2f\n",
@@ -372,6 +393,13 @@
     }
 }
 
+// Large arrays are mapped and not part of the heap, so both are added.
+std::size_t allocatedBytes()
+{
+    const struct mallinfo2 info = mallinfo2();
+    return info.uordblks + info.hblkhd;
+}
+
 double nanosecondsSince(std::chrono::steady_clock::time_point from, int count)
 {
     return std::chrono::duration<double, std::nano>(std::chrono::steady_clock::now() - from).count() / count;
@@ -379,61 +407,61 @@
 
 void costSection(std::uint64_t seed)
 {
-    constexpr int Queued = 100'000;
-    constexpr int TeamCount = 20;
+    constexpr int queuedCount = 100'000;
+    constexpr int teamCount = 20;
     pool_config config;
-    config.queueLimit = 2 * Queued;
-    config.teamQueueLimit = 2 * Queued;
+    config.queueLimit = 2 * queuedCount;
+    config.teamQueueLimit = 2 * queuedCount;
     pool_scheduler scheduler(config, seed);
     view_changed view;
     view.self = "a";
     view.config = config;
-    for (int number = 0; number < Targets; ++number) {
+    for (int number = 0; number < targetCount; ++number) {
         view.targets.push_back({"vm-" + std::to_string(number), "a", {}, {}});
     }
     std::vector<scheduler_action> actions;
     scheduler.handle(view, 100s, actions);
-    std::vector<request_info> infos(Queued + 2000);
+    std::vector<request_info> infos(queuedCount + 2000);
     for (std::size_t index = 0; index < infos.size(); ++index) {
         infos[index].number = index + 1;
-        infos[index].team = "team-" + std::to_string(index % TeamCount);
+        infos[index].team = "team-" + std::to_string(index % teamCount);
         infos[index].requestClass = index % 10 == 0 ? "report" : "lookup";
         infos[index].deadline = 100s + 3600s;
     }
-    const std::size_t before = mallinfo2().uordblks;
+    const std::size_t before = allocatedBytes();
     std::chrono::steady_clock::time_point from = std::chrono::steady_clock::now();
-    for (int index = 0; index < Queued; ++index) {
+    for (int index = 0; index < queuedCount; ++index) {
         actions.clear();
         scheduler.handle(request_arrived{infos[index]}, 100s, actions);
     }
-    const double arriveNs = nanosecondsSince(from, Queued);
-    const double bytes = static_cast<double>(mallinfo2().uordblks - before) / scheduler.queued();
+    const double arriveNs = nanosecondsSince(from, queuedCount);
+    const double bytes = static_cast<double>(allocatedBytes() - before) / scheduler.queued();
     // The first 80 requests run. Each answer starts the next queued request, whose number the dispatch names.
     std::vector<request_number> running;
-    for (request_number number = 1; number <= Targets * Slots; ++number) {
-        running.push_back(number);
+    for (int number = 1; number <= targetCount * slotCount; ++number) {
+        running.push_back(static_cast<request_number>(number));
     }
-    constexpr int Answers = 40'000;
+    constexpr int answerCount = 40'000;
     from = std::chrono::steady_clock::now();
     std::size_t next = 0;
-    for (int count = 0; count < Answers; ++count) {
+    for (int count = 0; count < answerCount; ++count) {
         actions.clear();
-        scheduler.handle(target_answered{running[next++], attempt_outcome::Completed, ShortRun}, 100s + duration(count * 250), actions);
+        scheduler.handle(target_answered{running[next++], attempt_outcome::Completed, shortRun}, 100s + duration(count * 250), actions);
         for (const scheduler_action &action : actions) {
             if (const dispatch *started = std::get_if<dispatch>(&action)) {
                 running.push_back(started->request);
             }
         }
     }
-    const double answerNs = nanosecondsSince(from, Answers);
+    const double answerNs = nanosecondsSince(from, answerCount);
     from = std::chrono::steady_clock::now();
     const int left = scheduler.queued();
-    for (request_number number = Queued; scheduler.queued() > 0 && number > 0; --number) {
+    for (request_number number = queuedCount; scheduler.queued() > 0 && number > 0; --number) {
         actions.clear();
         scheduler.handle(request_cancelled{number}, 110s, actions);
     }
     const double cancelNs = nanosecondsSince(from, std::max(1, left));
-    std::printf("\n(e) Cost with %d queued requests of %d teams, %d targets\n", Queued, TeamCount, Targets);
+    std::printf("\n(e) Cost with %d queued requests of %d teams, %d targets\n", queuedCount, teamCount, targetCount);
     std::printf("%-34s %10.0f\n%-34s %10.0f\n%-34s %10.0f\n%-34s %10.0f\n",
                 "bytes per queued request",
                 bytes,
--- a/src/kernel/band_queues.cpp
+++ b/src/kernel/band_queues.cpp
@@ -8,23 +8,23 @@
 namespace {
 
 /** Standard deviations of the shorter work's demand that stay free of long work. Demand of independent requests varies with the square root of its mean. */
-constexpr double DemandMargin = 3;
+constexpr double demandMargin = 3;
 
 // A long request holds its slot for long, so shorter work's usual demand must fit into what long work leaves.
 int longLimit(const slot_use &use)
 {
-    const double left = use.owned - use.shorterDemand - DemandMargin * std::sqrt(use.shorterDemand);
+    const double left = use.owned - use.shorterDemand - demandMargin * std::sqrt(use.shorterDemand);
     return std::max(1, static_cast<int>(std::min(use.longShare * use.owned, left)));
 }
 
-/** With fewer slots than this, a slot of its own would give longer work a quarter or more; it then gets every `FewSlotsTurn`-th start instead. */
-constexpr int FewSlots = 4;
-constexpr unsigned FewSlotsTurn = 16;
+/** With fewer slots than this, a slot of its own would give longer work a quarter or more; it then gets every `fewSlotsTurn`-th start instead. */
+constexpr int fewSlots = 4;
+constexpr unsigned fewSlotsTurn = 16;
 
 int guaranteedSlots(const band_order &order, const slot_use &use, unsigned starts)
 {
-    if (use.usable < FewSlots) {
-        return starts % FewSlotsTurn == 0 ? 1 : 0;
+    if (use.usable < fewSlots) {
+        return starts % fewSlotsTurn == 0 ? 1 : 0;
     }
     return std::max(1, static_cast<int>(order.guaranteedShare * use.usable));
 }
@@ -126,18 +126,18 @@
     for (int band = LongBand; order != nullptr && band > ShortBand; --band) {
         if (m_bands[band].size() > 0 && use.running[band] < guaranteedSlots(*order, use, m_starts)) {
             const request_index index = m_bands[band].choose(fits);
-            if (index != NoRequest) {
+            if (index != noRequest) {
                 return index;
             }
         }
     }
-    for (int band = ShortBand; band < BandCount; ++band) {
-        const request_index index = permitted(band, use) ? m_bands[band].choose(fits) : NoRequest;
-        if (index != NoRequest) {
+    for (int band = ShortBand; band < bandCount; ++band) {
+        const request_index index = permitted(band, use) ? m_bands[band].choose(fits) : noRequest;
+        if (index != noRequest) {
             return index;
         }
     }
-    return NoRequest;
+    return noRequest;
 }
 
 int band_queues::startable(const slot_use &use) const
--- a/src/kernel/band_queues.h
+++ b/src/kernel/band_queues.h
@@ -21,7 +21,7 @@
     double longShare = 0.5;
     /** Slots that shorter work held lately, on average; what is lent to peers included. */
     double shorterDemand = 0;
-    std::array<int, BandCount> running{};
+    std::array<int, bandCount> running{};
 };
 
 class band_queues
@@ -36,7 +36,7 @@
     /** The request's team, class and work must be set; sets its band. */
     void push(request_index index);
     void remove(request_index index);
-    /** The next request in order that may use a slot and that `fits` accepts, or NoRequest. It stays queued. */
+    /** The next request in order that may use a slot and that `fits` accepts, or noRequest. It stays queued. */
     request_index choose(const slot_use &use, const std::function<bool(request_index)> &fits);
     void take(request_index index);
     /** Moves a queued request whose class has changed its band since push(); false if it is in the right one. */
@@ -60,7 +60,7 @@
     scheduling_policy m_policy;
     /** Requests taken so far; wraps around. */
     unsigned m_starts = 0;
-    std::array<team_queue, BandCount> m_bands;
+    std::array<team_queue, bandCount> m_bands;
 };
 
 } // namespace daisypass
--- a/src/kernel/deadline_wheel.h
+++ b/src/kernel/deadline_wheel.h
@@ -2,7 +2,8 @@
 
 // Finds the requests whose deadline has passed: a hashed timing wheel (Varghese and Lauck 1987).
 //
-// Adding and removing cost O(1), so a wave of cancellations leaves nothing behind. A deadline is reported at most one step (10 ms) late.
+// Adding and removing cost O(1), so a wave of cancellations leaves nothing behind. A deadline is reported at most one step (10 ms) late,
+// counted from when the request was added if it had passed by then.
 
 #include "kernel/request_table.h"
 
@@ -26,11 +27,11 @@
     void collect(timestamp now, std::vector<request_index> &due);
 
 private:
-    static constexpr duration Step{10'000};
-    static constexpr std::int64_t Slots = 1024;
+    static constexpr duration stepTime{10'000};
+    static constexpr std::int64_t slotCount = 1024;
 
     request_table *m_table;
-    std::array<request_list, Slots> m_slots;
+    std::array<request_list, slotCount> m_slots;
     std::int64_t m_position = -1;
 };
 
--- a/src/kernel/pool_dispatch.cpp
+++ b/src/kernel/pool_dispatch.cpp
@@ -7,14 +7,17 @@
 namespace {
 
 /** Retries wait up to this long, doubled with each attempt, so that requests refused together do not return together. */
-constexpr duration RetryDelay = std::chrono::milliseconds(4);
-constexpr duration MaxRetryDelay = std::chrono::milliseconds(256);
+constexpr duration retryDelay = std::chrono::milliseconds(4);
+constexpr duration maxRetryDelay = std::chrono::milliseconds(256);
 /** How often running requests are compared with the bounds of their bands. */
-constexpr duration RebandPeriod = std::chrono::milliseconds(10);
+constexpr duration rebandPeriod = std::chrono::milliseconds(10);
 /** Weight of one sample of the shorter work's demand: about the last 5 s count. */
-constexpr double DemandWeight = 0.002;
+constexpr double demandWeight = 0.002;
+/** An owner keeps slots for peers only after its queue has not been empty for this long: short queues at normal load need no sharing, and slots kept for
+ * peers idle until they ask. */
+constexpr duration overloadTime = std::chrono::milliseconds(200);
 /** A borrowed slot must outlast the expected run time, but at most this long, so that long work can use loans at all. */
-constexpr duration MaxLoanNeed = std::chrono::milliseconds(500);
+constexpr duration maxLoanNeed = std::chrono::milliseconds(500);
 
 // Lists of requests in which a record keeps its own position, so that removal costs O(1).
 void append(std::vector<request_index> &list, request_table &requests, request_index index)
@@ -31,6 +34,15 @@
     list.pop_back();
 }
 
+int slotsIn(const std::vector<slot_grant> &grants)
+{
+    int total = 0;
+    for (const slot_grant &grant : grants) {
+        total += grant.count;
+    }
+    return total;
+}
+
 } // namespace
 
 bool fitsInto(const machine_size &needs, const machine_size &size)
@@ -55,15 +67,16 @@
 
 target_index pool_scheduler::state::chooseTarget(const request_record &request)
 {
-    const duration need = std::min(model.mean(request.runClass), MaxLoanNeed);
+    const duration need = std::min(model.mean(request.runClass), maxLoanNeed);
     // Long work outlives a loan, and the lender would find its slot taken. Only an entry that owns nothing uses loans for it.
     const bool ownedOnly = ledger.lends() && request.band == LongBand && use.owned > 0;
+    const bool ownedKept = !reserves.empty() && ledger.lendable(now) <= reserves.kept(now);
     const int choices = ledger.choices();
-    target_index best = NoTargetIndex;
+    target_index best = noTarget;
     int most = 0;
     candidates.clear();
     for (target_index index = 0; index < ledger.size(); ++index) {
-        const bool excluded = index == request.target || (ownedOnly && !ledger[index].owned);
+        const bool excluded = index == request.target || (ownedOnly && !ledger[index].owned) || (ownedKept && ledger[index].owned);
         const int free = excluded ? 0 : ledger.available(index, now, need);
         if (free <= 0 || !health.permits(index, ledger[index].inFlight, now) || !fitsInto(request.needs, ledger[index].size)) {
             continue;
@@ -79,10 +92,10 @@
     if (choices == 0 || candidates.empty()) {
         return best;
     }
-    best = NoTargetIndex;
+    best = noTarget;
     for (int choice = 0; choice < choices; ++choice) {
         const target_index sampled = candidates[random() % candidates.size()];
-        best = best == NoTargetIndex || ledger.knownLoad(sampled) < ledger.knownLoad(best) ? sampled : best;
+        best = best == noTarget || ledger.knownLoad(sampled) < ledger.knownLoad(best) ? sampled : best;
     }
     return best;
 }
@@ -115,8 +128,8 @@
             drop(index, refusal_reason::DeadlinePassed);
             continue;
         }
-        const target_index target = requests[index].since <= now ? chooseTarget(requests[index]) : NoTargetIndex;
-        if (target == NoTargetIndex) {
+        const target_index target = requests[index].since <= now ? chooseTarget(requests[index]) : noTarget;
+        if (target == noTarget) {
             ++position;
             continue;
         }
@@ -127,14 +140,14 @@
 
 void pool_scheduler::state::dispatchQueued()
 {
-    target_index target = NoTargetIndex;
+    target_index target = noTarget;
     const std::function<bool(request_index)> fits = [&](request_index index) {
         target = chooseTarget(requests[index]);
-        return target != NoTargetIndex;
+        return target != noTarget;
     };
     while (queues.size() > 0 && ledger.anyAvailable(now)) {
         const request_index index = queues.choose(use, fits);
-        if (index == NoRequest) {
+        if (index == noRequest) {
             return;
         }
         if (requests[index].deadline <= now) {
@@ -157,9 +170,9 @@
     if (now < rebandAt) {
         return;
     }
-    rebandAt = now + RebandPeriod;
+    rebandAt = now + rebandPeriod;
     const int shorter = use.running[ShortBand] + use.running[MediumBand] + ledger.lentOut(now);
-    use.shorterDemand += DemandWeight * (shorter - use.shorterDemand);
+    use.shorterDemand += demandWeight * (shorter - use.shorterDemand);
     for (request_index index : running) {
         request_record &request = requests[index];
         const run_band band = queues.bandOfElapsed(now - request.since);
@@ -196,18 +209,23 @@
     }
     const int doublings = std::min<int>(request.attempts, 6);
     request.phase = request_phase::Retrying;
-    request.since = now + jitter(std::min(RetryDelay * (1 << doublings), MaxRetryDelay));
+    request.since = now + jitter(std::min(retryDelay * (1 << doublings), maxRetryDelay));
     enter(index);
 }
 
 void pool_scheduler::state::lendAndBorrow()
 {
+    waitingSince = queuedCount == 0 ? std::nullopt : std::optional<timestamp>(waitingSince.value_or(now));
     if (question) {
         const std::function<bool(target_index)> healthy = [this](target_index index) {
             return !health.ejected(index);
         };
-        const int count = isolated ? 0 : question->count;
-        actions->emplace_back(lend_slots{question->peer, ledger.lend(question->peer, count, now, healthy)});
+        const int room = ledger.lendable(now) - reserves.keptForOthers(question->peer, now);
+        const int count = isolated ? 0 : std::clamp(room, 0, std::max(0, question->count));
+        const std::vector<slot_grant> grants = ledger.lend(question->peer, count, now, healthy);
+        actions->emplace_back(lend_slots{question->peer, grants});
+        const bool overloaded = !isolated && waitingSince && now - *waitingSince >= overloadTime;
+        reserves.keep(question->peer, overloaded ? question->count - slotsIn(grants) : 0, ledger, now);
         question.reset();
     }
     if (isolated || !ledger.lends()) {
--- a/src/kernel/pool_scheduler.cpp
+++ b/src/kernel/pool_scheduler.cpp
@@ -10,8 +10,8 @@
 namespace {
 
 /** Bounds of Retry-After. */
-constexpr duration MinRetryAfter = std::chrono::milliseconds(100);
-constexpr duration MaxRetryAfter = std::chrono::seconds(30);
+constexpr duration minRetryAfter = std::chrono::milliseconds(100);
+constexpr duration maxRetryAfter = std::chrono::seconds(30);
 
 } // namespace
 
@@ -53,8 +53,8 @@
 // Half to one and a half times the wait, so that refused callers do not return together.
 duration pool_scheduler::state::retryAfter(duration wait)
 {
-    const duration base = std::clamp(wait, MinRetryAfter, MaxRetryAfter);
-    return std::min(base / 2 + jitter(base), MaxRetryAfter);
+    const duration base = std::clamp(wait, minRetryAfter, maxRetryAfter);
+    return std::min(base / 2 + jitter(base), maxRetryAfter);
 }
 
 void pool_scheduler::state::refreshUse()
@@ -69,6 +69,9 @@
     if (!runnableAnywhere(info.needs)) {
         return refuse{info.number, refusal_reason::NeverRunnable, {}};
     }
+    if (info.deadline <= now) {
+        return refuse{info.number, refusal_reason::DeadlinePassed, {}};
+    }
     if (queuedCount >= config.queueLimit) {
         return refuse{info.number, refusal_reason::Overloaded, retryAfter(queues.estimatedWait(runClass, team, use))};
     }
@@ -106,7 +109,7 @@
 void pool_scheduler::state::handle(const request_arrived &event)
 {
     request_info info = event.request;
-    if (requests.find(info.number) != NoRequest) {
+    if (requests.find(info.number) != noRequest) {
         return;
     }
     if (info.deadline == timestamp{}) {
@@ -134,7 +137,7 @@
 void pool_scheduler::state::handle(const request_cancelled &event)
 {
     const request_index index = requests.find(event.request);
-    if (index == NoRequest) {
+    if (index == noRequest) {
         return;
     }
     if (requests[index].phase != request_phase::Running) {
@@ -149,7 +152,7 @@
 void pool_scheduler::state::handle(const target_answered &event)
 {
     const request_index index = requests.find(event.request);
-    if (index == NoRequest || requests[index].phase != request_phase::Running) {
+    if (index == noRequest || requests[index].phase != request_phase::Running) {
         return;
     }
     stop(index);
@@ -178,6 +181,7 @@
     }
     borrower.setOwners(owners);
     ownerCount = std::max({1, static_cast<int>(owners.size()) + 1, static_cast<int>(event.entries.size())});
+    reserves.setView(self, ownerCount);
     health.setLimit(static_cast<int>(config.maxEjectedShare * static_cast<double>(event.targets.size())));
     for (target_index index = 0; index < ledger.size(); ++index) {
         if (!ledger[index].inView) {
@@ -194,6 +198,7 @@
 {
     ledger.notePeer(event);
     borrower.notePeer(event);
+    reserves.notePeer(event.peer);
 }
 
 void pool_scheduler::state::handle(const slots_granted &event)
@@ -206,6 +211,7 @@
 {
     // Answered after the own queue has been served; the owner's demand comes first.
     question = event;
+    reserves.notePeer(event.peer);
 }
 
 void pool_scheduler::state::handle(const slots_returned &event)
@@ -270,7 +276,7 @@
 int pool_scheduler::runningOn(std::string_view vm) const
 {
     const target_index index = m_state->ledger.find(vm);
-    return index == NoTargetIndex ? 0 : m_state->ledger[index].inFlight;
+    return index == noTarget ? 0 : m_state->ledger[index].inFlight;
 }
 
 int pool_scheduler::freeSlots() const
--- a/src/kernel/pool_state.h
+++ b/src/kernel/pool_state.h
@@ -4,6 +4,7 @@
 
 #include "kernel/band_queues.h"
 #include "kernel/deadline_wheel.h"
+#include "kernel/loan_reserves.h"
 #include "kernel/pool_scheduler.h"
 #include "kernel/request_table.h"
 #include "kernel/retry_budget.h"
@@ -73,6 +74,7 @@
     request_table requests;
     slot_ledger ledger;
     slot_borrower borrower;
+    loan_reserves reserves;
     target_health health;
     band_queues queues;
     deadline_wheel deadlines;
@@ -87,6 +89,8 @@
     std::vector<target_index> candidates;
     std::optional<slots_requested> question;
     timestamp rebandAt{};
+    /** Since when the queue has not been empty. */
+    std::optional<timestamp> waitingSince;
     int queuedCount = 0;
     int ownerCount = 1;
 };
--- a/src/kernel/rendezvous.cpp
+++ b/src/kernel/rendezvous.cpp
@@ -7,15 +7,15 @@
 // FNV-1a with a final mix. Every entry must compute the same value in every build, which std::hash does not promise.
 std::uint64_t stableHash(std::string_view first, std::string_view second)
 {
-    constexpr std::uint64_t Offset = 14695981039346656037ULL;
-    constexpr std::uint64_t Prime = 1099511628211ULL;
-    std::uint64_t hash = Offset;
+    constexpr std::uint64_t offset = 14695981039346656037ULL;
+    constexpr std::uint64_t prime = 1099511628211ULL;
+    std::uint64_t hash = offset;
     for (std::string_view part : {first, second}) {
         for (char character : part) {
-            hash = (hash ^ static_cast<unsigned char>(character)) * Prime;
+            hash = (hash ^ static_cast<unsigned char>(character)) * prime;
         }
         // A separator keeps ("a", "bc") apart from ("ab", "c").
-        hash = (hash ^ 0xFFU) * Prime;
+        hash = (hash ^ 0xFFU) * prime;
     }
     hash = (hash ^ (hash >> 33)) * 0xff51afd7ed558ccdULL;
     hash = (hash ^ (hash >> 33)) * 0xc4ceb9fe1a85ec53ULL;
--- a/src/kernel/request_table.cpp
+++ b/src/kernel/request_table.cpp
@@ -6,7 +6,7 @@
 {
     const request_index fresh = m_free.empty() ? static_cast<request_index>(m_records.size()) : m_free.back();
     if (!m_byNumber.try_emplace(number, fresh).second) {
-        return NoRequest;
+        return noRequest;
     }
     if (m_free.empty()) {
         m_records.emplace_back();
@@ -21,7 +21,7 @@
 request_index request_table::find(request_number number) const
 {
     const auto found = m_byNumber.find(number);
-    return found == m_byNumber.end() ? NoRequest : found->second;
+    return found == m_byNumber.end() ? noRequest : found->second;
 }
 
 void request_table::erase(request_index index)
@@ -33,16 +33,16 @@
 
 void request_list::pushBack(request_table &table, list_links request_record::*links, request_index index)
 {
-    (table[index].*links) = {last, NoRequest};
-    (last == NoRequest ? first : (table[last].*links).next) = index;
+    (table[index].*links) = {last, noRequest};
+    (last == noRequest ? first : (table[last].*links).next) = index;
     last = index;
 }
 
 void request_list::remove(request_table &table, list_links request_record::*links, request_index index)
 {
     const list_links own = table[index].*links;
-    (own.previous == NoRequest ? first : (table[own.previous].*links).next) = own.next;
-    (own.next == NoRequest ? last : (table[own.next].*links).previous) = own.previous;
+    (own.previous == noRequest ? first : (table[own.previous].*links).next) = own.next;
+    (own.next == noRequest ? last : (table[own.next].*links).previous) = own.previous;
     (table[index].*links) = {};
 }
 
--- a/src/kernel/request_table.h
+++ b/src/kernel/request_table.h
@@ -14,9 +14,9 @@
 namespace daisypass {
 
 using request_index = std::uint32_t;
-constexpr request_index NoRequest = 0xFFFFFFFFU;
+constexpr request_index noRequest = 0xFFFFFFFFU;
 using target_index = std::uint32_t;
-constexpr target_index NoTargetIndex = 0xFFFFFFFFU;
+constexpr target_index noTarget = 0xFFFFFFFFU;
 
 enum class request_phase : std::uint8_t {
     Free,
@@ -29,8 +29,8 @@
 
 struct list_links
 {
-    request_index previous = NoRequest;
-    request_index next = NoRequest;
+    request_index previous = noRequest;
+    request_index next = noRequest;
 };
 
 struct request_record
@@ -48,7 +48,7 @@
     std::uint32_t team = 0;
     std::uint32_t runClass = 0;
     /** The target of the current attempt while running, of the last attempt otherwise. */
-    target_index target = NoTargetIndex;
+    target_index target = noTarget;
     /** Position in the list of running or retrying requests. */
     std::uint32_t position = 0;
     request_phase phase = request_phase::Free;
@@ -59,7 +59,7 @@
 class request_table
 {
 public:
-    /** Returns NoRequest if the number is in use. */
+    /** Returns noRequest if the number is in use. */
     request_index insert(request_number number);
     request_index find(request_number number) const;
     void erase(request_index index);
@@ -82,8 +82,8 @@
 /** A doubly linked list through one of the links of the records. */
 struct request_list
 {
-    request_index first = NoRequest;
-    request_index last = NoRequest;
+    request_index first = noRequest;
+    request_index last = noRequest;
 
     void pushBack(request_table &table, list_links request_record::*links, request_index index);
     void remove(request_table &table, list_links request_record::*links, request_index index);
--- a/src/kernel/retry_budget.h
+++ b/src/kernel/retry_budget.h
@@ -17,7 +17,7 @@
 
     void addRequest()
     {
-        m_tokens = std::min(Burst, m_tokens + m_ratio);
+        m_tokens = std::min(burstTokens, m_tokens + m_ratio);
     }
 
     /** Spends one token; false if there is none. */
@@ -32,7 +32,7 @@
 
 private:
     /** Retries that a pool may send at once after a quiet time; a crashed target has 8 requests that were not sent. */
-    static constexpr double Burst = 64;
+    static constexpr double burstTokens = 64;
 
     double m_ratio = 0.1;
     double m_tokens = 16;
--- a/src/kernel/run_time_model.cpp
+++ b/src/kernel/run_time_model.cpp
@@ -8,12 +8,12 @@
 
 namespace {
 
-/** Weight of a new observation: about the last 10 to 20 requests of a class count. */
-constexpr double Weight = 0.1;
+/** newWeight of a new observation: about the last 10 to 20 requests of a class count. */
+constexpr double newWeight = 0.1;
 /** Run times below this are all short; differences there are noise of the network. */
-constexpr double ShortestSeconds = 0.001;
+constexpr double shortestSeconds = 0.001;
 /** Observations between two searches for the shortest class, which look at every class. */
-constexpr int RescanPeriod = 32;
+constexpr int rescanPeriod = 32;
 
 double secondsOf(duration time)
 {
@@ -26,7 +26,7 @@
 {
     ++samples;
     // The first observations are averaged evenly, so that the very first one does not weigh more than the others.
-    const double weight = std::max(Weight, 1.0 / samples);
+    const double weight = std::max(newWeight, 1.0 / samples);
     logMean += weight * (std::log(seconds) - logMean);
     mean += weight * (seconds - mean);
 }
@@ -43,7 +43,7 @@
     if (found != m_numbers.end()) {
         return found->second;
     }
-    if (m_estimates.size() >= MaxClasses) {
+    if (m_estimates.size() >= maxClasses) {
         return 0;
     }
     const std::uint32_t fresh = static_cast<std::uint32_t>(m_estimates.size());
@@ -75,10 +75,10 @@
     }
     m_pool.add(seconds);
     const double typicalSeconds = std::exp(m_estimates[own.parent].logMean);
-    if (m_pool.samples % RescanPeriod == 1 || m_shortest == 0) {
+    if (m_pool.samples % rescanPeriod == 1 || m_shortest == 0) {
         findShortest();
     } else if (typicalSeconds < m_shortest) {
-        m_shortest = std::max(typicalSeconds, ShortestSeconds);
+        m_shortest = std::max(typicalSeconds, shortestSeconds);
     }
 }
 
@@ -89,7 +89,7 @@
         const double logMean = m_estimates[each].logMean;
         shortest = m_estimates[each].samples > 0 ? std::min(shortest, logMean) : shortest;
     }
-    m_shortest = std::max(std::exp(shortest), ShortestSeconds);
+    m_shortest = std::max(std::exp(shortest), shortestSeconds);
 }
 
 void run_time_model::observeRunning(std::uint32_t runClass, duration elapsed)
--- a/src/kernel/run_time_model.h
+++ b/src/kernel/run_time_model.h
@@ -19,7 +19,7 @@
 
 namespace daisypass {
 
-constexpr int BandCount = 3;
+constexpr int bandCount = 3;
 enum run_band : std::uint8_t {
     ShortBand,
     MediumBand,
@@ -31,7 +31,7 @@
 public:
     run_time_model();
 
-    /** Number of a team's class. Class names come from callers, so at most MaxClasses are told apart; the rest share number 0. */
+    /** Number of a team's class. Class names come from callers, so at most maxClasses are told apart; the rest share number 0. */
     std::uint32_t classNumber(std::string_view team, std::string_view requestClass);
 
     void observe(std::uint32_t runClass, duration runTime);
@@ -47,7 +47,7 @@
     /** The band that a request belongs to after it has run for `elapsed`. */
     run_band bandOfElapsed(duration elapsed, const band_order &order) const;
 
-    static constexpr std::size_t MaxClasses = 1024;
+    static constexpr std::size_t maxClasses = 1024;
 
 private:
     struct estimate
--- a/src/kernel/slot_borrower.cpp
+++ b/src/kernel/slot_borrower.cpp
@@ -7,10 +7,10 @@
 namespace {
 
 /** An answer that is not here by then will not come: the peer is frozen or cut off. */
-constexpr duration AnswerTimeout = std::chrono::milliseconds(500);
+constexpr duration answerTimeout = std::chrono::milliseconds(500);
 /** A free slot may idle this long while a peer's queue waits, in the best case and after many empty answers. */
-constexpr duration MinBackOff = std::chrono::milliseconds(2);
-constexpr duration MaxBackOff = std::chrono::milliseconds(20);
+constexpr duration minBackOff = std::chrono::milliseconds(2);
+constexpr duration maxBackOff = std::chrono::milliseconds(20);
 
 } // namespace
 
@@ -48,7 +48,7 @@
         granted += grant.count;
     }
     if (granted < own.asked) {
-        own.backOff = granted > 0 ? MinBackOff : std::clamp(own.backOff * 2, MinBackOff, MaxBackOff);
+        own.backOff = granted > 0 ? minBackOff : std::clamp(own.backOff * 2, minBackOff, maxBackOff);
         own.notBefore = now + own.backOff;
         own.free = 0;
     } else {
@@ -62,7 +62,7 @@
 {
     std::vector<std::pair<const std::string, peer> *> ready;
     for (std::pair<const std::string, peer> &known : m_peers) {
-        if (known.second.asked > 0 && now - known.second.askedAt < AnswerTimeout) {
+        if (known.second.asked > 0 && now - known.second.askedAt < answerTimeout) {
             need -= known.second.asked;
         } else if (now >= known.second.notBefore) {
             ready.push_back(&known);
--- a/src/kernel/slot_ledger.cpp
+++ b/src/kernel/slot_ledger.cpp
@@ -7,9 +7,9 @@
 namespace {
 
 /** A target that returns is loaded gradually, so that caches and connections warm up before the full load. */
-constexpr duration RampTime = std::chrono::seconds(10);
+constexpr duration rampTime = std::chrono::seconds(10);
 /** How long one refusal keeps one slot of the target unused. Shorter than a loan, so that a slot does not stay idle after its user has left. */
-constexpr duration RefusalHold = std::chrono::milliseconds(50);
+constexpr duration refusalHold = std::chrono::milliseconds(50);
 
 template<class... visitors>
 struct overloaded : visitors...
@@ -17,6 +17,9 @@
     using visitors::operator()...;
 };
 
+template<class... visitors>
+overloaded(visitors...) -> overloaded<visitors...>;
+
 int activeCount(const std::vector<slot_loan> &loans, timestamp at)
 {
     int count = 0;
@@ -47,13 +50,13 @@
             return index;
         }
     }
-    return NoTargetIndex;
+    return noTarget;
 }
 
 target_index slot_ledger::place(std::string_view vm)
 {
     const target_index known = find(vm);
-    if (known != NoTargetIndex) {
+    if (known != noTarget) {
         return known;
     }
     for (target_index index = 0; index < m_targets.size(); ++index) {
@@ -76,7 +79,7 @@
     // Known targets are marked first, so that place() does not give their index to a new one.
     for (const target_view &seen : view.targets) {
         const target_index known = find(seen.vm);
-        if (known != NoTargetIndex) {
+        if (known != noTarget) {
             m_targets[known].inView = true;
         }
     }
@@ -111,10 +114,10 @@
         return 0;
     }
     const duration served = now - target.servingSince;
-    if (target.servingSince == timestamp{} || served >= RampTime) {
+    if (target.servingSince == timestamp{} || served >= rampTime) {
         return m_slotsPerTarget;
     }
-    const std::int64_t part = m_slotsPerTarget * std::max(served, duration{}) / RampTime;
+    const std::int64_t part = m_slotsPerTarget * std::max(served, duration{}) / rampTime;
     return std::max(1, static_cast<int>(part));
 }
 
@@ -187,6 +190,17 @@
     return total;
 }
 
+int slot_ledger::lentTo(std::string_view peer, timestamp now) const
+{
+    int total = 0;
+    for (const target_slots &target : m_targets) {
+        for (const slot_loan &loan : target.lent) {
+            total += loan.peer == peer && loan.expires > now ? loan.count : 0;
+        }
+    }
+    return total;
+}
+
 int slot_ledger::lendable(timestamp now) const
 {
     int total = 0;
@@ -235,7 +249,7 @@
 {
     target_slots &target = m_targets[index];
     target.foreign = std::min(target.foreign + 1, m_slotsPerTarget);
-    target.foreignUntil = now + RefusalHold;
+    target.foreignUntil = now + refusalHold;
 }
 
 void slot_ledger::notePeer(const peer_load &load)
@@ -245,7 +259,7 @@
     }
     for (const target_load &running : load.running) {
         const target_index index = find(running.vm);
-        if (index != NoTargetIndex && running.count > 0) {
+        if (index != noTarget && running.count > 0) {
             m_targets[index].othersInFlight[load.peer] = running.count;
         }
     }
@@ -256,7 +270,7 @@
     std::vector<slot_grant> grants;
     const lent_slots *policy = std::get_if<lent_slots>(&m_policy);
     while (policy != nullptr && count > 0) {
-        target_index best = NoTargetIndex;
+        target_index best = noTarget;
         int most = 0;
         for (target_index index = 0; index < m_targets.size(); ++index) {
             const int free = m_targets[index].owned && permitted(index) ? available(index, now, {}) : 0;
@@ -265,7 +279,7 @@
                 most = free;
             }
         }
-        if (best == NoTargetIndex) {
+        if (best == noTarget) {
             break;
         }
         target_slots &target = m_targets[best];
@@ -281,7 +295,7 @@
 {
     for (const slot_grant &grant : returned.grants) {
         const target_index index = find(grant.vm);
-        if (index == NoTargetIndex) {
+        if (index == noTarget) {
             continue;
         }
         int left = grant.count;
@@ -301,7 +315,7 @@
     for (const slot_grant &grant : granted.grants) {
         const target_index index = find(grant.vm);
         // A grant of a peer that no longer owns the target in this view is not used; it would add to the new owner's slots.
-        if (index != NoTargetIndex && m_targets[index].owner == granted.peer && m_targets[index].inView && grant.count > 0 && grant.expires > now) {
+        if (index != noTarget && m_targets[index].owner == granted.peer && m_targets[index].inView && grant.count > 0 && grant.expires > now) {
             m_targets[index].borrowed.push_back({granted.peer, grant.count, grant.expires});
             m_targets[index].usedAt = now;
         }
@@ -321,7 +335,7 @@
         });
         while (target.foreign > 0 && target.foreignUntil <= now) {
             --target.foreign;
-            target.foreignUntil += RefusalHold;
+            target.foreignUntil += refusalHold;
         }
     }
 }
--- a/src/kernel/slot_ledger.h
+++ b/src/kernel/slot_ledger.h
@@ -78,6 +78,7 @@
     /** Slots that belong to this entry, lent or not. */
     int owned(timestamp now) const;
     int lentOut(timestamp now) const;
+    int lentTo(std::string_view peer, timestamp now) const;
     /** Free slots that could be lent. */
     int lendable(timestamp now) const;
     /** Random targets to compare for each request; 0 means all. */
--- a/src/kernel/target_health.cpp
+++ b/src/kernel/target_health.cpp
@@ -6,13 +6,13 @@
 
 namespace {
 
-constexpr duration MinCoolDown = std::chrono::seconds(1);
-constexpr duration MaxCoolDown = std::chrono::seconds(60);
+constexpr duration minCoolDown = std::chrono::seconds(1);
+constexpr duration maxCoolDown = std::chrono::seconds(60);
 /** Failures without a success in between that eject a target. Where one request in five fails by itself, 8 in a row occur once in 400,000 requests; 5 in a row
  * would eject a healthy target every few thousand requests. */
-constexpr int FailuresToEject = 8;
+constexpr int failuresToEject = 8;
 /** A target that fails again within this time of its return continues with the next longer cool-down. */
-constexpr duration Relapse = std::chrono::seconds(60);
+constexpr duration relapseTime = std::chrono::seconds(60);
 
 } // namespace
 
@@ -38,12 +38,12 @@
 duration target_health::coolDown(target_index index) const
 {
     const int doublings = std::clamp(m_targets[index].level - 1, 0, 6);
-    return std::min(MinCoolDown * (1 << doublings), MaxCoolDown);
+    return std::min(minCoolDown * (1 << doublings), maxCoolDown);
 }
 
 void target_health::eject(target &own, timestamp now)
 {
-    own.level = own.level > 0 && now - own.restoredAt > Relapse && !own.ejected ? 1 : own.level + 1;
+    own.level = own.level > 0 && now - own.restoredAt > relapseTime && !own.ejected ? 1 : own.level + 1;
     m_ejected += own.ejected ? 0 : 1;
     own.ejected = true;
     own.failuresInRow = 0;
@@ -75,7 +75,7 @@
         return health_change::Ejected;
     }
     ++own.failuresInRow;
-    if (own.failuresInRow < FailuresToEject || m_ejected >= m_limit) {
+    if (own.failuresInRow < failuresToEject || m_ejected >= m_limit) {
         return std::nullopt;
     }
     eject(own, now);
--- a/src/kernel/team_queue.cpp
+++ b/src/kernel/team_queue.cpp
@@ -74,17 +74,17 @@
         m_turn = position;
         if (own.deficit <= 0) {
             // The quantum covers the largest cost even for the smallest weight, so each visit serves at least one request.
-            own.deficit += MaxCost * own.weight / m_minWeight;
+            own.deficit += maxCost * own.weight / m_minWeight;
         }
         return own.requests.first;
     }
-    return NoRequest;
+    return noRequest;
 }
 
 void team_queue::take(request_index index, std::uint32_t team, double cost)
 {
     team_line &own = line(team);
-    own.deficit -= std::clamp(cost, 1.0, MaxCost);
+    own.deficit -= std::clamp(cost, 1.0, maxCost);
     const bool spent = own.deficit <= 0;
     const bool turn = m_ring[m_turn] == team;
     remove(index, team);
--- a/src/kernel/team_queue.h
+++ b/src/kernel/team_queue.h
@@ -26,7 +26,7 @@
     void push(request_index index, std::uint32_t team);
     void remove(request_index index, std::uint32_t team);
 
-    /** The first request in round-robin order that `fits` accepts, or NoRequest. It stays in the queue. */
+    /** The first request in round-robin order that `fits` accepts, or noRequest. It stays in the queue. */
     request_index choose(const std::function<bool(request_index)> &fits);
     /** Removes a request that choose() returned and charges its team. */
     void take(request_index index, std::uint32_t team, double cost);
@@ -43,7 +43,7 @@
     /** Expected run time that is served before a new request of the team, given the teams' weights. */
     double workAhead(std::uint32_t team) const;
 
-    static constexpr double MaxCost = 8;
+    static constexpr double maxCost = 8;
 
 private:
     struct team_line
--- a/tests/pool_scheduler_property_test.cpp
+++ b/tests/pool_scheduler_property_test.cpp
@@ -15,9 +15,9 @@
 
 namespace {
 
-constexpr int Entries = 3;
-constexpr int Targets = 4;
-constexpr int Slots = 2;
+constexpr int entryCount = 3;
+constexpr int targetCount = 4;
+constexpr int slotCount = 2;
 
 void require(bool condition, const std::string &promise)
 {
@@ -68,12 +68,12 @@
         const std::vector<std::string> names{"a", "b", "c"};
         for (const std::string &name : names) {
             m_views.emplace_back().self = name;
-            m_views.back().config.slotsPerTarget = Slots;
+            m_views.back().config.slotsPerTarget = slotCount;
             m_views.back().config.maxEjectedShare = 0.5;
             m_views.back().entries = names;
             m_schedulers.emplace_back(m_views.back().config, seed + m_views.size(), slotPolicy);
         }
-        for (std::size_t entry = 0; entry < Entries; ++entry) {
+        for (std::size_t entry = 0; entry < entryCount; ++entry) {
             changeView(entry, 0);
         }
     }
@@ -81,13 +81,13 @@
     // One random step; `kind` selects the event and `detail` its arguments.
     void step(unsigned kind, unsigned detail)
     {
-        const std::size_t entry = detail % Entries;
+        const std::size_t entry = detail % entryCount;
         switch (kind % 16) {
         case 0:
         case 1:
         case 2:
         case 3:
-            arrive(entry, detail / Entries);
+            arrive(entry, detail / entryCount);
             break;
         case 4:
         case 5:
@@ -118,7 +118,7 @@
     // Ends everything, lets deadlines and loans pass, and checks that nothing is left.
     void drain()
     {
-        for (std::size_t entry = 0; entry < Entries; ++entry) {
+        for (std::size_t entry = 0; entry < entryCount; ++entry) {
             changeView(entry, 0);
         }
         m_messages.clear();
@@ -131,7 +131,7 @@
             send(m_requests[running].entry, target_answered{running, attempt_outcome::Completed, 20ms});
         }
         pass(20s);
-        for (std::size_t entry = 0; entry < Entries; ++entry) {
+        for (std::size_t entry = 0; entry < entryCount; ++entry) {
             require(m_schedulers[entry].queued() == 0 && m_schedulers[entry].running() == 0, "counts return to zero");
         }
         for (const std::pair<const request_number, request_trace> &each : m_requests) {
@@ -203,7 +203,7 @@
         for (const slot_grant &grant : action.grants) {
             require(ownerOf(from, grant.vm) == m_views[from].self, "only owned slots are lent");
             m_loans.push_back({number(action.peer), from, grant.vm, grant.count, 0, grant.expires});
-            require(runningOn(from, grant.vm) + reserved(from, grant.vm) <= Slots, "only free slots are lent");
+            require(runningOn(from, grant.vm) + reserved(from, grant.vm) <= slotCount, "only free slots are lent");
         }
         m_messages.push_back({number(action.peer), slots_granted{m_views[from].self, action.grants}});
     }
@@ -227,7 +227,7 @@
     {
         require(action.coolDown >= 1s && action.coolDown <= 60s, "a cool-down lasts 1 s to 60 s");
         m_ejected[from].insert(action.vm);
-        require(m_ejected[from].size() <= Targets / 2, "at most max_ejected_share is ejected");
+        require(m_ejected[from].size() <= targetCount / 2, "at most max_ejected_share is ejected");
     }
 
     void observe(std::size_t from, const target_restored &action)
@@ -237,7 +237,7 @@
 
     void checkCounts() const
     {
-        for (std::size_t entry = 0; entry < Entries; ++entry) {
+        for (std::size_t entry = 0; entry < entryCount; ++entry) {
             int queued = 0;
             int running = 0;
             for (const std::pair<const request_number, request_trace> &each : m_requests) {
@@ -246,7 +246,7 @@
             }
             require(m_schedulers[entry].queued() == queued, "queued() counts the queue");
             require(m_schedulers[entry].running() == running, "running() counts what is in flight");
-            for (int target = 0; target < Targets; ++target) {
+            for (int target = 0; target < targetCount; ++target) {
                 const std::string vm = "t" + std::to_string(target);
                 require(m_schedulers[entry].runningOn(vm) == runningOn(entry, vm), "runningOn() counts what is in flight");
             }
@@ -345,14 +345,14 @@
     void pass(duration time)
     {
         m_now += time;
-        for (std::size_t entry = 0; entry < Entries; ++entry) {
+        for (std::size_t entry = 0; entry < entryCount; ++entry) {
             send(entry, tick{});
         }
     }
 
     void gossip(std::size_t from)
     {
-        for (std::size_t to = 0; to < Entries; ++to) {
+        for (std::size_t to = 0; to < entryCount; ++to) {
             if (to != from) {
                 send(to, peer_load{m_views[from].self, m_schedulers[from].queued(), m_schedulers[from].freeSlots(), {}});
             }
@@ -369,9 +369,9 @@
         }
         view.isolated = detail % 7 == 3;
         view.targets.clear();
-        for (int target = 0; target < Targets; ++target) {
+        for (int target = 0; target < targetCount; ++target) {
             const std::string vm = "t" + std::to_string(target);
-            if (detail % 3 != 2 || target != static_cast<int>(detail / 3 % Targets)) {
+            if (detail % 3 != 2 || target != static_cast<int>(detail / 3 % targetCount)) {
                 view.targets.push_back({vm, std::string(rendezvousOwner(live, vm)), {}, {}});
             } else {
                 m_ejected[entry].erase(vm);
@@ -396,7 +396,7 @@
 
     int owned(std::size_t entry, const std::string &vm) const
     {
-        return ownerOf(entry, vm) == m_views[entry].self ? Slots : 0;
+        return ownerOf(entry, vm) == m_views[entry].self ? slotCount : 0;
     }
 
     int reserved(std::size_t entry, const std::string &vm) const
