Let long work use loans, and count it at the lender

Cause: with 4 entries, short load 0.4 and long work offered for 0.4 of the slots, 49 long requests/min started and 190 were offered, while slots idled: each entry limited long work to a part of its own slots, with its own margin for short demand. Change: long_share counts the larger of owned slots and an equal part of the pool; entries tell owners about long requests on their targets (reportedLoad, carried in peer_load), and owners deduct those that outlived a loan; the margin for demand is shared by entries that lend to each other; demand on borrowed slots is counted by the lender only.

--- a/bench/pool_simulation.h
+++ b/bench/pool_simulation.h
@@ -140,7 +140,6 @@
     std::vector<pool_scheduler> m_schedulers;
     std::vector<std::vector<std::string>> m_live;
     std::vector<target> m_targets;
-    std::vector<std::vector<target_load>> m_inFlight;
     std::priority_queue<event> m_events;
     simulation_figures m_figures;
     timestamp m_now{};
@@ -159,12 +158,8 @@
         m_names.push_back("entry-" + std::to_string(entry));
         m_schedulers.emplace_back(options.config, options.seed * 100 + entry, options.slotPolicy);
     }
-    m_inFlight.resize(options.entries);
     m_live.resize(options.entries, m_names);
     for (std::size_t entry = 0; entry < options.entries; ++entry) {
-        for (const target &each : m_targets) {
-            m_inFlight[entry].push_back({each.vm, 0});
-        }
         sendView(entry, m_names, false);
         // Entries do not tick in step.
         at(duration(entry * 1000), [this, entry] {
@@ -295,7 +290,6 @@
     while (m_targets[vm].vm != action.vm) {
         ++vm;
     }
-    ++m_inFlight[from][vm].count;
     at(m_now + m_options.toTarget, [this, from, number = action.request, vm] {
         reachTarget(from, number - 1, vm);
     });
@@ -321,8 +315,7 @@
             --m_targets[vm].running;
         });
     }
-    at(m_now + run + m_options.toTarget, [this, from, index, vm, outcome, run] {
-        --m_inFlight[from][vm].count;
+    at(m_now + run + m_options.toTarget, [this, from, index, outcome, run] {
         handle(from, target_answered{index + 1, outcome, run});
     });
 }
@@ -370,7 +363,7 @@
 {
     for (const std::string &peer : m_names) {
         if (peer != m_names[entry] && !frozen(entry)) {
-            toPeer(entry, peer, peer_load{m_names[entry], m_schedulers[entry].queued(), m_schedulers[entry].freeSlots(), m_inFlight[entry]});
+            toPeer(entry, peer, peer_load{m_names[entry], m_schedulers[entry].queued(), m_schedulers[entry].freeSlots(), m_schedulers[entry].reportedLoad()});
         }
     }
     at(m_now + std::chrono::milliseconds(500), [this, entry] {
--- a/src/kernel/band_queues.cpp
+++ b/src/kernel/band_queues.cpp
@@ -13,8 +13,8 @@
 // A long request holds its slot for long, so shorter work's usual demand must fit into what long work leaves.
 int longLimit(const slot_use &use)
 {
-    const double left = use.owned - use.shorterDemand - demandMargin * std::sqrt(use.shorterDemand);
-    return std::max(1, static_cast<int>(std::min(use.longShare * use.owned, left)));
+    const double left = use.longBase - use.shorterDemand - demandMargin * std::sqrt(use.shorterDemand / use.entries);
+    return std::max(1, static_cast<int>(std::min(use.longShare * use.longBase, left)));
 }
 
 /** With fewer slots than this, a slot of its own would give longer work a quarter or more; it then gets every `fewSlotsTurn`-th start instead. */
--- a/src/kernel/band_queues.h
+++ b/src/kernel/band_queues.h
@@ -16,11 +16,14 @@
 struct slot_use
 {
     int usable = 0;
-    /** Slots that belong to the entry. Long work outlives loans, so its limit does not grow with what is borrowed. */
-    int owned = 0;
+    /** What long_share is a share of: the slots that belong to the entry, or an equal part of the pool if that is more. Long work outlives loans, so its
+     * limit does not grow with what is borrowed. */
+    int longBase = 0;
     double longShare = 0.5;
     /** Slots that shorter work held lately, on average; what is lent to peers included. */
     double shorterDemand = 0;
+    /** Entries that lend to each other; their demand varies less together than alone. */
+    int entries = 1;
     std::array<int, bandCount> running{};
 };
 
--- a/src/kernel/pool_dispatch.cpp
+++ b/src/kernel/pool_dispatch.cpp
@@ -68,22 +68,23 @@
 target_index pool_scheduler::state::chooseTarget(const request_record &request)
 {
     const duration need = std::min(model.mean(request.runClass), maxLoanNeed);
-    // Long work outlives a loan, and the lender would find its slot taken. Only an entry that owns nothing uses loans for it.
-    const bool ownedOnly = ledger.lends() && request.band == LongBand && use.owned > 0;
+    // Long work outlives a loan and then holds a slot that the lender counts on, so it prefers owned slots.
+    const int ownedBonus = request.band == LongBand ? config.slotsPerTarget : 0;
     const bool ownedKept = !reserves.empty() && ledger.lendable(now) <= reserves.kept(now);
     const int choices = ledger.choices();
     target_index best = noTarget;
-    int most = 0;
+    int bestScore = 0;
     candidates.clear();
     for (target_index index = 0; index < ledger.size(); ++index) {
-        const bool excluded = index == request.target || (ownedOnly && !ledger[index].owned) || (ownedKept && ledger[index].owned);
+        const bool excluded = index == request.target || (ownedKept && ledger[index].owned);
         const int free = excluded ? 0 : ledger.available(index, now, need);
         if (free <= 0 || !health.permits(index, ledger[index].inFlight, now) || !fitsInto(request.needs, ledger[index].size)) {
             continue;
         }
-        if (free > most) {
+        const int score = free + (ledger[index].owned ? ownedBonus : 0);
+        if (score > bestScore) {
             best = index;
-            most = free;
+            bestScore = score;
         }
         if (choices > 0) {
             candidates.push_back(index);
@@ -171,8 +172,8 @@
         return;
     }
     rebandAt = now + rebandPeriod;
-    const int shorter = use.running[ShortBand] + use.running[MediumBand] + ledger.lentOut(now);
-    use.shorterDemand += demandWeight * (shorter - use.shorterDemand);
+    // What runs on borrowed slots is the lender's demand; counted here too, it would be subtracted from long work's share twice.
+    int shorter = ledger.lentOut(now);
     for (request_index index : running) {
         request_record &request = requests[index];
         const run_band band = queues.bandOfElapsed(now - request.since);
@@ -182,7 +183,9 @@
             request.band = band;
             model.observeRunning(request.runClass, now - request.since);
         }
+        shorter += request.band != LongBand && (!ledger.lends() || ledger[request.target].owned) ? 1 : 0;
     }
+    use.shorterDemand += demandWeight * (shorter - use.shorterDemand);
 }
 
 void pool_scheduler::state::noteOutcome(target_index target, attempt_outcome outcome)
--- a/src/kernel/pool_scheduler.cpp
+++ b/src/kernel/pool_scheduler.cpp
@@ -60,7 +60,8 @@
 void pool_scheduler::state::refreshUse()
 {
     use.usable = ledger.usable(now);
-    use.owned = ledger.owned(now);
+    use.entries = ledger.lends() ? ownerCount : 1;
+    use.longBase = std::max(ledger.owned(now), ledger.lends() ? ledger.poolCapacity(now) / ownerCount : 0);
     use.longShare = config.longShare;
 }
 
@@ -196,7 +197,7 @@
 
 void pool_scheduler::state::handle(const peer_load &event)
 {
-    ledger.notePeer(event);
+    ledger.notePeer(event, now);
     borrower.notePeer(event);
     reserves.notePeer(event.peer);
 }
@@ -279,6 +280,24 @@
     return index == noTarget ? 0 : m_state->ledger[index].inFlight;
 }
 
+std::vector<target_load> pool_scheduler::reportedLoad() const
+{
+    const state &own = *m_state;
+    std::map<target_index, int> counts;
+    for (request_index index : own.running) {
+        const request_record &request = own.requests[index];
+        const bool outlivesLoan = request.band == LongBand && !own.ledger[request.target].owned;
+        counts[request.target] += own.ledger.lends() && !outlivesLoan ? 0 : 1;
+    }
+    std::vector<target_load> reported;
+    for (const std::pair<const target_index, int> &each : counts) {
+        if (each.second > 0) {
+            reported.push_back({own.ledger[each.first].vm, each.second});
+        }
+    }
+    return reported;
+}
+
 int pool_scheduler::freeSlots() const
 {
     return m_state->isolated ? 0 : m_state->ledger.lendable(m_state->now);
--- a/src/kernel/pool_scheduler.h
+++ b/src/kernel/pool_scheduler.h
@@ -79,7 +79,7 @@
     std::string peer;
     int queued = 0;
     int freeSlots = 0;
-    /** Requests of the peer in flight; needed by the slot policy `refusal-only` only. */
+    /** The peer's reportedLoad(). Without it the owner learns of such requests from the target's refusals. */
     std::vector<target_load> running = {};
 };
 
@@ -189,6 +189,9 @@
     int runningOn(std::string_view vm) const;
     /** Free slots of owned targets, as told to peers. */
     int freeSlots() const;
+    /** What peers should know about targets: long requests on targets that others own, since they outlive loans. With the slot policy `refusal-only`: all
+     * requests. */
+    std::vector<target_load> reportedLoad() const;
 
 private:
     struct state;
--- a/src/kernel/slot_ledger.cpp
+++ b/src/kernel/slot_ledger.cpp
@@ -11,6 +11,9 @@
 /** How long one refusal keeps one slot of the target unused. Shorter than a loan, so that a slot does not stay idle after its user has left. */
 constexpr duration refusalHold = std::chrono::milliseconds(50);
 
+/** A report counts until the peer would be suspected; peers report every 500 ms. */
+constexpr duration reportLife = std::chrono::seconds(2);
+
 template<class... visitors>
 struct overloaded : visitors...
 {
@@ -121,11 +124,25 @@
     return std::max(1, static_cast<int>(part));
 }
 
+// A peer's reported requests use its loans first; what exceeds them has outlived a loan.
+int slot_ledger::heldByPeers(const target_slots &target, const lent_slots &policy, timestamp now) const
+{
+    int held = activeCount(target.lent, now - policy.grace);
+    for (const std::pair<const std::string, reported_use> &other : target.others) {
+        int covered = 0;
+        for (const slot_loan &loan : target.lent) {
+            covered += loan.peer == other.first && loan.expires > now - policy.grace ? loan.count : 0;
+        }
+        held += std::max(0, other.second.count - covered);
+    }
+    return held;
+}
+
 int slot_ledger::ownSlots(const target_slots &target, timestamp now) const
 {
     const overloaded visitor{
         [&](const lent_slots &policy) {
-            return target.owned ? capacity(target, now) - activeCount(target.lent, now - policy.grace) : 0;
+            return target.owned ? capacity(target, now) - heldByPeers(target, policy, now) : 0;
         },
         [&](const static_slot_shares &) {
             return std::min(target.staticShare, capacity(target, now));
@@ -185,7 +202,7 @@
     const lent_slots *policy = std::get_if<lent_slots>(&m_policy);
     int total = 0;
     for (const target_slots &target : m_targets) {
-        total += policy != nullptr && target.owned ? activeCount(target.lent, now - policy->grace) : 0;
+        total += policy != nullptr && target.owned ? heldByPeers(target, *policy, now) : 0;
     }
     return total;
 }
@@ -219,8 +236,8 @@
 int slot_ledger::knownLoad(target_index index) const
 {
     int load = m_targets[index].inFlight;
-    for (const std::pair<const std::string, int> &other : m_targets[index].othersInFlight) {
-        load += other.second;
+    for (const std::pair<const std::string, reported_use> &other : m_targets[index].others) {
+        load += other.second.count;
     }
     return load;
 }
@@ -252,15 +269,15 @@
     target.foreignUntil = now + refusalHold;
 }
 
-void slot_ledger::notePeer(const peer_load &load)
+void slot_ledger::notePeer(const peer_load &load, timestamp now)
 {
     for (target_slots &target : m_targets) {
-        target.othersInFlight.erase(load.peer);
+        target.others.erase(load.peer);
     }
     for (const target_load &running : load.running) {
         const target_index index = find(running.vm);
         if (index != noTarget && running.count > 0) {
-            m_targets[index].othersInFlight[load.peer] = running.count;
+            m_targets[index].others[load.peer] = {running.count, now};
         }
     }
 }
@@ -333,6 +350,9 @@
         std::erase_if(target.borrowed, [&](const slot_loan &loan) {
             return loan.expires <= now;
         });
+        std::erase_if(target.others, [&](const std::pair<const std::string, reported_use> &other) {
+            return other.second.at + reportLife <= now;
+        });
         while (target.foreign > 0 && target.foreignUntil <= now) {
             --target.foreign;
             target.foreignUntil += refusalHold;
--- a/src/kernel/slot_ledger.h
+++ b/src/kernel/slot_ledger.h
@@ -23,6 +23,12 @@
     timestamp expires{};
 };
 
+struct reported_use
+{
+    int count = 0;
+    timestamp at{};
+};
+
 struct target_slots
 {
     std::string vm;
@@ -40,8 +46,8 @@
     timestamp usedAt{};
     std::vector<slot_loan> lent;
     std::vector<slot_loan> borrowed;
-    /** Requests in flight by peer, as last told; for unowned_slots. */
-    std::map<std::string, int, std::less<>> othersInFlight;
+    /** Requests in flight by peer, as last told. */
+    std::map<std::string, reported_use, std::less<>> others;
 };
 
 class slot_ledger
@@ -77,6 +83,7 @@
     bool anyAvailable(timestamp now) const;
     /** Slots that belong to this entry, lent or not. */
     int owned(timestamp now) const;
+    /** Owned slots that peers hold, by loans or by requests that outlived a loan. */
     int lentOut(timestamp now) const;
     int lentTo(std::string_view peer, timestamp now) const;
     /** Free slots that could be lent. */
@@ -90,7 +97,7 @@
     void start(target_index index, timestamp now);
     void end(target_index index);
     void noteRefusal(target_index index, timestamp now);
-    void notePeer(const peer_load &load);
+    void notePeer(const peer_load &load, timestamp now);
 
     /** Grants at most `count` free owned slots of the targets that `permitted` accepts. */
     std::vector<slot_grant> lend(std::string_view peer, int count, timestamp now, const std::function<bool(target_index)> &permitted);
@@ -103,6 +110,7 @@
 
 private:
     int ownSlots(const target_slots &target, timestamp now) const;
+    int heldByPeers(const target_slots &target, const lent_slots &policy, timestamp now) const;
     target_index place(std::string_view vm);
 
     slot_policy m_policy;
--- a/tests/pool_scheduler_property_test.cpp
+++ b/tests/pool_scheduler_property_test.cpp
@@ -354,7 +354,7 @@
     {
         for (std::size_t to = 0; to < entryCount; ++to) {
             if (to != from) {
-                send(to, peer_load{m_views[from].self, m_schedulers[from].queued(), m_schedulers[from].freeSlots(), {}});
+                send(to, peer_load{m_views[from].self, m_schedulers[from].queued(), m_schedulers[from].freeSlots(), m_schedulers[from].reportedLoad()});
             }
         }
     }
--- a/tests/scheduling_modules_test.cpp
+++ b/tests/scheduling_modules_test.cpp
@@ -197,7 +197,7 @@
     queues.push(shortRequest);
     slot_use use;
     use.usable = 80;
-    use.owned = 80;
+    use.longBase = 80;
     struct order_case
     {
         int longRunning;
