--- a/bench/pool_simulation.h
+++ b/bench/pool_simulation.h
@@ -140,7 +140,6 @@
     std::vector<pool_scheduler> m_schedulers;
     std::vector<std::vector<std::string>> m_live;
     std::vector<target> m_targets;
-    std::vector<std::vector<target_load>> m_inFlight;
     std::priority_queue<event> m_events;
     simulation_figures m_figures;
     timestamp m_now{};
@@ -159,12 +158,8 @@
         m_names.push_back("entry-" + std::to_string(entry));
         m_schedulers.emplace_back(options.config, options.seed * 100 + entry, options.slotPolicy);
     }
-    m_inFlight.resize(options.entries);
     m_live.resize(options.entries, m_names);
     for (std::size_t entry = 0; entry < options.entries; ++entry) {
-        for (const target &each : m_targets) {
-            m_inFlight[entry].push_back({each.vm, 0});
-        }
         sendView(entry, m_names, false);
         // Entries do not tick in step.
         at(duration(entry * 1000), [this, entry] {
@@ -231,8 +226,8 @@
 {
     simulated_request &request = m_requests[index];
     // The balancer stops using an entry that has not been ready for a second.
-    constexpr duration BalancerLag = std::chrono::seconds(1);
-    const duration notReadyAfter = m_options.frozen ? BalancerLag : std::chrono::seconds(3) + BalancerLag;
+    constexpr duration balancerLag = std::chrono::seconds(1);
+    const duration notReadyAfter = m_options.frozen ? balancerLag : std::chrono::seconds(3) + balancerLag;
     if (request.entry == m_options.faultyEntry && inFault(m_now) && m_now >= m_options.faultFrom + notReadyAfter) {
         request.entry = (request.entry + 1 + index % (m_names.size() - 1)) % m_names.size();
     }
@@ -256,8 +251,7 @@
 inline void pool_simulation::handle(std::size_t entry, const scheduler_event &event)
 {
     if (frozen(entry)) {
-        const scheduler_event copy = event;
-        at(m_options.faultUntil + std::chrono::milliseconds(1), [this, entry, copy] {
+        at(m_options.faultUntil + std::chrono::milliseconds(1), [this, entry, copy = event] {
             handle(entry, copy);
         });
         return;
@@ -296,7 +290,6 @@
     while (m_targets[vm].vm != action.vm) {
         ++vm;
     }
-    ++m_inFlight[from][vm].count;
     at(m_now + m_options.toTarget, [this, from, number = action.request, vm] {
         reachTarget(from, number - 1, vm);
     });
@@ -322,8 +315,7 @@
             --m_targets[vm].running;
         });
     }
-    at(m_now + run + m_options.toTarget, [this, from, index, vm, outcome, run] {
-        --m_inFlight[from][vm].count;
+    at(m_now + run + m_options.toTarget, [this, from, index, outcome, run] {
         handle(from, target_answered{index + 1, outcome, run});
     });
 }
@@ -371,7 +363,7 @@
 {
     for (const std::string &peer : m_names) {
         if (peer != m_names[entry] && !frozen(entry)) {
-            toPeer(entry, peer, peer_load{m_names[entry], m_schedulers[entry].queued(), m_schedulers[entry].freeSlots(), m_inFlight[entry]});
+            toPeer(entry, peer, peer_load{m_names[entry], m_schedulers[entry].queued(), m_schedulers[entry].freeSlots(), m_schedulers[entry].reportedLoad()});
         }
     }
     at(m_now + std::chrono::milliseconds(500), [this, entry] {
