Gossip once per pair of entries and send only changed loads

Both entries of a pair called each other, so each pair paid twice.

Ruled out: a longer interval, which the 2 s of suspicion leave little room for, and counting a received call as contact, which a frozen process would read from its socket on resuming. A call now echoes the clock of the last answer, and the called entry counts contact from then. The incarnations choose the caller; the other side calls back after 1.3 s without a sign of it. Loads are sent per changed pool, by number once the receiver knows the names.

--- a/src/entry/incarnation_index.cpp
+++ b/src/entry/incarnation_index.cpp
@@ -11,12 +11,12 @@
     }
 }
 
-incarnation_status incarnation_index::find(incarnation_number incarnation, peer_address &place) const
+incarnation_status incarnation_index::find(incarnation_number incarnation, entry_record &record) const
 {
     const std::lock_guard<std::mutex> guard(m_lock);
     for (const std::pair<const std::string, entry_record> &entry : m_state->entries()) {
         if (entry.second.incarnation == incarnation) {
-            place = peer_address{entry.second.peers, incarnation};
+            record = entry.second;
             return incarnation_status::Named;
         }
     }
--- a/src/entry/incarnation_index.h
+++ b/src/entry/incarnation_index.h
@@ -4,7 +4,7 @@
 //
 //     incarnation_index index;
 //     index.update(state);
-//     switch (index.find(incarnation, place)) { ... }
+//     switch (index.find(incarnation, entry)) { ... }
 //
 // An incarnation that was never seen may have joined a moment ago, so only a state replayed from a read of the store that began after
 // the question tells that it has ended.
@@ -32,7 +32,8 @@
 public:
     void update(std::shared_ptr<const fleet_state> state);
 
-    incarnation_status find(incarnation_number incarnation, peer_address &place) const;
+    /** Fills in the record if the state names the incarnation. */
+    incarnation_status find(incarnation_number incarnation, entry_record &record) const;
     std::optional<peer_address> findEntry(std::string_view entry) const;
     std::shared_ptr<const fleet_state> state() const;
 
--- a/src/entry/membership.cpp
+++ b/src/entry/membership.cpp
@@ -11,8 +11,10 @@
 #include <condition_variable>
 #include <deque>
 #include <future>
+#include <map>
 #include <mutex>
 #include <random>
+#include <set>
 #include <thread>
 #include <utility>
 
@@ -47,8 +49,8 @@
     void replayed(const std::shared_ptr<const fleet_state> &state);
     void sendGossip(const entry_record &peer);
     gossip_message compose(std::string_view peer, incarnation_number incarnation);
-    gossip_message answerGossip(const gossip_message &message);
-    void takeLoads(const gossip_message &message);
+    gossip_message answerGossip(gossip_message message);
+    void takeLoads(const std::string &peer, const gossip_message &message);
     drain_answer answerDrain(const drain_question &question) const;
     peer_handlers serviceHandlers();
     follower_peers sources();
@@ -77,6 +79,8 @@
     bool leaving = false;
     membership_view view;
     peer_loads loads;
+    // The stamp of the last answer of each incarnation.
+    std::map<incarnation_number, std::uint64_t> stamps;
     std::mt19937_64 random;
     revision_number revision = 0;
     membership_status current;
@@ -95,7 +99,7 @@
     , registration({options.entry, options.incarnation, options.callers, {}, options.availabilityZone}, follower, std::move(appendsTo), options.seed)
     , handlers(std::move(given))
     , view(options.entry, options.incarnation, {})
-    , loads(options.entry, options.incarnation)
+    , loads(options.incarnation)
     , random(options.seed)
 {
     peer_service_options served;
@@ -145,10 +149,12 @@
 {
     std::vector<endpoint> places;
     std::map<std::string, incarnation_number, std::less<>> peers;
+    std::set<incarnation_number> incarnations;
     for (const std::pair<const std::string, entry_record> &entry : next->entries()) {
         if (entry.first != options.entry) {
             places.push_back(entry.second.peers);
             peers.emplace(entry.first, entry.second.incarnation);
+            incarnations.insert(entry.second.incarnation);
         }
     }
     index.update(next);
@@ -156,6 +162,9 @@
         const std::lock_guard<std::mutex> guard(lock);
         revision = next->revision();
         loads.keepOnly(peers);
+        std::erase_if(stamps, [&incarnations](const std::pair<const incarnation_number, std::uint64_t> &stamp) {
+            return !incarnations.contains(stamp.first);
+        });
     }
     client->keepOnly(places);
     handle(fleet_replayed{next->revision(), entriesOf(*next)});
@@ -175,43 +184,65 @@
     return message;
 }
 
-void membership::implementation::takeLoads(const gossip_message &message)
+void membership::implementation::takeLoads(const std::string &peer, const gossip_message &message)
 {
-    const std::optional<peer_address> known = index.findEntry(message.entry);
-    if (!known || known->incarnation != message.incarnation) {
-        return;
-    }
+    std::vector<peer_pool_load> pools;
     {
         const std::lock_guard<std::mutex> guard(lock);
-        if (!loads.take(message)) {
+        if (!loads.take(peer, message)) {
             return;
         }
+        pools = loads.of(peer, message.incarnation);
     }
     for (const load_listener &told : loadListeners) {
-        told(message.entry, *message.pools);
+        told(peer, pools);
     }
 }
 
 void membership::implementation::sendGossip(const entry_record &peer)
 {
-    const gossip_message message = compose(peer.id, peer.incarnation);
+    gossip_message message = compose(peer.id, peer.incarnation);
+    message.to = peer.incarnation;
+    {
+        const std::lock_guard<std::mutex> guard(lock);
+        const auto found = stamps.find(peer.incarnation);
+        message.echo = found == stamps.end() ? 0 : found->second;
+    }
     const timestamp startedAt = steadyNow();
     client->gossip({peer.peers, peer.incarnation}, message, [this, peer, startedAt](std::optional<gossip_message> answer, const failure &reason) {
         if (!answer) {
             handle(gossip_failed{peer.id, peer.incarnation, reason.code == failure_code::WrongIncarnation});
             return;
         }
-        takeLoads(*answer);
+        {
+            const std::lock_guard<std::mutex> guard(lock);
+            std::uint64_t &stamp = stamps[peer.incarnation];
+            stamp = std::max(stamp, answer->stamp);
+        }
+        takeLoads(peer.id, *answer);
         handle(gossip_answered{peer.id, peer.incarnation, startedAt, answer->revision, answer->ready});
     });
 }
 
-gossip_message membership::implementation::answerGossip(const gossip_message &message)
+gossip_message membership::implementation::answerGossip(gossip_message message)
 {
-    // A controller sends no entry; its revision still shows that there is more to fetch.
-    handle(gossip_received{message.entry, message.incarnation, message.revision});
-    takeLoads(message);
-    return compose(message.entry, message.incarnation);
+    entry_record caller;
+    const bool named = index.find(message.incarnation, caller) == incarnation_status::Named;
+    std::optional<timestamp> echoedAt;
+    if (message.to != options.incarnation) {
+        message.knownVersion = 0;
+    } else if (message.echo > 0) {
+        echoedAt = std::chrono::milliseconds(message.echo);
+    }
+    // A controller is no entry; its revision still shows that there is more to fetch.
+    handle(gossip_received{caller.id, message.incarnation, message.revision, message.ready, echoedAt});
+    if (named) {
+        takeLoads(caller.id, message);
+    }
+    gossip_message answer = compose(caller.id, message.incarnation);
+    answer.entry = message.incarnation == 0 ? options.entry : "";
+    answer.stamp = static_cast<std::uint64_t>(std::chrono::floor<std::chrono::milliseconds>(steadyNow()).count());
+    return answer;
 }
 
 drain_answer membership::implementation::answerDrain(const drain_question &question) const
@@ -386,10 +417,10 @@
 {
     const failure ended{failure_code::WrongIncarnation, std::to_string(incarnation)};
     const failure unknown{failure_code::PeerUnreachable, std::to_string(incarnation)};
-    peer_address place;
-    switch (index.find(incarnation, place)) {
+    entry_record entry;
+    switch (index.find(incarnation, entry)) {
     case incarnation_status::Named:
-        then(place, {});
+        then(peer_address{entry.peers, incarnation}, {});
         return;
     case incarnation_status::Ended:
         then(std::nullopt, ended);
@@ -402,10 +433,10 @@
         if (!stopping && lookUps.size() < MostLookUps) {
             const timestamp askedAt = steadyNow();
             lookUps.emplace_back([this, incarnation, then, ended, unknown, askedAt] {
-                peer_address found;
+                entry_record found;
                 const bool named = index.find(incarnation, found) == incarnation_status::Named;
                 const std::optional<timestamp> contact = follower.lastStoreContact();
-                then(named ? std::optional<peer_address>(found) : std::nullopt, contact && *contact >= askedAt ? ended : unknown);
+                then(named ? std::optional<peer_address>({found.peers, incarnation}) : std::nullopt, contact && *contact >= askedAt ? ended : unknown);
             });
             wakeWorker.notify_one();
             return;
--- a/src/entry/peer_loads.cpp
+++ b/src/entry/peer_loads.cpp
@@ -4,52 +4,96 @@
 
 namespace daisypass {
 
-peer_loads::peer_loads(std::string entry, incarnation_number incarnation)
-    : m_entry(std::move(entry))
-    , m_incarnation(incarnation)
+peer_loads::peer_loads(incarnation_number incarnation)
+    : m_incarnation(incarnation)
 {
 }
 
 void peer_loads::setOwn(std::vector<peer_pool_load> pools)
 {
-    if (pools != m_own) {
-        m_own = std::move(pools);
-        ++m_version;
+    if (pools == m_own) {
+        return;
     }
+    ++m_version;
+    const bool sameNames = std::equal(pools.begin(), pools.end(), m_own.begin(), m_own.end(), [](const peer_pool_load &left, const peer_pool_load &right) {
+        return left.pool == right.pool;
+    });
+    if (!sameNames) {
+        m_namesVersion = m_version;
+    }
+    m_changedAt.resize(pools.size(), m_version);
+    for (std::size_t index = 0; index < pools.size(); ++index) {
+        if (!sameNames || pools[index] != m_own[index]) {
+            m_changedAt[index] = m_version;
+        }
+    }
+    m_own = std::move(pools);
 }
 
 gossip_message peer_loads::compose(std::string_view peer, incarnation_number incarnation) const
 {
     gossip_message message;
-    message.entry = m_entry;
     message.incarnation = m_incarnation;
     message.loadsVersion = m_version;
     const auto found = m_peers.find(peer);
     const bool known = found != m_peers.end() && found->second.incarnation == incarnation;
     message.knownVersion = known ? found->second.version : 0;
-    if (!known || found->second.ownKnown != m_version) {
-        message.pools = m_own;
+    const std::uint64_t holds = known ? found->second.ownKnown : 0;
+    if (holds == m_version) {
+        return message;
+    }
+    message.pools.emplace();
+    for (std::size_t index = 0; index < m_own.size(); ++index) {
+        if (holds >= m_namesVersion && m_changedAt[index] <= holds) {
+            continue;
+        }
+        message.pools->push_back(m_own[index]);
+        message.pools->back().number = static_cast<int>(index);
+        if (holds >= m_namesVersion) {
+            message.pools->back().pool.clear();
+        }
     }
     return message;
 }
 
-bool peer_loads::take(const gossip_message &message)
+bool peer_loads::take(std::string_view name, const gossip_message &message)
 {
-    held &peer = m_peers[message.entry];
+    held &peer = m_peers[std::string(name)];
     if (peer.incarnation != message.incarnation) {
         peer = held{};
         peer.incarnation = message.incarnation;
     }
-    // A version that was never sent would keep the loads from being sent at all.
-    peer.ownKnown = std::max(peer.ownKnown, message.knownVersion <= m_version ? message.knownVersion : 0);
+    // A version that was never sent would keep the loads from being sent at all. One that arrives late only makes the next message larger.
+    peer.ownKnown = message.knownVersion <= m_version ? message.knownVersion : 0;
     if (!message.pools || message.loadsVersion <= peer.version) {
         return false;
     }
+    std::vector<peer_pool_load> next;
+    if (!message.pools->empty() && message.pools->front().pool.empty()) {
+        next = peer.pools;
+    }
+    for (const peer_pool_load &load : *message.pools) {
+        const std::size_t index = static_cast<std::size_t>(load.number);
+        std::string pool = load.pool;
+        if (pool.empty() && index < next.size()) {
+            pool = next[index].pool;
+        } else if (index == next.size()) {
+            next.emplace_back();
+        }
+        if (pool.empty() || index >= next.size()) {
+            // Not a change of what is held here; without a version the sender sends all of it again.
+            peer.version = 0;
+            return false;
+        }
+        next[index] = load;
+        next[index].pool = std::move(pool);
+        next[index].number = 0;
+    }
     peer.version = message.loadsVersion;
-    if (peer.pools == *message.pools) {
+    if (peer.pools == next) {
         return false;
     }
-    peer.pools = *message.pools;
+    peer.pools = std::move(next);
     return true;
 }
 
--- a/src/entry/peer_loads.h
+++ b/src/entry/peer_loads.h
@@ -2,10 +2,10 @@
 
 // The loads that entries tell each other, with the versions that keep them from being sent again unchanged.
 //
-//     peer_loads loads(self, incarnation);
+//     peer_loads loads(incarnation);
 //     loads.setOwn(pools);
 //     gossip_message message = loads.compose("entry-2", incarnation);
-//     if (loads.take(answer)) { tell(loads.of("entry-2")); }
+//     if (loads.take("entry-2", answer)) { tell(loads.of("entry-2", incarnation)); }
 //
 // Not synchronised; the owner holds its lock.
 
@@ -22,15 +22,15 @@
 class peer_loads
 {
 public:
-    peer_loads(std::string entry, incarnation_number incarnation);
+    explicit peer_loads(incarnation_number incarnation);
 
     void setOwn(std::vector<peer_pool_load> pools);
 
-    /** A message to this peer, with the own loads if the peer does not hold them. Revision and flags are left to the caller. */
+    /** A message to this peer, with what it does not hold of the own loads. Revision, flags and stamps are left to the caller. */
     gossip_message compose(std::string_view peer, incarnation_number incarnation) const;
 
     /** Takes over what a peer told; true if its loads changed. Messages may arrive in any order. */
-    bool take(const gossip_message &message);
+    bool take(std::string_view peer, const gossip_message &message);
 
     /** The last loads of this incarnation of a peer; empty if none are known. */
     std::vector<peer_pool_load> of(std::string_view peer, incarnation_number incarnation) const;
@@ -48,10 +48,13 @@
         std::uint64_t ownKnown = 0;
     };
 
-    std::string m_entry;
     incarnation_number m_incarnation;
     std::uint64_t m_version = 1;
+    /** Version since which the list has the same names in the same order. */
+    std::uint64_t m_namesVersion = 1;
     std::vector<peer_pool_load> m_own;
+    /** Version at which each of the own loads changed last. */
+    std::vector<std::uint64_t> m_changedAt;
     std::map<std::string, held, std::less<>> m_peers;
 };
 
--- a/src/kernel/membership_view.cpp
+++ b/src/kernel/membership_view.cpp
@@ -59,12 +59,7 @@
             return;
         }
         peer->outstanding = false;
-        peer->answered = true;
-        peer->replaced = false;
-        peer->answeredAt = std::max(peer->answeredAt, event.startedAt);
-        peer->ready = event.ready;
-        view.countContact(peer->contacts, {event.startedAt, event.revision});
-        learn(*peer, event.revision);
+        reached(*peer, event.startedAt, event.revision, event.ready);
     }
 
     void operator()(const gossip_failed &event) const
@@ -78,7 +73,11 @@
     void operator()(const gossip_received &event) const
     {
         if (peer_state *peer = view.find(event.entry, event.incarnation)) {
-            learn(*peer, event.revision);
+            if (event.echoedAt && *event.echoedAt <= now) {
+                reached(*peer, *event.echoedAt, event.revision, event.ready);
+            } else {
+                learn(*peer, event.revision);
+            }
         } else if (event.revision > view.m_revision) {
             actions.emplace_back(fetch_log{event.revision});
         }
@@ -94,7 +93,7 @@
         std::uint64_t random = event.random;
         for (std::pair<const std::string, peer_state> &item : view.m_peers) {
             peer_state &peer = item.second;
-            if (peer.outstanding || peer.gossipDue > now) {
+            if (peer.outstanding || view.callDue(peer) > now) {
                 continue;
             }
             const std::int64_t spread = view.m_timing.gossipInterval.count() / JitterDivisor;
@@ -106,6 +105,16 @@
         }
     }
 
+    void reached(peer_state &peer, timestamp startedAt, revision_number revision, bool ready) const
+    {
+        peer.answered = true;
+        peer.replaced = false;
+        peer.answeredAt = std::max(peer.answeredAt, startedAt);
+        peer.ready = ready;
+        view.countContact(peer.contacts, {startedAt, revision});
+        learn(peer, revision);
+    }
+
     void learn(peer_state &peer, revision_number revision) const
     {
         peer.revision = std::max(peer.revision, revision);
@@ -163,6 +172,14 @@
     return std::max(peer.answeredAt, m_resumedAt) + m_timing.suspectAfter;
 }
 
+timestamp membership_view::callDue(const peer_state &peer) const
+{
+    // One call serves both sides and halves the cost. Incarnations are random, so callers are spread evenly.
+    const bool odd = ((peer.record.incarnation ^ m_incarnation) & 1U) != 0;
+    const bool calls = odd == (m_incarnation < peer.record.incarnation);
+    return calls || !peer.answered ? peer.gossipDue : std::max(peer.gossipDue, peer.answeredAt + m_timing.callBackAfter);
+}
+
 bool membership_view::suspected(const peer_state &peer, timestamp now) const
 {
     return peer.replaced || now >= suspectedFrom(peer);
@@ -257,9 +274,9 @@
     for (const std::pair<const std::string, peer_state> &peer : m_peers) {
         // A call that is still outstanding when the next is due delays it until it has ended.
         if (peer.second.outstanding) {
-            consider(peer.second.gossipDue);
+            consider(callDue(peer.second));
         } else {
-            due = std::min(due, std::max(peer.second.gossipDue, now));
+            due = std::min(due, std::max(callDue(peer.second), now));
         }
         if (!peer.second.replaced) {
             consider(suspectedFrom(peer.second));
--- a/src/kernel/membership_view.h
+++ b/src/kernel/membership_view.h
@@ -18,6 +18,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -32,6 +33,8 @@
     duration suspectAfter = std::chrono::seconds(2);
     /** Without contact for this long the entry is isolated. */
     duration isolateAfter = std::chrono::seconds(3);
+    /** Of two entries one calls, and the other counts what the caller echoes; it calls too after this time without a sign of the caller. */
+    duration callBackAfter = std::chrono::milliseconds(1'300);
     /** A gap between two events from which the process counts as having been frozen. */
     duration frozenAfter = std::chrono::seconds(1);
 };
@@ -60,12 +63,18 @@
     bool replaced = false;
 };
 
-/** A peer called. This tells its revision; it is no contact, because the message may have been under way for any time. */
+/**
+ * A peer called. The message may have been under way for any time, so it counts as contact only from the time of this entry's last answer to
+ * that peer, which the call echoes.
+ */
 struct gossip_received
 {
     std::string entry;
     incarnation_number incarnation = 0;
     revision_number revision = 0;
+    bool ready = false;
+    /** Time of the echoed answer, by this entry's clock. */
+    std::optional<timestamp> echoedAt = {};
 };
 
 /** The store answered a read that was started at this time and showed this revision as the last. */
@@ -167,7 +176,7 @@
     {
         entry_record record;
         contact_history contacts;
-        /** Start of the last answered call, or when the peer became known. */
+        /** Start of the last answered call, time of the last echoed answer, or when the peer became known. */
         timestamp answeredAt{};
         bool answered = false;
         bool replaced = false;
@@ -193,6 +202,7 @@
     void promote(contact_history &history) const;
     bool suspected(const peer_state &peer, timestamp now) const;
     timestamp suspectedFrom(const peer_state &peer) const;
+    timestamp callDue(const peer_state &peer) const;
     void checkCaughtUp(timestamp now);
     peer_state *find(std::string_view entry, incarnation_number incarnation);
 
--- a/src/net/peer_messages.h
+++ b/src/net/peer_messages.h
@@ -21,17 +21,20 @@
     int running = 0;
     /** Targets of the pool that the sender cannot reach. */
     std::vector<std::string> unreachable = {};
+    /** In messages: position in the sender's list; there the name may be left out. */
+    int number = 0;
 
     bool operator==(const peer_pool_load &) const = default;
 };
 
 /**
  * The loads are sent only to a receiver that does not hold them: each side says with every message which version of the other's
- * loads it holds (0 for none), and `pools` is present only if that differs from the sender's current version.
+ * loads it holds (0 for none). `pools` is present only if that differs from the sender's current version, and then has all pools with
+ * names, or only the changed ones by number if the receiver knows the names.
  */
 struct gossip_message
 {
-    /** Empty if the sender is a controller. */
+    /** Set only in calls and answers between a controller and an entry: empty in the former, the entry's id in the latter. */
     std::string entry;
     incarnation_number incarnation = 0;
     revision_number revision = 0;
@@ -43,6 +46,12 @@
     /** Version of the receiver's loads that the sender holds. */
     std::uint64_t knownVersion = 0;
     std::optional<std::vector<peer_pool_load>> pools = {};
+    /** In a call: the incarnation that is meant; `knownVersion` and `echo` are for it alone. */
+    incarnation_number to = 0;
+    /** In an answer: the answering entry's clock in ms, rounded down. */
+    std::uint64_t stamp = 0;
+    /** In a call: the stamp of the last answer, or 0. */
+    std::uint64_t echo = 0;
 };
 
 /** A count of slots on a target. The receiver counts the validity from when it sent the request, so that transit time only shortens a loan. */
--- a/src/net/peer_wire.cpp
+++ b/src/net/peer_wire.cpp
@@ -40,6 +40,9 @@
     to.set_store_reachable(from.storeReachable);
     to.set_loads_version(from.loadsVersion);
     to.set_known_version(from.knownVersion);
+    to.set_to(from.to);
+    to.set_stamp(from.stamp);
+    to.set_echo(from.echo);
     if (!from.pools) {
         return;
     }
@@ -49,6 +52,7 @@
         pool.set_queued(static_cast<std::uint32_t>(load.queued));
         pool.set_free_slots(static_cast<std::uint32_t>(load.freeSlots));
         pool.set_running(static_cast<std::uint32_t>(load.running));
+        pool.set_number(static_cast<std::uint32_t>(load.number));
         pool.mutable_unreachable()->Assign(load.unreachable.begin(), load.unreachable.end());
     }
     to.mutable_loads();
@@ -64,6 +68,9 @@
     to.storeReachable = from.store_reachable();
     to.loadsVersion = from.loads_version();
     to.knownVersion = from.known_version();
+    to.to = from.to();
+    to.stamp = from.stamp();
+    to.echo = from.echo();
     if (!from.has_loads()) {
         return to;
     }
@@ -73,7 +80,8 @@
                                            static_cast<int>(pool.queued()),
                                            static_cast<int>(pool.free_slots()),
                                            static_cast<int>(pool.running()),
-                                           {pool.unreachable().begin(), pool.unreachable().end()}});
+                                           {pool.unreachable().begin(), pool.unreachable().end()},
+                                           static_cast<int>(pool.number())});
     }
     return to;
 }
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -325,39 +325,70 @@
 
 TEST_CASE("peer loads")
 {
-    peer_loads left("a", 1);
-    peer_loads right("b", 2);
-    left.setOwn({{"booking", 1, 2, 3, {}}});
+    peer_loads left(1);
+    peer_loads right(2);
+    left.setOwn({{"booking", 1, 2, 3, {}}, {"profiles", 4, 5, 6, {"vm-1"}}});
 
     SUBCASE("loads are sent until the peer says that it holds them, and again when they change")
     {
         CHECK(left.compose("b", 2).pools);
-        CHECK(right.take(left.compose("b", 2)));
-        CHECK(right.of("a", 1)[0].queued == 1);
+        CHECK(right.take("a", left.compose("b", 2)));
+        CHECK(right.of("a", 1) == std::vector<peer_pool_load>{{"booking", 1, 2, 3, {}}, {"profiles", 4, 5, 6, {"vm-1"}}});
         // The answer was lost: the sender does not know yet.
-        CHECK(left.compose("b", 2).pools);
-        left.take(right.compose("a", 1));
+        CHECK(left.compose("b", 2).pools->front().pool == "booking");
+        left.take("b", right.compose("a", 1));
         CHECK_FALSE(left.compose("b", 2).pools);
-        left.setOwn({{"booking", 1, 2, 3, {}}});
+        left.setOwn(right.of("a", 1));
         CHECK_FALSE(left.compose("b", 2).pools);
-        left.setOwn({{"booking", 9, 2, 3, {}}});
-        CHECK(left.compose("b", 2).pools);
+    }
+    SUBCASE("only the pools that changed are sent, without names; the others keep what was told")
+    {
+        right.take("a", left.compose("b", 2));
+        left.take("b", right.compose("a", 1));
+        left.setOwn({{"booking", 1, 2, 3, {}}, {"profiles", 4, 0, 6, {}}});
+        const gossip_message change = left.compose("b", 2);
+        REQUIRE(change.pools->size() == 1);
+        CHECK(change.pools->front().pool.empty());
+        CHECK(right.take("a", change));
+        CHECK(right.of("a", 1) == std::vector<peer_pool_load>{{"booking", 1, 2, 3, {}}, {"profiles", 4, 0, 6, {}}});
+    }
+    SUBCASE("a changed list of pools is sent with names; numbers of the old list would name other pools")
+    {
+        right.take("a", left.compose("b", 2));
+        left.take("b", right.compose("a", 1));
+        left.setOwn({{"profiles", 4, 5, 6, {}}, {"spare", 7, 8, 9, {}}});
+        CHECK(left.compose("b", 2).pools->size() == 2);
+        CHECK(right.take("a", left.compose("b", 2)));
+        CHECK(right.of("a", 1) == std::vector<peer_pool_load>{{"profiles", 4, 5, 6, {}}, {"spare", 7, 8, 9, {}}});
+        left.setOwn({});
+        CHECK(right.take("a", left.compose("b", 2)));
+        CHECK(right.of("a", 1).empty());
     }
     SUBCASE("an older message that arrives late does not bring old loads back")
     {
         const gossip_message early = left.compose("b", 2);
         left.setOwn({{"booking", 9, 2, 3, {}}});
-        right.take(left.compose("b", 2));
-        CHECK_FALSE(right.take(early));
+        right.take("a", left.compose("b", 2));
+        CHECK_FALSE(right.take("a", early));
         CHECK(right.of("a", 1)[0].queued == 9);
     }
+    SUBCASE("a change of a list that is not held is refused, and the whole list is sent again")
+    {
+        right.take("a", left.compose("b", 2));
+        gossip_message change = left.compose("b", 2);
+        change.loadsVersion += 1;
+        change.pools = {{"", 1, 1, 1, {}, 7}};
+        CHECK_FALSE(right.take("a", change));
+        left.take("b", right.compose("a", 1));
+        CHECK(left.compose("b", 2).pools->front().pool == "booking");
+    }
     SUBCASE("a peer that restarted is sent everything, and its old loads are gone")
     {
-        right.take(left.compose("b", 2));
-        left.take(right.compose("a", 1));
-        CHECK(left.compose("b", 3).pools);
-        peer_loads restarted("a", 11);
-        right.take(restarted.compose("b", 2));
+        right.take("a", left.compose("b", 2));
+        left.take("b", right.compose("a", 1));
+        CHECK(left.compose("b", 3).pools->front().pool == "booking");
+        const peer_loads restarted(11);
+        right.take("a", restarted.compose("b", 2));
         CHECK(right.of("a", 1).empty());
         CHECK(right.compose("a", 11).knownVersion == 1);
     }
@@ -365,7 +396,7 @@
     {
         gossip_message wrong = right.compose("a", 1);
         wrong.knownVersion = 1'000;
-        left.take(wrong);
+        left.take("b", wrong);
         CHECK(left.compose("b", 2).pools);
     }
 }
--- a/tests/membership_view_test.cpp
+++ b/tests/membership_view_test.cpp
@@ -201,23 +201,65 @@
         self.handle(membership_tick{1}, Start + 2s);
         CHECK(self.view.ready(Start + 2s));
     }
-    SUBCASE("each peer is called once per interval, and not again while a call is outstanding")
+    SUBCASE("of two entries one calls once per interval, and not again while a call is outstanding")
     {
+        // Of the incarnations 1, 2 and 3, 1 calls 2, and 3 calls 1; before the first sign of a peer everyone calls.
         self.handle(membership_tick{1}, Start);
         CHECK(self.count<send_gossip>() == 2);
         self.handle(membership_tick{2}, Start + 900ms);
         CHECK(self.count<send_gossip>() == 0);
         self.answer(1, Start, Start + 900ms, 3);
-        self.handle(gossip_failed{nameOf(2), 3, false}, Start + 900ms);
+        self.answer(2, Start, Start + 900ms, 3);
         CHECK(self.view.nextDue(Start + 900ms) == Start + 900ms);
         self.handle(membership_tick{3}, Start + 900ms);
-        CHECK(self.count<send_gossip>() == 2);
+        REQUIRE(self.count<send_gossip>() == 1);
+        CHECK(std::get<send_gossip>(self.actions.front()).peer.id == nameOf(1));
         self.answer(1, Start + 900ms, Start + 910ms, 3);
+        CHECK(self.view.nextDue(Start + 910ms) == Start + 1'300ms);
+        // Without a sign of the caller the other side calls too.
+        self.handle(membership_tick{3}, Start + 1'300ms);
+        REQUIRE(self.count<send_gossip>() == 1);
+        CHECK(std::get<send_gossip>(self.actions.front()).peer.id == nameOf(2));
         for (std::uint64_t random = 0; random < 100; ++random) {
-            CHECK(self.view.nextDue(Start + 910ms) >= Start + 900ms + 450ms);
-            CHECK(self.view.nextDue(Start + 910ms) <= Start + 900ms + 550ms);
+            observer other;
+            other.handle(fleet_replayed{3, entries(2)}, Start);
+            other.handle(membership_tick{random}, Start);
+            other.answer(1, Start, Start, 3);
+            CHECK(other.view.nextDue(Start) >= Start + 450ms);
+            CHECK(other.view.nextDue(Start) <= Start + 550ms);
+        }
+    }
+    SUBCASE("each pair has exactly one caller; with none it would run on call-backs, with two it would cost twice as much")
+    {
+        std::mt19937_64 random(11);
+        for (int i = 0; i < 200; ++i) {
+            const incarnation_number own[2] = {random(), random()};
+            std::size_t calls = 0;
+            for (std::size_t side = 0; side < 2; ++side) {
+                membership_view view("a", own[side], {});
+                std::vector<membership_action> actions;
+                view.handle(fleet_replayed{2, {{"a", own[side], {}, {}, "", 1}, {"b", own[1 - side], {}, {}, "", 2}}}, Start, actions);
+                view.handle(gossip_received{"b", own[1 - side], 2, true, Start}, Start, actions);
+                view.handle(membership_tick{1}, Start + 100ms, actions);
+                calls += static_cast<std::size_t>(std::count_if(actions.begin(), actions.end(), [](const membership_action &action) {
+                    return std::holds_alternative<send_gossip>(action);
+                }));
+            }
+            CHECK(calls == 1);
         }
     }
+    SUBCASE("a call counts as contact from the answer that it echoes, not from its arrival; it may have waited in a socket")
+    {
+        self.handle(gossip_received{nameOf(1), 2, 3, true, {}}, Start + 100ms);
+        CHECK(self.view.isolated(Start + 100ms));
+        self.handle(gossip_received{nameOf(1), 2, 3, true, Start + 200ms}, Start + 700ms);
+        CHECK(self.view.dispatchUntil() == Start + 3'200ms);
+        CHECK(self.view.live(Start + 2'100ms) == std::vector<std::string>{nameOf(0), nameOf(1)});
+        CHECK(self.view.live(Start + 2'200ms) == std::vector<std::string>{nameOf(0)});
+        // A time that is not this process's own, as after a restart, would stretch the limit without bound.
+        self.handle(gossip_received{nameOf(1), 2, 3, true, Start + 1h}, Start + 800ms);
+        CHECK(self.view.dispatchUntil() == Start + 3'200ms);
+    }
     SUBCASE("logs are fetched from live peers, those that are ahead first, and not always from the same one")
     {
         self.answer(1, Start, Start, 3);
@@ -281,6 +323,9 @@
                 waiting.push_back(made);
                 waiting.back().answered = made.answered || (made.endsAt <= m_now && m_now >= m_frozenUntil[made.to]);
             } else if (made.answered || m_side[made.from] == m_side[made.to]) {
+                timestamp &stamp = m_stamps[{made.from, made.to}];
+                handle(made.to, gossip_received{nameOf(made.from), made.from + 1, m_views.size(), true, made.echo});
+                stamp = m_now;
                 handle(made.from, gossip_answered{nameOf(made.to), made.to + 1, made.startedAt, m_views.size(), true});
             } else {
                 handle(made.from, gossip_failed{nameOf(made.to), made.to + 1, false});
@@ -312,6 +357,7 @@
         timestamp startedAt{};
         timestamp endsAt{};
         bool answered = false;
+        std::optional<timestamp> echo = {};
     };
 
     void handle(std::size_t index, const membership_event &event)
@@ -321,7 +367,9 @@
         for (const membership_action &action : actions) {
             if (const send_gossip *send = std::get_if<send_gossip>(&action)) {
                 const std::size_t to = send->peer.incarnation - 1;
+                const auto stamp = m_stamps.find({index, to});
                 m_calls.push_back({index, to, m_now, m_now + duration(static_cast<std::int64_t>(m_random() % 300'000)), false});
+                m_calls.back().echo = stamp == m_stamps.end() ? std::optional<timestamp>() : stamp->second;
             }
         }
     }
@@ -332,6 +380,8 @@
     std::vector<timestamp> m_frozenUntil;
     std::vector<int> m_side;
     std::vector<call> m_calls;
+    // Time of the last answer that `first` got from `second`.
+    std::map<std::pair<std::size_t, std::size_t>, timestamp> m_stamps;
 };
 
 template<typename Property>
--- a/tests/peer_net_test.cpp
+++ b/tests/peer_net_test.cpp
@@ -96,7 +96,10 @@
     SUBCASE("every field of a gossip message arrives; a lost one would hide a peer's load or revision")
     {
         gossip_message sent{"entry-2", 7, 1ULL << 40U, true, true, 9, 8, {}};
-        sent.pools = {{"booking", 1, 2, 3, {"vm-1", "vm-2"}}, {"profiles", 0, 0, 0, {}}};
+        sent.pools = {{"booking", 1, 2, 3, {"vm-1", "vm-2"}, 0}, {"", 0, 0, 0, {}, 4}};
+        sent.to = 5;
+        sent.stamp = 6;
+        sent.echo = 1ULL << 50U;
         const call_end<gossip_message> end = wait<gossip_message>([&](peer_callback<gossip_message> done) {
             client.gossip(peer, sent, std::move(done));
         });
@@ -108,6 +111,9 @@
         CHECK(end.answer->loadsVersion == 9);
         CHECK(end.answer->knownVersion == 8);
         CHECK(end.answer->pools == sent.pools);
+        CHECK(end.answer->to == 5);
+        CHECK(end.answer->stamp == 6);
+        CHECK(end.answer->echo == sent.echo);
     }
     SUBCASE("loads that are absent stay absent, and empty loads stay present; confusing them would erase known loads")
     {
