--- a/src/control/control_loop.cpp
+++ b/src/control/control_loop.cpp
@@ -308,9 +308,13 @@
     control_status status;
     status.state = m_implementation->follower.state();
     status.input = m_implementation->board.input(m_implementation->clock.now(), m_implementation->storeAnswers());
-    status.planningBlockedBy = m_implementation->controller.planningBlockedBy(*status.state, status.input);
-    const std::lock_guard<std::mutex> guard(m_implementation->lock);
-    status.holdsLease = m_implementation->holdsLease;
+    {
+        const std::lock_guard<std::mutex> guard(m_implementation->lock);
+        status.holdsLease = m_implementation->holdsLease;
+    }
+    // Only the holder of the lease reads the platform's list and probes targets.
+    status.planningBlockedBy
+        = status.holdsLease ? m_implementation->controller.planningBlockedBy(*status.state, status.input) : "another controller holds the lease; ask it";
     return status;
 }
 
--- a/src/kernel/fleet_controller.cpp
+++ b/src/kernel/fleet_controller.cpp
@@ -3,6 +3,7 @@
 #include "kernel/maintenance_wave.h"
 
 #include <algorithm>
+#include <iterator>
 #include <tuple>
 
 namespace daisypass {
@@ -128,6 +129,7 @@
     void advanceFailed(const vm_record &vm);
     void cancelInPool(std::string_view pool, const std::vector<const vm_record *> &draining);
     bool begin(const vm_record &vm, drain_cause cause, std::string_view detail);
+    void beginMove(const std::vector<const vm_record *> &members, std::string_view to);
     void planMaintenance(const wave_config &wave, const std::string &pool, const std::vector<const vm_record *> &members);
 
     const fleet_controller_options &m_options;
@@ -327,9 +329,25 @@
         return;
     }
     for (const pool_move &move : policy(m_state, m_input)) {
-        const auto vm = m_state.vms().find(move.vm);
-        if (vm != m_state.vms().end() && m_state.config().pools.contains(move.pool) && vm->second.pool != move.pool) {
-            begin(vm->second, drain_cause::Move, move.pool);
+        if (m_state.config().pools.contains(move.to) && move.from != move.to) {
+            beginMove(pools[move.from], move.to);
+        }
+    }
+}
+
+// The VM whose maintenance is oldest: a move includes a reboot, which counts as maintenance.
+void decision_maker::beginMove(const std::vector<const vm_record *> &members, std::string_view to)
+{
+    std::vector<const vm_record *> serving;
+    std::copy_if(members.begin(), members.end(), std::back_inserter(serving), [](const vm_record *vm) {
+        return vm->state == vm_state::Serving;
+    });
+    std::sort(serving.begin(), serving.end(), [](const vm_record *left, const vm_record *right) {
+        return std::tie(left->maintainedAt, left->id) < std::tie(right->maintainedAt, right->id);
+    });
+    for (const vm_record *vm : serving) {
+        if (begin(*vm, drain_cause::Move, to)) {
+            return;
         }
     }
 }
--- a/src/kernel/fleet_controller.h
+++ b/src/kernel/fleet_controller.h
@@ -67,11 +67,11 @@
     timestamp at{};
 };
 
-/** A VM that a balancing policy wants in another pool. */
+/** A move of one VM that a balancing policy wants; the controller chooses the VM. */
 struct pool_move
 {
-    std::string vm;
-    std::string pool;
+    std::string from;
+    std::string to;
 };
 
 struct controller_input
--- a/src/platform/fleet_log.cpp
+++ b/src/platform/fleet_log.cpp
@@ -210,10 +210,13 @@
 std::optional<std::string> fleet_log::putFile(std::string_view text, failure &reason)
 {
     std::string hash = contentHash(text);
-    if (!m_objects.put("file/" + hash, text, reason)) {
-        return std::nullopt;
+    // Writing the same object again is harmless, so a lost answer needs no settlement.
+    for (int attempt = 0; attempt < AppendAttempts; ++attempt) {
+        if (m_objects.put("file/" + hash, text, reason)) {
+            return hash;
+        }
     }
-    return hash;
+    return std::nullopt;
 }
 
 std::optional<std::string> fleet_log::file(std::string_view hash, failure &reason)
--- a/tests/fleet_state_test.cpp
+++ b/tests/fleet_state_test.cpp
@@ -297,3 +297,23 @@
         CHECK(fleet.tryApply({configuration_applied{1, {{"pools.json", "0"}}, {}, "test"}}) == failure_code::NotFound);
     }
 }
+
+TEST_CASE("Records are accepted in order only")
+{
+    // Guards against a replica that skips a record, takes one twice, or is stopped for good by a record that is refused.
+    small_fleet fleet(8, 2, "none");
+    const std::string before = fleet.state.encode();
+    const revision_number next = fleet.state.revision() + 1;
+    failure reason;
+    for (const revision_number wrong : {next - 2, next - 1, next + 1, next + 1'000}) {
+        CHECK_FALSE(fleet.state.apply({wrong, "w", timestamp(0), {vm_failed{"vm-00"}}}, fleet.bodies.source(), reason));
+        CHECK(reason.code == failure_code::RevisionGap);
+        CHECK_FALSE(fleet.state.skip({wrong, "w", timestamp(0), {}}, reason));
+    }
+    CHECK(fleet.state.encode() == before);
+    const log_record refused{next, "w", timestamp(0), {vm_failed{"vm-99"}}};
+    CHECK_FALSE(fleet.state.apply(refused, fleet.bodies.source(), reason));
+    CHECK(fleet.state.skip(refused, reason));
+    CHECK(fleet.state.revision() == next);
+    CHECK(fleet.tryApply({vm_failed{"vm-00"}}) == failure_code::None);
+}
--- a/tests/fleet_stories_test.cpp
+++ b/tests/fleet_stories_test.cpp
@@ -186,6 +186,24 @@
     checkGolden("operators_race", world.transcript);
 }
 
+TEST_CASE("Story: a balancing policy asks for more moves than the budget allows")
+{
+    // Guards against moves that breach the budget, and against an unchanged file that undoes a move.
+    fleet_world world(6, 4, "none", 1, 2);
+    world.addController("control-1");
+    joinAll(world);
+    world.controllers["control-1"]->decisions.setBalancer([](const fleet_state &, const controller_input &) {
+        return std::vector<pool_move>{{"a", "b"}, {"a", "nowhere"}, {"nowhere", "b"}};
+    });
+    world.run(200);
+    CHECK(world.state().serving("a") == 4);
+    CHECK(world.state().serving("b") == 2);
+    CHECK(world.apply("ana", world.state().configurationRevision(), "waves.json", waveText(2)) == failure_code::None);
+    world.run(60);
+    CHECK(world.state().serving("b") == 2);
+    checkGolden("balancer", world.transcript);
+}
+
 TEST_CASE("Forecast of a wave")
 {
     // Guards against a wave that falls behind without notice.
--- a/tests/fleet_world.h
+++ b/tests/fleet_world.h
@@ -27,6 +27,8 @@
 struct simulated_target
 {
     int inFlight = 0;
+    /** Outage of the last reboot. */
+    timestamp downFrom{};
     timestamp downUntil{};
     bool down = false;
 };
@@ -49,6 +51,8 @@
 class fleet_world
 {
 public:
+    /** A reboot is accepted some time before the target goes down. */
+    static constexpr duration RebootDelay = std::chrono::seconds(3);
     static constexpr duration RebootTime = std::chrono::seconds(20);
 
     fleet_world(int vms, int minAvailable, const std::string &headroom, int parallel, int entries);
@@ -90,6 +94,7 @@
 
 private:
     void step();
+    void checkOutages();
     void replay(fleet_state &state);
     void stepController(const std::string &name, simulated_controller &controller);
     void carryOut(const std::string &name, simulated_controller &controller, const controller_command &command);
--- a/tests/fleet_world_test.cpp
+++ b/tests/fleet_world_test.cpp
@@ -119,6 +119,7 @@
 void fleet_world::step()
 {
     now += std::chrono::seconds(1);
+    checkOutages();
     for (std::pair<const std::string, simulated_entry> &entry : entries) {
         if (!entry.second.cut) {
             replay(entry.second.state);
@@ -131,6 +132,16 @@
     }
 }
 
+void fleet_world::checkOutages()
+{
+    for (const std::pair<const std::string, simulated_target> &target : targets) {
+        if (target.second.downFrom == now) {
+            const auto vm = state().vms().find(target.first);
+            CHECK_MESSAGE((vm == state().vms().end() || vm->second.state != vm_state::Serving), "a reboot took down " << target.first << " while it served");
+        }
+    }
+}
+
 void fleet_world::stepController(const std::string &name, simulated_controller &controller)
 {
     if (controller.heldBack) {
@@ -185,7 +196,7 @@
         }
     } else if (const probe_target *probe = std::get_if<probe_target>(&command)) {
         const simulated_target &target = targets[probe->vm];
-        if (target.down || now < target.downUntil) {
+        if (target.down || (now >= target.downFrom && now < target.downUntil)) {
             controller.board.targetFailed(probe->vm, now);
         } else {
             controller.board.targetAnswered(probe->vm, target.inFlight, now);
@@ -195,7 +206,8 @@
         if (reboots.insert(reboot->operation).second) {
             note(name + " reboots " + reboot->vm + " as " + reboot->operation);
             CHECK_MESSAGE(targets[reboot->vm].inFlight == 0, "a reboot cut off a request on " << reboot->vm);
-            targets[reboot->vm].downUntil = now + RebootTime;
+            targets[reboot->vm].downFrom = now + RebootDelay;
+            targets[reboot->vm].downUntil = now + RebootDelay + RebootTime;
         }
     }
 }
