Add integration tests over real processes

Ruled out: a fixed port for each part; every port is chosen by the system, and fault proxies run inside the test program. Two faults of the tests themselves were found on the way: more requests at once than new VMs have slots while they ramp up, and waits of a full deadline for each unknown key.

--- /dev/null
+++ b/tests/integration/deployment.cpp
@@ -0,0 +1,399 @@
+#include "integration/deployment.h"
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <stdexcept>
+#include <thread>
+
+namespace daisypass::integration {
+namespace {
+
+constexpr const char *loopback = "127.0.0.1";
+constexpr const char *adminToken = "integration-test-token";
+
+// The peers' address of an entry goes through a proxy that must know it before the entry starts, so a free port is looked up.
+std::uint16_t freePort()
+{
+    asio::io_context context;
+    asio::ip::tcp::acceptor acceptor(context, {asio::ip::address_v4::loopback(), 0});
+    return acceptor.local_endpoint().port();
+}
+
+std::unique_ptr<fault_proxy> proxyTo(const endpoint &server)
+{
+    std::unique_ptr<fault_proxy> proxy = std::make_unique<fault_proxy>(endpoint{loopback, 0}, server);
+    failure reason;
+    if (!proxy->start(reason)) {
+        throw std::runtime_error(describe(reason));
+    }
+    return proxy;
+}
+
+std::string placeOf(const fault_proxy &proxy)
+{
+    return toString({loopback, proxy.port()});
+}
+
+void writeFile(const std::string &path, const nlohmann::json &body)
+{
+    std::ofstream(path) << body.dump(2) << '\n';
+}
+
+std::string newDirectory()
+{
+    std::string name = (std::filesystem::temp_directory_path() / "daisypass-test-XXXXXX").string();
+    if (mkdtemp(name.data()) == nullptr) {
+        throw std::runtime_error("cannot create " + name);
+    }
+    return name;
+}
+
+bool contains(const std::vector<std::size_t> &list, std::size_t value)
+{
+    return std::find(list.begin(), list.end(), value) != list.end();
+}
+
+submission_report reportOf(const http_result &result, submission_report report)
+{
+    readOutcome(result, report);
+    return report;
+}
+
+} // namespace
+
+deployment::deployment(deployment_options options)
+    : m_options(options)
+    , m_directory(newDirectory())
+    , m_client({.threads = 2, .maxConnectionsPerHost = 500})
+{
+    startPlatform();
+    startTargets();
+    for (int i = 0; i < options.entries; ++i) {
+        addEntry();
+    }
+    for (int i = 0; i < options.controllers; ++i) {
+        addController();
+    }
+    if (options.apply && apply(writeConfiguration("operator")) != 0) {
+        throw std::runtime_error("the configuration was not applied:\n" + m_controllers[0].process->log());
+    }
+}
+
+deployment::~deployment()
+{
+    // Frozen proxies would hold answers that a stopping client waits for.
+    for (running_entry &entry : m_entries) {
+        entry.process.reset();
+    }
+    for (running_controller &controller : m_controllers) {
+        controller.process.reset();
+    }
+    std::error_code ignored;
+    std::filesystem::remove_all(m_directory, ignored);
+}
+
+std::string deployment::path(const std::string &name) const
+{
+    return m_directory + '/' + name;
+}
+
+std::string deployment::vmOf(std::size_t target) const
+{
+    return "vm-" + std::to_string(target + 1);
+}
+
+void deployment::startPlatform()
+{
+    m_platformProcess = std::make_unique<child_process>("daisypass-fake-platform", std::vector<std::string>{"--list-lag-ms", "500"}, path("platform.log"));
+    m_platform = {loopback, m_platformProcess->waitForLine("listening")["port"].get<std::uint16_t>()};
+}
+
+void deployment::startTargets()
+{
+    const int count = m_options.bookingTargets + m_options.grinderTargets;
+    m_targetProcess = std::make_unique<child_process>(
+        "daisypass-fake-target", std::vector<std::string>{"--count", std::to_string(count), "--reboot-ms", "300"}, path("targets.log"));
+    nlohmann::json vms = nlohmann::json::array();
+    for (int i = 0; i < count; ++i) {
+        m_targets.push_back({loopback, m_targetProcess->waitForLine("listening", i + 1)["port"].get<std::uint16_t>()});
+        m_targetProxies.push_back(proxyTo(m_targets.back()));
+        vms.push_back({{"id", vmOf(static_cast<std::size_t>(i))},
+                       {"address", placeOf(*m_targetProxies.back())},
+                       {"availability_zone", "z" + std::to_string(i % 3)},
+                       {"rack", "r" + std::to_string(i % 3)},
+                       {"state", "live"}});
+    }
+    call(m_platform, "PUT", "/admin/vms", vms.dump());
+}
+
+std::size_t deployment::addEntry()
+{
+    const std::size_t index = m_entries.size();
+    running_entry entry;
+    entry.name = "entry-" + std::to_string(index + 1);
+    entry.platform = proxyTo(m_platform);
+    const endpoint peers{loopback, freePort()};
+    entry.peers = proxyTo(peers);
+    writeFile(path(entry.name + ".json"),
+              {{"entry", entry.name},
+               {"availability_zone", "z" + std::to_string(index % 3)},
+               {"callers_listen", "127.0.0.1:0"},
+               {"peers_listen", toString(peers)},
+               {"peers_advertise", placeOf(*entry.peers)},
+               {"platform", placeOf(*entry.platform)},
+               {"intervals", {{"shutdown_ms", 5'000}}}});
+    entry.process
+        = std::make_unique<child_process>("daisypass-entry", std::vector<std::string>{"--settings", path(entry.name + ".json")}, path(entry.name + ".log"));
+    entry.callers = {loopback, entry.process->waitForLine("ready_to_accept")["callers_port"].get<std::uint16_t>()};
+    m_entries.push_back(std::move(entry));
+    if (!waitUntil([&] {
+            return entryReady(index);
+        })) {
+        throw std::runtime_error("the entry does not become ready:\n" + m_entries[index].process->log());
+    }
+    return index;
+}
+
+std::size_t deployment::addController()
+{
+    const std::size_t index = m_controllers.size();
+    const std::string name = "control-" + std::to_string(index + 1);
+    running_controller controller;
+    controller.platform = proxyTo(m_platform);
+    writeFile(path(name + ".json"),
+              {{"controller", name},
+               {"platform", placeOf(*controller.platform)},
+               {"admin", {{"listen", "127.0.0.1:0"}, {"token", adminToken}}},
+               {"step_ms", 200},
+               {"reboot_grace_ms", 500}});
+    controller.process
+        = std::make_unique<child_process>("daisypass-control", std::vector<std::string>{"--settings", path(name + ".json")}, path(name + ".log"));
+    failure reason;
+    const std::optional<endpoint> admin = parseEndpoint(controller.process->waitForLine("started").value("admin", ""), reason);
+    if (!admin) {
+        throw std::runtime_error(describe(reason));
+    }
+    controller.admin = *admin;
+    m_controllers.push_back(std::move(controller));
+    if (!waitUntil([&] {
+            return call(m_controllers[index].admin, "GET", "/readyz").response.status == 200;
+        })) {
+        throw std::runtime_error("the controller does not become ready:\n" + m_controllers[index].process->log());
+    }
+    return index;
+}
+
+bool deployment::entryReady(std::size_t index)
+{
+    const http_result result = call(m_entries[index].callers, "GET", "/readyz");
+    return result.state == send_state::Answered && result.response.status == 200;
+}
+
+std::string deployment::writeConfiguration(const std::string &name, const std::vector<std::size_t> &withoutTargets, const std::vector<std::size_t> &moved)
+{
+    const std::string directory = path(name);
+    std::filesystem::create_directories(directory);
+    const nlohmann::json size{{"processors", 32}, {"memory_mib", 65'536}};
+    writeFile(directory + "/pools.json",
+              {{"pools",
+                {{{"name", "booking"}, {"min_available", 1}, {"headroom", "none"}, {"at_most_once", "claim"}, {"vm", size}},
+                 {{"name", "grinder"}, {"min_available", 1}, {"headroom", "none"}, {"at_most_once", "ticket"}, {"vm", size}}}}});
+    nlohmann::json vms = nlohmann::json::array();
+    for (std::size_t i = 0; i < m_targets.size(); ++i) {
+        if (!contains(withoutTargets, i)) {
+            const bool isBooking = i < static_cast<std::size_t>(m_options.bookingTargets);
+            vms.push_back({{"id", vmOf(i)},
+                           {"pool", isBooking != contains(moved, i) ? "booking" : "grinder"},
+                           {"address", placeOf(*m_targetProxies[i])},
+                           {"availability_zone", "z" + std::to_string(i % 3)},
+                           {"rack", "r" + std::to_string(i % 3)}});
+        }
+    }
+    writeFile(directory + "/vms.json", {{"vms", vms}});
+    writeFile(directory + "/teams.json", {{"teams", {{{"name", "zagreb"}, {"weight", 1}}, {{"name", "split"}, {"weight", 2}}}}});
+    return directory;
+}
+
+int deployment::apply(const std::string &configurationDirectory, std::size_t controller, int waitMs)
+{
+    return runProgram("daisypassctl",
+                      {"apply",
+                       configurationDirectory,
+                       "--control",
+                       toString(m_controllers[controller].admin),
+                       "--token",
+                       adminToken,
+                       "--author",
+                       "test",
+                       "--wait-ms",
+                       std::to_string(waitMs)},
+                      path("ctl.log"));
+}
+
+nlohmann::json deployment::status(std::size_t controller)
+{
+    http_call request;
+    request.url = "http://" + toString(m_controllers[controller].admin) + "/admin/v1/status";
+    request.headers = {{"Authorization", std::string("Bearer ") + adminToken}};
+    constexpr bool allowExceptions = false;
+    nlohmann::json body = nlohmann::json::parse(m_client.fetch(request).response.body, nullptr, allowExceptions);
+    return body.is_object() ? body : nlohmann::json::object();
+}
+
+std::string deployment::newToken()
+{
+    const std::lock_guard<std::mutex> guard(m_lock);
+    return "token-" + std::to_string(++m_lastToken);
+}
+
+std::string deployment::ticket(std::size_t entry)
+{
+    http_call request;
+    request.method = "POST";
+    request.url = "http://" + toString(m_entries[entry].callers) + "/v1/pools/grinder/tickets";
+    request.headers = {{"Daisypass-Team", "zagreb"}};
+    constexpr bool allowExceptions = false;
+    return nlohmann::json::parse(m_client.fetch(request).response.body, nullptr, allowExceptions).value("ticket", "");
+}
+
+http_call deployment::buildCall(std::size_t entry, const std::string &pool, const request_options &options, submission_report &report)
+{
+    report.pool = pool;
+    report.team = "zagreb";
+    report.key = options.key;
+    report.repeatable = options.repeatable;
+    {
+        const std::lock_guard<std::mutex> guard(m_lock);
+        report.attempt = 1 + static_cast<int>(std::count_if(m_reports.begin(), m_reports.end(), [&](const submission_report &earlier) {
+                             return earlier.token == report.token;
+                         }));
+    }
+    http_call request;
+    request.method = "POST";
+    request.url = "http://" + toString(m_entries[entry].callers) + "/v1/pools/" + pool + "/requests";
+    request.headers = {{"Daisypass-Team", report.team},
+                       {"Daisypass-Class", options.requestClass},
+                       {"Daisypass-Repeatable", options.repeatable ? "true" : "false"},
+                       {"Daisypass-Deadline-Ms", std::to_string(options.deadlineMs)},
+                       {"X-Run-Ms", std::to_string(options.runMs)}};
+    if (!options.key.empty()) {
+        request.headers.push_back({"Idempotency-Key", options.key});
+    }
+    if (options.async) {
+        request.headers.push_back({"Prefer", "respond-async"});
+    }
+    request.body = attemptBody(report.token, report.attempt);
+    return request;
+}
+
+submission_report deployment::post(std::size_t entry, const std::string &pool, const request_options &options, const std::string &token)
+{
+    return postLater(entry, pool, options, token).get();
+}
+
+std::future<submission_report> deployment::postLater(std::size_t entry, const std::string &pool, const request_options &options, const std::string &token)
+{
+    submission_report report;
+    report.token = token.empty() ? newToken() : token;
+    http_call request = buildCall(entry, pool, options, report);
+    std::shared_ptr<std::promise<submission_report>> told = std::make_shared<std::promise<submission_report>>();
+    m_client.send(std::move(request), [this, told, report = std::move(report)](const http_result &result) {
+        submission_report done = reportOf(result, report);
+        {
+            const std::lock_guard<std::mutex> guard(m_lock);
+            m_reports.push_back(done);
+        }
+        told->set_value(std::move(done));
+    });
+    return told->get_future();
+}
+
+http_result deployment::call(const endpoint &place, const std::string &method, const std::string &path, const std::string &body)
+{
+    http_call request;
+    request.method = method;
+    request.url = "http://" + toString(place) + path;
+    request.body = body;
+    return m_client.fetch(request);
+}
+
+void deployment::platformFaults(const nlohmann::json &faults)
+{
+    REQUIRE(call(m_platform, "POST", "/admin/faults", faults.dump()).response.status == 200);
+}
+
+void deployment::targetBehaviour(std::size_t target, const nlohmann::json &behaviour)
+{
+    REQUIRE(call(m_targets[target], "POST", "/admin/behaviour", behaviour.dump()).response.status == 200);
+}
+
+std::vector<execution_record> deployment::executions()
+{
+    std::vector<execution_record> all;
+    for (const endpoint &target : m_targets) {
+        failure reason;
+        const std::optional<std::vector<execution_record>> records = decodeExecutions(call(target, "GET", "/admin/executions").response.body, reason);
+        REQUIRE(records);
+        all.insert(all.end(), records->begin(), records->end());
+    }
+    return all;
+}
+
+int deployment::executionsOf(const std::string &token)
+{
+    const std::vector<execution_record> all = executions();
+    return static_cast<int>(std::count_if(all.begin(), all.end(), [&](const execution_record &record) {
+        return record.body.starts_with(token + '#');
+    }));
+}
+
+nlohmann::json deployment::targetStats(std::size_t target)
+{
+    return nlohmann::json::parse(call(m_targets[target], "GET", "/admin/stats").response.body);
+}
+
+int deployment::inFlight()
+{
+    int running = 0;
+    for (std::size_t i = 0; i < m_targets.size(); ++i) {
+        running += targetStats(i).value("in_flight", 0);
+    }
+    return running;
+}
+
+bool deployment::waitForInFlight(int least)
+{
+    return waitUntil([&] {
+        return inFlight() >= least;
+    });
+}
+
+bool deployment::waitUntilIdle()
+{
+    return waitUntil([&] {
+        return inFlight() == 0;
+    });
+}
+
+std::string deployment::check()
+{
+    std::vector<submission_report> reports;
+    {
+        const std::lock_guard<std::mutex> guard(m_lock);
+        reports = m_reports;
+    }
+    std::string text;
+    for (const disagreement &found : checkOutcomes(reports, executions())) {
+        text += std::string(kindName(found.kind)) + ' ' + found.token + ": " + found.detail + '\n';
+    }
+    return text;
+}
+
+} // namespace daisypass::integration
--- /dev/null
+++ b/tests/integration/fleet_scenarios.cpp
@@ -0,0 +1,218 @@
+// Changes of the fleet through real processes: drains, graceful stops, configuration in force, racing operators and controllers.
+
+#include "integration/deployment.h"
+
+#include <doctest/doctest.h>
+
+#include <filesystem>
+#include <set>
+#include <thread>
+
+using namespace daisypass;
+using namespace daisypass::integration;
+
+namespace {
+
+// Posts to every entry in turn until it is destroyed.
+class steady_load
+{
+public:
+    steady_load(deployment &fleet, std::size_t entries, request_options options)
+        : m_thread([this, &fleet, entries, options] {
+            for (std::size_t i = 0; !m_stopping; ++i) {
+                m_told.push_back(fleet.postLater(i % entries, "booking", options));
+                std::this_thread::sleep_for(std::chrono::milliseconds(10));
+            }
+        })
+    {
+    }
+
+    ~steady_load()
+    {
+        finish();
+    }
+
+    /** Outcomes other than completed, one a line. */
+    std::string finish()
+    {
+        m_stopping = true;
+        if (m_thread.joinable()) {
+            m_thread.join();
+        }
+        std::string others;
+        for (std::future<submission_report> &each : m_told) {
+            const submission_report told = each.get();
+            if (told.outcome != told_outcome::Completed) {
+                others += std::string(outcomeName(told.outcome)) + ' ' + told.reason + ' ' + told.token + '\n';
+            }
+        }
+        m_told.clear();
+        return others;
+    }
+
+private:
+    std::atomic<bool> m_stopping{false};
+    std::vector<std::future<submission_report>> m_told;
+    std::thread m_thread;
+};
+
+bool reachesState(deployment &fleet, const std::string &vm, const std::string &state, std::size_t controller = 0)
+{
+    return waitUntil([&] {
+        for (const nlohmann::json &each : fleet.status(controller).value("vms", nlohmann::json::array())) {
+            if (each.value("vm", "") == vm) {
+                return each.value("state", "") == state;
+            }
+        }
+        return state == "removed";
+    });
+}
+
+std::uint64_t cutOff(deployment &fleet, std::size_t targets)
+{
+    std::uint64_t count = 0;
+    for (std::size_t i = 0; i < targets; ++i) {
+        count += fleet.targetStats(i).value("cut_off", std::uint64_t{0});
+    }
+    return count;
+}
+
+} // namespace
+
+// Guards against new work on a target that is leaving, and against a removal that cuts off work.
+TEST_CASE("a leaving target receives no new work after 3 s, at every entry")
+{
+    deployment fleet({.entries = 3});
+    steady_load load(fleet, 3, {.runMs = 20});
+    REQUIRE(waitUntil([&] {
+        return fleet.targetStats(0).value("executions", 0) > 10;
+    }));
+    const std::string smaller = fleet.writeConfiguration("operator", {0});
+    fleet.targetBehaviour(0, {{"leaving", true}});
+    CHECK(fleet.apply(smaller) == 0);
+    CHECK(reachesState(fleet, fleet.vmOf(0), "removed"));
+    CHECK(load.finish() == "");
+    for (const execution_record &run : fleet.executions()) {
+        CHECK(run.afterLeavingMs.value_or(0) <= 3'000);
+    }
+    CHECK(cutOff(fleet, 6) == 0);
+    CHECK(fleet.check() == "");
+}
+
+// Guards against planned stops that cut off requests in flight.
+TEST_CASE("planned stops are graceful")
+{
+    deployment fleet({.entries = 3});
+
+    SUBCASE("of an entry")
+    {
+        std::vector<std::future<submission_report>> told;
+        for (int i = 0; i < 10; ++i) {
+            told.push_back(fleet.postLater(0, "booking", {.runMs = 800}));
+        }
+        REQUIRE(fleet.waitForInFlight(3));
+        fleet.entry(0).process->askToStop();
+        REQUIRE(waitUntil([&] {
+            return !fleet.entryReady(0);
+        }));
+        for (std::future<submission_report> &each : told) {
+            CHECK(each.get().outcome == told_outcome::Completed);
+        }
+        CHECK(fleet.entry(0).process->waitForExit() == 0);
+        CHECK(fleet.post(1, "booking").outcome == told_outcome::Completed);
+        CHECK(waitUntil([&] {
+            return fleet.status().value("entries", nlohmann::json::array()).size() == 2;
+        }));
+    }
+
+    SUBCASE("of a VM that moves to another pool and is rebooted")
+    {
+        steady_load load(fleet, 3, {.runMs = 150});
+        REQUIRE(waitUntil([&] {
+            return fleet.targetStats(0).value("executions", 0) > 5;
+        }));
+        const std::string directory = fleet.writeConfiguration("operator", {}, {0});
+        CHECK(fleet.apply(directory) == 0);
+        CHECK(waitUntil([&] {
+            for (const nlohmann::json &vm : fleet.status().value("vms", nlohmann::json::array())) {
+                if (vm.value("vm", "") == fleet.vmOf(0)) {
+                    return vm.value("pool", "") == "grinder" && vm.value("state", "") == "serving";
+                }
+            }
+            return false;
+        }));
+        CHECK(load.finish() == "");
+        CHECK(cutOff(fleet, 6) == 0);
+    }
+    CHECK(fleet.check() == "");
+}
+
+// Guards against an entry that serves an old configuration because its own way to the store is cut.
+TEST_CASE("an entry cut off from the store follows the configuration within 11 s")
+{
+    deployment fleet({.entries = 3});
+    fleet.entry(1).platform->set({.cut = true});
+    const std::string smaller = fleet.writeConfiguration("operator", {0});
+    // daisypassctl waits for every entry and fails after 11 s, the bound of the requirements.
+    CHECK(fleet.apply(smaller, 0, 11'000) == 0);
+    CHECK(fleet.post(1, "booking").outcome == told_outcome::Completed);
+    fleet.entry(1).platform->set({});
+    CHECK(fleet.check() == "");
+}
+
+// Guards against one operator's change that silently undoes another's.
+TEST_CASE("two operators race, and exactly one wins")
+{
+    deployment fleet({.entries = 2, .controllers = 2});
+    const std::string base = fleet.directory() + "/operator/.daisypass-base";
+    std::vector<std::string> directories;
+    for (std::size_t i = 0; i < 2; ++i) {
+        directories.push_back(fleet.writeConfiguration("racer-" + std::to_string(i), {i}));
+        std::filesystem::copy_file(base, directories.back() + "/.daisypass-base");
+    }
+    std::vector<int> exits(2, -1);
+    std::vector<std::thread> operators;
+    for (std::size_t i = 0; i < 2; ++i) {
+        operators.emplace_back([&, i] {
+            exits[i] = fleet.apply(directories[i], i, 0);
+        });
+    }
+    for (std::thread &each : operators) {
+        each.join();
+    }
+    constexpr int conflict = 3;
+    CHECK(std::set<int>(exits.begin(), exits.end()) == std::set<int>{0, conflict});
+}
+
+// Guards against a controller that acts from an old state after a pause.
+TEST_CASE("two controllers race, and one is frozen past its lease")
+{
+    deployment fleet({.entries = 2, .controllers = 2});
+    const std::size_t holder = fleet.status(0).value("holds_lease", false) ? 0 : 1;
+    const std::size_t other = 1 - holder;
+    fleet.controller(holder).process->freeze();
+    const std::string directory = fleet.writeConfiguration("operator", {}, {0});
+    CHECK(fleet.apply(directory, other) == 0);
+    CHECK(waitUntil([&] {
+        return fleet.status(other).value("holds_lease", false);
+    }));
+    fleet.controller(holder).process->resume();
+    for (std::size_t controller : {other, holder}) {
+        CHECK(waitUntil([&] {
+            for (const nlohmann::json &vm : fleet.status(controller).value("vms", nlohmann::json::array())) {
+                if (vm.value("vm", "") == fleet.vmOf(0)) {
+                    return vm.value("pool", "") == "grinder" && vm.value("state", "") == "serving";
+                }
+            }
+            return false;
+        }));
+    }
+    const nlohmann::json reboots = nlohmann::json::parse(fleet.call(fleet.platform(), "GET", "/admin/stats").response.body)["reboots"];
+    std::set<std::string> operations;
+    for (const nlohmann::json &each : reboots) {
+        CHECK(operations.insert(each.value("operation", "")).second);
+    }
+    CHECK(cutOff(fleet, 6) == 0);
+    CHECK(fleet.post(0, "grinder").outcome == told_outcome::Completed);
+    CHECK(fleet.check() == "");
+}
--- /dev/null
+++ b/tests/integration/request_scenarios.cpp
@@ -0,0 +1,262 @@
+// Requests through real processes: the whole path, and what callers are told when a part fails.
+
+#include "integration/deployment.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+using namespace daisypass;
+using namespace daisypass::integration;
+
+namespace {
+
+using told_list = std::vector<std::future<submission_report>>;
+
+told_list postMany(deployment &fleet, std::size_t entry, const std::string &pool, int count, const request_options &options)
+{
+    told_list told;
+    for (int i = 0; i < count; ++i) {
+        told.push_back(fleet.postLater(entry, pool, options));
+    }
+    return told;
+}
+
+int countOutcome(told_list &told, told_outcome outcome)
+{
+    int count = 0;
+    for (std::future<submission_report> &each : told) {
+        count += each.get().outcome == outcome ? 1 : 0;
+    }
+    return count;
+}
+
+} // namespace
+
+// Guards against parts that each work alone but not together.
+TEST_CASE("a request passes from the caller through any entry to a target and back")
+{
+    deployment fleet({.entries = 3});
+    for (std::size_t entry = 0; entry < 3; ++entry) {
+        const submission_report plain = fleet.post(entry, "booking");
+        CHECK(plain.outcome == told_outcome::Completed);
+        CHECK(plain.answer == attemptBody(plain.token, 1));
+
+        const std::string key = "key-" + std::to_string(entry);
+        const submission_report keyed = fleet.post(entry, "booking", {.key = key});
+        CHECK(keyed.outcome == told_outcome::Completed);
+        // The second submission of the key goes through another entry and gets the answer of the first run.
+        const submission_report again = fleet.post((entry + 1) % 3, "booking", {.key = key}, keyed.token);
+        CHECK(again.outcome == told_outcome::Completed);
+        CHECK(again.answer == keyed.answer);
+        CHECK(fleet.executionsOf(keyed.token) == 1);
+
+        const std::string ticket = fleet.ticket(entry);
+        REQUIRE_FALSE(ticket.empty());
+        const submission_report ticketed = fleet.post(entry, "grinder", {.key = ticket});
+        CHECK(ticketed.outcome == told_outcome::Completed);
+        CHECK(fleet.post((entry + 1) % 3, "grinder", {.key = ticket}, ticketed.token).answer == ticketed.answer);
+        CHECK(fleet.executionsOf(ticketed.token) == 1);
+    }
+    const submission_report unticketed = fleet.post(0, "grinder", {.key = "no-ticket"});
+    CHECK(unticketed.outcome == told_outcome::NotRun);
+    CHECK(unticketed.reason == "ticket_required");
+    CHECK(fleet.check() == "");
+}
+
+// Guards against a second run of a request whose entry died, and against an outcome that nobody can know.
+TEST_CASE("an entry is killed with requests in flight")
+{
+    deployment fleet({.entries = 3});
+    told_list inFlight;
+    const std::string claimed = fleet.newToken();
+    const std::string ticketed = fleet.newToken();
+    const std::string ticket = fleet.ticket(0);
+    inFlight.push_back(fleet.postLater(0, "booking", {.key = "claimed", .runMs = 1'500}, claimed));
+    inFlight.push_back(fleet.postLater(0, "grinder", {.key = ticket, .runMs = 1'500}, ticketed));
+    REQUIRE(fleet.waitForInFlight(2));
+    // Some of these run and some are queued when the entry dies; their callers get no answer either way.
+    for (int i = 0; i < 6; ++i) {
+        inFlight.push_back(fleet.postLater(0, "booking", {.runMs = 1'500}));
+    }
+    REQUIRE(fleet.waitForInFlight(3));
+    fleet.entry(0).process->kill();
+    CHECK(countOutcome(inFlight, told_outcome::Unknown) == 8);
+
+    for (std::size_t entry : {std::size_t{1}, std::size_t{2}}) {
+        CHECK(fleet.post(entry, "booking", {.key = "claimed", .deadlineMs = 1'000}, claimed).outcome == told_outcome::Unknown);
+        CHECK(fleet.post(entry, "grinder", {.key = ticket, .deadlineMs = 1'000}, ticketed).outcome == told_outcome::Unknown);
+    }
+    REQUIRE(fleet.waitUntilIdle());
+    CHECK(fleet.executionsOf(claimed) == 1);
+    CHECK(fleet.executionsOf(ticketed) == 1);
+    // The slots that the dead entry owned are used by the others again.
+    told_list after = postMany(fleet, 1, "booking", 60, {.runMs = 20});
+    CHECK(countOutcome(after, told_outcome::Completed) == 60);
+    CHECK(fleet.check() == "");
+}
+
+// Guards against work that a frozen entry sends from its old view when it resumes.
+TEST_CASE("an entry is frozen past the bounds of its view and resumed")
+{
+    deployment fleet({.entries = 3});
+    told_list before = postMany(fleet, 0, "booking", 3, {.runMs = 200});
+    REQUIRE(fleet.waitForInFlight(3));
+    fleet.entry(0).process->freeze();
+    const std::chrono::steady_clock::time_point frozen = std::chrono::steady_clock::now();
+    // These wait in the frozen entry's sockets; their deadline passes while it is frozen.
+    told_list during = postMany(fleet, 0, "booking", 10, {.deadlineMs = 1'000});
+    told_list elsewhere = postMany(fleet, 1, "booking", 60, {.runMs = 20});
+    CHECK(countOutcome(elsewhere, told_outcome::Completed) == 60);
+    const std::string leaving = fleet.writeConfiguration("operator", {0});
+    fleet.apply(leaving, 0, 0);
+    fleet.targetBehaviour(0, {{"leaving", true}});
+    // Longer than the 3 s after which an entry without contact may not dispatch.
+    REQUIRE(waitUntil(
+        [&] {
+            return std::chrono::steady_clock::now() - frozen > std::chrono::milliseconds(4'500);
+        },
+        std::chrono::seconds(6)));
+    fleet.entry(0).process->resume();
+    CHECK(countOutcome(before, told_outcome::Completed) == 3);
+    for (std::future<submission_report> &each : during) {
+        each.wait();
+    }
+    CHECK(waitUntil([&] {
+        return fleet.entryReady(0);
+    }));
+    told_list resumed = postMany(fleet, 0, "booking", 30, {.runMs = 20});
+    CHECK(countOutcome(resumed, told_outcome::Completed) == 30);
+    for (const execution_record &run : fleet.executions()) {
+        CHECK(run.afterLeavingMs.value_or(0) <= 3'000);
+    }
+    CHECK(fleet.check() == "");
+}
+
+// Guards against requests that run without a claim, run twice after a lost answer, or fail although they need no store.
+TEST_CASE("the store is down, slow, or loses answers")
+{
+    deployment fleet({.entries = 2});
+
+    SUBCASE("claims wait for an outage to end, and other requests pass")
+    {
+        fleet.platformFaults({{"outage", true}});
+        std::future<submission_report> waiting = fleet.postLater(0, "booking", {.key = "waits", .deadlineMs = 15'000});
+        const submission_report late = fleet.post(0, "booking", {.key = "late", .deadlineMs = 500});
+        CHECK(late.outcome == told_outcome::NotRun);
+        CHECK(late.reason == "store_unavailable");
+        CHECK(fleet.post(0, "booking").outcome == told_outcome::Completed);
+        CHECK(fleet.post(1, "grinder", {.key = fleet.ticket(1)}).outcome == told_outcome::Completed);
+        fleet.platformFaults({{"outage", false}});
+        CHECK(waiting.get().outcome == told_outcome::Completed);
+    }
+
+    SUBCASE("claims succeed on a slow store")
+    {
+        fleet.platformFaults({{"delay_ms", 400}});
+        told_list told;
+        for (int i = 0; i < 20; ++i) {
+            told.push_back(fleet.postLater(static_cast<std::size_t>(i % 2), "booking", {.key = "slow-" + std::to_string(i)}));
+        }
+        CHECK(countOutcome(told, told_outcome::Completed) == 20);
+    }
+
+    SUBCASE("a claim whose answer was lost is settled and runs once")
+    {
+        for (int i = 0; i < 10; ++i) {
+            fleet.platformFaults({{"lose_answers", 1}});
+            const submission_report told = fleet.post(static_cast<std::size_t>(i % 2), "booking", {.key = "lost-" + std::to_string(i)});
+            CHECK(told.outcome == told_outcome::Completed);
+            CHECK(fleet.executionsOf(told.token) == 1);
+        }
+    }
+    CHECK(fleet.check() == "");
+}
+
+// Guards against answers that are cut, late or another request's, and against a second run after such an answer.
+TEST_CASE("a target truncates answers, answers with another id or closes early")
+{
+    deployment fleet({.entries = 2, .bookingTargets = 2, .grinderTargets = 1});
+    for (const char *mode : {"truncate", "wrong_id", "close"}) {
+        CAPTURE(mode);
+        fleet.targetBehaviour(0, {{"mode", mode}});
+        fleet.targetBehaviour(1, {{"mode", mode}});
+        for (bool repeatable : {false, true}) {
+            const submission_report told = fleet.post(0, "booking", {.repeatable = repeatable});
+            CHECK(told.outcome == told_outcome::Unknown);
+            CHECK(fleet.executionsOf(told.token) == 1);
+        }
+        const std::string token = fleet.newToken();
+        const std::string key = std::string("key-") + mode;
+        CHECK(fleet.post(0, "booking", {.key = key}, token).outcome == told_outcome::Unknown);
+        fleet.targetBehaviour(0, {{"mode", "normal"}});
+        fleet.targetBehaviour(1, {{"mode", "normal"}});
+        CHECK(fleet.post(1, "booking", {.key = key}, token).outcome == told_outcome::Unknown);
+        CHECK(fleet.executionsOf(token) == 1);
+        // A discarded connection must not leave bytes for the next request.
+        CHECK(waitUntil([&] {
+            return fleet.post(0, "booking").outcome == told_outcome::Completed;
+        }));
+    }
+    CHECK(fleet.check() == "");
+}
+
+// Guards against cancelled work that still runs, holds its place, or is reported wrongly.
+TEST_CASE("waves of cancellations")
+{
+    deployment fleet({.entries = 2, .bookingTargets = 2, .grinderTargets = 1});
+    for (int wave = 0; wave < 2; ++wave) {
+        std::vector<submission_report> accepted;
+        for (int i = 0; i < 120; ++i) {
+            accepted.push_back(fleet.post(static_cast<std::size_t>(i % 2), "booking", {.runMs = 400, .async = true}));
+        }
+        int cancelled = 0;
+        for (std::size_t i = 0; i < accepted.size(); ++i) {
+            REQUIRE_FALSE(accepted[i].requestId.empty());
+            // Half of the cancellations go to the entry that did not accept the request.
+            const endpoint &place = fleet.entry(i / 2 % 2).callers;
+            const http_result answer = fleet.call(place, "DELETE", "/v1/requests/" + accepted[i].requestId);
+            if (answer.response.status == 200) {
+                ++cancelled;
+                CHECK(fleet.executionsOf(accepted[i].token) == 0);
+            }
+        }
+        CHECK(cancelled > 0);
+        REQUIRE(fleet.waitUntilIdle());
+        for (const submission_report &each : accepted) {
+            const http_result outcome = fleet.call(fleet.entry(0).callers, "GET", "/v1/requests/" + each.requestId);
+            submission_report told = each;
+            readOutcome(outcome, told);
+            CHECK((told.outcome == told_outcome::NotRun) == (fleet.executionsOf(each.token) == 0));
+        }
+    }
+    CHECK(fleet.post(0, "booking").outcome == told_outcome::Completed);
+    CHECK(fleet.check() == "");
+}
+
+// Guards against a request that only the entry that accepted it knows.
+TEST_CASE("an asynchronous request is followed through another entry")
+{
+    deployment fleet({.entries = 2});
+    const submission_report accepted = fleet.post(0, "booking", {.runMs = 300, .async = true});
+    REQUIRE_FALSE(accepted.requestId.empty());
+    const std::string path = "/v1/requests/" + accepted.requestId;
+    CHECK(findHeader(fleet.call(fleet.entry(1).callers, "GET", path).response.headers, "Daisypass-Outcome") != "completed");
+    submission_report told = accepted;
+    CHECK(waitUntil([&] {
+        readOutcome(fleet.call(fleet.entry(1).callers, "GET", path), told);
+        return told.outcome == told_outcome::Completed;
+    }));
+    CHECK(told.answer == attemptBody(accepted.token, 1));
+
+    SUBCASE("after the accepting entry has stopped gracefully")
+    {
+        fleet.entry(0).process->askToStop();
+        CHECK(fleet.entry(0).process->waitForExit() == 0);
+        submission_report later = accepted;
+        readOutcome(fleet.call(fleet.entry(1).callers, "GET", path), later);
+        CHECK(later.outcome == told_outcome::Completed);
+        CHECK(later.answer == told.answer);
+    }
+    CHECK(fleet.executionsOf(accepted.token) == 1);
+}
