Send loads to a controller only if it does not hold them

Entries answered every controller with all loads, whatever version it named, because versions were kept per entry only. An answer to a controller is now decided on its message alone, and only if the message names this incarnation; the client fills in that incarnation for every caller.

--- a/src/entry/membership.cpp
+++ b/src/entry/membership.cpp
@@ -48,7 +48,7 @@
     void handle(const membership_event &event);
     void replayed(const std::shared_ptr<const fleet_state> &state);
     void sendGossip(const entry_record &peer);
-    gossip_message compose(std::string_view peer, incarnation_number incarnation);
+    gossip_message compose(const std::function<gossip_message()> &composeLoads);
     gossip_message answerGossip(gossip_message message);
     void takeLoads(const std::string &peer, const gossip_message &message);
     drain_answer answerDrain(const drain_question &question) const;
@@ -170,14 +170,14 @@
     handle(fleet_replayed{next->revision(), entriesOf(*next)});
 }
 
-gossip_message membership::implementation::compose(std::string_view peer, incarnation_number incarnation)
+gossip_message membership::implementation::compose(const std::function<gossip_message()> &composeLoads)
 {
     const std::vector<peer_pool_load> own = handlers.loads ? handlers.loads() : std::vector<peer_pool_load>();
     const std::optional<timestamp> contact = follower.lastStoreContact();
     const std::lock_guard<std::mutex> guard(lock);
     const timestamp now = steadyNow();
     loads.setOwn(own);
-    gossip_message message = loads.compose(peer, incarnation);
+    gossip_message message = composeLoads();
     message.revision = revision;
     message.ready = view.ready(now);
     message.storeReachable = contact && now - *contact < StoreReachableFor;
@@ -201,13 +201,12 @@
 
 void membership::implementation::sendGossip(const entry_record &peer)
 {
-    gossip_message message = compose(peer.id, peer.incarnation);
-    message.to = peer.incarnation;
-    {
-        const std::lock_guard<std::mutex> guard(lock);
+    const gossip_message message = compose([this, &peer] {
+        gossip_message composed = loads.compose(peer.id, peer.incarnation);
         const auto found = stamps.find(peer.incarnation);
-        message.echo = found == stamps.end() ? 0 : found->second;
-    }
+        composed.echo = found == stamps.end() ? 0 : found->second;
+        return composed;
+    });
     const timestamp startedAt = steadyNow();
     client->gossip({peer.peers, peer.incarnation}, message, [this, peer, startedAt](std::optional<gossip_message> answer, const failure &reason) {
         if (!answer) {
@@ -239,8 +238,11 @@
     if (named) {
         takeLoads(caller.id, message);
     }
-    gossip_message answer = compose(caller.id, message.incarnation);
-    answer.entry = message.incarnation == 0 ? options.entry : "";
+    const bool controller = message.incarnation == 0;
+    gossip_message answer = compose([&] {
+        return controller ? loads.composeWhole(message.knownVersion) : loads.compose(caller.id, message.incarnation);
+    });
+    answer.entry = controller ? options.entry : "";
     answer.stamp = static_cast<std::uint64_t>(std::chrono::floor<std::chrono::milliseconds>(steadyNow()).count());
     return answer;
 }
--- a/src/entry/peer_loads.cpp
+++ b/src/entry/peer_loads.cpp
@@ -56,6 +56,17 @@
     return message;
 }
 
+gossip_message peer_loads::composeWhole(std::uint64_t heldVersion) const
+{
+    gossip_message message;
+    message.incarnation = m_incarnation;
+    message.loadsVersion = m_version;
+    if (heldVersion != m_version) {
+        message.pools = m_own;
+    }
+    return message;
+}
+
 bool peer_loads::take(std::string_view name, const gossip_message &message)
 {
     held &peer = m_peers[std::string(name)];
--- a/src/entry/peer_loads.h
+++ b/src/entry/peer_loads.h
@@ -29,6 +29,9 @@
     /** A message to this peer, with what it does not hold of the own loads. Revision, flags and stamps are left to the caller. */
     gossip_message compose(std::string_view peer, incarnation_number incarnation) const;
 
+    /** An answer to a caller that is no peer and holds this version of the own loads; it has all loads with names, or none. */
+    gossip_message composeWhole(std::uint64_t heldVersion) const;
+
     /** Takes over what a peer told; true if its loads changed. Messages may arrive in any order. */
     bool take(std::string_view peer, const gossip_message &message);
 
--- a/src/net/peer_client.cpp
+++ b/src/net/peer_client.cpp
@@ -228,6 +228,7 @@
 {
     peer::GossipMessage request;
     toWire(message, request);
+    request.set_to(peer.incarnation);
     m_implementation->start<peer::GossipMessage, peer::GossipMessage, gossip_message>(
         peer,
         &peer::Peer::Stub::PrepareAsyncGossip,
--- a/src/net/peer_client.h
+++ b/src/net/peer_client.h
@@ -56,6 +56,7 @@
      * not for callbacks. */
     void stop();
 
+    /** Fills in `to`. */
     void gossip(const peer_address &peer, const gossip_message &message, peer_callback<gossip_message> done);
     void borrowSlots(const peer_address &peer, const borrow_call &call, peer_callback<std::vector<peer_grant>> done);
     void returnSlots(const peer_address &peer, const return_call &call, peer_callback<peer_acknowledgement> done);
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -152,6 +152,24 @@
         }));
         CHECK(second.group->peers()[0].pools[0].unreachable == std::vector<std::string>{"vm-7"});
     }
+    SUBCASE("a controller gets the whole loads unless it holds them of this incarnation; versions of an earlier one mean nothing")
+    {
+        peer_client control({});
+        const auto ask = [&](incarnation_number incarnation, std::uint64_t known) {
+            gossip_message question;
+            question.knownVersion = known;
+            return waitFor<gossip_message>([&](peer_callback<gossip_message> done) {
+                       control.gossip({first.group->place(), incarnation}, question, std::move(done));
+                   })
+                .first;
+        };
+        const std::optional<gossip_message> whole = ask(first.incarnation, 0);
+        REQUIRE(whole);
+        CHECK(whole->entry == "entry-1");
+        CHECK(whole->pools == std::vector<peer_pool_load>{{"booking", 0, 3, 0, {"vm-7"}}});
+        CHECK_FALSE(ask(first.incarnation, whole->loadsVersion)->pools);
+        CHECK(ask(0, whole->loadsVersion)->pools);
+    }
     SUBCASE("an entry cut off from the store follows the log through its peers and keeps dispatching")
     {
         third.store.set({.cut = true});
