--- a/tests/peer_net_test.cpp
+++ b/tests/peer_net_test.cpp
@@ -3,6 +3,7 @@
 #include "eventually.h"
 #include "net/peer_client.h"
 #include "net/peer_service.h"
+#include "standins/fault_proxy.h"
 
 #include <asio.hpp>
 #include <doctest/doctest.h>
@@ -97,7 +98,6 @@
     {
         gossip_message sent{"entry-2", 7, 1ULL << 40U, true, true, 9, 8, {}};
         sent.pools = {{"booking", 1, 2, 3, {"vm-1", "vm-2"}, 0}, {"", 0, 0, 0, {}, 4}};
-        sent.to = 5;
         sent.stamp = 6;
         sent.echo = 1ULL << 50U;
         const call_end<gossip_message> end = wait<gossip_message>([&](peer_callback<gossip_message> done) {
@@ -111,7 +111,7 @@
         CHECK(end.answer->loadsVersion == 9);
         CHECK(end.answer->knownVersion == 8);
         CHECK(end.answer->pools == sent.pools);
-        CHECK(end.answer->to == 5);
+        CHECK(end.answer->to == ServiceIncarnation);
         CHECK(end.answer->stamp == 6);
         CHECK(end.answer->echo == sent.echo);
     }
@@ -257,6 +257,33 @@
                                   }).reason.code;
         CHECK((code == failure_code::Timeout || code == failure_code::PeerUnreachable));
     }
+    SUBCASE("a connection that went silent is replaced, and the peer is reached again; TCP alone would stay silent for its back-off")
+    {
+        peer_service service({.listen = {"127.0.0.1", 0}}, answeringHandlers());
+        failure reason;
+        REQUIRE(service.start(reason));
+        fault_proxy path({"127.0.0.1", 0}, service.place());
+        REQUIRE(path.start(reason));
+        peer_client client({.deadline = std::chrono::milliseconds(50)});
+        const auto call = [&] {
+            return wait<gossip_message>([&](peer_callback<gossip_message> done) {
+                client.gossip({{"127.0.0.1", path.port()}, ServiceIncarnation}, {}, std::move(done));
+            });
+        };
+        REQUIRE(eventually([&] {
+            return call().answer.has_value();
+        }));
+        const std::uint64_t before = path.stats().connections;
+        path.set({.freeze = true});
+        CHECK(eventually([&] {
+            CHECK_FALSE(call().answer);
+            return path.stats().connections > before;
+        }));
+        path.set({});
+        CHECK(eventually([&] {
+            return call().answer.has_value();
+        }));
+    }
     SUBCASE("an answer after the deadline is dropped; its callback must not run twice")
     {
         std::promise<void> release;
