Return idle loans behind a blocked queue; test borrowing, shedding and bands

Cause: an entry whose queue held only long requests that may not start kept its idle loans until they expired. An ejected target's slots were reported to peers as free though they are never lent. Requests without any target ended with deadline_passed instead of no_target. Change: loans go back whenever nothing in the queue could use them; free slots of ejected targets are not reported.

--- a/src/kernel/pool_dispatch.cpp
+++ b/src/kernel/pool_dispatch.cpp
@@ -65,12 +65,19 @@
     return false;
 }
 
+int pool_scheduler::state::lendable() const
+{
+    return ledger.lendable(now, [this](target_index index) {
+        return !health.ejected(index);
+    });
+}
+
 target_index pool_scheduler::state::chooseTarget(const request_record &request)
 {
     const duration need = std::min(model.mean(request.runClass), maxLoanNeed);
     // Long work outlives a loan and then holds a slot that the lender counts on, so it prefers owned slots.
     const int ownedBonus = request.band == LongBand ? config.slotsPerTarget : 0;
-    const bool ownedKept = !reserves.empty() && ledger.lendable(now) <= reserves.kept(now);
+    const bool ownedKept = !reserves.empty() && lendable() <= reserves.kept(now);
     const int choices = ledger.choices();
     target_index best = noTarget;
     int bestScore = 0;
@@ -220,12 +227,11 @@
 {
     waitingSince = queuedCount == 0 ? std::nullopt : std::optional<timestamp>(waitingSince.value_or(now));
     if (question) {
-        const std::function<bool(target_index)> healthy = [this](target_index index) {
-            return !health.ejected(index);
-        };
-        const int room = ledger.lendable(now) - reserves.keptForOthers(question->peer, now);
+        const int room = lendable() - reserves.keptForOthers(question->peer, now);
         const int count = isolated ? 0 : std::clamp(room, 0, std::max(0, question->count));
-        const std::vector<slot_grant> grants = ledger.lend(question->peer, count, now, healthy);
+        const std::vector<slot_grant> grants = ledger.lend(question->peer, count, now, [this](target_index index) {
+            return !health.ejected(index);
+        });
         actions->emplace_back(lend_slots{question->peer, grants});
         const bool overloaded = !isolated && waitingSince && now - *waitingSince >= overloadTime;
         reserves.keep(question->peer, overloaded ? question->count - slotsIn(grants) : 0, ledger, now);
@@ -239,7 +245,7 @@
         for (const borrow_slots &asked : borrower.ask(need, now)) {
             actions->emplace_back(asked);
         }
-    } else if (queuedCount == 0) {
+    } else {
         for (const std::pair<const std::string, std::vector<slot_grant>> &idle : ledger.releaseIdle(now)) {
             actions->emplace_back(return_slots{idle.first, idle.second});
         }
--- a/src/kernel/pool_scheduler.cpp
+++ b/src/kernel/pool_scheduler.cpp
@@ -101,7 +101,7 @@
 {
     const request_record request = requests[index];
     leave(index);
-    const bool mayHelp = reason == refusal_reason::DeadlinePassed || reason == refusal_reason::Isolated;
+    const bool mayHelp = reason != refusal_reason::Cancelled;
     const duration wait = mayHelp ? retryAfter(queues.estimatedWait(request.runClass, request.team, use)) : duration{};
     actions->emplace_back(refuse{request.number, reason, wait});
     requests.erase(index);
@@ -228,8 +228,9 @@
 {
     due.clear();
     deadlines.collect(now, due);
+    const refusal_reason reason = ledger.poolCapacity(now) == 0 ? refusal_reason::NoTarget : refusal_reason::DeadlinePassed;
     for (request_index index : due) {
-        drop(index, isolated ? refusal_reason::Isolated : refusal_reason::DeadlinePassed);
+        drop(index, isolated ? refusal_reason::Isolated : reason);
     }
 }
 
@@ -300,7 +301,7 @@
 
 int pool_scheduler::freeSlots() const
 {
-    return m_state->isolated ? 0 : m_state->ledger.lendable(m_state->now);
+    return m_state->isolated ? 0 : m_state->lendable();
 }
 
 } // namespace daisypass
--- a/src/kernel/pool_state.h
+++ b/src/kernel/pool_state.h
@@ -53,6 +53,8 @@
     void drop(request_index index, refusal_reason reason);
     void expireDeadlines();
 
+    /** Free owned slots of targets that are not ejected. */
+    int lendable() const;
     target_index chooseTarget(const request_record &request);
     void start(request_index index, target_index target);
     void stop(request_index index);
--- a/src/kernel/slot_ledger.cpp
+++ b/src/kernel/slot_ledger.cpp
@@ -218,11 +218,11 @@
     return total;
 }
 
-int slot_ledger::lendable(timestamp now) const
+int slot_ledger::lendable(timestamp now, const std::function<bool(target_index)> &permitted) const
 {
     int total = 0;
     for (target_index index = 0; index < m_targets.size(); ++index) {
-        total += m_targets[index].owned ? std::max(0, available(index, now, {})) : 0;
+        total += m_targets[index].owned && permitted(index) ? std::max(0, available(index, now, {})) : 0;
     }
     return total;
 }
--- a/src/kernel/slot_ledger.h
+++ b/src/kernel/slot_ledger.h
@@ -86,8 +86,8 @@
     /** Owned slots that peers hold, by loans or by requests that outlived a loan. */
     int lentOut(timestamp now) const;
     int lentTo(std::string_view peer, timestamp now) const;
-    /** Free slots that could be lent. */
-    int lendable(timestamp now) const;
+    /** Free owned slots of the targets that `permitted` accepts. */
+    int lendable(timestamp now, const std::function<bool(target_index)> &permitted) const;
     /** Random targets to compare for each request; 0 means all. */
     int choices() const;
     /** Requests in flight on the target as far as this entry knows. */
--- a/tests/pool_scheduler_test.cpp
+++ b/tests/pool_scheduler_test.cpp
@@ -218,6 +218,122 @@
     CHECK(s.got<refuse>()[0].reason == refusal_reason::NeverRunnable);
 }
 
+// Guards against requests that keep waiting while a peer has free slots, and against loans that are kept for nothing.
+TEST_CASE("scheduler: borrowing and lending")
+{
+    scenario s(1, 1);
+    s.view.targets.push_back({"t1", "b", {}, {}});
+    s.send(s.view);
+    s.arrive(1);
+    CHECK(s.got<borrow_slots>().empty());
+    s.arrive(2);
+    REQUIRE(s.got<borrow_slots>().size() == 1);
+    CHECK(s.got<borrow_slots>()[0].peer == "b");
+    CHECK(s.got<borrow_slots>()[0].count == 1);
+    s.arrive(3);
+    CHECK(s.got<borrow_slots>().empty());
+
+    SUBCASE("a loan is used for many requests and returned when nothing is queued")
+    {
+        s.send(slots_granted{"b", {{"t1", 1, s.now + 1s}}});
+        CHECK(s.dispatched() == numbers{2});
+        CHECK(s.got<dispatch>()[0].vm == "t1");
+        s.answer(2);
+        CHECK(s.dispatched() == numbers{3});
+        CHECK(s.got<dispatch>()[0].vm == "t1");
+        s.answer(3);
+        CHECK(s.got<return_slots>().empty());
+        s.wait(10ms);
+        REQUIRE(s.got<return_slots>().size() == 1);
+        CHECK(s.got<return_slots>()[0].peer == "b");
+        CHECK(s.got<return_slots>()[0].grants[0].count == 1);
+    }
+    SUBCASE("the own queue comes before a peer's")
+    {
+        s.send(slots_requested{"b", 1});
+        REQUIRE(s.got<lend_slots>().size() == 1);
+        CHECK(s.got<lend_slots>()[0].grants.empty());
+    }
+    SUBCASE("a free slot is lent for a second")
+    {
+        s.send(request_cancelled{2});
+        s.send(request_cancelled{3});
+        s.answer(1);
+        CHECK(s.scheduler.freeSlots() == 1);
+        s.send(slots_requested{"b", 5});
+        REQUIRE(s.got<lend_slots>().size() == 1);
+        REQUIRE(s.got<lend_slots>()[0].grants.size() == 1);
+        CHECK(s.got<lend_slots>()[0].grants[0].count == 1);
+        CHECK(s.got<lend_slots>()[0].grants[0].expires == s.now + 1s);
+        s.arrive(4);
+        CHECK(s.dispatched().empty());
+        s.wait(1020ms);
+        CHECK(s.got<refuse>().size() == 1);
+        s.arrive(5);
+        CHECK(s.dispatched() == numbers{5});
+    }
+    SUBCASE("an isolated entry lends nothing")
+    {
+        s.view.isolated = true;
+        s.send(s.view);
+        s.send(slots_requested{"b", 5});
+        CHECK(s.got<lend_slots>()[0].grants.empty());
+    }
+}
+
+// Guards against callers who wait for an answer that can only be a refusal.
+TEST_CASE("scheduler: early shedding")
+{
+    scenario s(1, 1);
+    s.arrive(1);
+    s.answer(1, attempt_outcome::Completed, 100ms);
+    for (request_number number = 2; number <= 12; ++number) {
+        s.arrive(number, 10s);
+    }
+    CHECK(s.scheduler.queued() == 10);
+    // Ten requests of 100 ms wait for one slot.
+    s.arrive(20, 800ms);
+    REQUIRE(s.got<refuse>().size() == 1);
+    CHECK(s.got<refuse>()[0].reason == refusal_reason::Overloaded);
+    CHECK(s.got<refuse>()[0].retryAfter >= 500ms);
+    CHECK(s.got<refuse>()[0].retryAfter <= 1500ms);
+    s.arrive(21, 1200ms);
+    CHECK(s.got<refuse>().empty());
+    s.arrive(22, 500ms, "blue");
+    CHECK(s.got<refuse>().empty());
+}
+
+// Guards against long work that fills the pool under a short work's name.
+TEST_CASE("scheduler: running requests move to the band of their elapsed time")
+{
+    scenario s(1, 8);
+    s.arrive(1, 60s, "red", "lookup");
+    s.answer(1);
+    // Blue's first requests of the class take its known run time as prior; four of them turn out to be long.
+    for (request_number number = 2; number <= 5; ++number) {
+        s.arrive(number, 60s, "blue", "lookup");
+        CHECK(s.dispatched().size() == 1);
+    }
+    s.wait(2s);
+    s.answer(2, attempt_outcome::Completed, 10s);
+    s.arrive(6, 60s, "blue", "lookup");
+    CHECK(s.dispatched() == numbers{6});
+    s.arrive(7, 60s, "blue", "lookup");
+    CHECK(s.dispatched().empty());
+    s.arrive(8, 60s, "red", "lookup");
+    CHECK(s.dispatched() == numbers{8});
+}
+
+// Guards against an answer of "deadline passed" that hides an empty pool.
+TEST_CASE("scheduler: no target at all")
+{
+    scenario s(0, 1);
+    s.arrive(1, 50ms);
+    s.wait(70ms);
+    REQUIRE(s.got<refuse>().size() == 1);
+    CHECK(s.got<refuse>()[0].reason == refusal_reason::NoTarget);
+}
+
 // Guards against an owner that moves more targets than those of the entry that came or went.
 TEST_CASE("rendezvous: a change of one entry moves only its own targets")
 {
