--- a/bench/entry_path_bench.cpp
+++ b/bench/entry_path_bench.cpp
@@ -165,8 +165,8 @@
     std::cout << options.rounds << " rounds of " << options.seconds << " s, " << options.outstanding << " outstanding\n";
     print("target", directMedian);
     print("entry", throughMedian);
-    std::cout << "added p50: " << throughMedian.medianMs - directMedian.medianMs << " ms, throughput ratio "
-              << throughMedian.perSecond / directMedian.perSecond << '\n';
+    std::cout << "added p50: " << throughMedian.medianMs - directMedian.medianMs << " ms, throughput ratio " << throughMedian.perSecond / directMedian.perSecond
+              << '\n';
 }
 
 } // namespace
--- a/src/entry/claim_writer.cpp
+++ b/src/entry/claim_writer.cpp
@@ -1,5 +1,7 @@
 #include "entry/claim_writer.h"
 
+#include "base/thread_time.h"
+
 #include <utility>
 
 namespace daisypass {
@@ -69,6 +71,11 @@
     return m_logic.waiting();
 }
 
+std::chrono::microseconds claim_writer::processorTime()
+{
+    return threadProcessorTime(m_thread);
+}
+
 void claim_writer::run()
 {
     while (true) {
--- a/src/entry/claim_writer.h
+++ b/src/entry/claim_writer.h
@@ -45,6 +45,8 @@
     void tick();
 
     std::size_t waiting() const;
+    /** Processor time of the writer's thread. */
+    std::chrono::microseconds processorTime();
 
 private:
     using store_task = std::variant<write_claims, read_claims>;
--- a/src/entry/entry_main.cpp
+++ b/src/entry/entry_main.cpp
@@ -6,6 +6,8 @@
 
 #include <CLI/CLI.hpp>
 
+#include <unistd.h>
+
 #include <csignal>
 #include <iostream>
 #include <random>
@@ -41,6 +43,10 @@
     const sigset_t signals = blockStopSignals();
     startLog("daisypass-entry", settings.entry);
     entry_process entry(settings, randomSeed());
+    entry.setRemovedHandler([] {
+        logChange("removed_from_fleet", {});
+        kill(getpid(), SIGTERM);
+    });
     failure reason;
     if (!entry.start(reason)) {
         std::cerr << describe(reason) << '\n';
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -27,6 +27,15 @@
     return std::make_shared<http_client>(options);
 }
 
+entry_stores storesOf(const endpoint &platform)
+{
+    const std::shared_ptr<http_client> client = platformClient();
+    return {table_service(http_table(client, platform)),
+            table_service(http_table(platformClient(), platform)),
+            object_store(http_objects(client, platform)),
+            client};
+}
+
 std::uint64_t draw(std::uint64_t seed, int index)
 {
     std::mt19937_64 random(seed);
@@ -56,17 +65,15 @@
 } // namespace
 
 entry_process::entry_process(entry_settings settings, std::uint64_t seed)
-    : entry_process(
-        settings, seed, table_service(http_table(platformClient(), settings.platform)), object_store(http_objects(platformClient(), settings.platform)))
+    : entry_process(settings, seed, storesOf(settings.platform))
 {
 }
 
-entry_process::entry_process(entry_settings settings, std::uint64_t seed, table_service table, object_store objects)
+entry_process::entry_process(entry_settings settings, std::uint64_t seed, entry_stores stores)
     : m_settings(std::move(settings))
     , m_seed(seed)
     , m_incarnation(draw(seed, 0))
-    , m_table(std::move(table))
-    , m_objects(std::move(objects))
+    , m_stores(std::move(stores))
 {
     http_client_options targets;
     targets.threads = m_settings.threads.targets;
@@ -77,7 +84,7 @@
     options.maxWaitingClaims = m_settings.limits.waitingClaims;
     options.seed = draw(seed, 2);
     const entry_identity identity{m_settings.entry, m_incarnation};
-    m_requests = std::make_unique<submissions>(identity, options, *m_pools, m_table, m_objects, m_metrics, peerQueries());
+    m_requests = std::make_unique<submissions>(identity, options, *m_pools, m_stores.claims, m_stores.objects, m_metrics, peerQueries());
     m_service = std::make_unique<caller_service>(*m_requests, m_metrics, [this] {
         return ready();
     });
@@ -116,6 +123,11 @@
     return m_metrics;
 }
 
+void entry_process::setRemovedHandler(std::function<void()> told)
+{
+    m_removed = std::move(told);
+}
+
 bool entry_process::start(failure &reason)
 {
     http_server_options options;
@@ -145,8 +157,11 @@
     fleet_follower_options following;
     following.pollInterval = m_settings.intervals.poll;
     following.seed = draw(m_seed, 3);
-    m_follower = std::make_unique<fleet_follower>(m_table, m_objects, following);
-    m_log = std::make_unique<fleet_log>(m_table, m_objects);
+    m_follower = std::make_unique<fleet_follower>(m_stores.log, m_stores.objects, following);
+    // Before the membership's own listener, which confirms drains: the pools must have dropped the VM by then.
+    m_follower->addListener([this](std::shared_ptr<const fleet_state> state) {
+        m_pools->applyState(std::move(state));
+    });
     membership_options options;
     options.entry = m_settings.entry;
     options.incarnation = m_incarnation;
@@ -154,15 +169,15 @@
     options.peers = m_settings.peersListen;
     options.availabilityZone = m_settings.availabilityZone;
     options.seed = draw(m_seed, 4);
-    m_membership = std::make_unique<membership>(options, *m_follower, *m_log, membershipHandlers());
-    m_follower->addListener([this](std::shared_ptr<const fleet_state> state) {
-        m_pools->applyState(std::move(state));
-    });
+    m_membership = std::make_unique<membership>(options, *m_follower, fleet_log(m_stores.log, m_stores.objects), membershipHandlers());
     m_membership->addListener([this](const membership_status &status) {
         m_pools->applyLive(status.live);
         if (status.ready) {
             m_requests->open();
         }
+        if (status.removed && !m_stopping && m_removed) {
+            m_removed();
+        }
     });
     m_membership->addLoadListener([this](const std::string &peer, const std::vector<peer_pool_load> &loads) {
         m_pools->peerLoads(peer, loads);
@@ -251,6 +266,12 @@
     const double user = static_cast<double>(usage.ru_utime.tv_sec) + static_cast<double>(usage.ru_utime.tv_usec) / perSecond;
     const double system = static_cast<double>(usage.ru_stime.tv_sec) + static_cast<double>(usage.ru_stime.tv_usec) / perSecond;
     m_metrics.findGauge("daisypass_process_cpu_seconds").set(user + system);
+    // What callers, targets and claims cost grows with the requests; the rest is the control work: log, gossip, ticks, metrics.
+    const std::chrono::microseconds requests = m_server->processorTime() + m_targets->processorTime() + m_requests->claimTime();
+    m_metrics.findGauge("daisypass_control_cpu_seconds").set(user + system - static_cast<double>(requests.count()) / perSecond);
+    if (m_stores.client) {
+        m_metrics.findGauge("daisypass_control_store_bytes").set(static_cast<double>(m_stores.client->bytes()));
+    }
     constexpr double kibibyte = 1'024;
     m_metrics.findGauge("daisypass_process_most_resident_bytes").set(static_cast<double>(usage.ru_maxrss) * kibibyte);
     for (const peer_pool_load &load : m_pools->loads()) {
--- a/src/entry/entry_process.h
+++ b/src/entry/entry_process.h
@@ -23,21 +23,35 @@
 #include <atomic>
 #include <condition_variable>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <mutex>
 #include <thread>
 
 namespace daisypass {
 
+/** Claims have a client of their own, so that they neither delay the fleet log nor count as control work. */
+struct entry_stores
+{
+    table_service log;
+    table_service claims;
+    object_store objects;
+    /** The client behind `log` and `objects`, whose bytes are counted; may be null. */
+    std::shared_ptr<http_client> client;
+};
+
 class entry_process
 {
 public:
     /** Uses the platform that the settings name. `seed` must differ between processes; the incarnation is drawn from it. */
     entry_process(entry_settings settings, std::uint64_t seed);
     /** The same with another table service and object store, for tests. */
-    entry_process(entry_settings settings, std::uint64_t seed, table_service table, object_store objects);
+    entry_process(entry_settings settings, std::uint64_t seed, entry_stores stores);
     ~entry_process();
 
+    /** Before start(). Called if the fleet log removed this entry, which can serve no longer; the process should stop. */
+    void setRemovedHandler(std::function<void()> told);
+
     /** Listens, then joins in the background. Fails with ListenFailed. */
     bool start(failure &reason);
     /** Returns once nothing is left to do; false if the outcomes or entry_left could not be written in time. Idempotent. */
@@ -62,14 +76,13 @@
     const std::uint64_t m_seed;
     const incarnation_number m_incarnation;
     metrics_registry m_metrics;
-    table_service m_table;
-    object_store m_objects;
+    entry_stores m_stores;
+    std::function<void()> m_removed;
     std::unique_ptr<http_client> m_targets;
     std::unique_ptr<pool_set> m_pools;
     std::unique_ptr<submissions> m_requests;
     std::unique_ptr<caller_service> m_service;
     std::unique_ptr<fleet_follower> m_follower;
-    std::unique_ptr<fleet_log> m_log;
     std::unique_ptr<membership> m_membership;
     std::unique_ptr<http_server> m_server;
 
--- a/src/entry/submissions.cpp
+++ b/src/entry/submissions.cpp
@@ -498,6 +498,11 @@
     return m_unfinished;
 }
 
+std::chrono::microseconds submissions::claimTime()
+{
+    return m_claims.processorTime();
+}
+
 void submissions::refuseWaiting(refusal_reason reason)
 {
     std::vector<request_number> claiming;
--- a/src/entry/submissions.h
+++ b/src/entry/submissions.h
@@ -80,6 +80,8 @@
     void tick();
     /** Submissions that have not ended. */
     std::size_t unfinished() const;
+    /** Processor time of the thread that claims keys. */
+    std::chrono::microseconds claimTime();
     /** Withdraws what still waits for a claim or a slot. */
     void refuseWaiting(refusal_reason reason);
     /** Writes the outcomes held as fates/<incarnation>; true if there is nothing to write. */
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -1,5 +1,7 @@
 #include "net/http_client.h"
 
+#include "base/thread_time.h"
+
 #include <curl/curl.h>
 
 #include <algorithm>
@@ -177,6 +179,16 @@
         }
     }
 
+    std::chrono::microseconds processorTime()
+    {
+        return threadProcessorTime(m_thread);
+    }
+
+    std::uint64_t bytes() const
+    {
+        return m_bytes;
+    }
+
 private:
     void run()
     {
@@ -286,11 +298,25 @@
             result.state = item->sends == 0 ? send_state::NotSent : send_state::Sent;
             result.reason = reasonOf(*item, code);
         }
+        countBytes(handle);
         curl_multi_remove_handle(m_multi, handle);
         releaseHandle(handle);
         item->done(std::move(result));
     }
 
+    void countBytes(CURL *handle)
+    {
+        long requestHeaders = 0;
+        long answerHeaders = 0;
+        curl_off_t upload = 0;
+        curl_off_t download = 0;
+        curl_easy_getinfo(handle, CURLINFO_REQUEST_SIZE, &requestHeaders);
+        curl_easy_getinfo(handle, CURLINFO_HEADER_SIZE, &answerHeaders);
+        curl_easy_getinfo(handle, CURLINFO_SIZE_UPLOAD_T, &upload);
+        curl_easy_getinfo(handle, CURLINFO_SIZE_DOWNLOAD_T, &download);
+        m_bytes.fetch_add(static_cast<std::uint64_t>(requestHeaders + answerHeaders + upload + download), std::memory_order_relaxed);
+    }
+
     void releaseHandle(CURL *handle)
     {
         if (m_idleHandles.size() < keptHandles) {
@@ -311,6 +337,7 @@
     http_client_options m_options;
     CURLM *m_multi;
     std::atomic<bool> m_stopping{false};
+    std::atomic<std::uint64_t> m_bytes{0};
     std::mutex m_lock;
     std::deque<std::unique_ptr<transfer>> m_waiting;
     // Touched by the worker's own thread only.
@@ -347,6 +374,24 @@
     m_implementation->workers[chosen]->add(std::move(item));
 }
 
+std::chrono::microseconds http_client::processorTime() const
+{
+    std::chrono::microseconds sum{};
+    for (const std::unique_ptr<client_worker> &worker : m_implementation->workers) {
+        sum += worker->processorTime();
+    }
+    return sum;
+}
+
+std::uint64_t http_client::bytes() const
+{
+    std::uint64_t sum = 0;
+    for (const std::unique_ptr<client_worker> &worker : m_implementation->workers) {
+        sum += worker->bytes();
+    }
+    return sum;
+}
+
 http_result http_client::fetch(http_call call)
 {
     std::promise<http_result> promise;
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -11,6 +11,7 @@
 #include "net/http_server.h"
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -68,6 +69,11 @@
     void send(http_call call, std::function<void(http_result)> done);
     http_result fetch(http_call call);
 
+    /** Processor time used by the client's threads, callbacks included. */
+    std::chrono::microseconds processorTime() const;
+    /** Bytes of requests and answers that ended, without those of TCP and IP. */
+    std::uint64_t bytes() const;
+
 private:
     struct implementation;
 
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -1,5 +1,7 @@
 #include "net/http_server.h"
 
+#include "base/thread_time.h"
+
 #include <restinio/all.hpp>
 
 #include <algorithm>
@@ -219,6 +221,15 @@
     self.server.reset();
 }
 
+std::chrono::microseconds http_server::processorTime() const
+{
+    std::chrono::microseconds sum{};
+    for (std::thread &thread : m_implementation->threads) {
+        sum += threadProcessorTime(thread);
+    }
+    return sum;
+}
+
 std::uint16_t http_server::port() const
 {
     return m_implementation->port;
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -93,6 +93,8 @@
     void stop();
     /** The port in use, also when the options asked for port 0. */
     std::uint16_t port() const;
+    /** Processor time used by the server's threads, handlers included. Not during stop(). */
+    std::chrono::microseconds processorTime() const;
 
 private:
     struct implementation;
--- a/tests/entry_process_test.cpp
+++ b/tests/entry_process_test.cpp
@@ -182,7 +182,8 @@
             "platform": "127.0.0.1:1", "threads": {"callers": 1, "targets": 1}, "intervals": {"poll_ms": 50}})";
         const std::optional<entry_settings> settings = parseEntrySettings(text, "entry.json", failures);
         REQUIRE(settings);
-        std::unique_ptr<entry_process> started = std::make_unique<entry_process>(*settings, seed, table_service(table), object_store(objects));
+        std::unique_ptr<entry_process> started
+            = std::make_unique<entry_process>(*settings, seed, entry_stores{table_service(table), table_service(table), object_store(objects), nullptr});
         failure reason;
         REQUIRE(started->start(reason));
         REQUIRE(eventually([&] {
