--- a/tests/entry_process_test.cpp
+++ b/tests/entry_process_test.cpp
@@ -10,6 +10,7 @@
 
 #include <atomic>
 #include <functional>
+#include <future>
 #include <thread>
 
 using namespace daisypass;
@@ -218,6 +219,17 @@
         return sum;
     }
 
+    void append(const std::vector<fleet_change> &changes)
+    {
+        fleet_log log{table_service(table), object_store(objects)};
+        append(log, changes);
+    }
+
+    const fleet_state &state() const
+    {
+        return m_state;
+    }
+
     memory_table table;
     memory_objects objects;
     std::vector<std::unique_ptr<unruly_target>> targets;
@@ -259,6 +271,13 @@
         failure reason;
         const std::optional<log_head> head = log.readHead(reason);
         REQUIRE(head);
+        // Entries have written to the log as well.
+        constexpr int limit = 100;
+        const std::optional<std::vector<log_record>> others = log.readAfter(m_state.revision(), limit, reason);
+        REQUIRE(others);
+        for (const log_record &other : *others) {
+            REQUIRE(m_state.apply(other, log.files(), reason));
+        }
         // Long ago, so that the slots are past their gradual return.
         const log_record record{head->revision + 1, "write-" + std::to_string(head->revision), wallNow() - std::chrono::hours(1), changes};
         REQUIRE_MESSAGE(m_state.apply(record, log.files(), reason), describe(reason));
@@ -478,3 +497,39 @@
         CHECK(target.runs == 1);
     }
 }
+
+// Guards against a VM that is stopped under a request, and against new work on it after the entry confirmed its drain.
+TEST_CASE("a drain is confirmed when nothing is in flight, and nothing follows")
+{
+    small_deployment deployment;
+    unruly_target &target = *deployment.targets[0];
+    target.mode = target_mode::Silent;
+    const http_response accepted = deployment.post({{"Prefer", "respond-async"}});
+    CHECK(eventually([&] {
+        return target.runs == 1;
+    }));
+    const std::uint64_t epoch = deployment.state().vms().find("vm-0")->second.epoch + 1;
+    deployment.append({drain_begun{"vm-0", epoch, drain_cause::Maintenance, "wave"}});
+    const drain_question question{"vm-0", epoch, deployment.state().revision()};
+    peer_client peers({});
+    const auto ask = [&] {
+        std::promise<std::optional<drain_answer>> told;
+        peers.confirmDrain(
+            {deployment.entry->peersPlace(), deployment.entry->incarnation()}, question, [&](std::optional<drain_answer> answer, const failure &) {
+                told.set_value(std::move(answer));
+            });
+        return told.get_future().get().value_or(drain_answer{});
+    };
+    CHECK(eventually([&] {
+        const drain_answer answer = ask();
+        CHECK_FALSE(answer.confirmed);
+        return answer.revision >= question.revision && answer.inFlight == 1;
+    }));
+    target.released = true;
+    CHECK(eventually([&] {
+        return ask().confirmed;
+    }));
+    target.mode = target_mode::Answer;
+    CHECK(outcomeOf(deployment.post({{"Daisypass-Deadline-Ms", "200"}})) == "not_run");
+    CHECK(target.runs == 1);
+}
