--- a/src/control/control_loop.cpp
+++ b/src/control/control_loop.cpp
@@ -123,6 +123,7 @@
     peer_client peers{peer_client_options{}};
     bool holdsLease = false;
     int steps = 0;
+    timestamp nextList{};
     bool stopping = false;
     mutable std::mutex lock;
     std::condition_variable wake;
@@ -159,6 +160,8 @@
         const bool store = storeAnswers();
         const bool held = store && lease.hold(clock.now(), newWriteId());
         if (held != holdsLease) {
+            // A new holder reads the list before it decides.
+            nextList = timestamp{};
             logChange(held ? "lease_taken" : "lease_lost", {{"revision", state->revision()}});
         }
         {
@@ -195,8 +198,12 @@
 
     void readPlatform()
     {
+        if (steadyNow() < nextList) {
+            return;
+        }
         failure reason;
         const std::optional<std::vector<listed_vm>> listed = vms.list(reason);
+        nextList = listed ? steadyNow() + options.vmListInterval : timestamp{};
         if (!listed) {
             board.setPlatformVms(std::nullopt);
             return;
--- a/src/control/control_loop.h
+++ b/src/control/control_loop.h
@@ -28,6 +28,8 @@
 {
     std::string controller;
     duration stepInterval = std::chrono::seconds(1);
+    /** Time between reads of the platform's VM list by the holder of the lease. */
+    duration vmListInterval = std::chrono::seconds(5);
     fleet_controller_options decisions;
 };
 
--- a/src/control/control_main.cpp
+++ b/src/control/control_main.cpp
@@ -37,6 +37,7 @@
     control_loop_options loopOptions;
     loopOptions.controller = settings.controller;
     loopOptions.stepInterval = settings.stepInterval;
+    loopOptions.vmListInterval = settings.vmListInterval;
     loopOptions.decisions.rebootGrace = settings.rebootGrace;
     control_loop loop(loopOptions, follower, fleet_log(table, objects), table, vms, metrics);
     configuration_service configurations(follower, fleet_log(table, objects));
--- a/src/control/control_settings.cpp
+++ b/src/control/control_settings.cpp
@@ -5,6 +5,7 @@
 
 constexpr std::size_t LeastTokenLength = 16;
 constexpr integer_range StepRange{50, 5'000};
+constexpr integer_range VmListRange{100, 600'000};
 constexpr integer_range RebootGraceRange{100, 600'000};
 
 std::optional<control_settings> readControlSettings(const json_document &document, std::vector<failure> &failures)
@@ -22,6 +23,8 @@
         }
     });
     settings.stepInterval = std::chrono::milliseconds(reader.integer("step_ms", StepRange, 1'000));
+    // The list grows with the fleet (about 130 bytes per VM) and lags anyway.
+    settings.vmListInterval = std::chrono::milliseconds(reader.integer("vm_list_ms", VmListRange, 5'000));
     // Longer than the platform's reboot of a VM; see docs/operations.md.
     settings.rebootGrace = std::chrono::milliseconds(reader.integer("reboot_grace_ms", RebootGraceRange, 30'000));
     reader.finish();
--- a/src/control/control_settings.h
+++ b/src/control/control_settings.h
@@ -26,6 +26,7 @@
     /** Bearer token that operators send. */
     std::string adminToken;
     duration stepInterval = std::chrono::seconds(1);
+    duration vmListInterval = std::chrono::seconds(5);
     duration rebootGrace = std::chrono::seconds(30);
 };
 
--- a/src/kernel/fleet_controller.cpp
+++ b/src/kernel/fleet_controller.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <iterator>
 #include <tuple>
+#include <unordered_map>
 
 namespace daisypass {
 namespace {
@@ -18,15 +19,6 @@
         && input.now - *seen->second.answeredAt <= within;
 }
 
-bool listedAs(const controller_input &input, std::string_view vm, platform_vm_state wanted)
-{
-    if (!input.platformVms) {
-        return false;
-    }
-    const auto found = input.platformVms->find(vm);
-    return found != input.platformVms->end() && found->second == wanted;
-}
-
 const target_observation &observed(const controller_input &input, std::string_view vm)
 {
     static const target_observation nothing;
@@ -93,6 +85,14 @@
         , m_state(state)
         , m_input(input)
     {
+        // Most VMs are live; the others are few, and a look-up among them costs less than one in the whole list.
+        if (input.platformVms) {
+            for (const std::pair<const std::string, platform_vm_state> &vm : *input.platformVms) {
+                if (vm.second != platform_vm_state::Live) {
+                    (vm.second == platform_vm_state::Gone ? m_gone : m_leaving).insert(vm.first);
+                }
+            }
+        }
     }
 
     void removeEntries();
@@ -136,6 +136,8 @@
     const fleet_state &m_state;
     const controller_input &m_input;
     controller_decision m_decision;
+    std::set<std::string_view> m_gone;
+    std::set<std::string_view> m_leaving;
     std::set<std::string, std::less<>> m_touched;
     std::set<std::string, std::less<>> m_changedPools;
 };
@@ -144,7 +146,7 @@
 {
     for (const std::pair<const std::string, entry_record> &entry : m_state.entries()) {
         // The list lags: an entry that answers is a new process of the same name.
-        if (listedAs(m_input, entry.first, platform_vm_state::Gone) && !reached(entry.second, m_input, m_options.reachedWithin) && !full()) {
+        if (m_gone.contains(entry.first) && !reached(entry.second, m_input, m_options.reachedWithin) && !full()) {
             m_decision.changes.emplace_back(entry_removed{entry.first, entry.second.incarnation});
         }
     }
@@ -175,7 +177,7 @@
         if (vm.state == vm_state::Failed) {
             continue;
         }
-        if (listedAs(m_input, vm.id, platform_vm_state::Gone)) {
+        if (m_gone.contains(vm.id)) {
             propose(vm, vm_failed{vm.id});
             continue;
         }
@@ -233,7 +235,7 @@
             return;
         }
     }
-    const bool leaving = listedAs(m_input, vm.id, platform_vm_state::Leaving);
+    const bool leaving = m_leaving.contains(vm.id);
     if (vm.detail != JoinDetail && vm.cause != drain_cause::Removal && !m_input.rebootsAccepted.contains(rebootOperation(vm)) && !leaving) {
         m_decision.commands.emplace_back(reboot_vm{vm.id, rebootOperation(vm)});
     }
@@ -250,7 +252,7 @@
 
 void decision_maker::advanceFailed(const vm_record &vm)
 {
-    if (listedAs(m_input, vm.id, platform_vm_state::Gone)) {
+    if (m_gone.contains(vm.id)) {
         return;
     }
     m_decision.commands.emplace_back(probe_target{vm.id, vm.address});
@@ -303,16 +305,21 @@
 
 void decision_maker::plan(const fleet_controller::balancer &policy)
 {
-    std::map<std::string_view, std::vector<const vm_record *>> pools;
+    std::unordered_map<std::string_view, std::vector<const vm_record *>> pools;
+    // Both maps are sorted by id, so one walk over both replaces a look-up for each VM.
+    auto named = m_state.config().vms.begin();
     for (const std::pair<const std::string, vm_record> &item : m_state.vms()) {
         const vm_record &vm = item.second;
         pools[vm.pool].push_back(&vm);
+        while (named != m_state.config().vms.end() && named->first < vm.id) {
+            ++named;
+        }
         if (vm.state != vm_state::Serving) {
             continue;
         }
-        if (!m_state.config().vms.contains(vm.id)) {
+        if (named == m_state.config().vms.end() || named->first != vm.id) {
             begin(vm, drain_cause::Removal, "configuration");
-        } else if (listedAs(m_input, vm.id, platform_vm_state::Leaving)) {
+        } else if (m_leaving.contains(vm.id)) {
             begin(vm, drain_cause::Removal, "platform");
         } else if (vm.desiredPool != vm.pool) {
             begin(vm, drain_cause::Move, vm.desiredPool);
