--- a/bench/peer_bench.cpp
+++ b/bench/peer_bench.cpp
@@ -37,7 +37,7 @@
 
 namespace {
 
-constexpr std::uint64_t HeaderBytes = 52;
+constexpr std::uint64_t headerBytes = 52;
 
 struct usage
 {
@@ -293,7 +293,7 @@
             const double bytes = used["sent"].get<double>() + used["received"].get<double>();
             processor.push_back(100 * used["cpu"].get<double>() / seconds);
             payload.push_back(bytes / seconds);
-            wire.push_back((bytes + HeaderBytes * used["segments"].get<double>()) / seconds);
+            wire.push_back((bytes + headerBytes * used["segments"].get<double>()) / seconds);
             resident.push_back(used["resident_mb"].get<double>());
             sameSockets = sameSockets && used["sockets_begin"] == used["sockets_end"];
         }
@@ -346,6 +346,7 @@
             }
         }
         std::vector<double> everywhere;
+        everywhere.reserve(last.size());
         for (const std::pair<const revision_number, double> &change : last) {
             everywhere.push_back(change.second);
         }
--- a/src/entry/entry_registration.cpp
+++ b/src/entry/entry_registration.cpp
@@ -8,9 +8,9 @@
 namespace {
 
 // Longest wait for one poll of the store; the platform's own limit is 2 s.
-constexpr duration RefreshLimit = std::chrono::milliseconds(2'500);
-constexpr duration LeastDelay = std::chrono::milliseconds(100);
-constexpr duration MostDelay = std::chrono::seconds(10);
+constexpr duration refreshLimit = std::chrono::milliseconds(2'500);
+constexpr duration leastDelay = std::chrono::milliseconds(100);
+constexpr duration mostDelay = std::chrono::seconds(10);
 
 } // namespace
 
@@ -19,7 +19,7 @@
     , m_follower(follower)
     , m_log(std::move(log))
     , m_random(seed)
-    , m_bound(LeastDelay)
+    , m_bound(leastDelay)
 {
 }
 
@@ -37,18 +37,18 @@
 
 bool entry_registration::join(failure &reason)
 {
-    return refresh(RefreshLimit, reason) && (named() || (append(m_self, reason) && refresh(RefreshLimit, reason) && named()));
+    return refresh(refreshLimit, reason) && (named() || (append(m_self, reason) && refresh(refreshLimit, reason) && named()));
 }
 
 bool entry_registration::leave(duration limit, failure &reason)
 {
-    return refresh(std::min(limit, RefreshLimit), reason) && (!named() || append(entry_left{m_self.entry, m_self.incarnation}, reason));
+    return refresh(std::min(limit, refreshLimit), reason) && (!named() || append(entry_left{m_self.entry, m_self.incarnation}, reason));
 }
 
 duration entry_registration::delay()
 {
     const std::lock_guard<std::mutex> guard(m_lock);
-    return LeastDelay + duration(static_cast<std::int64_t>(m_random() % static_cast<std::uint64_t>(m_bound.count())));
+    return leastDelay + duration(static_cast<std::int64_t>(m_random() % static_cast<std::uint64_t>(m_bound.count())));
 }
 
 bool entry_registration::refresh(duration limit, failure &reason)
@@ -63,7 +63,7 @@
 void entry_registration::grow()
 {
     const std::lock_guard<std::mutex> guard(m_lock);
-    m_bound = std::min(m_bound * 2, MostDelay);
+    m_bound = std::min(m_bound * 2, mostDelay);
 }
 
 bool entry_registration::append(const fleet_change &change, failure &reason)
--- a/src/entry/fleet_follower.cpp
+++ b/src/entry/fleet_follower.cpp
@@ -15,14 +15,14 @@
 namespace daisypass {
 namespace {
 
-constexpr int PageRecords = 500;
+constexpr int pageRecords = 500;
 
 } // namespace
 
 struct fleet_follower::implementation
 {
     implementation(table_service table, object_store objects, const fleet_follower_options &options)
-        : log(table, objects)
+        : log(std::move(table), objects)
         , bodies(std::move(objects))
         , replica(replica_limits{.records = options.keptRecords})
         , schedule(poll_timing{options.pollInterval, options.leastBackOff, options.mostBackOff})
@@ -126,7 +126,7 @@
     }
     while (replica.state()->revision() < head->revision) {
         failure why;
-        std::optional<std::vector<log_record>> records = log.readAfter(replica.state()->revision(), PageRecords, why);
+        std::optional<std::vector<log_record>> records = log.readAfter(replica.state()->revision(), pageRecords, why);
         const bool gap = records ? records->empty() : why.code == failure_code::RevisionGap;
         if (gap ? !takeSnapshot(reason) : !records) {
             reason = gap ? reason : why;
@@ -154,7 +154,7 @@
     failure reason;
     while (true) {
         const revision_number before = replica.state()->revision();
-        const std::optional<log_page> page = peers.fetchLog(before, PageRecords);
+        const std::optional<log_page> page = peers.fetchLog(before, pageRecords);
         if (!page) {
             return;
         }
--- a/src/entry/log_replica.cpp
+++ b/src/entry/log_replica.cpp
@@ -57,7 +57,7 @@
     }
 }
 
-void log_replica::publish(std::shared_ptr<const fleet_state> state, std::span<const log_record> applied)
+void log_replica::publish(const std::shared_ptr<const fleet_state> &state, std::span<const log_record> applied)
 {
     {
         const std::lock_guard<std::mutex> guard(m_lock);
--- a/src/entry/log_replica.h
+++ b/src/entry/log_replica.h
@@ -78,7 +78,7 @@
         std::uint64_t sequence = 0;
     };
 
-    void publish(std::shared_ptr<const fleet_state> state, std::span<const log_record> applied);
+    void publish(const std::shared_ptr<const fleet_state> &state, std::span<const log_record> applied);
     void trimFiles(const fleet_state &state);
 
     const replica_limits m_limits;
--- a/src/kernel/membership_view.cpp
+++ b/src/kernel/membership_view.cpp
@@ -7,9 +7,9 @@
 namespace {
 
 // Spreads the calls of entries that started together.
-constexpr int JitterDivisor = 10;
+constexpr int jitterDivisor = 10;
 // More waiting contacts than calls can end within the isolation time; older ones are dropped.
-constexpr std::size_t MostWaiting = 16;
+constexpr std::size_t mostWaiting = 16;
 
 } // namespace
 
@@ -96,7 +96,7 @@
             if (peer.outstanding || view.callDue(peer) > now) {
                 continue;
             }
-            const std::int64_t spread = view.m_timing.gossipInterval.count() / JitterDivisor;
+            const std::int64_t spread = view.m_timing.gossipInterval.count() / jitterDivisor;
             random = random * 6364136223846793005U + 1442695040888963407U;
             const duration jitter{static_cast<std::int64_t>((random >> 32U) % static_cast<std::uint64_t>(2 * spread + 1)) - spread};
             peer.gossipDue = now + view.m_timing.gossipInterval + jitter;
@@ -149,7 +149,7 @@
 
 void membership_view::countContact(contact_history &history, contact made) const
 {
-    if (history.waiting.size() == MostWaiting) {
+    if (history.waiting.size() == mostWaiting) {
         history.waiting.erase(history.waiting.begin());
     }
     history.waiting.push_back(made);
--- a/src/net/peer_client.cpp
+++ b/src/net/peer_client.cpp
@@ -15,20 +15,20 @@
 namespace {
 
 // A peer that comes back must be seen within a second: at most half a second between attempts, and as much for one attempt.
-constexpr int LeastReconnectMs = 100;
-constexpr int MostReconnectMs = 500;
+constexpr int leastReconnectMs = 100;
+constexpr int mostReconnectMs = 500;
 // Calls in a row without an answer after which the next call opens a new connection. TCP would keep a connection that was cut for a while silent
 // for its own back-off. Keep-alive probes do the same, but cost 1.2 KB/s with 7 peers on the connections that carry no calls.
-constexpr int TimeoutsPerConnection = 3;
+constexpr int timeoutsPerConnection = 3;
 
 grpc::ChannelArguments channelArguments(const peer_client_options &options)
 {
     grpc::ChannelArguments arguments;
     arguments.SetMaxReceiveMessageSize(options.maxMessageBytes);
     arguments.SetMaxSendMessageSize(options.maxMessageBytes);
-    arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, LeastReconnectMs);
-    arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, MostReconnectMs);
-    arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, MostReconnectMs);
+    arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, leastReconnectMs);
+    arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, mostReconnectMs);
+    arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, mostReconnectMs);
     arguments.SetInt(GRPC_ARG_HTTP2_BDP_PROBE, 0);
     // A call that is sent twice would, for example, borrow twice.
     arguments.SetInt(GRPC_ARG_ENABLE_RETRIES, 0);
@@ -124,7 +124,7 @@
 void peer_client::implementation::noteEnd(const pending_call &call)
 {
     call.connection->timeouts = call.status.error_code() == grpc::StatusCode::DEADLINE_EXCEEDED ? call.connection->timeouts + 1 : 0;
-    if (call.connection->timeouts < TimeoutsPerConnection) {
+    if (call.connection->timeouts < timeoutsPerConnection) {
         return;
     }
     const auto current = connections.find(call.target);
--- a/src/net/peer_service.cpp
+++ b/src/net/peer_service.cpp
@@ -14,7 +14,7 @@
 namespace daisypass {
 namespace {
 
-constexpr int ConcurrentStreams = 64;
+constexpr int concurrentStreams = 64;
 
 template<typename Request, typename Response>
 using request_method = void (peer::Peer::AsyncService::*)(
@@ -268,7 +268,7 @@
     builder.SetMaxSendMessageSize(self.options.maxMessageBytes);
     // Without this, a second process could bind the same port and take part of the calls.
     builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
-    builder.AddChannelArgument(GRPC_ARG_MAX_CONCURRENT_STREAMS, ConcurrentStreams);
+    builder.AddChannelArgument(GRPC_ARG_MAX_CONCURRENT_STREAMS, concurrentStreams);
     // Bandwidth probes are pings; messages here are far smaller than the default window.
     builder.AddChannelArgument(GRPC_ARG_HTTP2_BDP_PROBE, 0);
     builder.RegisterService(&self.service);
--- a/tests/fleet_follower_test.cpp
+++ b/tests/fleet_follower_test.cpp
@@ -16,7 +16,7 @@
 
 namespace {
 
-const fleet_follower_options HandPolled{.pollInterval = 1h, .leastBackOff = 1h, .mostBackOff = 1h};
+const fleet_follower_options handPolled{.pollInterval = 1h, .leastBackOff = 1h, .mostBackOff = 1h};
 
 // A log to which a test appends; it is the only writer.
 class written_log
@@ -63,7 +63,7 @@
     fleet_state state;
 };
 
-fleet_follower followerOf(written_log &written, fleet_follower_options options = HandPolled)
+fleet_follower followerOf(written_log &written, fleet_follower_options options = handPolled)
 {
     return {table_service(written.table), object_store(written.objects), options};
 }
@@ -86,7 +86,7 @@
 TEST_CASE("fleet follower: the store")
 {
     written_log written;
-    fleet_follower follower(table_service(written.table), object_store(written.objects), HandPolled);
+    fleet_follower follower(table_service(written.table), object_store(written.objects), handPolled);
     std::vector<revision_number> told;
     std::vector<std::pair<timestamp, revision_number>> contacts;
     follower.addListener([&](const std::shared_ptr<const fleet_state> &state) {
@@ -97,6 +97,8 @@
     });
     follower.start();
     failure reason;
+    // The poll at the start may come at any time; after it only the test polls.
+    REQUIRE(follower.refresh(10s, reason));
 
     SUBCASE("an empty log is contact with the store; without it the first entry could never join")
     {
@@ -196,7 +198,7 @@
     memory_objects cutObjects;
     cutTable.setOutage(true);
     cutObjects.setOutage(true);
-    fleet_follower cut(table_service(cutTable), object_store(cutObjects), HandPolled);
+    fleet_follower cut(table_service(cutTable), object_store(cutObjects), handPolled);
 
     SUBCASE("an entry without the store follows a peer page by page, with the file bodies")
     {
@@ -218,7 +220,7 @@
     }
     SUBCASE("an entry that lags more than the peer's records gets the peer's snapshot")
     {
-        fleet_follower_options few = HandPolled;
+        fleet_follower_options few = handPolled;
         few.keptRecords = 4;
         fleet_follower peer = followerOf(written, few);
         peer.start();
--- a/tests/membership_view_test.cpp
+++ b/tests/membership_view_test.cpp
@@ -15,7 +15,7 @@
 
 namespace {
 
-constexpr timestamp Start = 1'000s;
+constexpr timestamp start = 1'000s;
 
 std::string nameOf(std::size_t index)
 {
@@ -66,59 +66,59 @@
 
     SUBCASE("an entry that has not joined may not dispatch; drains would not wait for it")
     {
-        self.handle(store_contacted{Start, 0}, Start);
-        CHECK(self.view.isolated(Start));
-        self.handle(fleet_replayed{3, entries(3)}, Start);
-        CHECK_FALSE(self.view.isolated(Start));
+        self.handle(store_contacted{start, 0}, start);
+        CHECK(self.view.isolated(start));
+        self.handle(fleet_replayed{3, entries(3)}, start);
+        CHECK_FALSE(self.view.isolated(start));
     }
     SUBCASE("the only entry continues without any contact; no other controller exists")
     {
-        self.handle(fleet_replayed{1, entries(1)}, Start);
-        CHECK_FALSE(self.view.isolated(Start + 1h));
-        CHECK(self.view.ready(Start));
+        self.handle(fleet_replayed{1, entries(1)}, start);
+        CHECK_FALSE(self.view.isolated(start + 1h));
+        CHECK(self.view.ready(start));
     }
     SUBCASE("contact counts from when the call was started; counting from its end would stretch the 3 s")
     {
-        self.handle(fleet_replayed{3, entries(3)}, Start);
-        self.answer(1, Start, Start + 250ms, 3);
-        CHECK_FALSE(self.view.isolated(Start + 3s - 1us));
-        CHECK(self.view.isolated(Start + 3s));
+        self.handle(fleet_replayed{3, entries(3)}, start);
+        self.answer(1, start, start + 250ms, 3);
+        CHECK_FALSE(self.view.isolated(start + 3s - 1us));
+        CHECK(self.view.isolated(start + 3s));
     }
     SUBCASE("contact counts only once the told revision is replayed; the entry could have missed a drain")
     {
-        self.handle(fleet_replayed{3, entries(3)}, Start);
-        self.handle(store_contacted{Start, 3}, Start);
-        self.handle(store_contacted{Start + 2s, 4}, Start + 2s);
-        self.answer(1, Start + 2s, Start + 2s, 5);
-        CHECK(self.view.isolated(Start + 3s));
-        self.handle(fleet_replayed{4, entries(3)}, Start + 3s);
-        CHECK_FALSE(self.view.isolated(Start + 3s));
-        CHECK(self.view.dispatchUntil() == Start + 5s);
+        self.handle(fleet_replayed{3, entries(3)}, start);
+        self.handle(store_contacted{start, 3}, start);
+        self.handle(store_contacted{start + 2s, 4}, start + 2s);
+        self.answer(1, start + 2s, start + 2s, 5);
+        CHECK(self.view.isolated(start + 3s));
+        self.handle(fleet_replayed{4, entries(3)}, start + 3s);
+        CHECK_FALSE(self.view.isolated(start + 3s));
+        CHECK(self.view.dispatchUntil() == start + 5s);
     }
     SUBCASE("majorities are counted over all entries of the fleet state, live or not")
     {
         for (std::size_t total = 2; total <= 8; ++total) {
             for (std::size_t reached = 0; reached < total; ++reached) {
                 observer tested;
-                tested.handle(fleet_replayed{9, entries(total)}, Start);
+                tested.handle(fleet_replayed{9, entries(total)}, start);
                 for (std::size_t peer = 1; peer <= reached; ++peer) {
-                    tested.answer(peer, Start, Start, 9);
+                    tested.answer(peer, start, start, 9);
                 }
                 CAPTURE(total);
                 CAPTURE(reached);
-                CHECK(tested.view.isolated(Start) == ((reached + 1) * 2 <= total));
+                CHECK(tested.view.isolated(start) == ((reached + 1) * 2 <= total));
             }
         }
     }
     SUBCASE("a process that was frozen is isolated when it resumes, also if answers from before wait in its sockets")
     {
-        self.handle(fleet_replayed{3, entries(3)}, Start);
-        self.handle(store_contacted{Start, 3}, Start);
-        const timestamp resumed = Start + 10s;
+        self.handle(fleet_replayed{3, entries(3)}, start);
+        self.handle(store_contacted{start, 3}, start);
+        const timestamp resumed = start + 10s;
         CHECK(self.view.isolated(resumed));
-        self.answer(1, Start + 100ms, resumed, 3);
-        self.answer(2, Start + 100ms, resumed, 3);
-        self.handle(store_contacted{Start + 200ms, 3}, resumed);
+        self.answer(1, start + 100ms, resumed, 3);
+        self.answer(2, start + 100ms, resumed, 3);
+        self.handle(store_contacted{start + 200ms, 3}, resumed);
         self.handle(membership_tick{1}, resumed);
         CHECK(self.view.isolated(resumed));
         // Its peers are not suspected on the ground of its own sleep, so it does not take over their targets.
@@ -129,104 +129,104 @@
     }
     SUBCASE("an entry that the log removed never dispatches again, also if its record comes back")
     {
-        self.handle(fleet_replayed{3, entries(3)}, Start);
+        self.handle(fleet_replayed{3, entries(3)}, start);
         std::vector<entry_record> others = entries(3);
         others.erase(others.begin());
-        self.handle(fleet_replayed{4, others}, Start);
-        self.handle(store_contacted{Start, 4}, Start);
+        self.handle(fleet_replayed{4, others}, start);
+        self.handle(store_contacted{start, 4}, start);
         CHECK(self.view.removed());
-        CHECK(self.view.isolated(Start));
-        self.handle(fleet_replayed{5, entries(3)}, Start);
-        self.handle(store_contacted{Start, 5}, Start);
-        CHECK(self.view.isolated(Start));
+        CHECK(self.view.isolated(start));
+        self.handle(fleet_replayed{5, entries(3)}, start);
+        self.handle(store_contacted{start, 5}, start);
+        CHECK(self.view.isolated(start));
     }
     SUBCASE("an older state is ignored; a revision never falls")
     {
-        self.handle(fleet_replayed{3, entries(3)}, Start);
-        self.handle(fleet_replayed{2, entries(2)}, Start);
-        CHECK(self.view.live(Start).size() == 3);
+        self.handle(fleet_replayed{3, entries(3)}, start);
+        self.handle(fleet_replayed{2, entries(2)}, start);
+        CHECK(self.view.live(start).size() == 3);
     }
 }
 
 TEST_CASE("membership view: suspicion, readiness and gossip")
 {
     observer self;
-    self.handle(fleet_replayed{3, entries(3)}, Start);
+    self.handle(fleet_replayed{3, entries(3)}, start);
 
     SUBCASE("a peer that has not answered for 2 s is suspected, and live again once it answers")
     {
-        self.answer(1, Start + 900ms, Start + 900ms, 3);
-        CHECK(self.view.live(Start + 2s - 1us) == std::vector<std::string>{nameOf(0), nameOf(1), nameOf(2)});
-        CHECK(self.view.live(Start + 2s) == std::vector<std::string>{nameOf(0), nameOf(1)});
-        self.answer(2, Start + 2s, Start + 2s, 3);
-        CHECK(self.view.live(Start + 2s).size() == 3);
+        self.answer(1, start + 900ms, start + 900ms, 3);
+        CHECK(self.view.live(start + 2s - 1us) == std::vector<std::string>{nameOf(0), nameOf(1), nameOf(2)});
+        CHECK(self.view.live(start + 2s) == std::vector<std::string>{nameOf(0), nameOf(1)});
+        self.answer(2, start + 2s, start + 2s, 3);
+        CHECK(self.view.live(start + 2s).size() == 3);
     }
     SUBCASE("a peer whose address answers as another incarnation is suspected at once; its process has ended")
     {
-        self.handle(gossip_failed{nameOf(1), 2, true}, Start);
-        CHECK(self.view.live(Start) == std::vector<std::string>{nameOf(0), nameOf(2)});
+        self.handle(gossip_failed{nameOf(1), 2, true}, start);
+        CHECK(self.view.live(start) == std::vector<std::string>{nameOf(0), nameOf(2)});
     }
     SUBCASE("answers of an earlier incarnation count for nothing")
     {
         std::vector<entry_record> next = entries(3);
         next[1].incarnation = 99;
-        self.handle(fleet_replayed{4, next}, Start);
-        self.answer(1, Start, Start, 4);
-        CHECK(self.view.isolated(Start));
-        CHECK_FALSE(self.view.ready(Start));
+        self.handle(fleet_replayed{4, next}, start);
+        self.answer(1, start, start, 4);
+        CHECK(self.view.isolated(start));
+        CHECK_FALSE(self.view.ready(start));
     }
     SUBCASE("an entry is ready only after every live peer answered and its highest revision is replayed")
     {
-        self.handle(store_contacted{Start, 3}, Start);
-        CHECK_FALSE(self.view.ready(Start));
-        self.answer(1, Start, Start, 3);
-        CHECK_FALSE(self.view.ready(Start));
-        self.answer(2, Start, Start, 5);
-        CHECK_FALSE(self.view.ready(Start));
+        self.handle(store_contacted{start, 3}, start);
+        CHECK_FALSE(self.view.ready(start));
+        self.answer(1, start, start, 3);
+        CHECK_FALSE(self.view.ready(start));
+        self.answer(2, start, start, 5);
+        CHECK_FALSE(self.view.ready(start));
         CHECK(self.count<fetch_log>() == 1);
-        self.handle(fleet_replayed{5, entries(3)}, Start + 1s);
-        CHECK(self.view.ready(Start + 1s));
+        self.handle(fleet_replayed{5, entries(3)}, start + 1s);
+        CHECK(self.view.ready(start + 1s));
         // Later changes reach it while it serves; it does not flap.
-        self.answer(2, Start + 1s, Start + 1s, 6);
-        CHECK(self.view.ready(Start + 1s));
-        CHECK_FALSE(self.view.ready(Start + 4s));
+        self.answer(2, start + 1s, start + 1s, 6);
+        CHECK(self.view.ready(start + 1s));
+        CHECK_FALSE(self.view.ready(start + 4s));
     }
     SUBCASE("a dead peer delays readiness by the suspicion time and not for good")
     {
-        self.answer(1, Start, Start, 3);
-        self.answer(1, Start + 500ms, Start + 500ms, 3);
-        self.answer(1, Start + 1s, Start + 1s, 3);
-        self.answer(1, Start + 1'500ms, Start + 1'500ms, 3);
-        CHECK_FALSE(self.view.ready(Start + 1'500ms));
-        self.handle(membership_tick{1}, Start + 2s);
-        CHECK(self.view.ready(Start + 2s));
+        self.answer(1, start, start, 3);
+        self.answer(1, start + 500ms, start + 500ms, 3);
+        self.answer(1, start + 1s, start + 1s, 3);
+        self.answer(1, start + 1'500ms, start + 1'500ms, 3);
+        CHECK_FALSE(self.view.ready(start + 1'500ms));
+        self.handle(membership_tick{1}, start + 2s);
+        CHECK(self.view.ready(start + 2s));
     }
     SUBCASE("of two entries one calls once per interval, and not again while a call is outstanding")
     {
         // Of the incarnations 1, 2 and 3, 1 calls 2, and 3 calls 1; before the first sign of a peer everyone calls.
-        self.handle(membership_tick{1}, Start);
+        self.handle(membership_tick{1}, start);
         CHECK(self.count<send_gossip>() == 2);
-        self.handle(membership_tick{2}, Start + 900ms);
+        self.handle(membership_tick{2}, start + 900ms);
         CHECK(self.count<send_gossip>() == 0);
-        self.answer(1, Start, Start + 900ms, 3);
-        self.answer(2, Start, Start + 900ms, 3);
-        CHECK(self.view.nextDue(Start + 900ms) == Start + 900ms);
-        self.handle(membership_tick{3}, Start + 900ms);
+        self.answer(1, start, start + 900ms, 3);
+        self.answer(2, start, start + 900ms, 3);
+        CHECK(self.view.nextDue(start + 900ms) == start + 900ms);
+        self.handle(membership_tick{3}, start + 900ms);
         REQUIRE(self.count<send_gossip>() == 1);
         CHECK(std::get<send_gossip>(self.actions.front()).peer.id == nameOf(1));
-        self.answer(1, Start + 900ms, Start + 910ms, 3);
-        CHECK(self.view.nextDue(Start + 910ms) == Start + 1'300ms);
+        self.answer(1, start + 900ms, start + 910ms, 3);
+        CHECK(self.view.nextDue(start + 910ms) == start + 1'300ms);
         // Without a sign of the caller the other side calls too.
-        self.handle(membership_tick{3}, Start + 1'300ms);
+        self.handle(membership_tick{3}, start + 1'300ms);
         REQUIRE(self.count<send_gossip>() == 1);
         CHECK(std::get<send_gossip>(self.actions.front()).peer.id == nameOf(2));
         for (std::uint64_t random = 0; random < 100; ++random) {
             observer other;
-            other.handle(fleet_replayed{3, entries(2)}, Start);
-            other.handle(membership_tick{random}, Start);
-            other.answer(1, Start, Start, 3);
-            CHECK(other.view.nextDue(Start) >= Start + 450ms);
-            CHECK(other.view.nextDue(Start) <= Start + 550ms);
+            other.handle(fleet_replayed{3, entries(2)}, start);
+            other.handle(membership_tick{random}, start);
+            other.answer(1, start, start, 3);
+            CHECK(other.view.nextDue(start) >= start + 450ms);
+            CHECK(other.view.nextDue(start) <= start + 550ms);
         }
     }
     SUBCASE("each pair has exactly one caller; with none it would run on call-backs, with two it would cost twice as much")
@@ -238,9 +238,9 @@
             for (std::size_t side = 0; side < 2; ++side) {
                 membership_view view("a", own[side], {});
                 std::vector<membership_action> actions;
-                view.handle(fleet_replayed{2, {{"a", own[side], {}, {}, "", 1}, {"b", own[1 - side], {}, {}, "", 2}}}, Start, actions);
-                view.handle(gossip_received{"b", own[1 - side], 2, true, Start}, Start, actions);
-                view.handle(membership_tick{1}, Start + 100ms, actions);
+                view.handle(fleet_replayed{2, {{"a", own[side], {}, {}, "", 1}, {"b", own[1 - side], {}, {}, "", 2}}}, start, actions);
+                view.handle(gossip_received{"b", own[1 - side], 2, true, start}, start, actions);
+                view.handle(membership_tick{1}, start + 100ms, actions);
                 calls += static_cast<std::size_t>(std::count_if(actions.begin(), actions.end(), [](const membership_action &action) {
                     return std::holds_alternative<send_gossip>(action);
                 }));
@@ -250,32 +250,32 @@
     }
     SUBCASE("a call counts as contact from the answer that it echoes, not from its arrival; it may have waited in a socket")
     {
-        self.handle(gossip_received{nameOf(1), 2, 3, true, {}}, Start + 100ms);
-        CHECK(self.view.isolated(Start + 100ms));
-        self.handle(gossip_received{nameOf(1), 2, 3, true, Start + 200ms}, Start + 700ms);
-        CHECK(self.view.dispatchUntil() == Start + 3'200ms);
-        CHECK(self.view.live(Start + 2'100ms) == std::vector<std::string>{nameOf(0), nameOf(1)});
-        CHECK(self.view.live(Start + 2'200ms) == std::vector<std::string>{nameOf(0)});
+        self.handle(gossip_received{nameOf(1), 2, 3, true, {}}, start + 100ms);
+        CHECK(self.view.isolated(start + 100ms));
+        self.handle(gossip_received{nameOf(1), 2, 3, true, start + 200ms}, start + 700ms);
+        CHECK(self.view.dispatchUntil() == start + 3'200ms);
+        CHECK(self.view.live(start + 2'100ms) == std::vector<std::string>{nameOf(0), nameOf(1)});
+        CHECK(self.view.live(start + 2'200ms) == std::vector<std::string>{nameOf(0)});
         // A time that is not this process's own, as after a restart, would stretch the limit without bound.
-        self.handle(gossip_received{nameOf(1), 2, 3, true, Start + 1h}, Start + 800ms);
-        CHECK(self.view.dispatchUntil() == Start + 3'200ms);
+        self.handle(gossip_received{nameOf(1), 2, 3, true, start + 1h}, start + 800ms);
+        CHECK(self.view.dispatchUntil() == start + 3'200ms);
     }
     SUBCASE("logs are fetched from live peers, those that are ahead first, and not always from the same one")
     {
-        self.answer(1, Start, Start, 3);
-        self.answer(2, Start, Start, 7);
-        REQUIRE(self.view.sources(Start, 0).size() == 2);
-        CHECK(self.view.sources(Start, 0).front().id == nameOf(2));
-        self.handle(gossip_received{nameOf(1), 2, 7}, Start);
+        self.answer(1, start, start, 3);
+        self.answer(2, start, start, 7);
+        REQUIRE(self.view.sources(start, 0).size() == 2);
+        CHECK(self.view.sources(start, 0).front().id == nameOf(2));
+        self.handle(gossip_received{nameOf(1), 2, 7}, start);
         CHECK(self.count<fetch_log>() == 1);
-        CHECK(self.view.sources(Start, 0).front().id != self.view.sources(Start, 1).front().id);
-        CHECK(self.view.sources(Start + 2s, 0).empty());
+        CHECK(self.view.sources(start, 0).front().id != self.view.sources(start, 1).front().id);
+        CHECK(self.view.sources(start + 2s, 0).empty());
     }
     SUBCASE("a change of the view is told once")
     {
-        self.handle(store_contacted{Start, 3}, Start);
+        self.handle(store_contacted{start, 3}, start);
         CHECK(self.count<view_updated>() == 1);
-        self.handle(store_contacted{Start + 1ms, 3}, Start + 1ms);
+        self.handle(store_contacted{start + 1ms, 3}, start + 1ms);
         CHECK(self.count<view_updated>() == 0);
     }
 }
@@ -292,7 +292,7 @@
     {
         for (std::size_t index = 0; index < count; ++index) {
             m_views.emplace_back(nameOf(index), index + 1, membership_timing{});
-            m_frozenUntil.push_back(Start);
+            m_frozenUntil.push_back(start);
             handle(index, fleet_replayed{count, entries(count)});
         }
     }
@@ -375,7 +375,7 @@
     }
 
     std::mt19937_64 m_random;
-    timestamp m_now = Start;
+    timestamp m_now = start;
     std::vector<membership_view> m_views;
     std::vector<timestamp> m_frozenUntil;
     std::vector<int> m_side;
@@ -481,7 +481,7 @@
         std::vector<membership_action> actions;
         revision_number replayed = 0;
         std::size_t count = 0;
-        timestamp now = Start;
+        timestamp now = start;
         for (int i = 0; i < 60; ++i) {
             now += duration(static_cast<std::int64_t>(random() % 400'000));
             const timestamp startedAt = now - duration(static_cast<std::int64_t>(random() % 300'000));
@@ -524,9 +524,9 @@
     SUBCASE("polls follow each other at one second, so that a change is in force within seconds")
     {
         for (std::uint64_t random = 0; random < 1'000'000; random += 9'999) {
-            schedule.succeeded(Start, random);
-            CHECK(schedule.due() >= Start + 950ms);
-            CHECK(schedule.due() <= Start + 1'050ms);
+            schedule.succeeded(start, random);
+            CHECK(schedule.due() >= start + 950ms);
+            CHECK(schedule.due() <= start + 1'050ms);
         }
     }
     SUBCASE("delays after failures double in bound from 100 ms to 10 s and use the whole range; a common delay would make recovery a stampede")
@@ -535,15 +535,15 @@
         for (int failures = 0; failures < 50; ++failures) {
             poll_schedule shortest = schedule;
             poll_schedule longest = schedule;
-            shortest.failed(Start, 0);
-            longest.failed(Start, static_cast<std::uint64_t>((bound - 100ms).count()));
-            CHECK(shortest.due() == Start + 100ms);
-            CHECK(longest.due() == Start + bound);
-            schedule.failed(Start, 12'345);
+            shortest.failed(start, 0);
+            longest.failed(start, static_cast<std::uint64_t>((bound - 100ms).count()));
+            CHECK(shortest.due() == start + 100ms);
+            CHECK(longest.due() == start + bound);
+            schedule.failed(start, 12'345);
             bound = std::min<duration>(bound * 2, 10s);
         }
-        schedule.succeeded(Start, 0);
-        schedule.failed(Start, 0);
+        schedule.succeeded(start, 0);
+        schedule.failed(start, 0);
         CHECK(schedule.failures() == 1);
     }
 }
--- a/tests/peer_net_test.cpp
+++ b/tests/peer_net_test.cpp
@@ -16,7 +16,7 @@
 
 namespace {
 
-constexpr incarnation_number ServiceIncarnation = 0xfeedfacecafebeef;
+constexpr incarnation_number serviceIncarnation = 0xfeedfacecafebeef;
 
 template<typename T>
 struct call_end
@@ -41,14 +41,14 @@
     peer_handlers handlers;
     handlers.gossip = [](const gossip_message &message) {
         gossip_message answer = message;
-        answer.incarnation = ServiceIncarnation;
+        answer.incarnation = serviceIncarnation;
         return answer;
     };
     handlers.borrowSlots = [](const borrow_call &call) {
         return std::vector<peer_grant>{{call.pool + "-vm", call.count, 1'000}};
     };
     handlers.getFate = [](incarnation_number asked, std::string_view id) -> std::optional<fate_answer> {
-        if (asked != ServiceIncarnation) {
+        if (asked != serviceIncarnation) {
             return std::nullopt;
         }
         return fate_answer{peer_fate::Completed, "", 200, {{"Content-Type", std::string(id)}}, std::string("body\0with nul", 13)};
@@ -60,7 +60,7 @@
         return hash == "known" ? std::optional<std::string>(std::string(2 << 20, 'x')) : std::nullopt;
     };
     handlers.confirmDrain = [](const drain_question &question) {
-        return drain_answer{"entry-1", ServiceIncarnation, true, 0, question.revision};
+        return drain_answer{"entry-1", serviceIncarnation, true, 0, question.revision};
     };
     return handlers;
 }
@@ -92,7 +92,7 @@
     failure reason;
     REQUIRE(service.start(reason));
     peer_client client({});
-    const peer_address peer{service.place(), ServiceIncarnation};
+    const peer_address peer{service.place(), serviceIncarnation};
 
     SUBCASE("every field of a gossip message arrives; a lost one would hide a peer's load or revision")
     {
@@ -111,7 +111,7 @@
         CHECK(end.answer->loadsVersion == 9);
         CHECK(end.answer->knownVersion == 8);
         CHECK(end.answer->pools == sent.pools);
-        CHECK(end.answer->to == ServiceIncarnation);
+        CHECK(end.answer->to == serviceIncarnation);
         CHECK(end.answer->stamp == 6);
         CHECK(end.answer->echo == sent.echo);
     }
@@ -228,7 +228,7 @@
         peer_client client({});
         const auto call = [&] {
             return wait<gossip_message>([&](peer_callback<gossip_message> done) {
-                client.gossip({place, ServiceIncarnation}, {}, std::move(done));
+                client.gossip({place, serviceIncarnation}, {}, std::move(done));
             });
         };
         const failure_code code = call().reason.code;
@@ -267,7 +267,7 @@
         peer_client client({.deadline = std::chrono::milliseconds(50)});
         const auto call = [&] {
             return wait<gossip_message>([&](peer_callback<gossip_message> done) {
-                client.gossip({{"127.0.0.1", path.port()}, ServiceIncarnation}, {}, std::move(done));
+                client.gossip({{"127.0.0.1", path.port()}, serviceIncarnation}, {}, std::move(done));
             });
         };
         REQUIRE(eventually([&] {
