--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -4,58 +4,10 @@
 # Exit status: 0 if every step worked and no outcome disagrees. Every process that was started is ended by its id.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-bin=$PWD/build/bin
 first_target_port=21001
 targets=50
-token=demo-administration-token
 load_seconds=20
-work=$(mktemp -d)
-pids=()
-failed=0
-
-finish() {
-    local status=$?
-    trap - EXIT
-    for pid in "${pids[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done
-    for pid in "${pids[@]}"; do
-        for _ in $(seq 100); do kill -0 "$pid" 2>/dev/null || break; sleep 0.1; done
-        kill -KILL "$pid" 2>/dev/null || true
-    done
-    if [ "$status" -ne 0 ]; then
-        echo "== last log lines"
-        tail -n 5 "$work"/*.log || true
-    fi
-    rm -rf "$work"
-    exit "$status"
-}
-trap finish EXIT
-trap 'exit 130' INT TERM
-
-step() { echo "== $*"; }
-
-start() { # name program arguments...
-    local name=$1
-    shift
-    "$bin/$@" > "$work/$name.log" 2>&1 &
-    pids+=($!)
-}
-
-wait_for() { # description command...
-    local what=$1
-    shift
-    for _ in $(seq 300); do
-        if "$@" > /dev/null 2>&1; then return 0; fi
-        sleep 0.1
-    done
-    echo "timed out waiting for $what" >&2
-    return 1
-}
-
-field() { # log file, event, field
-    sed -n "s/.*\"event\":\"$2\".*\"$3\":\"\{0,1\}\([^\",}]*\).*/\1/p" "$work/$1.log" | head -n 1
-}
-
-has_line() { grep -q "\"event\":\"$2\"" "$work/$1.log"; }
+. scripts/deployment.sh
 
 step "fake platform, and $targets fake targets from 127.0.0.1:$first_target_port"
 start platform daisypass-fake-platform --listen 127.0.0.1:0
@@ -63,13 +15,7 @@
 wait_for "the platform" has_line platform listening
 wait_for "the last target" grep -q "\"index\":$((targets - 1))" "$work/targets.log"
 platform=127.0.0.1:$(field platform listening port)
-# The platform's VM list is the example's, which is JSON with comment lines.
-grep -v '^ *//' examples/brusilica/vms.json | python3 -c '
-import json, sys
-vms = json.load(sys.stdin)["vms"]
-print(json.dumps([{"id": v["id"], "address": v["address"], "availability_zone": v["availability_zone"], "rack": v["rack"], "state": "live"} for v in vms]))' \
-    > "$work/vms.json"
-curl -sf -X PUT --data-binary "@$work/vms.json" "http://$platform/admin/vms" > /dev/null
+put_vm_list "$platform"
 
 step "3 entries"
 zones=(hr-zagreb hr-split hr-osijek)
@@ -88,19 +34,13 @@
 step "3 controllers"
 controls=()
 for i in 1 2 3; do
-    cat > "$work/control-$i.json" <<EOF
-{"controller": "control-$i", "platform": "$platform", "admin": {"listen": "127.0.0.1:0", "token": "$token"}}
-EOF
-    start "control-$i" daisypass-control --settings "$work/control-$i.json"
-    wait_for "control-$i to listen" has_line "control-$i" started
+    start_control "$i" "$platform"
     controls+=("$(field "control-$i" started admin)")
     echo "control-$i serves operators at ${controls[-1]}"
 done
-for control in "${controls[@]}"; do wait_for "$control to be ready" curl -sf "http://$control/readyz"; done
 
 step "apply examples/brusilica"
-cp -r examples/brusilica "$work/brusilica"
-"$bin/daisypassctl" apply "$work/brusilica" --control "${controls[0]}" --token "$token" --author demo
+apply_example "${controls[0]}"
 
 step "requests to each pool"
 send() { # entry, pool, team, key
@@ -142,8 +82,8 @@
     "${entries[@]/#/--entry=}" || failed=1
 
 step "graceful stop of entry-1"
-kill -TERM "${pids[2]}"
-if wait "${pids[2]}"; then echo "entry-1 exited with status 0"; else echo "entry-1 exited with status $?"; failed=1; fi
+kill -TERM "${pid_of[entry-1]}"
+if wait "${pid_of[entry-1]}"; then echo "entry-1 exited with status 0"; else echo "entry-1 exited with status $?"; failed=1; fi
 
-[ "$failed" -eq 0 ] && step "every outcome agrees" || step "FAILED"
+if [ "$failed" -eq 0 ]; then step "every outcome agrees"; else step "FAILED"; fi
 exit "$failed"
--- a/src/standins/load_run.cpp
+++ b/src/standins/load_run.cpp
@@ -189,9 +189,7 @@
             readOutcome(result, report);
             report.outcome = told_outcome::NotRun;
             report.reason = "no_ticket_" + report.reason;
-            http_result none;
-            none.state = send_state::NotSent;
-            finish(current, std::move(none));
+            finish(current);
             return;
         }
         report.key = ticket;
@@ -216,9 +214,9 @@
     call.body = attemptBody(report.token, report.attempt);
     call.connectTimeout = connectLimit;
     call.totalTimeout = m_options.deadline + current->run + answerMargin;
-    m_client->send(std::move(call), [this, current](http_result result) {
+    m_client->send(std::move(call), [this, current](const http_result &result) {
         readOutcome(result, current->sample.report);
-        finish(current, std::move(result));
+        finish(current);
     });
 }
 
@@ -233,13 +231,13 @@
     call.body = attemptBody(report.token, report.attempt);
     call.connectTimeout = connectLimit;
     call.totalTimeout = m_options.deadline + current->run + answerMargin;
-    m_client->send(std::move(call), [this, current](http_result result) {
+    m_client->send(std::move(call), [this, current](const http_result &result) {
         readDirectOutcome(result, current->sample.report);
-        finish(current, std::move(result));
+        finish(current);
     });
 }
 
-void load_run::finish(const attempt_ptr &current, http_result result)
+void load_run::finish(const attempt_ptr &current)
 {
     current->sample.latency = steadyNow() - current->planned;
     const submission_report &report = current->sample.report;
--- a/src/standins/load_run.h
+++ b/src/standins/load_run.h
@@ -91,7 +91,7 @@
     void fetchTicket(const attempt_ptr &current);
     void send(const attempt_ptr &current);
     void sendDirect(const attempt_ptr &current);
-    void finish(const attempt_ptr &current, http_result result);
+    void finish(const attempt_ptr &current);
     void resubmit(const attempt &last);
     void close();
 
--- a/src/standins/platform_standin.cpp
+++ b/src/standins/platform_standin.cpp
@@ -56,8 +56,8 @@
 platform_standin::platform_standin(platform_options options)
     : m_options(std::move(options))
     , m_client({})
-    , m_server({.listen = m_options.listen, .threads = 2, .maxBodyBytes = maxObjectBytes}, [this](http_request request, http_responder respond) {
-        handle(std::move(request), respond);
+    , m_server({.listen = m_options.listen, .threads = 2, .maxBodyBytes = maxObjectBytes}, [this](const http_request &request, const http_responder &respond) {
+        handle(request, respond);
     })
 {
 }
@@ -88,7 +88,7 @@
     }
 }
 
-void platform_standin::handle(http_request request, const http_responder &respond)
+void platform_standin::handle(const http_request &request, const http_responder &respond)
 {
     if (request.path.starts_with("/admin/")) {
         respond(admin(request));
--- a/src/standins/platform_standin.h
+++ b/src/standins/platform_standin.h
@@ -72,7 +72,7 @@
         nlohmann::json vms;
     };
 
-    void handle(http_request request, const http_responder &respond);
+    void handle(const http_request &request, const http_responder &respond);
     http_response route(const http_request &request);
     http_response admin(const http_request &request);
     http_response commit(const http_request &request);
--- a/src/standins/target_standin.cpp
+++ b/src/standins/target_standin.cpp
@@ -35,7 +35,7 @@
     : m_options(std::move(options))
     , m_timers(std::move(timers))
     , m_recordFile(std::move(recordFile))
-    , m_server({.listen = m_options.listen, .maxConnections = m_options.connections}, [this](http_request request, http_responder respond) {
+    , m_server({.listen = m_options.listen, .maxConnections = m_options.connections}, [this](http_request request, const http_responder &respond) {
         handle(std::move(request), respond);
     })
 {
--- a/tests/integration/deployment.cpp
+++ b/tests/integration/deployment.cpp
@@ -354,6 +354,14 @@
     }));
 }
 
+bool deployment::runsOn(std::size_t target, const std::string &token)
+{
+    const std::vector<execution_record> all = executions();
+    return std::any_of(all.begin(), all.end(), [&](const execution_record &record) {
+        return record.target == toString(m_targets[target]) && record.result == execution_result::Running && record.body.starts_with(token + '#');
+    });
+}
+
 nlohmann::json deployment::targetStats(std::size_t target)
 {
     return nlohmann::json::parse(call(m_targets[target], "GET", "/admin/stats").response.body);
--- a/tests/integration/deployment.h
+++ b/tests/integration/deployment.h
@@ -108,6 +108,7 @@
     void targetBehaviour(std::size_t target, const nlohmann::json &behaviour);
     std::vector<execution_record> executions();
     int executionsOf(const std::string &token);
+    bool runsOn(std::size_t target, const std::string &token);
     nlohmann::json targetStats(std::size_t target);
     /** Waits until at least this many requests run on all targets together. The slots of a new VM ramp up over 10 s from one. */
     bool waitForInFlight(int least);
--- a/tests/integration/fleet_scenarios.cpp
+++ b/tests/integration/fleet_scenarios.cpp
@@ -68,6 +68,25 @@
     });
 }
 
+// Sends requests until one runs on the target, and returns its token; empty if none did.
+std::string runOnTarget(deployment &fleet, std::size_t target, const request_options &options)
+{
+    constexpr int most = 12;
+    for (int i = 0; i < most; ++i) {
+        const std::string token = fleet.newToken();
+        fleet.postLater(static_cast<std::size_t>(i) % 3, "booking", options, token);
+        if (!waitUntil([&] {
+                return fleet.executionsOf(token) == 1;
+            })) {
+            return {};
+        }
+        if (fleet.runsOn(target, token)) {
+            return token;
+        }
+    }
+    return {};
+}
+
 std::uint64_t cutOff(deployment &fleet, std::size_t targets)
 {
     std::uint64_t count = 0;
@@ -83,9 +102,13 @@
 TEST_CASE("a leaving target receives no new work after 3 s, at every entry")
 {
     deployment fleet({.entries = 3});
-    steady_load load(fleet, 3, {.runMs = 20}, std::chrono::milliseconds(10));
+    steady_load load(fleet, 3, {.runMs = 20}, std::chrono::milliseconds(5));
+    // A long request keeps the target draining past the bound; without it the drain ends within a second and late work has no time to show.
+    const std::string holding = runOnTarget(fleet, 0, {.runMs = 7'000, .deadlineMs = 20'000, .requestClass = "long"});
+    REQUIRE_FALSE(holding.empty());
+    // The target has free slots beside the long request, so that only the drain keeps work away.
     REQUIRE(waitUntil([&] {
-        return fleet.targetStats(0).value("executions", 0) > 10;
+        return fleet.targetStats(0).value("most_in_flight", 0) > 2;
     }));
     const std::string smaller = fleet.writeConfiguration("operator", {0});
     fleet.targetBehaviour(0, {{"leaving", true}});
@@ -137,6 +160,9 @@
         REQUIRE(waitUntil([&] {
             return fleet.targetStats(0).value("executions", 0) > 5;
         }));
+        // Still in flight when the drain begins.
+        const std::string holding = runOnTarget(fleet, 0, {.runMs = 3'000, .requestClass = "long"});
+        REQUIRE_FALSE(holding.empty());
         const std::string directory = fleet.writeConfiguration("operator", {}, {0});
         CHECK(fleet.apply(directory) == 0);
         CHECK(waitUntil([&] {
@@ -148,6 +174,7 @@
             return false;
         }));
         CHECK(load.finish() == "");
+        CHECK(fleet.targetStats(0).value("reboots", 0) == 1);
         CHECK(cutOff(fleet, 6) == 0);
     }
     CHECK(fleet.check() == "");
