--- a/bench/fleet_bench.cpp
+++ b/bench/fleet_bench.cpp
@@ -19,13 +19,13 @@
 namespace daisypass {
 namespace {
 
-constexpr int Pools = 62;
-constexpr int Teams = 670;
-constexpr int Entries = 8;
-constexpr int VmsPerRack = 4;
-constexpr int Zones = 30;
-constexpr int FirstPort = 1024;
-constexpr int PortsPerAddress = 60'000;
+constexpr int pools = 62;
+constexpr int teams = 670;
+constexpr int entries = 8;
+constexpr int vmsPerRack = 4;
+constexpr int zones = 30;
+constexpr int firstPort = 1024;
+constexpr int portsPerAddress = 60'000;
 int runs = 5;
 
 struct fleet_size
@@ -63,9 +63,9 @@
                      })});
     files.push_back({"vms.json", list("vms", size.vms, [&size](int index) {
                          const std::string address
-                             = "127.0.0." + std::to_string(1 + index / PortsPerAddress) + ':' + std::to_string(FirstPort + index % PortsPerAddress);
+                             = "127.0.0." + std::to_string(1 + index / portsPerAddress) + ':' + std::to_string(firstPort + index % portsPerAddress);
                          return R"({"id": "vm-)" + number(index) + R"(", "pool": "pool-)" + number(index % size.pools) + R"(", "address": ")" + address
-                             + R"(", "availability_zone": "zone-)" + number(index % Zones) + R"(", "rack": "rack-)" + number(index / VmsPerRack) + R"("})";
+                             + R"(", "availability_zone": "zone-)" + number(index % zones) + R"(", "rack": "rack-)" + number(index / vmsPerRack) + R"("})";
                      })});
     std::string pools;
     for (int index = 0; index < size.pools; ++index) {
@@ -123,7 +123,7 @@
         }
         apply(returned);
         for (int index = 0; index < size.entries; ++index) {
-            const endpoint place{"127.0.0.1", static_cast<std::uint16_t>(FirstPort + index)};
+            const endpoint place{"127.0.0.1", static_cast<std::uint16_t>(firstPort + index)};
             apply({entry_joined{"entry-" + number(index), static_cast<incarnation_number>(index + 1), place, place, "zone-00000"}});
         }
     }
@@ -196,7 +196,7 @@
 
 void printSteps(int vms)
 {
-    const built_fleet fleet({vms, Pools, Teams, Entries});
+    const built_fleet fleet({vms, pools, teams, entries});
     const fleet_controller controller(fleet_controller_options{});
     // Outside the lead time nothing is due; at the end of the period every VM is.
     const controller_input idle = makeInput(fleet.state, std::chrono::hours(24));
@@ -207,17 +207,23 @@
     const double dueNs = nanoseconds([&] {
         controller.decide(fleet.state, due);
     });
-    const double inputNs = nanoseconds([&idle] {
-        const controller_input copy = idle;
+    std::size_t copied = 0;
+    const double inputNs = nanoseconds([&idle, &copied] {
+        controller_input copy = idle;
+        copy.now += std::chrono::seconds(1);
+        copied += copy.platformVms->size();
     });
+    if (copied == 0) {
+        return;
+    }
     const double forecastNs = nanoseconds([&fleet] {
         forecastWaves(fleet.state, std::chrono::hours(24 * 30));
     });
     std::printf("%6d VMs, %d pools, %d teams, %d entries: idle step %9.1f us  all due %9.1f us (%zu changes)  copy of the input %8.1f us  forecast %8.1f us\n",
                 vms,
-                Pools,
-                Teams,
-                Entries,
+                pools,
+                teams,
+                entries,
                 idleNs / 1e3,
                 dueNs / 1e3,
                 controller.decide(fleet.state, due).changes.size(),
@@ -227,7 +233,7 @@
 
 void printReplay()
 {
-    built_fleet fleet({1'000, Pools, Teams, Entries});
+    built_fleet fleet({1'000, pools, teams, entries});
     const std::size_t first = fleet.records.size();
     const fleet_state start = fleet.state;
     for (int turn = 0; turn < 1'000; ++turn) {
@@ -266,7 +272,7 @@
     std::printf(
         "log record bytes: drain_begun %zu, vm_stopped with %d confirmations %zu, vm_returned %zu, entry_joined %zu, configuration_applied (1 file) %zu\n",
         texts[0].size(),
-        Entries,
+        entries,
         texts[1].size(),
         texts[2].size(),
         encodeRecord(fleet.records[2]).size(),
@@ -288,15 +294,15 @@
     app.add_option("--runs", runs, "runs of which the median is printed")->capture_default_str()->check(CLI::Range(1, 1'000));
     CLI11_PARSE(app, argc, argv);
     std::printf("per unit (difference of two sizes, median of %d runs):\n", runs);
-    printSlope("VM", {1'000, Pools, Teams, Entries}, {20'000, Pools, Teams, Entries}, 19'000);
-    printSlope("pool", {2'000, 10, Teams, Entries}, {2'000, 1'010, Teams, Entries}, 1'000);
-    printSlope("team", {2'000, Pools, 100, Entries}, {2'000, Pools, 10'100, Entries}, 10'000);
-    printSlope("entry", {2'000, Pools, Teams, 8}, {2'000, Pools, Teams, 1'008}, 1'000);
+    printSlope("VM", {1'000, pools, teams, entries}, {20'000, pools, teams, entries}, 19'000);
+    printSlope("pool", {2'000, 10, teams, entries}, {2'000, 1'010, teams, entries}, 1'000);
+    printSlope("team", {2'000, pools, 100, entries}, {2'000, pools, 10'100, entries}, 10'000);
+    printSlope("entry", {2'000, pools, teams, 8}, {2'000, pools, teams, 1'008}, 1'000);
     printReplay();
     for (const int vms : {50, 1'000, 20'000}) {
         printSteps(vms);
     }
-    const built_fleet large({20'000, Pools, Teams, Entries});
+    const built_fleet large({20'000, pools, teams, entries});
     std::printf("snapshot of 20000 VMs: %zu bytes\n", large.state.encode().size());
     return 0;
 }
--- a/src/base/text_difference.cpp
+++ b/src/base/text_difference.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 // The table of the longest common subsequence has the square of this many cells.
-constexpr std::size_t MaxComparedLines = 2'000;
+constexpr std::size_t maxComparedLines = 2'000;
 
 using line_list = std::vector<std::string_view>;
 
@@ -100,7 +100,7 @@
         right = right.first(right.size() - 1);
     }
     difference_writer writer(name, limit);
-    if (std::max(left.size(), right.size()) <= MaxComparedLines) {
+    if (std::max(left.size(), right.size()) <= maxComparedLines) {
         compare(left, right, offset, writer);
         return writer.take();
     }
--- a/src/control/admin_answers.cpp
+++ b/src/control/admin_answers.cpp
@@ -63,7 +63,7 @@
 
 json encodeVms(const control_loop &loop, const control_status &status)
 {
-    static constexpr std::string_view Causes[] = {"maintenance", "move", "removal"};
+    static constexpr std::string_view causes[] = {"maintenance", "move", "removal"};
     json vms = json::array();
     for (const std::pair<const std::string, vm_record> &item : status.state->vms()) {
         const vm_record &vm = item.second;
@@ -73,7 +73,7 @@
                      {"epoch", vm.epoch},
                      {"maintained_at_s", vm.maintainedAt.count() / 1'000'000}};
         if (vm.state == vm_state::Draining || vm.state == vm_state::Stopped) {
-            encoded["cause"] = Causes[static_cast<std::size_t>(vm.cause)];
+            encoded["cause"] = causes[static_cast<std::size_t>(vm.cause)];
             encoded["detail"] = vm.detail;
             encoded["waits_for"] = loop.waitsFor(status, vm.id);
         }
--- a/src/control/admin_service.cpp
+++ b/src/control/admin_service.cpp
@@ -13,9 +13,9 @@
 namespace {
 
 // A configuration of 20,000 VMs is about 3 MB.
-constexpr std::size_t MaxBodyBytes = 32 << 20;
-constexpr std::size_t MaxQueued = 64;
-constexpr std::string_view AdminPrefix = "/admin/v1/";
+constexpr std::size_t maxBodyBytes = 32 << 20;
+constexpr std::size_t maxQueued = 64;
+constexpr std::string_view adminPrefix = "/admin/v1/";
 
 // Takes the same time for every wrong token of the right length.
 bool equalTokens(std::string_view left, std::string_view right)
@@ -63,7 +63,7 @@
         http_server_options server;
         server.listen = options.listen;
         server.maxConnections = 100;
-        server.maxBodyBytes = MaxBodyBytes;
+        server.maxBodyBytes = maxBodyBytes;
         return server;
     }
 
@@ -86,7 +86,7 @@
         if (request.path == "/metrics") {
             return respond({200, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics.render()});
         }
-        if (request.path != "/readyz" && !request.path.starts_with(AdminPrefix)) {
+        if (request.path != "/readyz" && !request.path.starts_with(adminPrefix)) {
             return respond(answerFailure(404, {failure_code::NotFound, request.path}));
         }
         if (request.path != "/readyz" && !equalTokens(findHeader(request.headers, "Authorization"), "Bearer " + options.token)) {
@@ -94,7 +94,7 @@
             return respond(answerFailure(401, {failure_code::NotPermitted, "token", {}, "the header Authorization: Bearer <token>"}));
         }
         const std::lock_guard<std::mutex> guard(lock);
-        if (stopping || queue.size() >= MaxQueued) {
+        if (stopping || queue.size() >= maxQueued) {
             return respond(answerFailure(503, {failure_code::StoreOverloaded, "administration API"}));
         }
         queue.push_back({std::move(request), std::move(respond)});
@@ -126,7 +126,7 @@
             const bool ready = status.input.storeAnswers || status.state->revision() > 0;
             return {ready ? 200 : 503, {}, ready ? "ready\n" : "the fleet log has not been read yet\n"};
         }
-        const std::string_view name = std::string_view(request.path).substr(AdminPrefix.size());
+        const std::string_view name = std::string_view(request.path).substr(adminPrefix.size());
         if (name == "apply" && request.method == "POST") {
             return apply(request);
         }
--- a/src/control/configuration_service.cpp
+++ b/src/control/configuration_service.cpp
@@ -7,11 +7,11 @@
 namespace daisypass {
 namespace {
 
-constexpr duration RefreshLimit = std::chrono::seconds(2);
-constexpr int PageSize = 200;
-constexpr std::size_t DifferenceLines = 100;
+constexpr duration refreshLimit = std::chrono::seconds(2);
+constexpr int pageSize = 200;
+constexpr std::size_t differenceLines = 100;
 // Appends race with controllers; each attempt is decided anew on the newest state.
-constexpr int MaxAttempts = 8;
+constexpr int maxAttempts = 8;
 
 const file_reference *findFile(const std::vector<file_reference> &files, std::string_view name)
 {
@@ -81,8 +81,8 @@
     }
     bool sent = false;
     failure reason;
-    for (int attempt = 0; attempt < MaxAttempts; ++attempt) {
-        const std::optional<log_head> head = m_follower.refresh(RefreshLimit, reason) ? m_log.readHead(reason) : std::nullopt;
+    for (int attempt = 0; attempt < maxAttempts; ++attempt) {
+        const std::optional<log_head> head = m_follower.refresh(refreshLimit, reason) ? m_log.readHead(reason) : std::nullopt;
         if (!head) {
             return {sent ? apply_outcome::Unknown : apply_outcome::Refused, 0, {reason}};
         }
@@ -161,13 +161,13 @@
         const auto same = std::find_if(sent.begin(), sent.end(), [&file](const configuration_file &item) {
             return item.name == file.name;
         });
-        result.difference += describeDifference(file.name, file.text, same == sent.end() ? std::string_view{} : same->text, DifferenceLines);
+        result.difference += describeDifference(file.name, file.text, same == sent.end() ? std::string_view{} : same->text, differenceLines);
         if (same != sent.end()) {
             sent.erase(same);
         }
     }
     for (const configuration_file &file : sent) {
-        result.difference += describeDifference(file.name, "", file.text, DifferenceLines);
+        result.difference += describeDifference(file.name, "", file.text, differenceLines);
     }
     return result;
 }
@@ -203,7 +203,7 @@
 {
     std::vector<history_item> items;
     for (;;) {
-        const std::optional<std::vector<log_record>> page = m_log.readAfter(after, PageSize, reason);
+        const std::optional<std::vector<log_record>> page = m_log.readAfter(after, pageSize, reason);
         if (!page) {
             return std::nullopt;
         }
@@ -215,7 +215,7 @@
             }
             after = record.revision;
         }
-        if (page->size() < static_cast<std::size_t>(PageSize)) {
+        if (page->size() < static_cast<std::size_t>(pageSize)) {
             return items;
         }
     }
--- a/src/control/control_lease.h
+++ b/src/control/control_lease.h
@@ -18,9 +18,9 @@
 class control_lease
 {
 public:
-    static constexpr duration Interval = std::chrono::seconds(5);
+    static constexpr duration interval = std::chrono::seconds(5);
     /** Other controllers try this long after the begin of an interval, so that the holder usually keeps the lease. */
-    static constexpr duration TakeoverDelay = std::chrono::milliseconds(1'500);
+    static constexpr duration takeoverDelay = std::chrono::milliseconds(1'500);
 
     control_lease(table_service table, std::string controller);
 
--- a/src/control/control_loop.cpp
+++ b/src/control/control_loop.cpp
@@ -14,14 +14,14 @@
 namespace daisypass {
 namespace {
 
-constexpr duration StoreContactLimit = std::chrono::seconds(3);
-constexpr duration RefreshLimit = std::chrono::seconds(2);
-constexpr duration CommandLimit = std::chrono::seconds(2);
-constexpr std::chrono::milliseconds ProbeTimeout{1'000};
+constexpr duration storeContactLimit = std::chrono::seconds(3);
+constexpr duration refreshLimit = std::chrono::seconds(2);
+constexpr duration commandLimit = std::chrono::seconds(2);
+constexpr std::chrono::milliseconds probeTimeout{1'000};
 // Old log rows deleted with one snapshot step; below the table service's 300 writes/s.
-constexpr int TrimLimit = 200;
+constexpr int trimLimit = 200;
 // How often the need for a snapshot is checked; a check costs one read.
-constexpr int StepsPerSnapshotCheck = 30;
+constexpr int stepsPerSnapshotCheck = 30;
 
 struct command_runner
 {
@@ -52,12 +52,12 @@
     {
         http_call call;
         call.url = "http://" + toString(command.address) + "/status";
-        call.connectTimeout = ProbeTimeout;
-        call.totalTimeout = ProbeTimeout;
+        call.connectTimeout = probeTimeout;
+        call.totalTimeout = probeTimeout;
         // An answer describes a moment after the probe was sent, so the time of sending is the safe one to compare with.
         const timestamp sentAt = clock.now();
         observation_board &target = board;
-        http.send(std::move(call), [vm = command.vm, sentAt, &target](http_result result) {
+        http.send(std::move(call), [vm = command.vm, sentAt, &target](const http_result &result) {
             const nlohmann::json body = nlohmann::json::parse(result.response.body, nullptr, false);
             const bool valid = result.state == send_state::Answered && result.response.status == 200 && body.is_object() && body.contains("in_flight")
                 && body["in_flight"].is_number_integer();
@@ -72,7 +72,7 @@
     void operator()(const reboot_vm &command) const
     {
         // After a pause the decision is made again on the state as it is then.
-        if (clock.now() - decidedAt > CommandLimit) {
+        if (clock.now() - decidedAt > commandLimit) {
             return;
         }
         failure reason;
@@ -147,13 +147,13 @@
     bool storeAnswers() const
     {
         const std::optional<timestamp> contact = follower.lastStoreContact();
-        return contact && steadyNow() - *contact <= StoreContactLimit;
+        return contact && steadyNow() - *contact <= storeContactLimit;
     }
 
     void step()
     {
         failure reason;
-        follower.refresh(RefreshLimit, reason);
+        follower.refresh(refreshLimit, reason);
         const std::shared_ptr<const fleet_state> state = follower.state();
         board.prune(*state);
         gossip(*state);
@@ -263,15 +263,15 @@
 
     void snapshot(const fleet_state &state)
     {
-        if (++steps % StepsPerSnapshotCheck != 0) {
+        if (++steps % stepsPerSnapshotCheck != 0) {
             return;
         }
         failure reason;
         const std::optional<revision_number> named = log.snapshotRevision(reason);
-        if (named && state.revision() >= *named + fleet_log::SnapshotInterval && log.writeSnapshot(state, TrimLimit, reason)) {
+        if (named && state.revision() >= *named + fleet_log::snapshotInterval && log.writeSnapshot(state, trimLimit, reason)) {
             logChange("snapshot_written", {{"revision", state.revision()}});
-        } else if (named && *named > fleet_log::KeptRecords) {
-            log.trim(*named, TrimLimit, reason);
+        } else if (named && *named > fleet_log::keptRecords) {
+            log.trim(*named, trimLimit, reason);
         }
     }
 };
--- a/src/control/control_main.cpp
+++ b/src/control/control_main.cpp
@@ -13,8 +13,8 @@
 namespace daisypass {
 namespace {
 
-constexpr int ExitFailed = 1;
-constexpr int ExitBadSettings = 2;
+constexpr int exitFailed = 1;
+constexpr int exitBadSettings = 2;
 
 int run(const control_settings &settings)
 {
@@ -45,7 +45,7 @@
     failure reason;
     if (!admin.start(reason)) {
         std::cerr << describe(reason) << '\n';
-        return ExitFailed;
+        return exitFailed;
     }
     follower.start();
     loop.start();
@@ -76,7 +76,7 @@
     try {
         app.parse(argc, argv);
     } catch (const CLI::ParseError &error) {
-        return app.exit(error) == 0 ? 0 : daisypass::ExitBadSettings;
+        return app.exit(error) == 0 ? 0 : daisypass::exitBadSettings;
     }
     std::vector<daisypass::failure> failures;
     const std::optional<daisypass::control_settings> settings = daisypass::loadControlSettings(path, failures);
@@ -84,7 +84,7 @@
         std::cerr << daisypass::describe(reason) << '\n';
     }
     if (!settings) {
-        return daisypass::ExitBadSettings;
+        return daisypass::exitBadSettings;
     }
     return check ? 0 : daisypass::run(*settings);
 }
--- a/src/control/control_settings.cpp
+++ b/src/control/control_settings.cpp
@@ -3,10 +3,10 @@
 namespace daisypass {
 namespace {
 
-constexpr std::size_t LeastTokenLength = 16;
-constexpr integer_range StepRange{50, 5'000};
-constexpr integer_range VmListRange{100, 600'000};
-constexpr integer_range RebootGraceRange{100, 600'000};
+constexpr std::size_t leastTokenLength = 16;
+constexpr integer_range stepRange{50, 5'000};
+constexpr integer_range vmListRange{100, 600'000};
+constexpr integer_range rebootGraceRange{100, 600'000};
 
 std::optional<control_settings> readControlSettings(const json_document &document, std::vector<failure> &failures)
 {
@@ -18,15 +18,15 @@
     reader.object("admin", true, [&settings](settings_reader &admin) {
         settings.adminListen = admin.address("listen");
         settings.adminToken = admin.text("token");
-        if (!settings.adminToken.empty() && settings.adminToken.size() < LeastTokenLength) {
+        if (!settings.adminToken.empty() && settings.adminToken.size() < leastTokenLength) {
             admin.report(failure_code::OutOfRange, "token", "token", "at least 16 characters");
         }
     });
-    settings.stepInterval = std::chrono::milliseconds(reader.integer("step_ms", StepRange, 1'000));
+    settings.stepInterval = std::chrono::milliseconds(reader.integer("step_ms", stepRange, 1'000));
     // The list grows with the fleet (about 130 bytes per VM) and lags anyway.
-    settings.vmListInterval = std::chrono::milliseconds(reader.integer("vm_list_ms", VmListRange, 5'000));
+    settings.vmListInterval = std::chrono::milliseconds(reader.integer("vm_list_ms", vmListRange, 5'000));
     // Longer than the platform's reboot of a VM; see docs/operations.md.
-    settings.rebootGrace = std::chrono::milliseconds(reader.integer("reboot_grace_ms", RebootGraceRange, 30'000));
+    settings.rebootGrace = std::chrono::milliseconds(reader.integer("reboot_grace_ms", rebootGraceRange, 30'000));
     reader.finish();
     if (failures.size() != before) {
         return std::nullopt;
--- a/src/control/observation_board.cpp
+++ b/src/control/observation_board.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 // Operations of reboots that are kept; each VM has at most a few that matter.
-constexpr std::size_t MaxReboots = 100'000;
+constexpr std::size_t maxReboots = 100'000;
 
 template<typename T>
 T &at(std::map<std::string, T, std::less<>> &map, std::string_view key)
@@ -111,7 +111,7 @@
         const auto vm = state.vms().find(item.first);
         return vm == state.vms().end() || vm->second.state != vm_state::Draining;
     });
-    while (m_input.rebootsAccepted.size() > MaxReboots) {
+    while (m_input.rebootsAccepted.size() > maxReboots) {
         const auto oldest = std::min_element(m_input.rebootsAccepted.begin(),
                                              m_input.rebootsAccepted.end(),
                                              [](const std::pair<const std::string, timestamp> &left, const std::pair<const std::string, timestamp> &right) {
--- a/src/ctl/configuration_directory.cpp
+++ b/src/ctl/configuration_directory.cpp
@@ -10,7 +10,7 @@
 
 namespace fs = std::filesystem;
 
-constexpr const char *BaseName = ".daisypass-base";
+constexpr const char *baseName = ".daisypass-base";
 
 } // namespace
 
@@ -43,7 +43,7 @@
 
 std::optional<revision_number> readBase(const std::string &directory, failure &reason)
 {
-    const fs::path path = fs::path(directory) / BaseName;
+    const fs::path path = fs::path(directory) / baseName;
     std::ifstream stream(path);
     if (!stream) {
         return std::nullopt;
@@ -58,7 +58,7 @@
 
 bool writeBase(const std::string &directory, revision_number revision, failure &reason)
 {
-    const fs::path path = fs::path(directory) / BaseName;
+    const fs::path path = fs::path(directory) / baseName;
     std::ofstream stream(path, std::ios::trunc);
     stream << revision << '\n';
     if (!stream.flush()) {
--- a/src/ctl/control_client.cpp
+++ b/src/ctl/control_client.cpp
@@ -9,19 +9,19 @@
 using nlohmann::json;
 
 // Repetitions of a request whose answer was lost; the first usually settles it.
-constexpr int ApplyAttempts = 3;
-constexpr std::chrono::milliseconds AnswerTimeout{15'000};
+constexpr int applyAttempts = 3;
+constexpr std::chrono::milliseconds answerTimeout{15'000};
 
 std::optional<reported_outcome> outcomeFromName(const std::string &name)
 {
-    static const std::map<std::string, reported_outcome> Names{{"applied", reported_outcome::Applied},
+    static const std::map<std::string, reported_outcome> names{{"applied", reported_outcome::Applied},
                                                                {"unchanged", reported_outcome::Unchanged},
                                                                {"conflict", reported_outcome::Conflict},
                                                                {"invalid", reported_outcome::Invalid},
                                                                {"refused", reported_outcome::Refused},
                                                                {"unknown", reported_outcome::Unknown}};
-    const auto found = Names.find(name);
-    return found == Names.end() ? std::nullopt : std::optional<reported_outcome>(found->second);
+    const auto found = names.find(name);
+    return found == names.end() ? std::nullopt : std::optional<reported_outcome>(found->second);
 }
 
 std::string failureLines(const json &body)
@@ -52,7 +52,7 @@
 http_result control_client::fetch(http_call call)
 {
     call.headers.push_back({"Authorization", "Bearer " + m_token});
-    call.totalTimeout = AnswerTimeout;
+    call.totalTimeout = answerTimeout;
     return m_client.fetch(std::move(call));
 }
 
@@ -89,7 +89,7 @@
     const std::string encoded = body.dump(-1, ' ', false, json::error_handler_t::replace);
     bool sent = false;
     apply_report report;
-    for (int attempt = 0; attempt < ApplyAttempts; ++attempt) {
+    for (int attempt = 0; attempt < applyAttempts; ++attempt) {
         http_call call;
         call.method = "POST";
         call.url = "http://" + toString(m_service) + "/admin/v1/apply";
--- a/src/ctl/ctl_main.cpp
+++ b/src/ctl/ctl_main.cpp
@@ -23,7 +23,7 @@
     NotInForce = 6,
 };
 
-constexpr const char *ExitStatuses = "Exit status:\n"
+constexpr const char *exitStatuses = "Exit status:\n"
                                      "  0  done\n"
                                      "  1  the configuration is wrong, or diff found differences\n"
                                      "  2  wrong arguments\n"
@@ -32,7 +32,7 @@
                                      "  5  unknown: the write may have taken effect; the command to ask later is printed\n"
                                      "  6  applied, but not in force on every entry within the time of --wait-ms\n"
                                      "The token is taken from --token or the environment variable DAISYPASS_TOKEN.";
-constexpr std::size_t DifferenceLines = 500;
+constexpr std::size_t differenceLines = 500;
 
 struct arguments
 {
@@ -107,11 +107,11 @@
     std::map<std::string, std::string> inForce = answer->value("files", std::map<std::string, std::string>{});
     std::string shown;
     for (const configuration_file &file : *files) {
-        shown += describeDifference(file.name, inForce[file.name], file.text, DifferenceLines);
+        shown += describeDifference(file.name, inForce[file.name], file.text, differenceLines);
         inForce.erase(file.name);
     }
     for (const std::pair<const std::string, std::string> &file : inForce) {
-        shown += describeDifference(file.first, file.second, "", DifferenceLines);
+        shown += describeDifference(file.first, file.second, "", differenceLines);
     }
     std::cout << shown;
     return shown.empty() ? Succeeded : WrongInput;
@@ -257,7 +257,7 @@
     using namespace daisypass;
     CLI::App app{"daisypassctl: checks and applies the configuration of a fleet, and reports on it"};
     app.set_version_flag("--version", "daisypassctl " DAISYPASS_VERSION);
-    app.footer(ExitStatuses);
+    app.footer(exitStatuses);
     app.require_subcommand(1);
     arguments given;
     if (const char *token = std::getenv("DAISYPASS_TOKEN")) {
@@ -272,7 +272,7 @@
     std::function<int(const arguments &)> chosen;
     const auto add = [&](const char *name, const char *about, int (*command)(const arguments &)) {
         CLI::App *sub = app.add_subcommand(name, about);
-        sub->footer(ExitStatuses);
+        sub->footer(exitStatuses);
         sub->callback([&chosen, command] {
             chosen = command;
         });
--- a/src/kernel/configuration.cpp
+++ b/src/kernel/configuration.cpp
@@ -9,7 +9,7 @@
 namespace daisypass {
 namespace {
 
-constexpr int DaysPerWeek = 7;
+constexpr int daysPerWeek = 7;
 
 // Reads keys of one section with the ranges and defaults of the table of keys.
 class section_reader
@@ -366,9 +366,9 @@
 
 void configuration_parser::checkWave(const wave_config &wave, const source_position &where)
 {
-    const int days = wave.weekdays.empty() ? DaysPerWeek : static_cast<int>(wave.weekdays.size());
-    const int windows = wave.periodDays * days / DaysPerWeek;
-    const int turns = windows * (wave.windowLengthMinutes / MinutesPerVm);
+    const int days = wave.weekdays.empty() ? daysPerWeek : static_cast<int>(wave.weekdays.size());
+    const int windows = wave.periodDays * days / daysPerWeek;
+    const int turns = windows * (wave.windowLengthMinutes / minutesPerVm);
     for (const std::string &name : wave.pools) {
         const auto pool = m_config.pools.find(name);
         const auto members = m_members.find(name);
--- a/src/kernel/configuration.h
+++ b/src/kernel/configuration.h
@@ -82,7 +82,7 @@
 {
     std::string name;
     double weight = 1;
-    /** Pools that the team may use; empty means all. */
+    /** pools that the team may use; empty means all. */
     std::vector<std::string> pools;
     /** Processors that the team's tasks may hold at once; 0 means no limit. */
     std::int64_t quotaProcessors = 0;
--- a/src/kernel/configuration_keys.cpp
+++ b/src/kernel/configuration_keys.cpp
@@ -6,9 +6,9 @@
 namespace daisypass {
 namespace {
 
-constexpr double Million = 1'000'000;
+constexpr double million = 1'000'000;
 
-constexpr std::array Keys = std::to_array<configuration_key>({
+constexpr std::array keys = std::to_array<configuration_key>({
     {"pool", "name", key_kind::Text, "", 0, 0, "", "", "Name of the pool, unique in the deployment."},
     {"pool", "slots_per_target", key_kind::Integer, "requests", 1, 1024, "", "8", "Requests that one target runs at once."},
     {"pool", "connections_per_target", key_kind::Integer, "connections", 1, 65536, "", "64", "Connections that one target accepts from all entries."},
@@ -17,7 +17,7 @@
      key_kind::Integer,
      "VMs",
      0,
-     Million,
+     million,
      "",
      "",
      "Availability budget: VMs that must be serving. Required, because no default suits every pool."},
@@ -39,13 +39,13 @@
      "claim ticket",
      "claim",
      "How requests that are not repeatable are kept from running twice: a row in the table service, or a ticket without a store write."},
-    {"pool", "queue_limit", key_kind::Integer, "requests", 1, Million, "", "10000", "Queued requests per entry; more are refused as overloaded."},
+    {"pool", "queue_limit", key_kind::Integer, "requests", 1, million, "", "10000", "Queued requests per entry; more are refused as overloaded."},
     {"pool",
      "team_queue_limit",
      key_kind::Integer,
      "requests",
      1,
-     Million,
+     million,
      "",
      "2000",
      "Queued requests of one team per entry, so that one team cannot fill the queue."},
@@ -84,7 +84,7 @@
     {"team", "name", key_kind::Text, "", 0, 0, "", "", "Name of the team, as in Daisypass-Team."},
     {"team", "weight", key_kind::Number, "share", 0.01, 1000, "", "1", "Share of the team in deficit round robin."},
     {"team", "pools", key_kind::Texts, "", 0, 0, "", "[]", "Pools that the team may use; empty means all."},
-    {"team", "quota", key_kind::Integer, "processors", 0, Million, "", "0", "Processors that the team's tasks may hold at once; 0 means no limit."},
+    {"team", "quota", key_kind::Integer, "processors", 0, million, "", "0", "Processors that the team's tasks may hold at once; 0 means no limit."},
     {"team", "urgent", key_kind::Boolean, "", 0, 0, "", "false", "Whether the team's work starts ahead of other teams' work."},
     {"wave", "name", key_kind::Text, "", 0, 0, "", "", "Name of the maintenance wave."},
     {"wave", "pools", key_kind::Texts, "", 0, 0, "", "", "Pools that the wave maintains; a pool is in one wave at most."},
@@ -131,12 +131,12 @@
 
 std::span<const configuration_key> configurationKeys()
 {
-    return Keys;
+    return keys;
 }
 
 const configuration_key &configurationKey(std::string_view section, std::string_view name)
 {
-    for (const configuration_key &key : Keys) {
+    for (const configuration_key &key : keys) {
         if (key.section == section && key.name == name) {
             return key;
         }
--- a/src/kernel/fleet_change.cpp
+++ b/src/kernel/fleet_change.cpp
@@ -11,10 +11,10 @@
 
 using nlohmann::json;
 
-constexpr std::array<std::string_view, 3> CauseNames{"maintenance", "move", "removal"};
+constexpr std::array<std::string_view, 3> causeNames{"maintenance", "move", "removal"};
 
 // In the order of the alternatives of fleet_change.
-constexpr std::array<std::string_view, std::variant_size_v<fleet_change>> ChangeNames{"configuration_applied",
+constexpr std::array<std::string_view, std::variant_size_v<fleet_change>> changeNames{"configuration_applied",
                                                                                       "entry_joined",
                                                                                       "entry_left",
                                                                                       "entry_removed",
@@ -47,7 +47,7 @@
 
     std::string operator()(const drain_begun &change) const
     {
-        return withEpoch(change.vm, change.epoch) + ' ' + std::string(CauseNames.at(static_cast<std::size_t>(change.cause))) + ' ' + change.detail;
+        return withEpoch(change.vm, change.epoch) + ' ' + std::string(causeNames.at(static_cast<std::size_t>(change.cause))) + ' ' + change.detail;
     }
 
     std::string operator()(const vm_stopped &change) const
@@ -118,7 +118,7 @@
         return {{"type", "drain_begun"},
                 {"vm", change.vm},
                 {"epoch", change.epoch},
-                {"cause", CauseNames.at(static_cast<std::size_t>(change.cause))},
+                {"cause", causeNames.at(static_cast<std::size_t>(change.cause))},
                 {"detail", change.detail}};
     }
 
@@ -200,8 +200,8 @@
     {
         std::string text;
         read(key, text);
-        for (std::size_t index = 0; index < CauseNames.size(); ++index) {
-            if (CauseNames.at(index) == text) {
+        for (std::size_t index = 0; index < causeNames.size(); ++index) {
+            if (causeNames.at(index) == text) {
                 value = static_cast<drain_cause>(index);
                 return;
             }
@@ -382,7 +382,7 @@
 std::optional<fleet_change> decodeChange(const json &object, failure &reason)
 {
     using decoder = std::optional<fleet_change> (*)(member_reader &);
-    static constexpr std::array<std::pair<std::string_view, decoder>, 11> Decoders{{
+    static constexpr std::array<std::pair<std::string_view, decoder>, 11> decoders{{
         {"configuration_applied", decodeAs<configuration_applied>},
         {"entry_joined", decodeAs<entry_joined>},
         {"entry_left", decodeAs<entry_left>},
@@ -398,7 +398,7 @@
     member_reader reader(object, reason);
     std::string type;
     reader.read("type", type);
-    for (const std::pair<std::string_view, decoder> &candidate : Decoders) {
+    for (const std::pair<std::string_view, decoder> &candidate : decoders) {
         if (candidate.first == type) {
             return candidate.second(reader);
         }
@@ -413,7 +413,7 @@
 
 std::string_view changeName(const fleet_change &change)
 {
-    return ChangeNames.at(change.index());
+    return changeNames.at(change.index());
 }
 
 std::string describeChange(const fleet_change &change)
--- a/src/kernel/fleet_controller.cpp
+++ b/src/kernel/fleet_controller.cpp
@@ -57,7 +57,7 @@
 std::string returnBlockedBy(const fleet_controller_options &options, const controller_input &input, const vm_record &vm)
 {
     timestamp since = vm.changedAt;
-    if (vm.detail != JoinDetail && vm.cause != drain_cause::Removal) {
+    if (vm.detail != joinDetail && vm.cause != drain_cause::Removal) {
         const auto accepted = input.rebootsAccepted.find(rebootOperation(vm));
         if (accepted == input.rebootsAccepted.end()) {
             return "the platform's acceptance of the reboot";
@@ -228,7 +228,7 @@
 
 void decision_maker::advanceStopped(const vm_record &vm)
 {
-    if (vm.cause == drain_cause::Move && !vm.detail.empty() && vm.detail != JoinDetail) {
+    if (vm.cause == drain_cause::Move && !vm.detail.empty() && vm.detail != joinDetail) {
         if (m_state.config().pools.contains(vm.detail)) {
             propose(vm, vm_moved{vm.id, vm.epoch, vm.detail});
             m_changedPools.insert(vm.detail);
@@ -236,7 +236,7 @@
         }
     }
     const bool leaving = m_leaving.contains(vm.id);
-    if (vm.detail != JoinDetail && vm.cause != drain_cause::Removal && !m_input.rebootsAccepted.contains(rebootOperation(vm)) && !leaving) {
+    if (vm.detail != joinDetail && vm.cause != drain_cause::Removal && !m_input.rebootsAccepted.contains(rebootOperation(vm)) && !leaving) {
         m_decision.commands.emplace_back(reboot_vm{vm.id, rebootOperation(vm)});
     }
     m_decision.commands.emplace_back(probe_target{vm.id, vm.address});
@@ -366,7 +366,7 @@
     std::vector<const vm_record *> due;
     const duration lead = leadTime(wave, static_cast<int>(members.size()));
     for (const vm_record *vm : members) {
-        const bool stopping = vm->state == vm_state::Draining || (vm->state == vm_state::Stopped && vm->detail != JoinDetail);
+        const bool stopping = vm->state == vm_state::Draining || (vm->state == vm_state::Stopped && vm->detail != joinDetail);
         if (stopping && vm->cause == drain_cause::Maintenance) {
             ++inProgress;
             racks.insert(vm->rack);
--- a/src/kernel/fleet_snapshot.cpp
+++ b/src/kernel/fleet_snapshot.cpp
@@ -9,8 +9,8 @@
 namespace daisypass {
 namespace {
 
-constexpr std::array<std::string_view, 4> StateNames{"serving", "draining", "stopped", "failed"};
-constexpr std::array<std::string_view, 3> CauseNames{"maintenance", "move", "removal"};
+constexpr std::array<std::string_view, 4> stateNames{"serving", "draining", "stopped", "failed"};
+constexpr std::array<std::string_view, 3> causeNames{"maintenance", "move", "removal"};
 
 } // namespace
 
@@ -28,9 +28,9 @@
                                {"address", toString(vm.address)},
                                {"zone", vm.availabilityZone},
                                {"rack", vm.rack},
-                               {"state", StateNames.at(static_cast<std::size_t>(vm.state))},
+                               {"state", stateNames.at(static_cast<std::size_t>(vm.state))},
                                {"epoch", vm.epoch},
-                               {"cause", CauseNames.at(static_cast<std::size_t>(vm.cause))},
+                               {"cause", causeNames.at(static_cast<std::size_t>(vm.cause))},
                                {"drain_revision", vm.drainRevision},
                                {"changed_at_us", vm.changedAt.count()},
                                {"maintained_at_us", vm.maintainedAt.count()}};
@@ -91,10 +91,10 @@
             vm.drainRevision = item.at("drain_revision").get<revision_number>();
             vm.changedAt = timestamp(item.at("changed_at_us").get<std::int64_t>());
             vm.maintainedAt = timestamp(item.at("maintained_at_us").get<std::int64_t>());
-            const std::size_t stateIndex = nameIndex(StateNames, item.at("state").get<std::string>());
-            const std::size_t causeIndex = nameIndex(CauseNames, item.at("cause").get<std::string>());
+            const std::size_t stateIndex = nameIndex(stateNames, item.at("state").get<std::string>());
+            const std::size_t causeIndex = nameIndex(causeNames, item.at("cause").get<std::string>());
             const std::optional<endpoint> address = parseEndpoint(item.at("address").get<std::string>(), reason);
-            if (stateIndex == StateNames.size() || causeIndex == CauseNames.size() || !address) {
+            if (stateIndex == stateNames.size() || causeIndex == causeNames.size() || !address) {
                 return std::nullopt;
             }
             vm.state = static_cast<vm_state>(stateIndex);
--- a/src/kernel/fleet_state.cpp
+++ b/src/kernel/fleet_state.cpp
@@ -7,7 +7,7 @@
 namespace daisypass {
 namespace {
 
-constexpr std::array<std::string_view, 4> StateNames{"serving", "draining", "stopped", "failed"};
+constexpr std::array<std::string_view, 4> stateNames{"serving", "draining", "stopped", "failed"};
 
 bool removeFile(std::vector<file_reference> &files, std::string_view name)
 {
@@ -212,7 +212,7 @@
                 added.rack = vm.second.rack;
                 added.state = vm_state::Stopped;
                 added.epoch = record.revision;
-                added.detail = JoinDetail;
+                added.detail = joinDetail;
                 added.changedAt = record.at;
                 put(std::move(added));
             }
@@ -368,7 +368,7 @@
         after.state = vm_state::Serving;
         after.changedAt = record.at;
         // A VM that failed before it ever served counts as new from here.
-        after.maintainedAt = vm->detail == JoinDetail ? record.at : vm->maintainedAt;
+        after.maintainedAt = vm->detail == joinDetail ? record.at : vm->maintainedAt;
         after.detail.clear();
         put(std::move(after));
         return true;
@@ -426,7 +426,7 @@
 
 std::string_view fleet_state::stateName(vm_state state)
 {
-    return StateNames.at(static_cast<std::size_t>(state));
+    return stateNames.at(static_cast<std::size_t>(state));
 }
 
 void fleet_state::count(const vm_record &vm, int step)
--- a/src/kernel/fleet_state.h
+++ b/src/kernel/fleet_state.h
@@ -9,7 +9,7 @@
 // apply() accepts record n only after n-1 and refuses a change that would break a promise; the state is then unchanged.
 // Replay is deterministic: entries and controllers that hold the same revision hold the same state.
 //
-// A VM that a configuration names for the first time is Stopped with the detail JoinDetail, because nothing is known about it
+// A VM that a configuration names for the first time is Stopped with the detail joinDetail, because nothing is known about it
 // yet; vm_returned makes it serve once a probe succeeded. A VM that a configuration no longer names is drained with the cause
 // Removal, and its record ends with vm_stopped. If it is Stopped or Failed, its record ends at once.
 
@@ -26,7 +26,7 @@
 namespace daisypass {
 
 /** Detail of a VM that was named by the configuration and has not served yet. */
-inline constexpr std::string_view JoinDetail = "join";
+inline constexpr std::string_view joinDetail = "join";
 
 enum class vm_state {
     Serving,
@@ -120,7 +120,7 @@
     /** VMs that must serve; 0 for a pool that is not configured any more. */
     int minAvailable(std::string_view pool) const;
 
-    /** Entries that must confirm before this draining VM may stop. */
+    /** entries that must confirm before this draining VM may stop. */
     std::vector<drain_confirmation> requiredConfirmations(std::string_view vm) const;
 
     /** Whether draining this VM now keeps its pool within budget and headroom. Fails with BudgetBreach and the pool's figures. */
--- a/src/kernel/maintenance_wave.cpp
+++ b/src/kernel/maintenance_wave.cpp
@@ -6,17 +6,17 @@
 namespace daisypass {
 namespace {
 
-constexpr int MinutesPerDay = 1440;
-constexpr int DaysPerWeek = 7;
+constexpr int minutesPerDay = 1440;
+constexpr int daysPerWeek = 7;
 // 1970-01-01 was a Thursday; weekday 0 is Sunday.
-constexpr int WeekdayOfEpoch = 4;
-constexpr int LeadFactor = 2;
+constexpr int weekdayOfEpoch = 4;
+constexpr int leadFactor = 2;
 
 using days = std::chrono::duration<std::int64_t, std::ratio<86'400>>;
 
 bool opensOn(const wave_config &wave, std::int64_t day)
 {
-    const int weekday = static_cast<int>((day + WeekdayOfEpoch) % DaysPerWeek);
+    const int weekday = static_cast<int>((day + weekdayOfEpoch) % daysPerWeek);
     return wave.weekdays.empty() || std::find(wave.weekdays.begin(), wave.weekdays.end(), weekday) != wave.weekdays.end();
 }
 
@@ -24,32 +24,32 @@
 
 double windowShare(const wave_config &wave)
 {
-    const double weekdays = wave.weekdays.empty() ? DaysPerWeek : static_cast<double>(wave.weekdays.size());
-    return weekdays / DaysPerWeek * wave.windowLengthMinutes / MinutesPerDay;
+    const double weekdays = wave.weekdays.empty() ? daysPerWeek : static_cast<double>(wave.weekdays.size());
+    return weekdays / daysPerWeek * wave.windowLengthMinutes / minutesPerDay;
 }
 
 duration maintenanceTime(const wave_config &wave, int vms, int atOnce)
 {
     const int turns = (vms + atOnce - 1) / std::max(1, atOnce);
-    const double minutes = turns * MinutesPerVm / windowShare(wave);
+    const double minutes = turns * minutesPerVm / windowShare(wave);
     return duration(static_cast<std::int64_t>(minutes * 60e6));
 }
 
 duration leadTime(const wave_config &wave, int vms)
 {
     const duration period = days(wave.periodDays);
-    return std::min<duration>(period / 2, std::max<duration>(days(1), LeadFactor * maintenanceTime(wave, vms, wave.parallel)));
+    return std::min<duration>(period / 2, std::max<duration>(days(1), leadFactor * maintenanceTime(wave, vms, wave.parallel)));
 }
 
 bool windowOpen(const wave_config &wave, timestamp now)
 {
     const std::int64_t minute = std::chrono::floor<std::chrono::minutes>(now).count();
-    const std::int64_t today = minute / MinutesPerDay;
-    const bool always = wave.weekdays.empty() && wave.windowLengthMinutes == MinutesPerDay;
+    const std::int64_t today = minute / minutesPerDay;
+    const bool always = wave.weekdays.empty() && wave.windowLengthMinutes == minutesPerDay;
     // A window that opened yesterday can reach past midnight.
     for (std::int64_t day = today - 1; day <= today; ++day) {
-        const std::int64_t since = minute - (day * MinutesPerDay + wave.windowStartMinute);
-        if (opensOn(wave, day) && since >= 0 && since + MinutesPerVm <= wave.windowLengthMinutes) {
+        const std::int64_t since = minute - (day * minutesPerDay + wave.windowStartMinute);
+        if (opensOn(wave, day) && since >= 0 && since + minutesPerVm <= wave.windowLengthMinutes) {
             return true;
         }
     }
@@ -60,7 +60,7 @@
 {
     std::map<std::string_view, std::vector<timestamp>> maintained;
     for (const std::pair<const std::string, vm_record> &vm : state.vms()) {
-        if (vm.second.state != vm_state::Failed && vm.second.detail != JoinDetail) {
+        if (vm.second.state != vm_state::Failed && vm.second.detail != joinDetail) {
             maintained[vm.second.pool].push_back(vm.second.maintainedAt);
         }
     }
--- a/src/kernel/maintenance_wave.h
+++ b/src/kernel/maintenance_wave.h
@@ -8,7 +8,7 @@
 namespace daisypass {
 
 /** Planning time for drain, reboot and probe of one VM; feasibility and forecasts are computed with it. */
-inline constexpr int MinutesPerVm = 15;
+inline constexpr int minutesPerVm = 15;
 
 /** Share of all time in which the wave's window is open. */
 double windowShare(const wave_config &wave);
--- a/src/platform/fleet_log.cpp
+++ b/src/platform/fleet_log.cpp
@@ -8,11 +8,11 @@
 namespace daisypass {
 namespace {
 
-constexpr const char *HeadKey = "fleet/head";
-constexpr const char *SnapshotKey = "fleet/snapshot";
-constexpr const char *LogPrefix = "fleet/log/";
+constexpr const char *headKey = "fleet/head";
+constexpr const char *snapshotKey = "fleet/snapshot";
+constexpr const char *logPrefix = "fleet/log/";
 // A lost answer is usually settled by the first repetition; the others cover a short outage.
-constexpr int AppendAttempts = 3;
+constexpr int appendAttempts = 3;
 
 std::string encodeRevision(revision_number revision)
 {
@@ -35,7 +35,7 @@
 {
     char digits[24];
     std::snprintf(digits, sizeof digits, "%020" PRIu64, revision);
-    return std::string(LogPrefix) + digits;
+    return std::string(logPrefix) + digits;
 }
 
 fleet_log::fleet_log(table_service table, object_store objects)
@@ -47,7 +47,7 @@
 std::optional<log_head> fleet_log::readHead(failure &reason)
 {
     failure why;
-    const std::optional<table_row> row = m_table.read(HeadKey, why);
+    const std::optional<table_row> row = m_table.read(headKey, why);
     if (!row) {
         if (why.code == failure_code::NotFound) {
             return log_head{};
@@ -65,9 +65,9 @@
 commit_outcome fleet_log::append(const log_record &record, const log_head &expected, failure &reason)
 {
     const table_transaction transaction{
-        record.writeId, {{HeadKey, expected.version}}, {{HeadKey, encodeRevision(record.revision)}, {logKey(record.revision), encodeRecord(record)}}, {}};
+        record.writeId, {{headKey, expected.version}}, {{headKey, encodeRevision(record.revision)}, {logKey(record.revision), encodeRecord(record)}}, {}};
     bool sent = false;
-    for (int attempt = 0; attempt < AppendAttempts; ++attempt) {
+    for (int attempt = 0; attempt < appendAttempts; ++attempt) {
         const commit_outcome outcome = m_table.commit(transaction, reason);
         if (outcome == commit_outcome::Committed) {
             return outcome;
@@ -83,7 +83,7 @@
             return commit_outcome::Committed;
         }
         if (settled == append_settlement::Conflict) {
-            reason = failure{failure_code::StoreConflict, HeadKey};
+            reason = failure{failure_code::StoreConflict, headKey};
             return commit_outcome::Conflict;
         }
     }
@@ -107,7 +107,7 @@
 
 std::optional<std::vector<log_record>> fleet_log::readAfter(revision_number revision, int limit, failure &reason)
 {
-    const std::optional<std::vector<table_row>> rows = m_table.scan(LogPrefix, logKey(revision), limit, reason);
+    const std::optional<std::vector<table_row>> rows = m_table.scan(logPrefix, logKey(revision), limit, reason);
     if (!rows) {
         return std::nullopt;
     }
@@ -129,7 +129,7 @@
 bool fleet_log::writeSnapshot(const fleet_state &state, int deleteLimit, failure &reason)
 {
     failure why;
-    const std::optional<table_row> row = m_table.read(SnapshotKey, why);
+    const std::optional<table_row> row = m_table.read(snapshotKey, why);
     if (!row && why.code != failure_code::NotFound) {
         reason = why;
         return false;
@@ -147,19 +147,19 @@
         if (!m_objects.put(name, state.encode(), reason)) {
             return false;
         }
-        const table_transaction transaction{name, {{SnapshotKey, row ? row->version : 0}}, {{SnapshotKey, encodeRevision(state.revision())}}, {}};
+        const table_transaction transaction{name, {{snapshotKey, row ? row->version : 0}}, {{snapshotKey, encodeRevision(state.revision())}}, {}};
         if (m_table.commit(transaction, reason) != commit_outcome::Committed) {
             return false;
         }
         named = state.revision();
     }
-    return named <= KeptRecords || trim(named, deleteLimit, reason);
+    return named <= keptRecords || trim(named, deleteLimit, reason);
 }
 
 std::optional<revision_number> fleet_log::snapshotRevision(failure &reason)
 {
     failure why;
-    const std::optional<table_row> row = m_table.read(SnapshotKey, why);
+    const std::optional<table_row> row = m_table.read(snapshotKey, why);
     if (row) {
         return decodeRevision(*row, reason);
     }
@@ -172,13 +172,13 @@
 
 bool fleet_log::trim(revision_number snapshot, int limit, failure &reason)
 {
-    const std::optional<std::vector<table_row>> old = m_table.scan(LogPrefix, "", limit, reason);
+    const std::optional<std::vector<table_row>> old = m_table.scan(logPrefix, "", limit, reason);
     if (!old) {
         return false;
     }
     table_transaction removal{"trim/" + std::to_string(snapshot), {}, {}, {}};
     for (const table_row &record : *old) {
-        if (record.key < logKey(snapshot - KeptRecords)) {
+        if (record.key < logKey(snapshot - keptRecords)) {
             removal.deletes.push_back(record.key);
         }
     }
@@ -192,7 +192,7 @@
 
 std::optional<fleet_state> fleet_log::loadSnapshot(const file_source &files, failure &reason)
 {
-    const std::optional<table_row> row = m_table.read(SnapshotKey, reason);
+    const std::optional<table_row> row = m_table.read(snapshotKey, reason);
     if (!row) {
         return std::nullopt;
     }
@@ -211,7 +211,7 @@
 {
     std::string hash = contentHash(text);
     // Writing the same object again is harmless, so a lost answer needs no settlement.
-    for (int attempt = 0; attempt < AppendAttempts; ++attempt) {
+    for (int attempt = 0; attempt < appendAttempts; ++attempt) {
         if (m_objects.put("file/" + hash, text, reason)) {
             return hash;
         }
--- a/src/platform/fleet_log.h
+++ b/src/platform/fleet_log.h
@@ -41,8 +41,8 @@
 {
 public:
     /** Rows below the newest snapshot that are kept, so that a follower that lags a little needs no snapshot. */
-    static constexpr revision_number KeptRecords = 1'000;
-    static constexpr revision_number SnapshotInterval = 1'000;
+    static constexpr revision_number keptRecords = 1'000;
+    static constexpr revision_number snapshotInterval = 1'000;
 
     fleet_log(table_service table, object_store objects);
 
@@ -66,7 +66,7 @@
     bool writeSnapshot(const fleet_state &state, int deleteLimit, failure &reason);
     /** Revision of the newest snapshot; 0 if there is none. */
     std::optional<revision_number> snapshotRevision(failure &reason);
-    /** Deletes up to `limit` rows that are KeptRecords or more below the snapshot with this revision. */
+    /** Deletes up to `limit` rows that are keptRecords or more below the snapshot with this revision. */
     bool trim(revision_number snapshot, int limit, failure &reason);
     /** The newest snapshot. Fails with NotFound if there is none. */
     std::optional<fleet_state> loadSnapshot(failure &reason);
--- a/tests/configuration_test.cpp
+++ b/tests/configuration_test.cpp
@@ -19,9 +19,9 @@
     int column;
 };
 
-constexpr const char *GoodPools = R"({"pools": [{"name": "a", "min_available": 1}]})";
+constexpr const char *goodPools = R"({"pools": [{"name": "a", "min_available": 1}]})";
 
-const broken_file BrokenFiles[] = {
+const broken_file brokenFiles[] = {
     {"pools.json", "{\n  \"pools\": [,]\n}", failure_code::SyntaxError, "\"pools\": [,", 2, 13},
     {"pools.json", "{\"pools\": [], \"pools\": []}", failure_code::Duplicate, "pools", 1, 21},
     {"pools.json", "[]", failure_code::WrongType, "", 1, 1},
@@ -54,7 +54,7 @@
 
 std::vector<configuration_file> goodFiles()
 {
-    return {{"pools.json", GoodPools},
+    return {{"pools.json", goodPools},
             {"vms.json",
              R"({"vms": [{"id": "v1", "pool": "a", "address": "127.0.0.1:1", "availability_zone": "z", "rack": "r"},
                          {"id": "v2", "pool": "a", "address": "127.0.0.1:2", "availability_zone": "z", "rack": "s"},
@@ -106,7 +106,7 @@
     // Guards against a wrong file that is accepted, and against a failure that points at the wrong place.
     std::vector<failure> none;
     REQUIRE(parseConfiguration(goodFiles(), none));
-    for (const broken_file &broken : BrokenFiles) {
+    for (const broken_file &broken : brokenFiles) {
         CAPTURE(broken.text);
         const std::vector<failure> failures = failuresWith(broken.name, broken.text);
         const auto found = std::find_if(failures.begin(), failures.end(), [&broken](const failure &item) {
--- a/tests/fleet_log_test.cpp
+++ b/tests/fleet_log_test.cpp
@@ -74,7 +74,7 @@
         CHECK(log.snapshotRevision(reason) == fleet.state.revision());
         CHECK_FALSE(log.readAfter(0, 10, reason));
         CHECK(reason.code == failure_code::RevisionGap);
-        CHECK(log.readAfter(fleet.state.revision() - fleet_log::KeptRecords, 10, reason)->size() == 10);
+        CHECK(log.readAfter(fleet.state.revision() - fleet_log::keptRecords, 10, reason)->size() == 10);
         CHECK(log.loadSnapshot(reason)->encode() == fleet.state.encode());
 
         SUBCASE("an older snapshot never takes its place")
--- a/tests/fleet_stories_test.cpp
+++ b/tests/fleet_stories_test.cpp
@@ -5,7 +5,7 @@
 namespace {
 
 // Long enough that every VM is due: the period of 35 days less the lead time.
-constexpr std::chrono::hours AllDue{24 * 34};
+constexpr std::chrono::hours allDue{24 * 34};
 
 void joinAll(fleet_world &world)
 {
@@ -31,7 +31,7 @@
     fleet_world world(6, 2, "rack", 2, 3);
     world.addController("control-1");
     joinAll(world);
-    world.jump(AllDue);
+    world.jump(allDue);
     const timestamp since = world.now;
     world.targets["vm-02"].inFlight = 1;
     world.entries["entry-2"].inFlight["vm-03"] = 1;
@@ -53,7 +53,7 @@
     fleet_world world(8, 4, "rack", 2, 2);
     world.addController("control-1");
     joinAll(world);
-    world.jump(AllDue);
+    world.jump(allDue);
     world.entries["entry-1"].inFlight["vm-00"] = 1;
     world.run(5);
     world.note("rack r3 is lost");
@@ -82,7 +82,7 @@
     fleet_world world(6, 2, "rack", 1, 2);
     world.addController("control-1");
     joinAll(world);
-    world.jump(AllDue);
+    world.jump(allDue);
     world.until(30, [&world] {
         return world.count(vm_state::Draining) == 1;
     });
@@ -110,7 +110,7 @@
     fleet_world world(6, 2, "rack", 1, 3);
     world.addController("control-1");
     joinAll(world);
-    world.jump(AllDue);
+    world.jump(allDue);
     world.entries["entry-3"].inFlight["vm-00"] = 1;
     world.run(5);
     world.note("entry-3 is cut off");
@@ -149,7 +149,7 @@
     fleet_world world(6, 2, "rack", 1, 2);
     world.addController("control-1");
     joinAll(world);
-    world.jump(AllDue);
+    world.jump(allDue);
     world.run(3);
     world.table.setOutage(true);
     world.note("the store is down");
--- a/tests/fleet_world.h
+++ b/tests/fleet_world.h
@@ -52,8 +52,8 @@
 {
 public:
     /** A reboot is accepted some time before the target goes down. */
-    static constexpr duration RebootDelay = std::chrono::seconds(3);
-    static constexpr duration RebootTime = std::chrono::seconds(20);
+    static constexpr duration rebootDelay = std::chrono::seconds(3);
+    static constexpr duration rebootTime = std::chrono::seconds(20);
 
     fleet_world(int vms, int minAvailable, const std::string &headroom, int parallel, int entries);
 
--- a/tests/fleet_world_test.cpp
+++ b/tests/fleet_world_test.cpp
@@ -206,8 +206,8 @@
         if (reboots.insert(reboot->operation).second) {
             note(name + " reboots " + reboot->vm + " as " + reboot->operation);
             CHECK_MESSAGE(targets[reboot->vm].inFlight == 0, "a reboot cut off a request on " << reboot->vm);
-            targets[reboot->vm].downFrom = now + RebootDelay;
-            targets[reboot->vm].downUntil = now + RebootDelay + RebootTime;
+            targets[reboot->vm].downFrom = now + rebootDelay;
+            targets[reboot->vm].downUntil = now + rebootDelay + rebootTime;
         }
     }
 }
