--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -46,6 +46,7 @@
 std::vector<peer_grant> toPeerGrants(const std::vector<slot_grant> &grants)
 {
     std::vector<peer_grant> converted;
+    converted.reserve(grants.size());
     for (const slot_grant &grant : grants) {
         const std::int64_t leftMs = std::chrono::duration_cast<std::chrono::milliseconds>(grant.expires - steadyNow()).count();
         converted.push_back({grant.vm, grant.count, static_cast<std::uint32_t>(std::max<std::int64_t>(0, leftMs))});
@@ -56,6 +57,7 @@
 std::vector<slot_grant> fromPeerGrants(const std::vector<peer_grant> &grants, timestamp asked)
 {
     std::vector<slot_grant> converted;
+    converted.reserve(grants.size());
     for (const peer_grant &grant : grants) {
         converted.push_back({grant.vm, grant.count, asked + std::chrono::milliseconds(grant.expiresInMs)});
     }
@@ -64,7 +66,7 @@
 
 } // namespace
 
-entry_process::entry_process(entry_settings settings, std::uint64_t seed)
+entry_process::entry_process(const entry_settings &settings, std::uint64_t seed)
     : entry_process(settings, seed, storesOf(settings.platform))
 {
 }
--- a/src/entry/entry_process.h
+++ b/src/entry/entry_process.h
@@ -44,7 +44,7 @@
 {
 public:
     /** Uses the platform that the settings name. `seed` must differ between processes; the incarnation is drawn from it. */
-    entry_process(entry_settings settings, std::uint64_t seed);
+    entry_process(const entry_settings &settings, std::uint64_t seed);
     /** The same with another table service and object store, for tests. */
     entry_process(entry_settings settings, std::uint64_t seed, entry_stores stores);
     ~entry_process();
--- a/src/entry/outcome_table.cpp
+++ b/src/entry/outcome_table.cpp
@@ -97,7 +97,7 @@
     }
 }
 
-void outcome_table::finish(request_number number, request_outcome outcome, timestamp now)
+void outcome_table::finish(request_number number, const request_outcome &outcome, timestamp now)
 {
     std::vector<waiter> waiters;
     {
@@ -112,11 +112,7 @@
         ending.bytes += bytes;
         shard.bytes += bytes;
         waiters.swap(ending.waiters);
-        if (waiters.empty()) {
-            ending.outcome = std::move(outcome);
-        } else {
-            ending.outcome = outcome;
-        }
+        ending.outcome = outcome;
         shard.finished.push_back({number, now});
         if (bytes > 0) {
             shard.withAnswer.push_back(number);
@@ -128,7 +124,7 @@
     }
 }
 
-void outcome_table::forget(request_number number, request_outcome outcome)
+void outcome_table::forget(request_number number, const request_outcome &outcome)
 {
     std::vector<waiter> waiters;
     std::string key;
--- a/src/entry/outcome_table.h
+++ b/src/entry/outcome_table.h
@@ -61,10 +61,10 @@
     outcome_registration add(request_number number, std::string_view key);
     void setRunning(request_number number);
     /** Only the first call counts. */
-    void finish(request_number number, request_outcome outcome, timestamp now);
+    void finish(request_number number, const request_outcome &outcome, timestamp now);
 
     /** Tells the waiters this outcome and drops the record and its key. */
-    void forget(request_number number, request_outcome outcome);
+    void forget(request_number number, const request_outcome &outcome);
 
     std::optional<request_outcome> find(request_number number) const;
     std::optional<request_number> findKey(std::string_view key) const;
--- a/src/entry/pool_shard.cpp
+++ b/src/entry/pool_shard.cpp
@@ -1,6 +1,7 @@
 #include "entry/pool_shard.h"
 
 #include "base/log.h"
+#include "entry/request_metrics.h"
 #include "entry/target_call.h"
 
 #include <algorithm>
@@ -39,38 +40,6 @@
     http_response answer;
 };
 
-// The histograms are found once per set of labels, the counters on the first end of their kind.
-struct pool_shard::request_metrics
-{
-    request_metrics(metrics_registry &registry, metric_labels all)
-        : labels(std::move(all))
-        , wait(registry.findHistogram("daisypass_request_wait_seconds", labels))
-        , run(registry.findHistogram("daisypass_request_run_seconds", labels))
-        , total(registry.findHistogram("daisypass_request_total_seconds", labels))
-    {
-    }
-
-    void count(metrics_registry &registry, const request_outcome &outcome)
-    {
-        const std::lock_guard<std::mutex> guard(lock);
-        counter *&ends = counters[{outcome.fate, outcome.reason}];
-        if (ends == nullptr) {
-            metric_labels all = labels;
-            all.emplace_back("outcome", fateName(outcome.fate));
-            all.emplace_back("reason", outcome.reason);
-            ends = &registry.findCounter("daisypass_requests_total", all);
-        }
-        ends->add();
-    }
-
-    metric_labels labels;
-    histogram &wait;
-    histogram &run;
-    histogram &total;
-    std::mutex lock;
-    std::map<std::pair<request_fate, std::string>, counter *> counters;
-};
-
 struct pool_shard::call_start
 {
     std::shared_ptr<live_request> request;
@@ -485,7 +454,7 @@
     metrics.count(m_metrics, outcome);
 }
 
-std::shared_ptr<pool_shard::request_metrics> pool_shard::metricsOf(const request_info &info)
+std::shared_ptr<request_metrics> pool_shard::metricsOf(const request_info &info)
 {
     const std::string key = info.team + '/' + info.requestClass;
     const auto found = m_requestMetrics.find(key);
--- a/src/entry/pool_shard.h
+++ b/src/entry/pool_shard.h
@@ -65,6 +65,8 @@
     int freeSlots = 0;
 };
 
+struct request_metrics;
+
 class pool_shard
 {
 public:
@@ -97,7 +99,6 @@
 
 private:
     struct held_request;
-    struct request_metrics;
     struct call_start;
     struct effects;
 
--- /dev/null
+++ b/src/entry/request_metrics.h
@@ -0,0 +1,47 @@
+#pragma once
+
+// Counters and histograms of one pool, team and class.
+
+#include "base/metrics.h"
+#include "entry/request_outcome.h"
+
+#include <map>
+#include <mutex>
+#include <string>
+#include <utility>
+
+namespace daisypass {
+
+// The histograms are found once per set of labels, the counters on the first end of their kind.
+struct request_metrics
+{
+    request_metrics(metrics_registry &registry, metric_labels all)
+        : labels(std::move(all))
+        , wait(registry.findHistogram("daisypass_request_wait_seconds", labels))
+        , run(registry.findHistogram("daisypass_request_run_seconds", labels))
+        , total(registry.findHistogram("daisypass_request_total_seconds", labels))
+    {
+    }
+
+    void count(metrics_registry &registry, const request_outcome &outcome)
+    {
+        const std::lock_guard<std::mutex> guard(lock);
+        counter *&ends = counters[{outcome.fate, outcome.reason}];
+        if (ends == nullptr) {
+            metric_labels all = labels;
+            all.emplace_back("outcome", fateName(outcome.fate));
+            all.emplace_back("reason", outcome.reason);
+            ends = &registry.findCounter("daisypass_requests_total", all);
+        }
+        ends->add();
+    }
+
+    metric_labels labels;
+    histogram &wait;
+    histogram &run;
+    histogram &total;
+    std::mutex lock;
+    std::map<std::pair<request_fate, std::string>, counter *> counters;
+};
+
+} // namespace daisypass
--- a/src/entry/request_outcome.cpp
+++ b/src/entry/request_outcome.cpp
@@ -118,6 +118,11 @@
     return request_outcome{request_fate::NotRun, std::string(reasonName(reason)), std::move(detail), retryAfter, {}};
 }
 
+request_outcome expired(std::string detail)
+{
+    return request_outcome{request_fate::Expired, "", std::move(detail), {}, {}};
+}
+
 http_response toResponse(request_outcome outcome, std::string_view requestId)
 {
     http_response response;
--- a/src/entry/request_outcome.h
+++ b/src/entry/request_outcome.h
@@ -47,6 +47,8 @@
 
 request_outcome notRun(refusal_reason reason, std::string detail = {}, duration retryAfter = {});
 
+request_outcome expired(std::string detail);
+
 /** The answer to the caller of the request; `requestId` may be empty when none was given out. */
 http_response toResponse(request_outcome outcome, std::string_view requestId);
 
--- a/src/entry/submissions.cpp
+++ b/src/entry/submissions.cpp
@@ -8,18 +8,11 @@
 namespace {
 
 constexpr duration retrySoon{1'000'000};
-constexpr duration queryTime{1'000'000};
 constexpr duration sweepInterval{1'000'000};
 constexpr std::int64_t ticketValidMs = 600'000;
-constexpr std::string_view notStarted = "not_started";
 // Objects of this size are written within the platform's time limit for a call; larger answers are dropped from the hand-over, oldest first.
 constexpr std::size_t maxHandOverBytes = std::size_t{8} << 20;
 
-request_outcome expiredOutcome(std::string_view detail)
-{
-    return request_outcome{request_fate::Expired, "", std::string(detail), {}, {}};
-}
-
 } // namespace
 
 /** A submission whose headers were found right. */
@@ -165,7 +158,7 @@
     if (validity == ticket_validity::Forged) {
         refuseSubmission(read.info.pool, notRun(refusal_reason::BadRequest, "Idempotency-Key: expected a ticket as issued"), wanted->respond);
     } else if (validity == ticket_validity::Expired && !m_outcomes.find(shown->number)) {
-        wanted->respond(toResponse(expiredOutcome("the ticket may no longer start a run"), formatRequestId({shown->incarnation, shown->number})));
+        wanted->respond(toResponse(expired("the ticket may no longer start a run"), formatRequestId({shown->incarnation, shown->number})));
     } else {
         beginRetained(wanted, shown->number);
     }
@@ -244,7 +237,7 @@
 void submissions::end(const std::shared_ptr<prepared> &wanted, request_outcome outcome)
 {
     if (wanted->retained) {
-        m_outcomes.finish(wanted->number, std::move(outcome), steadyNow());
+        m_outcomes.finish(wanted->number, outcome, steadyNow());
     } else {
         wanted->respond(toResponse(std::move(outcome), wanted->id));
     }
@@ -285,7 +278,7 @@
         end(wanted, request_outcome{request_fate::Unknown, "claim_unreadable", "the key's claim names no request", {}, {}});
     } else if (id->incarnation == m_identity.incarnation) {
         // The record of an own request goes only after its retention, and its claim row stays longer.
-        end(wanted, expiredOutcome("the outcome of the first request with this key is no longer held"));
+        end(wanted, expired("the outcome of the first request with this key is no longer held"));
     } else {
         m_lookup.find({*claimant, id->incarnation, wanted->read.info.deadline, true}, [this, wanted](request_outcome outcome) {
             endDuplicate(wanted, std::move(outcome));
@@ -304,7 +297,7 @@
         return;
     }
     // Not kept: the other entry may know more when the key is used again.
-    m_outcomes.forget(wanted->number, std::move(outcome));
+    m_outcomes.forget(wanted->number, outcome);
     --m_unfinished;
 }
 
@@ -321,12 +314,12 @@
         respond(toResponse(std::move(outcome), id));
     });
     if (!waits) {
-        respond(toResponse(expiredOutcome("the outcome is no longer held"), id));
+        respond(toResponse(expired("the outcome is no longer held"), id));
         return;
     }
     // The first answer counts, so a duplicate learns at its own deadline how far the first request is.
     m_timers.postAt(wanted->read.info.deadline, [this, respond, id, existing] {
-        respond(toResponse(m_outcomes.find(existing).value_or(expiredOutcome("the outcome is no longer held")), id));
+        respond(toResponse(m_outcomes.find(existing).value_or(expired("the outcome is no longer held")), id));
     });
 }
 
@@ -334,7 +327,7 @@
 {
     const fate_question question{wanted->read.idempotencyKey, shown.incarnation, wanted->read.info.deadline, false};
     m_lookup.find(question, [this, wanted, shown](request_outcome outcome) {
-        if (outcome.fate == request_fate::Pending && outcome.reason == notStarted) {
+        if (outcome.fate == request_fate::Pending && outcome.reason == ticketNotStarted) {
             redirectToIssuer(wanted, shown.incarnation);
         } else {
             wanted->respond(toResponse(std::move(outcome), formatRequestId({shown.incarnation, shown.number})));
@@ -378,107 +371,6 @@
     respond({201, {{"Content-Type", "application/json"}}, body.dump()});
 }
 
-std::optional<request_outcome> submissions::ownFate(const request_id &id) const
-{
-    if (std::optional<request_outcome> held = m_outcomes.find(id.number)) {
-        return held;
-    }
-    const bool issued = id.number > firstTicketNumber ? id.number <= firstTicketNumber + m_tickets : id.number != 0 && id.number <= m_lastNumber;
-    return issued ? std::optional<request_outcome>(expiredOutcome("no outcome is held for this request")) : std::nullopt;
-}
-
-void submissions::query(std::string_view id, const http_responder &respond)
-{
-    const std::optional<request_id> parsed = parseRequestId(id);
-    if (!parsed) {
-        respond(problemResponse(404, "unknown_request", "no request has this id"));
-        return;
-    }
-    if (parsed->incarnation == m_identity.incarnation) {
-        std::optional<request_outcome> known = ownFate(*parsed);
-        respond(known ? toResponse(*std::move(known), id) : problemResponse(404, "unknown_request", "no request has this id"));
-        return;
-    }
-    m_lookup.find({std::string(id), parsed->incarnation, steadyNow() + queryTime, false}, [respond, text = std::string(id)](request_outcome outcome) {
-        respond(toResponse(std::move(outcome), text));
-    });
-}
-
-void submissions::cancel(std::string_view id, const http_responder &respond)
-{
-    const std::optional<request_id> parsed = parseRequestId(id);
-    const auto answer = [respond, text = std::string(id)](bool inTime, request_fate fate) {
-        const nlohmann::ordered_json body{{"request_id", text}, {"cancelled", inTime}, {"outcome", fateName(fate)}};
-        constexpr int conflict = 409;
-        respond({inTime ? 200 : conflict, {{"Content-Type", "application/json"}, {"Daisypass-Outcome", std::string(fateName(fate))}}, body.dump()});
-    };
-    if (!parsed) {
-        respond(problemResponse(404, "unknown_request", "no request has this id"));
-    } else if (parsed->incarnation == m_identity.incarnation) {
-        if (!ownFate(*parsed)) {
-            respond(problemResponse(404, "unknown_request", "no request has this id"));
-            return;
-        }
-        const cancel_answer cancelled = cancelOwn(*parsed);
-        answer(cancelled.inTime, toOutcome(cancelled.fate).fate);
-    } else if (m_peers.cancel) {
-        m_peers.cancel(parsed->incarnation, id, [answer](std::optional<cancel_answer> cancelled, const failure &reason) {
-            answer(cancelled && cancelled->inTime, cancelled ? toOutcome(cancelled->fate).fate : request_fate::Unknown);
-        });
-    } else {
-        answer(false, request_fate::Unknown);
-    }
-}
-
-cancel_answer submissions::cancelOwn(const request_id &id)
-{
-    bool inTime = false;
-    if (m_claims.cancel(id.number)) {
-        inTime = endClaiming(id.number, refusal_reason::Cancelled);
-    } else {
-        inTime = m_pools.cancel(id.number) == cancel_result::Cancelled;
-    }
-    return {inTime, toFateAnswer(ownFate(id).value_or(request_outcome{}))};
-}
-
-bool submissions::endClaiming(request_number number, refusal_reason reason)
-{
-    std::shared_ptr<prepared> waiting;
-    {
-        const std::lock_guard<std::mutex> guard(m_lock);
-        const auto found = m_claiming.find(number);
-        if (found == m_claiming.end()) {
-            return false;
-        }
-        waiting = std::move(found->second);
-        m_claiming.erase(found);
-    }
-    end(waiting, notRun(reason));
-    return true;
-}
-
-fate_answer submissions::fateFor(std::string_view id)
-{
-    const std::optional<ticket> shown = parseTicket(id);
-    const std::optional<request_id> parsed = shown ? request_id{shown->incarnation, shown->number} : parseRequestId(id);
-    if (!parsed || parsed->incarnation != m_identity.incarnation) {
-        return toFateAnswer(request_outcome{});
-    }
-    if (shown && !m_outcomes.find(parsed->number) && checkTicket(*shown, sinceStartMs(), m_tickets) == ticket_validity::Valid) {
-        return toFateAnswer(request_outcome{request_fate::Pending, std::string(notStarted), {}, {}, {}});
-    }
-    return toFateAnswer(ownFate(*parsed).value_or(request_outcome{}));
-}
-
-cancel_answer submissions::cancelFor(std::string_view id)
-{
-    const std::optional<request_id> parsed = parseRequestId(id);
-    if (!parsed || parsed->incarnation != m_identity.incarnation) {
-        return {};
-    }
-    return cancelOwn(*parsed);
-}
-
 void submissions::tick()
 {
     m_claims.tick();
--- a/src/entry/submissions.h
+++ b/src/entry/submissions.h
@@ -29,6 +29,9 @@
 
 namespace daisypass {
 
+/** Reason of a Pending fate: the ticket is valid, and no request has used it. */
+constexpr std::string_view ticketNotStarted = "not_started";
+
 struct entry_identity
 {
     std::string entry;
--- a/tests/entry_process_test.cpp
+++ b/tests/entry_process_test.cpp
@@ -2,8 +2,8 @@
 
 #include "entry/entry_process.h"
 #include "entry/request_id.h"
+#include "unruly_target.h"
 
-#include <asio.hpp>
 #include <doctest/doctest.h>
 #include <nlohmann/json.hpp>
 #include <poll.h>
@@ -17,140 +17,6 @@
 
 namespace {
 
-enum class target_mode {
-    Answer,
-    Fail,
-    Refuse,
-    Truncate,
-    OtherId,
-    CloseEarly,
-    Silent,
-};
-
-// Reads one request per connection at a time and answers as told. Runs count only requests that a real target would have run.
-class unruly_target
-{
-public:
-    unruly_target()
-        : m_acceptor(m_context, {asio::ip::address_v4::loopback(), 0})
-        , m_thread([this] {
-            run();
-        })
-    {
-    }
-
-    ~unruly_target()
-    {
-        m_stopping = true;
-        asio::ip::tcp::socket wake(m_context);
-        asio::error_code ignored;
-        wake.connect(m_acceptor.local_endpoint(), ignored);
-        m_thread.join();
-        for (std::thread &served : m_connections) {
-            served.join();
-        }
-    }
-
-    std::uint16_t port() const
-    {
-        return m_acceptor.local_endpoint().port();
-    }
-
-    std::atomic<target_mode> mode{target_mode::Answer};
-    std::atomic<int> runs{0};
-    std::atomic<int> accepted{0};
-    /** In mode Silent: whether the silent requests are answered now. */
-    std::atomic<bool> released{false};
-
-private:
-    void run()
-    {
-        while (true) {
-            std::shared_ptr<asio::ip::tcp::socket> connection = std::make_shared<asio::ip::tcp::socket>(m_context);
-            m_acceptor.accept(*connection);
-            if (m_stopping) {
-                return;
-            }
-            ++accepted;
-            m_connections.emplace_back([this, connection] {
-                serve(*connection);
-            });
-        }
-    }
-
-    bool waitReadable(asio::ip::tcp::socket &connection) const
-    {
-        while (!m_stopping) {
-            pollfd wanted{connection.native_handle(), POLLIN, 0};
-            constexpr int sliceMs = 10;
-            if (poll(&wanted, 1, sliceMs) > 0) {
-                return true;
-            }
-        }
-        return false;
-    }
-
-    void serve(asio::ip::tcp::socket &connection)
-    {
-        std::string input;
-        while (waitReadable(connection)) {
-            asio::error_code error;
-            const std::size_t length = asio::read_until(connection, asio::dynamic_buffer(input), "\r\n\r\n", error);
-            if (error) {
-                return;
-            }
-            const std::string head = input.substr(0, length);
-            input.clear();
-            if (!answer(connection, valueOf(head, "Daisypass-Request-Id: "))) {
-                return;
-            }
-        }
-    }
-
-    static std::string valueOf(const std::string &head, const std::string &name)
-    {
-        const std::size_t at = head.find(name);
-        return at == std::string::npos ? "" : head.substr(at + name.size(), head.find('\r', at) - at - name.size());
-    }
-
-    bool answer(asio::ip::tcp::socket &connection, const std::string &id)
-    {
-        const target_mode chosen = mode;
-        if (chosen != target_mode::Refuse) {
-            ++runs;
-        }
-        if (chosen == target_mode::CloseEarly) {
-            return false;
-        }
-        while (chosen == target_mode::Silent && !released) {
-            if (m_stopping) {
-                return false;
-            }
-            std::this_thread::yield();
-        }
-        std::string status = "200 OK";
-        std::string headers = "Daisypass-Request-Id: " + (chosen == target_mode::OtherId ? "0000000000000001-1" : id) + "\r\n";
-        if (chosen == target_mode::Refuse) {
-            status = "503 Busy";
-            headers += "Daisypass-Not-Run: slots\r\n";
-        } else if (chosen == target_mode::Fail) {
-            status = "500 Failed";
-        }
-        const std::string body = "answer to " + id;
-        const std::size_t announced = body.size() + (chosen == target_mode::Truncate ? 10 : 0);
-        const std::string text = "HTTP/1.1 " + status + "\r\n" + headers + "Content-Length: " + std::to_string(announced) + "\r\n\r\n" + body;
-        asio::error_code error;
-        asio::write(connection, asio::buffer(text), error);
-        return !error && chosen != target_mode::Truncate;
-    }
-
-    asio::io_context m_context;
-    asio::ip::tcp::acceptor m_acceptor;
-    std::atomic<bool> m_stopping{false};
-    std::vector<std::thread> m_connections;
-    std::thread m_thread;
-};
-
 bool eventually(const std::function<bool()> &condition)
 {
     constexpr std::chrono::seconds limit{10};
