Begin the drain before the entry is frozen

Cause: the scenario failed once on a busy machine (work 3,058 to 3,117 ms after the target was told to leave). Ruled out: a looser bound; the bound of 3 s stays and now counts from a drain that has begun. Change: the drain begins and is kept open by long requests, then the entry is frozen; all of these requests must complete. Conclusion: the verdict no longer depends on how fast the controller acts; the isolation rule needs a new run with its guard taken out, because the earlier one may have failed for the same wrong premise.

--- a/tests/integration/request_scenarios.cpp
+++ b/tests/integration/request_scenarios.cpp
@@ -102,15 +102,24 @@
     deployment fleet({.entries = 3});
     told_list before = postMany(fleet, 0, "booking", 3, {.runMs = 200});
     REQUIRE(fleet.waitForInFlight(3));
+    // No drain begins while an entry is frozen, so this one begins first; the request keeps it from ending.
+    told_list holding = postMany(fleet, 1, "booking", 9, {.runMs = 4'000, .deadlineMs = 20'000});
+    CHECK(fleet.apply(fleet.writeConfiguration("operator", {0}), 0, 0) == 0);
+    REQUIRE(waitUntil([&] {
+        for (const nlohmann::json &vm : fleet.status().value("vms", nlohmann::json::array())) {
+            if (vm.value("vm", "") == fleet.vmOf(0)) {
+                return vm.value("state", "") != "serving";
+            }
+        }
+        return true;
+    }));
     fleet.entry(0).process->freeze();
+    fleet.targetBehaviour(0, {{"leaving", true}});
     const std::chrono::steady_clock::time_point frozen = std::chrono::steady_clock::now();
     // These wait in the frozen entry's sockets; their deadline passes while it is frozen.
     told_list during = postMany(fleet, 0, "booking", 10, {.deadlineMs = 1'000});
     told_list elsewhere = postMany(fleet, 1, "booking", 60, {.runMs = 20});
     CHECK(countOutcome(elsewhere, told_outcome::Completed) == 60);
-    const std::string leaving = fleet.writeConfiguration("operator", {0});
-    fleet.apply(leaving, 0, 0);
-    fleet.targetBehaviour(0, {{"leaving", true}});
     // Longer than the 3 s after which an entry without contact may not dispatch.
     REQUIRE(waitUntil(
         [&] {
@@ -119,6 +128,7 @@
         std::chrono::seconds(6)));
     fleet.entry(0).process->resume();
     CHECK(countOutcome(before, told_outcome::Completed) == 3);
+    CHECK(countOutcome(holding, told_outcome::Completed) == 9);
     for (std::future<submission_report> &each : during) {
         each.wait();
     }
