Name types where lint forbids auto in the stand-ins

Ruled out: a change of the rule. Change: named pair types in the target stand-in and the load program. Conclusion: only types changed.

--- a/src/standins/load_main.cpp
+++ b/src/standins/load_main.cpp
@@ -54,14 +54,15 @@
 std::vector<load_pool> poolsOf(const configuration &config, const std::vector<std::string> &only)
 {
     std::vector<load_pool> pools;
-    for (const auto &[name, pool] : config.pools) {
+    for (const std::pair<const std::string, pool_config> &item : config.pools) {
+        const std::string &name = item.first;
         if (!only.empty() && std::find(only.begin(), only.end(), name) == only.end()) {
             continue;
         }
-        load_pool chosen{name, pool.atMostOnce == at_most_once_mode::Ticket, {}};
-        for (const auto &[team, settings] : config.teams) {
-            if (mayUse(settings, name)) {
-                chosen.teams.push_back(team);
+        load_pool chosen{name, item.second.atMostOnce == at_most_once_mode::Ticket, {}};
+        for (const std::pair<const std::string, team_config> &team : config.teams) {
+            if (mayUse(team.second, name)) {
+                chosen.teams.push_back(team.first);
             }
         }
         if (!chosen.teams.empty()) {
@@ -106,9 +107,9 @@
             return false;
         }
         options.load.pools = poolsOf(*config, options.onlyPools);
-        for (const auto &[id, vm] : config->vms) {
+        for (const std::pair<const std::string, vm_config> &vm : config->vms) {
             if (options.check) {
-                options.executions.push_back(toString(vm.address));
+                options.executions.push_back(toString(vm.second.address));
             }
         }
     }
--- a/src/standins/load_report.cpp
+++ b/src/standins/load_report.cpp
@@ -114,13 +114,14 @@
     const double seconds = std::chrono::duration<double>(length).count();
     out << "attempts: " << samples.size() << ", of these resubmissions: " << resubmissions << '\n';
     out << "goodput: " << static_cast<double>(completed) / seconds << " completed/s over " << seconds << " s\n";
-    for (auto &[name, latencies] : byClass) {
-        out << "class " << name << ": " << latencies.size() << " completed, p50 " << quantileMs(latencies, 0.5) << " ms, p99 " << quantileMs(latencies, 0.99)
-            << " ms\n";
+    for (std::pair<const std::string, std::vector<duration>> &each : byClass) {
+        std::vector<duration> &latencies = each.second;
+        out << "class " << each.first << ": " << latencies.size() << " completed, p50 " << quantileMs(latencies, 0.5) << " ms, p99 "
+            << quantileMs(latencies, 0.99) << " ms\n";
         printHistogram(out, latencies);
     }
-    for (const auto &[name, count] : byOutcome) {
-        out << "outcome " << name << ": " << count << '\n';
+    for (const std::pair<const std::string, std::size_t> &each : byOutcome) {
+        out << "outcome " << each.first << ": " << each.second << '\n';
     }
 }
 
@@ -132,8 +133,8 @@
     for (const disagreement &found : result.disagreements) {
         ++byKind[kindName(found.kind)];
     }
-    for (const auto &[kind, count] : byKind) {
-        out << "disagreement " << kind << ": " << count << '\n';
+    for (const std::pair<const std::string_view, std::size_t> &each : byKind) {
+        out << "disagreement " << each.first << ": " << each.second << '\n';
     }
     for (std::size_t i = 0; i < std::min(result.disagreements.size(), printedDisagreements); ++i) {
         const disagreement &found = result.disagreements[i];
--- a/src/standins/target_standin.cpp
+++ b/src/standins/target_standin.cpp
@@ -219,14 +219,15 @@
         m_isRebooting = true;
         m_isLeaving = false;
         cut.swap(m_running);
-        for (const auto &[index, running] : cut) {
-            m_records[index].endUs = wallNow().count();
-            m_records[index].result = execution_result::CutOff;
-            write(m_records[index]);
+        for (const std::pair<const std::size_t, running_request> &run : cut) {
+            execution_record &record = m_records[run.first];
+            record.endUs = wallNow().count();
+            record.result = execution_result::CutOff;
+            write(record);
         }
     }
-    for (auto &[index, running] : cut) {
-        running.respond(closedAnswer());
+    for (const std::pair<const std::size_t, running_request> &run : cut) {
+        run.second.respond(closedAnswer());
     }
     m_timers->after(m_options.rebootTime, [this] {
         const std::lock_guard<std::mutex> guard(m_lock);
