Never tell a resubmission not_run while its key is unsettled

Cause: in the load with faults 11 resubmissions were told not_run (store did not answer, entry stopping) although an earlier submission of the same key had run. It was true of the submission, but the caller would take the work as not done. Ruled out: unknown for every keyed request that the store did not settle, because a first submission certainly was not run and its caller should learn that. Change: a caller marks a resubmission; until its claim is settled the outcome is unknown with the same reason. The load tool marks resubmissions, and its checker now counts such a not_run as a disagreement (exit status 1). Before (guard taken out): the resubmission got not_run, 1 of 1 test case failed. After: the case passes; the key runs once when the store is back.

--- a/src/entry/header_rules.cpp
+++ b/src/entry/header_rules.cpp
@@ -188,6 +188,11 @@
     return std::nullopt;
 }
 
+bool isResubmission(const std::vector<http_header> &headers)
+{
+    return !findHeader(headers, "Idempotency-Key").empty() && findHeader(headers, "Daisypass-Resubmission") == "true";
+}
+
 std::variant<submission, request_outcome> readSubmission(http_request request, const pool_config &pool, const team_map &teams, timestamp now)
 {
     header_reader reader(request.headers);
@@ -201,6 +206,7 @@
     read.info.needs.accelerators = reader.number("Daisypass-Accelerators", countRange, 0);
     const std::int64_t deadlineMs = reader.number("Daisypass-Deadline-Ms", deadlineRangeMs, pool.defaultDeadlineMs);
     read.idempotencyKey = reader.token("Idempotency-Key", maxKeyLength);
+    read.resubmission = reader.truth("Daisypass-Resubmission") && !read.idempotencyKey.empty();
     if (reader.complaint()) {
         return notRun(refusal_reason::BadRequest, *reader.complaint());
     }
--- a/src/entry/header_rules.h
+++ b/src/entry/header_rules.h
@@ -23,6 +23,8 @@
     request_info info;
     std::string idempotencyKey;
     bool respondAsync = false;
+    /** The caller submitted the idempotency key before and did not learn what became of it. */
+    bool resubmission = false;
     /** Headers that go to the target. */
     std::vector<http_header> headers;
     std::string body;
@@ -36,6 +38,9 @@
 /** The team of a request that carries nothing else, such as one for a ticket. Returns the outcome to report if the team may not use the pool. */
 std::optional<request_outcome> checkTeam(std::string_view team, const pool_config &pool, const team_map &teams);
 
+/** Whether the headers name an idempotency key and say `Daisypass-Resubmission: true`. */
+bool isResubmission(const std::vector<http_header> &headers);
+
 /** False for hop-by-hop headers (RFC 9110, 7.6.1), for headers that the entry sets itself and for its own instructions. */
 bool mayPassToTarget(std::string_view headerName);
 bool mayPassToCaller(std::string_view headerName);
--- a/src/entry/submissions.cpp
+++ b/src/entry/submissions.cpp
@@ -13,6 +13,17 @@
 // Objects of this size are written within the platform's time limit for a call; larger answers are dropped from the hand-over, oldest first.
 constexpr std::size_t maxHandOverBytes = std::size_t{8} << 20;
 
+// "Not run" said of a resubmission must hold for every earlier submission with the same key. Until the key is settled
+// only this submission is known not to have run.
+request_outcome reported(request_outcome outcome, bool earlierUnknown)
+{
+    if (earlierUnknown && outcome.fate == request_fate::NotRun) {
+        outcome.fate = request_fate::Unknown;
+        outcome.detail += "; this submission was not run, but an earlier one with the same key may have been";
+    }
+    return outcome;
+}
+
 } // namespace
 
 /** A submission whose headers were found right. */
@@ -28,6 +39,8 @@
     std::string id;
     /** Whether the outcome table holds the request. */
     bool retained = false;
+    /** Whether the key is known to belong to this request, or to one whose outcome is known. */
+    std::atomic<bool> keySettled{false};
 };
 
 submissions::submissions(entry_identity identity,
@@ -83,25 +96,25 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(steadyNow() - m_started).count();
 }
 
-void submissions::refuseSubmission(std::string_view pool, const request_outcome &outcome, const http_responder &respond)
+void submissions::refuseSubmission(std::string_view pool, const request_outcome &outcome, const http_responder &respond, bool resubmission)
 {
     m_metrics.findCounter("daisypass_submissions_refused_total", {{"pool", std::string(pool)}, {"reason", outcome.reason}}).add();
-    respond(toResponse(outcome, {}));
+    respond(toResponse(reported(outcome, resubmission), {}));
 }
 
-std::optional<pool_lookup> submissions::admit(std::string_view pool, const http_responder &respond)
+std::optional<pool_lookup> submissions::admit(std::string_view pool, const http_responder &respond, bool resubmission)
 {
     if (m_closed) {
-        refuseSubmission("", notRun(refusal_reason::ShuttingDown, "the entry is stopping", retrySoon), respond);
+        refuseSubmission("", notRun(refusal_reason::ShuttingDown, "the entry is stopping", retrySoon), respond, resubmission);
         return std::nullopt;
     }
     if (!m_open) {
-        refuseSubmission("", notRun(refusal_reason::Isolated, "the entry has not replayed the fleet log yet", retrySoon), respond);
+        refuseSubmission("", notRun(refusal_reason::Isolated, "the entry has not replayed the fleet log yet", retrySoon), respond, resubmission);
         return std::nullopt;
     }
     pool_lookup found = m_pools.find(pool);
     if (!found.shard) {
-        refuseSubmission("", notRun(refusal_reason::UnknownPool, "no pool has this name"), respond);
+        refuseSubmission("", notRun(refusal_reason::UnknownPool, "no pool has this name"), respond, resubmission);
         return std::nullopt;
     }
     return found;
@@ -109,7 +122,8 @@
 
 void submissions::submit(std::string_view pool, http_request request, http_responder respond)
 {
-    std::optional<pool_lookup> found = admit(pool, respond);
+    const bool resubmission = isResubmission(request.headers);
+    std::optional<pool_lookup> found = admit(pool, respond, resubmission);
     if (!found) {
         return;
     }
@@ -117,7 +131,7 @@
     const pool_config &target = config.pools.find(pool)->second;
     std::variant<submission, request_outcome> read = readSubmission(std::move(request), target, config.teams, steadyNow());
     if (const request_outcome *refused = std::get_if<request_outcome>(&read)) {
-        refuseSubmission(pool, *refused, respond);
+        refuseSubmission(pool, *refused, respond, resubmission);
         return;
     }
     std::shared_ptr<prepared> wanted = std::make_shared<prepared>();
@@ -136,7 +150,10 @@
         if (wanted->pool->atMostOnce == at_most_once_mode::Ticket) {
             beginWithTicket(wanted);
         } else if (m_claims.waiting() >= m_options.maxWaitingClaims) {
-            refuseSubmission(read.info.pool, notRun(refusal_reason::Overloaded, "too many claims wait for the store", retrySoon), wanted->respond);
+            refuseSubmission(read.info.pool,
+                             notRun(refusal_reason::Overloaded, "too many claims wait for the store", retrySoon),
+                             wanted->respond,
+                             wanted->read.resubmission);
         } else {
             beginRetained(wanted, ++m_lastNumber);
         }
@@ -152,7 +169,10 @@
     const submission &read = wanted->read;
     const std::optional<ticket> shown = parseTicket(read.idempotencyKey);
     if (!shown) {
-        refuseSubmission(read.info.pool, notRun(refusal_reason::TicketRequired, "Idempotency-Key: expected a ticket of this pool"), wanted->respond);
+        refuseSubmission(read.info.pool,
+                         notRun(refusal_reason::TicketRequired, "Idempotency-Key: expected a ticket of this pool"),
+                         wanted->respond,
+                         wanted->read.resubmission);
         return;
     }
     if (shown->incarnation != m_identity.incarnation) {
@@ -161,7 +181,8 @@
     }
     const ticket_validity validity = checkTicket(*shown, sinceStartMs(), m_tickets);
     if (validity == ticket_validity::Forged) {
-        refuseSubmission(read.info.pool, notRun(refusal_reason::BadRequest, "Idempotency-Key: expected a ticket as issued"), wanted->respond);
+        refuseSubmission(
+            read.info.pool, notRun(refusal_reason::BadRequest, "Idempotency-Key: expected a ticket as issued"), wanted->respond, wanted->read.resubmission);
     } else if (validity == ticket_validity::Expired && !m_outcomes.find(shown->number)) {
         wanted->respond(toResponse(expired("the ticket may no longer start a run"), formatRequestId({shown->incarnation, shown->number})));
     } else {
@@ -186,15 +207,19 @@
         }
         break;
     case registration_result::NumberTaken:
-        refuseSubmission(pool, notRun(refusal_reason::BadRequest, "Idempotency-Key: the ticket belongs to another pool or team"), wanted->respond);
+        refuseSubmission(pool,
+                         notRun(refusal_reason::BadRequest, "Idempotency-Key: the ticket belongs to another pool or team"),
+                         wanted->respond,
+                         wanted->read.resubmission);
         return;
     case registration_result::Full:
-        refuseSubmission(pool, notRun(refusal_reason::Overloaded, "too many outcomes are held", retrySoon), wanted->respond);
+        refuseSubmission(pool, notRun(refusal_reason::Overloaded, "too many outcomes are held", retrySoon), wanted->respond, wanted->read.resubmission);
         return;
     case registration_result::Added:
         break;
     }
     wanted->retained = true;
+    wanted->keySettled = wanted->pool->atMostOnce == at_most_once_mode::Ticket;
     if (!accept(wanted, number)) {
         return;
     }
@@ -232,7 +257,7 @@
         wanted->respond(acceptedResponse(wanted->id));
     } else if (wanted->retained) {
         m_outcomes.wait(number, [wanted](request_outcome outcome) {
-            wanted->respond(toResponse(std::move(outcome), wanted->id));
+            wanted->respond(toResponse(reported(std::move(outcome), wanted->read.resubmission && !wanted->keySettled), wanted->id));
         });
     }
     // Checked after the count was raised, so that a stop either sees the submission or refuses it.
@@ -291,6 +316,7 @@
         m_claiming.erase(wanted->number);
     }
     if (std::holds_alternative<claim_won>(result)) {
+        wanted->keySettled = true;
         schedule(wanted);
         return;
     }
@@ -326,6 +352,7 @@
         startClaim(wanted, rowVersion);
         return;
     }
+    wanted->keySettled = true;
     const bool settled = outcome.isFinal() && outcome.fate != request_fate::Unknown;
     if (settled || wanted->read.respondAsync) {
         if (!outcome.isFinal()) {
@@ -348,16 +375,17 @@
         return;
     }
     const http_responder respond = wanted->respond;
-    const bool waits = m_outcomes.wait(existing, [respond, id](request_outcome outcome) {
-        respond(toResponse(std::move(outcome), id));
+    const bool unsettled = wanted->read.resubmission && wanted->pool->atMostOnce == at_most_once_mode::Claim;
+    const bool waits = m_outcomes.wait(existing, [respond, id, unsettled](request_outcome outcome) {
+        respond(toResponse(reported(std::move(outcome), unsettled), id));
     });
     if (!waits) {
         respond(toResponse(expired("the outcome is no longer held"), id));
         return;
     }
     // The first answer counts, so a duplicate learns at its own deadline how far the first request is.
-    m_timers.postAt(wanted->read.info.deadline, [this, respond, id, existing] {
-        respond(toResponse(m_outcomes.find(existing).value_or(expired("the outcome is no longer held")), id));
+    m_timers.postAt(wanted->read.info.deadline, [this, respond, id, existing, unsettled] {
+        respond(toResponse(reported(m_outcomes.find(existing).value_or(expired("the outcome is no longer held")), unsettled), id));
     });
 }
 
@@ -390,18 +418,18 @@
 
 void submissions::issueTicket(std::string_view pool, const http_request &request, const http_responder &respond)
 {
-    const std::optional<pool_lookup> found = admit(pool, respond);
+    const std::optional<pool_lookup> found = admit(pool, respond, false);
     if (!found) {
         return;
     }
     const configuration &config = found->state->config();
     const pool_config &target = config.pools.find(pool)->second;
     if (std::optional<request_outcome> refused = checkTeam(findHeader(request.headers, "Daisypass-Team"), target, config.teams)) {
-        refuseSubmission(pool, *refused, respond);
+        refuseSubmission(pool, *refused, respond, false);
         return;
     }
     if (target.atMostOnce != at_most_once_mode::Ticket) {
-        refuseSubmission(pool, notRun(refusal_reason::BadRequest, "the pool takes any idempotency key and issues no tickets"), respond);
+        refuseSubmission(pool, notRun(refusal_reason::BadRequest, "the pool takes any idempotency key and issues no tickets"), respond, false);
         return;
     }
     const ticket issued{m_identity.incarnation, firstTicketNumber + ++m_tickets, sinceStartMs()};
--- a/src/entry/submissions.h
+++ b/src/entry/submissions.h
@@ -94,8 +94,8 @@
 private:
     struct prepared;
 
-    void refuseSubmission(std::string_view pool, const request_outcome &outcome, const http_responder &respond);
-    std::optional<pool_lookup> admit(std::string_view pool, const http_responder &respond);
+    void refuseSubmission(std::string_view pool, const request_outcome &outcome, const http_responder &respond, bool resubmission);
+    std::optional<pool_lookup> admit(std::string_view pool, const http_responder &respond, bool resubmission);
     void begin(const std::shared_ptr<prepared> &wanted);
     void beginWithTicket(const std::shared_ptr<prepared> &wanted);
     void beginRetained(const std::shared_ptr<prepared> &wanted, request_number number);
--- a/src/standins/load_main.cpp
+++ b/src/standins/load_main.cpp
@@ -140,7 +140,7 @@
     }
     const check_result result = checkSamples(samples, *executions);
     printCheck(std::cout, result);
-    return result.disagreements.empty() ? 0 : 1;
+    return result.disagreements.empty() && result.notRunAfterRun == 0 ? 0 : 1;
 }
 
 } // namespace
--- a/src/standins/load_run.cpp
+++ b/src/standins/load_run.cpp
@@ -210,6 +210,7 @@
                     {"X-Run-Ms", std::to_string(current->run.count())}};
     if (!report.key.empty()) {
         call.headers.push_back({"Idempotency-Key", report.key});
+        call.headers.push_back({"Daisypass-Resubmission", report.attempt > 1 ? "true" : "false"});
     }
     call.body = attemptBody(report.token, report.attempt);
     call.connectTimeout = connectLimit;
--- a/src/standins/outcome_checker.h
+++ b/src/standins/outcome_checker.h
@@ -78,7 +78,7 @@
 /** All disagreements, in the order of the reports. Runs of tokens that no report names are passed over. */
 std::vector<disagreement> checkOutcomes(std::span<const submission_report> reports, std::span<const execution_record> executions);
 
-/** Attempts told not_run although an earlier attempt of the same key ran: true of the attempt, but the caller must not use a new key. */
+/** Resubmissions told not_run although an earlier attempt of the same key ran; the caller would take the work as not done. */
 std::size_t countNotRunAfterRun(std::span<const submission_report> reports, std::span<const execution_record> executions);
 
 } // namespace daisypass
--- a/tests/entry_process_test.cpp
+++ b/tests/entry_process_test.cpp
@@ -308,6 +308,18 @@
         CHECK(nlohmann::json::parse(response.body).at("reason") == "store_unavailable");
         CHECK(target.runs == 0);
 
+        // Guards against a caller that is told not_run about a key that an earlier submission may have run.
+        SUBCASE("but for a resubmission it is unknown whether the key ran")
+        {
+            const http_response again = deployment.post({{"Idempotency-Key", "key-2"}, {"Daisypass-Resubmission", "true"}, {"Daisypass-Deadline-Ms", "100"}});
+            CHECK(outcomeOf(again) == "unknown");
+            CHECK(nlohmann::json::parse(again.body).at("reason") == "store_unavailable");
+            deployment.table.setOutage(false);
+            const http_response later = deployment.post({{"Idempotency-Key", "key-2"}, {"Daisypass-Resubmission", "true"}});
+            CHECK(outcomeOf(later) == "completed");
+            CHECK(target.runs == 1);
+        }
+
         // Guards against a caller that follows Retry-After and can never succeed.
         SUBCASE("and runs once when its caller submits it again")
         {
