Stop the HTTP server before what its connections refer to is freed

Cause: the unit tests crashed once in the case "asynchronous requests" (SIGSEGV, not reproduced in 18 runs alone). The address sanitizer shows a use after free in every full run: connections left in the io_context, and requests held by late responders, outlived RESTinio's connection counter. Ruled out: the request records; the trace names the server's destructor. Change: responders hold a number instead of the request; stop() drops the requests, then the queued operations, then the server. Before: heap-use-after-free at ~connection_t. After: the new case and the other HTTP cases pass under the address sanitizer.

--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -5,9 +5,11 @@
 #include <restinio/all.hpp>
 
 #include <algorithm>
-#include <atomic>
 #include <cctype>
+#include <mutex>
+#include <shared_mutex>
 #include <thread>
+#include <unordered_map>
 
 namespace daisypass {
 namespace {
@@ -97,6 +99,59 @@
     }
 }
 
+// Destroys what is still queued in the context while the objects that it refers to exist.
+class server_context : public asio::io_context
+{
+public:
+    void abandonOperations()
+    {
+        shutdown();
+    }
+};
+
+// Requests that wait for their answer. A responder can outlive the server, but a native request must not: it refers to its
+// connection, and the connection to the server. So responders hold a number, and the server's stop drops the requests.
+class waiting_requests
+{
+public:
+    std::uint64_t add(restinio::request_handle_t native)
+    {
+        const std::lock_guard<std::mutex> guard(m_lock);
+        m_requests.emplace(++m_last, std::move(native));
+        return m_last;
+    }
+
+    void answer(std::uint64_t number, http_response response)
+    {
+        // Held while the answer is passed to the server, so that close() waits for it.
+        const std::shared_lock<std::shared_mutex> open(m_closing);
+        restinio::request_handle_t native;
+        {
+            const std::lock_guard<std::mutex> guard(m_lock);
+            const auto found = m_requests.find(number);
+            if (found == m_requests.end()) {
+                return;
+            }
+            native = std::move(found->second);
+            m_requests.erase(found);
+        }
+        sendResponse(*native, std::move(response));
+    }
+
+    void close()
+    {
+        const std::unique_lock<std::shared_mutex> closing(m_closing);
+        const std::lock_guard<std::mutex> guard(m_lock);
+        m_requests.clear();
+    }
+
+private:
+    std::shared_mutex m_closing;
+    std::mutex m_lock;
+    std::uint64_t m_last = 0;
+    std::unordered_map<std::uint64_t, restinio::request_handle_t> m_requests;
+};
+
 } // namespace
 
 bool equalIgnoringCase(std::string_view a, std::string_view b)
@@ -118,19 +173,17 @@
 {
     http_server_options options;
     http_handler handler;
-    asio::io_context context;
+    server_context context;
     std::unique_ptr<native_server> server;
+    std::shared_ptr<waiting_requests> waiting = std::make_shared<waiting_requests>();
     std::vector<std::thread> threads;
     std::uint16_t port = 0;
     bool running = false;
 
     restinio::request_handling_status_t handle(const restinio::request_handle_t &native)
     {
-        std::shared_ptr<std::atomic<bool>> answered = std::make_shared<std::atomic<bool>>(false);
-        http_responder respond = [native, answered](http_response response) {
-            if (!answered->exchange(true)) {
-                sendResponse(*native, std::move(response));
-            }
+        http_responder respond = [waiting = waiting, number = waiting->add(native)](http_response response) {
+            waiting->answer(number, std::move(response));
         };
         handler(toRequest(*native), std::move(respond));
         return restinio::request_accepted();
@@ -218,6 +271,8 @@
         thread.join();
     }
     self.threads.clear();
+    self.waiting->close();
+    self.context.abandonOperations();
     self.server.reset();
 }
 
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -6,7 +6,10 @@
 #include <asio.hpp>
 #include <doctest/doctest.h>
 
+#include <atomic>
+#include <mutex>
 #include <thread>
+#include <vector>
 
 using namespace daisypass;
 
@@ -144,3 +147,42 @@
         }
     }
 }
+
+TEST_CASE("the HTTP server can stop with connections and unanswered requests")
+{
+    // Guards against a use after free: connections and late responders outlived the server they refer to.
+    std::vector<http_responder> kept;
+    std::mutex lock;
+    http_client client({});
+    std::atomic<int> ended{0};
+    constexpr int callCount = 4;
+    {
+        http_server server({.listen = {"127.0.0.1", 0}}, [&](const http_request &, http_responder respond) {
+            const std::lock_guard<std::mutex> guard(lock);
+            kept.push_back(std::move(respond));
+        });
+        failure reason;
+        REQUIRE(server.start(reason));
+        for (int i = 0; i < callCount; ++i) {
+            http_call call;
+            call.url = urlOf(server.port(), "/");
+            client.send(std::move(call), [&](const http_result &) {
+                ++ended;
+            });
+        }
+        const std::chrono::steady_clock::time_point limit = std::chrono::steady_clock::now() + std::chrono::seconds(10);
+        std::size_t held = 0;
+        while (held < callCount && std::chrono::steady_clock::now() < limit) {
+            std::this_thread::yield();
+            const std::lock_guard<std::mutex> guard(lock);
+            held = kept.size();
+        }
+        REQUIRE(held == callCount);
+    }
+    for (const http_responder &late : kept) {
+        late({200, {}, "late"});
+    }
+    while (ended < callCount) {
+        std::this_thread::yield();
+    }
+}
