--- a/src/entry/submissions.cpp
+++ b/src/entry/submissions.cpp
@@ -234,8 +234,13 @@
 // A key whose request was not run may be used again, or a caller that was told to retry could never succeed. A ticket's
 // request starts again under its number, since only this incarnation can run it. In a pool with claims the key is freed
 // for a new request, which must replace the claim row of the earlier one: of several entries that try, one succeeds.
+// Only a marked resubmission may do so. Otherwise a first submission that was delayed, for example in the socket of a
+// frozen entry, could run after its caller was told that the resubmission was not run.
 bool submissions::mayRunAgain(const std::shared_ptr<prepared> &wanted, request_number existing)
 {
+    if (!wanted->read.resubmission) {
+        return false;
+    }
     if (wanted->pool->atMostOnce == at_most_once_mode::Ticket) {
         return m_outcomes.restart(existing);
     }
@@ -332,7 +337,7 @@
         end(wanted, request_outcome{request_fate::Unknown, "claim_unreadable", "the key's claim names no request", {}, {}});
     } else if (id->incarnation == m_identity.incarnation) {
         const std::optional<request_outcome> earlier = m_outcomes.find(id->number);
-        if (earlier && earlier->fate == request_fate::NotRun) {
+        if (earlier && earlier->fate == request_fate::NotRun && wanted->read.resubmission) {
             startClaim(wanted, duplicate->version);
             return;
         }
@@ -348,7 +353,7 @@
 
 void submissions::endDuplicate(const std::shared_ptr<prepared> &wanted, request_outcome outcome, std::uint64_t rowVersion)
 {
-    if (outcome.fate == request_fate::NotRun && steadyNow() < wanted->read.info.deadline && !m_closed) {
+    if (outcome.fate == request_fate::NotRun && wanted->read.resubmission && steadyNow() < wanted->read.info.deadline && !m_closed) {
         startClaim(wanted, rowVersion);
         return;
     }
