Check the scheduling policy's name; keep one registry of policies

Cause: an unknown scheduling name was accepted and quietly became bands; sizing policies had a registry of their own beside policy_registry.h. Change: unknown_policy with place and the known names; the sizing policies use the common registry. Before: the new row of the table of broken files was accepted.

--- a/src/kernel/configuration.cpp
+++ b/src/kernel/configuration.cpp
@@ -2,6 +2,7 @@
 
 #include "kernel/configuration_keys.h"
 #include "kernel/maintenance_wave.h"
+#include "kernel/policy_registry.h"
 
 #include <algorithm>
 #include <cstdlib>
@@ -9,6 +10,15 @@
 namespace daisypass {
 namespace {
 
+std::string joined(const std::vector<std::string> &names)
+{
+    std::string text;
+    for (const std::string &name : names) {
+        text += ' ' + name;
+    }
+    return text;
+}
+
 constexpr int daysPerWeek = 7;
 
 // Reads keys of one section with the ranges and defaults of the table of keys.
@@ -194,6 +204,9 @@
         section_reader sizeKeys("pool.vm", size);
         pool.vm = {sizeKeys.integer("processors"), sizeKeys.integer("memory_mib"), sizeKeys.integer("accelerators")};
     });
+    if (!findPolicy<scheduling_policy>(pool.scheduling)) {
+        reader.report(failure_code::UnknownPolicy, "scheduling", pool.scheduling, "one of" + joined(policyNames<scheduling_policy>()));
+    }
     if (!pool.targetPath.starts_with('/')) {
         reader.report(failure_code::OutOfRange, "target_path", pool.targetPath, "a path that starts with /");
     }
--- a/src/kernel/pool_balancer.cpp
+++ b/src/kernel/pool_balancer.cpp
@@ -1,17 +1,13 @@
 #include "kernel/pool_balancer.h"
 
+#include "kernel/policy_registry.h"
+
 #include <algorithm>
 #include <cmath>
 
 namespace daisypass {
 namespace {
 
-std::map<std::string, sizing_factory, std::less<>> &registry()
-{
-    static std::map<std::string, sizing_factory, std::less<>> factories;
-    return factories;
-}
-
 // The VMs that a pool keeps whatever its demand: the budget, and one failure domain on top of it.
 int floorOf(const pool_sample &sample)
 {
@@ -51,29 +47,6 @@
 
 } // namespace
 
-bool registerSizing(std::string_view name, sizing_factory factory)
-{
-    return registry().emplace(name, factory).second;
-}
-
-std::optional<sizing_policy> makeSizing(std::string_view name)
-{
-    const auto found = registry().find(name);
-    if (found == registry().end()) {
-        return std::nullopt;
-    }
-    return found->second();
-}
-
-std::vector<std::string> sizingNames()
-{
-    std::vector<std::string> names;
-    for (const std::pair<const std::string, sizing_factory> &entry : registry()) {
-        names.push_back(entry.first);
-    }
-    return names;
-}
-
 pool_balancer::pool_balancer(measure_weights weights)
     : m_weights(weights)
 {
@@ -114,9 +87,9 @@
     for (const pool_sample &sample : samples) {
         pool_progress &pool = m_pools[sample.pool];
         if (pool.sizingName != sample.balancing) {
-            std::optional<sizing_policy> made = makeSizing(sample.balancing);
+            const std::optional<sizing_policy> found = findPolicy<sizing_policy>(sample.balancing);
             // The configuration check refuses unknown names; an unknown one here keeps the pool as it is.
-            pool.sizing = made ? std::move(*made) : sizing_policy{fixed_sizing{}};
+            pool.sizing = found.value_or(fixed_sizing{});
             pool.sizingName = sample.balancing;
         }
         pool.estimate = std::visit(
--- a/src/kernel/pool_balancer.h
+++ b/src/kernel/pool_balancer.h
@@ -10,7 +10,7 @@
 // its share for long enough. It holds only estimates, so a controller that takes over starts with empty ones and
 // proposes nothing until they have settled.
 //
-// Sizing policies register themselves by name (see src/policies/) and are chosen by the pool's `balancing` setting.
+// Sizing policies register themselves by name (see policy_registry.h) and are chosen by the pool's `balancing` setting.
 
 #include "base/time.h"
 #include "kernel/configuration.h"
@@ -96,13 +96,6 @@
 };
 
 using sizing_policy = std::variant<fixed_sizing, follow_demand_sizing, hysteresis_sizing>;
-using sizing_factory = sizing_policy (*)();
-
-/** Makes a sizing policy known under a name; returns true so that a namespace-scope constant can call it. */
-bool registerSizing(std::string_view name, sizing_factory factory);
-/** A new policy of this name, or nothing. */
-std::optional<sizing_policy> makeSizing(std::string_view name);
-std::vector<std::string> sizingNames();
 
 /** Share of a VM's slots that sustained work may fill, from 0.4 to 0.65; the heavier waiting weighs against the buffer, the smaller. */
 double fillShare(const measure_weights &weights);
--- a/src/policies/sizing_policies.cpp
+++ b/src/policies/sizing_policies.cpp
@@ -1,3 +1,4 @@
+#include "kernel/policy_registry.h"
 #include "kernel/pool_balancer.h"
 
 #include <algorithm>
@@ -38,15 +39,9 @@
     return std::clamp(weights.moves / others, 1.0, 3.0);
 }
 
-[[maybe_unused]] const bool fixedRegistered = registerSizing("none", [] {
-    return sizing_policy{fixed_sizing{}};
-});
-[[maybe_unused]] const bool followRegistered = registerSizing("follow-demand", [] {
-    return sizing_policy{follow_demand_sizing{}};
-});
-[[maybe_unused]] const bool hysteresisRegistered = registerSizing("hysteresis", [] {
-    return sizing_policy{hysteresis_sizing{}};
-});
+[[maybe_unused]] const bool fixedRegistered = registerPolicy<sizing_policy>("none", fixed_sizing{});
+[[maybe_unused]] const bool followRegistered = registerPolicy<sizing_policy>("follow-demand", follow_demand_sizing{});
+[[maybe_unused]] const bool hysteresisRegistered = registerPolicy<sizing_policy>("hysteresis", hysteresis_sizing{});
 
 } // namespace
 
--- a/tests/configuration_test.cpp
+++ b/tests/configuration_test.cpp
@@ -35,6 +35,7 @@
     {"pools.json", "{\"pools\": [{\"name\": \"x\", \"min_available\": 0,\n\"slots_per_target\": 1025}]}", failure_code::OutOfRange, "slots_per_target", 2, 24},
     {"pools.json", "{\"pools\": [{\"name\": \"x\", \"min_available\": 0,\n\"long_share\": 0.95}]}", failure_code::OutOfRange, "long_share", 2, 18},
     {"pools.json", "{\"pools\": [{\"name\": \"x\", \"min_available\": 0,\n\"headroom\": \"row\"}]}", failure_code::OutOfRange, "row", 2, 17},
+    {"pools.json", "{\"pools\": [{\"name\": \"x\", \"min_available\": 0,\n\"scheduling\": \"lifo\"}]}", failure_code::UnknownPolicy, "lifo", 2, 20},
     {"pools.json", "{\"pools\": [{\"name\": \"x\", \"min_available\": 0,\n\"target_path\": \"run\"}]}", failure_code::OutOfRange, "run", 2, 20},
     {"pools.json", "{\"pools\": [{\"name\": \"x\", \"min_available\": 0},\n{\"name\": \"x\", \"min_available\": 0}]}", failure_code::Duplicate, "x", 2, 12},
     {"pools.json", "{\"pools\": [{\"name\": \"x\",\n \"min_available\": 1}]}", failure_code::BudgetUnreachable, "x", 1, 23},
