Serve both questions about an incarnation's requests by one function

Cause: getFate and cancelRequest of the membership had the same 14 lines. Change: askIncarnation(). No behaviour changes.

--- a/src/entry/membership.cpp
+++ b/src/entry/membership.cpp
@@ -163,38 +163,37 @@
         });
 }
 
-void membership::getFate(incarnation_number incarnation, std::string_view requestId, peer_callback<fate_answer> done)
+// Answers a question about a request of this incarnation by its own handler, and passes any other on to the peer that runs the incarnation.
+template<typename answer>
+void membership::askIncarnation(incarnation_number incarnation,
+                                std::string_view requestId,
+                                peer_callback<answer> done,
+                                const std::function<answer(std::string_view)> &own,
+                                peer_question<answer> ask)
 {
     implementation &self = *m_implementation;
-    if (incarnation == self.options.incarnation && self.handlers.getFate) {
-        done(self.handlers.getFate(requestId), {});
+    if (incarnation == self.options.incarnation && own) {
+        done(own(requestId), {});
         return;
     }
     self.withIncarnation(incarnation,
-                         [&self, requestId = std::string(requestId), done = std::move(done)](std::optional<peer_address> peer, const failure &reason) {
+                         [&self, ask, requestId = std::string(requestId), done = std::move(done)](std::optional<peer_address> peer, const failure &reason) {
                              if (!peer) {
                                  done(std::nullopt, reason);
                                  return;
                              }
-                             self.client->getFate(*peer, requestId, done);
+                             ((*self.client).*ask)(*peer, requestId, done);
                          });
 }
 
+void membership::getFate(incarnation_number incarnation, std::string_view requestId, peer_callback<fate_answer> done)
+{
+    askIncarnation<fate_answer>(incarnation, requestId, std::move(done), m_implementation->handlers.getFate, &peer_client::getFate);
+}
+
 void membership::cancelRequest(incarnation_number incarnation, std::string_view requestId, peer_callback<cancel_answer> done)
 {
-    implementation &self = *m_implementation;
-    if (incarnation == self.options.incarnation && self.handlers.cancelRequest) {
-        done(self.handlers.cancelRequest(requestId), {});
-        return;
-    }
-    self.withIncarnation(incarnation,
-                         [&self, requestId = std::string(requestId), done = std::move(done)](std::optional<peer_address> peer, const failure &reason) {
-                             if (!peer) {
-                                 done(std::nullopt, reason);
-                                 return;
-                             }
-                             self.client->cancelRequest(*peer, requestId, done);
-                         });
+    askIncarnation<cancel_answer>(incarnation, requestId, std::move(done), m_implementation->handlers.cancelRequest, &peer_client::cancelRequest);
 }
 
 } // namespace daisypass
--- a/src/entry/membership.h
+++ b/src/entry/membership.h
@@ -121,6 +121,16 @@
     void cancelRequest(incarnation_number incarnation, std::string_view requestId, peer_callback<cancel_answer> done);
 
 private:
+    template<typename answer>
+    using peer_question = void (peer_client::*)(const peer_address &, std::string_view, peer_callback<answer>);
+
+    template<typename answer>
+    void askIncarnation(incarnation_number incarnation,
+                        std::string_view requestId,
+                        peer_callback<answer> done,
+                        const std::function<answer(std::string_view)> &own,
+                        peer_question<answer> ask);
+
     struct implementation;
 
     std::unique_ptr<implementation> m_implementation;
