Count VMs on their way between pools in one walk, and once each

Ruled out: changing the balancer; its input was wrong. Change: each VM has at most one destination, counted in one walk. Before: the new assertion fails (1 VM arriving in the pool that it leaves).

--- a/src/kernel/fleet_balancer.cpp
+++ b/src/kernel/fleet_balancer.cpp
@@ -1,7 +1,9 @@
 #include "kernel/fleet_balancer.h"
 
+#include <map>
 #include <memory>
 #include <optional>
+#include <string_view>
 
 namespace daisypass {
 namespace {
@@ -17,13 +19,27 @@
     return a.buffer == b.buffer && a.rollout == b.rollout && a.moves == b.moves && a.waiting == b.waiting;
 }
 
-bool leadsTo(const vm_record &vm, std::string_view pool)
+// The pool that the VM is on its way into, or nothing. A VM that has changed its pool is stopped until its reboot is over.
+std::string_view destinationOf(const vm_record &vm)
 {
     const bool underWay = vm.state == vm_state::Draining || vm.state == vm_state::Stopped;
-    const bool moving = underWay && vm.cause == drain_cause::Move && vm.detail == pool && vm.pool != pool;
-    // A VM that has changed its pool is stopped until its reboot is over.
-    const bool arrived = vm.state == vm_state::Stopped && vm.pool == pool;
-    return moving || arrived;
+    if (underWay && vm.cause == drain_cause::Move && !vm.detail.empty()) {
+        return vm.detail;
+    }
+    return vm.state == vm_state::Stopped ? std::string_view(vm.pool) : std::string_view();
+}
+
+// One walk over the VMs, because this runs at every step of the controller.
+std::map<std::string_view, int> countArriving(const fleet_state &state)
+{
+    std::map<std::string_view, int> arriving;
+    for (const std::pair<const std::string, vm_record> &vm : state.vms()) {
+        const std::string_view pool = destinationOf(vm.second);
+        if (!pool.empty()) {
+            ++arriving[pool];
+        }
+    }
+    return arriving;
 }
 
 } // namespace
@@ -31,6 +47,7 @@
 std::vector<pool_sample> poolSamples(const fleet_state &state, const controller_input &input)
 {
     std::vector<pool_sample> samples;
+    const std::map<std::string_view, int> arriving = countArriving(state);
     for (const std::pair<const std::string, pool_config> &pool : state.config().pools) {
         pool_sample sample;
         sample.pool = pool.first;
@@ -45,9 +62,8 @@
                 sample.offeredSlots += load->second.running + load->second.queued;
             }
         }
-        for (const std::pair<const std::string, vm_record> &vm : state.vms()) {
-            sample.arrivingVms += leadsTo(vm.second, pool.first) ? 1 : 0;
-        }
+        const auto found = arriving.find(pool.first);
+        sample.arrivingVms = found == arriving.end() ? 0 : found->second;
         samples.push_back(std::move(sample));
     }
     return samples;
--- a/tests/fleet_balancer_test.cpp
+++ b/tests/fleet_balancer_test.cpp
@@ -57,6 +57,12 @@
             CHECK(samples[0].offeredSlots == 20);
             CHECK(samples[1].arrivingVms == 1);
             CHECK(samples[1].offeredSlots == 30);
+
+            // Guards against counting a VM that is stopped in the middle of a move for both pools.
+            fleet.must({vm_stopped{"vm-00", fleet.state.vms().find("vm-00")->second.epoch, {}}});
+            const std::vector<pool_sample> stopped = poolSamples(fleet.state, inputWith(std::chrono::seconds(now), 20, 30));
+            CHECK(stopped[0].arrivingVms == 0);
+            CHECK(stopped[1].arrivingVms == 1);
         }
     }
 }
