--- a/bench/fleet_bench.cpp
+++ b/bench/fleet_bench.cpp
@@ -6,7 +6,7 @@
 // that size is built, divided by the VMs.
 
 #include "kernel/fleet_controller.h"
-#include "platform/fleet_log.h"
+#include "services/fleet_log.h"
 
 #include <CLI/CLI.hpp>
 
--- a/src/control/control_lease.h
+++ b/src/control/control_lease.h
@@ -7,7 +7,7 @@
 //     if (lease.hold(wallTime, writeId)) { ... }
 
 #include "base/time.h"
-#include "platform/table_service.h"
+#include "services/table_service.h"
 
 #include <cstdint>
 #include <string>
--- a/src/control/control_loop.cpp
+++ b/src/control/control_loop.cpp
@@ -2,7 +2,7 @@
 
 #include "base/log.h"
 #include "control/control_lease.h"
-#include "platform/write_id.h"
+#include "services/write_id.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/control/control_loop.h
+++ b/src/control/control_loop.h
@@ -16,8 +16,8 @@
 #include "kernel/fleet_controller.h"
 #include "net/http_client.h"
 #include "net/peer_client.h"
-#include "platform/fleet_log.h"
-#include "platform/vm_list.h"
+#include "services/fleet_log.h"
+#include "services/vm_list.h"
 
 #include <memory>
 #include <string>
--- a/src/ctl/ctl_main.cpp
+++ b/src/ctl/ctl_main.cpp
@@ -1,7 +1,7 @@
 #include "base/text_difference.h"
 #include "ctl/control_client.h"
 #include "kernel/configuration_keys.h"
-#include "platform/write_id.h"
+#include "services/write_id.h"
 
 #include <CLI/CLI.hpp>
 
--- a/src/entry/claim_logic.cpp
+++ b/src/entry/claim_logic.cpp
@@ -1,7 +1,7 @@
 #include "entry/claim_logic.h"
 
 #include "entry/request_id.h"
-#include "platform/http_answer.h"
+#include "services/http_answer.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/entry/claim_logic.h
+++ b/src/entry/claim_logic.h
@@ -14,7 +14,7 @@
 #include "base/time.h"
 #include "kernel/fleet_change.h"
 #include "kernel/request.h"
-#include "platform/table_service.h"
+#include "services/table_service.h"
 
 #include <cstdint>
 #include <deque>
--- a/src/entry/entry_process.h
+++ b/src/entry/entry_process.h
@@ -18,7 +18,7 @@
 #include "entry/submissions.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
-#include "platform/fleet_log.h"
+#include "services/fleet_log.h"
 
 #include <atomic>
 #include <condition_variable>
--- a/src/entry/entry_registration.h
+++ b/src/entry/entry_registration.h
@@ -12,7 +12,7 @@
 #include "base/failure.h"
 #include "base/time.h"
 #include "entry/fleet_follower.h"
-#include "platform/fleet_log.h"
+#include "services/fleet_log.h"
 
 #include <cstdint>
 #include <mutex>
--- a/src/entry/fate_lookup.h
+++ b/src/entry/fate_lookup.h
@@ -12,7 +12,7 @@
 #include "entry/task_queue.h"
 #include "kernel/fleet_change.h"
 #include "net/peer_client.h"
-#include "platform/object_store.h"
+#include "services/object_store.h"
 
 #include <functional>
 #include <optional>
--- a/src/entry/fleet_follower.cpp
+++ b/src/entry/fleet_follower.cpp
@@ -3,7 +3,7 @@
 #include "base/log.h"
 #include "entry/log_replica.h"
 #include "kernel/poll_schedule.h"
-#include "platform/fleet_log.h"
+#include "services/fleet_log.h"
 
 #include <algorithm>
 #include <condition_variable>
--- a/src/entry/fleet_follower.h
+++ b/src/entry/fleet_follower.h
@@ -14,8 +14,8 @@
 #include "base/time.h"
 #include "kernel/fleet_state.h"
 #include "net/peer_messages.h"
-#include "platform/object_store.h"
-#include "platform/table_service.h"
+#include "services/object_store.h"
+#include "services/table_service.h"
 
 #include <cstddef>
 #include <cstdint>
--- a/src/entry/log_replica.cpp
+++ b/src/entry/log_replica.cpp
@@ -1,6 +1,6 @@
 #include "entry/log_replica.h"
 
-#include "platform/object_store.h"
+#include "services/object_store.h"
 
 #include <algorithm>
 #include <set>
--- a/src/entry/membership.h
+++ b/src/entry/membership.h
@@ -17,7 +17,7 @@
 #include "entry/fleet_follower.h"
 #include "net/peer_client.h"
 #include "net/peer_service.h"
-#include "platform/fleet_log.h"
+#include "services/fleet_log.h"
 
 #include <cstdint>
 #include <functional>
--- a/src/platform/fleet_log.cpp
+++ b/src/services/fleet_log.cpp
@@ -1,4 +1,4 @@
-#include "platform/fleet_log.h"
+#include "services/fleet_log.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/platform/fleet_log.h
+++ b/src/services/fleet_log.h
@@ -10,8 +10,8 @@
 // Calls block; the class holds no lock and starts no thread. One thread uses an object at a time; copies are cheap.
 
 #include "kernel/fleet_state.h"
-#include "platform/object_store.h"
-#include "platform/table_service.h"
+#include "services/object_store.h"
+#include "services/table_service.h"
 
 #include <cstdint>
 #include <functional>
--- a/src/platform/http_answer.cpp
+++ b/src/services/http_answer.cpp
@@ -1,4 +1,4 @@
-#include "platform/http_answer.h"
+#include "services/http_answer.h"
 
 #include <cctype>
 
--- a/src/platform/http_answer.h
+++ b/src/services/http_answer.h
@@ -3,7 +3,7 @@
 // Shared by the HTTP back ends of the platform's services: building calls and turning answers into typed failures.
 
 #include "net/http_client.h"
-#include "platform/table_service.h"
+#include "services/table_service.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/platform/object_store.cpp
+++ b/src/services/object_store.cpp
@@ -1,6 +1,6 @@
-#include "platform/object_store.h"
+#include "services/object_store.h"
 
-#include "platform/http_answer.h"
+#include "services/http_answer.h"
 
 #define XXH_INLINE_ALL
 #include <xxhash.h>
--- a/src/platform/table_service.cpp
+++ b/src/services/table_service.cpp
@@ -1,6 +1,6 @@
-#include "platform/table_service.h"
+#include "services/table_service.h"
 
-#include "platform/http_answer.h"
+#include "services/http_answer.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/platform/vm_list.cpp
+++ b/src/services/vm_list.cpp
@@ -1,6 +1,6 @@
-#include "platform/vm_list.h"
+#include "services/vm_list.h"
 
-#include "platform/http_answer.h"
+#include "services/http_answer.h"
 
 #include <algorithm>
 #include <mutex>
--- a/src/platform/write_id.cpp
+++ b/src/services/write_id.cpp
@@ -1,4 +1,4 @@
-#include "platform/write_id.h"
+#include "services/write_id.h"
 
 #include <cinttypes>
 #include <cstdint>
--- a/src/standins/platform_standin.h
+++ b/src/standins/platform_standin.h
@@ -10,8 +10,8 @@
 
 #include "net/http_client.h"
 #include "net/http_server.h"
-#include "platform/object_store.h"
-#include "platform/table_service.h"
+#include "services/object_store.h"
+#include "services/table_service.h"
 #include "standins/standin_process.h"
 
 #include <chrono>
--- a/tests/fleet_fixture.h
+++ b/tests/fleet_fixture.h
@@ -3,7 +3,7 @@
 // Small fleets for tests: a configuration with one or two pools, and a state with records applied to it.
 
 #include "kernel/fleet_state.h"
-#include "platform/object_store.h"
+#include "services/object_store.h"
 
 #include <doctest/doctest.h>
 
--- a/tests/fleet_follower_test.cpp
+++ b/tests/fleet_follower_test.cpp
@@ -4,7 +4,7 @@
 #include "entry/fleet_follower.h"
 #include "entry/log_replica.h"
 #include "eventually.h"
-#include "platform/fleet_log.h"
+#include "services/fleet_log.h"
 
 #include <doctest/doctest.h>
 
--- a/tests/fleet_log_test.cpp
+++ b/tests/fleet_log_test.cpp
@@ -1,5 +1,5 @@
 #include "fleet_fixture.h"
-#include "platform/fleet_log.h"
+#include "services/fleet_log.h"
 #include "property.h"
 
 using namespace daisypass;
--- a/tests/fleet_world.h
+++ b/tests/fleet_world.h
@@ -5,7 +5,7 @@
 
 #include "control/observation_board.h"
 #include "fleet_fixture.h"
-#include "platform/fleet_log.h"
+#include "services/fleet_log.h"
 
 #include <memory>
 #include <set>
--- a/tests/standins_test.cpp
+++ b/tests/standins_test.cpp
@@ -1,6 +1,6 @@
 // The stand-ins keep their own contracts; the integration tests and the load runs rest on them.
 
-#include "platform/vm_list.h"
+#include "services/vm_list.h"
 #include "standins/demand.h"
 #include "standins/fault_proxy.h"
 #include "standins/platform_standin.h"
