--- a/bench/entry_path_bench.cpp
+++ b/bench/entry_path_bench.cpp
@@ -7,7 +7,7 @@
 
 #include "base/settings_reader.h"
 #include "base/time.h"
-#include "net/http_client.h"
+#include "http/http_client.h"
 
 #include <CLI/CLI.hpp>
 
--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -1,18 +1,30 @@
 #include "base/log.h"
 
+#include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
 #include <boost/log/sinks/sync_frontend.hpp>
-#include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/trivial.hpp>
-#include <boost/log/utility/setup/console.hpp>
+#include <boost/smart_ptr/make_shared.hpp>
 #include <nlohmann/json.hpp>
 
+#include <poll.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <atomic>
+#include <cerrno>
 #include <chrono>
-#include <iostream>
+#include <mutex>
 
 namespace daisypass {
 namespace {
 
+// An on-call engineer reads at most a few hundred lines a second; one event must not crowd out the others.
+constexpr int linesPerSecondAndEvent = 40;
+// A pipe that polls as writable takes this much without blocking (PIPE_BUF).
+constexpr std::size_t mostLineBytes = 4'096;
+
 struct identity
 {
     std::string program;
@@ -25,21 +37,95 @@
     return self;
 }
 
+std::atomic<std::uint64_t> dropped{0};
+
+bool outputTakesLine()
+{
+    pollfd output{STDOUT_FILENO, POLLOUT, 0};
+    return poll(&output, 1, 0) == 1 && (output.revents & POLLOUT) != 0;
+}
+
+// Writes a line only when the output takes it without blocking.
+class output_backend : public boost::log::sinks::basic_formatted_sink_backend<char, boost::log::sinks::synchronized_feeding>
+{
+public:
+    static void consume(const boost::log::record_view &, const string_type &text)
+    {
+        std::string line = text.substr(0, mostLineBytes - 1);
+        line += '\n';
+        if (!outputTakesLine()) {
+            ++dropped;
+            return;
+        }
+        const ssize_t written = write(STDOUT_FILENO, line.data(), line.size());
+        if (written != static_cast<ssize_t>(line.size())) {
+            ++dropped;
+        }
+    }
+};
+
+log_budget &processBudget()
+{
+    static log_budget budget(linesPerSecondAndEvent);
+    return budget;
+}
+
+std::int64_t unixMillis()
+{
+    const std::chrono::system_clock::duration sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count();
+}
+
 } // namespace
 
+log_budget::log_budget(int linesPerSecond)
+    : m_linesPerSecond(linesPerSecond)
+{
+}
+
+std::int64_t log_budget::admit(std::string_view event, std::int64_t nowMs)
+{
+    constexpr std::int64_t millisPerSecond = 1'000;
+    auto found = std::find_if(m_usages.begin(), m_usages.end(), [&](const usage &one) {
+        return one.event == event;
+    });
+    if (found == m_usages.end()) {
+        m_usages.push_back({std::string(event)});
+        found = std::prev(m_usages.end());
+    }
+    if (found->second != nowMs / millisPerSecond) {
+        found->second = nowMs / millisPerSecond;
+        found->lines = 0;
+    }
+    if (found->lines >= m_linesPerSecond) {
+        ++found->dropped;
+        return -1;
+    }
+    ++found->lines;
+    return std::exchange(found->dropped, 0);
+}
+
 void startLog(std::string_view program, std::string_view instance)
 {
     processIdentity() = identity{std::string(program), std::string(instance)};
-    boost::log::add_console_log(std::clog,
-                                boost::log::keywords::format = boost::log::expressions::stream << boost::log::expressions::smessage,
-                                boost::log::keywords::auto_flush = true);
+    using output_sink = boost::log::sinks::synchronous_sink<output_backend>;
+    const boost::shared_ptr<output_sink> sink = boost::make_shared<output_sink>();
+    sink->set_formatter(boost::log::expressions::stream << boost::log::expressions::smessage);
+    boost::log::core::get()->add_sink(sink);
 }
 
 void logChange(std::string_view event, const std::vector<log_field> &fields)
 {
-    const std::chrono::system_clock::duration sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+    static std::mutex lock;
+    const std::lock_guard<std::mutex> guard(lock);
+    const std::int64_t now = unixMillis();
+    const std::int64_t droppedBefore = processBudget().admit(event, now);
+    if (droppedBefore < 0) {
+        ++dropped;
+        return;
+    }
     nlohmann::ordered_json line;
-    line["time_ms"] = std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count();
+    line["time_ms"] = now;
     line["program"] = processIdentity().program;
     line["instance"] = processIdentity().instance;
     line["event"] = event;
@@ -50,8 +136,16 @@
             },
             field.value);
     }
+    if (droppedBefore > 0) {
+        line["lines_dropped"] = droppedBefore;
+    }
     // Names and arguments can carry bytes from outside, so invalid UTF-8 is replaced instead of thrown on.
     BOOST_LOG_TRIVIAL(info) << line.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
 }
 
+std::uint64_t droppedLogLines()
+{
+    return dropped;
+}
+
 } // namespace daisypass
--- a/src/control/admin_answers.h
+++ b/src/control/admin_answers.h
@@ -4,7 +4,7 @@
 
 #include "control/configuration_service.h"
 #include "control/control_loop.h"
-#include "net/http_server.h"
+#include "http/http_server.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/control/admin_service.h
+++ b/src/control/admin_service.h
@@ -12,7 +12,7 @@
 #include "base/metrics.h"
 #include "control/configuration_service.h"
 #include "control/control_loop.h"
-#include "net/http_server.h"
+#include "http/http_server.h"
 
 #include <cstdint>
 #include <memory>
--- a/src/control/control_loop.h
+++ b/src/control/control_loop.h
@@ -14,7 +14,7 @@
 #include "control/observation_board.h"
 #include "entry/fleet_follower.h"
 #include "kernel/fleet_controller.h"
-#include "net/http_client.h"
+#include "http/http_client.h"
 #include "net/peer_client.h"
 #include "services/fleet_log.h"
 #include "services/vm_list.h"
--- a/src/ctl/control_client.h
+++ b/src/ctl/control_client.h
@@ -7,7 +7,7 @@
 
 #include "base/failure.h"
 #include "ctl/configuration_directory.h"
-#include "net/http_client.h"
+#include "http/http_client.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/entry/caller_service.h
+++ b/src/entry/caller_service.h
@@ -9,7 +9,7 @@
 
 #include "base/metrics.h"
 #include "entry/submissions.h"
-#include "net/http_server.h"
+#include "http/http_server.h"
 
 #include <functional>
 
--- a/src/entry/entry_process.h
+++ b/src/entry/entry_process.h
@@ -16,8 +16,8 @@
 #include "entry/membership.h"
 #include "entry/pool_set.h"
 #include "entry/submissions.h"
-#include "net/http_client.h"
-#include "net/http_server.h"
+#include "http/http_client.h"
+#include "http/http_server.h"
 #include "services/fleet_log.h"
 
 #include <atomic>
--- a/src/entry/header_rules.h
+++ b/src/entry/header_rules.h
@@ -6,7 +6,7 @@
 
 #include "entry/request_outcome.h"
 #include "kernel/configuration.h"
-#include "net/http_client.h"
+#include "http/http_client.h"
 
 #include <map>
 #include <optional>
--- a/src/entry/pool_shard.h
+++ b/src/entry/pool_shard.h
@@ -13,7 +13,7 @@
 #include "entry/request_outcome.h"
 #include "kernel/fleet_change.h"
 #include "kernel/pool_scheduler.h"
-#include "net/http_client.h"
+#include "http/http_client.h"
 
 #include <atomic>
 #include <cstdint>
--- a/src/entry/request_outcome.h
+++ b/src/entry/request_outcome.h
@@ -7,7 +7,7 @@
 
 #include "base/time.h"
 #include "kernel/request.h"
-#include "net/http_client.h"
+#include "http/http_client.h"
 
 #include <string>
 #include <string_view>
--- a/src/entry/submissions.h
+++ b/src/entry/submissions.h
@@ -17,7 +17,7 @@
 #include "entry/outcome_table.h"
 #include "entry/pool_set.h"
 #include "entry/request_id.h"
-#include "net/http_server.h"
+#include "http/http_server.h"
 
 #include <atomic>
 #include <functional>
--- a/src/net/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -1,4 +1,4 @@
-#include "net/http_client.h"
+#include "http/http_client.h"
 
 #include "base/thread_time.h"
 
--- a/src/net/http_client.h
+++ b/src/http/http_client.h
@@ -8,7 +8,7 @@
 //
 // A result says exactly whether bytes of the request can have reached the server: see send_state.
 
-#include "net/http_server.h"
+#include "http/http_server.h"
 
 #include <chrono>
 #include <cstdint>
--- a/src/net/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -1,4 +1,4 @@
-#include "net/http_server.h"
+#include "http/http_server.h"
 
 #include "base/thread_time.h"
 
@@ -81,6 +81,9 @@
         }
     }
     builder.set_body(std::move(response.body));
+    if (response.closeConnection) {
+        builder.connection_close();
+    }
     builder.done();
 }
 
--- a/src/net/http_server.h
+++ b/src/http/http_server.h
@@ -62,6 +62,8 @@
     std::vector<http_header> headers;
     std::string body;
     answer_delivery delivery = answer_delivery::Whole;
+    /** Close the connection after the answer, so that the client's next request goes to another server. */
+    bool closeConnection = false;
 };
 
 /** Answers one request; copies share the same answer, and only the first call counts. */
--- /dev/null
+++ b/src/node/dispatcher.h
@@ -0,0 +1,125 @@
+#pragma once
+
+// Runs the scheduler for one term of the lease: reads what is stored, follows jobs, executors and VMs, stores the scheduler's
+// batches, and carries out its actions.
+//
+//     std::shared_ptr<dispatcher> owner = std::make_shared<dispatcher>(services, settings, term, onLost);
+//     owner->start();
+//     owner->tick();                                  // every 20 ms or so
+//     owner->release([] { ... });                     // gives the lease back
+//
+// All state is under one lock; callbacks of calls come back on the HTTP client's thread.
+
+#include "base/metrics.h"
+#include "node/leadership.h"
+#include "node/table_feed.h"
+#include "platform/executor_client.h"
+#include "platform/fleet_client.h"
+#include "platform/node_settings.h"
+#include "platform/store_client.h"
+#include "sched/scheduler.h"
+
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <optional>
+
+namespace daisypass {
+
+/** What a dispatcher works with; all outlive it. */
+struct dispatcher_services
+{
+    store_client &store;
+    executor_client &executors;
+    fleet_client &fleet;
+    metrics_registry &metrics;
+    delayed_call later;
+};
+
+class dispatcher : public std::enable_shared_from_this<dispatcher>
+{
+public:
+    /** `lost` is called once, without the dispatcher's lock, when the term is over. */
+    dispatcher(dispatcher_services services, const node_settings &settings, held_term term, std::function<void()> lost);
+    ~dispatcher();
+
+    void start();
+    void tick();
+    void configure(const sched::configuration_view &view);
+    void addWave(const sched::wave_request &wave);
+    /** Stops, and stores that the lease is free. */
+    void release(std::function<void()> done);
+    void stop();
+
+private:
+    struct recovery;
+
+    void readJobs(std::size_t part, const std::string &from);
+    void readState(const std::string &from);
+    void finishRecovery();
+    void followTables();
+    void onJobRow(const store_row &row);
+    void onExecutorRow(const store_row &row);
+
+    void feed(const sched::event &what);
+    void pump(std::unique_lock<std::mutex> &guard);
+    void carryOut(const sched::action &next);
+    void carryOut(const sched::start_run &order);
+    void carryOut(const sched::stop_run &order);
+    void carryOut(const sched::pace_run &order);
+    void carryOut(const sched::hold_executor &order);
+    void carryOut(const sched::ask_advice &order);
+    void carryOut(const sched::move_vm &order);
+    void carryOut(const sched::upkeep_vm &order);
+    void carryOut(const sched::publish_wave &order);
+    void carryOut(const sched::step_down &order);
+    void carryOut(const sched::decision_note &note);
+
+    void commitIfNeeded();
+    void sendCommit();
+    void onCommitted(const transact_result &result);
+    void loseTerm(std::string_view cause);
+    void announceLoss(std::unique_lock<std::mutex> &guard);
+    bool renewalIsFresh() const;
+    void listVms(const std::string &page);
+    void onVmPage(const vm_page &page);
+    void publishQueues(row_transaction &transaction);
+
+    dispatcher_services m_services;
+    node_settings m_settings;
+    held_term m_term;
+    std::function<void()> m_lost;
+
+    std::mutex m_lock;
+    bool m_stopped = false;
+    bool m_lostTerm = false;
+    bool m_recovered = false;
+    sched::scheduler m_scheduler;
+    std::unique_ptr<recovery> m_recovery;
+    std::vector<sched::event> m_waitingEvents;
+
+    std::unique_ptr<table_feed> m_jobFeed;
+    std::unique_ptr<table_feed> m_executorFeed;
+
+    // The outstanding transaction; it is repeated until its outcome is known.
+    std::optional<row_transaction> m_transaction;
+    std::int64_t m_transactionBatch = 0;
+    bool m_commitInFlight = false;
+    sched::time_ms m_commitSentAt = 0;
+    sched::time_ms m_commitRetryAt = 0;
+    std::int64_t m_sequence = 0;
+    std::int64_t m_sequenceVersion = 0;
+    bool m_transactionRenews = false;
+    /** When the last renewal that is known to be stored was sent. */
+    sched::time_ms m_renewedAt = 0;
+    std::map<sched::queue_key, std::int64_t> m_publishedWaiting;
+    std::map<std::string, std::int64_t> m_publishedRows;
+    sched::time_ms m_queuesPublishedAt = 0;
+    std::vector<row_put> m_statusPuts;
+
+    sched::time_ms m_vmsListedAt = 0;
+    bool m_listingVms = false;
+    std::vector<sched::vm_entry> m_vmPages;
+};
+
+} // namespace daisypass
--- /dev/null
+++ b/src/node/front_service.cpp
@@ -0,0 +1,269 @@
+#include "node/front_service.h"
+
+#include "base/log.h"
+#include "node/clock.h"
+#include "node/tables.h"
+#include "platform/records.h"
+#include "sched/job_record.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace daisypass {
+namespace {
+
+constexpr std::chrono::milliseconds readTimeout{900};
+// Callers that say nothing wait this long.
+constexpr sched::time_ms defaultDeadlineMs = 3'000;
+// Time for the answer to travel back.
+constexpr sched::time_ms answerSlackMs = 150;
+constexpr std::size_t idLength = 16;
+
+constexpr int statusOk = 200;
+constexpr int statusBadRequest = 400;
+constexpr int statusNotFound = 404;
+constexpr int statusMethodNotAllowed = 405;
+constexpr int statusGone = 410;
+constexpr int statusTooLarge = 413;
+constexpr int statusUnavailable = 503;
+constexpr int statusOutcomeUnknown = 504;
+
+http_response answer(int status, std::string body = {})
+{
+    http_response response;
+    response.status = status;
+    if (!body.empty()) {
+        response.headers.push_back({"Content-Type", "application/json"});
+    }
+    response.body = std::move(body);
+    return response;
+}
+
+http_response refusal(int status, int retryAfterSeconds)
+{
+    http_response response = answer(status);
+    response.headers.push_back({"Retry-After", std::to_string(retryAfterSeconds)});
+    return response;
+}
+
+std::string_view withoutPort(std::string_view host)
+{
+    return host.substr(0, host.rfind(':'));
+}
+
+sched::time_ms deadlineOf(const http_request &request)
+{
+    const std::string_view text = findHeader(request.headers, deadlineHeader);
+    std::int64_t waitMs = 0;
+    std::from_chars(text.data(), text.data() + text.size(), waitMs);
+    return steadyMillis() + (waitMs > 0 ? waitMs : defaultDeadlineMs) - answerSlackMs;
+}
+
+} // namespace
+
+std::optional<queue_match> matchQueue(const sched::configuration_view &view, std::string_view host, std::string_view path)
+{
+    const sched::queue_config *best = nullptr;
+    for (const sched::queue_config &queue : view.queues) {
+        const bool matches = withoutPort(host) == queue.key.host && path.starts_with(queue.key.prefix);
+        if (matches && (best == nullptr || queue.key.prefix.size() > best->key.prefix.size())) {
+            best = &queue;
+        }
+    }
+    if (best == nullptr) {
+        return std::nullopt;
+    }
+    return queue_match{*best, std::string(path.substr(best->key.prefix.size()))};
+}
+
+bool isJobId(std::string_view text)
+{
+    return text.size() == idLength && std::all_of(text.begin(), text.end(), [](char c) {
+               return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f') || (c >= 'A' && c <= 'F');
+           });
+}
+
+front_service::front_service(store_client &store, std::shared_ptr<submission_writer> writer, metrics_registry &metrics)
+    : m_store(store)
+    , m_writer(std::move(writer))
+    , m_metrics(metrics)
+{
+}
+
+void front_service::configure(std::shared_ptr<const sched::configuration_view> view)
+{
+    const std::lock_guard<std::mutex> guard(m_lock);
+    m_view = std::move(view);
+}
+
+void front_service::beginDrain()
+{
+    m_draining = true;
+}
+
+void front_service::handle(http_request request, http_responder respond)
+{
+    ++m_inFlight;
+    const sched::time_ms began = steadyMillis();
+    const std::string method = request.method;
+    http_responder counted = [this, respond = std::move(respond), began, method](http_response response) {
+        response.closeConnection = m_draining;
+        m_metrics.findCounter("daisypass_requests_total", {{"method", method}, {"status", std::to_string(response.status)}}).add();
+        m_metrics.findHistogram("daisypass_request_seconds", {{"method", method}}).record(static_cast<double>(steadyMillis() - began) / 1'000.0);
+        respond(std::move(response));
+        --m_inFlight;
+    };
+    std::shared_ptr<const sched::configuration_view> view;
+    {
+        const std::lock_guard<std::mutex> guard(m_lock);
+        view = m_view;
+    }
+    if (!view) {
+        logChange("request_refused", {{"path", request.path}, {"reason", "no_configuration"}});
+        counted(refusal(statusUnavailable, 1));
+        return;
+    }
+    const std::optional<queue_match> match = matchQueue(*view, findHeader(request.headers, "Host"), request.path);
+    if (!match) {
+        logChange("request_refused", {{"path", request.path}, {"reason", "no_such_queue"}, {"configuration_version", view->version}});
+        counted(answer(statusNotFound));
+        return;
+    }
+    if (match->rest.empty() && request.method == "GET") {
+        countWaiting(match->queue.key, std::move(counted));
+        return;
+    }
+    if (!isJobId(match->rest)) {
+        counted(answer(statusBadRequest));
+        return;
+    }
+    if (request.method == "POST") {
+        const bool tooLarge = view->maxBodyBytes > 0 && static_cast<std::int64_t>(request.body.size()) > view->maxBodyBytes;
+        if (tooLarge) {
+            counted(answer(statusTooLarge));
+            return;
+        }
+        submit(request, *match, std::move(counted));
+    } else if (request.method == "GET") {
+        show(match->rest, std::move(counted));
+    } else if (request.method == "DELETE") {
+        cancel(match->rest, deadlineOf(request), std::move(counted));
+    } else {
+        counted(answer(statusMethodNotAllowed));
+    }
+}
+
+void front_service::submit(const http_request &request, const queue_match &match, http_responder respond)
+{
+    failure reason;
+    std::optional<sched::job_spec> job = readSubmission(request.body, reason);
+    if (!job) {
+        logChange("submission_malformed", {{"request", match.rest}, {"reason", describe(reason)}});
+        respond(answer(statusBadRequest));
+        return;
+    }
+    job->id = match.rest;
+    job->queue = match.queue.key;
+    job->pool = match.queue.pool;
+    job->acceptedUnixMs = unixMillis();
+    const row_key key = tables::jobRow(job->id);
+    m_writer->add(key, writeJob(*job), deadlineOf(request), [id = job->id, respond = std::move(respond)](submission_result result) {
+        switch (result) {
+        case submission_result::Stored:
+            logChange("job_accepted", {{"request", id}});
+            respond(answer(statusOk));
+            return;
+        case submission_result::NotStored:
+            logChange("job_refused", {{"request", id}, {"reason", "store_refused"}});
+            respond(refusal(statusUnavailable, 1));
+            return;
+        case submission_result::Unknown:
+            logChange("job_outcome_unknown", {{"request", id}});
+            respond(answer(statusOutcomeUnknown));
+            return;
+        }
+    });
+}
+
+void front_service::show(const std::string &job, http_responder respond)
+{
+    // The key's range holds this one row.
+    m_store.get({tables::state, tables::holderPart, job, job + '!'}, readTimeout, [this, job, respond = std::move(respond)](rows_result result) {
+        if (result.status != store_status::Ok) {
+            respond(refusal(statusUnavailable, 1));
+            return;
+        }
+        const std::string phase = result.rows.empty() ? std::string() : sched::phaseIn(result.rows.front().value);
+        if (!phase.empty()) {
+            respond(answer(statusOk, jobStateText(phase)));
+            return;
+        }
+        showStored(job, respond);
+    });
+}
+
+// No task has been placed: the job is pending, cancelled, or unknown.
+void front_service::showStored(const std::string &job, http_responder respond)
+{
+    const row_key first = tables::jobRow(job);
+    m_store.get({first.table, first.part, job, job + '~'}, readTimeout, [job, respond = std::move(respond)](rows_result result) {
+        if (result.status != store_status::Ok) {
+            respond(refusal(statusUnavailable, 1));
+            return;
+        }
+        bool known = false;
+        bool cancelled = false;
+        for (const store_row &row : result.rows) {
+            known = known || row.key.key == job;
+            cancelled = cancelled || row.key.key.ends_with(tables::cancelSuffix);
+        }
+        if (!known) {
+            respond(answer(statusGone));
+            return;
+        }
+        const sched::job_phase phase = cancelled ? sched::job_phase::Cancelled : sched::job_phase::Pending;
+        respond(answer(statusOk, jobStateText(sched::nameOf(phase))));
+    });
+}
+
+void front_service::cancel(const std::string &job, sched::time_ms deadline, http_responder respond)
+{
+    const row_key first = tables::jobRow(job);
+    m_store.get({first.table, first.part, job, job + '!'}, readTimeout, [this, job, deadline, respond = std::move(respond)](rows_result result) {
+        if (result.status != store_status::Ok) {
+            respond(refusal(statusUnavailable, 1));
+            return;
+        }
+        if (result.rows.empty()) {
+            respond(answer(statusGone));
+            return;
+        }
+        m_writer->add(tables::cancelRow(job), "{}", deadline, [job, respond](submission_result written) {
+            if (written != submission_result::Stored) {
+                respond(written == submission_result::Unknown ? answer(statusOutcomeUnknown) : refusal(statusUnavailable, 1));
+                return;
+            }
+            logChange("cancel_accepted", {{"request", job}});
+            respond(answer(statusOk));
+        });
+    });
+}
+
+void front_service::countWaiting(const sched::queue_key &queue, http_responder respond)
+{
+    const std::string key = queue.host + queue.prefix;
+    m_store.get({tables::queues, tables::holderPart, key, key + '!'}, readTimeout, [respond = std::move(respond)](rows_result result) {
+        if (result.status != store_status::Ok) {
+            respond(refusal(statusUnavailable, 1));
+            return;
+        }
+        std::int64_t waiting = 0;
+        if (!result.rows.empty()) {
+            const std::string &text = result.rows.front().value;
+            std::from_chars(text.data(), text.data() + text.size(), waiting);
+        }
+        respond(answer(statusOk, waitingText(waiting)));
+    });
+}
+
+} // namespace daisypass
--- /dev/null
+++ b/src/node/front_service.h
@@ -0,0 +1,65 @@
+#pragma once
+
+// Answers callers: submits, shows and cancels jobs, and counts waiting ones, with the store alone.
+//
+//     front_service front(store, writer, metrics);
+//     front.configure(view);
+//     front.handle(request, respond);
+
+#include "base/metrics.h"
+#include "http/http_server.h"
+#include "node/submission_writer.h"
+#include "platform/store_client.h"
+#include "sched/model.h"
+
+#include <atomic>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <set>
+
+namespace daisypass {
+
+/** A request's queue and what follows the queue's prefix in the path. */
+struct queue_match
+{
+    sched::queue_config queue;
+    std::string rest;
+};
+
+/** The queue with this host and the longest prefix that the path begins with. A port in the host doesn't count. */
+std::optional<queue_match> matchQueue(const sched::configuration_view &view, std::string_view host, std::string_view path);
+/** Job ids are 16 hexadecimal digits. */
+bool isJobId(std::string_view text);
+
+class front_service
+{
+public:
+    front_service(store_client &store, std::shared_ptr<submission_writer> writer, metrics_registry &metrics);
+
+    void configure(std::shared_ptr<const sched::configuration_view> view);
+    void handle(http_request request, http_responder respond);
+    /** From now on each answer closes its connection, so that callers go to other nodes. */
+    void beginDrain();
+    int inFlight() const
+    {
+        return m_inFlight;
+    }
+
+private:
+    void submit(const http_request &request, const queue_match &match, http_responder respond);
+    void show(const std::string &job, http_responder respond);
+    void showStored(const std::string &job, http_responder respond);
+    void cancel(const std::string &job, sched::time_ms deadline, http_responder respond);
+    void countWaiting(const sched::queue_key &queue, http_responder respond);
+
+    store_client &m_store;
+    std::shared_ptr<submission_writer> m_writer;
+    metrics_registry &m_metrics;
+    std::mutex m_lock;
+    std::shared_ptr<const sched::configuration_view> m_view;
+    std::atomic<int> m_inFlight{0};
+    std::atomic<bool> m_draining{false};
+};
+
+} // namespace daisypass
--- /dev/null
+++ b/src/node/leadership.h
@@ -0,0 +1,72 @@
+#pragma once
+
+// Holds or follows the leadership lease in the store.
+//
+//     leadership lease(store, later, rules, {.gained = ..., .lost = ...});
+//     lease.start();
+//     lease.tick(now);                    // a few times a second
+//
+// Renewal belongs to the holder's dispatcher, which writes the lease's row with its other rows; see dispatcher.h.
+
+#include "node/table_feed.h"
+#include "sched/lease_rules.h"
+
+#include <functional>
+#include <memory>
+#include <mutex>
+
+namespace daisypass {
+
+/** A term that this process holds. */
+struct held_term
+{
+    std::int64_t term = 0;
+    /** Version of the term's row, which every write of the holder expects. */
+    std::int64_t termVersion = 0;
+    std::string node;
+    std::int64_t incarnation = 0;
+};
+
+struct leadership_handlers
+{
+    /** Called on the HTTP client's thread. */
+    std::function<void(const held_term &)> gained;
+    /** Another process has the lease. */
+    std::function<void()> lost;
+    std::function<void(bool reached)> storeReached;
+};
+
+class leadership : public std::enable_shared_from_this<leadership>
+{
+public:
+    leadership(store_client &store, delayed_call later, sched::lease_identity self, sched::time_ms leaseMs, leadership_handlers handlers);
+
+    void start();
+    void tick(sched::time_ms now);
+    /** Takes no lease any more. */
+    void retire();
+    /** The dispatcher has stopped: its term is over for this process. */
+    void forgetTerm();
+
+private:
+    void onRow(const store_row &row);
+    void tryTake();
+    void onTaken(const transact_result &result, const sched::lease_row &wanted);
+
+    store_client &m_store;
+    sched::lease_identity m_self;
+    leadership_handlers m_handlers;
+    std::mutex m_lock;
+    sched::lease_rules m_rules;
+    std::int64_t m_termVersion = 0;
+    /** Highest term seen; the next one is taken above it. */
+    std::int64_t m_term = 0;
+    bool m_complete = false;
+    bool m_taking = false;
+    bool m_retired = false;
+    std::int64_t m_heldTerm = 0;
+    sched::time_ms m_retryAt = 0;
+    std::unique_ptr<table_feed> m_feed;
+};
+
+} // namespace daisypass
--- /dev/null
+++ b/src/node/node_process.cpp
@@ -0,0 +1,400 @@
+#include "node/node_process.h"
+
+#include "base/log.h"
+#include "base/metrics.h"
+#include "http/http_client.h"
+#include "http/http_server.h"
+#include "node/clock.h"
+#include "node/dispatcher.h"
+#include "node/front_service.h"
+#include "node/leadership.h"
+#include "node/submission_writer.h"
+#include "node/table_feed.h"
+#include "platform/executor_client.h"
+#include "platform/fleet_client.h"
+#include "platform/records.h"
+#include "platform/store_client.h"
+
+#include <asio.hpp>
+
+#include <atomic>
+#include <csignal>
+#include <random>
+
+namespace daisypass {
+namespace {
+
+// The scheduler's timers and the lease need this resolution; a follower needs less.
+constexpr std::chrono::milliseconds holderTick{25};
+constexpr std::chrono::milliseconds followerTick{100};
+// A node without an answer of the store for this long can't serve callers.
+constexpr sched::time_ms storeSilenceMs = 2'500;
+constexpr std::chrono::milliseconds configurationWait{1'500};
+// Leases can be taken after this time without a renewal; the holder renews three to four times in it.
+constexpr sched::time_ms leaseMs = 2'000;
+// After SIGTERM callers keep coming until the balancer has noticed: two missed checks, one a second.
+constexpr sched::time_ms drainAtLeastMs = 3'200;
+// Left of the grace period for the end itself.
+constexpr sched::time_ms graceReserveMs = 700;
+
+constexpr int statusOk = 200;
+constexpr int statusUnavailable = 503;
+
+std::int64_t randomIncarnation()
+{
+    std::random_device device;
+    constexpr std::uint64_t mask = 0x7fffffffffffULL;
+    return static_cast<std::int64_t>(((static_cast<std::uint64_t>(device()) << 32U) | device()) & mask);
+}
+
+http_client_options clientOptions()
+{
+    http_client_options options;
+    options.threads = 1;
+    options.maxConnectionsPerHost = 48;
+    options.maxIdle = std::chrono::seconds(20);
+    return options;
+}
+
+} // namespace
+
+struct node_process::implementation
+{
+    implementation(node_settings nodeSettings, std::string path)
+        : settings(std::move(nodeSettings))
+        , settingsPath(std::move(path))
+        , client(clientOptions())
+        , store(client, settings.store)
+        , executors(client)
+        , fleet(client, settings.fleet)
+        , writer(std::make_shared<submission_writer>(store, later()))
+        , front(store, writer, metrics)
+        , ticker(context)
+        , signals(context)
+    {
+    }
+
+    node_settings settings;
+    std::string settingsPath;
+    asio::io_context context;
+    metrics_registry metrics;
+    http_client client;
+    store_client store;
+    executor_client executors;
+    fleet_client fleet;
+    std::shared_ptr<submission_writer> writer;
+    front_service front;
+    asio::steady_timer ticker;
+    asio::signal_set signals;
+    std::unique_ptr<http_server> frontServer;
+    std::unique_ptr<http_server> readyServer;
+    std::unique_ptr<http_server> metricsServer;
+    std::unique_ptr<table_feed> operatorFeed;
+    std::shared_ptr<leadership> lease;
+
+    std::mutex lock;
+    std::shared_ptr<dispatcher> owner;
+    std::shared_ptr<const sched::configuration_view> view;
+    std::map<std::int64_t, sched::wave_request> waves;
+
+    std::atomic<sched::time_ms> storeReachedAt{0};
+    std::atomic<bool> storeReached{false};
+    std::atomic<bool> configured{false};
+    std::atomic<bool> terminating{false};
+    sched::time_ms terminatingSince = 0;
+    bool released = false;
+
+    delayed_call later()
+    {
+        return [this](std::chrono::milliseconds delay, std::function<void()> call) {
+            const std::shared_ptr<asio::steady_timer> timer = std::make_shared<asio::steady_timer>(context, delay);
+            timer->async_wait([timer, call = std::move(call)](const asio::error_code &error) {
+                if (!error) {
+                    call();
+                }
+            });
+        };
+    }
+
+    bool isReady() const
+    {
+        return configured && !terminating && steadyMillis() - storeReachedAt < storeSilenceMs;
+    }
+
+    void noteStore(bool reached)
+    {
+        if (reached) {
+            storeReachedAt = steadyMillis();
+        }
+        if (storeReached.exchange(reached) != reached) {
+            logChange(reached ? "store_regained" : "store_lost", {{"store", toString(settings.store)}});
+        }
+    }
+
+    void onOperatorRow(const store_row &row)
+    {
+        failure reason;
+        if (row.deleted) {
+            return;
+        }
+        if (row.key.key == configurationKey) {
+            std::optional<sched::configuration_view> read = readConfiguration(row.value, reason);
+            if (!read) {
+                logChange("configuration_unreadable", {{"row_version", row.version}, {"reason", describe(reason)}});
+                return;
+            }
+            applyConfiguration(std::move(*read));
+            return;
+        }
+        const std::optional<sched::wave_request> wave = readWave(row.key.key, row.value, reason);
+        if (!wave) {
+            return;
+        }
+        std::shared_ptr<dispatcher> current;
+        {
+            const std::lock_guard<std::mutex> guard(lock);
+            waves[wave->wave] = *wave;
+            current = owner;
+        }
+        logChange("wave_seen", {{"wave", wave->wave}, {"vms", wave->vms.size()}, {"cap", wave->cap}, {"duration_ms", wave->durationMs}});
+        if (current) {
+            current->addWave(*wave);
+        }
+    }
+
+    void applyConfiguration(sched::configuration_view read)
+    {
+        std::shared_ptr<dispatcher> current;
+        std::shared_ptr<const sched::configuration_view> next;
+        {
+            const std::lock_guard<std::mutex> guard(lock);
+            if (view && read.version <= view->version) {
+                return;
+            }
+            next = std::make_shared<const sched::configuration_view>(std::move(read));
+            view = next;
+            current = owner;
+        }
+        front.configure(next);
+        configured = true;
+        logChange("configuration_applied", {{"version", next->version}, {"queues", next->queues.size()}, {"pools", next->pools.size()}});
+        if (current) {
+            current->configure(*next);
+        }
+    }
+
+    void onGained(const held_term &term)
+    {
+        logChange("term_gained", {{"term", term.term}});
+        std::shared_ptr<dispatcher> next;
+        std::shared_ptr<const sched::configuration_view> currentView;
+        std::map<std::int64_t, sched::wave_request> currentWaves;
+        {
+            const std::lock_guard<std::mutex> guard(lock);
+            if (owner) {
+                owner->stop();
+            }
+            next = std::make_shared<dispatcher>(dispatcher_services{store, executors, fleet, metrics, later()}, settings, term, [this] {
+                onLost();
+            });
+            owner = next;
+            currentView = view;
+            currentWaves = waves;
+        }
+        if (currentView) {
+            next->configure(*currentView);
+        }
+        for (const std::pair<const std::int64_t, sched::wave_request> &wave : currentWaves) {
+            next->addWave(wave.second);
+        }
+        next->start();
+    }
+
+    void onLost()
+    {
+        std::shared_ptr<dispatcher> former;
+        {
+            const std::lock_guard<std::mutex> guard(lock);
+            former = std::exchange(owner, nullptr);
+        }
+        if (former) {
+            former->stop();
+        }
+        lease->forgetTerm();
+    }
+
+    bool startServers(failure &reason)
+    {
+        http_server_options frontOptions;
+        frontOptions.listen = settings.front;
+        frontOptions.readTimeout = std::chrono::seconds(20);
+        frontServer = std::make_unique<http_server>(frontOptions, [this](http_request request, http_responder respond) {
+            front.handle(std::move(request), std::move(respond));
+        });
+        http_server_options readyOptions;
+        readyOptions.listen = settings.ready;
+        readyServer = std::make_unique<http_server>(readyOptions, [this](http_request, http_responder respond) {
+            http_response response;
+            response.status = isReady() ? statusOk : statusUnavailable;
+            respond(std::move(response));
+        });
+        if (!frontServer->start(reason) || !readyServer->start(reason)) {
+            return false;
+        }
+        if (settings.internalPort == 0) {
+            return true;
+        }
+        http_server_options metricsOptions;
+        metricsOptions.listen = {settings.front.address, settings.internalPort};
+        metricsServer = std::make_unique<http_server>(metricsOptions, [this](http_request, http_responder respond) {
+            http_response response;
+            response.headers.push_back({"Content-Type", "text/plain; version=0.0.4"});
+            response.body = metrics.render();
+            respond(std::move(response));
+        });
+        return metricsServer->start(reason);
+    }
+
+    void startFollowing()
+    {
+        table_feed_handlers handlers;
+        handlers.changed = [this](const store_row &row) {
+            onOperatorRow(row);
+        };
+        handlers.complete = [] {
+        };
+        handlers.applied = [] {
+        };
+        handlers.reached = [this](bool reached) {
+            noteStore(reached);
+        };
+        operatorFeed
+            = std::make_unique<table_feed>(store, later(), operatorTable, std::vector<std::string>{""}, configurationWait, std::move(handlers));
+        operatorFeed->start();
+        sched::lease_identity self{settings.node, randomIncarnation(), sched::candidateDelay(settings.node, settings.cpuShare)};
+        leadership_handlers leaseHandlers;
+        leaseHandlers.gained = [this](const held_term &term) {
+            onGained(term);
+        };
+        leaseHandlers.lost = [this] {
+            onLost();
+        };
+        leaseHandlers.storeReached = [this](bool reached) {
+            noteStore(reached);
+        };
+        lease = std::make_shared<leadership>(store, later(), std::move(self), leaseMs, std::move(leaseHandlers));
+        lease->start();
+    }
+
+    void tick()
+    {
+        std::shared_ptr<dispatcher> current;
+        {
+            const std::lock_guard<std::mutex> guard(lock);
+            current = owner;
+        }
+        if (current) {
+            current->tick();
+        }
+        lease->tick(steadyMillis());
+        if (terminating && drained()) {
+            context.stop();
+            return;
+        }
+        ticker.expires_after(current ? holderTick : followerTick);
+        ticker.async_wait([this](const asio::error_code &error) {
+            if (!error) {
+                tick();
+            }
+        });
+    }
+
+    bool drained() const
+    {
+        const sched::time_ms since = steadyMillis() - terminatingSince;
+        return (since >= drainAtLeastMs && released && front.inFlight() == 0) || since >= settings.graceMs - graceReserveMs;
+    }
+
+    void onSignal(int number)
+    {
+        if (number == SIGHUP) {
+            reload();
+        } else if (!terminating) {
+            terminate();
+        }
+        waitForSignal();
+    }
+
+    void waitForSignal()
+    {
+        signals.async_wait([this](const asio::error_code &error, int number) {
+            if (!error) {
+                onSignal(number);
+            }
+        });
+    }
+
+    void reload()
+    {
+        failure reason;
+        const std::optional<node_settings> read = loadNodeSettings(settingsPath, reason);
+        logChange("settings_reloaded", {{"path", settingsPath}, {"result", read ? std::string("ok") : describe(reason)}});
+    }
+
+    void terminate()
+    {
+        logChange("terminating", {{"requests_in_flight", front.inFlight()}});
+        terminating = true;
+        terminatingSince = steadyMillis();
+        front.beginDrain();
+        lease->retire();
+        std::shared_ptr<dispatcher> current;
+        {
+            const std::lock_guard<std::mutex> guard(lock);
+            current = std::exchange(owner, nullptr);
+        }
+        if (!current) {
+            released = true;
+            return;
+        }
+        current->release([this] {
+            released = true;
+        });
+    }
+};
+
+node_process::node_process(node_settings settings, std::string settingsPath)
+    : m_implementation(std::make_unique<implementation>(std::move(settings), std::move(settingsPath)))
+{
+}
+
+node_process::~node_process() = default;
+
+bool node_process::start(failure &reason)
+{
+    implementation &self = *m_implementation;
+    self.signals.add(SIGTERM);
+    self.signals.add(SIGINT);
+    self.signals.add(SIGHUP);
+    self.waitForSignal();
+    if (!self.startServers(reason)) {
+        return false;
+    }
+    logChange("started",
+              {{"version", DAISYPASS_VERSION},
+               {"front", toString(self.settings.front)},
+               {"store", toString(self.settings.store)},
+               {"availability_zone", self.settings.availabilityZone}});
+    self.startFollowing();
+    return true;
+}
+
+void node_process::run()
+{
+    implementation &self = *m_implementation;
+    self.tick();
+    self.context.run();
+    logChange("stopped", {{"requests_in_flight", self.front.inFlight()}});
+}
+
+} // namespace daisypass
--- /dev/null
+++ b/src/node/submission_writer.cpp
@@ -0,0 +1,124 @@
+#include "node/submission_writer.h"
+
+#include "node/clock.h"
+
+#include <algorithm>
+#include <set>
+
+namespace daisypass {
+namespace {
+
+constexpr std::size_t mostRowsPerWrite = 40;
+constexpr std::size_t mostBytesPerWrite = 400'000;
+constexpr std::chrono::milliseconds writeTimeout{800};
+constexpr std::chrono::milliseconds retryPause{70};
+// A row that the store refuses is tried again for this long; callers of a store that stays away learn it soon.
+constexpr sched::time_ms refusedPatienceMs = 350;
+
+} // namespace
+
+submission_writer::submission_writer(store_client &store, delayed_call later)
+    : m_store(store)
+    , m_later(std::move(later))
+{
+}
+
+void submission_writer::add(const row_key &key, std::string value, sched::time_ms deadline, std::function<void(submission_result)> done)
+{
+    const std::lock_guard<std::mutex> guard(m_lock);
+    m_parts[key.part].waiting.push_back({{key, std::move(value)}, deadline, false, std::move(done)});
+    sendNext(key.part);
+}
+
+void submission_writer::sendNext(const std::string &part)
+{
+    part_queue &queue = m_parts[part];
+    if (queue.busy || queue.waiting.empty()) {
+        return;
+    }
+    row_transaction transaction;
+    std::size_t bytes = 0;
+    std::set<row_key> keys;
+    std::deque<waiting_row> later;
+    while (!queue.waiting.empty() && queue.inFlight.size() < mostRowsPerWrite && bytes < mostBytesPerWrite) {
+        waiting_row row = std::move(queue.waiting.front());
+        queue.waiting.pop_front();
+        if (!keys.insert(row.put.key).second) {
+            // The same submission twice: the second learns that the first was stored.
+            later.push_back(std::move(row));
+            continue;
+        }
+        bytes += row.put.value.size();
+        transaction.expects.push_back({row.put.key, 0});
+        transaction.puts.push_back(row.put);
+        queue.inFlight.push_back(std::move(row));
+    }
+    std::move(later.begin(), later.end(), std::back_inserter(queue.waiting));
+    queue.busy = true;
+    m_store.transact(transaction, writeTimeout, [weak = weak_from_this(), part](transact_result result) {
+        if (const std::shared_ptr<submission_writer> self = weak.lock()) {
+            self->onAnswer(part, result);
+        }
+    });
+}
+
+void submission_writer::onAnswer(const std::string &part, const transact_result &result)
+{
+    finished_rows finished;
+    {
+        const std::lock_guard<std::mutex> guard(m_lock);
+        part_queue &queue = m_parts[part];
+        queue.busy = false;
+        std::set<row_key> existing;
+        for (const store_row &row : result.rows) {
+            if (row.version != 0 && !row.deleted) {
+                existing.insert(row.key);
+            }
+        }
+        std::vector<waiting_row> rows = std::move(queue.inFlight);
+        queue.inFlight.clear();
+        for (waiting_row &row : rows) {
+            const bool stored = result.status == store_status::Ok || (result.status == store_status::Conflict && existing.contains(row.put.key));
+            if (stored) {
+                finished.emplace_back(std::move(row.done), submission_result::Stored);
+            } else {
+                keepOrGiveUp(queue, std::move(row), result.status, finished);
+            }
+        }
+        const bool answered = result.status == store_status::Ok || result.status == store_status::Conflict;
+        if (answered) {
+            sendNext(part);
+        } else if (!queue.waiting.empty()) {
+            queue.busy = true;
+            m_later(retryPause, [weak = weak_from_this(), part] {
+                if (const std::shared_ptr<submission_writer> self = weak.lock()) {
+                    const std::lock_guard<std::mutex> again(self->m_lock);
+                    self->m_parts[part].busy = false;
+                    self->sendNext(part);
+                }
+            });
+        }
+    }
+    for (const std::pair<std::function<void(submission_result)>, submission_result> &one : finished) {
+        one.first(one.second);
+    }
+}
+
+void submission_writer::keepOrGiveUp(part_queue &queue, waiting_row row, store_status status, finished_rows &finished)
+{
+    const sched::time_ms now = steadyMillis();
+    if (status == store_status::Unknown) {
+        row.doubtful = true;
+    }
+    if (status == store_status::Refused && !row.doubtful) {
+        // Refused for certain: told soon, so that the caller can come back.
+        row.deadline = std::min(row.deadline, now + refusedPatienceMs);
+    }
+    if (now + retryPause.count() >= row.deadline) {
+        finished.emplace_back(std::move(row.done), row.doubtful ? submission_result::Unknown : submission_result::NotStored);
+        return;
+    }
+    queue.waiting.push_back(std::move(row));
+}
+
+} // namespace daisypass
--- /dev/null
+++ b/src/platform/executor_client.cpp
@@ -0,0 +1,292 @@
+#include "platform/executor_client.h"
+
+#include "platform/wire_json.h"
+
+namespace daisypass {
+namespace {
+
+using wire::json;
+
+constexpr int statusOk = 200;
+constexpr int statusConflict = 409;
+constexpr int statusWrongInstance = 421;
+constexpr int statusTooMany = 429;
+constexpr int statusUnavailable = 503;
+
+// An order is answered within a network round trip; the rest is for a busy machine.
+constexpr std::chrono::milliseconds orderTimeout{1'200};
+constexpr std::chrono::milliseconds connectTimeout{800};
+// Time beyond a long poll's wait for the answer to arrive.
+constexpr std::chrono::milliseconds holdSlack{1'000};
+
+order_status statusOfConflict(const json &body)
+{
+    const std::string reason = wire::textIn(body, "Reason").value_or("");
+    if (reason == "fence") {
+        return order_status::Fenced;
+    }
+    if (reason == "old") {
+        return order_status::StaleRun;
+    }
+    if (reason == "late") {
+        return order_status::TooLate;
+    }
+    if (reason == "room") {
+        return order_status::NoRoom;
+    }
+    if (reason == "ticket") {
+        return order_status::BadTicket;
+    }
+    return order_status::Rejected;
+}
+
+order_status statusOf(const http_result &result, const json &body)
+{
+    if (result.state == send_state::NotSent) {
+        return order_status::Unreachable;
+    }
+    if (result.state == send_state::Sent) {
+        return order_status::Unknown;
+    }
+    switch (result.response.status) {
+    case statusOk:
+        return order_status::Ok;
+    case statusConflict:
+        return statusOfConflict(body);
+    case statusWrongInstance:
+        return order_status::WrongExecutor;
+    case statusTooMany:
+    case statusUnavailable:
+        return order_status::Unhealthy;
+    default:
+        return result.response.status < 500 ? order_status::Rejected : order_status::Unknown;
+    }
+}
+
+json bodyOf(const http_result &result)
+{
+    if (result.state != send_state::Answered) {
+        return json::object();
+    }
+    return wire::parseObject(result.response.body).value_or(json::object());
+}
+
+order_result readOrder(const http_result &result)
+{
+    const json body = bodyOf(result);
+    return {statusOf(result, body), wire::integerIn(body, "ClockMs"), wire::integerIn(body, "born")};
+}
+
+std::optional<sched::run_end> endOf(const std::string &word)
+{
+    using sched::run_end;
+    static const std::map<std::string, run_end, std::less<>> words{{"done", run_end::Done},
+                                                                   {"failed", run_end::Failed},
+                                                                   {"stopped", run_end::Stopped},
+                                                                   {"lapsed", run_end::Lapsed},
+                                                                   {"broken", run_end::Broken},
+                                                                   {"alone", run_end::Alone}};
+    const auto found = words.find(word);
+    if (found == words.end()) {
+        return std::nullopt;
+    }
+    return found->second;
+}
+
+template<typename T>
+T elementOr(const json &row, std::size_t index, T fallback)
+{
+    if (index >= row.size()) {
+        return fallback;
+    }
+    if constexpr (std::is_same_v<T, std::string>) {
+        return row[index].is_string() ? row[index].get<std::string>() : fallback;
+    } else {
+        return row[index].is_number() ? row[index].get<T>() : fallback;
+    }
+}
+
+// Rows are [task, run, checkpoint, percent, load].
+std::optional<sched::listed_run> readRun(const json &row)
+{
+    if (!row.is_array()) {
+        return std::nullopt;
+    }
+    const std::optional<sched::task_id> task = sched::task_id::parse(elementOr<std::string>(row, 0, ""));
+    if (!task) {
+        return std::nullopt;
+    }
+    sched::listed_run run;
+    run.task = *task;
+    run.run = elementOr<int>(row, 1, 0);
+    run.checkpoint = elementOr<std::string>(row, 2, "");
+    run.percent = elementOr<int>(row, 3, 0);
+    run.load = elementOr<std::int64_t>(row, 4, 0);
+    return run;
+}
+
+// Rows are [number, task, run, how, checkpoint].
+std::optional<sched::listed_end> readEnd(const json &row)
+{
+    if (!row.is_array()) {
+        return std::nullopt;
+    }
+    const std::optional<sched::task_id> task = sched::task_id::parse(elementOr<std::string>(row, 1, ""));
+    const std::optional<sched::run_end> how = endOf(elementOr<std::string>(row, 3, ""));
+    if (!task || !how) {
+        return std::nullopt;
+    }
+    sched::listed_end end;
+    end.number = elementOr<std::int64_t>(row, 0, 0);
+    end.task = *task;
+    end.run = elementOr<int>(row, 2, 0);
+    end.how = *how;
+    end.checkpoint = elementOr<std::string>(row, 4, "");
+    return end;
+}
+
+hold_result readHold(const http_result &result)
+{
+    const json body = bodyOf(result);
+    hold_result read;
+    read.status = statusOf(result, body);
+    read.clockMs = wire::integerIn(body, "ClockMs");
+    read.bornUnixMs = wire::integerIn(body, "born");
+    const json *running = wire::arrayIn(body, "Running");
+    const json *ended = wire::arrayIn(body, "EndedRuns");
+    if (read.status == order_status::Ok && (running == nullptr || ended == nullptr)) {
+        // Without its lists the answer says nothing about the runs.
+        read.status = order_status::Unknown;
+        return read;
+    }
+    if (running != nullptr) {
+        for (const json &row : *running) {
+            if (std::optional<sched::listed_run> run = readRun(row)) {
+                read.runs.push_back(std::move(*run));
+            }
+        }
+    }
+    if (ended != nullptr) {
+        for (const json &row : *ended) {
+            if (std::optional<sched::listed_end> end = readEnd(row)) {
+                read.ends.push_back(std::move(*end));
+            }
+        }
+    }
+    return read;
+}
+
+advice_result readAdvice(const http_result &result)
+{
+    const json body = bodyOf(result);
+    advice_result read;
+    read.status = statusOf(result, body);
+    read.validMs = wire::integerIn(body, "ValidityMs").value_or(0);
+    const json *good = wire::arrayIn(body, "Good");
+    if (good == nullptr) {
+        return read;
+    }
+    for (const json &row : *good) {
+        if (row.is_array()) {
+            read.tickets.emplace_back(elementOr<std::string>(row, 0, ""), elementOr<std::string>(row, 1, ""));
+        }
+    }
+    return read;
+}
+
+} // namespace
+
+executor_client::executor_client(http_client &http)
+    : m_http(http)
+{
+}
+
+void executor_client::post(const executor_address &target,
+                           const char *path,
+                           std::string body,
+                           std::chrono::milliseconds timeout,
+                           std::function<void(const http_result &)> done)
+{
+    http_call call;
+    call.method = "POST";
+    call.url = "http://" + target.address + path;
+    call.headers = {{"Content-Type", "application/json"}};
+    if (!target.id.empty()) {
+        call.headers.push_back({"X-Daisypass-Expected-Instance", target.id});
+    }
+    call.body = std::move(body);
+    call.connectTimeout = std::min(connectTimeout, timeout);
+    call.totalTimeout = timeout;
+    m_http.send(std::move(call), [done = std::move(done)](http_result result) {
+        done(result);
+    });
+}
+
+void executor_client::start(const executor_address &target, const start_order &order, std::function<void(order_result)> done)
+{
+    json body{{"Task", order.task.text()},
+              {"Run", order.run},
+              {"Spec", order.payload},
+              {"DeadlineMs", order.leaseEndMs},
+              {"FenceToken", order.fencingToken}};
+    if (!order.checkpoint.empty()) {
+        body["Checkpoint"] = order.checkpoint;
+    }
+    if (!order.ticket.empty()) {
+        body["Ticket"] = order.ticket;
+    }
+    post(target, "/-/run-start", wire::dump(body), orderTimeout, [done = std::move(done)](const http_result &result) {
+        done(readOrder(result));
+    });
+}
+
+void executor_client::stop(const executor_address &target,
+                           const sched::task_id &task,
+                           int run,
+                           std::int64_t fencingToken,
+                           std::function<void(order_result)> done)
+{
+    const json body{{"Task", task.text()}, {"Run", run}, {"FenceToken", fencingToken}};
+    post(target, "/-/run-stop", wire::dump(body), orderTimeout, [done = std::move(done)](const http_result &result) {
+        done(readOrder(result));
+    });
+}
+
+void executor_client::pace(const executor_address &target,
+                           const sched::task_id &task,
+                           int run,
+                           int percent,
+                           std::int64_t fencingToken,
+                           std::function<void(order_result)> done)
+{
+    const json body{{"Task", task.text()}, {"Run", run}, {"Percent", percent}, {"FenceToken", fencingToken}};
+    post(target, "/-/pace", wire::dump(body), orderTimeout, [done = std::move(done)](const http_result &result) {
+        done(readOrder(result));
+    });
+}
+
+void executor_client::hold(const executor_address &target, const hold_order &order, std::function<void(hold_result)> done)
+{
+    json body{{"FenceToken", order.fencingToken}, {"AckCursor", order.acknowledged}, {"WaitMs", order.wait.count()}};
+    if (order.leaseEndMs) {
+        body["DeadlineMs"] = *order.leaseEndMs;
+    }
+    post(target, "/-/hold", wire::dump(body), order.wait + holdSlack, [done = std::move(done)](const http_result &result) {
+        done(readHold(result));
+    });
+}
+
+void executor_client::advise(const endpoint &service,
+                             const std::string &step,
+                             const std::vector<std::string> &executors,
+                             std::function<void(advice_result)> done)
+{
+    // The service works for a time per executor named, one call at a time.
+    constexpr std::chrono::milliseconds adviceTimeout{4'000};
+    const json body{{"Step", step}, {"Workers", executors}};
+    post({"", toString(service)}, "/-/advise", wire::dump(body), adviceTimeout, [done = std::move(done)](const http_result &result) {
+        done(readAdvice(result));
+    });
+}
+
+} // namespace daisypass
--- /dev/null
+++ b/src/platform/records.cpp
@@ -0,0 +1,408 @@
+#include "platform/records.h"
+
+#include "base/settings_reader.h"
+
+#include <charconv>
+
+namespace daisypass {
+namespace {
+
+using sched::step_spec;
+using wire::json;
+
+constexpr std::string_view wavePrefix = "wave/";
+constexpr int mostTasksPerStep = 10'000;
+constexpr int mostSteps = 1'000;
+
+failure wrongField(std::string_view name, std::string expected)
+{
+    return failure{failure_code::WrongType, std::string(name), {}, std::move(expected)};
+}
+
+std::optional<json> parse(std::string_view text, failure &reason)
+{
+    std::optional<json> body = wire::parseObject(text);
+    if (!body) {
+        reason = failure{failure_code::SyntaxError, std::string(text.substr(0, 40)), {}, "a JSON object"};
+    }
+    return body;
+}
+
+sched::resources readResources(const json &item)
+{
+    return {wire::integerIn(item, "Cpu").value_or(0), wire::integerIn(item, "MemMb").value_or(0), wire::integerIn(item, "Gpu").value_or(0)};
+}
+
+std::vector<std::string> readTexts(const json &object, const char *name)
+{
+    std::vector<std::string> texts;
+    const json *list = wire::arrayIn(object, name);
+    if (list == nullptr) {
+        return texts;
+    }
+    for (const json &item : *list) {
+        if (item.is_string()) {
+            texts.push_back(item.get<std::string>());
+        }
+    }
+    return texts;
+}
+
+// Labels are an executor's kind, without a dash, and its rack, as in "r1-3".
+std::string rackAmong(const std::vector<std::string> &labels)
+{
+    for (const std::string &label : labels) {
+        if (label.size() > 1 && label.front() == 'r' && label.find('-') != std::string::npos) {
+            return label;
+        }
+    }
+    return labels.size() > 1 ? labels.back() : std::string();
+}
+
+std::optional<sched::queue_config> readQueue(const json &item)
+{
+    sched::queue_config queue;
+    const std::optional<std::string> host = wire::textIn(item, "Host");
+    const std::optional<std::string> prefix = wire::textIn(item, "PathPrefix");
+    const std::optional<std::string> pool = wire::textIn(item, "Service");
+    if (!host || !prefix || !pool) {
+        return std::nullopt;
+    }
+    queue.key = {*host, *prefix};
+    queue.name = wire::textIn(item, "Name").value_or(*prefix);
+    queue.pool = *pool;
+    queue.priority = static_cast<int>(wire::integerIn(item, "Priority").value_or(0));
+    queue.maxAttempts = static_cast<int>(wire::integerIn(item, "MaxAttempts").value_or(1));
+    queue.stretch = wire::numberIn(item, "Stretch").value_or(1.0);
+    queue.targetDurationMs = wire::integerIn(item, "TargetDurationMs").value_or(0);
+    queue.timeoutMs = wire::integerIn(item, "TimeoutMs").value_or(0);
+    const json *advice = wire::memberOf(item, "Advice");
+    queue.advised = advice != nullptr && advice->is_object();
+    if (queue.advised) {
+        queue.adviceValidMs = wire::integerIn(*advice, "ValidityMs").value_or(0);
+    }
+    return queue;
+}
+
+std::optional<sched::pool_config> readPool(const json &item)
+{
+    const std::optional<std::string> name = wire::textIn(item, "Name");
+    if (!name) {
+        return std::nullopt;
+    }
+    sched::pool_config pool;
+    pool.name = *name;
+    pool.healthPath = wire::textIn(item, "HealthPath").value_or("/health");
+    pool.admissionCheck = wire::flagIn(item, "AdmissionCheck");
+    pool.spare = wire::flagIn(item, "Spare");
+    return pool;
+}
+
+std::vector<int> readAfter(const json &item)
+{
+    std::vector<int> after;
+    const json *list = wire::arrayIn(item, "After");
+    if (list == nullptr) {
+        return after;
+    }
+    for (const json &index : *list) {
+        if (index.is_number_integer()) {
+            after.push_back(index.get<int>());
+        }
+    }
+    return after;
+}
+
+step_spec readStep(const json &item)
+{
+    step_spec step;
+    step.taskCount = static_cast<int>(wire::integerIn(item, "Count").value_or(1));
+    step.demand = readResources(item);
+    step.estimateMs = wire::integerIn(item, "EstimateMs").value_or(0);
+    step.after = readAfter(item);
+    step.requiredLabel = wire::textIn(item, "Requires").value_or("");
+    // The platform's "affinity" is the rack where the step's data lies.
+    step.dataRack = wire::textIn(item, "Affinity").value_or("");
+    // Its "anti-affinity" is a number: the most tasks of the step on one executor.
+    step.mostPerExecutor = static_cast<int>(wire::integerIn(item, "AntiAffinity").value_or(0));
+    step.gang = wire::flagIn(item, "Gang");
+    step.sameRack = wire::flagIn(item, "SameRack");
+    step.checkpointing = wire::flagIn(item, "Checkpointing");
+    step.speculative = wire::flagIn(item, "Speculative");
+    step.longRunning = wire::flagIn(item, "LongRunning");
+    step.fillsIdle = wire::flagIn(item, "Fills");
+    step.image = wire::textIn(item, "Image").value_or("");
+    step.latencyTargetMs = wire::integerIn(item, "TargetMs").value_or(0);
+    // "AllowMiss" bounds the tasks that the system itself may take away at a time.
+    step.allowedUnavailable = static_cast<int>(wire::integerIn(item, "AllowMiss").value_or(0));
+    return step;
+}
+
+bool stepIsValid(const step_spec &step, int index, failure &reason)
+{
+    if (step.taskCount < 1 || step.taskCount > mostTasksPerStep) {
+        reason = wrongField("Count", "1 to " + std::to_string(mostTasksPerStep));
+        return false;
+    }
+    for (int earlier : step.after) {
+        if (earlier < 0 || earlier >= index) {
+            reason = wrongField("After", "numbers of earlier steps");
+            return false;
+        }
+    }
+    return true;
+}
+
+void putNonZero(json &item, const char *name, std::int64_t value)
+{
+    if (value != 0) {
+        item[name] = value;
+    }
+}
+
+void putNonEmpty(json &item, const char *name, const std::string &value)
+{
+    if (!value.empty()) {
+        item[name] = value;
+    }
+}
+
+void putTrue(json &item, const char *name, bool value)
+{
+    if (value) {
+        item[name] = true;
+    }
+}
+
+json writeStep(const step_spec &step)
+{
+    json item{{"Count", step.taskCount}};
+    putNonZero(item, "Cpu", step.demand.cpu);
+    putNonZero(item, "MemMb", step.demand.memoryMb);
+    putNonZero(item, "Gpu", step.demand.gpu);
+    putNonZero(item, "EstimateMs", step.estimateMs);
+    if (!step.after.empty()) {
+        item["After"] = step.after;
+    }
+    putNonEmpty(item, "Requires", step.requiredLabel);
+    putNonEmpty(item, "Affinity", step.dataRack);
+    putNonZero(item, "AntiAffinity", step.mostPerExecutor);
+    putTrue(item, "Gang", step.gang);
+    putTrue(item, "SameRack", step.sameRack);
+    putTrue(item, "Checkpointing", step.checkpointing);
+    putTrue(item, "Speculative", step.speculative);
+    putTrue(item, "LongRunning", step.longRunning);
+    putTrue(item, "Fills", step.fillsIdle);
+    putNonEmpty(item, "Image", step.image);
+    putNonZero(item, "TargetMs", step.latencyTargetMs);
+    putNonZero(item, "AllowMiss", step.allowedUnavailable);
+    return item;
+}
+
+std::optional<sched::vm_state> vmStateOf(const std::string &word)
+{
+    if (word == "up") {
+        return sched::vm_state::Up;
+    }
+    if (word == "moving") {
+        return sched::vm_state::Moving;
+    }
+    if (word == "upkeep") {
+        return sched::vm_state::Upkeep;
+    }
+    if (word == "down") {
+        return sched::vm_state::Down;
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+std::optional<sched::configuration_view> readConfiguration(std::string_view text, failure &reason)
+{
+    const std::optional<json> body = parse(text, reason);
+    if (!body) {
+        return std::nullopt;
+    }
+    const std::optional<std::int64_t> version = wire::integerIn(*body, "Version");
+    const json *routes = wire::arrayIn(*body, "Routes");
+    const json *services = wire::arrayIn(*body, "Services");
+    if (!version || routes == nullptr || services == nullptr) {
+        reason = wrongField("Version, Routes, Services", "a number and two lists");
+        return std::nullopt;
+    }
+    sched::configuration_view view;
+    view.version = *version;
+    for (const json &item : *routes) {
+        if (std::optional<sched::queue_config> queue = readQueue(item)) {
+            view.queues.push_back(std::move(*queue));
+        }
+    }
+    for (const json &item : *services) {
+        if (std::optional<sched::pool_config> pool = readPool(item)) {
+            view.pools.push_back(std::move(*pool));
+        }
+    }
+    if (const json *limits = wire::memberOf(*body, "Limits")) {
+        view.maxBodyBytes = wire::integerIn(*limits, "MaxBodyBytes").value_or(0);
+    }
+    return view;
+}
+
+std::optional<sched::wave_request> readWave(std::string_view key, std::string_view text, failure &reason)
+{
+    if (!key.starts_with(wavePrefix)) {
+        return std::nullopt;
+    }
+    const std::optional<json> body = parse(text, reason);
+    if (!body) {
+        return std::nullopt;
+    }
+    const std::optional<std::int64_t> number = wire::integerIn(*body, "Wave");
+    if (!number || wire::arrayIn(*body, "Machines") == nullptr) {
+        reason = wrongField("Wave, Machines", "a number and a list");
+        return std::nullopt;
+    }
+    constexpr double millisPerSecond = 1'000.0;
+    sched::wave_request wave;
+    wave.wave = *number;
+    wave.vms = readTexts(*body, "Machines");
+    wave.durationMs = static_cast<std::int64_t>(wire::numberIn(*body, "DurationS").value_or(0) * millisPerSecond);
+    wave.cap = static_cast<int>(std::max<std::int64_t>(1, wire::integerIn(*body, "Cap").value_or(1)));
+    return wave;
+}
+
+std::string waveStatusKey(std::int64_t wave)
+{
+    return std::string(wavePrefix) + std::to_string(wave);
+}
+
+std::string waveStatusText(std::int64_t wave, bool completed)
+{
+    return wire::dump(json{{"Wave", wave}, {"State", completed ? "completed" : "running"}});
+}
+
+std::optional<sched::executor_entry> readExecutor(std::string_view id, std::string_view text, failure &reason)
+{
+    const std::optional<json> body = parse(text, reason);
+    if (!body) {
+        return std::nullopt;
+    }
+    const std::optional<std::string> pool = wire::textIn(*body, "Service");
+    const std::optional<std::string> address = wire::textIn(*body, "Address");
+    const std::optional<std::string> state = wire::textIn(*body, "State");
+    const std::optional<std::string> zone = wire::textIn(*body, "Zone");
+    const std::optional<std::int64_t> sequence = wire::integerIn(*body, "Sequence");
+    const std::optional<std::int64_t> clock = wire::integerIn(*body, "ClockMs");
+    const json *capacity = wire::memberOf(*body, "Capacity");
+    if (!pool || !address || !state || !zone || !sequence || !clock || capacity == nullptr || !capacity->is_object()) {
+        reason = wrongField("executor", "Service, Address, Zone, State, Sequence, ClockMs and Capacity");
+        return std::nullopt;
+    }
+    if (*state != "ready" && *state != "draining") {
+        reason = wrongField("State", "ready or draining");
+        return std::nullopt;
+    }
+    failure badAddress;
+    if (!parseEndpoint(*address, badAddress)) {
+        reason = badAddress;
+        return std::nullopt;
+    }
+    sched::executor_entry entry;
+    entry.id = std::string(id);
+    entry.pool = *pool;
+    entry.address = *address;
+    entry.availabilityZone = *zone;
+    entry.draining = *state == "draining";
+    entry.capacity = readResources(*capacity);
+    entry.labels = readTexts(*body, "Labels");
+    entry.rack = rackAmong(entry.labels);
+    entry.vm = wire::textIn(*body, "Machine").value_or("");
+    entry.bornUnixMs = wire::integerIn(*body, "born").value_or(0);
+    entry.clockMs = *clock;
+    entry.coldLeftMs = wire::integerIn(*body, "ColdLeftMs").value_or(0);
+    return entry;
+}
+
+std::optional<sched::vm_entry> readVm(const json &item)
+{
+    const std::optional<std::string> name = wire::textIn(item, "Machine");
+    const std::optional<std::string> pool = wire::textIn(item, "Pool");
+    const std::optional<sched::vm_state> state = vmStateOf(wire::textIn(item, "State").value_or(""));
+    if (!name || !pool || !state) {
+        return std::nullopt;
+    }
+    sched::vm_entry vm;
+    vm.vm = *name;
+    vm.pool = *pool;
+    vm.state = *state;
+    vm.availabilityZone = wire::textIn(item, "Zone").value_or("");
+    vm.labels = readTexts(item, "Labels");
+    vm.executor = wire::textIn(item, "Id").value_or("");
+    return vm;
+}
+
+std::optional<sched::job_spec> readSubmission(std::string_view text, failure &reason)
+{
+    const std::optional<json> body = parse(text, reason);
+    if (!body) {
+        return std::nullopt;
+    }
+    const json *steps = wire::arrayIn(*body, "Steps");
+    if (steps == nullptr || steps->empty() || steps->size() > mostSteps) {
+        reason = wrongField("Steps", "1 to " + std::to_string(mostSteps) + " steps");
+        return std::nullopt;
+    }
+    sched::job_spec job;
+    job.payload = wire::textIn(*body, "Spec").value_or("");
+    for (const json &item : *steps) {
+        step_spec step = readStep(item);
+        if (!stepIsValid(step, static_cast<int>(job.steps.size()), reason)) {
+            return std::nullopt;
+        }
+        job.steps.push_back(std::move(step));
+    }
+    job.repeatCount = static_cast<int>(wire::integerIn(*body, "RepeatCount").value_or(0));
+    job.firstAtUnixMs = wire::integerIn(*body, "FirstMs").value_or(0);
+    job.intervalMs = wire::integerIn(*body, "IntervalMs").value_or(0);
+    return job;
+}
+
+std::string jobStateText(std::string_view state)
+{
+    return wire::dump(json{{"State", state}});
+}
+
+std::string waitingText(std::int64_t waiting)
+{
+    return wire::dump(json{{"Waiting", waiting}});
+}
+
+std::string writeJob(const sched::job_spec &job)
+{
+    json body{{"Spec", job.payload}, {"Steps", json::array()}, {"host", job.queue.host}, {"prefix", job.queue.prefix}};
+    for (const step_spec &step : job.steps) {
+        body["Steps"].push_back(writeStep(step));
+    }
+    putNonZero(body, "RepeatCount", job.repeatCount);
+    putNonZero(body, "FirstMs", job.firstAtUnixMs);
+    putNonZero(body, "IntervalMs", job.intervalMs);
+    body["accepted_unix_ms"] = job.acceptedUnixMs;
+    body["pool"] = job.pool;
+    return wire::dump(body);
+}
+
+std::optional<sched::job_spec> readJob(std::string_view text, failure &reason)
+{
+    std::optional<sched::job_spec> job = readSubmission(text, reason);
+    const std::optional<json> body = wire::parseObject(text);
+    if (!job || !body) {
+        return std::nullopt;
+    }
+    job->queue = {wire::textIn(*body, "host").value_or(""), wire::textIn(*body, "prefix").value_or("")};
+    job->acceptedUnixMs = wire::integerIn(*body, "accepted_unix_ms").value_or(0);
+    job->pool = wire::textIn(*body, "pool").value_or("");
+    return job;
+}
+
+} // namespace daisypass
--- /dev/null
+++ b/src/platform/store_client.cpp
@@ -0,0 +1,184 @@
+#include "platform/store_client.h"
+
+#include "platform/wire_json.h"
+
+namespace daisypass {
+namespace {
+
+using wire::json;
+
+constexpr int statusOk = 200;
+constexpr int statusGone = 410;
+constexpr int statusConflict = 412;
+constexpr int statusTooMany = 429;
+constexpr int statusUnavailable = 503;
+
+// Time beyond a long poll's wait for the answer to arrive.
+constexpr std::chrono::milliseconds feedSlack{1'000};
+constexpr std::chrono::milliseconds connectTimeout{700};
+
+json keyObject(const row_key &key)
+{
+    return json{{"Table", key.table}, {"part", key.part}, {"Key", key.key}};
+}
+
+std::string transactionBody(const row_transaction &transaction)
+{
+    json body{{"ExpectedRev", json::array()}, {"Puts", json::array()}, {"Deletes", json::array()}};
+    for (const row_expectation &expected : transaction.expects) {
+        json entry = keyObject(expected.key);
+        entry["Ver"] = expected.version;
+        body["ExpectedRev"].push_back(std::move(entry));
+    }
+    for (const row_put &put : transaction.puts) {
+        json entry = keyObject(put.key);
+        entry["Value"] = wire::encodeBase64(put.value);
+        body["Puts"].push_back(std::move(entry));
+    }
+    for (const row_key &key : transaction.deletes) {
+        body["Deletes"].push_back(keyObject(key));
+    }
+    return wire::dump(body);
+}
+
+// Rows whose value can't be read keep an empty value: their reader decides what an unreadable row means.
+std::vector<store_row> readRows(const json &body)
+{
+    std::vector<store_row> rows;
+    const json *list = wire::arrayIn(body, "rows");
+    if (list == nullptr) {
+        return rows;
+    }
+    for (const json &item : *list) {
+        store_row row;
+        row.key = {wire::textIn(item, "Table").value_or(""), wire::textIn(item, "part").value_or(""), wire::textIn(item, "Key").value_or("")};
+        row.version = wire::integerIn(item, "Ver").value_or(0);
+        row.deleted = wire::flagIn(item, "Deleted");
+        row.value = wire::decodeBase64(wire::textIn(item, "Value").value_or("")).value_or("");
+        rows.push_back(std::move(row));
+    }
+    return rows;
+}
+
+store_status statusOf(const http_result &result)
+{
+    if (result.state == send_state::NotSent) {
+        return store_status::Refused;
+    }
+    if (result.state == send_state::Sent) {
+        return store_status::Unknown;
+    }
+    switch (result.response.status) {
+    case statusOk:
+        return store_status::Ok;
+    case statusConflict:
+        return store_status::Conflict;
+    case statusGone:
+        return store_status::HistoryGone;
+    case statusTooMany:
+    case statusUnavailable:
+        return store_status::Refused;
+    default:
+        return result.response.status < 500 ? store_status::Refused : store_status::Unknown;
+    }
+}
+
+int httpStatusOf(const http_result &result)
+{
+    return result.state == send_state::Answered ? result.response.status : 0;
+}
+
+rows_result readRowsResult(const http_result &result)
+{
+    rows_result read;
+    read.status = statusOf(result);
+    read.httpStatus = httpStatusOf(result);
+    if (read.status != store_status::Ok) {
+        return read;
+    }
+    const std::optional<json> body = wire::parseObject(result.response.body);
+    if (!body) {
+        read.status = store_status::Unknown;
+        return read;
+    }
+    read.rows = readRows(*body);
+    read.more = wire::flagIn(*body, "HasMore");
+    read.version = wire::integerIn(*body, "Ver").value_or(0);
+    return read;
+}
+
+transact_result readTransactResult(const http_result &result)
+{
+    transact_result read;
+    read.status = statusOf(result);
+    read.httpStatus = httpStatusOf(result);
+    if (read.status != store_status::Ok && read.status != store_status::Conflict) {
+        return read;
+    }
+    const std::optional<json> body = wire::parseObject(result.response.body);
+    if (!body) {
+        read.status = store_status::Unknown;
+        return read;
+    }
+    read.version = wire::integerIn(*body, "Ver").value_or(0);
+    read.rows = readRows(*body);
+    return read;
+}
+
+std::string parameter(const char *name, const std::string &value)
+{
+    return std::string("&") + name + '=' + wire::escapeQuery(value);
+}
+
+} // namespace
+
+store_client::store_client(http_client &http, const endpoint &store)
+    : m_http(http)
+    , m_url("http://" + toString(store))
+{
+}
+
+void store_client::transact(const row_transaction &transaction, std::chrono::milliseconds timeout, std::function<void(transact_result)> done)
+{
+    http_call call;
+    call.method = "POST";
+    call.url = m_url + "/-/rows-tx";
+    call.headers = {{"Content-Type", "application/json"}};
+    call.body = transactionBody(transaction);
+    call.connectTimeout = std::min(connectTimeout, timeout);
+    call.totalTimeout = timeout;
+    m_http.send(std::move(call), [done = std::move(done)](http_result result) {
+        done(readTransactResult(result));
+    });
+}
+
+void store_client::get(const row_range &range, std::chrono::milliseconds timeout, std::function<void(rows_result)> done)
+{
+    http_call call;
+    call.url = m_url + "/-/rows-get?Table=" + wire::escapeQuery(range.table) + parameter("part", range.part);
+    if (!range.from.empty()) {
+        call.url += parameter("From", range.from);
+    }
+    if (!range.to.empty()) {
+        call.url += parameter("To", range.to);
+    }
+    call.connectTimeout = std::min(connectTimeout, timeout);
+    call.totalTimeout = timeout;
+    m_http.send(std::move(call), [done = std::move(done)](http_result result) {
+        done(readRowsResult(result));
+    });
+}
+
+void store_client::feed(const std::string &table, std::int64_t version, std::chrono::milliseconds wait, std::function<void(rows_result)> done)
+{
+    http_call call;
+    call.url = m_url + "/-/rows-feed?Table=" + wire::escapeQuery(table) + parameter("After", std::to_string(version))
+        + parameter("WaitMs", std::to_string(wait.count()));
+    call.connectTimeout = connectTimeout;
+    call.totalTimeout = wait + feedSlack;
+    m_http.send(std::move(call), [done = std::move(done)](http_result result) {
+        done(readRowsResult(result));
+    });
+}
+
+} // namespace daisypass
--- /dev/null
+++ b/src/platform/store_client.h
@@ -0,0 +1,120 @@
+#pragma once
+
+// Client of the platform's metadata store: rows in tables, conditional transactions, and a feed of changes.
+//
+//     store_client store(http, settings.store);
+//     store.transact({.expects = {{key, 0}}, .puts = {{key, "value"}}}, timeout, [](transact_result result) { ... });
+//
+// Every call is asynchronous; callbacks run on the HTTP client's thread. A result tells apart that nothing was done
+// (Refused), that a condition failed (Conflict) and that the outcome isn't known (Unknown).
+
+#include "http/http_client.h"
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace daisypass {
+
+struct row_key
+{
+    std::string table;
+    std::string part;
+    std::string key;
+
+    auto operator<=>(const row_key &) const = default;
+};
+
+struct store_row
+{
+    row_key key;
+    std::string value;
+    /** Version of the store's last change of the row. */
+    std::int64_t version = 0;
+    /** Set in feeds only. */
+    bool deleted = false;
+};
+
+struct row_expectation
+{
+    row_key key;
+    /** 0 means that the row must not exist. */
+    std::int64_t version = 0;
+};
+
+struct row_put
+{
+    row_key key;
+    std::string value;
+};
+
+struct row_transaction
+{
+    std::vector<row_expectation> expects;
+    std::vector<row_put> puts;
+    std::vector<row_key> deletes;
+};
+
+/** Most entries of one transaction, by the store's rules. */
+inline constexpr std::size_t mostTransactionEntries = 100;
+
+enum class store_status {
+    Ok,
+    /** A condition of a transaction did not hold; nothing was changed. */
+    Conflict,
+    /** The store did nothing and says so, or was not reached. */
+    Refused,
+    /** The call may have been carried out, or may be later. */
+    Unknown,
+    /** The history that a feed needs is gone. */
+    HistoryGone,
+};
+
+struct transact_result
+{
+    store_status status = store_status::Unknown;
+    std::int64_t version = 0;
+    /** On Conflict, the current rows of the expectations; a row that doesn't exist is left out. */
+    std::vector<store_row> rows;
+    /** HTTP status, or 0 without an answer. */
+    int httpStatus = 0;
+};
+
+struct rows_result
+{
+    store_status status = store_status::Unknown;
+    std::vector<store_row> rows;
+    bool more = false;
+    /** The store's newest version, or where to go on in a feed. */
+    std::int64_t version = 0;
+    int httpStatus = 0;
+};
+
+struct row_range
+{
+    std::string table;
+    std::string part;
+    /** First key; empty for the start. */
+    std::string from;
+    /** The range ends before this key; empty for the end. */
+    std::string to;
+};
+
+class store_client
+{
+public:
+    store_client(http_client &http, const endpoint &store);
+
+    void transact(const row_transaction &transaction, std::chrono::milliseconds timeout, std::function<void(transact_result)> done);
+    void get(const row_range &range, std::chrono::milliseconds timeout, std::function<void(rows_result)> done);
+    /** Rows changed after `version`; answers at once if there are any, else after `wait` at the latest. */
+    void feed(const std::string &table, std::int64_t version, std::chrono::milliseconds wait, std::function<void(rows_result)> done);
+
+private:
+    http_client &m_http;
+    std::string m_url;
+};
+
+} // namespace daisypass
--- /dev/null
+++ b/src/sched/events.h
@@ -0,0 +1,274 @@
+#pragma once
+
+// What the scheduler is told and what it asks for.
+//
+// The scheduler does no I/O: its owner feeds it events with the time and carries out its actions in order.
+
+#include "sched/model.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace daisypass::sched {
+
+/** The answer to an order that was sent to an executor. */
+enum class order_status {
+    Ok,
+    /** A higher fencing token was used there. */
+    Fenced,
+    /** The run, or a higher one of the task, has been stopped or has ended there. */
+    StaleRun,
+    /** The order's time on the executor's clock is over. */
+    TooLate,
+    NoRoom,
+    /** The ticket of the advice is missing or no longer valid. */
+    BadTicket,
+    /** The executor is unhealthy or overloaded; it did nothing. */
+    Unhealthy,
+    /** Another executor lives at the address; nothing was done. */
+    WrongExecutor,
+    /** The executor doesn't understand the order. */
+    Rejected,
+    /** Not sent: no connection. */
+    Unreachable,
+    /** No whole answer: the order may have been carried out, or may be later. */
+    Unknown,
+};
+
+/** The answer to an order that was sent to the fleet's service. */
+enum class fleet_status {
+    Ok,
+    /** A higher fencing token was used for the VM. */
+    Fenced,
+    /** The VM is not up, or is leaving. */
+    Busy,
+    /** The VM does not belong to the wave. */
+    NotInWave,
+    /** No such VM, or a pool that it can't join. */
+    Rejected,
+    /** Too many calls, or the service is down; nothing was done. */
+    Refused,
+    /** The call may have been carried out. */
+    Unknown,
+};
+
+std::string_view nameOf(order_status status);
+std::string_view nameOf(fleet_status status);
+std::string_view nameOf(run_end how);
+
+// Events.
+
+struct configuration_changed
+{
+    configuration_view view;
+};
+
+struct job_submitted
+{
+    job_spec job;
+};
+
+struct job_cancelled
+{
+    std::string job;
+};
+
+struct executor_seen
+{
+    executor_entry entry;
+};
+
+struct executor_gone
+{
+    std::string executor;
+};
+
+struct vms_listed
+{
+    std::vector<vm_entry> vms;
+};
+
+struct wave_requested
+{
+    wave_request wave;
+};
+
+/** The rows of a batch are stored. */
+struct batch_committed
+{
+    std::int64_t batch = 0;
+};
+
+struct start_answered
+{
+    task_id task;
+    int run = 0;
+    std::string executor;
+    order_status status = order_status::Unknown;
+    std::optional<std::int64_t> clockMs;
+};
+
+struct stop_answered
+{
+    task_id task;
+    int run = 0;
+    std::string executor;
+    order_status status = order_status::Unknown;
+};
+
+struct hold_answered
+{
+    std::string executor;
+    order_status status = order_status::Unknown;
+    /** When the order was sent. */
+    time_ms sentAt = 0;
+    std::optional<std::int64_t> clockMs;
+    std::optional<std::int64_t> bornUnixMs;
+    std::vector<listed_run> runs;
+    std::vector<listed_end> ends;
+};
+
+struct advice_answered
+{
+    std::string job;
+    int occurrence = 0;
+    int step = 0;
+    order_status status = order_status::Unknown;
+    std::vector<std::string> asked;
+    std::vector<std::pair<std::string, std::string>> tickets;
+    std::int64_t validMs = 0;
+};
+
+struct move_answered
+{
+    std::string vm;
+    std::string pool;
+    fleet_status status = fleet_status::Unknown;
+};
+
+struct upkeep_answered
+{
+    std::string vm;
+    std::int64_t wave = 0;
+    fleet_status status = fleet_status::Unknown;
+};
+
+struct tick
+{
+    std::int64_t unixMs = 0;
+};
+
+using event = std::variant<configuration_changed,
+                           job_submitted,
+                           job_cancelled,
+                           executor_seen,
+                           executor_gone,
+                           vms_listed,
+                           wave_requested,
+                           batch_committed,
+                           start_answered,
+                           stop_answered,
+                           hold_answered,
+                           advice_answered,
+                           move_answered,
+                           upkeep_answered,
+                           tick>;
+
+// Actions.
+
+struct start_run
+{
+    task_id task;
+    int run = 0;
+    std::string executor;
+    std::string address;
+    std::string payload;
+    std::string checkpoint;
+    std::string ticket;
+    /** On the executor's clock. */
+    std::int64_t leaseEndMs = 0;
+};
+
+struct stop_run
+{
+    task_id task;
+    int run = 0;
+    std::string executor;
+    std::string address;
+};
+
+struct pace_run
+{
+    task_id task;
+    int run = 0;
+    std::string executor;
+    std::string address;
+    int percent = 100;
+};
+
+struct hold_executor
+{
+    std::string executor;
+    std::string address;
+    std::int64_t acknowledged = 0;
+    /** On the executor's clock; without it the lease is not extended. */
+    std::optional<std::int64_t> leaseEndMs;
+    std::int64_t waitMs = 0;
+};
+
+struct ask_advice
+{
+    std::string job;
+    int occurrence = 0;
+    int step = 0;
+    std::vector<std::string> executors;
+};
+
+struct move_vm
+{
+    std::string vm;
+    std::string pool;
+};
+
+struct upkeep_vm
+{
+    std::string vm;
+    std::int64_t wave = 0;
+};
+
+/** Tell the operator about a wave. */
+struct publish_wave
+{
+    std::int64_t wave = 0;
+    bool completed = false;
+};
+
+/** Another holder of the lease gave orders: stop scheduling. */
+struct step_down
+{
+    std::string evidence;
+};
+
+/** A decision or a change of belief, for the log. Fields are name and value. */
+struct decision_note
+{
+    std::string event;
+    std::vector<std::pair<std::string, std::string>> fields;
+};
+
+using action = std::variant<start_run, stop_run, pace_run, hold_executor, ask_advice, move_vm, upkeep_vm, publish_wave, step_down, decision_note>;
+
+/** Rows to store in one transaction, before anything that they record is done. */
+struct commit_batch
+{
+    std::int64_t number = 0;
+    /** Key and value; all in the scheduler's own table. */
+    std::vector<std::pair<std::string, std::string>> rows;
+    std::vector<std::string> deletedKeys;
+};
+
+} // namespace daisypass::sched
--- /dev/null
+++ b/src/sched/executor_record.h
@@ -0,0 +1,81 @@
+#pragma once
+
+// An executor as the scheduler knows it: its entry, its clock, what runs on it, and how far it can be trusted.
+
+#include "sched/events.h"
+#include "sched/model.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace daisypass::sched {
+
+struct executor_record
+{
+    executor_entry entry;
+    /** The registry lists it. */
+    bool listed = false;
+    /** It has answered a hold in this term, so earlier terms can't start anything on it. */
+    bool confirmed = false;
+    /** Another incarnation or executor has taken its place; it runs nothing. */
+    bool dead = false;
+    /** A move or upkeep of its VM was ordered or is planned. */
+    bool reserved = false;
+
+    std::int64_t clockMs = 0;
+    time_ms clockAt = 0;
+
+    bool holdInFlight = false;
+    time_ms holdSentAt = 0;
+    time_ms holdRetryAt = 0;
+    /** Ask at once, without waiting for an end. */
+    bool lookSoon = true;
+    /** Start of the current silence; 0 while it answers. */
+    time_ms silentSince = 0;
+    /** When an order that extends leases was last sent. */
+    time_ms lastGrantAt = 0;
+
+    std::int64_t processedEnds = 0;
+    std::int64_t acknowledgedEnds = 0;
+    /** Jobs that must be stored before processedEnds may be acknowledged. */
+    std::set<std::string> unstoredJobs;
+
+    resources used;
+    std::set<task_id> runs;
+    /** Taken by listed runs that the scheduler didn't place. */
+    resources foreign;
+
+    /** No new runs before this time. */
+    time_ms avoidUntil = 0;
+    int failuresInRow = 0;
+    time_ms emptySince = 0;
+
+    std::int64_t clockAtTime(time_ms now) const
+    {
+        return clockMs + (now - clockAt);
+    }
+
+    resources freeRoom() const
+    {
+        resources room = entry.capacity;
+        room -= used;
+        room -= foreign;
+        return room;
+    }
+
+    bool answers() const
+    {
+        return confirmed && silentSince == 0 && !dead;
+    }
+
+    bool takesNewRuns(time_ms now) const
+    {
+        return listed && answers() && !entry.draining && !reserved && avoidUntil <= now;
+    }
+};
+
+} // namespace daisypass::sched
--- /dev/null
+++ b/src/sched/job_record.cpp
@@ -0,0 +1,271 @@
+#include "sched/job_record.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <array>
+
+namespace daisypass::sched {
+namespace {
+
+using json = nlohmann::json;
+
+constexpr std::array<std::string_view, 5> phaseNames{"pending", "running", "completed", "failed", "cancelled"};
+
+// A task's place in a row: [occurrence, step, index, kind, run, failures, executor, checkpoint].
+constexpr std::size_t taskRowSize = 8;
+constexpr int kindWaiting = 0;
+constexpr int kindPlaced = 1;
+constexpr int kindDone = 2;
+
+int kindOf(const task_record &task)
+{
+    if (task.phase == task_phase::Done) {
+        return kindDone;
+    }
+    return task.occupies() ? kindPlaced : kindWaiting;
+}
+
+bool isUntouched(const task_record &task)
+{
+    return task.phase == task_phase::Waiting && task.run == 0;
+}
+
+json writeTask(const task_id &id, const task_record &task)
+{
+    return json::array({id.occurrence, id.step, id.index, kindOf(task), task.run, task.failures, task.executor, task.checkpoint});
+}
+
+bool readTask(const json &row, job_record &job)
+{
+    if (!row.is_array() || row.size() != taskRowSize) {
+        return false;
+    }
+    for (std::size_t i = 0; i < 6; ++i) {
+        if (!row[i].is_number_integer()) {
+            return false;
+        }
+    }
+    if (!row[6].is_string() || !row[7].is_string()) {
+        return false;
+    }
+    task_record *task = job.find({job.spec.id, row[0].get<int>(), row[1].get<int>(), row[2].get<int>()});
+    if (task == nullptr) {
+        // The occurrence is finished and was dropped.
+        return true;
+    }
+    const int kind = row[3].get<int>();
+    task->run = row[4].get<int>();
+    task->failures = row[5].get<int>();
+    task->executor = row[6].get<std::string>();
+    task->checkpoint = row[7].get<std::string>();
+    step_record &step = job.occurrences.at(row[0].get<int>()).steps[static_cast<std::size_t>(row[1].get<int>())];
+    if (kind == kindDone) {
+        task->phase = task_phase::Done;
+        ++step.done;
+        --step.waiting;
+    } else if (kind == kindPlaced) {
+        task->phase = task_phase::Doubtful;
+        task->inherited = true;
+        --step.waiting;
+    }
+    return true;
+}
+
+} // namespace
+
+std::string_view nameOf(job_phase phase)
+{
+    return phaseNames[static_cast<std::size_t>(phase)];
+}
+
+bool occurrence_record::finished() const
+{
+    return std::all_of(steps.begin(), steps.end(), [](const step_record &step) {
+        return step.finished();
+    });
+}
+
+job_record::job_record(job_spec jobSpec)
+    : spec(std::move(jobSpec))
+{
+}
+
+int job_record::occurrenceCount() const
+{
+    return std::max(1, spec.repeatCount);
+}
+
+void job_record::openDueOccurrences(time_ms unixMs)
+{
+    const int next = occurrences.empty() ? firstOpen : occurrences.rbegin()->first + 1;
+    for (int number = next; number < occurrenceCount(); ++number) {
+        const time_ms due = spec.firstAtUnixMs + number * spec.intervalMs;
+        if (spec.repeatCount > 0 && due > unixMs) {
+            return;
+        }
+        occurrence_record occurrence;
+        occurrence.number = number;
+        occurrence.dueUnixMs = spec.repeatCount > 0 ? due : spec.acceptedUnixMs;
+        for (const step_spec &step : spec.steps) {
+            step_record record;
+            record.tasks.resize(static_cast<std::size_t>(step.taskCount));
+            record.waiting = step.taskCount;
+            occurrence.steps.push_back(std::move(record));
+        }
+        occurrences.emplace(number, std::move(occurrence));
+    }
+}
+
+bool job_record::stepIsOpen(const occurrence_record &occurrence, int step) const
+{
+    const std::vector<int> &after = spec.steps[static_cast<std::size_t>(step)].after;
+    return std::all_of(after.begin(), after.end(), [&](int earlier) {
+        return occurrence.steps[static_cast<std::size_t>(earlier)].finished();
+    });
+}
+
+task_record *job_record::find(const task_id &id)
+{
+    const auto occurrence = occurrences.find(id.occurrence);
+    if (occurrence == occurrences.end() || id.step < 0 || id.step >= static_cast<int>(occurrence->second.steps.size())) {
+        return nullptr;
+    }
+    std::vector<task_record> &tasks = occurrence->second.steps[static_cast<std::size_t>(id.step)].tasks;
+    if (id.index < 0 || id.index >= static_cast<int>(tasks.size())) {
+        return nullptr;
+    }
+    return &tasks[static_cast<std::size_t>(id.index)];
+}
+
+void job_record::eachOccupied(const std::function<void(const task_id &, task_record &)> &visit)
+{
+    for (std::pair<const int, occurrence_record> &occurrence : occurrences) {
+        for (std::size_t step = 0; step < occurrence.second.steps.size(); ++step) {
+            std::vector<task_record> &tasks = occurrence.second.steps[step].tasks;
+            for (std::size_t index = 0; index < tasks.size(); ++index) {
+                if (tasks[index].occupies()) {
+                    visit({spec.id, occurrence.first, static_cast<int>(step), static_cast<int>(index)}, tasks[index]);
+                }
+            }
+        }
+    }
+}
+
+bool job_record::anyOccupied() const
+{
+    for (const std::pair<const int, occurrence_record> &occurrence : occurrences) {
+        for (const step_record &step : occurrence.second.steps) {
+            if (step.waiting + step.done < static_cast<int>(step.tasks.size())) {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
+bool job_record::dropFinished()
+{
+    while (!occurrences.empty() && occurrences.begin()->first == firstOpen && occurrences.begin()->second.finished()) {
+        occurrences.erase(occurrences.begin());
+        ++firstOpen;
+    }
+    return firstOpen >= occurrenceCount();
+}
+
+double job_record::waitingWork() const
+{
+    double work = 0;
+    for (const std::pair<const int, occurrence_record> &occurrence : occurrences) {
+        for (std::size_t step = 0; step < occurrence.second.steps.size(); ++step) {
+            const step_spec &kind = spec.steps[step];
+            work += static_cast<double>(occurrence.second.steps[step].waiting) * static_cast<double>(kind.estimateMs) * static_cast<double>(kind.demand.cpu)
+                / 1'000.0;
+        }
+    }
+    return work;
+}
+
+std::int64_t job_record::remainingChainMs() const
+{
+    std::int64_t longest = 0;
+    for (const std::pair<const int, occurrence_record> &occurrence : occurrences) {
+        std::vector<std::int64_t> ends(spec.steps.size(), 0);
+        for (std::size_t step = 0; step < spec.steps.size(); ++step) {
+            std::int64_t begin = 0;
+            for (int earlier : spec.steps[step].after) {
+                begin = std::max(begin, ends[static_cast<std::size_t>(earlier)]);
+            }
+            ends[step] = begin + (occurrence.second.steps[step].finished() ? 0 : spec.steps[step].estimateMs);
+            longest = std::max(longest, ends[step]);
+        }
+    }
+    return longest;
+}
+
+bool job_record::hasLongRunning() const
+{
+    return std::any_of(spec.steps.begin(), spec.steps.end(), [](const step_spec &step) {
+        return step.longRunning;
+    });
+}
+
+std::string writeState(const job_record &job)
+{
+    json row{{"phase", nameOf(job.phase)}};
+    if (job.firstOpen > 0) {
+        row["first_open"] = job.firstOpen;
+    }
+    // An ended job keeps only the runs that may still be on an executor.
+    json tasks = json::array();
+    for (const std::pair<const int, occurrence_record> &occurrence : job.occurrences) {
+        for (std::size_t step = 0; step < occurrence.second.steps.size(); ++step) {
+            const std::vector<task_record> &records = occurrence.second.steps[step].tasks;
+            for (std::size_t index = 0; index < records.size(); ++index) {
+                const bool needed = job.ended() ? records[index].occupies() : !isUntouched(records[index]);
+                if (needed) {
+                    tasks.push_back(writeTask({job.spec.id, occurrence.first, static_cast<int>(step), static_cast<int>(index)}, records[index]));
+                }
+            }
+        }
+    }
+    if (!tasks.empty()) {
+        row["tasks"] = std::move(tasks);
+    }
+    return row.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+std::string phaseIn(std::string_view row)
+{
+    const json value = json::parse(row, nullptr, false);
+    if (!value.is_object() || !value.contains("phase") || !value["phase"].is_string()) {
+        return {};
+    }
+    return value["phase"].get<std::string>();
+}
+
+bool readState(std::string_view row, job_record &job)
+{
+    const json value = json::parse(row, nullptr, false);
+    const std::string phase = phaseIn(row);
+    const auto found = std::find(phaseNames.begin(), phaseNames.end(), phase);
+    if (found == phaseNames.end()) {
+        return false;
+    }
+    job.phase = static_cast<job_phase>(found - phaseNames.begin());
+    job.firstOpen = value.value("first_open", 0);
+    job.occurrences.clear();
+    const json tasks = value.value("tasks", json::array());
+    int lastOccurrence = job.spec.repeatCount > 0 ? job.firstOpen - 1 : 0;
+    for (const json &task : tasks) {
+        if (task.is_array() && !task.empty() && task[0].is_number_integer()) {
+            lastOccurrence = std::max(lastOccurrence, task[0].get<int>());
+        }
+    }
+    job.openDueOccurrences(job.spec.firstAtUnixMs + lastOccurrence * job.spec.intervalMs);
+    return std::all_of(tasks.begin(), tasks.end(), [&](const json &task) {
+        return readTask(task, job);
+    });
+}
+
+} // namespace daisypass::sched
--- /dev/null
+++ b/src/sched/lease_rules.h
@@ -0,0 +1,76 @@
+#pragma once
+
+// When a node may take the leadership lease, and how long its holder may act on it. Pure: fed with what was read and the time.
+//
+//     lease_rules rules(limits);
+//     rules.sawRow(row, now);            // after each read of the lease
+//     if (rules.mayTake(now)) { ... try the conditional write ... }
+
+#include "sched/model.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace daisypass::sched {
+
+/** The lease as it is stored. */
+struct lease_row
+{
+    std::string node;
+    /** Random number of one life of the holder's process. */
+    std::int64_t incarnation = 0;
+    std::int64_t term = 0;
+    /** The holder has given it back. */
+    bool released = false;
+};
+
+std::string writeLease(const lease_row &row);
+/** Nothing if the text is no lease. */
+std::optional<lease_row> readLease(std::string_view text);
+
+struct lease_identity
+{
+    std::string node;
+    std::int64_t incarnation = 0;
+    /** Delay of this node behind others when several could take the lease. */
+    time_ms candidateDelayMs = 0;
+};
+
+class lease_rules
+{
+public:
+    lease_rules(lease_identity self, time_ms leaseMs);
+
+    /** The lease was read; version 0 means that there is no row. */
+    void sawRow(const std::optional<lease_row> &row, std::int64_t version, time_ms now);
+    /** The store was not reached: nothing is known of renewals meanwhile. */
+    void lostStore();
+
+    bool mayTake(time_ms now) const;
+    bool isOwn() const;
+    /** The holder isn't known to be gone, and is another machine. */
+    bool heldByOther() const;
+    const std::optional<lease_row> &row() const
+    {
+        return m_row;
+    }
+    std::int64_t version() const
+    {
+        return m_version;
+    }
+
+private:
+    lease_identity m_self;
+    time_ms m_leaseMs;
+    std::optional<lease_row> m_row;
+    std::int64_t m_version = -1;
+    /** Since when the row has been seen unchanged without a gap; nothing before the first read. */
+    std::optional<time_ms> m_unchangedSince;
+};
+
+/** Delay of a node before it takes a free lease: machines with more processor come first, the rest is spread by name. */
+time_ms candidateDelay(std::string_view node, double cpuShare);
+
+} // namespace daisypass::sched
--- /dev/null
+++ b/src/sched/scheduler.cpp
@@ -0,0 +1,297 @@
+#include "sched/scheduler.h"
+
+#include <algorithm>
+
+namespace daisypass::sched {
+namespace {
+
+// The store takes 100 entries a transaction; some are for the lease and the waves.
+constexpr std::size_t mostRowsPerBatch = 90;
+// Keeps a transaction well below the store's 1 MB after base64.
+constexpr std::size_t mostBytesPerBatch = 400'000;
+// Rows deleted with one batch, so that cleaning up never crowds out progress.
+constexpr std::size_t mostDeletesPerBatch = 8;
+// Clean-up looks for old jobs this often.
+constexpr time_ms sweepEveryMs = 1'000;
+
+} // namespace
+
+scheduler::scheduler(bounds limits, time_ms now)
+    : m_bounds(limits)
+    , m_since(now)
+    , m_fleet(limits)
+{
+}
+
+scheduler::~scheduler() = default;
+
+void scheduler::note(std::string event, std::vector<std::pair<std::string, std::string>> fields)
+{
+    m_actions.push_back(decision_note{std::move(event), std::move(fields)});
+}
+
+std::vector<action> scheduler::takeActions()
+{
+    std::vector<action> taken;
+    taken.swap(m_actions);
+    return taken;
+}
+
+void scheduler::handle(const event &what, time_ms now)
+{
+    std::visit(
+        [&](const auto &one) {
+            on(one, now);
+        },
+        what);
+}
+
+void scheduler::plan(time_ms now)
+{
+    place(now);
+    sendHolds(now);
+}
+
+bool scheduler::restore(const job_spec &spec, const std::string &row, time_ms now)
+{
+    std::unique_ptr<job_record> job = std::make_unique<job_record>(spec);
+    job->acceptedAt = now;
+    if (row.empty()) {
+        job->openDueOccurrences(spec.repeatCount > 0 ? 0 : spec.acceptedUnixMs);
+    } else if (!readState(row, *job)) {
+        note("state_row_unreadable", {{"request", spec.id}});
+        return false;
+    }
+    job_record &restored = *job;
+    m_jobs[spec.id] = std::move(job);
+    restored.eachOccupied([&](const task_id &id, task_record &task) {
+        occupy(id, restored.spec.steps[static_cast<std::size_t>(id.step)], executorFor(task.executor, now));
+    });
+    if (!restored.ended()) {
+        m_open.insert(spec.id);
+    } else {
+        restored.endedAt = now;
+        m_ended.push_back(spec.id);
+        if (restored.anyOccupied()) {
+            m_stopping.insert(spec.id);
+        }
+    }
+    return true;
+}
+
+void scheduler::restoreWave(std::string_view row)
+{
+    m_fleet.readRow(row);
+}
+
+const queue_config *scheduler::queueOf(const job_record &job) const
+{
+    const auto found = m_queues.find(job.spec.queue);
+    return found == m_queues.end() ? nullptr : &found->second;
+}
+
+const std::string &scheduler::poolOf(const job_record &job) const
+{
+    const queue_config *queue = queueOf(job);
+    return queue == nullptr ? job.spec.pool : queue->pool;
+}
+
+void scheduler::on(const configuration_changed &what, time_ms now)
+{
+    if (what.view.version < m_configuration.version) {
+        return;
+    }
+    m_configuration = what.view;
+    m_queues.clear();
+    for (const queue_config &queue : what.view.queues) {
+        m_queues[queue.key] = queue;
+    }
+    m_pools.clear();
+    for (const pool_config &pool : what.view.pools) {
+        m_pools[pool.name] = pool;
+    }
+}
+
+void scheduler::on(const job_submitted &what, time_ms now)
+{
+    if (m_jobs.contains(what.job.id)) {
+        return;
+    }
+    std::unique_ptr<job_record> job = std::make_unique<job_record>(what.job);
+    job->acceptedAt = now;
+    job->openDueOccurrences(what.job.repeatCount > 0 ? m_unixMs : what.job.acceptedUnixMs);
+    m_open.insert(what.job.id);
+    m_jobs.emplace(what.job.id, std::move(job));
+}
+
+void scheduler::on(const job_cancelled &what, time_ms now)
+{
+    const auto found = m_jobs.find(what.job);
+    if (found == m_jobs.end() || found->second->ended()) {
+        return;
+    }
+    ++m_counts.cancelledJobs;
+    note("job_cancelled", {{"request", what.job}});
+    finishJob(*found->second, job_phase::Cancelled, now);
+}
+
+void scheduler::finishJob(job_record &job, job_phase phase, time_ms now)
+{
+    job.phase = phase;
+    job.endedAt = now;
+    m_open.erase(job.spec.id);
+    m_ended.push_back(job.spec.id);
+    job.eachOccupied([&](const task_id &id, task_record &task) {
+        if (task.phase == task_phase::Placing) {
+            // Its order was not sent and now never is.
+            release(id, job.spec.steps[static_cast<std::size_t>(id.step)], task, now);
+        } else {
+            requestStop(id, task, now, nameOf(phase));
+        }
+    });
+    if (job.anyOccupied()) {
+        m_stopping.insert(job.spec.id);
+    }
+    markDirty(job);
+}
+
+void scheduler::markDirty(job_record &job)
+{
+    job.dirty = true;
+    m_dirty.insert(job.spec.id);
+}
+
+bool scheduler::hasUnstored() const
+{
+    return !m_dirty.empty() || m_waveRowDirty || !m_deletedRows.empty();
+}
+
+std::optional<commit_batch> scheduler::takeBatch(time_ms now)
+{
+    if (!hasUnstored()) {
+        return std::nullopt;
+    }
+    commit_batch batch;
+    batch.number = ++m_batch;
+    m_batchJobs.clear();
+    std::size_t bytes = 0;
+    while (!m_dirty.empty() && batch.rows.size() < mostRowsPerBatch && bytes < mostBytesPerBatch) {
+        const std::string id = *m_dirty.begin();
+        m_dirty.erase(m_dirty.begin());
+        job_record &job = *m_jobs.at(id);
+        job.dirty = false;
+        job.batch = batch.number;
+        job.eachOccupied([&](const task_id &, task_record &task) {
+            if (task.phase == task_phase::Placing && task.batch == 0) {
+                task.batch = batch.number;
+            }
+        });
+        batch.rows.emplace_back(id, writeState(job));
+        bytes += batch.rows.back().second.size();
+        m_batchJobs.push_back(id);
+    }
+    m_waveRowInBatch = m_waveRowDirty;
+    if (m_waveRowDirty) {
+        batch.rows.emplace_back("~waves", m_fleet.writeRow());
+        m_waveRowDirty = false;
+    }
+    const std::size_t deletes = std::min(m_deletedRows.size(), mostDeletesPerBatch);
+    batch.deletedKeys.assign(m_deletedRows.end() - static_cast<std::ptrdiff_t>(deletes), m_deletedRows.end());
+    m_deletedRows.resize(m_deletedRows.size() - deletes);
+    return batch;
+}
+
+void scheduler::on(const batch_committed &what, time_ms now)
+{
+    m_committed = what.batch;
+    const std::vector<std::string> stored = std::move(m_batchJobs);
+    m_batchJobs.clear();
+    for (const std::string &id : stored) {
+        const auto found = m_jobs.find(id);
+        if (found != m_jobs.end()) {
+            emitStarts(*found->second, what.batch, now);
+        }
+    }
+    acknowledgeStored();
+}
+
+void scheduler::emitStarts(job_record &job, std::int64_t batch, time_ms now)
+{
+    job.eachOccupied([&](const task_id &id, task_record &task) {
+        if (task.phase != task_phase::Placing || task.batch == 0 || task.batch > batch) {
+            return;
+        }
+        executor_record &executor = executorFor(task.executor, now);
+        if (!executor.answers()) {
+            // Nothing was sent, so nothing runs.
+            loseRun(job, id, task, now, "executor_silent_before_start");
+            return;
+        }
+        task.phase = task_phase::Ordered;
+        task.orderedAt = now;
+        executor.lastGrantAt = now;
+        ++m_counts.started;
+        start_run order;
+        order.task = id;
+        order.run = task.run;
+        order.executor = task.executor;
+        order.address = executor.entry.address;
+        order.payload = job.spec.payload;
+        order.checkpoint = task.checkpoint;
+        order.leaseEndMs = executor.clockAtTime(now) + m_bounds.maxLeaseMs;
+        m_actions.push_back(std::move(order));
+    });
+}
+
+void scheduler::on(const tick &what, time_ms now)
+{
+    m_unixMs = std::max(m_unixMs, what.unixMs);
+    for (const std::string &id : m_open) {
+        job_record &job = *m_jobs.at(id);
+        if (job.spec.repeatCount > 0) {
+            job.openDueOccurrences(what.unixMs);
+        }
+    }
+    expireSilent(now);
+    resendStops(now);
+    watchProgress(now);
+    planFleet(now);
+    if (now - m_lastSweep >= sweepEveryMs) {
+        m_lastSweep = now;
+        dropOldJobs(now);
+    }
+}
+
+void scheduler::dropOldJobs(time_ms now)
+{
+    // Twice the time for which callers may ask, so that a takeover in between doesn't shorten it.
+    const time_ms keep = 2 * m_bounds.statusKeepMs;
+    std::size_t dropped = 0;
+    while (dropped < m_ended.size()) {
+        const auto found = m_jobs.find(m_ended[dropped]);
+        const bool old = found == m_jobs.end() || (found->second->endedAt + keep < now && !found->second->dirty && !m_stopping.contains(m_ended[dropped]));
+        if (!old) {
+            break;
+        }
+        if (found != m_jobs.end()) {
+            m_deletedRows.push_back(found->first);
+            m_jobs.erase(found);
+        }
+        ++dropped;
+    }
+    m_ended.erase(m_ended.begin(), m_ended.begin() + static_cast<std::ptrdiff_t>(dropped));
+}
+
+std::map<queue_key, std::int64_t> scheduler::waitingJobs() const
+{
+    std::map<queue_key, std::int64_t> waiting;
+    for (const std::string &id : m_open) {
+        const job_record &job = *m_jobs.at(id);
+        if (job.phase == job_phase::Pending && job.spec.repeatCount == 0) {
+            ++waiting[job.spec.queue];
+        }
+    }
+    return waiting;
+}
+
+} // namespace daisypass::sched
--- /dev/null
+++ b/src/sched/scheduler.h
@@ -0,0 +1,184 @@
+#pragma once
+
+// Places the tasks of jobs on executors, keeps their leases, and follows each run to its end.
+//
+//     scheduler brain(bounds, ownerSince);
+//     brain.restore(job, row);                     // for every stored job, before the first event
+//     brain.handle(event, now);
+//     for (const action &next : brain.takeActions()) { ... }
+//     if (std::optional<commit_batch> batch = brain.takeBatch(now)) { ... store it, then handle(batch_committed) ... }
+//
+// One scheduler exists for one term of the lease and is thrown away with it. It has no clock, socket or thread.
+//
+// Invariants:
+// - A start order is sent only after the row that names the run and its executor is stored.
+// - A task has at most one run that can be alive. It is placed again only after the former run has ended, or was refused,
+//   or can't be alive any more because its lease is over on the slowest clock or its executor restarted.
+// - An end is acknowledged only after the rows of the jobs that it changes are stored.
+
+#include "sched/events.h"
+#include "sched/executor_record.h"
+#include "sched/fleet_planner.h"
+#include "sched/job_record.h"
+#include "sched/model.h"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace daisypass::sched {
+
+/** Counts since the scheduler was made. */
+struct scheduler_counts
+{
+    std::int64_t placed = 0;
+    std::int64_t started = 0;
+    std::int64_t refusedStarts = 0;
+    std::int64_t doneRuns = 0;
+    std::int64_t failedRuns = 0;
+    std::int64_t otherEnds = 0;
+    std::int64_t lostRuns = 0;
+    std::int64_t stops = 0;
+    std::int64_t completedJobs = 0;
+    std::int64_t failedJobs = 0;
+    std::int64_t cancelledJobs = 0;
+    std::int64_t holds = 0;
+    std::int64_t moves = 0;
+    std::int64_t upkeeps = 0;
+};
+
+class scheduler
+{
+public:
+    /** `now` is when the term began. */
+    scheduler(bounds limits, time_ms now);
+    ~scheduler();
+
+    /** Adds a stored job with its state row; an empty row means that nothing has happened to it. False if the row can't be read. */
+    bool restore(const job_spec &job, const std::string &row, time_ms now);
+    /** Adds the stored progress of a wave. */
+    void restoreWave(std::string_view row);
+
+    void handle(const event &what, time_ms now);
+    /** Places waiting tasks and plans for the fleet; call after a group of events. */
+    void plan(time_ms now);
+    std::vector<action> takeActions();
+
+    bool hasUnstored() const;
+    /** Changes to store; empty if there are none. Only one batch may be outstanding. */
+    std::optional<commit_batch> takeBatch(time_ms now);
+
+    const scheduler_counts &counts() const
+    {
+        return m_counts;
+    }
+
+    /** Accepted jobs of each queue without set times of which no task has started. */
+    std::map<queue_key, std::int64_t> waitingJobs() const;
+    std::size_t jobCount() const
+    {
+        return m_jobs.size();
+    }
+    const std::map<std::string, executor_record> &executors() const
+    {
+        return m_executors;
+    }
+
+private:
+    struct ready_step;
+    struct placement_pass;
+    friend struct placement_pass;
+
+    // Jobs.
+    void on(const configuration_changed &what, time_ms now);
+    void on(const job_submitted &what, time_ms now);
+    void on(const job_cancelled &what, time_ms now);
+    void on(const batch_committed &what, time_ms now);
+    void on(const tick &what, time_ms now);
+    void finishJob(job_record &job, job_phase phase, time_ms now);
+    void markDirty(job_record &job);
+    void dropOldJobs(time_ms now);
+    const queue_config *queueOf(const job_record &job) const;
+    const std::string &poolOf(const job_record &job) const;
+
+    // Executors.
+    void on(const executor_seen &what, time_ms now);
+    void on(const executor_gone &what, time_ms now);
+    void on(const hold_answered &what, time_ms now);
+    void on(const start_answered &what, time_ms now);
+    void on(const stop_answered &what, time_ms now);
+    void on(const advice_answered &what, time_ms now);
+    executor_record &executorFor(const std::string &id, time_ms now);
+    void markSilent(executor_record &executor, time_ms now, std::string_view cause);
+    void markAnswering(executor_record &executor, time_ms now);
+    void markDead(executor_record &executor, time_ms now, std::string_view cause);
+    void sendHolds(time_ms now);
+    void sendHold(executor_record &executor, time_ms now);
+    void acknowledgeStored();
+    void expireSilent(time_ms now);
+
+    // Runs.
+    void occupy(const task_id &id, const step_spec &step, executor_record &executor);
+    void release(const task_id &id, const step_spec &step, task_record &task, time_ms now);
+    void applyListed(executor_record &executor, const hold_answered &what, time_ms now);
+    void applyEnd(executor_record &executor, const listed_end &end, time_ms now);
+    void endRun(job_record &job, const task_id &id, task_record &task, run_end how, const std::string &checkpoint, time_ms now);
+    void completeTask(job_record &job, const task_id &id, task_record &task, time_ms now);
+    void failTask(job_record &job, const task_id &id, task_record &task, time_ms now);
+    /** The run isn't anywhere any more and has not ended as done or failed. */
+    void loseRun(job_record &job, const task_id &id, task_record &task, time_ms now, std::string_view cause);
+    void settleMissing(executor_record &executor, const hold_answered &what, const std::set<task_id> &listed, time_ms now);
+    void requestStop(const task_id &id, task_record &task, time_ms now, std::string_view cause);
+    void resendStops(time_ms now);
+    void watchProgress(time_ms now);
+    void emitStarts(job_record &job, std::int64_t batch, time_ms now);
+
+    // Placement.
+    void place(time_ms now);
+
+    // Fleet.
+    void on(const vms_listed &what, time_ms now);
+    void on(const wave_requested &what, time_ms now);
+    void on(const move_answered &what, time_ms now);
+    void on(const upkeep_answered &what, time_ms now);
+    void planFleet(time_ms now);
+    fleet_view viewOfFleet(time_ms now) const;
+    void carryOut(const fleet_decision &decision, time_ms now);
+    /** The availability budgets allow the system to end this run now. */
+    bool mayInterrupt(job_record &job, const task_id &id) const;
+
+    void note(std::string event, std::vector<std::pair<std::string, std::string>> fields);
+
+    bounds m_bounds;
+    time_ms m_since;
+    std::int64_t m_unixMs = 0;
+    configuration_view m_configuration;
+    std::map<queue_key, queue_config> m_queues;
+    std::map<std::string, pool_config> m_pools;
+    std::unordered_map<std::string, std::unique_ptr<job_record>> m_jobs;
+    /** Jobs that haven't ended. */
+    std::set<std::string> m_open;
+    /** Ended jobs with runs that haven't. */
+    std::set<std::string> m_stopping;
+    /** Ended jobs in the order of their ends, for the clean-up. */
+    std::vector<std::string> m_ended;
+    std::set<std::string> m_dirty;
+    std::vector<std::string> m_deletedRows;
+    std::map<std::string, executor_record> m_executors;
+    std::map<std::string, vm_entry> m_vms;
+    fleet_planner m_fleet;
+    std::vector<action> m_actions;
+    std::int64_t m_batch = 0;
+    std::int64_t m_committed = 0;
+    std::vector<std::string> m_batchJobs;
+    bool m_waveRowDirty = false;
+    bool m_waveRowInBatch = false;
+    scheduler_counts m_counts;
+    time_ms m_lastFleetPlan = 0;
+    time_ms m_lastSweep = 0;
+};
+
+} // namespace daisypass::sched
--- /dev/null
+++ b/src/sched/scheduler_executors.cpp
@@ -0,0 +1,445 @@
+// Executors: their entries, their silence, and the long polls that extend leases and list runs.
+
+#include "sched/scheduler.h"
+
+#include <algorithm>
+
+namespace daisypass::sched {
+namespace {
+
+// An executor's clock may be 2% slow, so a lease lasts this much longer than its figure.
+constexpr double slowestClock = 1.0 / 0.98;
+// For the way of an order and the resolution of the clocks.
+constexpr time_ms lapseSlackMs = 400;
+// How long a list waits for an end. The executors allow 2,000 ms; the rest lets a lease survive two lost answers.
+constexpr std::int64_t holdWaitMs = 1'500;
+// Between attempts to reach a silent executor.
+constexpr time_ms silentRetryMs = 400;
+// An empty executor is asked this often, so that its silence is known before work is placed there.
+constexpr time_ms idleLookMs = 2'500;
+// While ends can't be stored, leases are extended this often.
+constexpr time_ms unstoredHoldEveryMs = 1'000;
+// An executor that refused a start for its health gets no work for this long.
+constexpr time_ms unhealthyPauseMs = 2'000;
+// A run that was refused for another reason waits before it is placed again.
+constexpr time_ms rejectedPauseMs = 300;
+
+} // namespace
+
+executor_record &scheduler::executorFor(const std::string &id, time_ms now)
+{
+    const auto [found, added] = m_executors.try_emplace(id);
+    if (added) {
+        found->second.entry.id = id;
+        found->second.emptySince = now;
+        // An earlier holder may have extended leases until this term began.
+        found->second.lastGrantAt = m_since;
+        found->second.silentSince = now;
+    }
+    return found->second;
+}
+
+void scheduler::on(const executor_seen &what, time_ms now)
+{
+    executor_record &executor = executorFor(what.entry.id, now);
+    const bool fresh = !executor.listed && executor.entry.address.empty();
+    const bool reborn = what.entry.bornUnixMs != 0 && executor.entry.bornUnixMs != 0 && what.entry.bornUnixMs > executor.entry.bornUnixMs;
+    if (reborn) {
+        markDead(executor, now, "restarted");
+        executor.dead = false;
+    }
+    if (executor.dead) {
+        return;
+    }
+    if (what.entry.draining && !executor.entry.draining) {
+        note("executor_draining", {{"executor", what.entry.id}, {"pool", what.entry.pool}});
+    }
+    const std::int64_t born = std::max(executor.entry.bornUnixMs, what.entry.bornUnixMs);
+    if (fresh || reborn) {
+        executor.silentSince = 0;
+        executor.confirmed = false;
+        executor.lookSoon = true;
+        executor.holdRetryAt = now;
+        note("executor_seen", {{"executor", what.entry.id}, {"pool", what.entry.pool}, {"vm", what.entry.vm}});
+    }
+    executor.entry = what.entry;
+    executor.entry.bornUnixMs = born;
+    executor.listed = true;
+    // Another life of the same VM is over.
+    if (!what.entry.vm.empty()) {
+        for (std::pair<const std::string, executor_record> &other : m_executors) {
+            const bool replaced = other.first != what.entry.id && other.second.entry.vm == what.entry.vm && !other.second.dead
+                && other.second.entry.bornUnixMs < born;
+            if (replaced) {
+                markDead(other.second, now, "vm_has_new_executor");
+            }
+        }
+    }
+}
+
+void scheduler::on(const executor_gone &what, time_ms now)
+{
+    const auto found = m_executors.find(what.executor);
+    if (found == m_executors.end()) {
+        return;
+    }
+    found->second.listed = false;
+    note("executor_unlisted", {{"executor", what.executor}, {"runs", std::to_string(found->second.runs.size())}});
+    if (found->second.runs.empty()) {
+        m_executors.erase(found);
+    }
+}
+
+void scheduler::markSilent(executor_record &executor, time_ms now, std::string_view cause)
+{
+    if (executor.silentSince == 0) {
+        executor.silentSince = now;
+        note("executor_silent", {{"executor", executor.entry.id}, {"cause", std::string(cause)}, {"runs", std::to_string(executor.runs.size())}});
+    }
+    executor.holdRetryAt = now + silentRetryMs;
+}
+
+void scheduler::markAnswering(executor_record &executor, time_ms now)
+{
+    if (executor.silentSince != 0 && executor.confirmed) {
+        note("executor_answers", {{"executor", executor.entry.id}, {"silent_ms", std::to_string(now - executor.silentSince)}});
+    }
+    executor.silentSince = 0;
+}
+
+void scheduler::markDead(executor_record &executor, time_ms now, std::string_view cause)
+{
+    note("executor_dead", {{"executor", executor.entry.id}, {"cause", std::string(cause)}, {"runs", std::to_string(executor.runs.size())}});
+    executor.dead = true;
+    executor.confirmed = false;
+    executor.processedEnds = 0;
+    executor.acknowledgedEnds = 0;
+    executor.unstoredJobs.clear();
+    executor.foreign = {};
+    const std::set<task_id> runs = executor.runs;
+    for (const task_id &id : runs) {
+        job_record &job = *m_jobs.at(id.job);
+        task_record *task = job.find(id);
+        if (task == nullptr || task->executor != executor.entry.id) {
+            continue;
+        }
+        if (task->phase == task_phase::Placing) {
+            loseRun(job, id, *task, now, cause);
+        } else if (task->phase == task_phase::Ordered) {
+            // The order may still arrive at the next incarnation; its answer or a stop settles it.
+            task->phase = task_phase::Doubtful;
+            task->confirmedAt = now;
+        } else {
+            loseRun(job, id, *task, now, cause);
+        }
+    }
+}
+
+void scheduler::sendHolds(time_ms now)
+{
+    for (std::pair<const std::string, executor_record> &item : m_executors) {
+        executor_record &executor = item.second;
+        if (executor.holdInFlight || executor.dead || executor.entry.address.empty() || executor.holdRetryAt > now) {
+            continue;
+        }
+        const bool ackDue = executor.processedEnds > executor.acknowledgedEnds;
+        const bool waitsForStore = ackDue && !executor.unstoredJobs.empty() && executor.silentSince == 0;
+        if (waitsForStore && now - executor.holdSentAt < unstoredHoldEveryMs) {
+            // A list would return at once with the same ends; the next one acknowledges them as soon as they are stored.
+            continue;
+        }
+        const bool idleLook = now - executor.holdSentAt >= idleLookMs;
+        if (executor.lookSoon || !executor.confirmed || !executor.runs.empty() || ackDue || executor.silentSince != 0 || idleLook) {
+            sendHold(executor, now);
+        }
+    }
+}
+
+void scheduler::sendHold(executor_record &executor, time_ms now)
+{
+    hold_executor order;
+    order.executor = executor.entry.id;
+    order.address = executor.entry.address;
+    if (executor.unstoredJobs.empty()) {
+        executor.acknowledgedEnds = executor.processedEnds;
+    }
+    order.acknowledged = executor.acknowledgedEnds;
+    const bool grants = executor.answers() && !executor.runs.empty();
+    if (grants) {
+        order.leaseEndMs = executor.clockAtTime(now) + m_bounds.maxLeaseMs;
+        executor.lastGrantAt = now;
+    }
+    order.waitMs = grants && !executor.lookSoon ? holdWaitMs : 0;
+    executor.lookSoon = false;
+    executor.holdInFlight = true;
+    executor.holdSentAt = now;
+    ++m_counts.holds;
+    m_actions.push_back(std::move(order));
+}
+
+void scheduler::on(const hold_answered &what, time_ms now)
+{
+    const auto found = m_executors.find(what.executor);
+    if (found == m_executors.end()) {
+        return;
+    }
+    executor_record &executor = found->second;
+    executor.holdInFlight = false;
+    switch (what.status) {
+    case order_status::Ok:
+        applyListed(executor, what, now);
+        return;
+    case order_status::Fenced:
+        m_actions.push_back(step_down{"hold on " + what.executor});
+        return;
+    case order_status::WrongExecutor:
+        markDead(executor, now, "another_executor_at_address");
+        return;
+    default:
+        markSilent(executor, now, nameOf(what.status));
+    }
+}
+
+void scheduler::applyListed(executor_record &executor, const hold_answered &what, time_ms now)
+{
+    if (what.bornUnixMs && executor.entry.bornUnixMs != 0 && *what.bornUnixMs < executor.entry.bornUnixMs) {
+        // An answer of an earlier incarnation under the same id.
+        executor.lookSoon = true;
+        return;
+    }
+    if (what.bornUnixMs && *what.bornUnixMs > executor.entry.bornUnixMs) {
+        if (executor.entry.bornUnixMs != 0) {
+            markDead(executor, now, "restarted");
+            executor.dead = false;
+        }
+        executor.entry.bornUnixMs = *what.bornUnixMs;
+    }
+    markAnswering(executor, now);
+    if (what.clockMs) {
+        executor.clockMs = *what.clockMs;
+        executor.clockAt = now;
+    }
+    executor.confirmed = true;
+    for (const listed_end &end : what.ends) {
+        if (end.number > executor.processedEnds) {
+            executor.processedEnds = end.number;
+            applyEnd(executor, end, now);
+        }
+    }
+    std::set<task_id> listed;
+    executor.foreign = {};
+    for (const listed_run &run : what.runs) {
+        const auto found = m_jobs.find(run.task.job);
+        task_record *task = found == m_jobs.end() ? nullptr : found->second->find(run.task);
+        const bool current = task != nullptr && task->occupies() && task->run == run.run && task->executor == executor.entry.id;
+        if (!current) {
+            // A run that was given up: it must not go on beside a later one.
+            note("unexpected_run", {{"task", run.task.text()}, {"run", std::to_string(run.run)}, {"executor", executor.entry.id}});
+            if (found != m_jobs.end() && run.task.step >= 0 && run.task.step < static_cast<int>(found->second->spec.steps.size())) {
+                executor.foreign += found->second->spec.steps[static_cast<std::size_t>(run.task.step)].countedDemand();
+            }
+            m_actions.push_back(stop_run{run.task, run.run, executor.entry.id, executor.entry.address});
+            continue;
+        }
+        listed.insert(run.task);
+        if (task->phase == task_phase::Ordered || task->phase == task_phase::Doubtful) {
+            task->phase = task_phase::Running;
+            task->confirmedAt = now;
+            task->progressAt = now;
+            task->inherited = false;
+        }
+        if (run.percent > task->percent || run.percent >= 100) {
+            task->progressAt = now;
+        }
+        task->percent = run.percent;
+        const bool works = run.percent >= 100;
+        if (works != task->atWork) {
+            task->atWork = works;
+            task->awaySince = now;
+        }
+        if (!run.checkpoint.empty()) {
+            task->checkpoint = run.checkpoint;
+        }
+        if (found->second->ended() && task->phase == task_phase::Running) {
+            requestStop(run.task, *task, now, nameOf(found->second->phase));
+        }
+    }
+    settleMissing(executor, what, listed, now);
+}
+
+void scheduler::settleMissing(executor_record &executor, const hold_answered &what, const std::set<task_id> &listed, time_ms now)
+{
+    const std::set<task_id> runs = executor.runs;
+    for (const task_id &id : runs) {
+        if (listed.contains(id)) {
+            continue;
+        }
+        job_record &job = *m_jobs.at(id.job);
+        task_record &task = *job.find(id);
+        if (task.inherited) {
+            // The list was asked for with this term's token, so the order of an earlier term can't be carried out any more.
+            loseRun(job, id, task, now, "not_listed_after_takeover");
+            continue;
+        }
+        const bool listIsLater = what.sentAt >= task.confirmedAt;
+        switch (task.phase) {
+        case task_phase::Running:
+            if (listIsLater) {
+                // It should be listed as ended. A stop makes sure that it isn't there.
+                requestStop(id, task, now, "not_listed");
+            }
+            break;
+        case task_phase::Doubtful:
+            if (listIsLater) {
+                requestStop(id, task, now, "start_unanswered");
+            }
+            break;
+        case task_phase::Stopping:
+            if (task.stopAckedAt != 0 && what.sentAt > task.stopAckedAt) {
+                loseRun(job, id, task, now, "stopped_before_start");
+            }
+            break;
+        default:
+            break;
+        }
+    }
+}
+
+void scheduler::on(const start_answered &what, time_ms now)
+{
+    const auto found = m_jobs.find(what.task.job);
+    if (found == m_jobs.end()) {
+        return;
+    }
+    job_record &job = *found->second;
+    task_record *task = job.find(what.task);
+    const auto place = m_executors.find(what.executor);
+    if (place == m_executors.end()) {
+        return;
+    }
+    executor_record &executor = place->second;
+    if (what.clockMs) {
+        executor.clockMs = *what.clockMs;
+        executor.clockAt = now;
+    }
+    const bool current = task != nullptr && task->run == what.run && task->executor == what.executor
+        && (task->phase == task_phase::Ordered || task->phase == task_phase::Doubtful || task->phase == task_phase::Stopping);
+    if (what.status == order_status::Fenced) {
+        m_actions.push_back(step_down{"start on " + what.executor});
+        return;
+    }
+    if (!current) {
+        return;
+    }
+    if (what.status == order_status::Ok) {
+        task->confirmedAt = now;
+        task->progressAt = now;
+        task->percent = 0;
+        if (task->phase != task_phase::Stopping) {
+            task->phase = task_phase::Running;
+        }
+        if (job.ended()) {
+            requestStop(what.task, *task, now, nameOf(job.phase));
+        }
+        return;
+    }
+    if (what.status == order_status::Unknown) {
+        note("start_unanswered", {{"task", what.task.text()}, {"run", std::to_string(what.run)}, {"executor", what.executor}});
+        if (task->phase == task_phase::Ordered) {
+            task->phase = task_phase::Doubtful;
+        }
+        task->confirmedAt = now;
+        executor.lookSoon = true;
+        executor.avoidUntil = std::max(executor.avoidUntil, now + rejectedPauseMs);
+        return;
+    }
+    ++m_counts.refusedStarts;
+    note("start_refused",
+         {{"task", what.task.text()}, {"run", std::to_string(what.run)}, {"executor", what.executor}, {"reason", std::string(nameOf(what.status))}});
+    switch (what.status) {
+    case order_status::Unhealthy:
+        executor.avoidUntil = now + unhealthyPauseMs;
+        break;
+    case order_status::Unreachable:
+        markSilent(executor, now, "start_unreachable");
+        break;
+    case order_status::NoRoom:
+        executor.avoidUntil = now + rejectedPauseMs;
+        executor.lookSoon = true;
+        break;
+    case order_status::WrongExecutor:
+        loseRun(job, what.task, *task, now, nameOf(what.status));
+        markDead(executor, now, "another_executor_at_address");
+        return;
+    default:
+        task->notBefore = now + rejectedPauseMs;
+        break;
+    }
+    loseRun(job, what.task, *task, now, nameOf(what.status));
+}
+
+void scheduler::on(const stop_answered &what, time_ms now)
+{
+    const auto place = m_executors.find(what.executor);
+    if (place != m_executors.end() && what.status == order_status::WrongExecutor) {
+        markDead(place->second, now, "another_executor_at_address");
+        return;
+    }
+    if (what.status == order_status::Fenced) {
+        m_actions.push_back(step_down{"stop on " + what.executor});
+        return;
+    }
+    const auto found = m_jobs.find(what.task.job);
+    if (found == m_jobs.end()) {
+        return;
+    }
+    task_record *task = found->second->find(what.task);
+    if (task == nullptr || task->phase != task_phase::Stopping || task->run != what.run || task->executor != what.executor) {
+        return;
+    }
+    if (what.status == order_status::Ok || what.status == order_status::StaleRun) {
+        task->stopAckedAt = now;
+        if (place != m_executors.end()) {
+            place->second.lookSoon = true;
+        }
+    }
+}
+
+void scheduler::acknowledgeStored()
+{
+    for (std::pair<const std::string, executor_record> &item : m_executors) {
+        std::set<std::string> &unstored = item.second.unstoredJobs;
+        for (auto id = unstored.begin(); id != unstored.end();) {
+            const auto found = m_jobs.find(*id);
+            const bool stored = found == m_jobs.end() || (!found->second->dirty && found->second->batch <= m_committed);
+            id = stored ? unstored.erase(id) : std::next(id);
+        }
+    }
+}
+
+void scheduler::expireSilent(time_ms now)
+{
+    const time_ms longestLease = static_cast<time_ms>(static_cast<double>(m_bounds.maxLeaseMs) * slowestClock) + lapseSlackMs;
+    std::vector<std::string> empty;
+    for (std::pair<const std::string, executor_record> &item : m_executors) {
+        executor_record &executor = item.second;
+        if (executor.silentSince == 0 && !executor.dead) {
+            continue;
+        }
+        if (executor.lastGrantAt + longestLease < now) {
+            const std::set<task_id> runs = executor.runs;
+            for (const task_id &id : runs) {
+                job_record &job = *m_jobs.at(id.job);
+                loseRun(job, id, *job.find(id), now, "lease_over");
+            }
+        }
+        if (!executor.listed && executor.runs.empty()) {
+            empty.push_back(item.first);
+        }
+    }
+    for (const std::string &id : empty) {
+        m_executors.erase(id);
+    }
+}
+
+} // namespace daisypass::sched
--- /dev/null
+++ b/src/sched/scheduler_fleet.cpp
@@ -0,0 +1,230 @@
+// The scheduler's side of the fleet: what the planner sees, and how its decisions are carried out.
+
+#include "sched/scheduler.h"
+
+#include <algorithm>
+
+namespace daisypass::sched {
+namespace {
+
+// Moves and upkeep are planned this often.
+constexpr time_ms planEveryMs = 100;
+// A lease that changed hands recently: the earlier holder's orders to the fleet may still be on their way.
+constexpr time_ms settleAfterTakeoverMs = 3'200;
+
+std::string kindOf(const vm_entry &vm)
+{
+    return vm.labels.empty() ? std::string() : vm.labels.front();
+}
+
+} // namespace
+
+void scheduler::on(const vms_listed &what, time_ms now)
+{
+    std::map<std::string, vm_entry> listed;
+    for (const vm_entry &vm : what.vms) {
+        const auto before = m_vms.find(vm.vm);
+        const bool back = vm.state == vm_state::Up && (before == m_vms.end() || before->second.state != vm_state::Up);
+        if (back) {
+            m_fleet.vmIsBack(vm.vm);
+        }
+        listed[vm.vm] = vm;
+        const auto executor = m_executors.find(vm.executor);
+        if (!vm.executor.empty() && executor != m_executors.end() && executor->second.entry.vm.empty()) {
+            executor->second.entry.vm = vm.vm;
+        }
+    }
+    m_vms = std::move(listed);
+}
+
+void scheduler::on(const wave_requested &what, time_ms now)
+{
+    m_fleet.addWave(what.wave, now);
+}
+
+fleet_view scheduler::viewOfFleet(time_ms now) const
+{
+    fleet_view view;
+    std::map<std::string, fleet_pool> pools;
+    for (const std::pair<const std::string, pool_config> &pool : m_pools) {
+        pools[pool.first].pool = pool.first;
+        pools[pool.first].spare = pool.second.spare;
+    }
+    for (const std::pair<const std::string, vm_entry> &item : m_vms) {
+        const vm_entry &entry = item.second;
+        fleet_vm vm;
+        vm.vm = entry.vm;
+        vm.pool = entry.pool;
+        vm.state = entry.state;
+        vm.kind = kindOf(entry);
+        const auto found = m_executors.find(entry.executor);
+        if (found != m_executors.end() && !found->second.dead) {
+            const executor_record &executor = found->second;
+            vm.hasExecutor = true;
+            vm.leaving = executor.entry.draining;
+            vm.reserved = executor.reserved;
+            vm.answers = executor.answers();
+            vm.runs = static_cast<int>(executor.runs.size());
+            vm.capacity = executor.entry.capacity;
+            vm.emptySince = executor.runs.empty() && executor.answers() && executor.foreign.cpu == 0 ? executor.emptySince : 0;
+            for (const task_id &id : executor.runs) {
+                const job_record &job = *m_jobs.at(id.job);
+                vm.longRunning += job.spec.steps[static_cast<std::size_t>(id.step)].longRunning ? 1 : 0;
+            }
+        }
+        view.vms.push_back(std::move(vm));
+    }
+    for (const std::string &id : m_open) {
+        const job_record &job = *m_jobs.at(id);
+        const auto pool = pools.find(poolOf(job));
+        if (pool == pools.end()) {
+            continue;
+        }
+        for (const std::pair<const int, occurrence_record> &occurrence : job.occurrences) {
+            for (std::size_t step = 0; step < occurrence.second.steps.size(); ++step) {
+                const step_record &record = occurrence.second.steps[step];
+                const resources demand = job.spec.steps[step].countedDemand();
+                const int running = static_cast<int>(record.tasks.size()) - record.waiting - record.done;
+                pool->second.runningCpu += running * demand.cpu;
+                pool->second.runningMemoryMb += running * demand.memoryMb;
+                if (record.waiting > 0 && job.stepIsOpen(occurrence.second, static_cast<int>(step))) {
+                    pool->second.waitingCpu += record.waiting * demand.cpu;
+                    pool->second.waitingMemoryMb += record.waiting * demand.memoryMb;
+                }
+                const int perExecutor = job.spec.steps[step].mostPerExecutor;
+                const int left = static_cast<int>(record.tasks.size()) - record.done;
+                if (perExecutor > 0 && left > 0) {
+                    pool->second.leastVms = std::max(pool->second.leastVms, (left + perExecutor - 1) / perExecutor);
+                }
+            }
+        }
+    }
+    for (std::pair<const std::string, fleet_pool> &pool : pools) {
+        view.pools.push_back(std::move(pool.second));
+    }
+    return view;
+}
+
+void scheduler::planFleet(time_ms now)
+{
+    if (m_vms.empty() || now - m_lastFleetPlan < planEveryMs || now - m_since < settleAfterTakeoverMs) {
+        return;
+    }
+    m_lastFleetPlan = now;
+    for (const fleet_decision &decision : m_fleet.plan(viewOfFleet(now), now)) {
+        carryOut(decision, now);
+    }
+    // Long-running tasks on reserved executors are ended one by one as their steps allow.
+    for (std::pair<const std::string, executor_record> &item : m_executors) {
+        if (!item.second.reserved) {
+            continue;
+        }
+        const std::set<task_id> runs = item.second.runs;
+        for (const task_id &id : runs) {
+            job_record &job = *m_jobs.at(id.job);
+            task_record &task = *job.find(id);
+            const bool lasting = job.spec.steps[static_cast<std::size_t>(id.step)].longRunning;
+            if (lasting && task.phase == task_phase::Running && mayInterrupt(job, id)) {
+                requestStop(id, task, now, "upkeep");
+            }
+        }
+    }
+}
+
+bool scheduler::mayInterrupt(job_record &job, const task_id &id) const
+{
+    const step_spec &kind = job.spec.steps[static_cast<std::size_t>(id.step)];
+    const step_record &step = job.occurrences.at(id.occurrence).steps[static_cast<std::size_t>(id.step)];
+    int away = 0;
+    for (std::size_t index = 0; index < step.tasks.size(); ++index) {
+        const task_record &other = step.tasks[index];
+        if (static_cast<int>(index) != id.index && !(other.phase == task_phase::Running && other.atWork)) {
+            ++away;
+        }
+    }
+    return away < std::max(1, kind.allowedUnavailable);
+}
+
+void scheduler::carryOut(const fleet_decision &decision, time_ms now)
+{
+    if (const move_decision *move = std::get_if<move_decision>(&decision)) {
+        const vm_entry &vm = m_vms.at(move->vm);
+        executor_record &executor = executorFor(vm.executor, now);
+        if (!executor.runs.empty() || executor.reserved) {
+            return;
+        }
+        executor.reserved = true;
+        ++m_counts.moves;
+        note("move_ordered",
+             {{"vm", move->vm}, {"from", vm.pool}, {"to", move->pool}, {"executor", vm.executor}, {"empty_ms", std::to_string(now - executor.emptySince)}});
+        m_actions.push_back(move_vm{move->vm, move->pool});
+    } else if (const upkeep_decision *upkeep = std::get_if<upkeep_decision>(&decision)) {
+        const vm_entry &vm = m_vms.at(upkeep->vm);
+        if (!vm.executor.empty()) {
+            executorFor(vm.executor, now).reserved = true;
+        }
+        ++m_counts.upkeeps;
+        note("upkeep_ordered", {{"vm", upkeep->vm}, {"wave", std::to_string(upkeep->wave)}, {"executor", vm.executor}});
+        m_actions.push_back(upkeep_vm{upkeep->vm, upkeep->wave});
+    } else if (const drain_decision *drain = std::get_if<drain_decision>(&decision)) {
+        const vm_entry &vm = m_vms.at(drain->vm);
+        if (!vm.executor.empty()) {
+            executorFor(vm.executor, now).reserved = true;
+            note("vm_draining", {{"vm", drain->vm}, {"wave", std::to_string(drain->wave)}, {"executor", vm.executor}});
+        }
+    } else if (const wave_decision *wave = std::get_if<wave_decision>(&decision)) {
+        note(wave->completed ? "wave_completed" : "wave_running", {{"wave", std::to_string(wave->wave)}});
+        m_actions.push_back(publish_wave{wave->wave, wave->completed});
+    }
+}
+
+void scheduler::on(const move_answered &what, time_ms now)
+{
+    const auto vm = m_vms.find(what.vm);
+    if (vm == m_vms.end()) {
+        return;
+    }
+    const auto executor = m_executors.find(vm->second.executor);
+    if (what.status == fleet_status::Ok) {
+        vm->second.state = vm_state::Moving;
+        vm->second.pool = what.pool;
+        if (executor != m_executors.end()) {
+            markDead(executor->second, now, "vm_moved");
+        }
+        return;
+    }
+    note("move_refused", {{"vm", what.vm}, {"to", what.pool}, {"reason", std::string(nameOf(what.status))}});
+    if (what.status != fleet_status::Unknown && executor != m_executors.end()) {
+        executor->second.reserved = false;
+        executor->second.emptySince = executor->second.runs.empty() ? now : 0;
+    }
+}
+
+void scheduler::on(const upkeep_answered &what, time_ms now)
+{
+    const auto vm = m_vms.find(what.vm);
+    const auto executor = vm == m_vms.end() ? m_executors.end() : m_executors.find(vm->second.executor);
+    if (what.status == fleet_status::Ok) {
+        m_fleet.upkeepBegun(what.wave, what.vm, now);
+        m_waveRowDirty = true;
+        if (vm != m_vms.end()) {
+            vm->second.state = vm_state::Upkeep;
+        }
+        if (executor != m_executors.end()) {
+            markDead(executor->second, now, "vm_upkeep");
+        }
+        return;
+    }
+    note("upkeep_refused", {{"vm", what.vm}, {"wave", std::to_string(what.wave)}, {"reason", std::string(nameOf(what.status))}});
+    const bool forGood = what.status == fleet_status::NotInWave || what.status == fleet_status::Rejected;
+    if (what.status == fleet_status::Unknown) {
+        // Its place under the cap stays taken until the list shows the VM, and then it is asked for again.
+        return;
+    }
+    m_fleet.upkeepRefused(what.wave, what.vm, forGood);
+    if (executor != m_executors.end()) {
+        executor->second.reserved = false;
+    }
+}
+
+} // namespace daisypass::sched
--- /dev/null
+++ b/src/sched/scheduler_place.cpp
@@ -0,0 +1,313 @@
+// Placement: which waiting task goes where.
+//
+// The load it answers: a queue's turn brings several times what its pool holds. Within a priority, the jobs that can still meet
+// their objective come first, by the work that they still need, so that many small jobs don't wait behind a large one; jobs
+// that have missed it follow.
+
+#include "sched/scheduler.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace daisypass::sched {
+namespace {
+
+// Weights of a place; the lower sum is taken.
+constexpr double farFromData = 1e9;
+constexpr double awaitsUpkeepWeight = 1e8;
+constexpr double failedHereBefore = 1e10;
+
+} // namespace
+
+struct scheduler::ready_step
+{
+    job_record *job = nullptr;
+    occurrence_record *occurrence = nullptr;
+    int step = 0;
+    // Order of the queue.
+    int priority = 0;
+    bool longRunning = false;
+    bool late = false;
+    double work = 0;
+
+    bool operator<(const ready_step &other) const
+    {
+        return std::tie(priority, other.longRunning, late, work, job->acceptedAt, job->spec.id, occurrence->number, step)
+            < std::tie(other.priority, longRunning, other.late, other.work, other.job->acceptedAt, other.job->spec.id, other.occurrence->number, other.step);
+    }
+};
+
+// One walk over the waiting tasks of all pools.
+struct scheduler::placement_pass
+{
+    scheduler &owner;
+    time_ms now;
+    std::map<std::string, std::vector<executor_record *>> executorsOf{};
+    std::map<std::string, std::vector<ready_step>> readyOf{};
+
+    void collectExecutors()
+    {
+        for (std::pair<const std::string, executor_record> &item : owner.m_executors) {
+            if (item.second.takesNewRuns(now)) {
+                executorsOf[item.second.entry.pool].push_back(&item.second);
+            }
+        }
+    }
+
+    void collectReady()
+    {
+        for (const std::string &id : owner.m_open) {
+            job_record &job = *owner.m_jobs.at(id);
+            const std::string &pool = owner.poolOf(job);
+            const auto executors = executorsOf.find(pool);
+            if (executors == executorsOf.end()) {
+                continue;
+            }
+            collectReady(job, readyOf[pool]);
+        }
+    }
+
+    void collectReady(job_record &job, std::vector<ready_step> &ready)
+    {
+        const queue_config *queue = owner.queueOf(job);
+        bool measured = false;
+        ready_step entry;
+        entry.job = &job;
+        for (std::pair<const int, occurrence_record> &occurrence : job.occurrences) {
+            for (std::size_t step = 0; step < occurrence.second.steps.size(); ++step) {
+                if (occurrence.second.steps[step].waiting == 0 || !job.stepIsOpen(occurrence.second, static_cast<int>(step))) {
+                    continue;
+                }
+                if (!measured) {
+                    measured = true;
+                    entry.priority = queue == nullptr ? std::numeric_limits<int>::max() : queue->priority;
+                    entry.work = job.waitingWork();
+                    entry.late = isLate(job, queue);
+                }
+                entry.occurrence = &occurrence.second;
+                entry.step = static_cast<int>(step);
+                entry.longRunning = job.spec.steps[step].longRunning;
+                ready.push_back(entry);
+            }
+        }
+    }
+
+    bool isLate(const job_record &job, const queue_config *queue) const
+    {
+        if (queue == nullptr) {
+            return false;
+        }
+        std::int64_t chain = 0;
+        std::vector<std::int64_t> ends(job.spec.steps.size(), 0);
+        for (std::size_t step = 0; step < job.spec.steps.size(); ++step) {
+            std::int64_t begin = 0;
+            for (int earlier : job.spec.steps[step].after) {
+                begin = std::max(begin, ends[static_cast<std::size_t>(earlier)]);
+            }
+            ends[step] = begin + job.spec.steps[step].estimateMs;
+            chain = std::max(chain, ends[step]);
+        }
+        const double objective = queue->stretch * static_cast<double>(chain) + static_cast<double>(queue->targetDurationMs);
+        return static_cast<double>(now - job.acceptedAt + job.remainingChainMs()) > objective;
+    }
+
+    void placeAll()
+    {
+        for (std::pair<const std::string, std::vector<ready_step>> &item : readyOf) {
+            std::sort(item.second.begin(), item.second.end());
+            std::vector<resources> refused;
+            for (ready_step &ready : item.second) {
+                placeStep(ready, executorsOf[item.first], refused);
+            }
+        }
+    }
+
+    void placeStep(ready_step &ready, std::vector<executor_record *> &executors, std::vector<resources> &refused)
+    {
+        const step_spec &kind = ready.job->spec.steps[static_cast<std::size_t>(ready.step)];
+        const resources demand = kind.countedDemand();
+        const bool hopeless = std::any_of(refused.begin(), refused.end(), [&](const resources &other) {
+            return other.fitsIn(demand);
+        });
+        if (hopeless) {
+            return;
+        }
+        if (kind.gang) {
+            placeGang(ready, kind, executors);
+            return;
+        }
+        const bool constrained = kind.mostPerExecutor > 0 || !kind.requiredLabel.empty();
+        std::map<std::string, int> here = countOf(ready, kind);
+        step_record &record = ready.occurrence->steps[static_cast<std::size_t>(ready.step)];
+        for (std::size_t index = 0; index < record.tasks.size() && record.waiting > 0; ++index) {
+            task_record &task = record.tasks[index];
+            if (task.phase != task_phase::Waiting || task.notBefore > now) {
+                continue;
+            }
+            executor_record *chosen = choose(kind, task, executors, here);
+            if (chosen == nullptr) {
+                if (!constrained) {
+                    refused.push_back(demand);
+                }
+                return;
+            }
+            assign(ready, kind, static_cast<int>(index), task.run + 1, *chosen);
+            ++here[chosen->entry.id];
+        }
+    }
+
+    std::map<std::string, int> countOf(const ready_step &ready, const step_spec &kind) const
+    {
+        std::map<std::string, int> count;
+        if (kind.mostPerExecutor == 0) {
+            return count;
+        }
+        for (const task_record &task : ready.occurrence->steps[static_cast<std::size_t>(ready.step)].tasks) {
+            if (task.occupies()) {
+                ++count[task.executor];
+            }
+        }
+        return count;
+    }
+
+    executor_record *choose(const step_spec &kind, const task_record &task, std::vector<executor_record *> &executors, const std::map<std::string, int> &here)
+    {
+        executor_record *best = nullptr;
+        double bestWeight = 0;
+        const resources demand = kind.countedDemand();
+        for (executor_record *executor : executors) {
+            if (!allowed(kind, demand, *executor, here)) {
+                continue;
+            }
+            const double weight = weightOf(kind, task, *executor);
+            if (best == nullptr || weight < bestWeight) {
+                best = executor;
+                bestWeight = weight;
+            }
+        }
+        return best;
+    }
+
+    bool allowed(const step_spec &kind, const resources &demand, const executor_record &executor, const std::map<std::string, int> &here) const
+    {
+        if (!executor.takesNewRuns(now) || !demand.fitsIn(executor.freeRoom())) {
+            return false;
+        }
+        if (kind.mostPerExecutor > 0) {
+            const auto count = here.find(executor.entry.id);
+            if (count != here.end() && count->second >= kind.mostPerExecutor) {
+                return false;
+            }
+        }
+        const std::vector<std::string> &labels = executor.entry.labels;
+        return kind.requiredLabel.empty() || std::find(labels.begin(), labels.end(), kind.requiredLabel) != labels.end();
+    }
+
+    // The fullest executor that has room is taken, so that others stay empty and can move.
+    double weightOf(const step_spec &kind, const task_record &task, const executor_record &executor) const
+    {
+        double weight = static_cast<double>(executor.freeRoom().cpu);
+        if (!kind.dataRack.empty() && kind.dataRack != executor.entry.rack) {
+            weight += farFromData;
+        }
+        if (kind.longRunning && !executor.entry.vm.empty() && owner.m_fleet.awaitsUpkeep(executor.entry.vm)) {
+            weight += awaitsUpkeepWeight;
+        }
+        if (!task.failedOn.empty() && task.failedOn == executor.entry.id) {
+            weight += failedHereBefore;
+        }
+        return weight;
+    }
+
+    // All members or none: room is taken step by step and given back if a member finds none.
+    void placeGang(ready_step &ready, const step_spec &kind, std::vector<executor_record *> &executors)
+    {
+        step_record &record = ready.occurrence->steps[static_cast<std::size_t>(ready.step)];
+        int run = 0;
+        for (const task_record &task : record.tasks) {
+            if (task.phase != task_phase::Waiting || task.notBefore > now) {
+                return;
+            }
+            run = std::max(run, task.run);
+        }
+        if (kind.sameRack) {
+            std::map<std::string, std::vector<executor_record *>> racks;
+            for (executor_record *executor : executors) {
+                racks[executor->entry.rack].push_back(executor);
+            }
+            for (std::pair<const std::string, std::vector<executor_record *>> &rack : racks) {
+                if (placeMembers(ready, kind, rack.second, run + 1)) {
+                    return;
+                }
+            }
+        }
+        placeMembers(ready, kind, executors, run + 1);
+    }
+
+    bool placeMembers(ready_step &ready, const step_spec &kind, std::vector<executor_record *> &executors, int run)
+    {
+        step_record &record = ready.occurrence->steps[static_cast<std::size_t>(ready.step)];
+        std::vector<executor_record *> chosen;
+        std::map<std::string, int> here;
+        const resources demand = kind.countedDemand();
+        for (const task_record &task : record.tasks) {
+            executor_record *place = choose(kind, task, executors, here);
+            if (place == nullptr) {
+                break;
+            }
+            place->used += demand;
+            ++here[place->entry.id];
+            chosen.push_back(place);
+        }
+        for (executor_record *place : chosen) {
+            place->used -= demand;
+        }
+        if (chosen.size() != record.tasks.size()) {
+            return false;
+        }
+        for (std::size_t index = 0; index < chosen.size(); ++index) {
+            assign(ready, kind, static_cast<int>(index), run, *chosen[index]);
+        }
+        return true;
+    }
+
+    void assign(ready_step &ready, const step_spec &kind, int index, int run, executor_record &executor)
+    {
+        job_record &job = *ready.job;
+        const task_id id{job.spec.id, ready.occurrence->number, ready.step, index};
+        step_record &record = ready.occurrence->steps[static_cast<std::size_t>(ready.step)];
+        task_record &task = record.tasks[static_cast<std::size_t>(index)];
+        task.phase = task_phase::Placing;
+        task.run = run;
+        task.executor = executor.entry.id;
+        task.batch = 0;
+        --record.waiting;
+        owner.occupy(id, kind, executor);
+        if (job.phase == job_phase::Pending) {
+            job.phase = job_phase::Running;
+            owner.note("job_started",
+                       {{"request", job.spec.id},
+                        {"pool", executor.entry.pool},
+                        {"waited_ms", std::to_string(now - job.acceptedAt)},
+                        {"executor", executor.entry.id},
+                        {"executor_heard_ms_ago", std::to_string(now - executor.clockAt)}});
+        }
+        ++owner.m_counts.placed;
+        owner.markDirty(job);
+    }
+};
+
+void scheduler::place(time_ms now)
+{
+    placement_pass pass{*this, now};
+    pass.collectExecutors();
+    pass.collectReady();
+    pass.placeAll();
+}
+
+void scheduler::on(const advice_answered &what, time_ms now)
+{
+    // Advice is asked for nowhere yet; see docs/platform-design.md.
+}
+
+} // namespace daisypass::sched
--- /dev/null
+++ b/src/sched/scheduler_runs.cpp
@@ -0,0 +1,234 @@
+// Runs: what their ends mean for tasks and jobs, and how a run is stopped for good.
+
+#include "sched/scheduler.h"
+
+#include <algorithm>
+
+namespace daisypass::sched {
+namespace {
+
+// An unanswered stop is repeated after this time.
+constexpr time_ms stopRetryMs = 1'300;
+// A run whose progress has stood still for this long, and for the share below of its estimate, is stopped and placed elsewhere.
+constexpr time_ms leastStallMs = 2'500;
+constexpr double stallShareOfEstimate = 1.0;
+// Executors with this many failed runs in a row get no new ones for a while that doubles up to the longest pause.
+constexpr int failuresBeforePause = 2;
+constexpr time_ms firstFailurePauseMs = 1'000;
+constexpr time_ms longestFailurePauseMs = 8'000;
+constexpr time_ms stallPauseMs = 5'000;
+
+} // namespace
+
+void scheduler::occupy(const task_id &id, const step_spec &step, executor_record &executor)
+{
+    executor.used += step.countedDemand();
+    executor.runs.insert(id);
+    executor.emptySince = 0;
+}
+
+// Frees the executor's room and returns the task to its waiting state, unless it is done.
+void scheduler::release(const task_id &id, const step_spec &step, task_record &task, time_ms now)
+{
+    const auto found = m_executors.find(task.executor);
+    if (found != m_executors.end() && found->second.runs.erase(id) > 0) {
+        found->second.used -= step.countedDemand();
+        if (found->second.runs.empty()) {
+            found->second.emptySince = now;
+        }
+    }
+    job_record &job = *m_jobs.at(id.job);
+    step_record &record = job.occurrences.at(id.occurrence).steps[static_cast<std::size_t>(id.step)];
+    task.phase = task_phase::Waiting;
+    task.executor.clear();
+    task.inherited = false;
+    task.batch = 0;
+    task.stopAckedAt = 0;
+    task.stopSentAt = 0;
+    task.percent = 0;
+    task.pacedPercent = 100;
+    if (task.atWork || task.awaySince == 0) {
+        task.awaySince = now;
+    }
+    task.atWork = false;
+    ++record.waiting;
+    if (job.ended() && !job.anyOccupied()) {
+        m_stopping.erase(job.spec.id);
+    }
+}
+
+void scheduler::applyEnd(executor_record &executor, const listed_end &end, time_ms now)
+{
+    const auto found = m_jobs.find(end.task.job);
+    if (found == m_jobs.end()) {
+        return;
+    }
+    job_record &job = *found->second;
+    executor.unstoredJobs.insert(job.spec.id);
+    task_record *task = job.find(end.task);
+    if (end.how == run_end::Done) {
+        executor.failuresInRow = 0;
+    } else if (end.how == run_end::Failed) {
+        ++executor.failuresInRow;
+        if (executor.failuresInRow >= failuresBeforePause) {
+            const time_ms pause = std::min(longestFailurePauseMs, firstFailurePauseMs << std::min(4, executor.failuresInRow - failuresBeforePause));
+            executor.avoidUntil = std::max(executor.avoidUntil, now + pause);
+            note("executor_failing", {{"executor", executor.entry.id}, {"failures", std::to_string(executor.failuresInRow)}});
+        }
+    }
+    if (task == nullptr || task->phase == task_phase::Done) {
+        return;
+    }
+    const bool current = task->occupies() && task->run == end.run && task->executor == executor.entry.id;
+    if (end.how == run_end::Done) {
+        // Work that is done counts, whichever run did it.
+        if (task->occupies() && !current) {
+            m_actions.push_back(stop_run{end.task, task->run, task->executor, executorFor(task->executor, now).entry.address});
+        }
+        ++m_counts.doneRuns;
+        completeTask(job, end.task, *task, now);
+        return;
+    }
+    if (current) {
+        endRun(job, end.task, *task, end.how, end.checkpoint, now);
+    } else if (end.how == run_end::Failed) {
+        ++task->failures;
+        markDirty(job);
+    }
+}
+
+void scheduler::endRun(job_record &job, const task_id &id, task_record &task, run_end how, const std::string &checkpoint, time_ms now)
+{
+    if (!checkpoint.empty()) {
+        task.checkpoint = checkpoint;
+    }
+    if (how == run_end::Failed) {
+        ++m_counts.failedRuns;
+        failTask(job, id, task, now);
+        return;
+    }
+    ++m_counts.otherEnds;
+    note("run_ended", {{"task", id.text()}, {"run", std::to_string(task.run)}, {"how", std::string(nameOf(how))}, {"executor", task.executor}});
+    release(id, job.spec.steps[static_cast<std::size_t>(id.step)], task, now);
+    markDirty(job);
+}
+
+void scheduler::completeTask(job_record &job, const task_id &id, task_record &task, time_ms now)
+{
+    const step_spec &kind = job.spec.steps[static_cast<std::size_t>(id.step)];
+    step_record &step = job.occurrences.at(id.occurrence).steps[static_cast<std::size_t>(id.step)];
+    const int first = kind.gang ? 0 : id.index;
+    const int last = kind.gang ? kind.taskCount - 1 : id.index;
+    for (int index = first; index <= last; ++index) {
+        task_record &member = step.tasks[static_cast<std::size_t>(index)];
+        if (member.phase == task_phase::Done) {
+            continue;
+        }
+        if (member.occupies()) {
+            release({id.job, id.occurrence, id.step, index}, kind, member, now);
+        }
+        --step.waiting;
+        ++step.done;
+        member.phase = task_phase::Done;
+        member.executor.clear();
+        member.checkpoint.clear();
+    }
+    markDirty(job);
+    if (job.ended()) {
+        return;
+    }
+    if (job.dropFinished()) {
+        ++m_counts.completedJobs;
+        note("job_completed", {{"request", job.spec.id}, {"age_ms", std::to_string(now - job.acceptedAt)}});
+        finishJob(job, job_phase::Completed, now);
+    }
+}
+
+void scheduler::failTask(job_record &job, const task_id &id, task_record &task, time_ms now)
+{
+    const step_spec &kind = job.spec.steps[static_cast<std::size_t>(id.step)];
+    ++task.failures;
+    task.failedOn = task.executor;
+    note("run_failed", {{"task", id.text()}, {"run", std::to_string(task.run)}, {"executor", task.executor}, {"failures", std::to_string(task.failures)}});
+    release(id, kind, task, now);
+    markDirty(job);
+    if (kind.longRunning || job.ended()) {
+        return;
+    }
+    const queue_config *queue = queueOf(job);
+    const int attempts = queue == nullptr ? 1 : std::max(1, queue->maxAttempts);
+    if (task.failures < attempts) {
+        return;
+    }
+    ++m_counts.failedJobs;
+    note("job_failed", {{"request", job.spec.id}, {"task", id.text()}, {"failures", std::to_string(task.failures)}, {"max_attempts", std::to_string(attempts)}});
+    finishJob(job, job_phase::Failed, now);
+}
+
+void scheduler::loseRun(job_record &job, const task_id &id, task_record &task, time_ms now, std::string_view cause)
+{
+    ++m_counts.lostRuns;
+    note("run_lost", {{"task", id.text()}, {"run", std::to_string(task.run)}, {"executor", task.executor}, {"cause", std::string(cause)}});
+    release(id, job.spec.steps[static_cast<std::size_t>(id.step)], task, now);
+    markDirty(job);
+}
+
+void scheduler::requestStop(const task_id &id, task_record &task, time_ms now, std::string_view cause)
+{
+    if (task.phase == task_phase::Stopping) {
+        return;
+    }
+    note("run_stopping", {{"task", id.text()}, {"run", std::to_string(task.run)}, {"executor", task.executor}, {"cause", std::string(cause)}});
+    task.phase = task_phase::Stopping;
+    task.stopSentAt = now;
+    task.stopAckedAt = 0;
+    ++m_counts.stops;
+    const executor_record &executor = executorFor(task.executor, now);
+    if (!executor.entry.address.empty()) {
+        m_actions.push_back(stop_run{id, task.run, task.executor, executor.entry.address});
+    }
+}
+
+void scheduler::resendStops(time_ms now)
+{
+    for (std::pair<const std::string, executor_record> &item : m_executors) {
+        if (item.second.dead || item.second.entry.address.empty()) {
+            continue;
+        }
+        for (const task_id &id : item.second.runs) {
+            task_record *task = m_jobs.at(id.job)->find(id);
+            const bool due = task != nullptr && task->phase == task_phase::Stopping && task->stopAckedAt == 0 && task->stopSentAt + stopRetryMs < now;
+            if (due) {
+                task->stopSentAt = now;
+                m_actions.push_back(stop_run{id, task->run, item.first, item.second.entry.address});
+            }
+        }
+    }
+}
+
+// Answers executors that keep answering while the tasks on them stand still.
+void scheduler::watchProgress(time_ms now)
+{
+    for (std::pair<const std::string, executor_record> &item : m_executors) {
+        executor_record &executor = item.second;
+        if (!executor.answers()) {
+            continue;
+        }
+        for (const task_id &id : executor.runs) {
+            job_record &job = *m_jobs.at(id.job);
+            task_record &task = *job.find(id);
+            const step_spec &kind = job.spec.steps[static_cast<std::size_t>(id.step)];
+            if (task.phase != task_phase::Running || kind.longRunning || kind.gang || task.pacedPercent < 100) {
+                continue;
+            }
+            const time_ms patience = std::max(leastStallMs, static_cast<time_ms>(stallShareOfEstimate * static_cast<double>(kind.estimateMs)));
+            if (task.progressAt + patience < now) {
+                executor.avoidUntil = std::max(executor.avoidUntil, now + stallPauseMs);
+                task.failedOn = item.first;
+                requestStop(id, task, now, "no_progress");
+            }
+        }
+    }
+}
+
+} // namespace daisypass::sched
--- a/src/services/http_answer.h
+++ b/src/services/http_answer.h
@@ -2,7 +2,7 @@
 
 // Shared by the HTTP back ends of the platform's services: building calls and turning answers into typed failures.
 
-#include "net/http_client.h"
+#include "http/http_client.h"
 #include "services/table_service.h"
 
 #include <nlohmann/json.hpp>
--- a/src/services/object_store.h
+++ b/src/services/object_store.h
@@ -3,7 +3,7 @@
 // The platform's object store. Objects are immutable once written: names contain a hash, a revision or an incarnation.
 
 #include "base/failure.h"
-#include "net/http_client.h"
+#include "http/http_client.h"
 
 #include <memory>
 #include <optional>
--- a/src/services/table_service.h
+++ b/src/services/table_service.h
@@ -10,7 +10,7 @@
 // a row that only this transaction writes and comparing write ids.
 
 #include "base/failure.h"
-#include "net/http_client.h"
+#include "http/http_client.h"
 
 #include <cstdint>
 #include <memory>
--- a/src/services/vm_list.h
+++ b/src/services/vm_list.h
@@ -4,7 +4,7 @@
 
 #include "base/failure.h"
 #include "base/settings_reader.h"
-#include "net/http_client.h"
+#include "http/http_client.h"
 
 #include <memory>
 #include <optional>
--- a/src/standins/load_run.h
+++ b/src/standins/load_run.h
@@ -9,7 +9,7 @@
 //
 // With an entry the caller interface of the design's section 3.6 is spoken; with `direct` the target protocol, as the baseline for latency.
 
-#include "net/http_client.h"
+#include "http/http_client.h"
 #include "standins/demand.h"
 #include "standins/outcome_checker.h"
 #include "standins/standin_process.h"
--- a/src/standins/platform_standin.h
+++ b/src/standins/platform_standin.h
@@ -8,8 +8,8 @@
 //
 // Faults are set with POST /admin/faults (`outage`, `delay_ms`, `lose_answers`, `fail_next`) and touch every call but /admin.
 
-#include "net/http_client.h"
-#include "net/http_server.h"
+#include "http/http_client.h"
+#include "http/http_server.h"
 #include "services/object_store.h"
 #include "services/table_service.h"
 #include "standins/standin_process.h"
--- a/src/standins/standin_process.h
+++ b/src/standins/standin_process.h
@@ -2,7 +2,7 @@
 
 // What the stand-in programs share: timers without a thread each, small answers, and waiting for SIGTERM.
 
-#include "net/http_server.h"
+#include "http/http_server.h"
 
 #include <asio/executor_work_guard.hpp>
 #include <asio/io_context.hpp>
--- a/src/standins/target_standin.h
+++ b/src/standins/target_standin.h
@@ -15,7 +15,7 @@
 //     GET  /admin/executions   one line a run, see execution_record.h
 //     GET  /admin/stats        {"executions", "in_flight", "most_in_flight", "refused", "reboots", "cut_off", "arrived_after_leaving"}
 
-#include "net/http_server.h"
+#include "http/http_server.h"
 #include "standins/execution_record.h"
 #include "standins/standin_process.h"
 
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -1,7 +1,7 @@
 // HTTP client and server together on loopback.
 
-#include "net/http_client.h"
-#include "net/http_server.h"
+#include "http/http_client.h"
+#include "http/http_server.h"
 
 #include <asio.hpp>
 #include <doctest/doctest.h>
