Let VMs of a spare pool, which have no executor, move back into service

Ruled out: lost starts and stuck rooms (no run lost, no start refused in the log). Change: an up VM of a spare pool counts as empty; one whose order isn't answered yet is not ordered twice.

--- a/src/sched/fleet_planner.cpp
+++ b/src/sched/fleet_planner.cpp
@@ -20,14 +20,18 @@
 constexpr time_ms emptyBeforeHelpMs = 150;
 // A VM that has moved stays for this long unless another pool has a backlog.
 constexpr time_ms stayAfterMoveMs = 2'500;
+// The answer to a move's order, and the next list, arrive within this time.
+constexpr time_ms moveAnswerMs = 2'000;
 // Most moves ordered in one plan, well below the fleet service's rate.
 constexpr int mostMovesPerPlan = 12;
 // A VM that is listed as up this long after its upkeep should have ended has had it, or the order was never carried out.
 constexpr time_ms upkeepSlackMs = 2'500;
 
-bool canMove(const fleet_vm &vm)
+// A VM of a spare pool is off and has no executor.
+bool canMove(const fleet_vm &vm, bool spare)
 {
-    return vm.state == vm_state::Up && vm.hasExecutor && vm.runs == 0 && !vm.leaving && !vm.reserved && vm.emptySince > 0;
+    const bool empty = vm.hasExecutor ? vm.runs == 0 && vm.emptySince > 0 : spare;
+    return vm.state == vm_state::Up && empty && !vm.leaving && !vm.reserved;
 }
 
 } // namespace
@@ -216,7 +220,9 @@
         if (counts) {
             ++need.present;
         }
-        if (canMove(vm) && !m_taken.contains(vm.vm)) {
+        const auto moved = m_lastMove.find(vm.vm);
+        const bool ordered = !vm.hasExecutor && moved != m_lastMove.end() && now - moved->second < moveAnswerMs;
+        if (canMove(vm, need.pool->spare) && !ordered && !m_taken.contains(vm.vm)) {
             need.movable.push_back(&vm);
         }
     }
@@ -257,7 +263,7 @@
                 std::vector<const fleet_vm *> &movable = donor.second.movable;
                 while (need->wanted > need->present && donor.second.present > keep && !movable.empty() && moves < mostMovesPerPlan) {
                     const fleet_vm *vm = movable.back();
-                    if (now - vm->emptySince < emptyBeforeHelpMs) {
+                    if (vm->hasExecutor && now - vm->emptySince < emptyBeforeHelpMs) {
                         break;
                     }
                     movable.pop_back();
--- a/src/sched/scheduler_fleet.cpp
+++ b/src/sched/scheduler_fleet.cpp
@@ -149,14 +149,16 @@
 {
     if (const move_decision *move = std::get_if<move_decision>(&decision)) {
         const vm_entry &vm = m_vms.at(move->vm);
-        executor_record &executor = executorFor(vm.executor, now);
-        if (!executor.runs.empty() || executor.reserved) {
-            return;
+        if (!vm.executor.empty()) {
+            executor_record &executor = executorFor(vm.executor, now);
+            if (!executor.runs.empty() || executor.reserved) {
+                return;
+            }
+            executor.reserved = true;
         }
-        executor.reserved = true;
         ++m_counts.moves;
         note("move_ordered",
-             {{"vm", move->vm}, {"from", vm.pool}, {"to", move->pool}, {"executor", vm.executor}, {"empty_ms", std::to_string(now - executor.emptySince)}});
+             {{"vm", move->vm}, {"from", vm.pool}, {"to", move->pool}, {"executor", vm.executor}});
         m_actions.push_back(move_vm{move->vm, move->pool});
     } else if (const upkeep_decision *upkeep = std::get_if<upkeep_decision>(&decision)) {
         const vm_entry &vm = m_vms.at(upkeep->vm);
