Keep a wave's cap when the list of VMs is older than the upkeep

Change: a VM counts as back only after the upkeep's shortest duration. Tests of the planner come with it.

--- a/src/sched/fleet_planner.cpp
+++ b/src/sched/fleet_planner.cpp
@@ -76,10 +76,14 @@
     }
 }
 
-void fleet_planner::vmIsBack(const std::string &vm)
+void fleet_planner::vmIsBack(const std::string &vm, time_ms now)
 {
     for (std::pair<const std::int64_t, wave_state> &wave : m_waves) {
-        wave.second.down.erase(vm);
+        const auto down = wave.second.down.find(vm);
+        // A list that was read before the upkeep began still shows the VM as up.
+        if (down != wave.second.down.end() && now - down->second >= m_bounds.upkeepMs) {
+            wave.second.down.erase(down);
+        }
     }
 }
 
--- a/src/sched/fleet_planner.h
+++ b/src/sched/fleet_planner.h
@@ -102,7 +102,7 @@
     void upkeepBegun(std::int64_t wave, const std::string &vm, time_ms now);
     void upkeepRefused(std::int64_t wave, const std::string &vm, bool forGood);
     /** The fleet's list has the VM up again after its upkeep began. */
-    void vmIsBack(const std::string &vm);
+    void vmIsBack(const std::string &vm, time_ms now);
 
     std::vector<fleet_decision> plan(const fleet_view &view, time_ms now);
 
--- a/src/sched/scheduler_fleet.cpp
+++ b/src/sched/scheduler_fleet.cpp
@@ -26,7 +26,7 @@
         const auto before = m_vms.find(vm.vm);
         const bool back = vm.state == vm_state::Up && (before == m_vms.end() || before->second.state != vm_state::Up);
         if (back) {
-            m_fleet.vmIsBack(vm.vm);
+            m_fleet.vmIsBack(vm.vm, now);
         }
         listed[vm.vm] = vm;
         const auto executor = m_executors.find(vm.executor);
--- /dev/null
+++ b/tests/sched/fleet_planner_test.cpp
@@ -0,0 +1,161 @@
+#include "sched/fleet_planner.h"
+
+#include <doctest/doctest.h>
+
+using namespace daisypass::sched;
+
+namespace {
+
+constexpr time_ms start = 10'000;
+constexpr resources vmCapacity{32'000, 65'536, 0};
+
+bounds shortBounds()
+{
+    bounds limits;
+    limits.upkeepMs = 2'000;
+    return limits;
+}
+
+fleet_vm emptyVm(const std::string &name, const std::string &pool)
+{
+    fleet_vm vm;
+    vm.vm = name;
+    vm.pool = pool;
+    vm.hasExecutor = true;
+    vm.answers = true;
+    vm.emptySince = 1;
+    vm.capacity = vmCapacity;
+    return vm;
+}
+
+fleet_vm spareVm(const std::string &name, const std::string &pool)
+{
+    fleet_vm vm;
+    vm.vm = name;
+    vm.pool = pool;
+    return vm;
+}
+
+fleet_pool poolWith(const std::string &name, std::int64_t waitingCpu)
+{
+    fleet_pool pool;
+    pool.pool = name;
+    pool.waitingCpu = waitingCpu;
+    return pool;
+}
+
+fleet_pool sparePool()
+{
+    fleet_pool pool;
+    pool.pool = "spare";
+    pool.spare = true;
+    return pool;
+}
+
+template<typename T>
+std::vector<T> only(const std::vector<fleet_decision> &decisions)
+{
+    std::vector<T> found;
+    for (const fleet_decision &decision : decisions) {
+        if (const T *one = std::get_if<T>(&decision)) {
+            found.push_back(*one);
+        }
+    }
+    return found;
+}
+
+wave_request waveOf(std::vector<std::string> vms, int cap)
+{
+    wave_request wave;
+    wave.wave = 1;
+    wave.vms = std::move(vms);
+    wave.durationMs = 20'000;
+    wave.cap = cap;
+    return wave;
+}
+
+} // namespace
+
+TEST_CASE("the planner moves VMs after the queues' turns")
+{
+    fleet_planner planner(shortBounds());
+
+    SUBCASE("a pool with a backlog gets VMs of the spare pool, which have no executor")
+    {
+        fleet_view view;
+        view.pools = {poolWith("booking", 4 * vmCapacity.cpu), sparePool()};
+        view.vms = {emptyVm("a", "booking"), spareVm("b", "spare"), spareVm("c", "spare")};
+        const std::vector<move_decision> moves = only<move_decision>(planner.plan(view, start));
+        REQUIRE(moves.size() == 2);
+        CHECK(moves[0].pool == "booking");
+        SUBCASE("and an order that isn't answered yet isn't given twice")
+        {
+            CHECK(only<move_decision>(planner.plan(view, start + 100)).empty());
+        }
+    }
+    SUBCASE("VMs with runs don't move")
+    {
+        fleet_view view;
+        view.pools = {poolWith("booking", 4 * vmCapacity.cpu), poolWith("profiles", 0)};
+        view.vms = {emptyVm("a", "booking"), emptyVm("b", "profiles")};
+        view.vms[1].runs = 1;
+        view.vms[1].emptySince = 0;
+        CHECK(only<move_decision>(planner.plan(view, start)).empty());
+    }
+    SUBCASE("empty VMs beyond the reserve go to the spare pool")
+    {
+        fleet_view view;
+        view.pools = {poolWith("booking", 0), sparePool()};
+        for (const char *name : {"a", "b", "c", "d", "e"}) {
+            view.vms.push_back(emptyVm(name, "booking"));
+        }
+        const std::vector<move_decision> moves = only<move_decision>(planner.plan(view, start));
+        CHECK(moves.size() == 3);
+    }
+}
+
+TEST_CASE("the planner keeps a wave's cap")
+{
+    fleet_planner planner(shortBounds());
+    planner.addWave(waveOf({"a", "b", "c"}, 1), start);
+    fleet_view view;
+    view.pools = {poolWith("booking", 0)};
+    view.vms = {emptyVm("a", "booking"), emptyVm("b", "booking"), emptyVm("c", "booking")};
+    const std::vector<upkeep_decision> first = only<upkeep_decision>(planner.plan(view, start));
+    REQUIRE(first.size() == 1);
+
+    SUBCASE("a list read before the upkeep began doesn't free its place")
+    {
+        // Found by brusilica scale-2: eleven VMs down where ten may be.
+        planner.upkeepBegun(1, first[0].vm, start + 10);
+        planner.vmIsBack(first[0].vm, start + 50);
+        CHECK(only<upkeep_decision>(planner.plan(view, start + 100)).empty());
+    }
+    SUBCASE("the next one follows when the VM is back")
+    {
+        planner.upkeepBegun(1, first[0].vm, start + 10);
+        planner.vmIsBack(first[0].vm, start + 2'100);
+        const std::vector<upkeep_decision> second = only<upkeep_decision>(planner.plan(view, start + 2'200));
+        REQUIRE(second.size() == 1);
+        CHECK(second[0].vm != first[0].vm);
+    }
+    SUBCASE("the wave is completed when each VM has begun its upkeep, and not before")
+    {
+        time_ms now = start;
+        planner.upkeepBegun(1, first[0].vm, now);
+        for (int i = 0; i < 2; ++i) {
+            now += 2'500;
+            for (const char *name : {"a", "b", "c"}) {
+                planner.vmIsBack(name, now);
+            }
+            const std::vector<fleet_decision> decisions = planner.plan(view, now);
+            CHECK(only<wave_decision>(decisions).empty());
+            const std::vector<upkeep_decision> next = only<upkeep_decision>(decisions);
+            REQUIRE(next.size() == 1);
+            planner.upkeepBegun(1, next[0].vm, now);
+        }
+        const std::vector<wave_decision> done = only<wave_decision>(planner.plan(view, now + 100));
+        REQUIRE(done.size() == 1);
+        CHECK(done[0].completed);
+    }
+}
