Count the failure of a run once, however often its end is listed

Change: a task's row keeps the numbers of its failed runs in place of a count. Test: 'a failed run counts once', which fails without the change.

--- a/src/sched/job_record.cpp
+++ b/src/sched/job_record.cpp
@@ -12,7 +12,7 @@
 
 constexpr std::array<std::string_view, 5> phaseNames{"pending", "running", "completed", "failed", "cancelled"};
 
-// A task's place in a row: [occurrence, step, index, kind, run, failures, executor, checkpoint].
+// A task's place in a row: [occurrence, step, index, kind, run, failed runs, executor, checkpoint].
 constexpr std::size_t taskRowSize = 8;
 constexpr int kindWaiting = 0;
 constexpr int kindPlaced = 1;
@@ -33,7 +33,7 @@
 
 json writeTask(const task_id &id, const task_record &task)
 {
-    return json::array({id.occurrence, id.step, id.index, kindOf(task), task.run, task.failures, task.executor, task.checkpoint});
+    return json::array({id.occurrence, id.step, id.index, kindOf(task), task.run, task.failedRuns, task.executor, task.checkpoint});
 }
 
 bool readTask(const json &row, job_record &job)
@@ -41,12 +41,12 @@
     if (!row.is_array() || row.size() != taskRowSize) {
         return false;
     }
-    for (std::size_t i = 0; i < 6; ++i) {
+    for (std::size_t i = 0; i < 5; ++i) {
         if (!row[i].is_number_integer()) {
             return false;
         }
     }
-    if (!row[6].is_string() || !row[7].is_string()) {
+    if (!row[5].is_array() || !row[6].is_string() || !row[7].is_string()) {
         return false;
     }
     task_record *task = job.find({job.spec.id, row[0].get<int>(), row[1].get<int>(), row[2].get<int>()});
@@ -56,7 +56,11 @@
     }
     const int kind = row[3].get<int>();
     task->run = row[4].get<int>();
-    task->failures = row[5].get<int>();
+    for (const json &failedRun : row[5]) {
+        if (failedRun.is_number_integer()) {
+            task->countFailure(failedRun.get<int>());
+        }
+    }
     task->executor = row[6].get<std::string>();
     task->checkpoint = row[7].get<std::string>();
     step_record &step = job.occurrences.at(row[0].get<int>()).steps[static_cast<std::size_t>(row[1].get<int>())];
@@ -79,6 +83,15 @@
     return phaseNames[static_cast<std::size_t>(phase)];
 }
 
+bool task_record::countFailure(int failedRun)
+{
+    if (std::find(failedRuns.begin(), failedRuns.end(), failedRun) != failedRuns.end()) {
+        return false;
+    }
+    failedRuns.push_back(failedRun);
+    return true;
+}
+
 bool occurrence_record::finished() const
 {
     return std::all_of(steps.begin(), steps.end(), [](const step_record &step) {
--- a/src/sched/job_record.h
+++ b/src/sched/job_record.h
@@ -40,8 +40,8 @@
     task_phase phase = task_phase::Waiting;
     /** Number of the latest run; 0 before the first. */
     int run = 0;
-    /** Runs that ended as failed. */
-    int failures = 0;
+    /** Numbers of the runs that ended as failed. An end is listed again after a takeover and must count once. */
+    std::vector<int> failedRuns;
     /** Where the latest run is; empty while waiting or done. */
     std::string executor;
     std::string checkpoint;
@@ -69,6 +69,14 @@
     bool atWork = false;
     int pacedPercent = 100;
 
+    int failures() const
+    {
+        return static_cast<int>(failedRuns.size());
+    }
+
+    /** False if the failure of this run was counted before. */
+    bool countFailure(int failedRun);
+
     bool occupies() const
     {
         return phase != task_phase::Waiting && phase != task_phase::Done;
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -128,6 +128,7 @@
     void endRun(job_record &job, const task_id &id, task_record &task, run_end how, const std::string &checkpoint, time_ms now);
     void completeTask(job_record &job, const task_id &id, task_record &task, time_ms now);
     void failTask(job_record &job, const task_id &id, task_record &task, time_ms now);
+    void failIfOutOfAttempts(job_record &job, const task_id &id, const task_record &task, time_ms now);
     /** The run isn't anywhere any more and has not ended as done or failed. */
     void loseRun(job_record &job, const task_id &id, task_record &task, time_ms now, std::string_view cause);
     void settleMissing(executor_record &executor, const hold_answered &what, const std::set<task_id> &listed, time_ms now);
--- a/src/sched/scheduler_runs.cpp
+++ b/src/sched/scheduler_runs.cpp
@@ -91,9 +91,9 @@
     }
     if (current) {
         endRun(job, end.task, *task, end.how, end.checkpoint, now);
-    } else if (end.how == run_end::Failed) {
-        ++task->failures;
+    } else if (end.how == run_end::Failed && !job.spec.steps[static_cast<std::size_t>(end.task.step)].longRunning && task->countFailure(end.run)) {
         markDirty(job);
+        failIfOutOfAttempts(job, end.task, *task, now);
     }
 }
 
@@ -147,21 +147,30 @@
 void scheduler::failTask(job_record &job, const task_id &id, task_record &task, time_ms now)
 {
     const step_spec &kind = job.spec.steps[static_cast<std::size_t>(id.step)];
-    ++task.failures;
+    if (!kind.longRunning) {
+        task.countFailure(task.run);
+    }
     task.failedOn = task.executor;
-    note("run_failed", {{"task", id.text()}, {"run", std::to_string(task.run)}, {"executor", task.executor}, {"failures", std::to_string(task.failures)}});
+    note("run_failed",
+         {{"task", id.text()}, {"run", std::to_string(task.run)}, {"executor", task.executor}, {"failures", std::to_string(task.failures())}});
     release(id, kind, task, now);
     markDirty(job);
-    if (kind.longRunning || job.ended()) {
+    failIfOutOfAttempts(job, id, task, now);
+}
+
+void scheduler::failIfOutOfAttempts(job_record &job, const task_id &id, const task_record &task, time_ms now)
+{
+    if (job.ended() || job.spec.steps[static_cast<std::size_t>(id.step)].longRunning) {
         return;
     }
     const queue_config *queue = queueOf(job);
     const int attempts = queue == nullptr ? 1 : std::max(1, queue->maxAttempts);
-    if (task.failures < attempts) {
+    if (task.failures() < attempts) {
         return;
     }
     ++m_counts.failedJobs;
-    note("job_failed", {{"request", job.spec.id}, {"task", id.text()}, {"failures", std::to_string(task.failures)}, {"max_attempts", std::to_string(attempts)}});
+    note("job_failed",
+         {{"request", job.spec.id}, {"task", id.text()}, {"failures", std::to_string(task.failures())}, {"max_attempts", std::to_string(attempts)}});
     finishJob(job, job_phase::Failed, now);
 }
 
--- /dev/null
+++ b/tests/sched/scheduler_fixture.h
@@ -0,0 +1,179 @@
+#pragma once
+
+// A scheduler under test with hand-fed executors: each order is kept until the test answers it.
+
+#include "sched/scheduler.h"
+
+#include <string>
+#include <vector>
+
+namespace daisypass::sched {
+
+class scheduler_fixture
+{
+public:
+    explicit scheduler_fixture(bounds limits = {})
+        : m_limits(limits)
+        , brain(limits, 0)
+    {
+        brain.handle(configuration_changed{oneQueue()}, now);
+    }
+
+    static configuration_view oneQueue(int maxAttempts = 3)
+    {
+        configuration_view view;
+        view.version = 1;
+        queue_config queue;
+        queue.key = {"shop.example", "/book/"};
+        queue.pool = "booking";
+        queue.maxAttempts = maxAttempts;
+        queue.stretch = 1.6;
+        queue.targetDurationMs = 600;
+        view.queues = {queue};
+        pool_config booking;
+        booking.name = "booking";
+        pool_config spare;
+        spare.name = "spare";
+        spare.spare = true;
+        view.pools = {booking, spare};
+        return view;
+    }
+
+    static step_spec step(int count, std::int64_t cpu = 1'000)
+    {
+        step_spec one;
+        one.taskCount = count;
+        one.demand = {cpu, 100, 0};
+        one.estimateMs = 500;
+        return one;
+    }
+
+    static job_spec job(const std::string &id, std::vector<step_spec> steps)
+    {
+        job_spec one;
+        one.id = id;
+        one.queue = {"shop.example", "/book/"};
+        one.pool = "booking";
+        one.payload = "payload of " + id;
+        one.steps = std::move(steps);
+        return one;
+    }
+
+    static executor_entry entry(const std::string &id, std::int64_t cpu = 4'000)
+    {
+        executor_entry one;
+        one.id = id;
+        one.pool = "booking";
+        one.address = "10.0.0.1:80";
+        one.capacity = {cpu, 65'536, 0};
+        one.bornUnixMs = 1'000;
+        one.clockMs = 5;
+        one.vm = "vm-" + id;
+        return one;
+    }
+
+    /** Makes an executor known that has answered its first hold. */
+    void addExecutor(const std::string &id, std::int64_t cpu = 4'000)
+    {
+        brain.handle(executor_seen{entry(id, cpu)}, now);
+        step_();
+        answerHold(id);
+    }
+
+    /** Plans, collects actions, and stores all batches at once. */
+    void step_()
+    {
+        brain.plan(now);
+        collect();
+        while (std::optional<commit_batch> batch = brain.takeBatch(now)) {
+            for (const std::pair<std::string, std::string> &row : batch->rows) {
+                rows[row.first] = row.second;
+            }
+            brain.handle(batch_committed{batch->number}, now);
+            brain.plan(now);
+            collect();
+        }
+    }
+
+    void collect()
+    {
+        for (action &next : brain.takeActions()) {
+            actions.push_back(std::move(next));
+        }
+    }
+
+    template<typename T>
+    std::vector<T> take()
+    {
+        std::vector<T> found;
+        std::vector<action> left;
+        for (action &next : actions) {
+            if (T *one = std::get_if<T>(&next)) {
+                found.push_back(std::move(*one));
+            } else {
+                left.push_back(std::move(next));
+            }
+        }
+        actions = std::move(left);
+        return found;
+    }
+
+    void answerStart(const start_run &order, order_status status = order_status::Ok)
+    {
+        brain.handle(start_answered{order.task, order.run, order.executor, status, 10}, now);
+        step_();
+    }
+
+    void answerHold(const std::string &executor,
+                    std::vector<listed_run> runs = {},
+                    std::vector<listed_end> ends = {},
+                    order_status status = order_status::Ok,
+                    std::int64_t born = 1'000)
+    {
+        brain.handle(hold_answered{executor, status, now, now, born, std::move(runs), std::move(ends)}, now);
+        step_();
+    }
+
+    static listed_run running(const start_run &order, int percent = 10)
+    {
+        listed_run run;
+        run.task = order.task;
+        run.run = order.run;
+        run.percent = percent;
+        return run;
+    }
+
+    static listed_end ended(const start_run &order, std::int64_t number, run_end how)
+    {
+        listed_end end;
+        end.number = number;
+        end.task = order.task;
+        end.run = order.run;
+        end.how = how;
+        return end;
+    }
+
+    std::string phaseOf(const std::string &job) const
+    {
+        const auto row = rows.find(job);
+        return row == rows.end() ? "" : phaseIn(row->second);
+    }
+
+    void advance(time_ms ms)
+    {
+        now += ms;
+        brain.handle(tick{now}, now);
+        step_();
+    }
+
+private:
+    bounds m_limits;
+
+public:
+    time_ms now = 100;
+    scheduler brain;
+    std::vector<action> actions;
+    std::map<std::string, std::string> rows;
+};
+
+} // namespace daisypass::sched
--- /dev/null
+++ b/tests/sched/scheduler_test.cpp
@@ -0,0 +1,200 @@
+#include "scheduler_fixture.h"
+
+#include <doctest/doctest.h>
+
+using namespace daisypass::sched;
+
+TEST_CASE("a job runs from its submission to its stored end")
+{
+    scheduler_fixture world;
+    world.addExecutor("e1");
+    world.brain.handle(job_submitted{world.job("j1", {world.step(1)})}, world.now);
+    world.brain.plan(world.now);
+    world.collect();
+
+    SUBCASE("no start is sent before the placement is stored")
+    {
+        CHECK(world.take<start_run>().empty());
+        const std::optional<commit_batch> batch = world.brain.takeBatch(world.now);
+        REQUIRE(batch);
+        REQUIRE(batch->rows.size() == 1);
+        CHECK(batch->rows[0].second.find("e1") != std::string::npos);
+        world.brain.handle(batch_committed{batch->number}, world.now);
+        world.collect();
+        CHECK(world.take<start_run>().size() == 1);
+    }
+    SUBCASE("the end is acknowledged only after the job's row is stored")
+    {
+        world.step_();
+        const std::vector<start_run> starts = world.take<start_run>();
+        REQUIRE(starts.size() == 1);
+        world.answerStart(starts[0]);
+        world.take<hold_executor>();
+        world.brain.handle(
+            hold_answered{"e1", order_status::Ok, world.now, world.now, 1'000, {}, {scheduler_fixture::ended(starts[0], 1, run_end::Done)}}, world.now);
+        world.brain.plan(world.now);
+        world.collect();
+        CHECK(world.take<hold_executor>().empty());
+        world.step_();
+        CHECK(world.phaseOf("j1") == "completed");
+        const std::vector<hold_executor> holds = world.take<hold_executor>();
+        REQUIRE(holds.size() == 1);
+        CHECK(holds[0].acknowledged == 1);
+    }
+}
+
+TEST_CASE("a failed run counts once, however often its end is listed")
+{
+    // Found by rcm-bogota trouble-2: a job was failed after three of its four attempts, because a new holder of the lease
+    // counted an end again that the former one had stored and not yet acknowledged.
+    scheduler_fixture first;
+    first.addExecutor("e1");
+    first.brain.handle(job_submitted{first.job("j1", {first.step(1)})}, first.now);
+    first.step_();
+    const std::vector<start_run> starts = first.take<start_run>();
+    REQUIRE(starts.size() == 1);
+    first.answerStart(starts[0]);
+    const listed_end failed = scheduler_fixture::ended(starts[0], 1, run_end::Failed);
+    first.answerHold("e1", {}, {failed});
+
+    scheduler_fixture second;
+    REQUIRE(second.brain.restore(second.job("j1", {second.step(1)}), first.rows.at("j1"), second.now));
+    second.brain.handle(executor_seen{scheduler_fixture::entry("e1")}, second.now);
+    second.step_();
+    second.answerHold("e1", {}, {failed});
+    std::vector<start_run> again = second.take<start_run>();
+    REQUIRE(again.size() == 1);
+    second.answerStart(again[0]);
+    second.answerHold("e1", {}, {scheduler_fixture::ended(again[0], 2, run_end::Failed)});
+    second.advance(10'000);
+    CHECK(second.phaseOf("j1") == "running");
+    again = second.take<start_run>();
+    REQUIRE(again.size() == 1);
+    second.answerStart(again[0]);
+    second.answerHold("e1", {}, {scheduler_fixture::ended(again[0], 3, run_end::Failed)});
+    CHECK(second.phaseOf("j1") == "failed");
+}
+
+TEST_CASE("after a takeover a task runs at most once at a time")
+{
+    scheduler_fixture first;
+    first.addExecutor("e1");
+    first.brain.handle(job_submitted{first.job("j1", {first.step(1)})}, first.now);
+    first.step_();
+    const std::vector<start_run> starts = first.take<start_run>();
+    REQUIRE(starts.size() == 1);
+
+    scheduler_fixture second;
+    REQUIRE(second.brain.restore(second.job("j1", {second.step(1)}), first.rows.at("j1"), second.now));
+    second.addExecutor("e2");
+    CHECK(second.take<start_run>().empty());
+
+    SUBCASE("a run that its executor lists goes on")
+    {
+        second.brain.handle(executor_seen{scheduler_fixture::entry("e1")}, second.now);
+        second.step_();
+        second.answerHold("e1", {scheduler_fixture::running(starts[0])});
+        second.advance(100);
+        CHECK(second.take<start_run>().empty());
+        CHECK(second.take<stop_run>().empty());
+    }
+    SUBCASE("a run that its executor doesn't list never started, and gets the next number")
+    {
+        second.brain.handle(executor_seen{scheduler_fixture::entry("e1")}, second.now);
+        second.step_();
+        second.answerHold("e1");
+        const std::vector<start_run> again = second.take<start_run>();
+        REQUIRE(again.size() == 1);
+        CHECK(again[0].run == starts[0].run + 1);
+    }
+    SUBCASE("a run on an executor that can't be reached counts until its lease is over on the slowest clock")
+    {
+        second.advance(6'000);
+        CHECK(second.take<start_run>().empty());
+        second.answerHold("e2");
+        second.advance(700);
+        CHECK(second.take<start_run>().size() == 1);
+    }
+}
+
+TEST_CASE("a start without an answer is settled before the task is placed again")
+{
+    scheduler_fixture world;
+    world.addExecutor("e1");
+    world.brain.handle(job_submitted{world.job("j1", {world.step(1)})}, world.now);
+    world.step_();
+    const std::vector<start_run> starts = world.take<start_run>();
+    REQUIRE(starts.size() == 1);
+    world.addExecutor("e2");
+    world.answerHold("e1");
+    world.now += 10;
+    world.answerStart(starts[0], order_status::Unknown);
+    CHECK(world.take<start_run>().empty());
+
+    SUBCASE("the list shows it: it runs")
+    {
+        world.now += 10;
+        world.answerHold("e1", {scheduler_fixture::running(starts[0])});
+        CHECK(world.take<stop_run>().empty());
+        CHECK(world.take<start_run>().empty());
+    }
+    SUBCASE("the list doesn't show it: it is stopped, and placed again only after a list behind the stop")
+    {
+        world.now += 10;
+        world.answerHold("e1");
+        const std::vector<stop_run> stops = world.take<stop_run>();
+        REQUIRE(stops.size() == 1);
+        CHECK(world.take<start_run>().empty());
+        world.now += 10;
+        world.brain.handle(stop_answered{stops[0].task, stops[0].run, "e1", order_status::Ok}, world.now);
+        world.step_();
+        CHECK(world.take<start_run>().empty());
+        world.now += 10;
+        world.answerHold("e1");
+        CHECK(world.take<start_run>().size() == 1);
+    }
+}
+
+TEST_CASE("a cancelled job starts nothing more")
+{
+    scheduler_fixture world;
+    world.addExecutor("e1");
+    world.brain.handle(job_submitted{world.job("j1", {world.step(1)})}, world.now);
+
+    SUBCASE("a task that is placed and not ordered yet is dropped")
+    {
+        world.brain.plan(world.now);
+        world.brain.handle(job_cancelled{"j1"}, world.now);
+        world.step_();
+        CHECK(world.take<start_run>().empty());
+        CHECK(world.phaseOf("j1") == "cancelled");
+    }
+    SUBCASE("a running task is stopped")
+    {
+        world.step_();
+        const std::vector<start_run> starts = world.take<start_run>();
+        REQUIRE(starts.size() == 1);
+        world.answerStart(starts[0]);
+        world.brain.handle(job_cancelled{"j1"}, world.now);
+        world.step_();
+        CHECK(world.take<stop_run>().size() == 1);
+    }
+}
+
+TEST_CASE("steps run in order")
+{
+    scheduler_fixture world;
+    world.addExecutor("e1");
+    step_spec second = world.step(1);
+    second.after = {0};
+    world.brain.handle(job_submitted{world.job("j1", {world.step(2), second})}, world.now);
+    world.step_();
+    const std::vector<start_run> starts = world.take<start_run>();
+    REQUIRE(starts.size() == 2);
+    world.answerStart(starts[0]);
+    world.answerStart(starts[1]);
+    world.answerHold("e1", {scheduler_fixture::running(starts[1])}, {scheduler_fixture::ended(starts[0], 1, run_end::Done)});
+    CHECK(world.take<start_run>().empty());
+    world.answerHold("e1", {}, {scheduler_fixture::ended(starts[1], 2, run_end::Done)});
+    CHECK(world.take<start_run>().size() == 1);
+}
