--- /dev/null
+++ b/bench/sched_load_bench.cpp
@@ -0,0 +1,55 @@
+// Plays modelled days on virtual time and prints what callers get and what the scheduler's decisions cost.
+//
+//     daisypass-sched-load-bench --seeds 5 --scale 7
+
+#include "sched/load_model.h"
+
+#include <CLI/CLI.hpp>
+
+#include <chrono>
+#include <cstdio>
+
+using namespace daisypass::sched;
+
+int main(int argc, char **argv)
+{
+    CLI::App app("modelled days on virtual time");
+    int seeds = 5;
+    int scale = 1;
+    int failing = 0;
+    int stalled = 0;
+    int silent = 0;
+    app.add_option("--seeds", seeds, "days to play, with seeds from 1");
+    app.add_option("--scale", scale, "VMs and jobs, in multiples of the first user's");
+    app.add_option("--failing", failing, "executors that fail whatever they start");
+    app.add_option("--stalled", stalled, "executors on which tasks stand still");
+    app.add_option("--silent", silent, "executors that fall silent at the middle of the day");
+    CLI11_PARSE(app, argc, argv);
+    std::printf("%4s %6s %9s %6s %6s %9s %6s %8s %8s\n", "seed", "jobs", "in time", "late", "failed", "largest", "moves", "VM s", "cpu ms/s");
+    for (int seed = 1; seed <= seeds; ++seed) {
+        load_settings settings = shopDay(static_cast<std::uint64_t>(seed));
+        settings.vmsPerPool *= scale;
+        settings.spareVms *= scale;
+        for (load_queue &queue : settings.queues) {
+            queue.jobsPerSecond *= scale;
+        }
+        settings.failingExecutors = failing;
+        settings.stalledExecutors = stalled;
+        settings.silentExecutors = silent;
+        const double lengthS = static_cast<double>(settings.lengthMs) / 1'000.0;
+        const std::chrono::steady_clock::time_point began = std::chrono::steady_clock::now();
+        const load_outcome outcome = load_model(settings).run();
+        const double took = std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now() - began).count();
+        std::printf("%4d %6d %8.1f%% %6d %6d %8.1f%% %6d %8.0f %8.2f\n",
+                    seed,
+                    outcome.jobs,
+                    100.0 * outcome.inObjective / std::max(1, outcome.jobs),
+                    outcome.late,
+                    outcome.failed + outcome.unfinished,
+                    100.0 * outcome.largestInObjective / std::max(1, outcome.largest),
+                    outcome.moves,
+                    outcome.vmSecondsInPools,
+                    took / lengthS);
+    }
+    return 0;
+}
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -2,8 +2,11 @@
 
 #include "base/thread_time.h"
 
+#include <asio.hpp>
 #include <curl/curl.h>
 
+#include <unistd.h>
+
 #include <algorithm>
 #include <atomic>
 #include <cctype>
@@ -140,26 +143,31 @@
     });
 }
 
-// One thread with one multi handle: its connections are reused by its own transfers only, so no lock is held while sending.
-class client_worker
+// One multi handle, driven by the readiness of its sockets, so that a call costs the same however many others are waiting.
+// Everything but `add` runs on one strand; connections are reused by the worker's own transfers only.
+class client_worker : public std::enable_shared_from_this<client_worker>
 {
 public:
-    explicit client_worker(const http_client_options &options)
+    client_worker(const http_client_options &options, asio::io_context &context)
         : m_options(options)
+        , m_context(context)
+        , m_strand(asio::make_strand(context))
+        , m_timer(m_strand)
         , m_multi(curl_multi_init())
     {
         curl_multi_setopt(m_multi, CURLMOPT_MAX_HOST_CONNECTIONS, static_cast<long>(options.maxConnectionsPerHost));
         curl_multi_setopt(m_multi, CURLMOPT_MAXCONNECTS, maxConnectionsInCache);
-        m_thread = std::thread([this] {
-            run();
-        });
+        curl_multi_setopt(m_multi, CURLMOPT_SOCKETFUNCTION, &client_worker::onSocketInterest);
+        curl_multi_setopt(m_multi, CURLMOPT_SOCKETDATA, this);
+        curl_multi_setopt(m_multi, CURLMOPT_TIMERFUNCTION, &client_worker::onTimerInterest);
+        curl_multi_setopt(m_multi, CURLMOPT_TIMERDATA, this);
     }
 
+    client_worker(const client_worker &) = delete;
+    client_worker &operator=(const client_worker &) = delete;
+
     ~client_worker()
     {
-        m_stopping = true;
-        curl_multi_wakeup(m_multi);
-        m_thread.join();
         for (CURL *handle : m_idleHandles) {
             curl_easy_cleanup(handle);
         }
@@ -175,13 +183,20 @@
             m_waiting.push_back(std::move(item));
         }
         if (wake) {
-            curl_multi_wakeup(m_multi);
+            asio::post(m_strand, [self = shared_from_this()] {
+                self->startWaiting();
+            });
         }
     }
 
-    std::chrono::microseconds processorTime()
+    /** Ends all transfers as timed out. Only when nothing runs on the context any more. */
+    void abandonAll()
     {
-        return threadProcessorTime(m_thread);
+        m_abandoning = true;
+        startWaiting();
+        while (!m_active.empty()) {
+            complete(m_active.begin()->first, CURLE_OPERATION_TIMEDOUT);
+        }
     }
 
     std::uint64_t bytes() const
@@ -190,25 +205,118 @@
     }
 
 private:
-    void run()
+    // A socket of libcurl's, watched while a transfer waits for it.
+    struct watched_socket
+    {
+        explicit watched_socket(asio::io_context &context)
+            : descriptor(context)
+        {
+        }
+
+        asio::posix::stream_descriptor descriptor;
+        int wanted = CURL_POLL_NONE;
+        bool waitingToRead = false;
+        bool waitingToWrite = false;
+    };
+
+    static int onSocketInterest(CURL *, curl_socket_t socket, int wanted, void *user, void *)
+    {
+        static_cast<client_worker *>(user)->watch(socket, wanted);
+        return 0;
+    }
+
+    static int onTimerInterest(CURLM *, long timeoutMs, void *user)
     {
-        constexpr int pollMs = 1'000;
-        while (!m_stopping) {
-            startWaiting();
-            int active = 0;
-            curl_multi_perform(m_multi, &active);
+        static_cast<client_worker *>(user)->setTimer(timeoutMs);
+        return 0;
+    }
+
+    static int onSocketClosed(void *user, curl_socket_t socket)
+    {
+        static_cast<client_worker *>(user)->closeSocket(socket);
+        return 0;
+    }
+
+    void watch(curl_socket_t socket, int wanted)
+    {
+        std::shared_ptr<watched_socket> &watched = m_sockets[socket];
+        if (!watched) {
+            watched = std::make_shared<watched_socket>(m_context);
+            asio::error_code ignored;
+            watched->descriptor.assign(socket, ignored);
+        }
+        watched->wanted = wanted == CURL_POLL_REMOVE ? CURL_POLL_NONE : wanted;
+        waitFor(socket, watched);
+    }
+
+    void waitFor(curl_socket_t socket, const std::shared_ptr<watched_socket> &watched)
+    {
+        const bool read = watched->wanted == CURL_POLL_IN || watched->wanted == CURL_POLL_INOUT;
+        const bool write = watched->wanted == CURL_POLL_OUT || watched->wanted == CURL_POLL_INOUT;
+        if (read && !watched->waitingToRead) {
+            watched->waitingToRead = true;
+            watched->descriptor.async_wait(asio::posix::stream_descriptor::wait_read,
+                                           asio::bind_executor(m_strand, [self = shared_from_this(), socket, watched](const asio::error_code &error) {
+                                               watched->waitingToRead = false;
+                                               self->onReady(socket, watched, CURL_CSELECT_IN, error);
+                                           }));
+        }
+        if (write && !watched->waitingToWrite) {
+            watched->waitingToWrite = true;
+            watched->descriptor.async_wait(asio::posix::stream_descriptor::wait_write,
+                                           asio::bind_executor(m_strand, [self = shared_from_this(), socket, watched](const asio::error_code &error) {
+                                               watched->waitingToWrite = false;
+                                               self->onReady(socket, watched, CURL_CSELECT_OUT, error);
+                                           }));
+        }
+    }
+
+    void onReady(curl_socket_t socket, const std::shared_ptr<watched_socket> &watched, int event, const asio::error_code &error)
+    {
+        const auto current = m_sockets.find(socket);
+        const bool stale = error == asio::error::operation_aborted || current == m_sockets.end() || current->second != watched;
+        if (stale || watched->wanted == CURL_POLL_NONE) {
+            return;
+        }
+        const bool wanted = watched->wanted == CURL_POLL_INOUT || watched->wanted == (event == CURL_CSELECT_IN ? CURL_POLL_IN : CURL_POLL_OUT);
+        if (wanted) {
+            int running = 0;
+            curl_multi_socket_action(m_multi, socket, error ? CURL_CSELECT_ERR : event, &running);
             finishDone();
-            if (!hasWaiting()) {
-                curl_multi_poll(m_multi, nullptr, 0, pollMs, nullptr);
-            }
         }
-        abandonAll();
+        const auto after = m_sockets.find(socket);
+        if (after != m_sockets.end() && after->second == watched) {
+            waitFor(socket, watched);
+        }
+    }
+
+    void closeSocket(curl_socket_t socket)
+    {
+        const auto found = m_sockets.find(socket);
+        if (found == m_sockets.end()) {
+            ::close(socket);
+            return;
+        }
+        asio::error_code ignored;
+        found->second->descriptor.close(ignored);
+        m_sockets.erase(found);
     }
 
-    bool hasWaiting()
+    void setTimer(long timeoutMs)
     {
-        const std::lock_guard<std::mutex> guard(m_lock);
-        return !m_waiting.empty();
+        if (timeoutMs < 0) {
+            m_timer.cancel();
+            return;
+        }
+        m_timer.expires_after(std::chrono::milliseconds(timeoutMs));
+        m_timer.async_wait([weak = weak_from_this()](const asio::error_code &error) {
+            const std::shared_ptr<client_worker> self = weak.lock();
+            if (self && !error) {
+                int running = 0;
+                curl_multi_socket_action(self->m_multi, CURL_SOCKET_TIMEOUT, 0, &running);
+                self->finishDone();
+            }
+        });
     }
 
     void startWaiting()
@@ -222,7 +330,9 @@
             CURL *handle = takeHandle();
             prepare(handle, *item);
             m_active.emplace(handle, std::move(item));
-            curl_multi_add_handle(m_multi, handle);
+            if (!m_abandoning) {
+                curl_multi_add_handle(m_multi, handle);
+            }
         }
     }
 
@@ -269,7 +379,8 @@
         curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(item.call.connectTimeout.count()));
         curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, static_cast<long>(item.call.totalTimeout.count()));
         curl_easy_setopt(handle, CURLOPT_MAXAGE_CONN, std::max(1L, static_cast<long>(m_options.maxIdle.count() / 1'000)));
-        curl_easy_setopt(handle, CURLOPT_PRIVATE, handle);
+        curl_easy_setopt(handle, CURLOPT_CLOSESOCKETFUNCTION, &client_worker::onSocketClosed);
+        curl_easy_setopt(handle, CURLOPT_CLOSESOCKETDATA, this);
     }
 
     void finishDone()
@@ -326,31 +437,35 @@
         }
     }
 
-    void abandonAll()
-    {
-        startWaiting();
-        while (!m_active.empty()) {
-            complete(m_active.begin()->first, CURLE_OPERATION_TIMEDOUT);
-        }
-    }
-
     http_client_options m_options;
+    asio::io_context &m_context;
+    asio::strand<asio::io_context::executor_type> m_strand;
+    asio::steady_timer m_timer;
     CURLM *m_multi;
-    std::atomic<bool> m_stopping{false};
+    bool m_abandoning = false;
     std::atomic<std::uint64_t> m_bytes{0};
     std::mutex m_lock;
     std::deque<std::unique_ptr<transfer>> m_waiting;
-    // Touched by the worker's own thread only.
+    // Touched on the strand only.
     std::unordered_map<CURL *, std::unique_ptr<transfer>> m_active;
+    std::unordered_map<curl_socket_t, std::shared_ptr<watched_socket>> m_sockets;
     std::vector<CURL *> m_idleHandles;
-    std::thread m_thread;
+};
+
+// A context with a thread of its own.
+struct worker_thread
+{
+    asio::io_context context{1};
+    asio::executor_work_guard<asio::io_context::executor_type> work = asio::make_work_guard(context);
+    std::thread thread;
 };
 
 } // namespace
 
 struct http_client::implementation
 {
-    std::vector<std::unique_ptr<client_worker>> workers;
+    std::vector<std::unique_ptr<worker_thread>> threads;
+    std::vector<std::shared_ptr<client_worker>> workers;
     std::atomic<std::size_t> next{0};
 };
 
@@ -359,11 +474,33 @@
 {
     initialiseLibrary();
     for (int i = 0; i < std::max(1, options.threads); ++i) {
-        m_implementation->workers.push_back(std::make_unique<client_worker>(options));
+        m_implementation->threads.push_back(std::make_unique<worker_thread>());
+        worker_thread &own = *m_implementation->threads.back();
+        m_implementation->workers.push_back(std::make_shared<client_worker>(options, own.context));
+        own.thread = std::thread([&own] {
+            own.context.run();
+        });
     }
 }
 
-http_client::~http_client() = default;
+http_client::http_client(http_client_options options, asio::io_context &context)
+    : m_implementation(std::make_unique<implementation>())
+{
+    initialiseLibrary();
+    m_implementation->workers.push_back(std::make_shared<client_worker>(options, context));
+}
+
+http_client::~http_client()
+{
+    for (const std::unique_ptr<worker_thread> &own : m_implementation->threads) {
+        own->context.stop();
+        own->thread.join();
+    }
+    for (const std::shared_ptr<client_worker> &worker : m_implementation->workers) {
+        worker->abandonAll();
+    }
+    // Handlers that still wait in the contexts refer to their workers and drop them with the contexts.
+}
 
 void http_client::send(http_call call, std::function<void(http_result)> done)
 {
@@ -377,8 +514,8 @@
 std::chrono::microseconds http_client::processorTime() const
 {
     std::chrono::microseconds sum{};
-    for (const std::unique_ptr<client_worker> &worker : m_implementation->workers) {
-        sum += worker->processorTime();
+    for (const std::unique_ptr<worker_thread> &own : m_implementation->threads) {
+        sum += threadProcessorTime(own->thread);
     }
     return sum;
 }
@@ -386,7 +523,7 @@
 std::uint64_t http_client::bytes() const
 {
     std::uint64_t sum = 0;
-    for (const std::unique_ptr<client_worker> &worker : m_implementation->workers) {
+    for (const std::shared_ptr<client_worker> &worker : m_implementation->workers) {
         sum += worker->bytes();
     }
     return sum;
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -10,6 +10,8 @@
 
 #include "http/http_server.h"
 
+#include <asio/io_context.hpp>
+
 #include <chrono>
 #include <cstdint>
 #include <functional>
@@ -62,7 +64,10 @@
 class http_client
 {
 public:
+    /** Runs threads of its own. */
     explicit http_client(http_client_options options);
+    /** Runs on the context's threads; `fetch` must not be called on them. The client must outlive the context's run. */
+    http_client(http_client_options options, asio::io_context &context);
     /** Waits for the threads; calls in flight end with state Sent or NotSent and reason Timeout. */
     ~http_client();
 
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -176,7 +176,9 @@
 {
     http_server_options options;
     http_handler handler;
-    server_context context;
+    server_context ownContext;
+    /** The own context, or the one that the server was given. */
+    asio::io_context *context = &ownContext;
     std::unique_ptr<native_server> server;
     std::shared_ptr<waiting_requests> waiting = std::make_shared<waiting_requests>();
     std::vector<std::thread> threads;
@@ -200,6 +202,12 @@
     m_implementation->handler = std::move(handler);
 }
 
+http_server::http_server(http_server_options options, http_handler handler, asio::io_context &context)
+    : http_server(std::move(options), std::move(handler))
+{
+    m_implementation->context = &context;
+}
+
 http_server::~http_server()
 {
     stop();
@@ -238,7 +246,7 @@
             return self.handle(native);
         });
     try {
-        self.server = std::make_unique<native_server>(restinio::external_io_context(self.context), std::move(settings));
+        self.server = std::make_unique<native_server>(restinio::external_io_context(*self.context), std::move(settings));
         self.server->open_sync();
     } catch (const std::exception &error) {
         reason = failure{failure_code::ListenFailed, toString(options.listen) + ' ' + error.what(), {}, "a free local address"};
@@ -246,9 +254,12 @@
         return false;
     }
     self.running = true;
+    if (self.context != &self.ownContext) {
+        return true;
+    }
     for (int i = 0; i < std::max(1, options.threads); ++i) {
         self.threads.emplace_back([&self] {
-            self.context.run();
+            self.ownContext.run();
         });
     }
     return true;
@@ -266,16 +277,20 @@
         },
         [](const std::exception_ptr &) {
         });
+    if (self.context != &self.ownContext) {
+        self.waiting->close();
+        return;
+    }
     // Connections close as their answers are written; a grace period keeps a stuck client from holding up the stop.
     constexpr std::chrono::milliseconds grace{200};
     std::this_thread::sleep_for(grace);
-    self.context.stop();
+    self.ownContext.stop();
     for (std::thread &thread : self.threads) {
         thread.join();
     }
     self.threads.clear();
     self.waiting->close();
-    self.context.abandonOperations();
+    self.ownContext.abandonOperations();
     self.server.reset();
 }
 
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -13,6 +13,8 @@
 #include "base/failure.h"
 #include "base/settings_reader.h"
 
+#include <asio/io_context.hpp>
+
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
@@ -86,7 +88,10 @@
 class http_server
 {
 public:
+    /** Runs threads of its own. */
     http_server(http_server_options options, http_handler handler);
+    /** Runs on the context's threads, which must have stopped before the server is destroyed. */
+    http_server(http_server_options options, http_handler handler, asio::io_context &context);
     ~http_server();
 
     /** Fails with ListenFailed. */
--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -266,7 +266,27 @@
     commitIfNeeded();
     if (m_lostTerm) {
         announceLoss(guard);
+        return;
     }
+    planLater();
+}
+
+// Events close together share one pass of the scheduler.
+void dispatcher::planLater()
+{
+    const std::optional<sched::time_ms> planned = m_scheduler.plannedAt();
+    if (!planned || m_planPending) {
+        return;
+    }
+    m_planPending = true;
+    const sched::time_ms delay = std::max<sched::time_ms>(1, *planned - steadyMillis());
+    m_services.later(std::chrono::milliseconds(delay), [weak = weak_from_this()] {
+        if (const std::shared_ptr<dispatcher> self = weak.lock()) {
+            std::unique_lock<std::mutex> guard(self->m_lock);
+            self->m_planPending = false;
+            self->pump(guard);
+        }
+    });
 }
 
 void dispatcher::announceLoss(std::unique_lock<std::mutex> &guard)
--- a/src/node/dispatcher.h
+++ b/src/node/dispatcher.h
@@ -63,6 +63,7 @@
 
     void feed(const sched::event &what);
     void pump(std::unique_lock<std::mutex> &guard);
+    void planLater();
     void carryOut(const sched::action &next);
     void carryOut(const sched::start_run &order);
     void carryOut(const sched::stop_run &order);
@@ -94,6 +95,7 @@
     bool m_stopped = false;
     bool m_lostTerm = false;
     bool m_recovered = false;
+    bool m_planPending = false;
     sched::scheduler m_scheduler;
     std::unique_ptr<recovery> m_recovery;
     std::vector<sched::event> m_waitingEvents;
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -63,7 +63,7 @@
     implementation(node_settings nodeSettings, std::string path)
         : settings(std::move(nodeSettings))
         , settingsPath(std::move(path))
-        , client(clientOptions())
+        , client(clientOptions(), context)
         , store(client, settings.store)
         , executors(client)
         , fleet(client, settings.fleet)
@@ -230,14 +230,14 @@
         frontOptions.readTimeout = std::chrono::seconds(20);
         frontServer = std::make_unique<http_server>(frontOptions, [this](http_request request, http_responder respond) {
             front.handle(std::move(request), std::move(respond));
-        });
+        }, context);
         http_server_options readyOptions;
         readyOptions.listen = settings.ready;
         readyServer = std::make_unique<http_server>(readyOptions, [this](http_request, http_responder respond) {
             http_response response;
             response.status = isReady() ? statusOk : statusUnavailable;
             respond(std::move(response));
-        });
+        }, context);
         if (!frontServer->start(reason) || !readyServer->start(reason)) {
             return false;
         }
@@ -251,7 +251,7 @@
             response.headers.push_back({"Content-Type", "text/plain; version=0.0.4"});
             response.body = metrics.render();
             respond(std::move(response));
-        });
+        }, context);
         return metricsServer->start(reason);
     }
 
--- a/src/sched/job_record.cpp
+++ b/src/sched/job_record.cpp
@@ -76,6 +76,23 @@
     return true;
 }
 
+// Longest chain of estimates; with an occurrence, over the steps that it hasn't finished.
+std::int64_t chainOf(const std::vector<step_spec> &steps, const occurrence_record *occurrence)
+{
+    std::int64_t longest = 0;
+    std::vector<std::int64_t> ends(steps.size(), 0);
+    for (std::size_t step = 0; step < steps.size(); ++step) {
+        std::int64_t begin = 0;
+        for (int earlier : steps[step].after) {
+            begin = std::max(begin, ends[static_cast<std::size_t>(earlier)]);
+        }
+        const bool finished = occurrence != nullptr && occurrence->steps[step].finished();
+        ends[step] = begin + (finished ? 0 : steps[step].estimateMs);
+        longest = std::max(longest, ends[step]);
+    }
+    return longest;
+}
+
 } // namespace
 
 std::string_view nameOf(job_phase phase)
@@ -102,6 +119,7 @@
 job_record::job_record(job_spec jobSpec)
     : spec(std::move(jobSpec))
 {
+    chainMs = chainOf(spec.steps, nullptr);
 }
 
 int job_record::occurrenceCount() const
@@ -203,15 +221,7 @@
 {
     std::int64_t longest = 0;
     for (const std::pair<const int, occurrence_record> &occurrence : occurrences) {
-        std::vector<std::int64_t> ends(spec.steps.size(), 0);
-        for (std::size_t step = 0; step < spec.steps.size(); ++step) {
-            std::int64_t begin = 0;
-            for (int earlier : spec.steps[step].after) {
-                begin = std::max(begin, ends[static_cast<std::size_t>(earlier)]);
-            }
-            ends[step] = begin + (occurrence.second.steps[step].finished() ? 0 : spec.steps[step].estimateMs);
-            longest = std::max(longest, ends[step]);
-        }
+        longest = std::max(longest, chainOf(spec.steps, &occurrence.second));
     }
     return longest;
 }
--- a/src/sched/job_record.h
+++ b/src/sched/job_record.h
@@ -124,6 +124,10 @@
     time_ms endedAt = 0;
     /** The row must be stored again. */
     bool dirty = false;
+    /** The scheduler looks at the job when it places tasks. */
+    bool inBacklog = false;
+    /** Longest chain of estimates over all steps. */
+    std::int64_t chainMs = 0;
     /** Batch that stores the job's latest change. */
     std::int64_t batch = 0;
 
--- a/src/sched/scheduler.cpp
+++ b/src/sched/scheduler.cpp
@@ -12,7 +12,11 @@
 // Rows deleted with one batch, so that cleaning up never crowds out progress.
 constexpr std::size_t mostDeletesPerBatch = 8;
 // Clean-up looks for old jobs this often.
-constexpr time_ms sweepEveryMs = 1'000;
+constexpr time_ms cleanEveryMs = 1'000;
+// Silent executors, unanswered stops and runs without progress are looked for this often.
+constexpr time_ms sweepEveryMs = 100;
+// Placements closer together than this share one pass and mostly one transaction, which takes as long.
+constexpr time_ms placeEveryMs = 4;
 
 } // namespace
 
@@ -48,10 +52,22 @@
 
 void scheduler::plan(time_ms now)
 {
-    place(now);
+    if (m_placeWanted && now - m_placedAt >= placeEveryMs) {
+        m_placeWanted = false;
+        m_placedAt = now;
+        place(now);
+    }
     sendHolds(now);
 }
 
+std::optional<time_ms> scheduler::plannedAt() const
+{
+    if (!m_placeWanted || m_backlog.empty()) {
+        return std::nullopt;
+    }
+    return m_placedAt + placeEveryMs;
+}
+
 bool scheduler::restore(const job_spec &spec, const std::string &row, time_ms now)
 {
     std::unique_ptr<job_record> job = std::make_unique<job_record>(spec);
@@ -69,6 +85,10 @@
     });
     if (!restored.ended()) {
         m_open.insert(spec.id);
+        if (spec.repeatCount > 0) {
+            m_repeating.insert(spec.id);
+        }
+        addToBacklog(restored);
     } else {
         restored.endedAt = now;
         m_ended.push_back(spec.id);
@@ -121,7 +141,20 @@
     job->acceptedAt = now;
     job->openDueOccurrences(what.job.repeatCount > 0 ? m_unixMs : what.job.acceptedUnixMs);
     m_open.insert(what.job.id);
-    m_jobs.emplace(what.job.id, std::move(job));
+    if (what.job.repeatCount > 0) {
+        m_repeating.insert(what.job.id);
+    }
+    job_record &added = *m_jobs.emplace(what.job.id, std::move(job)).first->second;
+    addToBacklog(added);
+}
+
+void scheduler::addToBacklog(job_record &job)
+{
+    m_placeWanted = true;
+    if (!job.inBacklog) {
+        job.inBacklog = true;
+        m_backlog.push_back(&job);
+    }
 }
 
 void scheduler::on(const job_cancelled &what, time_ms now)
@@ -140,6 +173,7 @@
     job.phase = phase;
     job.endedAt = now;
     m_open.erase(job.spec.id);
+    m_repeating.erase(job.spec.id);
     m_ended.push_back(job.spec.id);
     job.eachOccupied([&](const task_id &id, task_record &task) {
         if (task.phase == task_phase::Placing) {
@@ -246,18 +280,23 @@
 void scheduler::on(const tick &what, time_ms now)
 {
     m_unixMs = std::max(m_unixMs, what.unixMs);
-    for (const std::string &id : m_open) {
+    planFleet(now);
+    if (now - m_lastSweep < sweepEveryMs) {
+        return;
+    }
+    m_lastSweep = now;
+    m_placeWanted = true;
+    for (const std::string &id : m_repeating) {
         job_record &job = *m_jobs.at(id);
-        if (job.spec.repeatCount > 0) {
-            job.openDueOccurrences(what.unixMs);
-        }
+        job.openDueOccurrences(what.unixMs);
+        addToBacklog(job);
     }
     expireSilent(now);
     resendStops(now);
     watchProgress(now);
-    planFleet(now);
-    if (now - m_lastSweep >= sweepEveryMs) {
-        m_lastSweep = now;
+    sweepHolds();
+    if (now - m_lastClean >= cleanEveryMs) {
+        m_lastClean = now;
         dropOldJobs(now);
     }
 }
@@ -275,6 +314,7 @@
         }
         if (found != m_jobs.end()) {
             m_deletedRows.push_back(found->first);
+            std::erase(m_backlog, found->second.get());
             m_jobs.erase(found);
         }
         ++dropped;
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -63,8 +63,10 @@
     void restoreWave(std::string_view row);
 
     void handle(const event &what, time_ms now);
-    /** Places waiting tasks and plans for the fleet; call after a group of events. */
+    /** Places waiting tasks and looks at executors; call after a group of events. */
     void plan(time_ms now);
+    /** When `plan` has something to do that it put off, so that events close together share one pass. */
+    std::optional<time_ms> plannedAt() const;
     std::vector<action> takeActions();
 
     bool hasUnstored() const;
@@ -100,6 +102,7 @@
     void on(const tick &what, time_ms now);
     void finishJob(job_record &job, job_phase phase, time_ms now);
     void markDirty(job_record &job);
+    void addToBacklog(job_record &job);
     void dropOldJobs(time_ms now);
     const queue_config *queueOf(const job_record &job) const;
     const std::string &poolOf(const job_record &job) const;
@@ -115,7 +118,9 @@
     void markSilent(executor_record &executor, time_ms now, std::string_view cause);
     void markAnswering(executor_record &executor, time_ms now);
     void markDead(executor_record &executor, time_ms now, std::string_view cause);
+    void indexExecutors();
     void sendHolds(time_ms now);
+    void sweepHolds();
     void sendHold(executor_record &executor, time_ms now);
     void acknowledgeStored();
     void expireSilent(time_ms now);
@@ -169,6 +174,18 @@
     std::set<std::string> m_dirty;
     std::vector<std::string> m_deletedRows;
     std::map<std::string, executor_record> m_executors;
+    /** Listed executors by pool; made anew when stale. */
+    std::map<std::string, std::vector<executor_record *>> m_poolExecutors;
+    bool m_executorIndexStale = true;
+    /** Executors whose next hold may be due. */
+    std::set<std::string> m_holdDue;
+    /** Executors with ends that aren't acknowledged for want of a stored row. */
+    std::set<std::string> m_unacknowledged;
+    /** Jobs that may have tasks to place. */
+    std::vector<job_record *> m_backlog;
+    std::set<std::string> m_repeating;
+    bool m_placeWanted = false;
+    time_ms m_placedAt = 0;
     std::map<std::string, vm_entry> m_vms;
     fleet_planner m_fleet;
     std::vector<action> m_actions;
@@ -180,6 +197,7 @@
     scheduler_counts m_counts;
     time_ms m_lastFleetPlan = 0;
     time_ms m_lastSweep = 0;
+    time_ms m_lastClean = 0;
 };
 
 } // namespace daisypass::sched
--- a/src/sched/scheduler_executors.cpp
+++ b/src/sched/scheduler_executors.cpp
@@ -35,10 +35,25 @@
         // An earlier holder may have extended leases until this term began.
         found->second.lastGrantAt = m_since;
         found->second.silentSince = now;
+        m_executorIndexStale = true;
     }
     return found->second;
 }
 
+void scheduler::indexExecutors()
+{
+    if (!m_executorIndexStale) {
+        return;
+    }
+    m_executorIndexStale = false;
+    m_poolExecutors.clear();
+    for (std::pair<const std::string, executor_record> &item : m_executors) {
+        if (item.second.listed) {
+            m_poolExecutors[item.second.entry.pool].push_back(&item.second);
+        }
+    }
+}
+
 void scheduler::on(const executor_seen &what, time_ms now)
 {
     executor_record &executor = executorFor(what.entry.id, now);
@@ -62,11 +77,16 @@
         executor.holdRetryAt = now;
         note("executor_seen", {{"executor", what.entry.id}, {"pool", what.entry.pool}, {"vm", what.entry.vm}});
     }
+    if (!executor.listed || executor.entry.pool != what.entry.pool) {
+        m_executorIndexStale = true;
+        m_placeWanted = true;
+    }
     executor.entry = what.entry;
     executor.entry.bornUnixMs = born;
     executor.listed = true;
+    m_holdDue.insert(what.entry.id);
     // Another life of the same VM is over.
-    if (!what.entry.vm.empty()) {
+    if (fresh && !what.entry.vm.empty()) {
         for (std::pair<const std::string, executor_record> &other : m_executors) {
             const bool replaced = other.first != what.entry.id && other.second.entry.vm == what.entry.vm && !other.second.dead
                 && other.second.entry.bornUnixMs < born;
@@ -84,9 +104,11 @@
         return;
     }
     found->second.listed = false;
+    m_executorIndexStale = true;
     note("executor_unlisted", {{"executor", what.executor}, {"runs", std::to_string(found->second.runs.size())}});
     if (found->second.runs.empty()) {
         m_executors.erase(found);
+        m_executorIndexStale = true;
     }
 }
 
@@ -135,10 +157,23 @@
     }
 }
 
+void scheduler::sweepHolds()
+{
+    for (const std::pair<const std::string, executor_record> &item : m_executors) {
+        m_holdDue.insert(item.first);
+    }
+}
+
 void scheduler::sendHolds(time_ms now)
 {
-    for (std::pair<const std::string, executor_record> &item : m_executors) {
-        executor_record &executor = item.second;
+    std::set<std::string> due;
+    due.swap(m_holdDue);
+    for (const std::string &id : due) {
+        const auto found = m_executors.find(id);
+        if (found == m_executors.end()) {
+            continue;
+        }
+        executor_record &executor = found->second;
         if (executor.holdInFlight || executor.dead || executor.entry.address.empty() || executor.holdRetryAt > now) {
             continue;
         }
@@ -185,6 +220,7 @@
     }
     executor_record &executor = found->second;
     executor.holdInFlight = false;
+    m_holdDue.insert(what.executor);
     switch (what.status) {
     case order_status::Ok:
         applyListed(executor, what, now);
@@ -219,7 +255,10 @@
         executor.clockMs = *what.clockMs;
         executor.clockAt = now;
     }
-    executor.confirmed = true;
+    if (!executor.confirmed) {
+        executor.confirmed = true;
+        m_placeWanted = true;
+    }
     for (const listed_end &end : what.ends) {
         if (end.number > executor.processedEnds) {
             executor.processedEnds = end.number;
@@ -350,6 +389,7 @@
         }
         task->confirmedAt = now;
         executor.lookSoon = true;
+        m_holdDue.insert(what.executor);
         executor.avoidUntil = std::max(executor.avoidUntil, now + rejectedPauseMs);
         return;
     }
@@ -401,19 +441,31 @@
         task->stopAckedAt = now;
         if (place != m_executors.end()) {
             place->second.lookSoon = true;
+            m_holdDue.insert(what.executor);
         }
     }
 }
 
 void scheduler::acknowledgeStored()
 {
-    for (std::pair<const std::string, executor_record> &item : m_executors) {
-        std::set<std::string> &unstored = item.second.unstoredJobs;
+    for (auto executor = m_unacknowledged.begin(); executor != m_unacknowledged.end();) {
+        const auto place = m_executors.find(*executor);
+        if (place == m_executors.end()) {
+            executor = m_unacknowledged.erase(executor);
+            continue;
+        }
+        std::set<std::string> &unstored = place->second.unstoredJobs;
         for (auto id = unstored.begin(); id != unstored.end();) {
             const auto found = m_jobs.find(*id);
             const bool stored = found == m_jobs.end() || (!found->second->dirty && found->second->batch <= m_committed);
             id = stored ? unstored.erase(id) : std::next(id);
         }
+        if (unstored.empty()) {
+            m_holdDue.insert(*executor);
+            executor = m_unacknowledged.erase(executor);
+        } else {
+            ++executor;
+        }
     }
 }
 
@@ -439,6 +491,7 @@
     }
     for (const std::string &id : empty) {
         m_executors.erase(id);
+        m_executorIndexStale = true;
     }
 }
 
--- a/src/sched/scheduler_place.cpp
+++ b/src/sched/scheduler_place.cpp
@@ -47,24 +47,37 @@
 
     void collectExecutors()
     {
-        for (std::pair<const std::string, executor_record> &item : owner.m_executors) {
-            if (item.second.takesNewRuns(now)) {
-                executorsOf[item.second.entry.pool].push_back(&item.second);
-            }
+        owner.indexExecutors();
+        for (const std::pair<const std::string, std::vector<executor_record *>> &pool : owner.m_poolExecutors) {
+            std::vector<executor_record *> &usable = executorsOf[pool.first];
+            std::copy_if(pool.second.begin(), pool.second.end(), std::back_inserter(usable), [this](const executor_record *executor) {
+                return executor->takesNewRuns(now) && executor->freeRoom().memoryMb > 0;
+            });
         }
     }
 
+    // Jobs without a task to place leave the backlog; they come back when a task becomes ready.
     void collectReady()
     {
-        for (const std::string &id : owner.m_open) {
-            job_record &job = *owner.m_jobs.at(id);
-            const std::string &pool = owner.poolOf(job);
-            const auto executors = executorsOf.find(pool);
-            if (executors == executorsOf.end()) {
-                continue;
-            }
-            collectReady(job, readyOf[pool]);
+        std::erase_if(owner.m_backlog, [this](job_record *job) {
+            const bool ready = !job->ended() && collectReady(*job);
+            job->inBacklog = ready;
+            return !ready;
+        });
+    }
+
+    bool collectReady(job_record &job)
+    {
+        const std::string &pool = owner.poolOf(job);
+        const auto executors = executorsOf.find(pool);
+        if (executors == executorsOf.end() || executors->second.empty()) {
+            // Nothing can be placed now, and the job stays in the backlog.
+            return true;
         }
+        std::vector<ready_step> &ready = readyOf[pool];
+        const std::size_t before = ready.size();
+        collectReady(job, ready);
+        return ready.size() > before;
     }
 
     void collectReady(job_record &job, std::vector<ready_step> &ready)
@@ -97,17 +110,7 @@
         if (queue == nullptr) {
             return false;
         }
-        std::int64_t chain = 0;
-        std::vector<std::int64_t> ends(job.spec.steps.size(), 0);
-        for (std::size_t step = 0; step < job.spec.steps.size(); ++step) {
-            std::int64_t begin = 0;
-            for (int earlier : job.spec.steps[step].after) {
-                begin = std::max(begin, ends[static_cast<std::size_t>(earlier)]);
-            }
-            ends[step] = begin + job.spec.steps[step].estimateMs;
-            chain = std::max(chain, ends[step]);
-        }
-        const double objective = queue->stretch * static_cast<double>(chain) + static_cast<double>(queue->targetDurationMs);
+        const double objective = queue->stretch * static_cast<double>(job.chainMs) + static_cast<double>(queue->targetDurationMs);
         return static_cast<double>(now - job.acceptedAt + job.remainingChainMs()) > objective;
     }
 
@@ -299,6 +302,9 @@
 
 void scheduler::place(time_ms now)
 {
+    if (m_backlog.empty()) {
+        return;
+    }
     placement_pass pass{*this, now};
     pass.collectExecutors();
     pass.collectReady();
--- a/src/sched/scheduler_runs.cpp
+++ b/src/sched/scheduler_runs.cpp
@@ -25,6 +25,7 @@
     executor.used += step.countedDemand();
     executor.runs.insert(id);
     executor.emptySince = 0;
+    m_holdDue.insert(executor.entry.id);
 }
 
 // Frees the executor's room and returns the task to its waiting state, unless it is done.
@@ -52,6 +53,10 @@
     }
     task.atWork = false;
     ++record.waiting;
+    m_placeWanted = true;
+    if (!job.ended()) {
+        addToBacklog(job);
+    }
     if (job.ended() && !job.anyOccupied()) {
         m_stopping.erase(job.spec.id);
     }
@@ -65,6 +70,7 @@
     }
     job_record &job = *found->second;
     executor.unstoredJobs.insert(job.spec.id);
+    m_unacknowledged.insert(executor.entry.id);
     task_record *task = job.find(end.task);
     if (end.how == run_end::Done) {
         executor.failuresInRow = 0;
@@ -137,6 +143,7 @@
     if (job.ended()) {
         return;
     }
+    addToBacklog(job);
     if (job.dropFinished()) {
         ++m_counts.completedJobs;
         note("job_completed", {{"request", job.spec.id}, {"age_ms", std::to_string(now - job.acceptedAt)}});
--- /dev/null
+++ b/tests/sched/load_model.h
@@ -0,0 +1,90 @@
+#pragma once
+
+// A model of one day's load on virtual time: the real scheduler against modelled executors, store and fleet service.
+//
+//     load_model model(load_settings{...});
+//     load_outcome outcome = model.run();
+//
+// The same seed gives the same day. Network and store take fixed times; tasks take their drawn work.
+
+#include "sched/scheduler.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <queue>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace daisypass::sched {
+
+struct load_queue
+{
+    std::string pool;
+    double jobsPerSecond = 8;
+    double stepsMean = 1.6;
+    double tasksMean = 6;
+    double taskCpuMean = 1'800;
+    double taskMsMean = 680;
+    int priority = 0;
+    int maxAttempts = 4;
+    /** Share of jobs of which every run fails. */
+    double hopelessShare = 0;
+};
+
+struct load_settings
+{
+    std::uint64_t seed = 1;
+    std::vector<load_queue> queues;
+    /** VMs of each queue's pool at the start. */
+    int vmsPerPool = 10;
+    int spareVms = 8;
+    resources vmCapacity{32'000, 65'536, 0};
+    time_ms lengthMs = 34'000;
+    /** Each queue in turn asks this many times its mean for this long, and a twentieth in between. */
+    double turnFactor = 4.0;
+    time_ms turnMs = 4'000;
+    /** Executors that fail every run, and executors on which tasks stand still. */
+    int failingExecutors = 0;
+    int stalledExecutors = 0;
+    /** Executors that fall silent for good at the middle of the day. */
+    int silentExecutors = 0;
+};
+
+struct load_outcome
+{
+    int jobs = 0;
+    int inObjective = 0;
+    int late = 0;
+    int failed = 0;
+    int unfinished = 0;
+    /** Of the tenth of jobs with the most work. */
+    int largest = 0;
+    int largestInObjective = 0;
+    int moves = 0;
+    double vmSecondsInPools = 0;
+    /** Broken promises seen by the executors: two runs of a task at once, or more than a capacity. */
+    int doubleRuns = 0;
+    int overfull = 0;
+    scheduler_counts counts;
+};
+
+class load_model
+{
+public:
+    explicit load_model(load_settings settings);
+    ~load_model();
+
+    load_outcome run();
+
+private:
+    struct implementation;
+
+    std::unique_ptr<implementation> m_implementation;
+};
+
+/** The shape of the brief's first user: four queues of short and longer work over five pools. */
+load_settings shopDay(std::uint64_t seed);
+
+} // namespace daisypass::sched
--- a/tests/sched/scheduler_fixture.h
+++ b/tests/sched/scheduler_fixture.h
@@ -83,6 +83,8 @@
     /** Plans, collects actions, and stores all batches at once. */
     void step_()
     {
+        // Later than the last pass, so that none is put off.
+        now += 5;
         brain.plan(now);
         collect();
         while (std::optional<commit_batch> batch = brain.takeBatch(now)) {
@@ -90,6 +92,7 @@
                 rows[row.first] = row.second;
             }
             brain.handle(batch_committed{batch->number}, now);
+            now += 5;
             brain.plan(now);
             collect();
         }
--- a/tests/sched/scheduler_test.cpp
+++ b/tests/sched/scheduler_test.cpp
@@ -9,6 +9,7 @@
     scheduler_fixture world;
     world.addExecutor("e1");
     world.brain.handle(job_submitted{world.job("j1", {world.step(1)})}, world.now);
+    world.now += 5;
     world.brain.plan(world.now);
     world.collect();
 
@@ -163,6 +164,7 @@
 
     SUBCASE("a task that is placed and not ordered yet is dropped")
     {
+        world.now += 5;
         world.brain.plan(world.now);
         world.brain.handle(job_cancelled{"j1"}, world.now);
         world.step_();
