Relay the holder's calls to executors through a few nodes on large deployments

Cause: profile of the node beside the new stand-ins (300 executors, 60 jobs/s): 27% of the processor time in libcurl, 23% in libc (most of it allocation), 20% in the kernel, 25% in our own code; the calls themselves bind, not the decisions. Weighed: one owner per pool (a turn of one queue alone needs more than one machine's share; jobs, VMs and availability budgets cross pools), against relays that decide nothing. Change: from 100 executors on, the holder sends orders in groups to one relay per 110 executors; results come back in groups. A relay that isn't reached is passed by; one that dies is an order without an answer, which the scheduler settles anyway. The platform's stand-ins (store, executors, fleet service) speak its protocol and watch the promises.

--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -46,6 +46,10 @@
     , m_lost(std::move(lost))
     , m_scheduler(settings.bounds, steadyMillis())
     , m_recovery(std::make_unique<recovery>())
+    , m_relays(std::make_shared<relay_pool>(m_services.client, m_services.later, m_term.node + '.' + std::to_string(m_term.term), m_term.node))
+    , m_executors([relays = m_relays](http_call call, std::function<void(http_result)> done) {
+        relays->send(std::move(call), std::move(done));
+    })
     , m_renewedAt(steadyMillis())
 {
     m_recovery->beganAt = steadyMillis();
@@ -189,6 +193,9 @@
                                                   std::vector<std::string>{""},
                                                   feedWait,
                                                   handlersFor(&dispatcher::onExecutorRow));
+    m_nodeFeed
+        = std::make_unique<table_feed>(m_services.store, m_services.later, tables::nodes, std::vector<std::string>{""}, feedWait, handlersFor(&dispatcher::onNodeRow));
+    m_nodeFeed->start();
     m_jobFeed->start();
     m_executorFeed->start();
 }
@@ -239,6 +246,21 @@
     m_scheduler.handle(sched::executor_seen{*entry}, now);
 }
 
+void dispatcher::onNodeRow(const store_row &row)
+{
+    const std::optional<node_entry> entry = row.deleted ? std::nullopt : readNode(row.value);
+    if (entry) {
+        m_nodes[row.key.key] = *entry;
+    } else {
+        m_nodes.erase(row.key.key);
+    }
+    std::vector<node_entry> nodes;
+    for (const std::pair<const std::string, node_entry> &node : m_nodes) {
+        nodes.push_back(node.second);
+    }
+    m_relays->setNodes(std::move(nodes));
+}
+
 void dispatcher::feed(const sched::event &what)
 {
     std::unique_lock<std::mutex> guard(m_lock);
@@ -310,6 +332,7 @@
 
 void dispatcher::tick()
 {
+    m_relays->tick(steadyMillis());
     std::unique_lock<std::mutex> guard(m_lock);
     if (!m_recovered || m_stopped) {
         if (!m_stopped) {
@@ -319,6 +342,7 @@
     }
     const sched::time_ms now = steadyMillis();
     m_scheduler.handle(sched::tick{unixMillis()}, now);
+    m_relays->setExecutors(m_scheduler.executors().size());
     if (!m_listingVms && now - m_vmsListedAt >= listVmsMs) {
         m_listingVms = true;
         m_vmPages.clear();
@@ -337,6 +361,10 @@
     if (m_executorFeed) {
         m_executorFeed->stop();
     }
+    if (m_nodeFeed) {
+        m_nodeFeed->stop();
+    }
+    m_relays->stop();
 }
 
 void dispatcher::release(std::function<void()> done)
@@ -363,6 +391,10 @@
     if (m_executorFeed) {
         m_executorFeed->stop();
     }
+    if (m_nodeFeed) {
+        m_nodeFeed->stop();
+    }
+    m_relays->stop();
     logChange("term_lost", {{"term", m_term.term}, {"cause", cause}});
 }
 
@@ -514,7 +546,7 @@
 void dispatcher::carryOut(const sched::start_run &order)
 {
     start_order call{order.task, order.run, order.payload, order.leaseEndMs, m_term.term, order.checkpoint, order.ticket};
-    m_services.executors.start(
+    m_executors.start(
         {order.executor, order.address},
         call,
         [weak = weak_from_this(), task = order.task, run = order.run, executor = order.executor](order_result result) {
@@ -526,7 +558,7 @@
 
 void dispatcher::carryOut(const sched::stop_run &order)
 {
-    m_services.executors.stop({order.executor, order.address},
+    m_executors.stop({order.executor, order.address},
                               order.task,
                               order.run,
                               m_term.term,
@@ -539,7 +571,7 @@
 
 void dispatcher::carryOut(const sched::pace_run &order)
 {
-    m_services.executors.pace({order.executor, order.address}, order.task, order.run, order.percent, m_term.term, [](order_result) {
+    m_executors.pace({order.executor, order.address}, order.task, order.run, order.percent, m_term.term, [](order_result) {
         // The next list shows the effect; a lost pace is ordered again then.
     });
 }
@@ -547,7 +579,7 @@
 void dispatcher::carryOut(const sched::hold_executor &order)
 {
     const hold_order call{m_term.term, order.acknowledged, order.leaseEndMs, std::chrono::milliseconds(order.waitMs)};
-    m_services.executors.hold({order.executor, order.address},
+    m_executors.hold({order.executor, order.address},
                               call,
                               [weak = weak_from_this(), executor = order.executor, sentAt = steadyMillis()](hold_result result) {
                                   if (const std::shared_ptr<dispatcher> self = weak.lock()) {
@@ -568,7 +600,7 @@
         return;
     }
     const std::string step = order.job + '.' + std::to_string(order.occurrence) + '.' + std::to_string(order.step);
-    m_services.executors.advise(*m_settings.advice, step, order.executors, [weak = weak_from_this(), order](advice_result result) {
+    m_executors.advise(*m_settings.advice, step, order.executors, [weak = weak_from_this(), order](advice_result result) {
         if (const std::shared_ptr<dispatcher> self = weak.lock()) {
             self->feed(sched::advice_answered{order.job,
                                               order.occurrence,
--- a/src/node/dispatcher.h
+++ b/src/node/dispatcher.h
@@ -12,6 +12,7 @@
 
 #include "base/metrics.h"
 #include "node/leadership.h"
+#include "node/relay_pool.h"
 #include "node/table_feed.h"
 #include "platform/executor_client.h"
 #include "platform/fleet_client.h"
@@ -30,9 +31,9 @@
 struct dispatcher_services
 {
     store_client &store;
-    executor_client &executors;
     fleet_client &fleet;
     metrics_registry &metrics;
+    http_client &client;
     delayed_call later;
 };
 
@@ -60,6 +61,7 @@
     void followTables();
     void onJobRow(const store_row &row);
     void onExecutorRow(const store_row &row);
+    void onNodeRow(const store_row &row);
 
     void feed(const sched::event &what);
     void pump(std::unique_lock<std::mutex> &guard);
@@ -100,6 +102,11 @@
     std::unique_ptr<recovery> m_recovery;
     std::vector<sched::event> m_waitingEvents;
 
+    std::shared_ptr<relay_pool> m_relays;
+    executor_client m_executors;
+    std::map<std::string, node_entry> m_nodes;
+
+    std::unique_ptr<table_feed> m_nodeFeed;
     std::unique_ptr<table_feed> m_jobFeed;
     std::unique_ptr<table_feed> m_executorFeed;
 
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -10,7 +10,8 @@
 #include "node/leadership.h"
 #include "node/submission_writer.h"
 #include "node/table_feed.h"
-#include "platform/executor_client.h"
+#include "node/tables.h"
+#include "node/relay_server.h"
 #include "platform/fleet_client.h"
 #include "platform/records.h"
 #include "platform/store_client.h"
@@ -37,6 +38,10 @@
 // Left of the grace period for the end itself.
 constexpr sched::time_ms graceReserveMs = 700;
 
+constexpr std::chrono::milliseconds registerRetry{500};
+// An exchange holds some hundred orders of a few kilobytes.
+constexpr std::size_t mostExchangeBytes = 8 << 20;
+
 constexpr int statusOk = 200;
 constexpr int statusUnavailable = 503;
 
@@ -65,7 +70,6 @@
         , settingsPath(std::move(path))
         , client(clientOptions(), context)
         , store(client, settings.store)
-        , executors(client)
         , fleet(client, settings.fleet)
         , writer(std::make_shared<submission_writer>(store, later()))
         , front(store, writer, metrics)
@@ -80,7 +84,6 @@
     metrics_registry metrics;
     http_client client;
     store_client store;
-    executor_client executors;
     fleet_client fleet;
     std::shared_ptr<submission_writer> writer;
     front_service front;
@@ -89,6 +92,8 @@
     std::unique_ptr<http_server> frontServer;
     std::unique_ptr<http_server> readyServer;
     std::unique_ptr<http_server> metricsServer;
+    std::unique_ptr<http_server> relayHttpServer;
+    std::shared_ptr<relay_server> relay;
     std::unique_ptr<table_feed> operatorFeed;
     std::shared_ptr<leadership> lease;
 
@@ -194,7 +199,7 @@
             if (owner) {
                 owner->stop();
             }
-            next = std::make_shared<dispatcher>(dispatcher_services{store, executors, fleet, metrics, later()}, settings, term, [this] {
+            next = std::make_shared<dispatcher>(dispatcher_services{store, fleet, metrics, client, later()}, settings, term, [this] {
                 onLost();
             });
             owner = next;
@@ -252,7 +257,40 @@
             response.body = metrics.render();
             respond(std::move(response));
         }, context);
-        return metricsServer->start(reason);
+        if (!metricsServer->start(reason)) {
+            return false;
+        }
+        relay = std::make_shared<relay_server>(directSender(client), later());
+        http_server_options relayOptions;
+        relayOptions.listen = relayAddress();
+        relayOptions.maxBodyBytes = mostExchangeBytes;
+        relayHttpServer = std::make_unique<http_server>(relayOptions, [this](http_request request, http_responder respond) {
+            relay->handle(request, respond);
+        }, context);
+        return relayHttpServer->start(reason);
+    }
+
+    endpoint relayAddress() const
+    {
+        return {settings.front.address, static_cast<std::uint16_t>(settings.internalPort + 1)};
+    }
+
+    // Others find this node as a relay; a start that doesn't reach the store tries again.
+    void registerNode()
+    {
+        if (settings.internalPort == 0) {
+            return;
+        }
+        row_transaction transaction;
+        const node_entry entry{settings.node, settings.availabilityZone, relayAddress(), settings.cpuShare};
+        transaction.puts = {{tables::nodeRow(settings.node), writeNode(entry)}};
+        store.transact(transaction, std::chrono::seconds(1), [this](transact_result result) {
+            if (result.status != store_status::Ok) {
+                later()(registerRetry, [this] {
+                    registerNode();
+                });
+            }
+        });
     }
 
     void startFollowing()
@@ -385,6 +423,7 @@
                {"front", toString(self.settings.front)},
                {"store", toString(self.settings.store)},
                {"availability_zone", self.settings.availabilityZone}});
+    self.registerNode();
     self.startFollowing();
     return true;
 }
--- /dev/null
+++ b/src/node/relay_pool.cpp
@@ -0,0 +1,313 @@
+#include "node/relay_pool.h"
+
+#include "base/log.h"
+#include "node/clock.h"
+
+#include <algorithm>
+
+namespace daisypass {
+namespace {
+
+// One node serves this many executors by itself.
+constexpr std::size_t executorsWithoutRelay = 100;
+constexpr std::size_t executorsPerRelay = 110;
+// Calls that arrive this close together share one exchange.
+constexpr std::chrono::milliseconds gatherTime{4};
+constexpr std::chrono::milliseconds pollWait{1'000};
+constexpr std::chrono::milliseconds exchangeTimeout{1'000};
+constexpr std::chrono::milliseconds connectTimeout{400};
+// A relay that failed is left alone for this long.
+constexpr sched::time_ms avoidMs = 3'000;
+// Beyond a call's own limit, for the way through the relay.
+constexpr sched::time_ms callSlackMs = 400;
+
+http_result unanswered()
+{
+    http_result result;
+    result.state = send_state::Sent;
+    result.reason = failure{failure_code::PeerUnreachable, "relay lost"};
+    return result;
+}
+
+std::uint64_t hashOf(const std::string &a, const std::string &b)
+{
+    return std::hash<std::string>{}(a + '|' + b);
+}
+
+// The part of a URL that names the executor's address.
+std::string addressIn(const std::string &url)
+{
+    constexpr std::size_t scheme = 7;
+    return url.substr(scheme, url.find('/', scheme) - scheme);
+}
+
+} // namespace
+
+relay_pool::relay_pool(http_client &client, delayed_call later, std::string session, std::string self)
+    : m_client(client)
+    , m_later(std::move(later))
+    , m_session(std::move(session))
+    , m_self(std::move(self))
+{
+}
+
+std::size_t relay_pool::relaysFor(std::size_t executors)
+{
+    if (executors <= executorsWithoutRelay) {
+        return 0;
+    }
+    return (executors + executorsPerRelay - 1) / executorsPerRelay;
+}
+
+void relay_pool::setNodes(std::vector<node_entry> nodes)
+{
+    const std::lock_guard<std::mutex> guard(m_lock);
+    m_nodes = std::move(nodes);
+    choose();
+}
+
+void relay_pool::setExecutors(std::size_t executors)
+{
+    const std::lock_guard<std::mutex> guard(m_lock);
+    if (relaysFor(executors) != relaysFor(m_executors)) {
+        m_executors = executors;
+        choose();
+    }
+    m_executors = executors;
+}
+
+// The machines with the most processor, the same ones as long as they answer.
+void relay_pool::choose()
+{
+    const sched::time_ms now = steadyMillis();
+    std::vector<node_entry> candidates;
+    for (const node_entry &node : m_nodes) {
+        const auto known = m_relays.find(node.node);
+        const bool avoided = known != m_relays.end() && known->second.avoidUntil > now;
+        if (node.node != m_self && !avoided) {
+            candidates.push_back(node);
+        }
+    }
+    std::sort(candidates.begin(), candidates.end(), [](const node_entry &a, const node_entry &b) {
+        return std::make_tuple(-a.cpuShare, a.node) < std::make_tuple(-b.cpuShare, b.node);
+    });
+    const std::size_t wanted = std::min(relaysFor(m_executors), candidates.size());
+    std::map<std::string, relay_state> chosen;
+    for (std::size_t i = 0; i < wanted; ++i) {
+        relay_state &relay = chosen[candidates[i].node];
+        const auto known = m_relays.find(candidates[i].node);
+        if (known != m_relays.end()) {
+            relay = std::move(known->second);
+            m_relays.erase(known);
+        }
+        relay.node = candidates[i];
+    }
+    // Former relays stay until their calls have ended, but get no new ones.
+    for (std::pair<const std::string, relay_state> &former : m_relays) {
+        if (former.second.outstanding > 0 || former.second.avoidUntil > now) {
+            former.second.avoidUntil = std::max(former.second.avoidUntil, now + avoidMs);
+            chosen.emplace(former.first, std::move(former.second));
+        }
+    }
+    m_relays = std::move(chosen);
+}
+
+relay_pool::relay_state *relay_pool::relayFor(const std::string &url)
+{
+    const sched::time_ms now = steadyMillis();
+    const std::string address = addressIn(url);
+    relay_state *best = nullptr;
+    std::uint64_t bestHash = 0;
+    for (std::pair<const std::string, relay_state> &relay : m_relays) {
+        const std::uint64_t hash = hashOf(relay.first, address);
+        if (relay.second.avoidUntil <= now && (best == nullptr || hash > bestHash)) {
+            best = &relay.second;
+            bestHash = hash;
+        }
+    }
+    return best;
+}
+
+void relay_pool::send(http_call call, std::function<void(http_result)> done)
+{
+    {
+        const std::lock_guard<std::mutex> guard(m_lock);
+        relay_state *relay = m_stopped ? nullptr : relayFor(call.url);
+        if (relay != nullptr) {
+            const std::int64_t number = ++m_lastNumber;
+            const sched::time_ms deadline = steadyMillis() + call.totalTimeout.count() + callSlackMs;
+            m_outstanding[number] = {relay->node.node, deadline, std::move(done)};
+            ++relay->outstanding;
+            relay->queued.push_back({number, std::move(call)});
+            planFlush(*relay);
+            return;
+        }
+    }
+    m_client.send(std::move(call), std::move(done));
+}
+
+void relay_pool::planFlush(relay_state &relay)
+{
+    if (relay.flushPlanned) {
+        return;
+    }
+    relay.flushPlanned = true;
+    m_later(gatherTime, [weak = weak_from_this(), name = relay.node.node] {
+        if (const std::shared_ptr<relay_pool> self = weak.lock()) {
+            self->flush(name);
+        }
+    });
+}
+
+void relay_pool::flush(const std::string &name)
+{
+    const std::lock_guard<std::mutex> guard(m_lock);
+    const auto found = m_relays.find(name);
+    if (found == m_relays.end() || m_stopped) {
+        return;
+    }
+    relay_state &relay = found->second;
+    relay.flushPlanned = false;
+    relay_exchange exchange;
+    exchange.session = m_session;
+    exchange.waitMs = relay.polling ? 0 : pollWait.count();
+    exchange.calls = std::exchange(relay.queued, {});
+    const bool polls = !relay.polling;
+    relay.polling = true;
+    http_call call;
+    call.method = "POST";
+    call.url = "http://" + toString(relay.node.address) + "/relay/exchange";
+    call.headers = {{"Content-Type", "application/msgpack"}};
+    call.body = encode(exchange);
+    call.connectTimeout = connectTimeout;
+    call.totalTimeout = polls ? pollWait + exchangeTimeout : exchangeTimeout;
+    m_client.send(std::move(call), [weak = weak_from_this(), name, polls, calls = std::move(exchange.calls)](http_result result) mutable {
+        if (const std::shared_ptr<relay_pool> self = weak.lock()) {
+            self->onExchange(name, polls, std::move(calls), result);
+        }
+    });
+}
+
+void relay_pool::onExchange(const std::string &name, bool polled, std::vector<relayed_call> calls, const http_result &result)
+{
+    const bool answered = result.state == send_state::Answered && result.response.status == 200;
+    std::optional<std::vector<relayed_result>> results = answered ? decodeResults(result.response.body) : std::nullopt;
+    std::vector<std::function<void()>> after;
+    {
+        const std::lock_guard<std::mutex> guard(m_lock);
+        const auto found = m_relays.find(name);
+        if (m_stopped) {
+            return;
+        }
+        if (found != m_relays.end()) {
+            relay_state &relay = found->second;
+            if (polled) {
+                relay.polling = false;
+            }
+            if (!results) {
+                if (result.state == send_state::NotSent) {
+                    // The relay has seen none of these: they go directly.
+                    for (relayed_call &one : calls) {
+                        const auto waiting = m_outstanding.find(one.number);
+                        if (waiting == m_outstanding.end()) {
+                            continue;
+                        }
+                        relay.outstanding -= relay.outstanding > 0 ? 1 : 0;
+                        after.emplace_back([this, call = std::move(one.call), done = std::move(waiting->second.done)] {
+                            m_client.send(call, done);
+                        });
+                        m_outstanding.erase(waiting);
+                    }
+                }
+                failRelay(relay, after);
+            }
+        }
+    }
+    for (const std::function<void()> &call : after) {
+        call();
+    }
+    if (results) {
+        deliver(std::move(*results));
+    }
+    if (polled && results) {
+        const std::lock_guard<std::mutex> guard(m_lock);
+        const auto found = m_relays.find(name);
+        if (found != m_relays.end() && found->second.outstanding > 0) {
+            planFlush(found->second);
+        }
+    }
+}
+
+void relay_pool::failRelay(relay_state &relay, std::vector<std::function<void()>> &after)
+{
+    logChange("relay_failed", {{"node", relay.node.node}, {"calls", relay.outstanding}});
+    relay.avoidUntil = steadyMillis() + avoidMs;
+    relay.outstanding = 0;
+    relay.queued.clear();
+    for (auto waiting = m_outstanding.begin(); waiting != m_outstanding.end();) {
+        if (waiting->second.relay != relay.node.node) {
+            ++waiting;
+            continue;
+        }
+        after.emplace_back([done = std::move(waiting->second.done)] {
+            done(unanswered());
+        });
+        waiting = m_outstanding.erase(waiting);
+    }
+    choose();
+}
+
+void relay_pool::deliver(std::vector<relayed_result> results)
+{
+    std::vector<std::pair<std::function<void(http_result)>, http_result>> finished;
+    {
+        const std::lock_guard<std::mutex> guard(m_lock);
+        for (relayed_result &one : results) {
+            const auto waiting = m_outstanding.find(one.number);
+            if (waiting == m_outstanding.end()) {
+                continue;
+            }
+            const auto relay = m_relays.find(waiting->second.relay);
+            if (relay != m_relays.end() && relay->second.outstanding > 0) {
+                --relay->second.outstanding;
+            }
+            finished.emplace_back(std::move(waiting->second.done), std::move(one.result));
+            m_outstanding.erase(waiting);
+        }
+    }
+    for (std::pair<std::function<void(http_result)>, http_result> &one : finished) {
+        one.first(std::move(one.second));
+    }
+}
+
+void relay_pool::tick(sched::time_ms now)
+{
+    std::vector<std::function<void(http_result)>> overdue;
+    {
+        const std::lock_guard<std::mutex> guard(m_lock);
+        for (auto waiting = m_outstanding.begin(); waiting != m_outstanding.end();) {
+            if (waiting->second.deadline >= now) {
+                ++waiting;
+                continue;
+            }
+            const auto relay = m_relays.find(waiting->second.relay);
+            if (relay != m_relays.end() && relay->second.outstanding > 0) {
+                --relay->second.outstanding;
+            }
+            overdue.push_back(std::move(waiting->second.done));
+            waiting = m_outstanding.erase(waiting);
+        }
+    }
+    for (const std::function<void(http_result)> &done : overdue) {
+        done(unanswered());
+    }
+}
+
+void relay_pool::stop()
+{
+    const std::lock_guard<std::mutex> guard(m_lock);
+    m_stopped = true;
+    m_outstanding.clear();
+}
+
+} // namespace daisypass
--- a/src/node/tables.h
+++ b/src/node/tables.h
@@ -13,6 +13,7 @@
 inline constexpr const char *state = "state";
 inline constexpr const char *queues = "queues";
 inline constexpr const char *lease = "lease";
+inline constexpr const char *nodes = "nodes";
 
 /** The part of all rows that the lease's holder writes, so that one transaction can expect the term. */
 inline constexpr const char *holderPart = "L";
@@ -50,6 +51,11 @@
     return {lease, holderPart, "holder"};
 }
 
+inline row_key nodeRow(const std::string &node)
+{
+    return {nodes, "", node};
+}
+
 inline row_key termRow()
 {
     return {lease, holderPart, "term"};
--- a/src/platform/executor_client.cpp
+++ b/src/platform/executor_client.cpp
@@ -196,8 +196,8 @@
 
 } // namespace
 
-executor_client::executor_client(http_client &http)
-    : m_http(http)
+executor_client::executor_client(call_sender sender)
+    : m_send(std::move(sender))
 {
 }
 
@@ -217,7 +217,7 @@
     call.body = std::move(body);
     call.connectTimeout = std::min(connectTimeout, timeout);
     call.totalTimeout = timeout;
-    m_http.send(std::move(call), [done = std::move(done)](http_result result) {
+    m_send(std::move(call), [done = std::move(done)](http_result result) {
         done(result);
     });
 }
--- a/src/platform/executor_client.h
+++ b/src/platform/executor_client.h
@@ -5,7 +5,7 @@
 // Every call names the intended executor; another one at the same address answers WrongExecutor. Every order carries the
 // fencing token. Callbacks run on the HTTP client's thread.
 
-#include "http/http_client.h"
+#include "http/call_sender.h"
 #include "sched/events.h"
 
 #include <chrono>
@@ -75,7 +75,7 @@
 class executor_client
 {
 public:
-    explicit executor_client(http_client &http);
+    explicit executor_client(call_sender sender);
 
     void start(const executor_address &target, const start_order &order, std::function<void(order_result)> done);
     void stop(const executor_address &target, const sched::task_id &task, int run, std::int64_t fencingToken, std::function<void(order_result)> done);
@@ -96,7 +96,7 @@
               std::chrono::milliseconds timeout,
               std::function<void(const http_result &)> done);
 
-    http_client &m_http;
+    call_sender m_send;
 };
 
 } // namespace daisypass
--- /dev/null
+++ b/src/standins/deployment_standin.cpp
@@ -0,0 +1,296 @@
+#include "standins/deployment_standin.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cstdlib>
+
+namespace daisypass {
+namespace {
+
+using wire::json;
+
+constexpr int statusOk = 200;
+constexpr int statusBadRequest = 400;
+constexpr int statusNotFound = 404;
+constexpr int statusConflict = 409;
+constexpr std::chrono::milliseconds upkeepTime{500};
+constexpr std::size_t mostBreaches = 50;
+constexpr const char *sparePool = "spare";
+
+http_response jsonAnswer(int status, const json &body)
+{
+    http_response response;
+    response.status = status;
+    response.headers = {{"Content-Type", "application/json"}};
+    response.body = wire::dump(body);
+    return response;
+}
+
+std::string poolName(int index)
+{
+    return "pool-" + std::to_string(index);
+}
+
+std::int64_t numberIn(std::string_view text)
+{
+    std::int64_t number = 0;
+    std::from_chars(text.data(), text.data() + text.size(), number);
+    return number;
+}
+
+store_fault_kind faultKind(std::string_view word)
+{
+    if (word == "busy") {
+        return store_fault_kind::Busy;
+    }
+    if (word == "silent") {
+        return store_fault_kind::Silent;
+    }
+    if (word == "lost") {
+        return store_fault_kind::LostAnswers;
+    }
+    return word == "slow" ? store_fault_kind::Slow : store_fault_kind::None;
+}
+
+} // namespace
+
+deployment_standin::deployment_standin(asio::io_context &context, deployment_options options)
+    : m_context(context)
+    , m_options(options)
+    , m_store(context, options.seed)
+{
+}
+
+deployment_standin::~deployment_standin() = default;
+
+bool deployment_standin::start(failure &reason)
+{
+    http_server_options options;
+    options.listen = m_options.listen;
+    m_server = std::make_unique<http_server>(
+        options,
+        [this](http_request request, http_responder respond) {
+            handle(request, respond);
+        },
+        m_context);
+    if (!m_server->start(reason)) {
+        return false;
+    }
+    writeConfiguration();
+    int vm = 0;
+    for (int pool = 0; pool < m_options.poolCount; ++pool) {
+        for (int i = 0; i < m_options.workersPerPool; ++i) {
+            const std::string name = "vm-" + std::to_string(vm++);
+            m_vms[name].pool = poolName(pool);
+            if (!bringUp(name, reason)) {
+                return false;
+            }
+        }
+    }
+    for (int i = 0; i < m_options.spareVms; ++i) {
+        vm_state &spare = m_vms["vm-" + std::to_string(vm++)];
+        spare.pool = sparePool;
+        spare.state = "up";
+    }
+    return true;
+}
+
+std::uint16_t deployment_standin::port() const
+{
+    return m_server->port();
+}
+
+void deployment_standin::writeConfiguration()
+{
+    json routes = json::array();
+    json services = json::array();
+    for (int pool = 0; pool < m_options.poolCount; ++pool) {
+        routes.push_back(json{{"Name", "queue-" + std::to_string(pool)},
+                              {"Host", "jobs.example"},
+                              {"PathPrefix", "/queue-" + std::to_string(pool) + "/"},
+                              {"Service", poolName(pool)},
+                              {"Priority", 0},
+                              {"MaxAttempts", m_options.maxAttempts},
+                              {"Stretch", 1.6},
+                              {"TargetDurationMs", 600},
+                              {"TimeoutMs", 3'000}});
+        services.push_back(json{{"Name", poolName(pool)}, {"HealthPath", "/health"}, {"AdmissionCheck", false}, {"Spare", false}});
+    }
+    services.push_back(json{{"Name", sparePool}, {"HealthPath", "/health"}, {"AdmissionCheck", false}, {"Spare", true}});
+    m_store.put({"op", "", "config"}, wire::dump(json{{"Version", 1}, {"Routes", routes}, {"Services", services}, {"Limits", {{"MaxBodyBytes", 262'144}}}}));
+    if (m_options.waveVms > 0) {
+        json vms = json::array();
+        for (int i = 0; i < m_options.waveVms; ++i) {
+            vms.push_back("vm-" + std::to_string(i));
+        }
+        m_store.put({"op", "", "wave/1"}, wire::dump(json{{"Wave", 1}, {"Machines", vms}, {"DurationS", 20}, {"Cap", 1}}));
+    }
+}
+
+bool deployment_standin::bringUp(const std::string &vm, failure &reason)
+{
+    vm_state &state = m_vms.at(vm);
+    state.state = "up";
+    if (state.pool == sparePool) {
+        return true;
+    }
+    worker_options options;
+    options.id = "i-" + std::to_string(++m_lives);
+    options.pool = state.pool;
+    options.vm = vm;
+    options.rack = "r1-" + std::to_string(m_lives % 2);
+    state.worker = std::make_unique<worker_standin>(m_context, m_store, options, [this](const worker_event &what) {
+        observe(what);
+    });
+    return state.worker->start(reason);
+}
+
+void deployment_standin::handle(const http_request &request, const http_responder &respond)
+{
+    if (request.path.starts_with("/admin/")) {
+        admin(request, respond);
+    } else if (request.path == "/-/machines") {
+        listVms(respond);
+    } else if (request.path == "/-/machine-move") {
+        changeVm(request, respond, false);
+    } else if (request.path == "/-/machine-upkeep") {
+        changeVm(request, respond, true);
+    } else {
+        m_store.handle(request, respond);
+    }
+}
+
+void deployment_standin::admin(const http_request &request, const http_responder &respond)
+{
+    if (request.path == "/admin/report") {
+        http_response response;
+        response.body = report();
+        respond(std::move(response));
+        return;
+    }
+    if (request.path == "/admin/fault") {
+        store_fault fault;
+        fault.kind = faultKind(findHeader(request.query, "kind"));
+        const std::string share(findHeader(request.query, "share"));
+        fault.share = share.empty() ? 1.0 : std::strtod(share.c_str(), nullptr);
+        fault.delay = std::chrono::milliseconds(numberIn(findHeader(request.query, "delay_ms")));
+        m_store.setFault(fault);
+    } else if (request.path == "/admin/forget") {
+        m_store.forgetHistory();
+    } else if (request.path == "/admin/worker") {
+        const std::string_view id = findHeader(request.query, "id");
+        for (std::pair<const std::string, vm_state> &vm : m_vms) {
+            if (vm.second.worker && vm.second.worker->options().id == id) {
+                vm.second.worker->setSilent(findHeader(request.query, "silent") == "1");
+            }
+        }
+    }
+    respond(jsonAnswer(statusOk, json::object()));
+}
+
+void deployment_standin::listVms(const http_responder &respond)
+{
+    json list = json::array();
+    for (const std::pair<const std::string, vm_state> &vm : m_vms) {
+        list.push_back(json{{"Machine", vm.first},
+                            {"Pool", vm.second.pool},
+                            {"State", vm.second.state},
+                            {"Zone", "zone-a"},
+                            {"Labels", {"a"}},
+                            {"Id", vm.second.worker ? vm.second.worker->options().id : ""}});
+    }
+    respond(jsonAnswer(statusOk, json{{"Machines", list}, {"NextToken", nullptr}}));
+}
+
+void deployment_standin::changeVm(const http_request &request, const http_responder &respond, bool upkeep)
+{
+    const json body = wire::parseObject(request.body).value_or(json::object());
+    const auto found = m_vms.find(wire::textIn(body, "Machine").value_or(""));
+    if (found == m_vms.end()) {
+        respond(jsonAnswer(statusBadRequest, json::object()));
+        return;
+    }
+    vm_state &vm = found->second;
+    const std::int64_t token = numberIn(findHeader(request.headers, "X-Daisypass-Fencing-Token"));
+    const std::string holder(findHeader(request.headers, "X-Daisypass-Lease-Holder"));
+    if (token < vm.fence) {
+        respond(jsonAnswer(statusConflict, json{{"Reason", "fence"}}));
+        return;
+    }
+    if (token == vm.fence && !vm.fenceHolder.empty() && vm.fenceHolder != holder) {
+        breach("one_holder", found->first + " ordered by " + holder + " and " + vm.fenceHolder + " with one token");
+    }
+    vm.fence = token;
+    vm.fenceHolder = holder;
+    const std::int64_t wave = wire::integerIn(body, "Wave").value_or(0);
+    const std::string pool = upkeep ? vm.pool : wire::textIn(body, "Pool").value_or("");
+    const bool alreadyDone = upkeep ? vm.maintained.contains(wave) : vm.pool == pool;
+    if (alreadyDone) {
+        respond(jsonAnswer(statusOk, json::object()));
+        return;
+    }
+    if (vm.state != "up") {
+        respond(jsonAnswer(statusConflict, json{{"Reason", "busy"}}));
+        return;
+    }
+    if (vm.worker) {
+        vm.worker->leave();
+        m_formerWorkers.push_back(std::move(vm.worker));
+    }
+    ++(upkeep ? m_upkeeps : m_moves);
+    vm.state = upkeep ? "upkeep" : "moving";
+    vm.pool = pool;
+    if (upkeep) {
+        vm.maintained.insert(wave);
+    }
+    const std::shared_ptr<asio::steady_timer> timer = std::make_shared<asio::steady_timer>(m_context, upkeep ? upkeepTime : m_options.moveTime);
+    timer->async_wait([this, timer, name = found->first](const asio::error_code &error) {
+        failure reason;
+        if (!error && !bringUp(name, reason)) {
+            breach("standin", describe(reason));
+        }
+    });
+    respond(jsonAnswer(statusOk, json::object()));
+}
+
+void deployment_standin::observe(const worker_event &what)
+{
+    if (what.what == worker_event::kind::Started) {
+        ++m_starts;
+        const auto running = m_runningOn.find(what.task);
+        if (running != m_runningOn.end()) {
+            breach("at_most_once", what.task + " starts on " + what.executor + " while it runs on " + running->second);
+        }
+        if (m_done.contains(what.task)) {
+            breach("at_most_once", what.task + " starts on " + what.executor + " after it was done");
+        }
+        m_runningOn[what.task] = what.executor;
+        return;
+    }
+    ++m_ends[what.how];
+    m_runningOn.erase(what.task);
+    if (what.how == "done") {
+        m_done.insert(what.task);
+    }
+}
+
+void deployment_standin::breach(const std::string &rule, const std::string &detail)
+{
+    if (m_breaches.size() < mostBreaches) {
+        m_breaches.push_back(rule + ": " + detail);
+    }
+}
+
+std::string deployment_standin::report() const
+{
+    return wire::dump(json{{"starts", m_starts},
+                           {"ends", m_ends},
+                           {"running", m_runningOn.size()},
+                           {"moves", m_moves},
+                           {"upkeeps", m_upkeeps},
+                           {"store_writes", m_store.writes()},
+                           {"wave_status", m_store.value({"status", "", "wave/1"})},
+                           {"breaches", m_breaches}});
+}
+
+} // namespace daisypass
--- /dev/null
+++ b/src/standins/store_standin.h
@@ -0,0 +1,93 @@
+#pragma once
+
+// Stand-in of the platform's metadata store: rows, conditional transactions and feeds, in memory, with faults on demand.
+//
+//     store_standin store(context);
+//     store.put({"op", "", "config"}, text);
+//     http_server server(options, [&](http_request request, http_responder respond) { store.handle(request, respond); }, context);
+//     store.setFault({store_fault_kind::Busy});
+
+#include "http/http_server.h"
+#include "platform/store_client.h"
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace daisypass {
+
+enum class store_fault_kind {
+    None,
+    /** Every call is answered with 503. */
+    Busy,
+    /** No call is answered. */
+    Silent,
+    /** Writes are done and not answered, with the given share. */
+    LostAnswers,
+    /** Answers take the delay. */
+    Slow,
+};
+
+struct store_fault
+{
+    store_fault_kind kind = store_fault_kind::None;
+    double share = 1.0;
+    std::chrono::milliseconds delay{0};
+};
+
+class store_standin
+{
+public:
+    explicit store_standin(asio::io_context &context, std::uint64_t seed = 1);
+
+    void handle(const http_request &request, const http_responder &respond);
+    void put(const row_key &key, const std::string &value);
+    void remove(const row_key &key);
+    /** Empty if there is no such row. */
+    std::string value(const row_key &key) const;
+    std::vector<store_row> rowsOf(const std::string &table) const;
+    void setFault(store_fault fault);
+    /** Feeds from before now answer that the history is gone. */
+    void forgetHistory();
+    std::int64_t writes() const
+    {
+        return m_writes;
+    }
+
+private:
+    struct waiting_feed
+    {
+        std::string table;
+        std::int64_t after = 0;
+        http_responder respond;
+        std::shared_ptr<asio::steady_timer> timer;
+    };
+
+    void transact(const http_request &request, const http_responder &respond);
+    void get(const http_request &request, const http_responder &respond);
+    void feed(const http_request &request, const http_responder &respond);
+    void store(const row_key &key, const std::string &value);
+    void erase(const row_key &key);
+    void wakeFeeds();
+    bool answerFeed(const waiting_feed &feed);
+    void serve(const http_request &request, const http_responder &respond);
+
+    asio::io_context &m_context;
+    std::mt19937_64 m_random;
+    std::map<row_key, store_row> m_rows;
+    /** Version of each row's last change, of deleted rows too. */
+    std::map<row_key, std::int64_t> m_lastChange;
+    std::int64_t m_version = 1;
+    std::int64_t m_historyFrom = 0;
+    std::int64_t m_writes = 0;
+    store_fault m_fault;
+    std::vector<std::shared_ptr<waiting_feed>> m_feeds;
+};
+
+} // namespace daisypass
