--- a/src/sched/executor_record.h
+++ b/src/sched/executor_record.h
@@ -52,6 +52,12 @@
     /** No new runs before this time. */
     time_ms avoidUntil = 0;
     int failuresInRow = 0;
+    /** Time that runs take here against their estimates, averaged over the latest ones; 1 when as estimated. */
+    double slowness = 1.0;
+    int slownessSamples = 0;
+    /** Share at which tasks that fill idle capacity may work here. */
+    int fillPercent = 100;
+    time_ms fillChangedAt = 0;
     time_ms emptySince = 0;
 
     std::int64_t clockAtTime(time_ms now) const
--- a/src/sched/job_record.h
+++ b/src/sched/job_record.h
@@ -15,6 +15,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -83,13 +84,24 @@
     }
 };
 
+/** Permission to run a step on one executor. */
+struct advice_ticket
+{
+    std::string ticket;
+    time_ms validUntil = 0;
+};
+
 struct step_record
 {
     std::vector<task_record> tasks;
     int done = 0;
     int waiting = 0;
-    /** Failed attempts of the whole gang. */
-    int gangFailures = 0;
+
+    // Not stored: what the advice service said of the step, by executor.
+    std::map<std::string, advice_ticket> tickets;
+    std::set<std::string> advisedAgainst;
+    bool adviceAsked = false;
+    time_ms adviceRetryAt = 0;
 
     bool finished() const
     {
--- a/src/sched/scheduler.cpp
+++ b/src/sched/scheduler.cpp
@@ -272,6 +272,11 @@
         order.address = executor.entry.address;
         order.payload = job.spec.payload;
         order.checkpoint = task.checkpoint;
+        const std::map<std::string, advice_ticket> &tickets = job.occurrences.at(id.occurrence).steps[static_cast<std::size_t>(id.step)].tickets;
+        const auto ticket = tickets.find(task.executor);
+        if (ticket != tickets.end()) {
+            order.ticket = ticket->second.ticket;
+        }
         order.leaseEndMs = executor.clockAtTime(now) + m_bounds.maxLeaseMs;
         m_actions.push_back(std::move(order));
     });
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -122,6 +122,7 @@
     void sendHolds(time_ms now);
     void sweepHolds();
     void sendHold(executor_record &executor, time_ms now);
+    bool sharesWithFillers(const executor_record &executor) const;
     void acknowledgeStored();
     void expireSilent(time_ms now);
 
@@ -140,6 +141,8 @@
     void requestStop(const task_id &id, task_record &task, time_ms now, std::string_view cause);
     void resendStops(time_ms now);
     void watchProgress(time_ms now);
+    void paceFillers(executor_record &executor, const std::vector<listed_run> &runs, time_ms now);
+    void learnSpeed(executor_record &executor, const step_spec &step, const task_record &task, time_ms now);
     void emitStarts(job_record &job, std::int64_t batch, time_ms now);
 
     // Placement.
@@ -154,6 +157,7 @@
     fleet_view viewOfFleet(time_ms now) const;
     void carryOut(const fleet_decision &decision, time_ms now);
     /** The availability budgets allow the system to end this run now. */
+    bool isKnownAtWork(const task_record &task) const;
     bool mayInterrupt(job_record &job, const task_id &id) const;
 
     void note(std::string event, std::vector<std::pair<std::string, std::string>> fields);
@@ -184,6 +188,8 @@
     /** Jobs that may have tasks to place. */
     std::vector<job_record *> m_backlog;
     std::set<std::string> m_repeating;
+    /** The last placement left a ready task without room. */
+    bool m_backlogBinds = false;
     bool m_placeWanted = false;
     time_ms m_placedAt = 0;
     std::map<std::string, vm_entry> m_vms;
--- a/src/sched/scheduler_executors.cpp
+++ b/src/sched/scheduler_executors.cpp
@@ -21,6 +21,16 @@
 constexpr time_ms unstoredHoldEveryMs = 1'000;
 // An executor that refused a start for its health gets no work for this long.
 constexpr time_ms unhealthyPauseMs = 2'000;
+// Fillers are slowed down when a response time is above this share of its target, well before it is over it, and let loose below
+// the other one; a change is judged only after the executors' half-second figures show it.
+constexpr double paceDownAbove = 0.85;
+constexpr double paceUpBelow = 0.6;
+constexpr time_ms paceDownEveryMs = 600;
+constexpr time_ms paceUpEveryMs = 1'500;
+constexpr int paceUpStep = 15;
+constexpr int leastFillPercent = 13;
+// Lists come this often where fillers and tasks with a target share an executor.
+constexpr std::int64_t pacingHoldWaitMs = 500;
 // A run that was refused for another reason waits before it is placed again.
 constexpr time_ms rejectedPauseMs = 300;
 
@@ -190,6 +200,18 @@
     }
 }
 
+bool scheduler::sharesWithFillers(const executor_record &executor) const
+{
+    bool fills = false;
+    bool serves = false;
+    for (const task_id &id : executor.runs) {
+        const step_spec &kind = m_jobs.at(id.job)->spec.steps[static_cast<std::size_t>(id.step)];
+        fills = fills || kind.fillsIdle;
+        serves = serves || kind.latencyTargetMs > 0;
+    }
+    return fills && serves;
+}
+
 void scheduler::sendHold(executor_record &executor, time_ms now)
 {
     hold_executor order;
@@ -204,7 +226,7 @@
         order.leaseEndMs = executor.clockAtTime(now) + m_bounds.maxLeaseMs;
         executor.lastGrantAt = now;
     }
-    order.waitMs = grants && !executor.lookSoon ? holdWaitMs : 0;
+    order.waitMs = grants && !executor.lookSoon ? (sharesWithFillers(executor) ? pacingHoldWaitMs : holdWaitMs) : 0;
     executor.lookSoon = false;
     executor.holdInFlight = true;
     executor.holdSentAt = now;
@@ -304,6 +326,49 @@
         }
     }
     settleMissing(executor, what, listed, now);
+    paceFillers(executor, what.runs, now);
+}
+
+// Answers tasks that fill idle capacity and so slow down tasks with users of their own: the fillers are halved until the
+// response times keep their target, and raised again slowly while there is a margin.
+void scheduler::paceFillers(executor_record &executor, const std::vector<listed_run> &runs, time_ms now)
+{
+    double worst = 0;
+    std::vector<const listed_run *> fillers;
+    for (const listed_run &run : runs) {
+        const auto found = m_jobs.find(run.task.job);
+        const bool known = found != m_jobs.end() && found->second->find(run.task) != nullptr;
+        if (!known) {
+            continue;
+        }
+        const step_spec &kind = found->second->spec.steps[static_cast<std::size_t>(run.task.step)];
+        if (kind.fillsIdle) {
+            fillers.push_back(&run);
+        } else if (kind.latencyTargetMs > 0) {
+            worst = std::max(worst, static_cast<double>(run.load) / static_cast<double>(kind.latencyTargetMs));
+        }
+    }
+    if (fillers.empty()) {
+        executor.fillPercent = 100;
+        return;
+    }
+    if (worst > paceDownAbove && now - executor.fillChangedAt >= paceDownEveryMs) {
+        executor.fillPercent = executor.fillPercent > leastFillPercent ? executor.fillPercent / 2 : 0;
+        executor.fillChangedAt = now;
+    } else if (worst < paceUpBelow && executor.fillPercent < 100 && now - executor.fillChangedAt >= paceUpEveryMs) {
+        executor.fillPercent = std::min(100, executor.fillPercent + paceUpStep);
+        executor.fillChangedAt = now;
+    }
+    for (const listed_run *run : fillers) {
+        task_record &task = *m_jobs.at(run->task.job)->find(run->task);
+        const bool current = task.phase == task_phase::Running && task.run == run->run && task.executor == executor.entry.id;
+        if (current && task.pacedPercent != executor.fillPercent) {
+            note("run_paced",
+                 {{"task", run->task.text()}, {"executor", executor.entry.id}, {"percent", std::to_string(executor.fillPercent)}, {"worst_of_target", std::to_string(worst)}});
+            task.pacedPercent = executor.fillPercent;
+            m_actions.push_back(pace_run{run->task, run->run, executor.entry.id, executor.entry.address, executor.fillPercent});
+        }
+    }
 }
 
 void scheduler::settleMissing(executor_record &executor, const hold_answered &what, const std::set<task_id> &listed, time_ms now)
@@ -403,6 +468,9 @@
     case order_status::Unreachable:
         markSilent(executor, now, "start_unreachable");
         break;
+    case order_status::BadTicket:
+        job.occurrences.at(what.task.occurrence).steps[static_cast<std::size_t>(what.task.step)].tickets.erase(what.executor);
+        break;
     case order_status::NoRoom:
         executor.avoidUntil = now + rejectedPauseMs;
         executor.lookSoon = true;
--- a/src/sched/scheduler_fleet.cpp
+++ b/src/sched/scheduler_fleet.cpp
@@ -131,6 +131,13 @@
     }
 }
 
+// A task on a silent executor may have ended long ago.
+bool scheduler::isKnownAtWork(const task_record &task) const
+{
+    const auto executor = m_executors.find(task.executor);
+    return task.phase == task_phase::Running && task.atWork && executor != m_executors.end() && executor->second.answers();
+}
+
 bool scheduler::mayInterrupt(job_record &job, const task_id &id) const
 {
     const step_spec &kind = job.spec.steps[static_cast<std::size_t>(id.step)];
@@ -138,7 +145,7 @@
     int away = 0;
     for (std::size_t index = 0; index < step.tasks.size(); ++index) {
         const task_record &other = step.tasks[index];
-        if (static_cast<int>(index) != id.index && !(other.phase == task_phase::Running && other.atWork)) {
+        if (static_cast<int>(index) != id.index && !isKnownAtWork(other)) {
             ++away;
         }
     }
--- a/src/sched/scheduler_place.cpp
+++ b/src/sched/scheduler_place.cpp
@@ -16,6 +16,14 @@
 constexpr double farFromData = 1e9;
 constexpr double awaitsUpkeepWeight = 1e8;
 constexpr double failedHereBefore = 1e10;
+constexpr double slowExecutor = 1e7;
+// An executor this much slower than the estimates takes work only when the others are full.
+constexpr double slowAbove = 2.5;
+constexpr int leastSlownessSamples = 3;
+// A ticket must still hold when the start arrives.
+constexpr time_ms ticketMarginMs = 300;
+// The advice service is asked about this many executors at once; more take longer.
+constexpr std::size_t executorsPerAdvice = 30;
 
 } // namespace
 
@@ -135,11 +143,45 @@
         if (hopeless) {
             return;
         }
+        const queue_config *queue = owner.queueOf(*ready.job);
+        if (queue != nullptr && queue->advised) {
+            std::vector<executor_record *> permitted = permittedFor(ready, executors);
+            placeAmong(ready, kind, permitted, refused, true);
+            return;
+        }
+        placeAmong(ready, kind, executors, refused, false);
+    }
+
+    // Executors with a valid ticket for the step; asks for more advice when there are too few.
+    std::vector<executor_record *> permittedFor(ready_step &ready, const std::vector<executor_record *> &executors)
+    {
+        step_record &record = ready.occurrence->steps[static_cast<std::size_t>(ready.step)];
+        std::vector<executor_record *> permitted;
+        std::vector<std::string> unknown;
+        for (executor_record *executor : executors) {
+            const auto ticket = record.tickets.find(executor->entry.id);
+            if (ticket != record.tickets.end() && ticket->second.validUntil > now + ticketMarginMs) {
+                permitted.push_back(executor);
+            } else if (!record.advisedAgainst.contains(executor->entry.id) && unknown.size() < executorsPerAdvice) {
+                unknown.push_back(executor->entry.id);
+            }
+        }
+        const bool enough = static_cast<int>(permitted.size()) >= record.waiting;
+        if (!enough && !unknown.empty() && !record.adviceAsked && record.adviceRetryAt <= now) {
+            record.adviceAsked = true;
+            owner.m_actions.push_back(ask_advice{ready.job->spec.id, ready.occurrence->number, ready.step, std::move(unknown)});
+        }
+        return permitted;
+    }
+
+    void placeAmong(ready_step &ready, const step_spec &kind, std::vector<executor_record *> &executors, std::vector<resources> &refused, bool advised)
+    {
+        const resources demand = kind.countedDemand();
         if (kind.gang) {
             placeGang(ready, kind, executors);
             return;
         }
-        const bool constrained = kind.mostPerExecutor > 0 || !kind.requiredLabel.empty();
+        const bool constrained = advised || kind.mostPerExecutor > 0 || !kind.requiredLabel.empty();
         std::map<std::string, int> here = countOf(ready, kind);
         step_record &record = ready.occurrence->steps[static_cast<std::size_t>(ready.step)];
         for (std::size_t index = 0; index < record.tasks.size() && record.waiting > 0; ++index) {
@@ -149,6 +191,7 @@
             }
             executor_record *chosen = choose(kind, task, executors, here);
             if (chosen == nullptr) {
+                owner.m_backlogBinds = true;
                 if (!constrained) {
                     refused.push_back(demand);
                 }
@@ -216,6 +259,9 @@
         if (kind.longRunning && !executor.entry.vm.empty() && owner.m_fleet.awaitsUpkeep(executor.entry.vm)) {
             weight += awaitsUpkeepWeight;
         }
+        if (executor.slownessSamples >= leastSlownessSamples && executor.slowness > slowAbove) {
+            weight += slowExecutor * executor.slowness;
+        }
         if (!task.failedOn.empty() && task.failedOn == executor.entry.id) {
             weight += failedHereBefore;
         }
@@ -305,6 +351,7 @@
     if (m_backlog.empty()) {
         return;
     }
+    m_backlogBinds = false;
     placement_pass pass{*this, now};
     pass.collectExecutors();
     pass.collectReady();
@@ -313,7 +360,27 @@
 
 void scheduler::on(const advice_answered &what, time_ms now)
 {
-    // Advice is asked for nowhere yet; see docs/platform-design.md.
+    const auto found = m_jobs.find(what.job);
+    task_record *task = found == m_jobs.end() ? nullptr : found->second->find({what.job, what.occurrence, what.step, 0});
+    if (task == nullptr) {
+        return;
+    }
+    step_record &record = found->second->occurrences.at(what.occurrence).steps[static_cast<std::size_t>(what.step)];
+    record.adviceAsked = false;
+    m_placeWanted = true;
+    if (what.status != order_status::Ok) {
+        constexpr time_ms adviceRetryMs = 400;
+        record.adviceRetryAt = now + adviceRetryMs;
+        note("advice_refused", {{"request", what.job}, {"step", std::to_string(what.step)}, {"reason", std::string(nameOf(what.status))}});
+        return;
+    }
+    const queue_config *queue = queueOf(*found->second);
+    const std::int64_t validMs = what.validMs > 0 ? what.validMs : (queue == nullptr ? 0 : queue->adviceValidMs);
+    record.advisedAgainst.insert(what.asked.begin(), what.asked.end());
+    for (const std::pair<std::string, std::string> &ticket : what.tickets) {
+        record.advisedAgainst.erase(ticket.first);
+        record.tickets[ticket.first] = {ticket.second, now + validMs};
+    }
 }
 
 } // namespace daisypass::sched
--- a/tests/sched/scheduler_test.cpp
+++ b/tests/sched/scheduler_test.cpp
@@ -200,3 +200,57 @@
     world.answerHold("e1", {}, {scheduler_fixture::ended(starts[1], 2, run_end::Done)});
     CHECK(world.take<start_run>().size() == 1);
 }
+
+TEST_CASE("upkeep ends long-running tasks only within their step's budget")
+{
+    // Found by brusilica-grown scale-2 (AVAIL): tasks on a rack that had gone dark still counted as at work.
+    scheduler_fixture world;
+    const std::vector<std::string> names{"e1", "e2", "e3"};
+    for (const std::string &name : names) {
+        world.addExecutor(name);
+    }
+    vms_listed list;
+    for (const std::string &name : names) {
+        list.vms.push_back({"vm-" + name, "booking", vm_state::Up, "zone", {"a"}, name});
+    }
+    step_spec lasting = world.step(3, 3'000);
+    lasting.longRunning = true;
+    lasting.mostPerExecutor = 1;
+    lasting.allowedUnavailable = 1;
+    world.brain.handle(job_submitted{world.job("j1", {lasting})}, world.now);
+    world.step_();
+    const std::vector<start_run> starts = world.take<start_run>();
+    REQUIRE(starts.size() == 3);
+    for (const start_run &start : starts) {
+        world.answerStart(start);
+        world.answerHold(start.executor, {scheduler_fixture::running(start, 100)});
+    }
+    world.advance(4'000);
+    world.take<stop_run>();
+    for (const start_run &start : starts) {
+        world.answerHold(start.executor, {scheduler_fixture::running(start, 100)});
+    }
+    wave_request wave;
+    wave.wave = 1;
+    wave.vms = {"vm-" + starts[0].executor, "vm-" + starts[1].executor};
+    wave.durationMs = 20'000;
+    wave.cap = 2;
+
+    SUBCASE("one task may be away")
+    {
+        world.brain.handle(list, world.now);
+        world.brain.handle(wave_requested{wave}, world.now);
+        world.advance(200);
+        world.advance(200);
+        CHECK(world.take<stop_run>().size() == 1);
+    }
+    SUBCASE("none may be ended while another's executor is silent")
+    {
+        world.answerHold(starts[2].executor, {}, {}, order_status::Unknown);
+        world.brain.handle(list, world.now);
+        world.brain.handle(wave_requested{wave}, world.now);
+        world.advance(200);
+        world.advance(200);
+        CHECK(world.take<stop_run>().empty());
+    }
+}
