Leave the lease to the largest machines

Ruled out: the relays, whose failures were a consequence (the holder's own exchanges ran into their time limits). Change: nodes register themselves; a machine with less than 0.7 of the largest share waits 1.2 s longer for a free lease, and gives a lease back when a larger machine has started. A node that stops takes its entry out, so relays leave in order.

--- a/src/node/leadership.cpp
+++ b/src/node/leadership.cpp
@@ -96,6 +96,12 @@
     }
 }
 
+void leadership::setCandidateDelay(sched::time_ms delayMs)
+{
+    const std::lock_guard<std::mutex> guard(m_lock);
+    m_rules.setCandidateDelay(delayMs);
+}
+
 void leadership::retire()
 {
     const std::lock_guard<std::mutex> guard(m_lock);
--- a/src/node/leadership.h
+++ b/src/node/leadership.h
@@ -43,6 +43,7 @@
 
     void start();
     void tick(sched::time_ms now);
+    void setCandidateDelay(sched::time_ms delayMs);
     /** Takes no lease any more. */
     void retire();
     /** The dispatcher has stopped: its term is over for this process. */
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -39,6 +39,12 @@
 constexpr sched::time_ms graceReserveMs = 700;
 
 constexpr std::chrono::milliseconds registerRetry{500};
+// The directory changes when machines come and go; relays and the lease's candidates follow it.
+constexpr std::chrono::milliseconds directoryEvery{4'000};
+constexpr std::chrono::milliseconds firstDirectoryRead{300};
+constexpr double assumedLargestShare = 0.5;
+// A small holder keeps the lease for this long before it gives it back to a larger machine that has come.
+constexpr sched::time_ms smallHolderKeepsMs = 3'000;
 // An exchange holds some hundred orders of a few kilobytes.
 constexpr std::size_t mostExchangeBytes = 8 << 20;
 
@@ -101,6 +107,11 @@
     std::shared_ptr<dispatcher> owner;
     std::shared_ptr<const sched::configuration_view> view;
     std::map<std::int64_t, sched::wave_request> waves;
+    /** Nodes with the version of their entry, which grows when they start again. */
+    std::map<std::string, std::pair<node_entry, std::int64_t>> directory;
+    sched::time_ms ownerSince = 0;
+    /** Version of the newest entry of a larger machine when this process took the lease. */
+    std::int64_t largerSeen = 0;
 
     std::atomic<sched::time_ms> storeReachedAt{0};
     std::atomic<bool> storeReached{false};
@@ -203,6 +214,7 @@
                 onLost();
             });
             owner = next;
+            ownerSince = steadyMillis();
             currentView = view;
             currentWaves = waves;
         }
@@ -309,7 +321,8 @@
         operatorFeed
             = std::make_unique<table_feed>(store, later(), operatorTable, std::vector<std::string>{""}, configurationWait, std::move(handlers));
         operatorFeed->start();
-        sched::lease_identity self{settings.node, randomIncarnation(), sched::candidateDelay(settings.node, settings.cpuShare)};
+        // Until the directory has been read, this machine could be a small one.
+        sched::lease_identity self{settings.node, randomIncarnation(), sched::candidateDelay(settings.node, settings.cpuShare, assumedLargestShare)};
         leadership_handlers leaseHandlers;
         leaseHandlers.gained = [this](const held_term &term) {
             onGained(term);
@@ -322,6 +335,62 @@
         };
         lease = std::make_shared<leadership>(store, later(), std::move(self), leaseMs, std::move(leaseHandlers));
         lease->start();
+        later()(firstDirectoryRead, [this] {
+            readDirectory();
+        });
+    }
+
+    void readDirectory()
+    {
+        store.get({tables::nodes, "", "", ""}, std::chrono::seconds(1), [this](rows_result result) {
+            if (result.status == store_status::Ok) {
+                applyDirectory(result.rows);
+            }
+            later()(directoryEvery, [this] {
+                readDirectory();
+            });
+        });
+    }
+
+    void applyDirectory(const std::vector<store_row> &rows)
+    {
+        double largest = settings.cpuShare;
+        std::int64_t newestLarger = 0;
+        {
+            const std::lock_guard<std::mutex> guard(lock);
+            directory.clear();
+            for (const store_row &row : rows) {
+                const std::optional<node_entry> entry = readNode(row.value);
+                if (!entry) {
+                    continue;
+                }
+                directory[row.key.key] = {*entry, row.version};
+                largest = std::max(largest, entry->cpuShare);
+                if (sched::isMuchSmaller(settings.cpuShare, entry->cpuShare)) {
+                    newestLarger = std::max(newestLarger, row.version);
+                }
+            }
+        }
+        lease->setCandidateDelay(sched::candidateDelay(settings.node, settings.cpuShare, largest));
+        giveWayTo(newestLarger);
+    }
+
+    // A machine that is bound by its processor leaves the lease to a larger one that has started since.
+    void giveWayTo(std::int64_t newestLarger)
+    {
+        std::shared_ptr<dispatcher> current;
+        {
+            const std::lock_guard<std::mutex> guard(lock);
+            const bool newer = newestLarger > std::exchange(largerSeen, std::max(largerSeen, newestLarger));
+            if (!owner || !newer || steadyMillis() - ownerSince < smallHolderKeepsMs) {
+                return;
+            }
+            current = std::exchange(owner, nullptr);
+        }
+        logChange("term_given_back", {{"reason", "larger_machine"}, {"cpu_share", settings.cpuShare}});
+        current->release([this] {
+            lease->forgetTerm();
+        });
     }
 
     void tick()
@@ -391,6 +460,11 @@
             const std::lock_guard<std::mutex> guard(lock);
             current = std::exchange(owner, nullptr);
         }
+        row_transaction leave;
+        leave.deletes = {tables::nodeRow(settings.node)};
+        store.transact(leave, std::chrono::seconds(1), [](transact_result) {
+            // A row that stays costs the holder one failed exchange.
+        });
         if (!current) {
             released = true;
             return;
--- a/src/sched/lease_rules.cpp
+++ b/src/sched/lease_rules.cpp
@@ -11,8 +11,10 @@
 
 // Nodes differ by up to this in when they try, so that mostly one of them writes.
 constexpr time_ms spreadMs = 120;
-// A machine with a full core less than another waits this much longer.
-constexpr time_ms delayPerMissingCoreMs = 400;
+// A machine below this share of the largest one's processor leaves the lease to larger ones for a while: it would be bound by
+// its processor, which costs more than the wait.
+constexpr double muchSmallerShare = 0.7;
+constexpr time_ms smallMachineDelayMs = 1'200;
 
 std::uint64_t hashOf(std::string_view text)
 {
@@ -65,6 +67,11 @@
     m_unchangedSince.reset();
 }
 
+void lease_rules::setCandidateDelay(time_ms delayMs)
+{
+    m_self.candidateDelayMs = delayMs;
+}
+
 bool lease_rules::isOwn() const
 {
     return m_row && m_row->node == m_self.node && m_row->incarnation == m_self.incarnation && !m_row->released;
@@ -89,10 +96,15 @@
     return now - *m_unchangedSince >= wait + m_self.candidateDelayMs;
 }
 
-time_ms candidateDelay(std::string_view node, double cpuShare)
+bool isMuchSmaller(double cpuShare, double largestShare)
+{
+    return cpuShare < muchSmallerShare * largestShare;
+}
+
+time_ms candidateDelay(std::string_view node, double cpuShare, double largestShare)
 {
-    const double missing = std::clamp(1.0 - cpuShare, 0.0, 1.0);
-    return static_cast<time_ms>(missing * static_cast<double>(delayPerMissingCoreMs)) + static_cast<time_ms>(hashOf(node) % spreadMs);
+    const time_ms spread = static_cast<time_ms>(hashOf(node) % spreadMs);
+    return spread + (isMuchSmaller(cpuShare, largestShare) ? smallMachineDelayMs : 0);
 }
 
 } // namespace daisypass::sched
--- a/src/sched/lease_rules.h
+++ b/src/sched/lease_rules.h
@@ -47,6 +47,7 @@
     void sawRow(const std::optional<lease_row> &row, std::int64_t version, time_ms now);
     /** The store was not reached: nothing is known of renewals meanwhile. */
     void lostStore();
+    void setCandidateDelay(time_ms delayMs);
 
     bool mayTake(time_ms now) const;
     bool isOwn() const;
@@ -70,7 +71,12 @@
     std::optional<time_ms> m_unchangedSince;
 };
 
-/** Delay of a node before it takes a free lease: machines with more processor come first, the rest is spread by name. */
-time_ms candidateDelay(std::string_view node, double cpuShare);
+/**
+ * Delay of a node before it takes a free lease: machines with the largest share of a processor first, the others well behind
+ * them, and within both spread by name.
+ */
+time_ms candidateDelay(std::string_view node, double cpuShare, double largestShare);
+/** The holder is much smaller than the largest machine, and should give the lease back when such a machine has come. */
+bool isMuchSmaller(double cpuShare, double largestShare);
 
 } // namespace daisypass::sched
--- /dev/null
+++ b/tests/sched/lease_rules_test.cpp
@@ -0,0 +1,80 @@
+#include "sched/lease_rules.h"
+
+#include <doctest/doctest.h>
+
+using namespace daisypass::sched;
+
+namespace {
+
+constexpr time_ms leaseMs = 2'000;
+
+lease_rules rulesOf(const std::string &node, std::int64_t incarnation)
+{
+    return lease_rules({node, incarnation, 100}, leaseMs);
+}
+
+} // namespace
+
+TEST_CASE("a lease is taken only when its holder is surely gone")
+{
+    lease_rules rules = rulesOf("n1", 7);
+
+    SUBCASE("not before the lease has been read")
+    {
+        CHECK_FALSE(rules.mayTake(100'000));
+    }
+    SUBCASE("a free one after this node's delay")
+    {
+        rules.sawRow(std::nullopt, 0, 1'000);
+        CHECK_FALSE(rules.mayTake(1'050));
+        CHECK(rules.mayTake(1'100));
+    }
+    SUBCASE("another's after it has not been renewed for the whole lease")
+    {
+        rules.sawRow(lease_row{"n2", 1, 3, false}, 10, 1'000);
+        CHECK_FALSE(rules.mayTake(3'000));
+        rules.sawRow(lease_row{"n2", 1, 3, false}, 11, 2'900);
+        CHECK_FALSE(rules.mayTake(4'900));
+        CHECK(rules.mayTake(5'000));
+    }
+    SUBCASE("time without the store doesn't count, since the holder could not renew either")
+    {
+        rules.sawRow(lease_row{"n2", 1, 3, false}, 10, 1'000);
+        rules.lostStore();
+        CHECK_FALSE(rules.mayTake(9'000));
+        rules.sawRow(lease_row{"n2", 1, 3, false}, 10, 9'000);
+        CHECK_FALSE(rules.mayTake(11'000));
+        CHECK(rules.mayTake(11'100));
+    }
+    SUBCASE("one that an earlier life of this machine held at once")
+    {
+        rules.sawRow(lease_row{"n1", 6, 3, false}, 10, 1'000);
+        CHECK(rules.mayTake(1'000));
+    }
+    SUBCASE("a released one after the delay")
+    {
+        rules.sawRow(lease_row{"n2", 1, 3, true}, 10, 1'000);
+        CHECK(rules.mayTake(1'100));
+    }
+}
+
+TEST_CASE("small machines leave the lease to large ones")
+{
+    // Found by rcm-bogota-grown fresh-73f7: a machine of 0.12 core took the lease of 350 executors after a rolling restart.
+    CHECK(candidateDelay("small", 0.12, 0.5) > candidateDelay("large", 0.5, 0.5) + 1'000);
+    CHECK(candidateDelay("only", 0.25, 0.25) < 200);
+    CHECK(isMuchSmaller(0.12, 0.5));
+    CHECK_FALSE(isMuchSmaller(0.25, 0.25));
+}
+
+TEST_CASE("a lease's row reads as it was written")
+{
+    const std::optional<lease_row> row = readLease(writeLease({"n1", 42, 3, true}));
+    REQUIRE(row);
+    CHECK(row->node == "n1");
+    CHECK(row->incarnation == 42);
+    CHECK(row->term == 3);
+    CHECK(row->released);
+    CHECK_FALSE(readLease("not json"));
+    CHECK_FALSE(readLease("{}"));
+}
