Size pools for the ramp of a turn; pace waves by their due time; finish begun jobs first

Ruled out by runs of the load model: moves per plan (12 or 40), time before an empty VM helps (0 or 150 ms). Change: a pool keeps four empty VMs in place of two, waiting work counts 2.2-fold in place of 1.6, empty VMs leave after 0.6 s in place of 1.2; while work waits only as many VMs are down as a wave needs to end in time, which is stored with its progress; jobs that have begun come before others.

--- a/bench/sched_load_bench.cpp
+++ b/bench/sched_load_bench.cpp
@@ -16,22 +16,25 @@
     CLI::App app("modelled days on virtual time");
     int seeds = 5;
     int scale = 1;
+    double load = 1.0;
     int failing = 0;
     int stalled = 0;
     int silent = 0;
     app.add_option("--seeds", seeds, "days to play, with seeds from 1");
     app.add_option("--scale", scale, "VMs and jobs, in multiples of the first user's");
+    app.add_option("--load", load, "jobs, in multiples of that");
     app.add_option("--failing", failing, "executors that fail whatever they start");
     app.add_option("--stalled", stalled, "executors on which tasks stand still");
     app.add_option("--silent", silent, "executors that fall silent at the middle of the day");
     CLI11_PARSE(app, argc, argv);
     std::printf("%4s %6s %9s %6s %6s %9s %6s %8s %8s\n", "seed", "jobs", "in time", "late", "failed", "largest", "moves", "VM s", "cpu ms/s");
+    double sums[4] = {};
     for (int seed = 1; seed <= seeds; ++seed) {
         load_settings settings = shopDay(static_cast<std::uint64_t>(seed));
         settings.vmsPerPool *= scale;
         settings.spareVms *= scale;
         for (load_queue &queue : settings.queues) {
-            queue.jobsPerSecond *= scale;
+            queue.jobsPerSecond *= scale * load;
         }
         settings.failingExecutors = failing;
         settings.stalledExecutors = stalled;
@@ -50,6 +53,11 @@
                     outcome.moves,
                     outcome.vmSecondsInPools,
                     took / lengthS);
+        sums[0] += outcome.earnedShare / seeds;
+        sums[1] += outcome.worstWindowsShare / seeds;
+        sums[2] += outcome.vmSecondsInPools / seeds / scale;
+        sums[3] += outcome.moves / static_cast<double>(seeds) / scale;
     }
+    std::printf("mean: earned %.3f, worst windows %.3f, VM seconds %.0f, moves %.0f\n", sums[0], sums[1], sums[2], sums[3]);
     return 0;
 }
--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -329,7 +329,7 @@
 
 void dispatcher::addWave(const sched::wave_request &wave)
 {
-    feed(sched::wave_requested{wave});
+    feed(sched::wave_requested{wave, unixMillis()});
 }
 
 void dispatcher::tick()
--- a/src/sched/events.h
+++ b/src/sched/events.h
@@ -95,6 +95,7 @@
 struct wave_requested
 {
     wave_request wave;
+    std::int64_t unixMs = 0;
 };
 
 /** The rows of a batch are stored. */
--- a/src/sched/fleet_planner.cpp
+++ b/src/sched/fleet_planner.cpp
@@ -11,11 +11,11 @@
 using json = nlohmann::json;
 
 // Waiting work counts more than running work: it has to start before its objective passes, not in the order in which room frees.
-constexpr double waitingWeight = 1.6;
+constexpr double waitingWeight = 2.2;
 // Empty VMs that a pool keeps for the first jobs of a turn, while moves are on their way.
-constexpr int reserveVms = 2;
+constexpr int reserveVms = 4;
 // An empty VM goes to the spare pool after this time, so that a pause between two arrivals moves nothing.
-constexpr time_ms emptyBeforeSpareMs = 1'200;
+constexpr time_ms emptyBeforeSpareMs = 600;
 // An empty VM helps another pool after this time.
 constexpr time_ms emptyBeforeHelpMs = 150;
 // A VM that has moved stays for this long unless another pool has a backlog.
@@ -26,6 +26,12 @@
 constexpr int mostMovesPerPlan = 12;
 // A VM that is listed as up this long after its upkeep should have ended has had it, or the order was never carried out.
 constexpr time_ms upkeepSlackMs = 2'500;
+// The order, and the list that shows the VM again, add this to each upkeep.
+constexpr time_ms upkeepOverheadMs = 900;
+// A wave is planned to end this long before it is due.
+constexpr time_ms waveMarginMs = 7'000;
+// With less waiting work than this share of the capacity the moment counts as quiet.
+constexpr double quietShare = 0.02;
 
 // A VM of a spare pool is off and has no executor.
 bool canMove(const fleet_vm &vm, bool spare)
@@ -41,18 +47,22 @@
 {
 }
 
-void fleet_planner::addWave(const wave_request &wave, time_ms now)
+void fleet_planner::addWave(const wave_request &wave, time_ms now, std::int64_t unixMs)
 {
     const auto [found, added] = m_waves.try_emplace(wave.wave);
     if (!added) {
         return;
     }
     found->second.request = wave;
-    found->second.seenAt = now;
-    const auto stored = m_storedDone.find(wave.wave);
-    if (stored != m_storedDone.end()) {
-        found->second.done = stored->second;
+    found->second.dueUnixMs = unixMs + wave.durationMs;
+    const auto stored = m_stored.find(wave.wave);
+    if (stored != m_stored.end()) {
+        found->second.done = stored->second.done;
+        if (stored->second.dueUnixMs != 0) {
+            found->second.dueUnixMs = stored->second.dueUnixMs;
+        }
     }
+    found->second.dueAt = now + (found->second.dueUnixMs - unixMs);
 }
 
 void fleet_planner::upkeepBegun(std::int64_t wave, const std::string &vm, time_ms now)
@@ -148,13 +158,17 @@
     }
     // Spare VMs first, then empty ones, then those with the least to end.
     std::map<std::string, bool> spare;
+    std::map<std::string, bool> pressed;
     for (const fleet_pool &pool : view.pools) {
         spare[pool.pool] = pool.spare;
+        pressed[pool.pool] = pool.waitingCpu > 0;
     }
     std::stable_sort(left.begin(), left.end(), [&](const fleet_vm *a, const fleet_vm *b) {
-        return std::make_tuple(a->runs, !spare[a->pool], a->longRunning) < std::make_tuple(b->runs, !spare[b->pool], b->longRunning);
+        return std::make_tuple(a->runs > 0, pressed[a->pool], a->runs, !spare[a->pool], a->longRunning)
+            < std::make_tuple(b->runs > 0, pressed[b->pool], b->runs, !spare[b->pool], b->longRunning);
     });
-    const int room = wave.request.cap - static_cast<int>(wave.down.size());
+    const int atOnce = vmsAtOnce(wave, static_cast<int>(left.size() + wave.down.size()), view, now);
+    const int room = atOnce - static_cast<int>(wave.down.size());
     int begun = 0;
     int draining = static_cast<int>(std::count_if(left.begin(), left.end(), [](const fleet_vm *vm) {
         return vm->reserved && vm->runs > 0;
@@ -170,7 +184,7 @@
                 wave.down[vm->vm] = now;
                 decisions.push_back(upkeep_decision{vm->vm, wave.request.wave});
             }
-        } else if (begun + draining < std::max(1, wave.request.cap) && !vm->reserved) {
+        } else if (begun + draining < std::max(1, atOnce) && !vm->reserved) {
             // The next ones are emptied while others are down.
             ++draining;
             m_taken.insert(vm->vm);
@@ -179,6 +193,26 @@
     }
 }
 
+// While work waits, only as many VMs are down as the wave needs to be in time; in quiet moments as many as it may.
+int fleet_planner::vmsAtOnce(const wave_state &wave, int left, const fleet_view &view, time_ms now) const
+{
+    std::int64_t waitingCpu = 0;
+    std::int64_t capacity = 0;
+    for (const fleet_pool &pool : view.pools) {
+        waitingCpu += pool.waitingCpu;
+    }
+    for (const fleet_vm &vm : view.vms) {
+        capacity += vm.capacity.cpu;
+    }
+    if (static_cast<double>(waitingCpu) < quietShare * static_cast<double>(capacity)) {
+        return wave.request.cap;
+    }
+    const double perVm = static_cast<double>(m_bounds.upkeepMs + upkeepOverheadMs);
+    const double remaining = std::max(perVm, static_cast<double>(wave.dueAt - now - waveMarginMs));
+    const int needed = static_cast<int>(std::ceil(left * perVm / remaining)) + 1;
+    return std::min(wave.request.cap, needed);
+}
+
 int fleet_planner::wantedVms(const fleet_pool &pool, std::int64_t cpuOfVm, std::int64_t memoryOfVm) const
 {
     const double cpu = static_cast<double>(pool.runningCpu) + waitingWeight * static_cast<double>(pool.waitingCpu);
@@ -301,22 +335,24 @@
 {
     json waves = json::object();
     for (const std::pair<const std::int64_t, wave_state> &wave : m_waves) {
-        waves[std::to_string(wave.first)] = wave.second.done;
+        waves[std::to_string(wave.first)] = json{{"done", wave.second.done}, {"due_unix_ms", wave.second.dueUnixMs}};
     }
-    return json{{"upkeep_done", waves}}.dump();
+    return json{{"waves", waves}}.dump();
 }
 
 void fleet_planner::readRow(std::string_view row)
 {
     const json value = json::parse(row, nullptr, false);
-    if (!value.is_object() || !value.contains("upkeep_done") || !value["upkeep_done"].is_object()) {
+    if (!value.is_object() || !value.contains("waves") || !value["waves"].is_object()) {
         return;
     }
-    for (const auto &item : value["upkeep_done"].items()) {
-        std::set<std::string> &done = m_storedDone[std::atoll(item.key().c_str())];
-        for (const json &vm : item.value()) {
+    const json &waves = value["waves"];
+    for (auto item = waves.begin(); item != waves.end(); ++item) {
+        stored_wave &stored = m_stored[std::atoll(item.key().c_str())];
+        stored.dueUnixMs = item.value().value("due_unix_ms", std::int64_t{0});
+        for (const json &vm : item.value().value("done", json::array())) {
             if (vm.is_string()) {
-                done.insert(vm.get<std::string>());
+                stored.done.insert(vm.get<std::string>());
             }
         }
     }
--- a/src/sched/fleet_planner.h
+++ b/src/sched/fleet_planner.h
@@ -98,7 +98,7 @@
     explicit fleet_planner(bounds limits);
 
     /** Waves already known are left as they are. */
-    void addWave(const wave_request &wave, time_ms now);
+    void addWave(const wave_request &wave, time_ms now, std::int64_t unixMs);
     void upkeepBegun(std::int64_t wave, const std::string &vm, time_ms now);
     void upkeepRefused(std::int64_t wave, const std::string &vm, bool forGood);
     /** The fleet's list has the VM up again after its upkeep began. */
@@ -117,7 +117,8 @@
     struct wave_state
     {
         wave_request request;
-        time_ms seenAt = 0;
+        std::int64_t dueUnixMs = 0;
+        time_ms dueAt = 0;
         std::set<std::string> done;
         std::map<std::string, time_ms> down;
         bool announced = false;
@@ -126,13 +127,20 @@
 
     void planWaves(const fleet_view &view, time_ms now, std::vector<fleet_decision> &decisions);
     void planWave(wave_state &wave, const fleet_view &view, time_ms now, std::vector<fleet_decision> &decisions);
+    int vmsAtOnce(const wave_state &wave, int left, const fleet_view &view, time_ms now) const;
     void planMoves(const fleet_view &view, time_ms now, std::vector<fleet_decision> &decisions);
     int wantedVms(const fleet_pool &pool, std::int64_t cpuOfVm, std::int64_t memoryOfVm) const;
 
     bounds m_bounds;
     std::map<std::int64_t, wave_state> m_waves;
     /** Waves' progress read from the row before the wave itself was seen. */
-    std::map<std::int64_t, std::set<std::string>> m_storedDone;
+    struct stored_wave
+    {
+        std::set<std::string> done;
+        std::int64_t dueUnixMs = 0;
+    };
+
+    std::map<std::int64_t, stored_wave> m_stored;
     /** VMs that the current plan has given something to do. */
     std::set<std::string> m_taken;
     std::map<std::string, time_ms> m_lastMove;
--- a/src/sched/scheduler_fleet.cpp
+++ b/src/sched/scheduler_fleet.cpp
@@ -37,7 +37,8 @@
 
 void scheduler::on(const wave_requested &what, time_ms now)
 {
-    m_fleet.addWave(what.wave, now);
+    m_fleet.addWave(what.wave, now, what.unixMs);
+    m_waveRowDirty = true;
 }
 
 fleet_view scheduler::viewOfFleet(time_ms now) const
--- a/src/sched/scheduler_place.cpp
+++ b/src/sched/scheduler_place.cpp
@@ -1,8 +1,8 @@
 // Placement: which waiting task goes where.
 //
 // The load it answers: a queue's turn brings several times what its pool holds. Within a priority, the jobs that can still meet
-// their objective come first, by the work that they still need, so that many small jobs don't wait behind a large one; jobs
-// that have missed it follow.
+// their objective come first: those that have begun, then the others, each by the work that they still need, so that many
+// small jobs don't wait behind a large one. Jobs that have missed it follow.
 
 #include "sched/scheduler.h"
 
@@ -36,12 +36,14 @@
     int priority = 0;
     bool longRunning = false;
     bool late = false;
+    /** No task of the job has started. */
+    bool fresh = true;
     double work = 0;
 
     bool operator<(const ready_step &other) const
     {
-        return std::tie(priority, other.longRunning, late, work, job->acceptedAt, job->spec.id, occurrence->number, step)
-            < std::tie(other.priority, longRunning, other.late, other.work, other.job->acceptedAt, other.job->spec.id, other.occurrence->number, other.step);
+        return std::tie(priority, other.longRunning, late, fresh, work, job->acceptedAt, job->spec.id, occurrence->number, step)
+            < std::tie(other.priority, longRunning, other.late, other.fresh, other.work, other.job->acceptedAt, other.job->spec.id, other.occurrence->number, other.step);
     }
 };
 
@@ -104,6 +106,7 @@
                     entry.priority = queue == nullptr ? std::numeric_limits<int>::max() : queue->priority;
                     entry.work = job.waitingWork();
                     entry.late = isLate(job, queue);
+                    entry.fresh = job.phase == job_phase::Pending;
                 }
                 entry.occurrence = &occurrence.second;
                 entry.step = static_cast<int>(step);
--- a/tests/sched/load_model.h
+++ b/tests/sched/load_model.h
@@ -31,6 +31,8 @@
     int maxAttempts = 4;
     /** Share of jobs of which every run fails. */
     double hopelessShare = 0;
+    /** Worth of a job of average work. */
+    double worth = 1;
 };
 
 struct load_settings
@@ -62,6 +64,9 @@
     /** Of the tenth of jobs with the most work. */
     int largest = 0;
     int largestInObjective = 0;
+    /** Worth earned of the worth owed: over the day, and over the two worst windows of 2 s. */
+    double earnedShare = 0;
+    double worstWindowsShare = 0;
     int moves = 0;
     double vmSecondsInPools = 0;
     /** Broken promises seen by the executors: two runs of a task at once, or more than a capacity. */
