--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -147,10 +147,7 @@
         m_scheduler.handle(sched::job_cancelled{job}, now);
     }
     logChange("term_recovered",
-              {{"term", m_term.term},
-               {"jobs", m_recovery->jobs.size()},
-               {"state_rows", m_recovery->states.size()},
-               {"took_ms", now - m_recovery->beganAt}});
+              {{"term", m_term.term}, {"jobs", m_recovery->jobs.size()}, {"state_rows", m_recovery->states.size()}, {"took_ms", now - m_recovery->beganAt}});
     m_recovery.reset();
     for (const sched::event &what : m_waitingEvents) {
         m_scheduler.handle(what, now);
@@ -162,7 +159,7 @@
 void dispatcher::followTables()
 {
     const std::weak_ptr<dispatcher> weak = weak_from_this();
-    const std::function<table_feed_handlers(void (dispatcher::*)(const store_row &))> handlersFor = [weak](void (dispatcher::*onRow)(const store_row &)) {
+    const std::function<table_feed_handlers(void(dispatcher::*)(const store_row &))> handlersFor = [weak](void (dispatcher::*onRow)(const store_row &)) {
         table_feed_handlers handlers;
         handlers.changed = [weak, onRow](const store_row &row) {
             if (const std::shared_ptr<dispatcher> self = weak.lock()) {
@@ -189,14 +186,10 @@
         jobParts.push_back(std::to_string(part));
     }
     m_jobFeed = std::make_unique<table_feed>(m_services.store, m_services.later, tables::jobs, jobParts, feedWait, handlersFor(&dispatcher::onJobRow));
-    m_executorFeed = std::make_unique<table_feed>(m_services.store,
-                                                  m_services.later,
-                                                  executorTable,
-                                                  std::vector<std::string>{""},
-                                                  feedWait,
-                                                  handlersFor(&dispatcher::onExecutorRow));
-    m_nodeFeed
-        = std::make_unique<table_feed>(m_services.store, m_services.later, tables::nodes, std::vector<std::string>{""}, feedWait, handlersFor(&dispatcher::onNodeRow));
+    m_executorFeed = std::make_unique<table_feed>(
+        m_services.store, m_services.later, executorTable, std::vector<std::string>{""}, feedWait, handlersFor(&dispatcher::onExecutorRow));
+    m_nodeFeed = std::make_unique<table_feed>(
+        m_services.store, m_services.later, tables::nodes, std::vector<std::string>{""}, feedWait, handlersFor(&dispatcher::onNodeRow));
     m_nodeFeed->start();
     m_jobFeed->start();
     m_executorFeed->start();
@@ -430,8 +423,7 @@
     if (m_recovered) {
         transaction.expects.push_back({{tables::state, tables::holderPart, tables::sequenceKey}, m_sequenceVersion});
         ++m_sequence;
-        transaction.puts.push_back(
-            {{tables::state, tables::holderPart, tables::sequenceKey}, std::to_string(m_term.term) + '.' + std::to_string(m_sequence)});
+        transaction.puts.push_back({{tables::state, tables::holderPart, tables::sequenceKey}, std::to_string(m_term.term) + '.' + std::to_string(m_sequence)});
         if (std::optional<sched::commit_batch> batch = m_scheduler.takeBatch(now)) {
             m_transactionBatch = batch->number;
             for (std::pair<std::string, std::string> &row : batch->rows) {
@@ -549,9 +541,7 @@
 {
     start_order call{order.task, order.run, order.payload, order.leaseEndMs, m_term.term, order.checkpoint, order.ticket};
     m_executors.start(
-        {order.executor, order.address},
-        call,
-        [weak = weak_from_this(), task = order.task, run = order.run, executor = order.executor](order_result result) {
+        {order.executor, order.address}, call, [weak = weak_from_this(), task = order.task, run = order.run, executor = order.executor](order_result result) {
             if (const std::shared_ptr<dispatcher> self = weak.lock()) {
                 self->feed(sched::start_answered{task, run, executor, result.status, result.clockMs});
             }
@@ -561,14 +551,14 @@
 void dispatcher::carryOut(const sched::stop_run &order)
 {
     m_executors.stop({order.executor, order.address},
-                              order.task,
-                              order.run,
-                              m_term.term,
-                              [weak = weak_from_this(), task = order.task, run = order.run, executor = order.executor](order_result result) {
-                                  if (const std::shared_ptr<dispatcher> self = weak.lock()) {
-                                      self->feed(sched::stop_answered{task, run, executor, result.status});
-                                  }
-                              });
+                     order.task,
+                     order.run,
+                     m_term.term,
+                     [weak = weak_from_this(), task = order.task, run = order.run, executor = order.executor](order_result result) {
+                         if (const std::shared_ptr<dispatcher> self = weak.lock()) {
+                             self->feed(sched::stop_answered{task, run, executor, result.status});
+                         }
+                     });
 }
 
 void dispatcher::carryOut(const sched::pace_run &order)
@@ -581,19 +571,12 @@
 void dispatcher::carryOut(const sched::hold_executor &order)
 {
     const hold_order call{m_term.term, order.acknowledged, order.leaseEndMs, std::chrono::milliseconds(order.waitMs)};
-    m_executors.hold({order.executor, order.address},
-                              call,
-                              [weak = weak_from_this(), executor = order.executor, sentAt = steadyMillis()](hold_result result) {
-                                  if (const std::shared_ptr<dispatcher> self = weak.lock()) {
-                                      self->feed(sched::hold_answered{executor,
-                                                                      result.status,
-                                                                      sentAt,
-                                                                      result.clockMs,
-                                                                      result.bornUnixMs,
-                                                                      std::move(result.runs),
-                                                                      std::move(result.ends)});
-                                  }
-                              });
+    m_executors.hold({order.executor, order.address}, call, [weak = weak_from_this(), executor = order.executor, sentAt = steadyMillis()](hold_result result) {
+        if (const std::shared_ptr<dispatcher> self = weak.lock()) {
+            self->feed(
+                sched::hold_answered{executor, result.status, sentAt, result.clockMs, result.bornUnixMs, std::move(result.runs), std::move(result.ends)});
+        }
+    });
 }
 
 void dispatcher::carryOut(const sched::ask_advice &order)
@@ -604,13 +587,8 @@
     const std::string step = order.job + '.' + std::to_string(order.occurrence) + '.' + std::to_string(order.step);
     m_executors.advise(*m_settings.advice, step, order.executors, [weak = weak_from_this(), order](advice_result result) {
         if (const std::shared_ptr<dispatcher> self = weak.lock()) {
-            self->feed(sched::advice_answered{order.job,
-                                              order.occurrence,
-                                              order.step,
-                                              result.status,
-                                              order.executors,
-                                              std::move(result.tickets),
-                                              result.validMs});
+            self->feed(
+                sched::advice_answered{order.job, order.occurrence, order.step, result.status, order.executors, std::move(result.tickets), result.validMs});
         }
     });
 }
--- a/src/node/leadership.cpp
+++ b/src/node/leadership.cpp
@@ -21,7 +21,8 @@
     , m_self(self)
     , m_handlers(std::move(handlers))
     , m_rules(std::move(self), leaseMs)
-    , m_feed(std::make_unique<table_feed>(store, std::move(later), tables::lease, std::vector<std::string>{tables::holderPart}, feedWait, table_feed_handlers{}))
+    , m_feed(
+          std::make_unique<table_feed>(store, std::move(later), tables::lease, std::vector<std::string>{tables::holderPart}, feedWait, table_feed_handlers{}))
 {
 }
 
--- a/src/node/node_directory.cpp
+++ b/src/node/node_directory.cpp
@@ -8,10 +8,7 @@
 
 std::string writeNode(const node_entry &entry)
 {
-    return json{{"node", entry.node},
-                {"availability_zone", entry.availabilityZone},
-                {"address", toString(entry.address)},
-                {"cpu_share", entry.cpuShare}}
+    return json{{"node", entry.node}, {"availability_zone", entry.availabilityZone}, {"address", toString(entry.address)}, {"cpu_share", entry.cpuShare}}
         .dump();
 }
 
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -8,10 +8,10 @@
 #include "node/dispatcher.h"
 #include "node/front_service.h"
 #include "node/leadership.h"
+#include "node/relay_server.h"
 #include "node/submission_writer.h"
 #include "node/table_feed.h"
 #include "node/tables.h"
-#include "node/relay_server.h"
 #include "platform/fleet_client.h"
 #include "platform/records.h"
 #include "platform/store_client.h"
@@ -313,16 +313,22 @@
         http_server_options frontOptions;
         frontOptions.listen = settings.front;
         frontOptions.readTimeout = std::chrono::seconds(20);
-        frontServer = std::make_unique<http_server>(frontOptions, [this](http_request request, http_responder respond) {
-            front.handle(std::move(request), std::move(respond));
-        }, context);
+        frontServer = std::make_unique<http_server>(
+            frontOptions,
+            [this](http_request request, http_responder respond) {
+                front.handle(std::move(request), std::move(respond));
+            },
+            context);
         http_server_options readyOptions;
         readyOptions.listen = settings.ready;
-        readyServer = std::make_unique<http_server>(readyOptions, [this](http_request, http_responder respond) {
-            http_response response;
-            response.status = isReady() ? statusOk : statusUnavailable;
-            respond(std::move(response));
-        }, context);
+        readyServer = std::make_unique<http_server>(
+            readyOptions,
+            [this](http_request, http_responder respond) {
+                http_response response;
+                response.status = isReady() ? statusOk : statusUnavailable;
+                respond(std::move(response));
+            },
+            context);
         if (!frontServer->start(reason) || !readyServer->start(reason)) {
             return false;
         }
@@ -331,12 +337,15 @@
         }
         http_server_options metricsOptions;
         metricsOptions.listen = {settings.front.address, settings.internalPort};
-        metricsServer = std::make_unique<http_server>(metricsOptions, [this](http_request, http_responder respond) {
-            http_response response;
-            response.headers.push_back({"Content-Type", "text/plain; version=0.0.4"});
-            response.body = metrics.render();
-            respond(std::move(response));
-        }, context);
+        metricsServer = std::make_unique<http_server>(
+            metricsOptions,
+            [this](http_request, http_responder respond) {
+                http_response response;
+                response.headers.push_back({"Content-Type", "text/plain; version=0.0.4"});
+                response.body = metrics.render();
+                respond(std::move(response));
+            },
+            context);
         if (!metricsServer->start(reason)) {
             return false;
         }
@@ -344,13 +353,16 @@
         http_server_options relayOptions;
         relayOptions.listen = relayAddress();
         relayOptions.maxBodyBytes = mostExchangeBytes;
-        relayHttpServer = std::make_unique<http_server>(relayOptions, [this](http_request request, http_responder respond) {
-            if (request.path == "/relay/exchange") {
-                relay->handle(request, respond);
-            } else {
-                front.handleForwarded(std::move(request), std::move(respond));
-            }
-        }, context);
+        relayHttpServer = std::make_unique<http_server>(
+            relayOptions,
+            [this](http_request request, http_responder respond) {
+                if (request.path == "/relay/exchange") {
+                    relay->handle(request, respond);
+                } else {
+                    front.handleForwarded(std::move(request), std::move(respond));
+                }
+            },
+            context);
         return relayHttpServer->start(reason);
     }
 
@@ -390,8 +402,7 @@
         handlers.reached = [this](bool reached) {
             noteStore(reached);
         };
-        operatorFeed
-            = std::make_unique<table_feed>(store, later(), operatorTable, std::vector<std::string>{""}, configurationWait, std::move(handlers));
+        operatorFeed = std::make_unique<table_feed>(store, later(), operatorTable, std::vector<std::string>{""}, configurationWait, std::move(handlers));
         operatorFeed->start();
         // Until the directory has been read, this machine could be a small one.
         sched::lease_identity self{settings.node, randomIncarnation(), sched::candidateDelay(settings.node, settings.cpuShare, assumedLargestShare)};
--- a/src/node/table_feed.cpp
+++ b/src/node/table_feed.cpp
@@ -159,12 +159,8 @@
     }
 };
 
-table_feed::table_feed(store_client &store,
-                       delayed_call later,
-                       std::string table,
-                       std::vector<std::string> parts,
-                       std::chrono::milliseconds wait,
-                       table_feed_handlers handlers)
+table_feed::table_feed(
+    store_client &store, delayed_call later, std::string table, std::vector<std::string> parts, std::chrono::milliseconds wait, table_feed_handlers handlers)
     : m_state(std::make_shared<state>(store, std::move(later)))
 {
     m_state->table = std::move(table);
--- a/src/platform/executor_client.cpp
+++ b/src/platform/executor_client.cpp
@@ -201,11 +201,8 @@
 {
 }
 
-void executor_client::post(const executor_address &target,
-                           const char *path,
-                           std::string body,
-                           std::chrono::milliseconds timeout,
-                           std::function<void(const http_result &)> done)
+void executor_client::post(
+    const executor_address &target, const char *path, std::string body, std::chrono::milliseconds timeout, std::function<void(const http_result &)> done)
 {
     http_call call;
     call.method = "POST";
@@ -224,11 +221,7 @@
 
 void executor_client::start(const executor_address &target, const start_order &order, std::function<void(order_result)> done)
 {
-    json body{{"Task", order.task.text()},
-              {"Run", order.run},
-              {"Spec", order.payload},
-              {"DeadlineMs", order.leaseEndMs},
-              {"FenceToken", order.fencingToken}};
+    json body{{"Task", order.task.text()}, {"Run", order.run}, {"Spec", order.payload}, {"DeadlineMs", order.leaseEndMs}, {"FenceToken", order.fencingToken}};
     if (!order.checkpoint.empty()) {
         body["Checkpoint"] = order.checkpoint;
     }
@@ -240,11 +233,8 @@
     });
 }
 
-void executor_client::stop(const executor_address &target,
-                           const sched::task_id &task,
-                           int run,
-                           std::int64_t fencingToken,
-                           std::function<void(order_result)> done)
+void executor_client::stop(
+    const executor_address &target, const sched::task_id &task, int run, std::int64_t fencingToken, std::function<void(order_result)> done)
 {
     const json body{{"Task", task.text()}, {"Run", run}, {"FenceToken", fencingToken}};
     post(target, "/-/run-stop", wire::dump(body), orderTimeout, [done = std::move(done)](const http_result &result) {
@@ -252,12 +242,8 @@
     });
 }
 
-void executor_client::pace(const executor_address &target,
-                           const sched::task_id &task,
-                           int run,
-                           int percent,
-                           std::int64_t fencingToken,
-                           std::function<void(order_result)> done)
+void executor_client::pace(
+    const executor_address &target, const sched::task_id &task, int run, int percent, std::int64_t fencingToken, std::function<void(order_result)> done)
 {
     const json body{{"Task", task.text()}, {"Run", run}, {"Percent", percent}, {"FenceToken", fencingToken}};
     post(target, "/-/pace", wire::dump(body), orderTimeout, [done = std::move(done)](const http_result &result) {
--- a/src/platform/executor_client.h
+++ b/src/platform/executor_client.h
@@ -79,22 +79,15 @@
 
     void start(const executor_address &target, const start_order &order, std::function<void(order_result)> done);
     void stop(const executor_address &target, const sched::task_id &task, int run, std::int64_t fencingToken, std::function<void(order_result)> done);
-    void pace(const executor_address &target,
-              const sched::task_id &task,
-              int run,
-              int percent,
-              std::int64_t fencingToken,
-              std::function<void(order_result)> done);
+    void
+    pace(const executor_address &target, const sched::task_id &task, int run, int percent, std::int64_t fencingToken, std::function<void(order_result)> done);
     void hold(const executor_address &target, const hold_order &order, std::function<void(hold_result)> done);
     /** Asks the advice service which of the executors (at most 100) may run the step. */
     void advise(const endpoint &service, const std::string &step, const std::vector<std::string> &executors, std::function<void(advice_result)> done);
 
 private:
-    void post(const executor_address &target,
-              const char *path,
-              std::string body,
-              std::chrono::milliseconds timeout,
-              std::function<void(const http_result &)> done);
+    void
+    post(const executor_address &target, const char *path, std::string body, std::chrono::milliseconds timeout, std::function<void(const http_result &)> done);
 
     call_sender m_send;
 };
--- a/src/platform/fleet_client.cpp
+++ b/src/platform/fleet_client.cpp
@@ -91,9 +91,8 @@
     http_call call;
     call.method = "POST";
     call.url = m_url + path;
-    call.headers = {{"Content-Type", "application/json"},
-                    {"X-Daisypass-Lease-Holder", holder.node},
-                    {"X-Daisypass-Fencing-Token", std::to_string(holder.fencingToken)}};
+    call.headers
+        = {{"Content-Type", "application/json"}, {"X-Daisypass-Lease-Holder", holder.node}, {"X-Daisypass-Fencing-Token", std::to_string(holder.fencingToken)}};
     call.body = std::move(body);
     call.connectTimeout = connectTimeout;
     call.totalTimeout = callTimeout;
--- a/src/sched/scheduler_executors.cpp
+++ b/src/sched/scheduler_executors.cpp
@@ -102,8 +102,8 @@
     // Another life of the same VM is over.
     if (fresh && !what.entry.vm.empty()) {
         for (std::pair<const std::string, executor_record> &other : m_executors) {
-            const bool replaced = other.first != what.entry.id && other.second.entry.vm == what.entry.vm && !other.second.dead
-                && other.second.entry.bornUnixMs < born;
+            const bool replaced
+                = other.first != what.entry.id && other.second.entry.vm == what.entry.vm && !other.second.dead && other.second.entry.bornUnixMs < born;
             if (replaced) {
                 markDead(other.second, now, "vm_has_new_executor");
             }
@@ -374,7 +374,10 @@
         const bool current = task.phase == task_phase::Running && task.run == run->run && task.executor == executor.entry.id;
         if (current && task.pacedPercent != executor.fillPercent) {
             note("run_paced",
-                 {{"task", run->task.text()}, {"executor", executor.entry.id}, {"percent", std::to_string(executor.fillPercent)}, {"worst_of_target", std::to_string(worst)}});
+                 {{"task", run->task.text()},
+                  {"executor", executor.entry.id},
+                  {"percent", std::to_string(executor.fillPercent)},
+                  {"worst_of_target", std::to_string(worst)}});
             task.pacedPercent = executor.fillPercent;
             m_actions.push_back(pace_run{run->task, run->run, executor.entry.id, executor.entry.address, executor.fillPercent});
         }
--- a/src/sched/scheduler_fleet.cpp
+++ b/src/sched/scheduler_fleet.cpp
@@ -163,8 +163,7 @@
             executor.reserved = true;
         }
         ++m_counts.moves;
-        note("move_ordered",
-             {{"vm", move->vm}, {"from", vm.pool}, {"to", move->pool}, {"executor", vm.executor}});
+        note("move_ordered", {{"vm", move->vm}, {"from", vm.pool}, {"to", move->pool}, {"executor", vm.executor}});
         m_actions.push_back(move_vm{move->vm, move->pool});
     } else if (const upkeep_decision *upkeep = std::get_if<upkeep_decision>(&decision)) {
         const vm_entry &vm = m_vms.at(upkeep->vm);
--- a/src/sched/scheduler_place.cpp
+++ b/src/sched/scheduler_place.cpp
@@ -43,7 +43,15 @@
     bool operator<(const ready_step &other) const
     {
         return std::tie(priority, other.longRunning, late, fresh, work, job->acceptedAt, job->spec.id, occurrence->number, step)
-            < std::tie(other.priority, longRunning, other.late, other.fresh, other.work, other.job->acceptedAt, other.job->spec.id, other.occurrence->number, other.step);
+            < std::tie(other.priority,
+                       longRunning,
+                       other.late,
+                       other.fresh,
+                       other.work,
+                       other.job->acceptedAt,
+                       other.job->spec.id,
+                       other.occurrence->number,
+                       other.step);
     }
 };
 
--- a/src/sched/scheduler_runs.cpp
+++ b/src/sched/scheduler_runs.cpp
@@ -180,8 +180,7 @@
         task.countFailure(task.run);
     }
     task.failedOn = task.executor;
-    note("run_failed",
-         {{"task", id.text()}, {"run", std::to_string(task.run)}, {"executor", task.executor}, {"failures", std::to_string(task.failures())}});
+    note("run_failed", {{"task", id.text()}, {"run", std::to_string(task.run)}, {"executor", task.executor}, {"failures", std::to_string(task.failures())}});
     release(id, kind, task, now);
     markDirty(job);
     failIfOutOfAttempts(job, id, task, now);
--- a/src/standins/worker_standin.cpp
+++ b/src/standins/worker_standin.cpp
@@ -36,10 +36,7 @@
 
 } // namespace
 
-worker_standin::worker_standin(asio::io_context &context,
-                               store_standin &store,
-                               worker_options options,
-                               std::function<void(const worker_event &)> observe)
+worker_standin::worker_standin(asio::io_context &context, store_standin &store, worker_options options, std::function<void(const worker_event &)> observe)
     : m_context(context)
     , m_store(store)
     , m_options(std::move(options))
--- a/tests/sched/scheduler_test.cpp
+++ b/tests/sched/scheduler_test.cpp
@@ -31,8 +31,8 @@
         REQUIRE(starts.size() == 1);
         world.answerStart(starts[0]);
         world.take<hold_executor>();
-        world.brain.handle(
-            hold_answered{"e1", order_status::Ok, world.now, world.now, 1'000, {}, {scheduler_fixture::ended(starts[0], 1, run_end::Done)}}, world.now);
+        world.brain.handle(hold_answered{"e1", order_status::Ok, world.now, world.now, 1'000, {}, {scheduler_fixture::ended(starts[0], 1, run_end::Done)}},
+                           world.now);
         world.brain.plan(world.now);
         world.collect();
         CHECK(world.take<hold_executor>().empty());
