Tell the lease's holder of stored rows; more parts for submissions; wait for a slow store

Change: a node that has stored a row tells the holder; the registry is read when a VM is up with an unknown executor; 16 parts in place of 4, read at the same time after a takeover; a write waits 1.4 s.

--- a/src/entry/header_rules.h
+++ b/src/entry/header_rules.h
@@ -5,8 +5,8 @@
 //     std::variant<submission, request_outcome> read = readSubmission(request, view, number, now);
 
 #include "entry/request_outcome.h"
-#include "kernel/configuration.h"
 #include "http/http_client.h"
+#include "kernel/configuration.h"
 
 #include <map>
 #include <optional>
--- a/src/entry/pool_shard.h
+++ b/src/entry/pool_shard.h
@@ -11,9 +11,9 @@
 #include "base/metrics.h"
 #include "base/time.h"
 #include "entry/request_outcome.h"
+#include "http/http_client.h"
 #include "kernel/fleet_change.h"
 #include "kernel/pool_scheduler.h"
-#include "http/http_client.h"
 
 #include <atomic>
 #include <cstdint>
--- a/src/entry/request_outcome.h
+++ b/src/entry/request_outcome.h
@@ -6,8 +6,8 @@
 // with `outcome`, `reason` and `request_id`.
 
 #include "base/time.h"
-#include "kernel/request.h"
 #include "http/http_client.h"
+#include "kernel/request.h"
 
 #include <string>
 #include <string_view>
--- a/src/entry/target_call.h
+++ b/src/entry/target_call.h
@@ -3,8 +3,8 @@
 // One attempt on a target: the call, and what its result means (docs/design.md, 3.5).
 
 #include "base/time.h"
-#include "kernel/request.h"
 #include "http/http_client.h"
+#include "kernel/request.h"
 
 #include <string>
 #include <string_view>
--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -38,6 +38,7 @@
     std::map<std::string, sched::job_spec> jobs{};
     std::map<std::string, std::string> states{};
     std::vector<std::string> cancelled{};
+    int readsLeft = 0;
     sched::time_ms beganAt = 0;
 };
 
@@ -62,7 +63,11 @@
 void dispatcher::start()
 {
     const std::lock_guard<std::mutex> guard(m_lock);
-    readJobs(0, "");
+    m_recovery->readsLeft = tables::jobParts + 1;
+    for (std::size_t part = 0; part < tables::jobParts; ++part) {
+        readJobs(part, "");
+    }
+    readState("");
 }
 
 void dispatcher::readJobs(std::size_t part, const std::string &from)
@@ -73,7 +78,7 @@
         if (!self) {
             return;
         }
-        const std::lock_guard<std::mutex> guard(self->m_lock);
+        std::unique_lock<std::mutex> guard(self->m_lock);
         if (self->m_stopped) {
             return;
         }
@@ -90,10 +95,8 @@
         }
         if (result.more && !result.rows.empty()) {
             self->readJobs(part, result.rows.back().key.key + '!');
-        } else if (part + 1 < tables::jobParts) {
-            self->readJobs(part + 1, "");
         } else {
-            self->readState("");
+            self->onReadDone(guard);
         }
     });
 }
@@ -130,11 +133,18 @@
             self->readState(result.rows.back().key.key + '!');
             return;
         }
-        self->finishRecovery();
-        self->pump(guard);
+        self->onReadDone(guard);
     });
 }
 
+void dispatcher::onReadDone(std::unique_lock<std::mutex> &guard)
+{
+    if (--m_recovery->readsLeft == 0) {
+        finishRecovery();
+        pump(guard);
+    }
+}
+
 void dispatcher::finishRecovery()
 {
     const sched::time_ms now = steadyMillis();
@@ -182,6 +192,7 @@
         return handlers;
     };
     std::vector<std::string> jobParts;
+    jobParts.reserve(tables::jobParts);
     for (int part = 0; part < tables::jobParts; ++part) {
         jobParts.push_back(std::to_string(part));
     }
@@ -224,6 +235,16 @@
     }
 }
 
+void dispatcher::offerJobRow(const store_row &row)
+{
+    std::unique_lock<std::mutex> guard(m_lock);
+    if (m_stopped) {
+        return;
+    }
+    onJobRow(row);
+    pump(guard);
+}
+
 void dispatcher::onExecutorRow(const store_row &row)
 {
     const sched::time_ms now = steadyMillis();
@@ -368,7 +389,7 @@
     row_transaction transaction;
     transaction.expects = {{tables::termRow(), m_term.termVersion}};
     transaction.puts = {{tables::holderRow(), sched::writeLease({m_term.node, m_term.incarnation, m_term.term, true, stopping})}};
-    m_services.store.transact(transaction, commitTimeout, [done = std::move(done)](transact_result) {
+    m_services.store.transact(transaction, commitTimeout, [done = std::move(done)](const transact_result &) {
         done();
     });
 }
@@ -475,7 +496,7 @@
 {
     m_commitInFlight = true;
     m_commitSentAt = steadyMillis();
-    m_services.store.transact(*m_transaction, commitTimeout, [weak = weak_from_this()](transact_result result) {
+    m_services.store.transact(*m_transaction, commitTimeout, [weak = weak_from_this()](const transact_result &result) {
         if (const std::shared_ptr<dispatcher> self = weak.lock()) {
             self->onCommitted(result);
         }
@@ -631,7 +652,7 @@
 {
     row_transaction transaction;
     transaction.puts = {{{statusTable, "", waveStatusKey(order.wave)}, waveStatusText(order.wave, order.completed)}};
-    m_services.store.transact(transaction, commitTimeout, [weak = weak_from_this(), order](transact_result result) {
+    m_services.store.transact(transaction, commitTimeout, [weak = weak_from_this(), order](const transact_result &result) {
         const std::shared_ptr<dispatcher> self = weak.lock();
         if (!self || result.status == store_status::Ok) {
             return;
@@ -665,7 +686,7 @@
 
 void dispatcher::listVms(const std::string &page)
 {
-    m_services.fleet.list(page, [weak = weak_from_this()](vm_page answer) {
+    m_services.fleet.list(page, [weak = weak_from_this()](const vm_page &answer) {
         if (const std::shared_ptr<dispatcher> self = weak.lock()) {
             self->onVmPage(answer);
         }
@@ -693,7 +714,32 @@
     m_vmsListedAt = steadyMillis();
     m_scheduler.handle(sched::vms_listed{std::move(m_vmPages)}, m_vmsListedAt);
     m_vmPages.clear();
+    readRegistryIfBehind();
     pump(guard);
 }
 
+// Answers feeds that hear nothing for a while: a VM that is up with an executor that nobody has announced.
+void dispatcher::readRegistryIfBehind()
+{
+    if (m_readingRegistry || !m_scheduler.hasUnknownExecutor()) {
+        return;
+    }
+    m_readingRegistry = true;
+    m_services.store.get({executorTable, "", "", ""}, readTimeout, [weak = weak_from_this()](const rows_result &result) {
+        const std::shared_ptr<dispatcher> self = weak.lock();
+        if (!self) {
+            return;
+        }
+        std::unique_lock<std::mutex> guard(self->m_lock);
+        self->m_readingRegistry = false;
+        if (self->m_stopped || result.status != store_status::Ok) {
+            return;
+        }
+        for (const store_row &row : result.rows) {
+            self->onExecutorRow(row);
+        }
+        self->pump(guard);
+    });
+}
+
 } // namespace daisypass
--- a/src/node/dispatcher.h
+++ b/src/node/dispatcher.h
@@ -48,6 +48,8 @@
     void tick();
     void configure(const sched::configuration_view &view);
     void addWave(const sched::wave_request &wave);
+    /** A row of the jobs table that another node has stored. */
+    void offerJobRow(const store_row &row);
     /** Stops, and stores that the lease is free; `stopping` says that the process ends. */
     void release(bool stopping, std::function<void()> done);
     void stop();
@@ -57,6 +59,7 @@
 
     void readJobs(std::size_t part, const std::string &from);
     void readState(const std::string &from);
+    void onReadDone(std::unique_lock<std::mutex> &guard);
     void finishRecovery();
     void followTables();
     void onJobRow(const store_row &row);
@@ -84,6 +87,7 @@
     void loseTerm(std::string_view cause);
     void announceLoss(std::unique_lock<std::mutex> &guard);
     bool renewalIsFresh() const;
+    void readRegistryIfBehind();
     void listVms(const std::string &page);
     void onVmPage(const vm_page &page);
     void publishQueues(row_transaction &transaction);
@@ -128,6 +132,7 @@
 
     sched::time_ms m_vmsListedAt = 0;
     bool m_listingVms = false;
+    bool m_readingRegistry = false;
     std::vector<sched::vm_entry> m_vmPages;
 };
 
--- a/src/node/front_service.cpp
+++ b/src/node/front_service.cpp
@@ -18,7 +18,7 @@
 // Time for the answer to travel back.
 constexpr sched::time_ms answerSlackMs = 150;
 // This node tries a write for this long before it passes the request on.
-constexpr sched::time_ms ownWritePatienceMs = 900;
+constexpr sched::time_ms ownWritePatienceMs = 1'400;
 constexpr std::size_t idLength = 16;
 // After a failed call to the store this node passes requests on for this long, unless a call succeeds before.
 constexpr sched::time_ms suspicionMs = 1'000;
@@ -94,11 +94,12 @@
            });
 }
 
-front_service::front_service(store_client &store, std::shared_ptr<submission_writer> writer, metrics_registry &metrics, request_forwarder forward)
+front_service::front_service(store_client &store, std::shared_ptr<submission_writer> writer, metrics_registry &metrics, request_forwarder forward, stored_row_listener stored)
     : m_store(store)
     , m_writer(std::move(writer))
     , m_metrics(metrics)
     , m_forward(std::move(forward))
+    , m_stored(std::move(stored))
 {
 }
 
@@ -122,7 +123,7 @@
             return;
         }
         noteStore(false);
-        m_forward(request, [respond, own = response](http_response other) {
+        m_forward(request, [respond, own = response](const http_response &other) {
             // What may have been written can't be refused any more.
             const bool refusedNow = other.status == 0 || other.status == statusUnavailable;
             const bool outcomeUnknown = own.status == statusOutcomeUnknown;
@@ -228,9 +229,11 @@
     job->pool = match.queue.pool;
     job->acceptedUnixMs = unixMillis();
     const row_key key = tables::jobRow(job->id);
-    m_writer->add(key, writeJob(*job), writeDeadline(request, mayForward), [id = job->id, respond = std::move(respond)](submission_result result) {
+    const std::string row = writeJob(*job);
+    m_writer->add(key, row, writeDeadline(request, mayForward), [this, key, row, id = job->id, respond = std::move(respond)](submission_result result) {
         switch (result) {
         case submission_result::Stored:
+            m_stored(key, row);
             logChange("job_accepted", {{"request", id}});
             respond(answer(statusOk));
             return;
@@ -249,7 +252,7 @@
 void front_service::show(const std::string &job, http_responder respond)
 {
     // The key's range holds this one row.
-    m_store.get({tables::state, tables::holderPart, job, job + '!'}, readTimeout, [this, job, respond = std::move(respond)](rows_result result) {
+    m_store.get({tables::state, tables::holderPart, job, job + '!'}, readTimeout, [this, job, respond = std::move(respond)](const rows_result &result) {
         if (result.status != store_status::Ok) {
             respond(refusal(statusUnavailable, 1));
             return;
@@ -267,7 +270,7 @@
 void front_service::showStored(const std::string &job, http_responder respond)
 {
     const row_key first = tables::jobRow(job);
-    m_store.get({first.table, first.part, job, job + '~'}, readTimeout, [job, respond = std::move(respond)](rows_result result) {
+    m_store.get({first.table, first.part, job, job + '~'}, readTimeout, [job, respond = std::move(respond)](const rows_result &result) {
         if (result.status != store_status::Ok) {
             respond(refusal(statusUnavailable, 1));
             return;
@@ -290,7 +293,7 @@
 void front_service::cancel(const std::string &job, sched::time_ms deadline, http_responder respond)
 {
     const row_key first = tables::jobRow(job);
-    m_store.get({first.table, first.part, job, job + '!'}, readTimeout, [this, job, deadline, respond = std::move(respond)](rows_result result) {
+    m_store.get({first.table, first.part, job, job + '!'}, readTimeout, [this, job, deadline, respond = std::move(respond)](const rows_result &result) {
         if (result.status != store_status::Ok) {
             respond(refusal(statusUnavailable, 1));
             return;
@@ -299,11 +302,12 @@
             respond(answer(statusGone));
             return;
         }
-        m_writer->add(tables::cancelRow(job), "{}", deadline, [job, respond](submission_result written) {
+        m_writer->add(tables::cancelRow(job), "{}", deadline, [this, job, respond](submission_result written) {
             if (written != submission_result::Stored) {
                 respond(written == submission_result::Unknown ? answer(statusOutcomeUnknown) : refusal(statusUnavailable, 1));
                 return;
             }
+            m_stored(tables::cancelRow(job), {});
             logChange("cancel_accepted", {{"request", job}});
             respond(answer(statusOk));
         });
@@ -313,7 +317,7 @@
 void front_service::countWaiting(const sched::queue_key &queue, http_responder respond)
 {
     const std::string key = queue.host + queue.prefix;
-    m_store.get({tables::queues, tables::holderPart, key, key + '!'}, readTimeout, [respond = std::move(respond)](rows_result result) {
+    m_store.get({tables::queues, tables::holderPart, key, key + '!'}, readTimeout, [respond = std::move(respond)](const rows_result &result) {
         if (result.status != store_status::Ok) {
             respond(refusal(statusUnavailable, 1));
             return;
--- a/src/node/front_service.h
+++ b/src/node/front_service.h
@@ -35,11 +35,14 @@
 /** Sends a request to another node, and passes on its answer or 0 as status if no node was reached. */
 using request_forwarder = std::function<void(http_request, http_responder)>;
 
+/** Told of each stored row of the jobs table, so that the lease's holder needn't wait for the store's feed. */
+using stored_row_listener = std::function<void(const row_key &, const std::string &)>;
+
 class front_service
 {
 public:
     /** `forward` is used while this node can't reach the store. */
-    front_service(store_client &store, std::shared_ptr<submission_writer> writer, metrics_registry &metrics, request_forwarder forward);
+    front_service(store_client &store, std::shared_ptr<submission_writer> writer, metrics_registry &metrics, request_forwarder forward, stored_row_listener stored);
 
     void configure(std::shared_ptr<const sched::configuration_view> view);
     void handle(http_request request, http_responder respond);
@@ -69,6 +72,7 @@
     std::shared_ptr<submission_writer> m_writer;
     metrics_registry &m_metrics;
     request_forwarder m_forward;
+    stored_row_listener m_stored;
     std::atomic<sched::time_ms> m_storeFailedAt{0};
     std::mutex m_lock;
     std::shared_ptr<const sched::configuration_view> m_view;
--- a/src/node/leadership.cpp
+++ b/src/node/leadership.cpp
@@ -103,6 +103,13 @@
     m_rules.setCandidateDelay(delayMs);
 }
 
+std::string leadership::holder()
+{
+    const std::lock_guard<std::mutex> guard(m_lock);
+    const std::optional<sched::lease_row> &row = m_rules.row();
+    return row && !row->released ? row->node : std::string();
+}
+
 void leadership::retire()
 {
     const std::lock_guard<std::mutex> guard(m_lock);
@@ -125,7 +132,7 @@
     row_transaction transaction;
     transaction.expects = {{tables::holderRow(), std::max<std::int64_t>(0, m_rules.version())}, {tables::termRow(), m_termVersion}};
     transaction.puts = {{tables::holderRow(), sched::writeLease(wanted)}, {tables::termRow(), std::to_string(wanted.term)}};
-    m_store.transact(transaction, takeTimeout, [weak = weak_from_this(), wanted, mayLive = !m_rules.holderIsOver()](transact_result result) {
+    m_store.transact(transaction, takeTimeout, [weak = weak_from_this(), wanted, mayLive = !m_rules.holderIsOver()](const transact_result &result) {
         if (const std::shared_ptr<leadership> self = weak.lock()) {
             self->onTaken(result, wanted, mayLive);
         }
--- a/src/node/leadership.h
+++ b/src/node/leadership.h
@@ -46,6 +46,8 @@
     void start();
     void tick(sched::time_ms now);
     void setCandidateDelay(sched::time_ms delayMs);
+    /** The node that holds the lease, as far as known; empty if none does. */
+    std::string holder();
     /** Takes no lease any more. */
     void retire();
     /** The dispatcher has stopped: its term is over for this process. */
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -48,6 +48,8 @@
 // An exchange holds some hundred orders of a few kilobytes.
 constexpr std::size_t mostExchangeBytes = 8 << 20;
 
+// Where a node tells the holder of a row of the jobs table; the row's key follows.
+constexpr std::string_view rowPath = "/relay/row/";
 // Requests of a node without the store are passed to this many others, one after the other.
 constexpr int forwardAttempts = 2;
 constexpr std::chrono::milliseconds forwardConnectTimeout{250};
@@ -84,12 +86,16 @@
         , store(client, settings.store)
         , fleet(client, settings.fleet)
         , writer(std::make_shared<submission_writer>(store, later()))
-        , front(store,
-                writer,
-                metrics,
-                [this](http_request request, http_responder respond) {
-                    forward(std::move(request), std::move(respond), forwardAttempts);
-                })
+        , front(
+              store,
+              writer,
+              metrics,
+              [this](http_request request, http_responder respond) {
+                  forward(std::move(request), std::move(respond), forwardAttempts);
+              },
+              [this](const row_key &key, const std::string &value) {
+                  tellHolder(key, value);
+              })
         , ticker(context)
         , signals(context)
     {
@@ -149,6 +155,54 @@
         return configured && !terminating && steadyMillis() - storeReachedAt < storeSilenceMs;
     }
 
+    // The holder learns of a stored row at once; if this is lost, the feed tells it a little later.
+    void tellHolder(const row_key &key, const std::string &value)
+    {
+        const std::string holder = lease ? lease->holder() : std::string();
+        std::shared_ptr<dispatcher> current;
+        endpoint address;
+        {
+            const std::lock_guard<std::mutex> guard(lock);
+            current = owner;
+            const auto node = directory.find(holder);
+            if (node != directory.end()) {
+                address = node->second.first.address;
+            }
+        }
+        if (current) {
+            current->offerJobRow({key, value, 0, false});
+            return;
+        }
+        if (address.port == 0) {
+            return;
+        }
+        http_call call;
+        call.method = "POST";
+        call.url = "http://" + toString(address) + std::string(rowPath) + key.key;
+        call.body = value;
+        call.connectTimeout = forwardConnectTimeout;
+        call.totalTimeout = forwardTimeout;
+        client.send(std::move(call), [](const http_result &) {
+        });
+    }
+
+    void onRowFromNode(const http_request &request, const http_responder &respond)
+    {
+        std::shared_ptr<dispatcher> current;
+        {
+            const std::lock_guard<std::mutex> guard(lock);
+            current = owner;
+        }
+        if (current) {
+            store_row row;
+            row.key.table = tables::jobs;
+            row.key.key = request.path.substr(rowPath.size());
+            row.value = request.body;
+            current->offerJobRow(row);
+        }
+        respond(http_response{});
+    }
+
     // Passes a caller's request to a node drawn from the directory; status 0 if none was reached.
     void forward(http_request request, http_responder respond, int attempts)
     {
@@ -323,7 +377,7 @@
         readyOptions.listen = settings.ready;
         readyServer = std::make_unique<http_server>(
             readyOptions,
-            [this](http_request, http_responder respond) {
+            [this](const http_request &, const http_responder &respond) {
                 http_response response;
                 response.status = isReady() ? statusOk : statusUnavailable;
                 respond(std::move(response));
@@ -339,7 +393,7 @@
         metricsOptions.listen = {settings.front.address, settings.internalPort};
         metricsServer = std::make_unique<http_server>(
             metricsOptions,
-            [this](http_request, http_responder respond) {
+            [this](const http_request &, const http_responder &respond) {
                 http_response response;
                 response.headers.push_back({"Content-Type", "text/plain; version=0.0.4"});
                 response.body = metrics.render();
@@ -358,6 +412,8 @@
             [this](http_request request, http_responder respond) {
                 if (request.path == "/relay/exchange") {
                     relay->handle(request, respond);
+                } else if (request.path.starts_with(rowPath)) {
+                    onRowFromNode(request, respond);
                 } else {
                     front.handleForwarded(std::move(request), std::move(respond));
                 }
@@ -380,7 +436,7 @@
         row_transaction transaction;
         const node_entry entry{settings.node, settings.availabilityZone, relayAddress(), settings.cpuShare};
         transaction.puts = {{tables::nodeRow(settings.node), writeNode(entry)}};
-        store.transact(transaction, std::chrono::seconds(1), [this](transact_result result) {
+        store.transact(transaction, std::chrono::seconds(1), [this](const transact_result &result) {
             if (result.status != store_status::Ok) {
                 later()(registerRetry, [this] {
                     registerNode();
@@ -425,7 +481,7 @@
 
     void readDirectory()
     {
-        store.get({tables::nodes, "", "", ""}, std::chrono::seconds(1), [this](rows_result result) {
+        store.get({tables::nodes, "", "", ""}, std::chrono::seconds(1), [this](const rows_result &result) {
             if (result.status == store_status::Ok) {
                 applyDirectory(result.rows);
             }
@@ -545,7 +601,7 @@
         }
         row_transaction leave;
         leave.deletes = {tables::nodeRow(settings.node)};
-        store.transact(leave, std::chrono::seconds(1), [](transact_result) {
+        store.transact(leave, std::chrono::seconds(1), [](const transact_result &) {
             // A row that stays costs the holder one failed exchange.
         });
         if (!current) {
--- a/src/node/relay_pool.cpp
+++ b/src/node/relay_pool.cpp
@@ -181,7 +181,7 @@
     call.body = encode(exchange);
     call.connectTimeout = connectTimeout;
     call.totalTimeout = polls ? pollWait + exchangeTimeout : exchangeTimeout;
-    m_client.send(std::move(call), [weak = weak_from_this(), name, polls, calls = std::move(exchange.calls)](http_result result) mutable {
+    m_client.send(std::move(call), [weak = weak_from_this(), name, polls, calls = std::move(exchange.calls)](const http_result &result) mutable {
         if (const std::shared_ptr<relay_pool> self = weak.lock()) {
             self->onExchange(name, polls, std::move(calls), result);
         }
--- a/src/node/submission_writer.cpp
+++ b/src/node/submission_writer.cpp
@@ -10,7 +10,8 @@
 
 constexpr std::size_t mostRowsPerWrite = 40;
 constexpr std::size_t mostBytesPerWrite = 400'000;
-constexpr std::chrono::milliseconds writeTimeout{800};
+// A slow store is waited for: a write given up too early is only repeated and makes it slower.
+constexpr std::chrono::milliseconds writeTimeout{1'400};
 constexpr std::chrono::milliseconds retryPause{70};
 // A row that the store refuses is tried again for this long; callers of a store that stays away learn it soon.
 constexpr sched::time_ms refusedPatienceMs = 350;
@@ -55,7 +56,7 @@
     }
     std::move(later.begin(), later.end(), std::back_inserter(queue.waiting));
     queue.busy = true;
-    m_store.transact(transaction, writeTimeout, [weak = weak_from_this(), part](transact_result result) {
+    m_store.transact(transaction, writeTimeout, [weak = weak_from_this(), part](const transact_result &result) {
         if (const std::shared_ptr<submission_writer> self = weak.lock()) {
             self->onAnswer(part, result);
         }
--- a/src/node/table_feed.cpp
+++ b/src/node/table_feed.cpp
@@ -1,5 +1,7 @@
 #include "node/table_feed.h"
 
+#include "base/log.h"
+
 #include <algorithm>
 #include <atomic>
 #include <limits>
@@ -53,7 +55,7 @@
 
     void readPage()
     {
-        store.get({table, parts[part], from, ""}, readTimeout, [self = shared_from_this()](rows_result result) {
+        store.get({table, parts[part], from, ""}, readTimeout, [self = shared_from_this()](const rows_result &result) {
             const std::lock_guard<std::mutex> guard(self->lock);
             self->onPage(result);
         });
@@ -105,13 +107,14 @@
         known = readKeys;
         readKeys.clear();
         version = readVersion;
+        logChange("table_read", {{"table", table}, {"rows", known.size()}, {"version", version}});
         handlers.complete();
         poll();
     }
 
     void poll()
     {
-        store.feed(table, version, wait, [self = shared_from_this()](rows_result result) {
+        store.feed(table, version, wait, [self = shared_from_this()](const rows_result &result) {
             const std::lock_guard<std::mutex> guard(self->lock);
             self->onFeed(result);
         });
@@ -124,6 +127,7 @@
         }
         handlers.reached(result.status == store_status::Ok || result.status == store_status::HistoryGone);
         if (result.status == store_status::HistoryGone) {
+            logChange("feed_history_gone", {{"table", table}, {"after_version", version}});
             beginRead();
             return;
         }
--- a/src/node/tables.h
+++ b/src/node/tables.h
@@ -18,7 +18,7 @@
 /** The part of all rows that the lease's holder writes, so that one transaction can expect the term. */
 inline constexpr const char *holderPart = "L";
 /** Submissions are spread over this many parts, since a part takes a limited number of transactions a second. */
-inline constexpr int jobParts = 4;
+inline constexpr int jobParts = 16;
 /** Rows of the holder that are no jobs sort behind all ids. */
 inline constexpr const char *sequenceKey = "~sequence";
 inline constexpr const char *wavesKey = "~waves";
--- a/src/platform/executor_client.cpp
+++ b/src/platform/executor_client.cpp
@@ -214,7 +214,7 @@
     call.body = std::move(body);
     call.connectTimeout = std::min(connectTimeout, timeout);
     call.totalTimeout = timeout;
-    m_send(std::move(call), [done = std::move(done)](http_result result) {
+    m_send(std::move(call), [done = std::move(done)](const http_result &result) {
         done(result);
     });
 }
--- a/src/platform/fleet_client.cpp
+++ b/src/platform/fleet_client.cpp
@@ -81,7 +81,7 @@
     }
     call.connectTimeout = connectTimeout;
     call.totalTimeout = callTimeout;
-    m_http.send(std::move(call), [done = std::move(done)](http_result result) {
+    m_http.send(std::move(call), [done = std::move(done)](const http_result &result) {
         done(readPage(result));
     });
 }
@@ -96,7 +96,7 @@
     call.body = std::move(body);
     call.connectTimeout = connectTimeout;
     call.totalTimeout = callTimeout;
-    m_http.send(std::move(call), [done = std::move(done)](http_result result) {
+    m_http.send(std::move(call), [done = std::move(done)](const http_result &result) {
         done(statusOf(result));
     });
 }
--- a/src/platform/store_client.cpp
+++ b/src/platform/store_client.cpp
@@ -147,7 +147,7 @@
     call.body = transactionBody(transaction);
     call.connectTimeout = std::min(connectTimeout, timeout);
     call.totalTimeout = timeout;
-    m_http.send(std::move(call), [done = std::move(done)](http_result result) {
+    m_http.send(std::move(call), [done = std::move(done)](const http_result &result) {
         done(readTransactResult(result));
     });
 }
@@ -164,7 +164,7 @@
     }
     call.connectTimeout = std::min(connectTimeout, timeout);
     call.totalTimeout = timeout;
-    m_http.send(std::move(call), [done = std::move(done)](http_result result) {
+    m_http.send(std::move(call), [done = std::move(done)](const http_result &result) {
         done(readRowsResult(result));
     });
 }
@@ -176,7 +176,7 @@
         + parameter("WaitMs", std::to_string(wait.count()));
     call.connectTimeout = connectTimeout;
     call.totalTimeout = wait + feedSlack;
-    m_http.send(std::move(call), [done = std::move(done)](http_result result) {
+    m_http.send(std::move(call), [done = std::move(done)](const http_result &result) {
         done(readRowsResult(result));
     });
 }
--- a/src/platform/store_client.h
+++ b/src/platform/store_client.h
@@ -14,6 +14,7 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace daisypass {
@@ -24,7 +25,14 @@
     std::string part;
     std::string key;
 
-    auto operator<=>(const row_key &) const = default;
+    bool operator==(const row_key &other) const
+    {
+        return std::tie(table, part, key) == std::tie(other.table, other.part, other.key);
+    }
+    bool operator<(const row_key &other) const
+    {
+        return std::tie(table, part, key) < std::tie(other.table, other.part, other.key);
+    }
 };
 
 struct store_row
--- a/src/sched/fleet_planner.cpp
+++ b/src/sched/fleet_planner.cpp
@@ -49,10 +49,10 @@
 
 void fleet_planner::addWave(const wave_request &wave, time_ms now, std::int64_t unixMs)
 {
-    const auto [found, added] = m_waves.try_emplace(wave.wave);
-    if (!added) {
+    if (m_waves.contains(wave.wave)) {
         return;
     }
+    const auto found = m_waves.try_emplace(wave.wave).first;
     found->second.request = wave;
     found->second.dueUnixMs = unixMs + wave.durationMs;
     const auto stored = m_stored.find(wave.wave);
--- a/src/sched/model.h
+++ b/src/sched/model.h
@@ -70,7 +70,14 @@
     std::string host;
     std::string prefix;
 
-    auto operator<=>(const queue_key &) const = default;
+    bool operator==(const queue_key &other) const
+    {
+        return std::tie(host, prefix) == std::tie(other.host, other.prefix);
+    }
+    bool operator<(const queue_key &other) const
+    {
+        return std::tie(host, prefix) < std::tie(other.host, other.prefix);
+    }
 };
 
 struct job_spec
@@ -99,7 +106,14 @@
     int step = 0;
     int index = 0;
 
-    auto operator<=>(const task_id &) const = default;
+    bool operator==(const task_id &other) const
+    {
+        return std::tie(job, occurrence, step, index) == std::tie(other.job, other.occurrence, other.step, other.index);
+    }
+    bool operator<(const task_id &other) const
+    {
+        return std::tie(job, occurrence, step, index) < std::tie(other.job, other.occurrence, other.step, other.index);
+    }
     std::string text() const;
     /** Empty if the text is no task's name. */
     static std::optional<task_id> parse(std::string_view text);
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -84,6 +84,8 @@
     {
         return m_jobs.size();
     }
+    /** An up VM has an executor that no entry has announced. */
+    bool hasUnknownExecutor() const;
     const std::map<std::string, executor_record> &executors() const
     {
         return m_executors;
--- a/src/sched/scheduler_executors.cpp
+++ b/src/sched/scheduler_executors.cpp
@@ -41,7 +41,8 @@
 
 executor_record &scheduler::executorFor(const std::string &id, time_ms now)
 {
-    const auto [found, added] = m_executors.try_emplace(id);
+    const bool added = !m_executors.contains(id);
+    const auto found = m_executors.try_emplace(id).first;
     if (added) {
         found->second.entry.id = id;
         found->second.emptySince = now;
@@ -165,9 +166,7 @@
         if (task == nullptr || task->executor != executor.entry.id) {
             continue;
         }
-        if (task->phase == task_phase::Placing) {
-            loseRun(job, id, *task, now, cause);
-        } else if (task->phase == task_phase::Ordered) {
+        if (task->phase == task_phase::Ordered) {
             // The order may still arrive at the next incarnation; its answer or a stop settles it.
             task->phase = task_phase::Doubtful;
             task->confirmedAt = now;
--- a/src/sched/scheduler_fleet.cpp
+++ b/src/sched/scheduler_fleet.cpp
@@ -35,6 +35,13 @@
     m_vms = std::move(listed);
 }
 
+bool scheduler::hasUnknownExecutor() const
+{
+    return std::any_of(m_vms.begin(), m_vms.end(), [this](const std::pair<const std::string, vm_entry> &vm) {
+        return vm.second.state == vm_state::Up && !vm.second.executor.empty() && !m_executors.contains(vm.second.executor);
+    });
+}
+
 void scheduler::on(const wave_requested &what, time_ms now)
 {
     m_fleet.addWave(what.wave, now, what.unixMs);
--- a/src/sched/scheduler_place.cpp
+++ b/src/sched/scheduler_place.cpp
@@ -349,6 +349,7 @@
                        {{"request", job.spec.id},
                         {"pool", executor.entry.pool},
                         {"waited_ms", std::to_string(now - job.acceptedAt)},
+                        {"accepted_ms_ago", std::to_string(owner.m_unixMs - job.spec.acceptedUnixMs)},
                         {"executor", executor.entry.id},
                         {"executor_heard_ms_ago", std::to_string(now - executor.clockAt)}});
         }
--- a/tests/fleet_log_test.cpp
+++ b/tests/fleet_log_test.cpp
@@ -1,6 +1,6 @@
 #include "fleet_fixture.h"
-#include "services/fleet_log.h"
 #include "property.h"
+#include "services/fleet_log.h"
 
 using namespace daisypass;
 
--- a/tests/integration/deployment.h
+++ b/tests/integration/deployment.h
@@ -7,8 +7,8 @@
 //     fleet.applyConfiguration();
 //     answer result = fleet.post(0, "booking", {.body = "token#1"});
 
-#include "integration/child_process.h"
 #include "http/http_client.h"
+#include "integration/child_process.h"
 #include "standins/fault_proxy.h"
 #include "standins/load_run.h"
 
