Settle lost orders at once; judge progress by the lists that were heard

Ruled out: moves (none refused), the store, and starts (median wait 0.2 s). Change: orders wait 0.35 s and lists 0.7 s + 0.4 s; the first retry after a lost list follows at once; standstill is judged between lists. Test: 'a lost list is no standstill'.

--- a/src/platform/executor_client.cpp
+++ b/src/platform/executor_client.cpp
@@ -13,11 +13,12 @@
 constexpr int statusTooMany = 429;
 constexpr int statusUnavailable = 503;
 
-// An order is answered within a network round trip; the rest is for a busy machine.
-constexpr std::chrono::milliseconds orderTimeout{1'200};
-constexpr std::chrono::milliseconds connectTimeout{800};
+// An order is answered within a few network round trips. One without an answer is settled by the next list, which costs little,
+// so a lost answer is not waited for.
+constexpr std::chrono::milliseconds orderTimeout{350};
+constexpr std::chrono::milliseconds connectTimeout{350};
 // Time beyond a long poll's wait for the answer to arrive.
-constexpr std::chrono::milliseconds holdSlack{1'000};
+constexpr std::chrono::milliseconds holdSlack{400};
 
 order_status statusOfConflict(const json &body)
 {
--- a/src/sched/executor_record.h
+++ b/src/sched/executor_record.h
@@ -36,6 +36,8 @@
     time_ms holdRetryAt = 0;
     /** Ask at once, without waiting for an end. */
     bool lookSoon = true;
+    /** When it last listed its runs. */
+    time_ms listedAt = 0;
     /** Start of the current silence; 0 while it answers. */
     time_ms silentSince = 0;
     /** When an order that extends leases was last sent. */
--- a/src/sched/scheduler_executors.cpp
+++ b/src/sched/scheduler_executors.cpp
@@ -11,8 +11,10 @@
 constexpr double slowestClock = 1.0 / 0.98;
 // For the way of an order and the resolution of the clocks.
 constexpr time_ms lapseSlackMs = 400;
-// How long a list waits for an end. The executors allow 2,000 ms; the rest lets a lease survive two lost answers.
-constexpr std::int64_t holdWaitMs = 1'500;
+// How long a list waits for an end. The executors allow 2,000 ms; a lost list hides ends for this long and the call's slack.
+constexpr std::int64_t holdWaitMs = 700;
+// The first attempt after a lost answer follows at once.
+constexpr time_ms firstRetryMs = 10;
 // Between attempts to reach a silent executor.
 constexpr time_ms silentRetryMs = 400;
 // An empty executor is asked this often, so that its silence is known before work is placed there.
@@ -139,7 +141,8 @@
         executor.silentSince = now;
         note("executor_silent", {{"executor", executor.entry.id}, {"cause", std::string(cause)}, {"runs", std::to_string(executor.runs.size())}});
     }
-    executor.holdRetryAt = now + silentRetryMs;
+    const bool first = executor.silentSince == now;
+    executor.holdRetryAt = now + (first ? firstRetryMs : silentRetryMs);
 }
 
 void scheduler::markAnswering(executor_record &executor, time_ms now)
@@ -282,6 +285,7 @@
         executor.entry.bornUnixMs = *what.bornUnixMs;
     }
     markAnswering(executor, now);
+    executor.listedAt = now;
     if (what.clockMs) {
         executor.clockMs = *what.clockMs;
         executor.clockAt = now;
--- a/src/sched/scheduler_runs.cpp
+++ b/src/sched/scheduler_runs.cpp
@@ -259,7 +259,7 @@
                 continue;
             }
             const time_ms patience = std::max(leastStallMs, static_cast<time_ms>(stallShareOfEstimate * static_cast<double>(kind.estimateMs)));
-            if (task.progressAt + patience < now) {
+            if (task.progressAt + patience < executor.listedAt) {
                 executor.avoidUntil = std::max(executor.avoidUntil, now + stallPauseMs);
                 task.failedOn = item.first;
                 requestStop(id, task, now, "no_progress");
@@ -269,7 +269,7 @@
             const double ran = static_cast<double>(task.progressAt - task.confirmedAt);
             const double estimate = static_cast<double>(kind.estimateMs);
             const bool measured = task.percent > 0 && ran > leastStragglerShare * estimate;
-            const double left = measured ? ran * (100.0 - task.percent) / task.percent - static_cast<double>(now - task.progressAt) : 0;
+            const double left = measured ? ran * (100.0 - task.percent) / task.percent - static_cast<double>(executor.listedAt - task.progressAt) : 0;
             if (left > stragglerFactor * estimate && !m_backlogBinds) {
                 executor.slowness = std::max(executor.slowness, left / std::max(1.0, estimate));
                 executor.slownessSamples = std::max(executor.slownessSamples, leastSlownessSamples);
--- a/tests/sched/scheduler_test.cpp
+++ b/tests/sched/scheduler_test.cpp
@@ -254,3 +254,29 @@
         CHECK(world.take<stop_run>().empty());
     }
 }
+
+TEST_CASE("a lost list is no standstill")
+{
+    // Found by brusilica-grown trouble-3: runs on executors whose lists were lost for a while were stopped as if they stood still.
+    scheduler_fixture world;
+    world.addExecutor("e1");
+    world.brain.handle(job_submitted{world.job("j1", {world.step(1)})}, world.now);
+    world.step_();
+    const std::vector<start_run> starts = world.take<start_run>();
+    REQUIRE(starts.size() == 1);
+    world.answerStart(starts[0]);
+    world.answerHold("e1", {scheduler_fixture::running(starts[0], 10)});
+
+    SUBCASE("no list for three seconds")
+    {
+        world.advance(3'000);
+        CHECK(world.take<stop_run>().empty());
+    }
+    SUBCASE("lists without progress for three seconds")
+    {
+        world.now += 3'000;
+        world.answerHold("e1", {scheduler_fixture::running(starts[0], 10)});
+        world.advance(200);
+        CHECK(world.take<stop_run>().size() == 1);
+    }
+}
