Order a move again when its answer is lost

Change: the move is repeated each second until the list shows it; an order that was carried out is answered as done. Test: 'a move without an answer is ordered again'.

--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -157,6 +157,7 @@
     void on(const move_answered &what, time_ms now);
     void on(const upkeep_answered &what, time_ms now);
     void planFleet(time_ms now);
+    void repeatDoubtfulMoves(time_ms now);
     fleet_view viewOfFleet(time_ms now) const;
     void carryOut(const fleet_decision &decision, time_ms now);
     /** The availability budgets allow the system to end this run now. */
@@ -197,6 +198,14 @@
     bool m_placeWanted = false;
     time_ms m_placedAt = 0;
     std::map<std::string, vm_entry> m_vms;
+    /** A move whose outcome isn't known; it is ordered again, which changes nothing if it was carried out. */
+    struct doubtful_move
+    {
+        std::string pool;
+        time_ms orderedAt = 0;
+    };
+
+    std::map<std::string, doubtful_move> m_doubtfulMoves;
     fleet_planner m_fleet;
     std::vector<action> m_actions;
     std::int64_t m_batch = 0;
--- a/src/sched/scheduler_fleet.cpp
+++ b/src/sched/scheduler_fleet.cpp
@@ -9,6 +9,8 @@
 
 // Moves and upkeep are planned this often.
 constexpr time_ms planEveryMs = 100;
+// A move without an answer is ordered again after this time.
+constexpr time_ms repeatMoveMs = 1'000;
 
 std::string kindOf(const vm_entry &vm)
 {
@@ -35,6 +37,23 @@
     m_vms = std::move(listed);
 }
 
+void scheduler::repeatDoubtfulMoves(time_ms now)
+{
+    for (auto move = m_doubtfulMoves.begin(); move != m_doubtfulMoves.end();) {
+        const auto vm = m_vms.find(move->first);
+        const bool settled = vm == m_vms.end() || vm->second.pool == move->second.pool;
+        if (settled) {
+            move = m_doubtfulMoves.erase(move);
+            continue;
+        }
+        if (now - move->second.orderedAt >= repeatMoveMs && vm->second.state == vm_state::Up) {
+            move->second.orderedAt = now;
+            m_actions.push_back(move_vm{move->first, move->second.pool});
+        }
+        ++move;
+    }
+}
+
 bool scheduler::hasUnknownExecutor() const
 {
     return std::any_of(m_vms.begin(), m_vms.end(), [this](const std::pair<const std::string, vm_entry> &vm) {
@@ -117,6 +136,7 @@
         return;
     }
     m_lastFleetPlan = now;
+    repeatDoubtfulMoves(now);
     for (const fleet_decision &decision : m_fleet.plan(viewOfFleet(now), now)) {
         carryOut(decision, now);
     }
@@ -199,6 +219,11 @@
         return;
     }
     const auto executor = m_executors.find(vm->second.executor);
+    if (what.status == fleet_status::Unknown) {
+        m_doubtfulMoves[what.vm] = {what.pool, now};
+    } else {
+        m_doubtfulMoves.erase(what.vm);
+    }
     if (what.status == fleet_status::Ok) {
         vm->second.state = vm_state::Moving;
         vm->second.pool = what.pool;
--- a/tests/sched/scheduler_test.cpp
+++ b/tests/sched/scheduler_test.cpp
@@ -280,3 +280,28 @@
         CHECK(world.take<stop_run>().size() == 1);
     }
 }
+
+TEST_CASE("a move without an answer is ordered again")
+{
+    // A VM whose move was lost stayed reserved for the rest of the term; at the end of the day its pool had none left.
+    scheduler_fixture world;
+    const std::vector<std::string> names{"e1", "e2", "e3", "e4", "e5", "e6"};
+    vms_listed list;
+    for (const std::string &name : names) {
+        world.addExecutor(name);
+        list.vms.push_back({"vm-" + name, "booking", vm_state::Up, "zone", {"a"}, name});
+    }
+    world.brain.handle(list, world.now);
+    world.advance(2'000);
+    const std::vector<move_vm> moves = world.take<move_vm>();
+    REQUIRE_FALSE(moves.empty());
+    world.brain.handle(move_answered{moves[0].vm, moves[0].pool, fleet_status::Unknown}, world.now);
+    world.brain.handle(list, world.now);
+    world.advance(200);
+    CHECK(world.take<move_vm>().empty());
+    world.advance(1'000);
+    const std::vector<move_vm> again = world.take<move_vm>();
+    REQUIRE(again.size() == 1);
+    CHECK(again[0].vm == moves[0].vm);
+    CHECK(again[0].pool == moves[0].pool);
+}
