Test daisypass-node as processes against the platform's stand-in

Guards the whole path, takeover by kill, restart, freeze and orderly stop, the store's lost, refused, slow and forgotten answers, and a maintenance wave; the stand-in's executors watch that no task runs twice. Ports come from a range that outgoing connections don't use: one start in five failed on a port that another process had taken.

--- a/tests/integration/child_process.cpp
+++ b/tests/integration/child_process.cpp
@@ -1,5 +1,10 @@
 #include "integration/child_process.h"
 
+#include <asio.hpp>
+
+#include <cstdlib>
+#include <filesystem>
+
 #include <csignal>
 #include <fstream>
 #include <sstream>
@@ -162,4 +167,45 @@
     return process.waitForExit().value_or(-1);
 }
 
+std::uint16_t freePort()
+{
+    asio::io_context context;
+    asio::ip::tcp::acceptor acceptor(context, {asio::ip::address_v4::loopback(), 0});
+    return acceptor.local_endpoint().port();
+}
+
+std::uint16_t freePorts(int count)
+{
+    // Below the ports that the system gives to outgoing connections, so that none takes a port before its process starts.
+    constexpr int first = 20'000;
+    constexpr int last = 32'000;
+    static int next = first + static_cast<int>(getpid()) * 64 % (last - first);
+    asio::io_context context;
+    for (int tries = 0; tries < last - first; ++tries) {
+        const int candidate = next + count <= last ? next : first;
+        next = candidate + count;
+        bool free = true;
+        for (int port = candidate; port < candidate + count; ++port) {
+            asio::ip::tcp::acceptor acceptor(context);
+            asio::error_code error;
+            acceptor.open(asio::ip::tcp::v4(), error);
+            acceptor.bind({asio::ip::address_v4::loopback(), static_cast<std::uint16_t>(port)}, error);
+            free = free && !error;
+        }
+        if (free) {
+            return static_cast<std::uint16_t>(candidate);
+        }
+    }
+    throw std::runtime_error("no free ports");
+}
+
+std::string newDirectory()
+{
+    std::string name = (std::filesystem::temp_directory_path() / "daisypass-test-XXXXXX").string();
+    if (mkdtemp(name.data()) == nullptr) {
+        throw std::runtime_error("cannot create " + name);
+    }
+    return name;
+}
+
 } // namespace daisypass::integration
--- a/tests/integration/child_process.h
+++ b/tests/integration/child_process.h
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
@@ -59,6 +60,15 @@
     std::optional<int> m_status;
 };
 
+/** A port of 127.0.0.1 that is free now, for a process whose address others must know before it starts. */
+std::uint16_t freePort();
+
+/** The first of some ports in a row that are free now, from a range that outgoing connections don't use. */
+std::uint16_t freePorts(int count);
+
+/** A new empty directory for a test's files. Throws std::runtime_error if none can be made. */
+std::string newDirectory();
+
 /** Runs a program of the build to its end and returns its exit status; output goes to the file. */
 int runProgram(const std::string &program, const std::vector<std::string> &arguments, const std::string &logPath);
 
--- a/tests/integration/deployment.cpp
+++ b/tests/integration/deployment.cpp
@@ -18,14 +18,6 @@
 constexpr const char *loopback = "127.0.0.1";
 constexpr const char *adminToken = "integration-test-token";
 
-// The peers' address of an entry goes through a proxy that must know it before the entry starts, so a free port is looked up.
-std::uint16_t freePort()
-{
-    asio::io_context context;
-    asio::ip::tcp::acceptor acceptor(context, {asio::ip::address_v4::loopback(), 0});
-    return acceptor.local_endpoint().port();
-}
-
 std::unique_ptr<fault_proxy> proxyTo(const endpoint &server)
 {
     std::unique_ptr<fault_proxy> proxy = std::make_unique<fault_proxy>(endpoint{loopback, 0}, server);
@@ -46,15 +38,6 @@
     std::ofstream(path) << body.dump(2) << '\n';
 }
 
-std::string newDirectory()
-{
-    std::string name = (std::filesystem::temp_directory_path() / "daisypass-test-XXXXXX").string();
-    if (mkdtemp(name.data()) == nullptr) {
-        throw std::runtime_error("cannot create " + name);
-    }
-    return name;
-}
-
 bool contains(const std::vector<std::size_t> &list, std::size_t value)
 {
     return std::find(list.begin(), list.end(), value) != list.end();
--- /dev/null
+++ b/tests/integration/platform_deployment.h
@@ -0,0 +1,87 @@
+#pragma once
+
+// daisypass-node processes against the platform's stand-in, for integration tests.
+//
+//     platform_deployment platform({.nodes = 3});
+//     std::string job = platform.submit(0, 100, 4);
+//     CHECK(platform.waitForPhase(1, job, "completed"));
+//     CHECK(platform.report()["breaches"].empty());
+
+#include "http/http_client.h"
+#include "integration/child_process.h"
+
+#include <nlohmann/json.hpp>
+
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace daisypass::integration {
+
+struct platform_options
+{
+    int nodes = 3;
+    int pools = 2;
+    int workers = 3;
+    int spareVms = 2;
+    int waveVms = 0;
+    std::uint64_t seed = 1;
+};
+
+class platform_deployment
+{
+public:
+    /** Starts the stand-in and the nodes, and waits until every node says that it is ready. */
+    explicit platform_deployment(platform_options options);
+    ~platform_deployment();
+
+    child_process &node(std::size_t index)
+    {
+        return *m_nodes.at(index);
+    }
+    /** Starts a node again that has ended. */
+    void restart(std::size_t index);
+    /** Index of the node that holds the lease; waits until one does. */
+    std::size_t holder();
+
+    /** Submits a job of one step to the first queue and returns its id; empty unless it was accepted. */
+    std::string submit(std::size_t node, int taskMs, int tasks, const std::string &kind = "");
+    /** The same request again. */
+    int resubmit(std::size_t node, const std::string &id, int taskMs, int tasks);
+    int cancel(std::size_t node, const std::string &id);
+    /** State of the job; empty if the node doesn't say. */
+    std::string phase(std::size_t node, const std::string &id);
+    bool waitForPhase(std::size_t node, const std::string &id, const std::string &phase);
+    int status(const std::string &method, std::size_t node, const std::string &path);
+
+    /** Calls the stand-in's admin address, for example "/admin/fault?kind=busy". */
+    void admin(const std::string &path);
+    nlohmann::json report();
+
+private:
+    struct node_ports
+    {
+        std::uint16_t front = 0;
+        std::uint16_t ready = 0;
+        std::uint16_t internal = 0;
+    };
+
+    std::string settingsPath(std::size_t index) const;
+    void writeSettings(std::size_t index);
+    std::string body(int taskMs, int tasks, const std::string &kind) const;
+    http_result call(const std::string &method, const std::string &url, const std::string &body);
+    std::string url(std::size_t node, const std::string &path) const;
+
+    platform_options m_options;
+    std::string m_directory;
+    http_client m_client;
+    std::mt19937_64 m_random;
+    std::unique_ptr<child_process> m_standin;
+    std::uint16_t m_standinPort = 0;
+    std::vector<node_ports> m_ports;
+    std::vector<std::unique_ptr<child_process>> m_nodes;
+    int m_starts = 0;
+};
+
+} // namespace daisypass::integration
