--- a/src/control/admin_service.h
+++ b/src/control/admin_service.h
@@ -1,6 +1,6 @@
 #pragma once
 
-// The administration API (section 2 of docs/operations.md) over http_server.
+// The administration API (section 2 of docs/OPERATIONS.md) over http_server.
 //
 //     admin_service admin({settings.adminListen, settings.adminToken}, loop, configurations, metrics);
 //     failure reason;
--- a/src/control/control_settings.cpp
+++ b/src/control/control_settings.cpp
@@ -25,7 +25,7 @@
     settings.stepInterval = std::chrono::milliseconds(reader.integer("step_ms", stepRange, 1'000));
     // The list grows with the fleet (about 130 bytes per VM) and lags anyway.
     settings.vmListInterval = std::chrono::milliseconds(reader.integer("vm_list_ms", vmListRange, 5'000));
-    // Longer than the platform's reboot of a VM; see docs/operations.md.
+    // Longer than the platform's reboot of a VM; see docs/OPERATIONS.md.
     settings.rebootGrace = std::chrono::milliseconds(reader.integer("reboot_grace_ms", rebootGraceRange, 30'000));
     reader.finish();
     if (failures.size() != before) {
