Split the dispatcher and the scheduler's executor code by what they do; give the node's peers a module

Change: recovery, storing and orders of the dispatcher, lists and order answers of the scheduler, and the directory with forwarding are modules of their own; one function stops the feeds, one place says when an executor is slow. No behaviour changes.

--- a/src/node/dispatcher.h
+++ b/src/node/dispatcher.h
@@ -55,7 +55,15 @@
     void stop();
 
 private:
-    struct recovery;
+    /** Rows read while the term begins. */
+    struct recovery
+    {
+        std::map<std::string, sched::job_spec> jobs{};
+        std::map<std::string, std::string> states{};
+        std::vector<std::string> cancelled{};
+        int readsLeft = 0;
+        sched::time_ms beganAt = 0;
+    };
 
     void readJobs(std::size_t part, const std::string &from);
     void readState(const std::string &from);
@@ -84,6 +92,7 @@
     void commitIfNeeded();
     void sendCommit();
     void onCommitted(const transact_result &result);
+    void stopFollowing();
     void loseTerm(std::string_view cause);
     void announceLoss(std::unique_lock<std::mutex> &guard);
     bool renewalIsFresh() const;
--- /dev/null
+++ b/src/node/dispatcher_orders.cpp
@@ -0,0 +1,215 @@
+// Carries out the scheduler's actions: orders to executors and to the fleet, log lines, and the list of VMs.
+
+#include "node/dispatcher.h"
+
+#include "base/log.h"
+#include "node/clock.h"
+#include "node/tables.h"
+#include "platform/records.h"
+
+#include <algorithm>
+
+namespace daisypass {
+namespace {
+
+constexpr std::chrono::milliseconds readTimeout{2'000};
+// A read or a status row that failed is tried again after this time.
+constexpr std::chrono::milliseconds readRetry{150};
+constexpr std::chrono::milliseconds commitTimeout{1'500};
+
+} // namespace
+
+void dispatcher::carryOut(const sched::action &next)
+{
+    std::visit(
+        [this](const auto &one) {
+            carryOut(one);
+        },
+        next);
+}
+
+void dispatcher::carryOut(const sched::start_run &order)
+{
+    start_order call{order.task, order.run, order.payload, order.leaseEndMs, m_term.term, order.checkpoint, order.ticket};
+    m_executors.start(
+        {order.executor, order.address}, call, [weak = weak_from_this(), task = order.task, run = order.run, executor = order.executor](order_result result) {
+            if (const std::shared_ptr<dispatcher> self = weak.lock()) {
+                self->feed(sched::start_answered{task, run, executor, result.status, result.clockMs});
+            }
+        });
+}
+
+void dispatcher::carryOut(const sched::stop_run &order)
+{
+    m_executors.stop({order.executor, order.address},
+                     order.task,
+                     order.run,
+                     m_term.term,
+                     [weak = weak_from_this(), task = order.task, run = order.run, executor = order.executor](order_result result) {
+                         if (const std::shared_ptr<dispatcher> self = weak.lock()) {
+                             self->feed(sched::stop_answered{task, run, executor, result.status});
+                         }
+                     });
+}
+
+void dispatcher::carryOut(const sched::pace_run &order)
+{
+    m_executors.pace({order.executor, order.address}, order.task, order.run, order.percent, m_term.term, [](order_result) {
+        // The next list shows the effect; a lost pace is ordered again then.
+    });
+}
+
+void dispatcher::carryOut(const sched::hold_executor &order)
+{
+    const hold_order call{m_term.term, order.acknowledged, order.leaseEndMs, std::chrono::milliseconds(order.waitMs)};
+    m_executors.hold({order.executor, order.address}, call, [weak = weak_from_this(), executor = order.executor, sentAt = steadyMillis()](hold_result result) {
+        if (const std::shared_ptr<dispatcher> self = weak.lock()) {
+            self->feed(
+                sched::hold_answered{executor, result.status, sentAt, result.clockMs, result.bornUnixMs, std::move(result.runs), std::move(result.ends)});
+        }
+    });
+}
+
+void dispatcher::carryOut(const sched::ask_advice &order)
+{
+    if (!m_settings.advice) {
+        return;
+    }
+    const std::string step = order.job + '.' + std::to_string(order.occurrence) + '.' + std::to_string(order.step);
+    m_executors.advise(*m_settings.advice, step, order.executors, [weak = weak_from_this(), order](advice_result result) {
+        if (const std::shared_ptr<dispatcher> self = weak.lock()) {
+            self->feed(
+                sched::advice_answered{order.job, order.occurrence, order.step, result.status, order.executors, std::move(result.tickets), result.validMs});
+        }
+    });
+}
+
+void dispatcher::carryOut(const sched::move_vm &order)
+{
+    const std::weak_ptr<dispatcher> weak = weak_from_this();
+    const std::function<void(fleet_status)> done = [weak, order](fleet_status status) {
+        if (const std::shared_ptr<dispatcher> self = weak.lock()) {
+            self->feed(sched::move_answered{order.vm, order.pool, status});
+        }
+    };
+    if (!renewalIsFresh()) {
+        m_services.later(std::chrono::milliseconds(1), [done] {
+            done(fleet_status::Refused);
+        });
+        return;
+    }
+    m_services.fleet.move({m_term.node, m_term.term}, order.vm, order.pool, done);
+}
+
+void dispatcher::carryOut(const sched::upkeep_vm &order)
+{
+    const std::weak_ptr<dispatcher> weak = weak_from_this();
+    const std::function<void(fleet_status)> done = [weak, order](fleet_status status) {
+        if (const std::shared_ptr<dispatcher> self = weak.lock()) {
+            self->feed(sched::upkeep_answered{order.vm, order.wave, status});
+        }
+    };
+    if (!renewalIsFresh()) {
+        m_services.later(std::chrono::milliseconds(1), [done] {
+            done(fleet_status::Refused);
+        });
+        return;
+    }
+    m_services.fleet.upkeep({m_term.node, m_term.term}, order.vm, order.wave, done);
+}
+
+void dispatcher::carryOut(const sched::publish_wave &order)
+{
+    row_transaction transaction;
+    transaction.puts = {{{statusTable, "", waveStatusKey(order.wave)}, waveStatusText(order.wave, order.completed)}};
+    m_services.store.transact(transaction, commitTimeout, [weak = weak_from_this(), order](const transact_result &result) {
+        const std::shared_ptr<dispatcher> self = weak.lock();
+        if (!self || result.status == store_status::Ok) {
+            return;
+        }
+        self->m_services.later(readRetry, [weak, order] {
+            if (const std::shared_ptr<dispatcher> again = weak.lock()) {
+                const std::lock_guard<std::mutex> guard(again->m_lock);
+                if (!again->m_stopped) {
+                    again->carryOut(order);
+                }
+            }
+        });
+    });
+}
+
+void dispatcher::carryOut(const sched::step_down &order)
+{
+    loseTerm(order.evidence);
+}
+
+void dispatcher::carryOut(const sched::decision_note &note)
+{
+    std::vector<log_field> fields;
+    fields.reserve(note.fields.size() + 1);
+    for (const std::pair<std::string, std::string> &field : note.fields) {
+        fields.emplace_back(field.first, field.second);
+    }
+    fields.emplace_back("term", m_term.term);
+    logChange(note.event, fields);
+}
+
+void dispatcher::listVms(const std::string &page)
+{
+    m_services.fleet.list(page, [weak = weak_from_this()](const vm_page &answer) {
+        if (const std::shared_ptr<dispatcher> self = weak.lock()) {
+            self->onVmPage(answer);
+        }
+    });
+}
+
+void dispatcher::onVmPage(const vm_page &page)
+{
+    std::unique_lock<std::mutex> guard(m_lock);
+    if (m_stopped) {
+        return;
+    }
+    if (page.status != fleet_status::Ok) {
+        m_listingVms = false;
+        m_vmsListedAt = steadyMillis();
+        m_services.metrics.findCounter("daisypass_vm_list_failures_total").add();
+        return;
+    }
+    m_vmPages.insert(m_vmPages.end(), page.vms.begin(), page.vms.end());
+    if (!page.nextPage.empty()) {
+        listVms(page.nextPage);
+        return;
+    }
+    m_listingVms = false;
+    m_vmsListedAt = steadyMillis();
+    m_scheduler.handle(sched::vms_listed{std::move(m_vmPages)}, m_vmsListedAt);
+    m_vmPages.clear();
+    readRegistryIfBehind();
+    pump(guard);
+}
+
+// Answers feeds that hear nothing for a while: a VM that is up with an executor that nobody has announced.
+void dispatcher::readRegistryIfBehind()
+{
+    if (m_readingRegistry || !m_scheduler.hasUnknownExecutor()) {
+        return;
+    }
+    m_readingRegistry = true;
+    m_services.store.get({executorTable, "", "", ""}, readTimeout, [weak = weak_from_this()](const rows_result &result) {
+        const std::shared_ptr<dispatcher> self = weak.lock();
+        if (!self) {
+            return;
+        }
+        std::unique_lock<std::mutex> guard(self->m_lock);
+        self->m_readingRegistry = false;
+        if (self->m_stopped || result.status != store_status::Ok) {
+            return;
+        }
+        for (const store_row &row : result.rows) {
+            self->onExecutorRow(row);
+        }
+        self->pump(guard);
+    });
+}
+
+} // namespace daisypass
--- a/src/node/front_service.cpp
+++ b/src/node/front_service.cpp
@@ -94,7 +94,8 @@
            });
 }
 
-front_service::front_service(store_client &store, std::shared_ptr<submission_writer> writer, metrics_registry &metrics, request_forwarder forward, stored_row_listener stored)
+front_service::front_service(
+    store_client &store, std::shared_ptr<submission_writer> writer, metrics_registry &metrics, request_forwarder forward, stored_row_listener stored)
     : m_store(store)
     , m_writer(std::move(writer))
     , m_metrics(metrics)
--- a/src/node/front_service.h
+++ b/src/node/front_service.h
@@ -42,7 +42,8 @@
 {
 public:
     /** `forward` is used while this node can't reach the store. */
-    front_service(store_client &store, std::shared_ptr<submission_writer> writer, metrics_registry &metrics, request_forwarder forward, stored_row_listener stored);
+    front_service(
+        store_client &store, std::shared_ptr<submission_writer> writer, metrics_registry &metrics, request_forwarder forward, stored_row_listener stored);
 
     void configure(std::shared_ptr<const sched::configuration_view> view);
     void handle(http_request request, http_responder respond);
--- /dev/null
+++ b/src/node/node_peers.cpp
@@ -0,0 +1,192 @@
+#include "node/node_peers.h"
+
+#include "node/tables.h"
+#include "platform/records.h"
+#include "sched/lease_rules.h"
+
+#include <algorithm>
+
+namespace daisypass {
+namespace {
+
+constexpr std::chrono::milliseconds storeTimeout{1'000};
+constexpr std::chrono::milliseconds registerRetry{500};
+// The directory changes when machines come and go; relays and the lease's candidates follow it.
+constexpr std::chrono::milliseconds directoryEvery{4'000};
+constexpr std::chrono::milliseconds firstDirectoryRead{300};
+// Requests of a node without the store are passed to this many others, one after the other.
+constexpr int forwardAttempts = 2;
+constexpr std::chrono::milliseconds forwardConnectTimeout{250};
+constexpr std::chrono::milliseconds forwardTimeout{1'500};
+
+constexpr int statusUnavailable = 503;
+constexpr int statusOutcomeUnknown = 504;
+
+http_response emptyAnswer(int status)
+{
+    http_response response;
+    response.status = status;
+    return response;
+}
+
+// Headers of the connection to the other node are not the caller's.
+http_response passedOn(http_response response)
+{
+    response.headers.clear();
+    if (!response.body.empty()) {
+        response.headers.push_back({"Content-Type", "application/json"});
+    } else if (response.status == statusUnavailable) {
+        response.headers.push_back({"Retry-After", "1"});
+    }
+    return response;
+}
+
+} // namespace
+
+node_peers::node_peers(store_client &store, http_client &client, delayed_call later, node_entry self)
+    : m_store(store)
+    , m_client(client)
+    , m_later(std::move(later))
+    , m_self(std::move(self))
+    , m_random(std::random_device{}())
+{
+}
+
+void node_peers::join(std::function<void(const larger_machines &)> changed)
+{
+    m_changed = std::move(changed);
+    registerSelf();
+    m_later(firstDirectoryRead, [self = shared_from_this()] {
+        self->readDirectory();
+    });
+}
+
+void node_peers::registerSelf()
+{
+    row_transaction transaction;
+    transaction.puts = {{tables::nodeRow(m_self.node), writeNode(m_self)}};
+    m_store.transact(transaction, storeTimeout, [self = shared_from_this()](const transact_result &result) {
+        if (result.status != store_status::Ok) {
+            self->m_later(registerRetry, [self] {
+                self->registerSelf();
+            });
+        }
+    });
+}
+
+void node_peers::leave()
+{
+    row_transaction transaction;
+    transaction.deletes = {tables::nodeRow(m_self.node)};
+    m_store.transact(transaction, storeTimeout, [](const transact_result &) {
+        // An entry that stays costs the holder one failed exchange.
+    });
+}
+
+void node_peers::readDirectory()
+{
+    m_store.get({tables::nodes, "", "", ""}, storeTimeout, [self = shared_from_this()](const rows_result &result) {
+        if (result.status == store_status::Ok) {
+            self->m_changed(self->apply(result.rows));
+        }
+        self->m_later(directoryEvery, [self] {
+            self->readDirectory();
+        });
+    });
+}
+
+larger_machines node_peers::apply(const std::vector<store_row> &rows)
+{
+    larger_machines larger;
+    larger.largestShare = m_self.cpuShare;
+    const std::lock_guard<std::mutex> guard(m_lock);
+    m_directory.clear();
+    for (const store_row &row : rows) {
+        const std::optional<node_entry> entry = readNode(row.value);
+        if (!entry) {
+            continue;
+        }
+        m_directory[row.key.key] = *entry;
+        larger.largestShare = std::max(larger.largestShare, entry->cpuShare);
+        if (sched::isMuchSmaller(m_self.cpuShare, entry->cpuShare)) {
+            larger.newestEntry = std::max(larger.newestEntry, row.version);
+        }
+    }
+    return larger;
+}
+
+std::optional<endpoint> node_peers::addressOf(const std::string &node)
+{
+    const std::lock_guard<std::mutex> guard(m_lock);
+    const auto found = m_directory.find(node);
+    if (found == m_directory.end()) {
+        return std::nullopt;
+    }
+    return found->second.address;
+}
+
+std::optional<endpoint> node_peers::drawOther()
+{
+    const std::lock_guard<std::mutex> guard(m_lock);
+    std::vector<endpoint> others;
+    for (const std::pair<const std::string, node_entry> &node : m_directory) {
+        if (node.first != m_self.node) {
+            others.push_back(node.second.address);
+        }
+    }
+    if (others.empty()) {
+        return std::nullopt;
+    }
+    std::uniform_int_distribution<std::size_t> pick(0, others.size() - 1);
+    return others[pick(m_random)];
+}
+
+void node_peers::forward(http_request request, http_responder respond)
+{
+    forward(std::move(request), std::move(respond), forwardAttempts);
+}
+
+void node_peers::forward(http_request request, http_responder respond, int attempts)
+{
+    const std::optional<endpoint> other = attempts > 0 ? drawOther() : std::nullopt;
+    if (!other) {
+        respond(emptyAnswer(0));
+        return;
+    }
+    http_call call;
+    call.method = request.method;
+    call.url = "http://" + toString(*other) + request.path;
+    call.headers = {{"Host", std::string(findHeader(request.headers, "Host"))}, {"Content-Type", "application/json"}};
+    const std::string_view deadline = findHeader(request.headers, deadlineHeader);
+    if (!deadline.empty()) {
+        call.headers.push_back({std::string(deadlineHeader), std::string(deadline)});
+    }
+    call.body = request.body;
+    call.connectTimeout = forwardConnectTimeout;
+    call.totalTimeout = forwardTimeout;
+    m_client.send(std::move(call),
+                  [self = shared_from_this(), request = std::move(request), respond = std::move(respond), attempts](http_result result) mutable {
+                      const bool refused = result.state == send_state::Answered && result.response.status == statusUnavailable;
+                      if (result.state == send_state::NotSent || (refused && attempts > 1)) {
+                          self->forward(std::move(request), std::move(respond), attempts - 1);
+                      } else if (result.state == send_state::Answered) {
+                          respond(passedOn(std::move(result.response)));
+                      } else {
+                          respond(emptyAnswer(statusOutcomeUnknown));
+                      }
+                  });
+}
+
+void node_peers::tell(const endpoint &node, const std::string &path, const std::string &body)
+{
+    http_call call;
+    call.method = "POST";
+    call.url = "http://" + toString(node) + path;
+    call.body = body;
+    call.connectTimeout = forwardConnectTimeout;
+    call.totalTimeout = forwardTimeout;
+    m_client.send(std::move(call), [](const http_result &) {
+    });
+}
+
+} // namespace daisypass
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -8,6 +8,7 @@
 #include "node/dispatcher.h"
 #include "node/front_service.h"
 #include "node/leadership.h"
+#include "node/node_peers.h"
 #include "node/relay_server.h"
 #include "node/submission_writer.h"
 #include "node/table_feed.h"
@@ -38,10 +39,6 @@
 // Left of the grace period for the end itself.
 constexpr sched::time_ms graceReserveMs = 700;
 
-constexpr std::chrono::milliseconds registerRetry{500};
-// The directory changes when machines come and go; relays and the lease's candidates follow it.
-constexpr std::chrono::milliseconds directoryEvery{4'000};
-constexpr std::chrono::milliseconds firstDirectoryRead{300};
 constexpr double assumedLargestShare = 0.5;
 // A small holder keeps the lease for this long before it gives it back to a larger machine that has come.
 constexpr sched::time_ms smallHolderKeepsMs = 3'000;
@@ -50,14 +47,9 @@
 
 // Where a node tells the holder of a row of the jobs table; the row's key follows.
 constexpr std::string_view rowPath = "/relay/row/";
-// Requests of a node without the store are passed to this many others, one after the other.
-constexpr int forwardAttempts = 2;
-constexpr std::chrono::milliseconds forwardConnectTimeout{250};
-constexpr std::chrono::milliseconds forwardTimeout{1'500};
 
 constexpr int statusOk = 200;
 constexpr int statusUnavailable = 503;
-constexpr int statusOutcomeUnknown = 504;
 
 std::int64_t randomIncarnation()
 {
@@ -91,11 +83,12 @@
               writer,
               metrics,
               [this](http_request request, http_responder respond) {
-                  forward(std::move(request), std::move(respond), forwardAttempts);
+                  peers->forward(std::move(request), std::move(respond));
               },
               [this](const row_key &key, const std::string &value) {
                   tellHolder(key, value);
               })
+        , peers(std::make_shared<node_peers>(store, client, later(), node_entry{settings.node, settings.availabilityZone, relayAddress(), settings.cpuShare}))
         , ticker(context)
         , signals(context)
     {
@@ -110,6 +103,7 @@
     fleet_client fleet;
     std::shared_ptr<submission_writer> writer;
     front_service front;
+    std::shared_ptr<node_peers> peers;
     asio::steady_timer ticker;
     asio::signal_set signals;
     std::unique_ptr<http_server> frontServer;
@@ -124,9 +118,6 @@
     std::shared_ptr<dispatcher> owner;
     std::shared_ptr<const sched::configuration_view> view;
     std::map<std::int64_t, sched::wave_request> waves;
-    /** Nodes with the version of their entry, which grows when they start again. */
-    std::map<std::string, std::pair<node_entry, std::int64_t>> directory;
-    std::mt19937_64 random{std::random_device{}()};
     sched::time_ms ownerSince = 0;
     /** Version of the newest entry of a larger machine when this process took the lease. */
     std::int64_t largerSeen = 0;
@@ -158,32 +149,19 @@
     // The holder learns of a stored row at once; if this is lost, the feed tells it a little later.
     void tellHolder(const row_key &key, const std::string &value)
     {
-        const std::string holder = lease ? lease->holder() : std::string();
         std::shared_ptr<dispatcher> current;
-        endpoint address;
         {
             const std::lock_guard<std::mutex> guard(lock);
             current = owner;
-            const auto node = directory.find(holder);
-            if (node != directory.end()) {
-                address = node->second.first.address;
-            }
         }
         if (current) {
             current->offerJobRow({key, value, 0, false});
             return;
         }
-        if (address.port == 0) {
-            return;
+        const std::optional<endpoint> holder = peers->addressOf(lease ? lease->holder() : std::string());
+        if (holder) {
+            peers->tell(*holder, std::string(rowPath) + key.key, value);
         }
-        http_call call;
-        call.method = "POST";
-        call.url = "http://" + toString(address) + std::string(rowPath) + key.key;
-        call.body = value;
-        call.connectTimeout = forwardConnectTimeout;
-        call.totalTimeout = forwardTimeout;
-        client.send(std::move(call), [](const http_result &) {
-        });
     }
 
     void onRowFromNode(const http_request &request, const http_responder &respond)
@@ -203,61 +181,6 @@
         respond(http_response{});
     }
 
-    // Passes a caller's request to a node drawn from the directory; status 0 if none was reached.
-    void forward(http_request request, http_responder respond, int attempts)
-    {
-        std::vector<endpoint> others;
-        {
-            const std::lock_guard<std::mutex> guard(lock);
-            for (const std::pair<const std::string, std::pair<node_entry, std::int64_t>> &node : directory) {
-                if (node.first != settings.node) {
-                    others.push_back(node.second.first.address);
-                }
-            }
-        }
-        http_response nobody;
-        nobody.status = 0;
-        if (others.empty() || attempts == 0) {
-            respond(std::move(nobody));
-            return;
-        }
-        std::uniform_int_distribution<std::size_t> pick(0, others.size() - 1);
-        http_call call;
-        call.method = request.method;
-        call.url = "http://" + toString(others[pick(random)]) + request.path;
-        call.headers = {{"Host", std::string(findHeader(request.headers, "Host"))}, {"Content-Type", "application/json"}};
-        const std::string_view deadline = findHeader(request.headers, deadlineHeader);
-        if (!deadline.empty()) {
-            call.headers.push_back({std::string(deadlineHeader), std::string(deadline)});
-        }
-        call.body = request.body;
-        call.connectTimeout = forwardConnectTimeout;
-        call.totalTimeout = forwardTimeout;
-        client.send(std::move(call), [this, request = std::move(request), respond = std::move(respond), attempts](http_result result) mutable {
-            if (result.state == send_state::Answered) {
-                result.response.headers.clear();
-                if (!result.response.body.empty()) {
-                    result.response.headers.push_back({"Content-Type", "application/json"});
-                } else if (result.response.status == statusUnavailable) {
-                    result.response.headers.push_back({"Retry-After", "1"});
-                }
-                if (result.response.status == statusUnavailable && attempts > 1) {
-                    forward(std::move(request), std::move(respond), attempts - 1);
-                    return;
-                }
-                respond(std::move(result.response));
-                return;
-            }
-            if (result.state == send_state::NotSent) {
-                forward(std::move(request), std::move(respond), attempts - 1);
-                return;
-            }
-            http_response unknown;
-            unknown.status = statusOutcomeUnknown;
-            respond(std::move(unknown));
-        });
-    }
-
     void noteStore(bool reached)
     {
         front.noteStore(reached);
@@ -427,24 +350,6 @@
         return {settings.front.address, static_cast<std::uint16_t>(settings.internalPort + 1)};
     }
 
-    // Others find this node as a relay; a start that doesn't reach the store tries again.
-    void registerNode()
-    {
-        if (settings.internalPort == 0) {
-            return;
-        }
-        row_transaction transaction;
-        const node_entry entry{settings.node, settings.availabilityZone, relayAddress(), settings.cpuShare};
-        transaction.puts = {{tables::nodeRow(settings.node), writeNode(entry)}};
-        store.transact(transaction, std::chrono::seconds(1), [this](const transact_result &result) {
-            if (result.status != store_status::Ok) {
-                later()(registerRetry, [this] {
-                    registerNode();
-                });
-            }
-        });
-    }
-
     void startFollowing()
     {
         table_feed_handlers handlers;
@@ -474,44 +379,12 @@
         };
         lease = std::make_shared<leadership>(store, later(), std::move(self), leaseMs, std::move(leaseHandlers));
         lease->start();
-        later()(firstDirectoryRead, [this] {
-            readDirectory();
-        });
-    }
-
-    void readDirectory()
-    {
-        store.get({tables::nodes, "", "", ""}, std::chrono::seconds(1), [this](const rows_result &result) {
-            if (result.status == store_status::Ok) {
-                applyDirectory(result.rows);
-            }
-            later()(directoryEvery, [this] {
-                readDirectory();
+        if (settings.internalPort != 0) {
+            peers->join([this](const larger_machines &larger) {
+                lease->setCandidateDelay(sched::candidateDelay(settings.node, settings.cpuShare, larger.largestShare));
+                giveWayTo(larger.newestEntry);
             });
-        });
-    }
-
-    void applyDirectory(const std::vector<store_row> &rows)
-    {
-        double largest = settings.cpuShare;
-        std::int64_t newestLarger = 0;
-        {
-            const std::lock_guard<std::mutex> guard(lock);
-            directory.clear();
-            for (const store_row &row : rows) {
-                const std::optional<node_entry> entry = readNode(row.value);
-                if (!entry) {
-                    continue;
-                }
-                directory[row.key.key] = {*entry, row.version};
-                largest = std::max(largest, entry->cpuShare);
-                if (sched::isMuchSmaller(settings.cpuShare, entry->cpuShare)) {
-                    newestLarger = std::max(newestLarger, row.version);
-                }
-            }
         }
-        lease->setCandidateDelay(sched::candidateDelay(settings.node, settings.cpuShare, largest));
-        giveWayTo(newestLarger);
     }
 
     // A machine that is bound by its processor leaves the lease to a larger one that has started since.
@@ -599,11 +472,7 @@
             const std::lock_guard<std::mutex> guard(lock);
             current = std::exchange(owner, nullptr);
         }
-        row_transaction leave;
-        leave.deletes = {tables::nodeRow(settings.node)};
-        store.transact(leave, std::chrono::seconds(1), [](const transact_result &) {
-            // A row that stays costs the holder one failed exchange.
-        });
+        peers->leave();
         if (!current) {
             released = true;
             return;
@@ -636,7 +505,6 @@
                {"front", toString(self.settings.front)},
                {"store", toString(self.settings.store)},
                {"availability_zone", self.settings.availabilityZone}});
-    self.registerNode();
     self.startFollowing();
     return true;
 }
--- a/src/sched/executor_record.h
+++ b/src/sched/executor_record.h
@@ -14,6 +14,11 @@
 
 namespace daisypass::sched {
 
+/** An executor's slowness counts after this many runs. */
+inline constexpr int leastSlownessSamples = 3;
+/** An executor this much slower than the estimates takes work only when the others are full. */
+inline constexpr double slowAbove = 2.5;
+
 struct executor_record
 {
     executor_entry entry;
@@ -69,6 +74,11 @@
         return clockMs + (now - clockAt);
     }
 
+    bool isSlow() const
+    {
+        return slownessSamples >= leastSlownessSamples && slowness > slowAbove;
+    }
+
     resources freeRoom() const
     {
         resources room = entry.capacity;
--- a/src/sched/scheduler_place.cpp
+++ b/src/sched/scheduler_place.cpp
@@ -17,9 +17,6 @@
 constexpr double awaitsUpkeepWeight = 1e8;
 constexpr double failedHereBefore = 1e10;
 constexpr double slowExecutor = 1e7;
-// An executor this much slower than the estimates takes work only when the others are full.
-constexpr double slowAbove = 2.5;
-constexpr int leastSlownessSamples = 3;
 // A ticket must still hold when the start arrives.
 constexpr time_ms ticketMarginMs = 300;
 // The advice service is asked about this many executors at once; more take longer.
@@ -270,7 +267,7 @@
         if (kind.longRunning && !executor.entry.vm.empty() && owner.m_fleet.awaitsUpkeep(executor.entry.vm)) {
             weight += awaitsUpkeepWeight;
         }
-        if (executor.slownessSamples >= leastSlownessSamples && executor.slowness > slowAbove) {
+        if (executor.isSlow()) {
             weight += slowExecutor * executor.slowness;
         }
         if (!task.failedOn.empty() && task.failedOn == executor.entry.id) {
--- a/src/sched/scheduler_runs.cpp
+++ b/src/sched/scheduler_runs.cpp
@@ -7,9 +7,6 @@
 namespace daisypass::sched {
 namespace {
 
-// An executor's slowness counts after this many runs.
-constexpr int leastSlownessSamples = 3;
-
 // An unanswered stop is repeated after this time.
 constexpr time_ms stopRetryMs = 1'300;
 // A run whose progress has stood still for this long, and for the share below of its estimate, is stopped and placed elsewhere.
