--- a/src/standins/deployment_standin.cpp
+++ b/src/standins/deployment_standin.cpp
@@ -1,5 +1,7 @@
 #include "standins/deployment_standin.h"
 
+#include "standins/json_answer.h"
+
 #include <algorithm>
 #include <charconv>
 #include <cstdlib>
@@ -17,15 +19,6 @@
 constexpr std::size_t mostBreaches = 50;
 constexpr const char *sparePool = "spare";
 
-http_response jsonAnswer(int status, const json &body)
-{
-    http_response response;
-    response.status = status;
-    response.headers = {{"Content-Type", "application/json"}};
-    response.body = wire::dump(body);
-    return response;
-}
-
 std::string poolName(int index)
 {
     return "pool-" + std::to_string(index);
--- a/src/standins/store_standin.cpp
+++ b/src/standins/store_standin.cpp
@@ -1,5 +1,7 @@
 #include "standins/store_standin.h"
 
+#include "standins/json_answer.h"
+
 #include "platform/wire_json.h"
 
 #include <asio/post.hpp>
@@ -23,15 +25,6 @@
 constexpr int statusUnavailable = 503;
 constexpr std::size_t mostRows = 500;
 
-http_response jsonAnswer(int status, const json &body)
-{
-    http_response response;
-    response.status = status;
-    response.headers = {{"Content-Type", "application/json"}};
-    response.body = wire::dump(body);
-    return response;
-}
-
 http_response plainAnswer(int status)
 {
     http_response response;
--- a/src/standins/worker_standin.cpp
+++ b/src/standins/worker_standin.cpp
@@ -1,5 +1,7 @@
 #include "standins/worker_standin.h"
 
+#include "standins/json_answer.h"
+
 #include <algorithm>
 #include <charconv>
 
@@ -15,15 +17,6 @@
 constexpr int statusWrongInstance = 421;
 constexpr int atWorkPercent = 100;
 
-http_response jsonAnswer(int status, const json &body)
-{
-    http_response response;
-    response.status = status;
-    response.headers = {{"Content-Type", "application/json"}};
-    response.body = wire::dump(body);
-    return response;
-}
-
 std::int64_t millisIn(std::string_view payload)
 {
     const std::size_t at = payload.find("ms=");
