Don't pass on counts of waiting jobs that nobody keeps any more

Ruled out: the nodes' own reads; the row itself was old. Change: counts are written each second with their time; one older than 4 s is answered with 503 and Retry-After.

--- a/src/node/dispatcher_store.cpp
+++ b/src/node/dispatcher_store.cpp
@@ -19,6 +19,8 @@
 constexpr sched::time_ms renewAloneMs = 500;
 // Orders to the fleet are sent only this soon after a stored renewal, well before others may take the lease.
 constexpr sched::time_ms renewalFreshMs = 1'500;
+// Entries of a transaction that the conditions and the lease take.
+constexpr std::size_t entriesKeptFree = 5;
 constexpr sched::time_ms publishQueuesMs = 1'000;
 
 std::string queueKeyText(const sched::queue_key &queue)
@@ -76,31 +78,27 @@
     sendCommit();
 }
 
+// The counts carry the time, so that nobody passes on those of a holder that has stopped counting.
 void dispatcher::publishQueues(row_transaction &transaction)
 {
     const sched::time_ms now = steadyMillis();
-    if (now - m_queuesPublishedAt < publishQueuesMs || transaction.puts.size() + 10 > mostTransactionEntries) {
+    if (now - m_queuesPublishedAt < publishQueuesMs) {
         return;
     }
     m_queuesPublishedAt = now;
     const std::map<sched::queue_key, std::int64_t> waiting = m_scheduler.waitingJobs();
+    for (std::pair<const sched::queue_key, std::int64_t> &queue : m_publishedWaiting) {
+        queue.second = 0;
+    }
     for (const std::pair<const sched::queue_key, std::int64_t> &queue : waiting) {
-        const auto published = m_publishedWaiting.find(queue.first);
-        if (published != m_publishedWaiting.end() && published->second == queue.second) {
-            continue;
-        }
-        if (transaction.puts.size() + 5 > mostTransactionEntries) {
-            return;
-        }
         m_publishedWaiting[queue.first] = queue.second;
-        transaction.puts.push_back({{tables::queues, tables::holderPart, queueKeyText(queue.first)}, std::to_string(queue.second)});
     }
-    for (std::pair<const sched::queue_key, std::int64_t> &queue : m_publishedWaiting) {
-        const bool empty = queue.second != 0 && !waiting.contains(queue.first) && transaction.puts.size() + 5 <= mostTransactionEntries;
-        if (empty) {
-            queue.second = 0;
-            transaction.puts.push_back({{tables::queues, tables::holderPart, queueKeyText(queue.first)}, "0"});
+    const std::string time = std::to_string(unixMillis());
+    for (const std::pair<const sched::queue_key, std::int64_t> &queue : m_publishedWaiting) {
+        if (transaction.puts.size() + transaction.deletes.size() + entriesKeptFree > mostTransactionEntries) {
+            return;
         }
+        transaction.puts.push_back({{tables::queues, tables::holderPart, queueKeyText(queue.first)}, std::to_string(queue.second) + ' ' + time});
     }
 }
 
--- a/src/node/front_service.cpp
+++ b/src/node/front_service.cpp
@@ -19,6 +19,8 @@
 constexpr sched::time_ms answerSlackMs = 150;
 // This node tries a write for this long before it passes the request on.
 constexpr sched::time_ms ownWritePatienceMs = 1'400;
+// A count of waiting jobs that is older than this says nothing any more; it is made each second.
+constexpr std::int64_t oldestCountMs = 4'000;
 constexpr std::size_t idLength = 16;
 // After a failed call to the store this node passes requests on for this long, unless a call succeeds before.
 constexpr sched::time_ms suspicionMs = 1'000;
@@ -350,7 +352,15 @@
         std::int64_t waiting = 0;
         if (!result.rows.empty()) {
             const std::string &text = result.rows.front().value;
-            std::from_chars(text.data(), text.data() + text.size(), waiting);
+            const std::from_chars_result count = std::from_chars(text.data(), text.data() + text.size(), waiting);
+            std::int64_t countedAtUnixMs = 0;
+            const char *time = std::min(count.ptr + 1, text.data() + text.size());
+            std::from_chars(time, text.data() + text.size(), countedAtUnixMs);
+            if (unixMillis() - countedAtUnixMs > oldestCountMs) {
+                logChange("count_too_old", {{"counted_unix_ms", countedAtUnixMs}, {"waiting", waiting}});
+                respond(refusal(statusUnavailable, 1));
+                return;
+            }
         }
         respond(answer(statusOk, waitingText(waiting)));
     });
