Keep an executor's room for a run that is overtaken by a late end

Ruled out: leases (run 2 was started after 6.0 s) and the stops, which were sent. Change: the later run's room stays taken until a list no longer shows it. Test: 'an end that comes late frees no room that a later run still takes' (fails without the change).

--- a/src/sched/scheduler_runs.cpp
+++ b/src/sched/scheduler_runs.cpp
@@ -95,7 +95,12 @@
     if (end.how == run_end::Done) {
         // Work that is done counts, whichever run did it.
         if (task->occupies() && !current) {
-            m_actions.push_back(stop_run{end.task, task->run, task->executor, executorFor(task->executor, now).entry.address});
+            executor_record &place = executorFor(task->executor, now);
+            m_actions.push_back(stop_run{end.task, task->run, task->executor, place.entry.address});
+            // The later run takes its room until a list no longer shows it.
+            place.foreign += job.spec.steps[static_cast<std::size_t>(end.task.step)].countedDemand();
+            place.lookSoon = true;
+            m_holdDue.insert(task->executor);
         }
         ++m_counts.doneRuns;
         if (current) {
--- a/tests/sched/scheduler_test.cpp
+++ b/tests/sched/scheduler_test.cpp
@@ -305,3 +305,37 @@
     CHECK(again[0].vm == moves[0].vm);
     CHECK(again[0].pool == moves[0].pool);
 }
+
+TEST_CASE("an end that comes late frees no room that a later run still takes")
+{
+    // Found by rcm-bogota-grown mix --seed 423660670714 (LIMIT): executors came back from a cut with ends of runs that had been
+    // placed again meanwhile.
+    scheduler_fixture world;
+    world.addExecutor("e1");
+    world.brain.handle(job_submitted{world.job("j1", {world.step(1, 4'000)})}, world.now);
+    world.step_();
+    const std::vector<start_run> first = world.take<start_run>();
+    REQUIRE(first.size() == 1);
+    world.answerStart(first[0]);
+    world.answerHold("e1", {}, {}, order_status::Unknown);
+    world.advance(6'200);
+    world.addExecutor("e2");
+    world.step_();
+    const std::vector<start_run> second = world.take<start_run>();
+    REQUIRE(second.size() == 1);
+    REQUIRE(second[0].executor == "e2");
+    world.answerStart(second[0]);
+    world.brain.handle(job_submitted{world.job("j2", {world.step(1, 4'000)})}, world.now);
+    world.answerHold("e1", {}, {}, order_status::Unknown);
+    world.brain.handle(hold_answered{"e1", order_status::Ok, world.now, world.now, 1'000, {}, {scheduler_fixture::ended(first[0], 1, run_end::Done)}},
+                       world.now);
+    world.step_();
+    CHECK(world.phaseOf("j1") == "completed");
+    const std::vector<stop_run> stops = world.take<stop_run>();
+    REQUIRE_FALSE(stops.empty());
+    CHECK(stops[0].executor == "e2");
+    CHECK(world.brain.executors().at("e2").freeRoom().cpu == 0);
+    for (const start_run &start : world.take<start_run>()) {
+        CHECK(start.executor != "e2");
+    }
+}
