Give the platform's row type a name of its own

All type names of the new headers were compared with the others. Change: the platform's is row_update. A member that nothing used is gone.

--- a/src/node/dispatcher.h
+++ b/src/node/dispatcher.h
@@ -135,9 +135,8 @@
     /** When the last renewal that is known to be stored was sent. */
     sched::time_ms m_renewedAt = 0;
     std::map<sched::queue_key, std::int64_t> m_publishedWaiting;
-    std::map<std::string, std::int64_t> m_publishedRows;
     sched::time_ms m_queuesPublishedAt = 0;
-    std::vector<row_put> m_statusPuts;
+    std::vector<row_update> m_statusPuts;
 
     sched::time_ms m_vmsListedAt = 0;
     bool m_listingVms = false;
--- a/src/node/submission_writer.h
+++ b/src/node/submission_writer.h
@@ -38,7 +38,7 @@
 private:
     struct waiting_row
     {
-        row_put put;
+        row_update put;
         sched::time_ms deadline = 0;
         /** An attempt was sent whose outcome isn't known. */
         bool doubtful = false;
--- a/src/platform/store_client.cpp
+++ b/src/platform/store_client.cpp
@@ -30,7 +30,7 @@
         entry["Ver"] = expected.version;
         body["ExpectedRev"].push_back(std::move(entry));
     }
-    for (const row_put &put : transaction.puts) {
+    for (const row_update &put : transaction.puts) {
         json entry = keyObject(put.key);
         entry["Value"] = wire::encodeBase64(put.value);
         body["Puts"].push_back(std::move(entry));
--- a/src/platform/store_client.h
+++ b/src/platform/store_client.h
@@ -52,7 +52,7 @@
     std::int64_t version = 0;
 };
 
-struct row_put
+struct row_update
 {
     row_key key;
     std::string value;
@@ -61,7 +61,7 @@
 struct row_transaction
 {
     std::vector<row_expectation> expects;
-    std::vector<row_put> puts;
+    std::vector<row_update> puts;
     std::vector<row_key> deletes;
 };
 
