Give up a run as a straggler only for its executor's sake, and once

Cause: a run was stopped when what was left of it took 1.8 times the estimate. Change: the step's tasks on other executors, or the executor's other runs, must speak against the executor; a task is given up once.

--- a/bench/sched_load_bench.cpp
+++ b/bench/sched_load_bench.cpp
@@ -11,6 +11,16 @@
 
 using namespace daisypass::sched;
 
+namespace {
+
+// The first user's goal and prices, as shares of what a day's jobs are worth.
+constexpr double wholeDayWeight = 0.5;
+constexpr double worstWindowsWeight = 0.5;
+constexpr double vmSecondPrice = 1.35e-4;
+constexpr double movePrice = 1.52e-4;
+
+} // namespace
+
 int main(int argc, char **argv)
 {
     CLI::App app("modelled days on virtual time");
@@ -58,6 +68,11 @@
         sums[2] += outcome.vmSecondsInPools / seeds / scale;
         sums[3] += outcome.moves / static_cast<double>(seeds) / scale;
     }
-    std::printf("mean: earned %.3f, worst windows %.3f, VM seconds %.0f, moves %.0f\n", sums[0], sums[1], sums[2], sums[3]);
+    std::printf("mean: earned %.3f, worst windows %.3f, VM seconds %.0f, moves %.0f, worth %.3f\n",
+                sums[0],
+                sums[1],
+                sums[2],
+                sums[3],
+                wholeDayWeight * sums[0] + worstWindowsWeight * sums[1] - vmSecondPrice * sums[2] - movePrice * sums[3]);
     return 0;
 }
--- a/src/sched/job_record.h
+++ b/src/sched/job_record.h
@@ -61,6 +61,13 @@
     /** Not placed before this time. */
     time_ms notBefore = 0;
     int percent = 0;
+    /** The run went on from a checkpoint, so its progress says nothing of its speed. */
+    bool resumed = false;
+    /** The task has been given up as a straggler once; a second time its work is the reason, not its executor. */
+    bool straggled = false;
+    /** Duration and executor of the run that did the whole task; 0 if it wasn't one run. */
+    time_ms tookMs = 0;
+    std::string doneOn;
     /** When percent last rose. */
     time_ms progressAt = 0;
     /** Set when the run was placed by an earlier holder of the lease. */
--- /dev/null
+++ b/src/sched/run_pace.cpp
@@ -0,0 +1,65 @@
+#include "sched/run_pace.h"
+
+#include <algorithm>
+
+namespace daisypass::sched {
+namespace {
+
+// A run is worth giving up when what is left of it takes this many times as long as a new run would.
+constexpr double stragglerFactor = 1.8;
+// Before this share of the usual duration the progress says too little.
+constexpr double leastShareRun = 0.6;
+// A step's own tasks elsewhere say how long one takes, if there are this many.
+constexpr std::size_t leastSiblings = 2;
+// Estimates are off by half and more, so runs of one job must be slower than runs of several to count against the executor.
+constexpr double slowRatioOfOneJob = 3.5;
+constexpr double slowRatioOfManyJobs = 2.0;
+
+bool executorIsAtFault(const pace_evidence &evidence)
+{
+    const double limit = evidence.executorJobs > 1 ? slowRatioOfManyJobs : slowRatioOfOneJob;
+    return evidence.executorIsSlow || evidence.executorRatio > limit;
+}
+
+} // namespace
+
+std::optional<double> run_pace::totalMs() const
+{
+    if (percent <= 0) {
+        return std::nullopt;
+    }
+    return ranMs * 100.0 / percent;
+}
+
+std::optional<double> run_pace::leftMs() const
+{
+    const std::optional<double> total = totalMs();
+    return total ? std::optional<double>(*total - ranMs - sinceMs) : std::nullopt;
+}
+
+double medianOf(std::span<const double> values)
+{
+    if (values.empty()) {
+        return 0;
+    }
+    std::vector<double> sorted(values.begin(), values.end());
+    const auto middle = sorted.begin() + static_cast<std::ptrdiff_t>(sorted.size() / 2);
+    std::nth_element(sorted.begin(), middle, sorted.end());
+    return *middle;
+}
+
+bool isStraggler(const run_pace &pace, const pace_evidence &evidence)
+{
+    const std::optional<double> left = pace.leftMs();
+    if (!left) {
+        return false;
+    }
+    const bool siblingsKnown = evidence.siblingsMs.size() >= leastSiblings;
+    if (!siblingsKnown && !executorIsAtFault(evidence)) {
+        return false;
+    }
+    const double usual = siblingsKnown ? medianOf(evidence.siblingsMs) : evidence.estimateMs;
+    return pace.ranMs > leastShareRun * usual && *left > stragglerFactor * usual;
+}
+
+} // namespace daisypass::sched
--- a/src/sched/scheduler.cpp
+++ b/src/sched/scheduler.cpp
@@ -273,6 +273,7 @@
         }
         task.phase = task_phase::Ordered;
         task.orderedAt = now;
+        task.resumed = !task.checkpoint.empty();
         executor.lastGrantAt = now;
         ++m_counts.started;
         start_run order;
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -21,6 +21,7 @@
 #include "sched/fleet_planner.h"
 #include "sched/job_record.h"
 #include "sched/model.h"
+#include "sched/run_pace.h"
 
 #include <map>
 #include <memory>
@@ -145,7 +146,10 @@
     void resendStops(time_ms now);
     void watchProgress(time_ms now);
     void paceFillers(executor_record &executor, const std::vector<listed_run> &runs, time_ms now);
-    void learnSpeed(executor_record &executor, const step_spec &step, const task_record &task, time_ms now);
+    void judgePace(const executor_record &executor, pace_evidence &evidence) const;
+    /** How long the step's tasks on other executors take. */
+    std::vector<double> siblingDurations(const step_record &step, const std::string &executor) const;
+    void learnSpeed(executor_record &executor, const step_spec &step, task_record &task, time_ms now);
     void emitStarts(job_record &job, std::int64_t batch, time_ms now);
 
     // Placement.
--- /dev/null
+++ b/src/sched/scheduler_progress.cpp
@@ -0,0 +1,122 @@
+// The progress of runs: which executors are slow, which runs stand still, and which are better begun anew elsewhere.
+
+#include "sched/run_pace.h"
+#include "sched/scheduler.h"
+
+#include <algorithm>
+
+namespace daisypass::sched {
+namespace {
+
+// A run whose progress has stood still for this long, and for the share below of its estimate, is stopped and placed elsewhere.
+constexpr time_ms leastStallMs = 2'500;
+constexpr double stallShareOfEstimate = 1.0;
+constexpr time_ms stallPauseMs = 5'000;
+// Weight of the latest run in an executor's slowness, and the most that one run counts for.
+constexpr double slownessWeight = 0.25;
+constexpr double mostSlownessSample = 8.0;
+
+run_pace paceOf(const task_record &task, time_ms listedAt)
+{
+    run_pace pace;
+    pace.percent = task.resumed ? 0 : task.percent;
+    pace.ranMs = static_cast<double>(task.progressAt - task.confirmedAt);
+    pace.sinceMs = static_cast<double>(listedAt - task.progressAt);
+    return pace;
+}
+
+bool isWatched(const task_record &task, const step_spec &kind)
+{
+    return task.phase == task_phase::Running && !kind.longRunning && !kind.gang && task.pacedPercent >= 100;
+}
+
+} // namespace
+
+void scheduler::learnSpeed(executor_record &executor, const step_spec &step, task_record &task, time_ms now)
+{
+    if (step.estimateMs <= 0 || task.confirmedAt == 0 || task.resumed) {
+        return;
+    }
+    task.tookMs = now - task.confirmedAt;
+    task.doneOn = executor.entry.id;
+    const double ratio = static_cast<double>(task.tookMs) / static_cast<double>(step.estimateMs);
+    executor.slowness += slownessWeight * (std::min(ratio, mostSlownessSample) - executor.slowness);
+    ++executor.slownessSamples;
+}
+
+// Runs of all jobs on the executor against their estimates.
+void scheduler::judgePace(const executor_record &executor, pace_evidence &evidence) const
+{
+    std::vector<double> ratios;
+    std::set<std::string> jobs;
+    for (const task_id &id : executor.runs) {
+        job_record &job = *m_jobs.at(id.job);
+        const task_record &task = *job.find(id);
+        const step_spec &kind = job.spec.steps[static_cast<std::size_t>(id.step)];
+        const std::optional<double> total = paceOf(task, executor.listedAt).totalMs();
+        if (isWatched(task, kind) && kind.estimateMs > 0 && total) {
+            ratios.push_back(*total / static_cast<double>(kind.estimateMs));
+            jobs.insert(id.job);
+        }
+    }
+    evidence.executorRatio = medianOf(ratios);
+    evidence.executorJobs = static_cast<int>(jobs.size());
+    evidence.executorIsSlow = executor.isSlow();
+}
+
+std::vector<double> scheduler::siblingDurations(const step_record &step, const std::string &executor) const
+{
+    std::vector<double> durations;
+    for (const task_record &task : step.tasks) {
+        if (task.phase == task_phase::Done && task.tookMs > 0 && task.doneOn != executor) {
+            durations.push_back(static_cast<double>(task.tookMs));
+        }
+        if (task.phase == task_phase::Running && task.executor != executor) {
+            const std::optional<double> total = paceOf(task, task.progressAt).totalMs();
+            if (total) {
+                durations.push_back(*total);
+            }
+        }
+    }
+    return durations;
+}
+
+// Answers executors that keep answering while the tasks on them stand still.
+void scheduler::watchProgress(time_ms now)
+{
+    for (std::pair<const std::string, executor_record> &item : m_executors) {
+        executor_record &executor = item.second;
+        if (!executor.answers()) {
+            continue;
+        }
+        pace_evidence evidence;
+        judgePace(executor, evidence);
+        for (const task_id &id : executor.runs) {
+            job_record &job = *m_jobs.at(id.job);
+            task_record &task = *job.find(id);
+            const step_spec &kind = job.spec.steps[static_cast<std::size_t>(id.step)];
+            if (!isWatched(task, kind)) {
+                continue;
+            }
+            const time_ms patience = std::max(leastStallMs, static_cast<time_ms>(stallShareOfEstimate * static_cast<double>(kind.estimateMs)));
+            if (task.progressAt + patience < executor.listedAt) {
+                executor.avoidUntil = std::max(executor.avoidUntil, now + stallPauseMs);
+                task.failedOn = item.first;
+                requestStop(id, task, now, "no_progress");
+                continue;
+            }
+            if (task.straggled || m_backlogBinds) {
+                continue;
+            }
+            evidence.estimateMs = static_cast<double>(std::max<std::int64_t>(1, kind.estimateMs));
+            evidence.siblingsMs = siblingDurations(job.occurrences.at(id.occurrence).steps[static_cast<std::size_t>(id.step)], item.first);
+            if (isStraggler(paceOf(task, executor.listedAt), evidence)) {
+                task.straggled = true;
+                task.failedOn = item.first;
+                requestStop(id, task, now, "straggler");
+            }
+        }
+    }
+}
+
+} // namespace daisypass::sched
--- a/src/sched/scheduler_runs.cpp
+++ b/src/sched/scheduler_runs.cpp
@@ -9,20 +9,10 @@
 
 // An unanswered stop is repeated after this time.
 constexpr time_ms stopRetryMs = 1'300;
-// A run whose progress has stood still for this long, and for the share below of its estimate, is stopped and placed elsewhere.
-constexpr time_ms leastStallMs = 2'500;
-constexpr double stallShareOfEstimate = 1.0;
 // Executors with this many failed runs in a row get no new ones for a while that doubles up to the longest pause.
 constexpr int failuresBeforePause = 2;
 constexpr time_ms firstFailurePauseMs = 1'000;
 constexpr time_ms longestFailurePauseMs = 8'000;
-constexpr time_ms stallPauseMs = 5'000;
-// Weight of the latest run in an executor's slowness, and the most that one run counts for.
-constexpr double slownessWeight = 0.25;
-constexpr double mostSlownessSample = 8.0;
-// A run is a straggler when what is left of it takes this many times as long as a new run would.
-constexpr double stragglerFactor = 1.8;
-constexpr double leastStragglerShare = 0.6;
 
 } // namespace
 
@@ -117,16 +107,6 @@
     }
 }
 
-void scheduler::learnSpeed(executor_record &executor, const step_spec &step, const task_record &task, time_ms now)
-{
-    if (step.estimateMs <= 0 || task.confirmedAt == 0) {
-        return;
-    }
-    const double ratio = static_cast<double>(now - task.confirmedAt) / static_cast<double>(step.estimateMs);
-    executor.slowness += slownessWeight * (std::min(ratio, mostSlownessSample) - executor.slowness);
-    ++executor.slownessSamples;
-}
-
 void scheduler::endRun(job_record &job, const task_id &id, task_record &task, run_end how, const std::string &checkpoint, time_ms now)
 {
     if (!checkpoint.empty()) {
@@ -245,41 +225,4 @@
     }
 }
 
-// Answers executors that keep answering while the tasks on them stand still.
-void scheduler::watchProgress(time_ms now)
-{
-    for (std::pair<const std::string, executor_record> &item : m_executors) {
-        executor_record &executor = item.second;
-        if (!executor.answers()) {
-            continue;
-        }
-        for (const task_id &id : executor.runs) {
-            job_record &job = *m_jobs.at(id.job);
-            task_record &task = *job.find(id);
-            const step_spec &kind = job.spec.steps[static_cast<std::size_t>(id.step)];
-            if (task.phase != task_phase::Running || kind.longRunning || kind.gang || task.pacedPercent < 100) {
-                continue;
-            }
-            const time_ms patience = std::max(leastStallMs, static_cast<time_ms>(stallShareOfEstimate * static_cast<double>(kind.estimateMs)));
-            if (task.progressAt + patience < executor.listedAt) {
-                executor.avoidUntil = std::max(executor.avoidUntil, now + stallPauseMs);
-                task.failedOn = item.first;
-                requestStop(id, task, now, "no_progress");
-                continue;
-            }
-            // A slow executor: what is left takes longer than all of it would elsewhere.
-            const double ran = static_cast<double>(task.progressAt - task.confirmedAt);
-            const double estimate = static_cast<double>(kind.estimateMs);
-            const bool measured = task.percent > 0 && ran > leastStragglerShare * estimate;
-            const double left = measured ? ran * (100.0 - task.percent) / task.percent - static_cast<double>(executor.listedAt - task.progressAt) : 0;
-            if (left > stragglerFactor * estimate && !m_backlogBinds) {
-                executor.slowness = std::max(executor.slowness, left / std::max(1.0, estimate));
-                executor.slownessSamples = std::max(executor.slownessSamples, leastSlownessSamples);
-                task.failedOn = item.first;
-                requestStop(id, task, now, "straggler");
-            }
-        }
-    }
-}
-
 } // namespace daisypass::sched
--- a/tests/sched/load_model.cpp
+++ b/tests/sched/load_model.cpp
@@ -14,6 +14,12 @@
 constexpr time_ms listEveryMs = 900;
 constexpr time_ms startMs = 10'000;
 constexpr double lateFactor = 3.0;
+// Of the users' jobs: this share takes much longer than the others.
+constexpr double longShare = 0.03;
+constexpr double longFactor = 7.0;
+constexpr time_ms restoreMs = 100;
+constexpr int longRunningJobs = 2;
+constexpr time_ms forEverMs = 1'000'000'000;
 
 struct modelled_run
 {
@@ -24,6 +30,9 @@
     bool fails = false;
     bool stalls = false;
     resources demand;
+    /** Part of the work that an earlier run had saved. */
+    time_ms resumedMs = 0;
+    bool saves = false;
 };
 
 struct modelled_executor
@@ -74,7 +83,8 @@
     load_settings settings;
     std::mt19937_64 random;
     scheduler brain;
-    time_ms now = 0;
+    // Zero stands for "never" in the records.
+    time_ms now = 1;
     std::uint64_t order = 0;
 
     struct timed
@@ -174,6 +184,7 @@
         }
         for (std::size_t queue = 0; queue < settings.queues.size(); ++queue) {
             scheduleArrival(queue, startMs);
+            submitLongRunning(settings.queues[queue]);
         }
         at(startMs + settings.lengthMs / 2, [this] {
             silenceExecutors();
@@ -251,6 +262,27 @@
         });
     }
 
+    void submitLongRunning(const load_queue &queue)
+    {
+        for (int i = 0; queue.longRunningTasks > 0 && i < longRunningJobs; ++i) {
+            job_spec spec;
+            spec.id = "long-" + queue.pool + std::to_string(i);
+            spec.queue = {"host", "/" + queue.pool + "/"};
+            spec.pool = queue.pool;
+            step_spec step;
+            step.taskCount = queue.longRunningTasks;
+            step.demand = {2'700, 8'700, 0};
+            step.estimateMs = 900;
+            step.longRunning = true;
+            step.mostPerExecutor = 1;
+            step.allowedUnavailable = 1;
+            spec.steps.push_back(step);
+            at(startMs / 2, [this, spec] {
+                feed(job_submitted{spec});
+            });
+        }
+    }
+
     void submit(std::size_t index)
     {
         const load_queue &queue = settings.queues[index];
@@ -263,19 +295,21 @@
         std::uniform_real_distribution<double> uniform(0, 1);
         job.hopeless = uniform(random) < queue.hopelessShare;
         const int steps = std::max(1, static_cast<int>(std::lround(draw(queue.stepsMean, 0.4))));
+        const bool checkpointing = uniform(random) < queue.checkpointingShare;
         double chain = 0;
         for (int s = 0; s < steps; ++s) {
             step_spec step;
             step.taskCount = std::clamp(static_cast<int>(std::lround(draw(queue.tasksMean, 0.6))), 1, 32);
             step.demand = {static_cast<std::int64_t>(draw(queue.taskCpuMean, 0.45)), 3'000, 0};
-            const double base = draw(queue.taskMsMean, 0.5);
-            step.estimateMs = static_cast<std::int64_t>(draw(base, 0.2));
+            const double base = std::min(queue.taskMsMost, draw(queue.taskMsMean, 0.5) * (uniform(random) < longShare ? longFactor : 1.0));
+            step.estimateMs = static_cast<std::int64_t>(draw(base, queue.estimateSpread));
+            step.checkpointing = checkpointing;
             if (s > 0) {
                 step.after = {s - 1};
             }
             double longest = 0;
             for (int i = 0; i < step.taskCount; ++i) {
-                const double takes = draw(base, 0.15);
+                const double takes = draw(base, queue.taskSpread);
                 job.taskMs[task_id{job.spec.id, 0, s, i}.text()] = std::max<time_ms>(20, static_cast<time_ms>(takes));
                 longest = std::max(longest, takes);
                 job.work += takes * static_cast<double>(step.demand.cpu) / 1e6;
@@ -340,6 +374,31 @@
         });
     }
 
+    modelled_run runOf(const start_run &order_) const
+    {
+        modelled_run run;
+        run.task = order_.task;
+        run.run = order_.run;
+        run.startedAt = now;
+        const auto found = jobs.find(order_.task.job);
+        if (found == jobs.end()) {
+            run.takesMs = forEverMs;
+            run.demand = {2'700, 8'700, 0};
+            return run;
+        }
+        const modelled_job &job = found->second;
+        const step_spec &step = job.spec.steps[static_cast<std::size_t>(order_.task.step)];
+        run.takesMs = job.taskMs.at(order_.task.text());
+        run.fails = job.hopeless;
+        run.demand = step.demand;
+        run.saves = step.checkpointing;
+        if (!order_.checkpoint.empty()) {
+            run.resumedMs = std::atoll(order_.checkpoint.c_str());
+            run.takesMs = std::max<time_ms>(1, run.takesMs - run.resumedMs) + restoreMs;
+        }
+        return run;
+    }
+
     order_status start(const start_run &order_)
     {
         const auto found = executors.find(order_.executor);
@@ -347,15 +406,9 @@
             return order_status::Unreachable;
         }
         modelled_executor &executor = found->second;
-        const modelled_job &job = jobs.at(order_.task.job);
-        modelled_run run;
-        run.task = order_.task;
-        run.run = order_.run;
-        run.startedAt = now;
-        run.takesMs = job.taskMs.at(order_.task.text());
-        run.fails = executor.failing || job.hopeless;
+        modelled_run run = runOf(order_);
+        run.fails = run.fails || executor.failing;
         run.stalls = executor.stalled;
-        run.demand = job.spec.steps[static_cast<std::size_t>(order_.task.step)].demand;
         if (run.fails) {
             run.takesMs /= 2;
         }
@@ -398,6 +451,9 @@
         end.task = run->second.task;
         end.run = number;
         end.how = how;
+        if (run->second.saves && how == run_end::Stopped) {
+            end.checkpoint = std::to_string(run->second.resumedMs + now - run->second.startedAt);
+        }
         executor.ends.push_back(end);
         executor.runs.erase(run);
         --aliveRuns[name];
@@ -465,7 +521,10 @@
             listed.task = run.second.task;
             listed.run = run.second.run;
             const time_ms worked = run.second.stalls ? 0 : now - run.second.startedAt;
-            listed.percent = static_cast<int>(std::min<time_ms>(99, 100 * worked / std::max<time_ms>(1, run.second.takesMs)));
+            const time_ms all = run.second.resumedMs + run.second.takesMs;
+            listed.percent = run.second.takesMs == forEverMs
+                ? 100
+                : static_cast<int>(std::min<time_ms>(99, 100 * (run.second.resumedMs + worked) / std::max<time_ms>(1, all)));
             answer.runs.push_back(listed);
         }
         at(now + networkMs, [this, answer = std::move(answer)] {
@@ -549,7 +608,7 @@
     load_outcome run()
     {
         build();
-        constexpr time_ms tailMs = 20'000;
+        constexpr time_ms tailMs = 60'000;
         const time_ms end = startMs + settings.lengthMs + tailMs;
         while (!events.empty() && events.top().at <= end) {
             const timed next = events.top();
@@ -635,10 +694,10 @@
 {
     load_settings settings;
     settings.seed = seed;
-    load_queue booking{"booking", 7.65, 1.6, 6, 1'800, 680, 0, 4, 0.01, 0.491};
-    load_queue profiles{"profiles", 0.933, 2, 8, 3'800, 1'800, 1, 2, 0.03, 4.54};
-    load_queue counter{"counter", 9.56, 1.6, 6, 1'800, 680, 0, 4, 0.01, 0.491};
-    load_queue grinder{"grinder", 1.14, 2, 8, 3'800, 1'800, 1, 2, 0.03, 4.54};
+    load_queue booking{"booking", 7.65, 1.6, 6, 1'800, 680, 0, 4, 0.01, 0.491, 0, 0.15, 0.2, 5, 7'200};
+    load_queue profiles{"profiles", 0.933, 2, 8, 3'800, 1'800, 1, 2, 0.03, 4.54, 0.8, 0.3, 0.5, 5, 19'000};
+    load_queue counter{"counter", 9.56, 1.6, 6, 1'800, 680, 0, 4, 0.01, 0.491, 0, 0.15, 0.2, 5, 7'200};
+    load_queue grinder{"grinder", 1.14, 2, 8, 3'800, 1'800, 1, 2, 0.03, 4.54, 0.8, 0.3, 0.5, 5, 19'000};
     settings.queues = {booking, profiles, counter, grinder};
     return settings;
 }
--- a/tests/sched/load_model.h
+++ b/tests/sched/load_model.h
@@ -33,6 +33,14 @@
     double hopelessShare = 0;
     /** Worth of a job of average work. */
     double worth = 1;
+    /** Share of jobs whose tasks save their progress. */
+    double checkpointingShare = 0;
+    /** Spread of the durations of a step's tasks, and of the estimate. */
+    double taskSpread = 0.15;
+    double estimateSpread = 0.2;
+    /** Tasks of each of the queue's two long-running jobs, at most one on an executor; 0 for no such jobs. */
+    int longRunningTasks = 0;
+    double taskMsMost = 20'000;
 };
 
 struct load_settings
@@ -46,7 +54,7 @@
     time_ms lengthMs = 34'000;
     /** Each queue in turn asks this many times its mean for this long, and a twentieth in between. */
     double turnFactor = 4.0;
-    time_ms turnMs = 4'000;
+    time_ms turnMs = 8'000;
     /** Executors that fail every run, and executors on which tasks stand still. */
     int failingExecutors = 0;
     int stalledExecutors = 0;
