Let VMs follow the load at once after a takeover

Cause: after a takeover from a holder that may be alive no order went to the fleet for 3.2 s, since two holders' orders for one VM may not follow each other within LeaseMs. Change: the holder's row '~orders' names the VMs that it has ordered something for lately. Its successor leaves only these alone; upkeep is sent once it is stored and counts against the cap until the list shows the VM up. A holder that is surely over keeps nothing back. Test: 'after a takeover VMs follow the load at once', 'upkeep is stored before it is ordered', 'upkeep that an earlier holder ordered counts against the cap'.

--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -12,8 +12,6 @@
 
 constexpr std::chrono::milliseconds releaseTimeout{1'500};
 constexpr sched::time_ms listVmsMs = 900;
-// Beyond the platform's time between two holders that are both alive.
-constexpr sched::time_ms fleetQuietSlackMs = 200;
 
 } // namespace
 
@@ -22,7 +20,7 @@
     , m_settings(settings)
     , m_term(std::move(term))
     , m_lost(std::move(lost))
-    , m_scheduler(settings.bounds, steadyMillis(), m_term.earlierHolderMayLive ? settings.bounds.leaseMs + fleetQuietSlackMs : 0)
+    , m_scheduler(settings.bounds, steadyMillis())
     , m_recovery(std::make_unique<recovery>())
     , m_relays(std::make_shared<relay_pool>(m_services.client, m_services.later, m_term.node + '.' + std::to_string(m_term.term), m_term.node))
     , m_executors([relays = m_relays](http_call call, std::function<void(http_result)> done) {
--- a/src/node/dispatcher.h
+++ b/src/node/dispatcher.h
@@ -67,6 +67,7 @@
 
     void readJobs(std::size_t part, const std::string &from);
     void readState(const std::string &from);
+    void restoreFleetOrders(const store_row &row);
     void onReadDone(std::unique_lock<std::mutex> &guard);
     void finishRecovery();
     void followTables();
--- a/src/node/dispatcher_recovery.cpp
+++ b/src/node/dispatcher_recovery.cpp
@@ -82,8 +82,10 @@
         for (store_row &row : result.rows) {
             if (row.key.key == tables::sequenceKey) {
                 self->m_sequenceVersion = row.version;
-            } else if (row.key.key == tables::wavesKey) {
+            } else if (row.key.key == sched::wavesRowKey) {
                 self->m_scheduler.restoreWave(row.value);
+            } else if (row.key.key == sched::fleetOrdersRowKey) {
+                self->restoreFleetOrders(row);
             } else {
                 self->m_recovery->states[row.key.key] = std::move(row.value);
             }
@@ -96,6 +98,13 @@
     });
 }
 
+void dispatcher::restoreFleetOrders(const store_row &row)
+{
+    if (!m_scheduler.restoreFleetOrders(row.value, m_term.earlierHolderMayLive, steadyMillis())) {
+        logChange("fleet_orders_unreadable", {{"term", m_term.term}, {"row", row.value}});
+    }
+}
+
 void dispatcher::onReadDone(std::unique_lock<std::mutex> &guard)
 {
     if (--m_recovery->readsLeft == 0) {
--- a/src/node/leadership.h
+++ b/src/node/leadership.h
@@ -25,7 +25,7 @@
     std::int64_t termVersion = 0;
     std::string node;
     std::int64_t incarnation = 0;
-    /** An earlier holder may still be giving orders to the fleet for a while. */
+    /** An earlier holder may still be alive, with orders to the fleet on their way. */
     bool earlierHolderMayLive = true;
 };
 
--- a/src/node/tables.h
+++ b/src/node/tables.h
@@ -19,9 +19,8 @@
 inline constexpr const char *holderPart = "L";
 /** Submissions are spread over this many parts, since a part takes a limited number of transactions a second. */
 inline constexpr int jobParts = 16;
-/** Rows of the holder that are no jobs sort behind all ids. */
+/** The row that numbers the holder's batches; like the scheduler's own rows it sorts behind all ids. */
 inline constexpr const char *sequenceKey = "~sequence";
-inline constexpr const char *wavesKey = "~waves";
 /** A row with this ending behind a job's id asks for its cancellation. */
 inline constexpr std::string_view cancelSuffix = ".x";
 
--- /dev/null
+++ b/src/sched/fleet_orders.cpp
@@ -0,0 +1,132 @@
+#include "sched/fleet_orders.h"
+
+#include <nlohmann/json.hpp>
+
+#include <iterator>
+#include <optional>
+
+namespace daisypass::sched {
+namespace {
+
+using json = nlohmann::json;
+
+const std::string &vmOf(const fleet_order &order)
+{
+    return std::visit(
+        [](const auto &one) -> const std::string & {
+            return one.vm;
+        },
+        order);
+}
+
+// A move is written as its pool, an upkeep as its wave.
+struct order_writer
+{
+    json operator()(const move_vm &move) const
+    {
+        return move.pool;
+    }
+
+    json operator()(const upkeep_vm &upkeep) const
+    {
+        return upkeep.wave;
+    }
+};
+
+std::optional<fleet_order> readOrder(const std::string &vm, const json &value)
+{
+    if (value.is_string()) {
+        return move_vm{vm, value.get<std::string>()};
+    }
+    if (value.is_number_integer()) {
+        return upkeep_vm{vm, value.get<std::int64_t>()};
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+fleet_orders::fleet_orders(time_ms keepMs)
+    : m_keepMs(keepMs)
+{
+}
+
+void fleet_orders::add(fleet_order order, time_ms now)
+{
+    m_recent[vmOf(order)] = {order, now};
+    const bool waitsForRow = std::holds_alternative<upkeep_vm>(order);
+    (waitsForRow ? m_unstored : m_due).push_back(std::move(order));
+    m_dirty = true;
+}
+
+void fleet_orders::expire(time_ms now)
+{
+    const std::size_t expired = std::erase_if(m_recent, [&](const std::pair<const std::string, recent_order> &order) {
+        return order.second.at + m_keepMs < now;
+    });
+    m_dirty = m_dirty || expired > 0;
+}
+
+std::string fleet_orders::writeRow()
+{
+    m_dirty = false;
+    std::move(m_unstored.begin(), m_unstored.end(), std::back_inserter(m_inRow));
+    m_unstored.clear();
+    json row = json::object();
+    for (const std::pair<const std::string, recent_order> &order : m_recent) {
+        row[order.first] = std::visit(order_writer{}, order.second.order);
+    }
+    return row.dump();
+}
+
+void fleet_orders::rowStored()
+{
+    std::move(m_inRow.begin(), m_inRow.end(), std::back_inserter(m_due));
+    m_inRow.clear();
+}
+
+std::vector<fleet_order> fleet_orders::takeDue()
+{
+    std::vector<fleet_order> due;
+    due.swap(m_due);
+    return due;
+}
+
+// The time since the earlier order isn't known: clocks of two machines may differ by anything.
+bool fleet_orders::readEarlier(std::string_view row, bool holderMayLive, time_ms now)
+{
+    m_earlierHolderMayLive = holderMayLive;
+    const json value = json::parse(row, nullptr, false);
+    if (!value.is_object()) {
+        return false;
+    }
+    for (auto item = value.begin(); item != value.end(); ++item) {
+        const std::optional<fleet_order> order = readOrder(item.key(), item.value());
+        if (!order) {
+            return false;
+        }
+        m_earlier[item.key()] = {*order, now};
+    }
+    // They matter to the next holder too.
+    m_recent.insert(m_earlier.begin(), m_earlier.end());
+    return true;
+}
+
+bool fleet_orders::isEarlier(const std::string &vm, time_ms now) const
+{
+    const auto order = m_earlier.find(vm);
+    return m_earlierHolderMayLive && order != m_earlier.end() && now - order->second.at < m_keepMs;
+}
+
+std::vector<upkeep_vm> fleet_orders::earlierUpkeep() const
+{
+    std::vector<upkeep_vm> upkeep;
+    for (const std::pair<const std::string, recent_order> &order : m_earlier) {
+        if (const upkeep_vm *one = std::get_if<upkeep_vm>(&order.second.order)) {
+            upkeep.push_back(*one);
+        }
+    }
+    return upkeep;
+}
+
+} // namespace daisypass::sched
--- /dev/null
+++ b/src/sched/fleet_orders.h
@@ -0,0 +1,77 @@
+#pragma once
+
+// Orders to the fleet, kept in a row that tells the lease's next holder which VMs an earlier one may still be moving or taking
+// down.
+//
+//     fleet_orders orders(keepMs);
+//     orders.add(move_vm{...}, now);
+//     std::string row = orders.writeRow();               // to be stored
+//     orders.rowStored();
+//     for (const fleet_order &one : orders.takeDue()) { ... send it ... }
+//
+//     orders.readEarlier(row, true, now);                   // after a takeover
+//     if (orders.isEarlier(vm, now)) { ... leave the VM alone ... }
+//
+// The failure it answers: a holder that is cut off may be alive, and its last order may arrive after its successor's first one.
+// Only the VMs that it named have to wait for that; all others follow the load at once. Upkeep is sent only when it is stored,
+// because its wave's cap must hold across holders; a move is sent at once, since turns don't wait for the store.
+
+#include "sched/events.h"
+#include "sched/model.h"
+
+#include <map>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace daisypass::sched {
+
+using fleet_order = std::variant<move_vm, upkeep_vm>;
+
+class fleet_orders
+{
+public:
+    /** An order matters to a successor for this long. */
+    explicit fleet_orders(time_ms keepMs);
+
+    void add(fleet_order order, time_ms now);
+    /** The row isn't stored as it should be. */
+    bool isDirty() const
+    {
+        return m_dirty;
+    }
+    /** Forgets what no longer matters; the row becomes dirty by that. */
+    void expire(time_ms now);
+    /** The orders that matter. Only one row may be on its way to the store. */
+    std::string writeRow();
+    void rowStored();
+    /** Orders to send now. */
+    std::vector<fleet_order> takeDue();
+
+    /** The row of an earlier holder; false if it can't be read. Orders of one that is surely over don't keep VMs back. */
+    bool readEarlier(std::string_view row, bool holderMayLive, time_ms now);
+    /** An earlier holder's order may still be carried out on the VM. */
+    bool isEarlier(const std::string &vm, time_ms now) const;
+    /** Upkeep that an earlier holder may have begun: VM and wave. */
+    std::vector<upkeep_vm> earlierUpkeep() const;
+
+private:
+    struct recent_order
+    {
+        fleet_order order;
+        time_ms at = 0;
+    };
+
+    time_ms m_keepMs;
+    bool m_dirty = false;
+    std::vector<fleet_order> m_due;
+    /** Upkeep that waits for the next row, and for the one on its way. */
+    std::vector<fleet_order> m_unstored;
+    std::vector<fleet_order> m_inRow;
+    std::map<std::string, recent_order> m_recent;
+    std::map<std::string, recent_order> m_earlier;
+    bool m_earlierHolderMayLive = true;
+};
+
+} // namespace daisypass::sched
--- a/src/sched/fleet_planner.cpp
+++ b/src/sched/fleet_planner.cpp
@@ -37,7 +37,12 @@
 bool canMove(const fleet_vm &vm, bool spare)
 {
     const bool empty = vm.hasExecutor ? vm.runs == 0 && vm.emptySince > 0 : spare;
-    return vm.state == vm_state::Up && empty && !vm.leaving && !vm.reserved;
+    return vm.state == vm_state::Up && empty && !vm.leaving && !vm.reserved && !vm.mayBeOrdered;
+}
+
+int vmsFor(double amount, std::int64_t ofVm)
+{
+    return static_cast<int>(std::ceil(amount / static_cast<double>(std::max<std::int64_t>(1, ofVm))));
 }
 
 } // namespace
@@ -58,6 +63,7 @@
     const auto stored = m_stored.find(wave.wave);
     if (stored != m_stored.end()) {
         found->second.done = stored->second.done;
+        found->second.down = stored->second.down;
         if (stored->second.dueUnixMs != 0) {
             found->second.dueUnixMs = stored->second.dueUnixMs;
         }
@@ -74,6 +80,11 @@
     }
 }
 
+void fleet_planner::earlierUpkeep(std::int64_t wave, const std::string &vm, time_ms now)
+{
+    m_stored[wave].down[vm] = now;
+}
+
 void fleet_planner::upkeepRefused(std::int64_t wave, const std::string &vm, bool forGood)
 {
     const auto found = m_waves.find(wave);
@@ -183,7 +194,7 @@
         return vm->reserved && vm->runs > 0;
     }));
     for (const fleet_vm *vm : left) {
-        if (vm->state != vm_state::Up || vm->leaving || m_taken.contains(vm->vm) || wave.down.contains(vm->vm)) {
+        if (vm->state != vm_state::Up || vm->leaving || vm->mayBeOrdered || m_taken.contains(vm->vm) || wave.down.contains(vm->vm)) {
             continue;
         }
         if (vm->runs == 0) {
@@ -226,8 +237,8 @@
 {
     const double cpu = static_cast<double>(pool.runningCpu) + waitingWeight * static_cast<double>(pool.waitingCpu);
     const double memory = static_cast<double>(pool.runningMemoryMb) + waitingWeight * static_cast<double>(pool.waitingMemoryMb);
-    const int forCpu = static_cast<int>(std::ceil(cpu / static_cast<double>(std::max<std::int64_t>(1, cpuOfVm))));
-    const int forMemory = static_cast<int>(std::ceil(memory / static_cast<double>(std::max<std::int64_t>(1, memoryOfVm))));
+    const int forCpu = vmsFor(cpu, cpuOfVm);
+    const int forMemory = vmsFor(memory, memoryOfVm);
     return std::max({forCpu, forMemory, pool.leastVms});
 }
 
--- a/src/sched/fleet_planner.h
+++ b/src/sched/fleet_planner.h
@@ -33,6 +33,8 @@
     bool hasExecutor = false;
     /** Its executor is about to leave. */
     bool leaving = false;
+    /** An earlier holder's order may still be carried out on it: it gets no other. */
+    bool mayBeOrdered = false;
     /** It takes no new runs, because its upkeep or a move is next. */
     bool reserved = false;
     bool answers = false;
@@ -100,6 +102,8 @@
     /** Waves already known are left as they are. */
     void addWave(const wave_request &wave, time_ms now, std::int64_t unixMs);
     void upkeepBegun(std::int64_t wave, const std::string &vm, time_ms now);
+    /** An earlier holder may have begun the upkeep: it counts against the cap until the list shows the VM up again. */
+    void earlierUpkeep(std::int64_t wave, const std::string &vm, time_ms now);
     void upkeepRefused(std::int64_t wave, const std::string &vm, bool forGood);
     /** The fleet's list has the VM up again after its upkeep began. */
     void vmIsBack(const std::string &vm, time_ms now);
@@ -137,6 +141,7 @@
     struct stored_wave
     {
         std::set<std::string> done;
+        std::map<std::string, time_ms> down;
         std::int64_t dueUnixMs = 0;
     };
 
--- a/src/sched/scheduler.cpp
+++ b/src/sched/scheduler.cpp
@@ -21,6 +21,9 @@
 // again within six seconds.
 constexpr time_ms longestLeaseMs = 5'500;
 
+// Beyond the platform's time between two holders that are both alive.
+constexpr time_ms fleetOrderSlackMs = 200;
+
 bounds withShortLeases(bounds limits)
 {
     limits.maxLeaseMs = std::min<std::int64_t>(limits.maxLeaseMs, longestLeaseMs);
@@ -29,11 +32,11 @@
 
 } // namespace
 
-scheduler::scheduler(bounds limits, time_ms now, time_ms fleetQuietMs)
+scheduler::scheduler(bounds limits, time_ms now)
     : m_bounds(withShortLeases(limits))
     , m_since(now)
-    , m_fleetQuietMs(fleetQuietMs)
     , m_fleet(limits)
+    , m_fleetOrders(limits.leaseMs + fleetOrderSlackMs)
 {
 }
 
@@ -114,6 +117,17 @@
     m_fleet.readRow(row);
 }
 
+bool scheduler::restoreFleetOrders(std::string_view row, bool holderMayLive, time_ms now)
+{
+    if (!m_fleetOrders.readEarlier(row, holderMayLive, now)) {
+        return false;
+    }
+    for (const upkeep_vm &upkeep : m_fleetOrders.earlierUpkeep()) {
+        m_fleet.earlierUpkeep(upkeep.wave, upkeep.vm, now);
+    }
+    return true;
+}
+
 const queue_config *scheduler::queueOf(const job_record &job) const
 {
     const auto found = m_queues.find(job.spec.queue);
@@ -207,7 +221,7 @@
 
 bool scheduler::hasUnstored() const
 {
-    return !m_dirty.empty() || m_waveRowDirty || !m_deletedRows.empty();
+    return !m_dirty.empty() || m_waveRowDirty || m_fleetOrders.isDirty() || !m_deletedRows.empty();
 }
 
 std::optional<commit_batch> scheduler::takeBatch(time_ms now)
@@ -234,11 +248,13 @@
         bytes += batch.rows.back().second.size();
         m_batchJobs.push_back(id);
     }
-    m_waveRowInBatch = m_waveRowDirty;
     if (m_waveRowDirty) {
-        batch.rows.emplace_back("~waves", m_fleet.writeRow());
+        batch.rows.emplace_back(wavesRowKey, m_fleet.writeRow());
         m_waveRowDirty = false;
     }
+    if (m_fleetOrders.isDirty()) {
+        batch.rows.emplace_back(fleetOrdersRowKey, m_fleetOrders.writeRow());
+    }
     const std::size_t deletes = std::min(m_deletedRows.size(), mostDeletesPerBatch);
     batch.deletedKeys.assign(m_deletedRows.end() - static_cast<std::ptrdiff_t>(deletes), m_deletedRows.end());
     m_deletedRows.resize(m_deletedRows.size() - deletes);
@@ -257,6 +273,8 @@
         }
     }
     acknowledgeStored();
+    m_fleetOrders.rowStored();
+    sendFleetOrders();
 }
 
 void scheduler::emitStarts(job_record &job, std::int64_t batch, time_ms now)
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -18,6 +18,7 @@
 
 #include "sched/events.h"
 #include "sched/executor_record.h"
+#include "sched/fleet_orders.h"
 #include "sched/fleet_planner.h"
 #include "sched/job_record.h"
 #include "sched/model.h"
@@ -51,17 +52,23 @@
     std::int64_t upkeeps = 0;
 };
 
+/** Rows of the scheduler's table that belong to no job. */
+inline constexpr const char *wavesRowKey = "~waves";
+inline constexpr const char *fleetOrdersRowKey = "~orders";
+
 class scheduler
 {
 public:
-    /** `now` is when the term began; no order goes to the fleet for `fleetQuietMs` from then. */
-    scheduler(bounds limits, time_ms now, time_ms fleetQuietMs = 0);
+    /** `now` is when the term began. */
+    scheduler(bounds limits, time_ms now);
     ~scheduler();
 
     /** Adds a stored job with its state row; an empty row means that nothing has happened to it. False if the row can't be read. */
     bool restore(const job_spec &job, const std::string &row, time_ms now);
     /** Adds the stored progress of a wave. */
     void restoreWave(std::string_view row);
+    /** Adds the fleet orders that an earlier holder may have sent; false if the row can't be read. */
+    bool restoreFleetOrders(std::string_view row, bool holderMayLive, time_ms now);
 
     void handle(const event &what, time_ms now);
     /** Places waiting tasks and looks at executors; call after a group of events. */
@@ -164,6 +171,7 @@
     void repeatDoubtfulMoves(time_ms now);
     fleet_view viewOfFleet(time_ms now) const;
     void carryOut(const fleet_decision &decision, time_ms now);
+    void sendFleetOrders();
     /** The availability budgets allow the system to end this run now. */
     bool isKnownAtWork(const task_record &task) const;
     bool mayInterrupt(job_record &job, const task_id &id) const;
@@ -172,7 +180,6 @@
 
     bounds m_bounds;
     time_ms m_since;
-    time_ms m_fleetQuietMs;
     std::int64_t m_unixMs = 0;
     configuration_view m_configuration;
     std::map<queue_key, queue_config> m_queues;
@@ -211,12 +218,12 @@
 
     std::map<std::string, doubtful_move> m_doubtfulMoves;
     fleet_planner m_fleet;
+    fleet_orders m_fleetOrders;
     std::vector<action> m_actions;
     std::int64_t m_batch = 0;
     std::int64_t m_committed = 0;
     std::vector<std::string> m_batchJobs;
     bool m_waveRowDirty = false;
-    bool m_waveRowInBatch = false;
     scheduler_counts m_counts;
     time_ms m_lastFleetPlan = 0;
     time_ms m_lastSweep = 0;
--- a/src/sched/scheduler_fleet.cpp
+++ b/src/sched/scheduler_fleet.cpp
@@ -48,7 +48,7 @@
         }
         if (now - move->second.orderedAt >= repeatMoveMs && vm->second.state == vm_state::Up) {
             move->second.orderedAt = now;
-            m_actions.push_back(move_vm{move->first, move->second.pool});
+            m_fleetOrders.add(move_vm{move->first, move->second.pool}, now);
         }
         ++move;
     }
@@ -82,6 +82,7 @@
         vm.pool = entry.pool;
         vm.state = entry.state;
         vm.kind = kindOf(entry);
+        vm.mayBeOrdered = m_fleetOrders.isEarlier(entry.vm, now);
         const auto found = m_executors.find(entry.executor);
         if (found != m_executors.end() && !found->second.dead) {
             const executor_record &executor = found->second;
@@ -134,14 +135,16 @@
 
 void scheduler::planFleet(time_ms now)
 {
-    if (m_vms.empty() || now - m_lastFleetPlan < planEveryMs || now - m_since < m_fleetQuietMs) {
+    if (m_vms.empty() || now - m_lastFleetPlan < planEveryMs) {
         return;
     }
     m_lastFleetPlan = now;
+    m_fleetOrders.expire(now);
     repeatDoubtfulMoves(now);
     for (const fleet_decision &decision : m_fleet.plan(viewOfFleet(now), now)) {
         carryOut(decision, now);
     }
+    sendFleetOrders();
     // Long-running tasks on reserved executors are ended one by one as their steps allow.
     for (std::pair<const std::string, executor_record> &item : m_executors) {
         if (!item.second.reserved) {
@@ -193,7 +196,7 @@
         }
         ++m_counts.moves;
         note("move_ordered", {{"vm", move->vm}, {"from", vm.pool}, {"to", move->pool}, {"executor", vm.executor}});
-        m_actions.push_back(move_vm{move->vm, move->pool});
+        m_fleetOrders.add(move_vm{move->vm, move->pool}, now);
     } else if (const upkeep_decision *upkeep = std::get_if<upkeep_decision>(&decision)) {
         const vm_entry &vm = m_vms.at(upkeep->vm);
         if (!vm.executor.empty()) {
@@ -201,7 +204,7 @@
         }
         ++m_counts.upkeeps;
         note("upkeep_ordered", {{"vm", upkeep->vm}, {"wave", std::to_string(upkeep->wave)}, {"executor", vm.executor}});
-        m_actions.push_back(upkeep_vm{upkeep->vm, upkeep->wave});
+        m_fleetOrders.add(upkeep_vm{upkeep->vm, upkeep->wave}, now);
     } else if (const drain_decision *drain = std::get_if<drain_decision>(&decision)) {
         const vm_entry &vm = m_vms.at(drain->vm);
         if (!vm.executor.empty()) {
@@ -214,6 +217,17 @@
     }
 }
 
+void scheduler::sendFleetOrders()
+{
+    for (const fleet_order &order : m_fleetOrders.takeDue()) {
+        std::visit(
+            [this](const auto &one) {
+                m_actions.push_back(one);
+            },
+            order);
+    }
+}
+
 void scheduler::on(const move_answered &what, time_ms now)
 {
     const auto vm = m_vms.find(what.vm);
--- /dev/null
+++ b/tests/sched/fleet_orders_test.cpp
@@ -0,0 +1,152 @@
+#include "sched/fleet_orders.h"
+
+#include "scheduler_fixture.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+using namespace daisypass::sched;
+
+TEST_CASE("upkeep is stored before it is ordered")
+{
+    fleet_orders orders(3'000);
+    orders.add(upkeep_vm{"vm-1", 7}, 100);
+    CHECK(orders.isDirty());
+    CHECK(orders.takeDue().empty());
+    orders.writeRow();
+    CHECK_FALSE(orders.isDirty());
+
+    SUBCASE("not when the row is on its way, but when it is stored, and once")
+    {
+        CHECK(orders.takeDue().empty());
+        orders.rowStored();
+        CHECK(orders.takeDue().size() == 1);
+        CHECK(orders.takeDue().empty());
+    }
+    SUBCASE("one that is added while the row is on its way waits for the next")
+    {
+        orders.add(upkeep_vm{"vm-2", 7}, 120);
+        orders.rowStored();
+        CHECK(orders.takeDue().size() == 1);
+        CHECK(orders.isDirty());
+        orders.writeRow();
+        orders.rowStored();
+        CHECK(orders.takeDue().size() == 1);
+    }
+    SUBCASE("a move doesn't wait, and is in the next row")
+    {
+        orders.add(move_vm{"vm-2", "booking"}, 120);
+        CHECK(orders.takeDue().size() == 1);
+        CHECK(orders.isDirty());
+        CHECK(orders.writeRow().find("booking") != std::string::npos);
+    }
+    SUBCASE("it leaves the row when it no longer matters")
+    {
+        orders.expire(3'000);
+        CHECK_FALSE(orders.isDirty());
+        orders.expire(3'200);
+        CHECK(orders.isDirty());
+        CHECK(orders.writeRow() == "{}");
+    }
+}
+
+TEST_CASE("the next holder leaves the VMs alone that an earlier one has named")
+{
+    fleet_orders earlier(3'000);
+    earlier.add(move_vm{"vm-1", "booking"}, 100);
+    earlier.add(upkeep_vm{"vm-2", 7}, 100);
+    fleet_orders orders(3'000);
+    REQUIRE(orders.readEarlier(earlier.writeRow(), true, 50'000));
+
+    SUBCASE("for the time that the order matters, counted from the takeover")
+    {
+        CHECK(orders.isEarlier("vm-1", 52'900));
+        CHECK_FALSE(orders.isEarlier("vm-1", 53'000));
+        CHECK_FALSE(orders.isEarlier("vm-3", 50'000));
+    }
+    SUBCASE("upkeep that may have begun is told with its wave")
+    {
+        const std::vector<upkeep_vm> upkeep = orders.earlierUpkeep();
+        REQUIRE(upkeep.size() == 1);
+        CHECK(upkeep[0].vm == "vm-2");
+        CHECK(upkeep[0].wave == 7);
+    }
+    SUBCASE("the one after it does so too")
+    {
+        fleet_orders third(3'000);
+        REQUIRE(third.readEarlier(orders.writeRow(), true, 60'000));
+        CHECK(third.isEarlier("vm-1", 60'000));
+    }
+    SUBCASE("not if that one is surely over; its upkeep counts all the same")
+    {
+        fleet_orders other(3'000);
+        REQUIRE(other.readEarlier(earlier.writeRow(), false, 50'000));
+        CHECK_FALSE(other.isEarlier("vm-1", 50'100));
+        CHECK(other.earlierUpkeep().size() == 1);
+    }
+    SUBCASE("rows that can't be read are told")
+    {
+        for (const char *row : {"", "[]", R"({"vm-1":null})", R"({"vm-1":1.5})"}) {
+            CAPTURE(row);
+            CHECK_FALSE(fleet_orders(3'000).readEarlier(row, true, 1));
+        }
+    }
+}
+
+TEST_CASE("after a takeover VMs follow the load at once")
+{
+    // The fleet stood still for 3.2 s after each takeover; with a turn in those seconds half its jobs were late.
+    scheduler_fixture world;
+    vms_listed list;
+    for (const char *vm : {"vm-a", "vm-b"}) {
+        list.vms.push_back({vm, "spare", vm_state::Up, "zone", {"a"}, ""});
+    }
+    fleet_orders earlier(3'000);
+    earlier.add(move_vm{"vm-a", "other"}, 0);
+    REQUIRE(world.brain.restoreFleetOrders(earlier.writeRow(), true, world.now));
+    world.brain.handle(list, world.now);
+    world.brain.handle(job_submitted{scheduler_fixture::job("j1", {scheduler_fixture::step(8)})}, world.now);
+
+    SUBCASE("those that no earlier order names")
+    {
+        world.advance(200);
+        const std::vector<move_vm> moves = world.take<move_vm>();
+        REQUIRE(moves.size() == 1);
+        CHECK(moves[0].vm == "vm-b");
+        SUBCASE("and the others when an earlier order can't come any more")
+        {
+            world.advance(3'300);
+            const std::vector<move_vm> later = world.take<move_vm>();
+            CHECK(std::any_of(later.begin(), later.end(), [](const move_vm &move) {
+                return move.vm == "vm-a";
+            }));
+        }
+    }
+}
+
+TEST_CASE("upkeep that an earlier holder ordered counts against the cap")
+{
+    fleet_planner planner(bounds{});
+    planner.earlierUpkeep(1, "vm-a", 1'000);
+    wave_request wave;
+    wave.wave = 1;
+    wave.vms = {"vm-a", "vm-b"};
+    wave.durationMs = 20'000;
+    wave.cap = 1;
+    planner.addWave(wave, 1'000, 1'000);
+    fleet_view view;
+    for (const char *name : {"vm-a", "vm-b"}) {
+        fleet_vm vm;
+        vm.vm = name;
+        vm.pool = "spare";
+        view.vms.push_back(vm);
+    }
+    const auto upkeepIn = [](const std::vector<fleet_decision> &decisions) {
+        return std::count_if(decisions.begin(), decisions.end(), [](const fleet_decision &one) {
+            return std::holds_alternative<upkeep_decision>(one);
+        });
+    };
+    CHECK(upkeepIn(planner.plan(view, 1'100)) == 0);
+    CHECK(upkeepIn(planner.plan(view, 6'000)) == 1);
+}
