Size pools by the work that arrives, not by its backlog alone

Change: a pool's rate is taken from its latest ten jobs; it wants VMs for that or for its running and waiting work, whichever is more. Test: 'the rate of arriving work', 'the planner moves VMs after the queues' turns'.

--- a/src/sched/fleet_planner.cpp
+++ b/src/sched/fleet_planner.cpp
@@ -233,12 +233,14 @@
     return std::min(wave.request.cap, needed);
 }
 
+// The running and waiting work, or what keeps up with the work that arrives, whichever is more: at the start of a turn the
+// arrivals show the need before a backlog does, and in its middle they keep VMs that are empty for a moment.
 int fleet_planner::wantedVms(const fleet_pool &pool, std::int64_t cpuOfVm, std::int64_t memoryOfVm) const
 {
     const double cpu = static_cast<double>(pool.runningCpu) + waitingWeight * static_cast<double>(pool.waitingCpu);
     const double memory = static_cast<double>(pool.runningMemoryMb) + waitingWeight * static_cast<double>(pool.waitingMemoryMb);
-    const int forCpu = vmsFor(cpu, cpuOfVm);
-    const int forMemory = vmsFor(memory, memoryOfVm);
+    const int forCpu = vmsFor(std::max(cpu, static_cast<double>(pool.arriving.cpu)), cpuOfVm);
+    const int forMemory = vmsFor(std::max(memory, static_cast<double>(pool.arriving.memoryMb)), memoryOfVm);
     return std::max({forCpu, forMemory, pool.leastVms});
 }
 
--- a/src/sched/fleet_planner.h
+++ b/src/sched/fleet_planner.h
@@ -57,6 +57,8 @@
     std::int64_t waitingCpu = 0;
     std::int64_t waitingMemoryMb = 0;
     std::int64_t runningMemoryMb = 0;
+    /** What keeps up with the work that arrives. */
+    resources arriving;
     /** Executors that must be there for tasks that spread. */
     int leastVms = 0;
 };
--- a/src/sched/scheduler.cpp
+++ b/src/sched/scheduler.cpp
@@ -168,6 +168,9 @@
     if (what.job.repeatCount > 0) {
         m_repeating.insert(what.job.id);
     }
+    if (what.job.repeatCount == 0) {
+        m_arrivals[poolOf(*job)].add(workOf(what.job), now);
+    }
     job_record &added = *m_jobs.emplace(what.job.id, std::move(job)).first->second;
     addToBacklog(added);
 }
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -16,6 +16,7 @@
 //   or can't be alive any more because its lease is over on the slowest clock or its executor restarted.
 // - An end is acknowledged only after the rows of the jobs that it changes are stored.
 
+#include "sched/arrival_rate.h"
 #include "sched/events.h"
 #include "sched/executor_record.h"
 #include "sched/fleet_orders.h"
@@ -204,6 +205,8 @@
     /** Jobs that may have tasks to place. */
     std::vector<job_record *> m_backlog;
     std::set<std::string> m_repeating;
+    /** By pool. */
+    std::map<std::string, arrival_rate> m_arrivals;
     /** The last placement left a ready task without room. */
     bool m_backlogBinds = false;
     bool m_placeWanted = false;
--- a/src/sched/scheduler_fleet.cpp
+++ b/src/sched/scheduler_fleet.cpp
@@ -74,6 +74,10 @@
     for (const std::pair<const std::string, pool_config> &pool : m_pools) {
         pools[pool.first].pool = pool.first;
         pools[pool.first].spare = pool.second.spare;
+        const auto arrivals = m_arrivals.find(pool.first);
+        if (arrivals != m_arrivals.end()) {
+            pools[pool.first].arriving = arrivals->second.at(now);
+        }
     }
     for (const std::pair<const std::string, vm_entry> &item : m_vms) {
         const vm_entry &entry = item.second;
--- /dev/null
+++ b/tests/sched/arrival_rate_test.cpp
@@ -0,0 +1,65 @@
+#include "sched/arrival_rate.h"
+
+#include <doctest/doctest.h>
+
+using namespace daisypass::sched;
+
+namespace {
+
+// Ten cores for a second.
+constexpr resource_time work{10'000.0 * 1'000, 1'000.0 * 1'000};
+
+arrival_rate everyMs(time_ms gap, int jobs)
+{
+    arrival_rate rate;
+    for (int i = 0; i < jobs; ++i) {
+        rate.add(work, 1'000 + i * gap);
+    }
+    return rate;
+}
+
+} // namespace
+
+TEST_CASE("the rate of arriving work")
+{
+    struct row
+    {
+        const char *what;
+        time_ms gapMs;
+        int jobs;
+        time_ms afterLastMs;
+        std::int64_t cores;
+    };
+
+    const row rows[] = {
+        {"no job", 100, 0, 0, 0},
+        {"one job says nothing of a rate", 100, 1, 0, 0},
+        {"ten jobs a second of ten core-seconds", 100, 10, 0, 100},
+        {"the same after many more", 100, 50, 0, 100},
+        {"a second after the last it has fallen by half", 100, 10, 900, 50},
+        {"rare jobs", 1'000, 10, 0, 10},
+        {"long after the last", 100, 10, 4'000, 0},
+        {"jobs that come together are spread over the shortest window", 0, 10, 0, 300},
+    };
+    for (const row &one : rows) {
+        CAPTURE(one.what);
+        const arrival_rate rate = everyMs(one.gapMs, one.jobs);
+        const time_ms now = 1'000 + std::max(0, one.jobs - 1) * one.gapMs + one.afterLastMs;
+        CHECK(rate.at(now).cpu == one.cores * 1'000);
+        CHECK(rate.at(now).memoryMb == one.cores * 100);
+    }
+}
+
+TEST_CASE("the work of a job is that of its tasks, without those that last")
+{
+    job_spec job;
+    step_spec step;
+    step.taskCount = 4;
+    step.demand = {2'000, 100, 0};
+    step.estimateMs = 500;
+    step_spec lasting = step;
+    lasting.longRunning = true;
+    job.steps = {step, lasting};
+    CHECK(workOf(job).cpu == doctest::Approx(4 * 500.0 * 2'000));
+    CHECK(workOf(job).memoryMb == doctest::Approx(4 * 500.0 * 100));
+}
--- a/tests/sched/fleet_planner_test.cpp
+++ b/tests/sched/fleet_planner_test.cpp
@@ -93,6 +93,24 @@
             CHECK(only<move_decision>(planner.plan(view, start + 100)).empty());
         }
     }
+    SUBCASE("a pool in which work arrives gets VMs before it has a backlog")
+    {
+        fleet_view view;
+        view.pools = {poolWith("booking", 0), sparePool()};
+        view.pools[0].arriving = {70'000, 1'000, 0};
+        view.vms = {emptyVm("b1", "booking"), spareVm("s1", "spare"), spareVm("s2", "spare"), spareVm("s3", "spare")};
+        CHECK(only<move_decision>(planner.plan(view, start)).size() == 2);
+    }
+    SUBCASE("a pool in which work arrives keeps VMs that are empty for a moment")
+    {
+        fleet_view view;
+        view.pools = {poolWith("booking", 0), sparePool()};
+        view.pools[0].arriving = {10 * 32'000, 1'000, 0};
+        for (int i = 0; i < 10; ++i) {
+            view.vms.push_back(emptyVm("b" + std::to_string(i), "booking"));
+        }
+        CHECK(only<move_decision>(planner.plan(view, start)).empty());
+    }
     SUBCASE("VMs with runs don't move")
     {
         fleet_view view;
