Watch each new socket anew after a failed connection attempt

Cause: libcurl 7.88 closes the socket of a connection attempt that failed without calling its close function. The client kept the number's registration, and the next socket with that number was watched through it: no event of it was ever seen. Calls on that connection went on only when one of libcurl's timers fired, 200 ms for the connection and 700 ms for each call, and since it was kept alive it was used again and again. Change: sockets are opened by the client, which drops whatever it still knows of the number. Test: 'a connection attempt that failed does not slow down the connections after it' took 200 ms to 1 s before.

--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -231,6 +231,13 @@
         return 0;
     }
 
+    static curl_socket_t onSocketOpened(void *user, curlsocktype, curl_sockaddr *address)
+    {
+        const curl_socket_t socket = ::socket(address->family, address->socktype | SOCK_CLOEXEC, address->protocol);
+        static_cast<client_worker *>(user)->forgetSocket(socket);
+        return socket;
+    }
+
     static int onSocketClosed(void *user, curl_socket_t socket)
     {
         static_cast<client_worker *>(user)->closeSocket(socket);
@@ -290,6 +297,17 @@
         }
     }
 
+    // libcurl 7.88 closes a socket whose connection attempt failed without telling. The next socket often gets its number, and
+    // would be watched through the registration of the closed one, which never reports anything.
+    void forgetSocket(curl_socket_t socket)
+    {
+        const auto found = m_sockets.find(socket);
+        if (found != m_sockets.end()) {
+            found->second->descriptor.release();
+            m_sockets.erase(found);
+        }
+    }
+
     void closeSocket(curl_socket_t socket)
     {
         const auto found = m_sockets.find(socket);
@@ -379,6 +397,8 @@
         curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(item.call.connectTimeout.count()));
         curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, static_cast<long>(item.call.totalTimeout.count()));
         curl_easy_setopt(handle, CURLOPT_MAXAGE_CONN, std::max(1L, static_cast<long>(m_options.maxIdle.count() / 1'000)));
+        curl_easy_setopt(handle, CURLOPT_OPENSOCKETFUNCTION, &client_worker::onSocketOpened);
+        curl_easy_setopt(handle, CURLOPT_OPENSOCKETDATA, this);
         curl_easy_setopt(handle, CURLOPT_CLOSESOCKETFUNCTION, &client_worker::onSocketClosed);
         curl_easy_setopt(handle, CURLOPT_CLOSESOCKETDATA, this);
     }
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -20,6 +20,39 @@
     return "http://127.0.0.1:" + std::to_string(port) + std::string(path);
 }
 
+// A port on which connection attempts hang: its queue of one is full.
+class full_port
+{
+public:
+    full_port()
+        : m_acceptor(m_context)
+    {
+        const asio::ip::tcp::endpoint address(asio::ip::address_v4::loopback(), 0);
+        m_acceptor.open(address.protocol());
+        m_acceptor.bind(address);
+        m_acceptor.listen(0);
+        for (int i = 0; i < connections; ++i) {
+            m_waiting.emplace_back(m_context).open(address.protocol());
+            m_waiting.back().native_non_blocking(true);
+            // asio's own connect would wait for the outcome.
+            const asio::ip::tcp::endpoint full = m_acceptor.local_endpoint();
+            ::connect(m_waiting.back().native_handle(), full.data(), static_cast<socklen_t>(full.size()));
+        }
+    }
+
+    std::uint16_t port() const
+    {
+        return m_acceptor.local_endpoint().port();
+    }
+
+private:
+    static constexpr int connections = 4;
+
+    asio::io_context m_context;
+    asio::ip::tcp::acceptor m_acceptor;
+    std::vector<asio::ip::tcp::socket> m_waiting;
+};
+
 // A server that answers the first request of a connection and closes the connection when the second arrives.
 class closing_server
 {
@@ -148,6 +181,30 @@
     }
 }
 
+TEST_CASE("a connection attempt that failed does not slow down the connections after it")
+{
+    // The socket's number goes to the next connection, whose events were missed then: each call on it took until a timer of
+    // libcurl's, 200 to 700 ms, for the life of the connection.
+    http_server server({.listen = {"127.0.0.1", 0}}, [](const http_request &, const http_responder &respond) {
+        respond(http_response{});
+    });
+    failure reason;
+    REQUIRE(server.start(reason));
+    const full_port full;
+    http_client client({});
+    http_call hanging;
+    hanging.url = urlOf(full.port(), "/");
+    hanging.connectTimeout = std::chrono::milliseconds(100);
+    REQUIRE(client.fetch(hanging).state == send_state::NotSent);
+
+    http_call call;
+    call.url = urlOf(server.port(), "/");
+    constexpr std::chrono::milliseconds shortestTimer{200};
+    const std::chrono::steady_clock::time_point began = std::chrono::steady_clock::now();
+    REQUIRE(client.fetch(call).state == send_state::Answered);
+    CHECK(std::chrono::steady_clock::now() - began < shortestTimer);
+}
+
 TEST_CASE("the HTTP server can stop with connections and unanswered requests")
 {
     // Guards against a use after free: connections and late responders outlived the server they refer to.
