--- a/src/node/clock.cpp
+++ b/src/base/clock.cpp
@@ -1,4 +1,4 @@
-#include "node/clock.h"
+#include "base/clock.h"
 
 #include <ctime>
 
--- a/src/node/clock.h
+++ b/src/base/clock.h
@@ -1,6 +1,6 @@
 #pragma once
 
-// The clocks of a node.
+// The clocks of a process.
 
 #include <cstdint>
 
--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -1,5 +1,7 @@
 #include "base/log.h"
 
+#include "base/clock.h"
+
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
 #include <boost/log/sinks/basic_sink_backend.hpp>
@@ -70,12 +72,6 @@
     return budget;
 }
 
-std::int64_t unixMillis()
-{
-    const std::chrono::system_clock::duration sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
-    return std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count();
-}
-
 } // namespace
 
 log_budget::log_budget(int linesPerSecond)
--- a/src/node/dispatcher_orders.cpp
+++ b/src/node/dispatcher_orders.cpp
@@ -2,23 +2,15 @@
 
 #include "node/dispatcher.h"
 
+#include "base/clock.h"
 #include "base/log.h"
-#include "node/clock.h"
+#include "node/store_limits.h"
 #include "node/tables.h"
 #include "platform/records.h"
 
 #include <algorithm>
 
 namespace daisypass {
-namespace {
-
-constexpr std::chrono::milliseconds readTimeout{2'000};
-// A read or a status row that failed is tried again after this time.
-constexpr std::chrono::milliseconds readRetry{150};
-constexpr std::chrono::milliseconds commitTimeout{1'500};
-
-} // namespace
-
 void dispatcher::carryOut(const sched::action &next)
 {
     std::visit(
@@ -122,12 +114,12 @@
 {
     row_transaction transaction;
     transaction.puts = {{{statusTable, "", waveStatusKey(order.wave)}, waveStatusText(order.wave, order.completed)}};
-    m_services.store.transact(transaction, commitTimeout, [weak = weak_from_this(), order](const transact_result &result) {
+    m_services.store.transact(transaction, holderCommitTimeout, [weak = weak_from_this(), order](const transact_result &result) {
         const std::shared_ptr<dispatcher> self = weak.lock();
         if (!self || result.status == store_status::Ok) {
             return;
         }
-        self->m_services.later(readRetry, [weak, order] {
+        self->m_services.later(holderReadRetry, [weak, order] {
             if (const std::shared_ptr<dispatcher> again = weak.lock()) {
                 const std::lock_guard<std::mutex> guard(again->m_lock);
                 if (!again->m_stopped) {
@@ -195,7 +187,7 @@
         return;
     }
     m_readingRegistry = true;
-    m_services.store.get({executorTable, "", "", ""}, readTimeout, [weak = weak_from_this()](const rows_result &result) {
+    m_services.store.get({executorTable, "", "", ""}, holderReadTimeout, [weak = weak_from_this()](const rows_result &result) {
         const std::shared_ptr<dispatcher> self = weak.lock();
         if (!self) {
             return;
--- a/src/node/dispatcher_recovery.cpp
+++ b/src/node/dispatcher_recovery.cpp
@@ -2,8 +2,9 @@
 
 #include "node/dispatcher.h"
 
+#include "base/clock.h"
 #include "base/log.h"
-#include "node/clock.h"
+#include "node/store_limits.h"
 #include "node/tables.h"
 #include "platform/records.h"
 
@@ -12,9 +13,6 @@
 namespace daisypass {
 namespace {
 
-constexpr std::chrono::milliseconds readTimeout{2'000};
-// A read or a status row that failed is tried again after this time.
-constexpr std::chrono::milliseconds readRetry{150};
 constexpr std::chrono::milliseconds feedWait{1'500};
 
 } // namespace
@@ -32,7 +30,7 @@
 void dispatcher::readJobs(std::size_t part, const std::string &from)
 {
     const std::string partName = std::to_string(part);
-    m_services.store.get({tables::jobs, partName, from, ""}, readTimeout, [weak = weak_from_this(), part, from](rows_result result) {
+    m_services.store.get({tables::jobs, partName, from, ""}, holderReadTimeout, [weak = weak_from_this(), part, from](rows_result result) {
         const std::shared_ptr<dispatcher> self = weak.lock();
         if (!self) {
             return;
@@ -43,7 +41,7 @@
         }
         if (result.status != store_status::Ok) {
             self->noteReadFailed(tables::jobs, result.status);
-            self->m_services.later(readRetry, [weak, part, from] {
+            self->m_services.later(holderReadRetry, [weak, part, from] {
                 if (const std::shared_ptr<dispatcher> again = weak.lock()) {
                     again->readJobs(part, from);
                 }
@@ -63,7 +61,7 @@
 
 void dispatcher::readState(const std::string &from)
 {
-    m_services.store.get({tables::state, tables::holderPart, from, ""}, readTimeout, [weak = weak_from_this(), from](rows_result result) {
+    m_services.store.get({tables::state, tables::holderPart, from, ""}, holderReadTimeout, [weak = weak_from_this(), from](rows_result result) {
         const std::shared_ptr<dispatcher> self = weak.lock();
         if (!self) {
             return;
@@ -74,7 +72,7 @@
         }
         if (result.status != store_status::Ok) {
             self->noteReadFailed(tables::state, result.status);
-            self->m_services.later(readRetry, [weak, from] {
+            self->m_services.later(holderReadRetry, [weak, from] {
                 if (const std::shared_ptr<dispatcher> again = weak.lock()) {
                     again->readState(from);
                 }
--- a/src/node/dispatcher_store.cpp
+++ b/src/node/dispatcher_store.cpp
@@ -2,8 +2,9 @@
 
 #include "node/dispatcher.h"
 
+#include "base/clock.h"
 #include "base/log.h"
-#include "node/clock.h"
+#include "node/store_limits.h"
 #include "node/tables.h"
 #include "platform/records.h"
 
@@ -12,7 +13,6 @@
 namespace daisypass {
 namespace {
 
-constexpr std::chrono::milliseconds commitTimeout{1'500};
 constexpr sched::time_ms commitRetryMs = 60;
 // The lease is renewed with a batch after this time, and alone after the longer one.
 constexpr sched::time_ms renewWithBatchMs = 350;
@@ -106,7 +106,7 @@
 {
     m_commitInFlight = true;
     m_commitSentAt = steadyMillis();
-    m_services.store.transact(*m_transaction, commitTimeout, [weak = weak_from_this()](const transact_result &result) {
+    m_services.store.transact(*m_transaction, holderCommitTimeout, [weak = weak_from_this()](const transact_result &result) {
         if (const std::shared_ptr<dispatcher> self = weak.lock()) {
             self->onCommitted(result);
         }
--- a/src/node/front_service.cpp
+++ b/src/node/front_service.cpp
@@ -1,7 +1,7 @@
 #include "node/front_service.h"
 
+#include "base/clock.h"
 #include "base/log.h"
-#include "node/clock.h"
 #include "node/tables.h"
 #include "platform/records.h"
 #include "sched/job_record.h"
--- a/src/node/leadership.cpp
+++ b/src/node/leadership.cpp
@@ -1,7 +1,7 @@
 #include "node/leadership.h"
 
+#include "base/clock.h"
 #include "base/log.h"
-#include "node/clock.h"
 #include "node/tables.h"
 
 #include <charconv>
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -1,10 +1,10 @@
 #include "node/node_process.h"
 
+#include "base/clock.h"
 #include "base/log.h"
 #include "base/metrics.h"
 #include "http/http_client.h"
 #include "http/http_server.h"
-#include "node/clock.h"
 #include "node/dispatcher.h"
 #include "node/front_service.h"
 #include "node/leadership.h"
--- a/src/node/relay_pool.cpp
+++ b/src/node/relay_pool.cpp
@@ -1,7 +1,7 @@
 #include "node/relay_pool.h"
 
+#include "base/clock.h"
 #include "base/log.h"
-#include "node/clock.h"
 
 #include <algorithm>
 
--- a/src/node/submission_writer.cpp
+++ b/src/node/submission_writer.cpp
@@ -1,6 +1,6 @@
 #include "node/submission_writer.h"
 
-#include "node/clock.h"
+#include "base/clock.h"
 
 #include <algorithm>
 #include <set>
