Leave room for the lease in a full batch

Cause: found by reading: 90 rows, 8 deletes, the rows of the waves and the fleet orders, the sequence, the lease and two conditions are 103 entries, and the store takes 100 a call. Such a transaction is refused each time and would stop the holder for good. Change: at most 80 rows of jobs in a batch.

--- a/src/sched/scheduler.cpp
+++ b/src/sched/scheduler.cpp
@@ -5,8 +5,8 @@
 namespace daisypass::sched {
 namespace {
 
-// The store takes 100 entries a transaction; some are for the lease and the waves.
-constexpr std::size_t mostRowsPerBatch = 90;
+// The store takes 100 entries a transaction, conditions and deletes included; a dozen are for the lease and the fleet.
+constexpr std::size_t mostRowsPerBatch = 80;
 // Keeps a transaction well below the store's 1 MB after base64.
 constexpr std::size_t mostBytesPerBatch = 400'000;
 // Rows deleted with one batch, so that cleaning up never crowds out progress.
--- a/tests/sched/scheduler_test.cpp
+++ b/tests/sched/scheduler_test.cpp
@@ -369,3 +369,33 @@
     world.advance(200);
     CHECK(world.take<upkeep_vm>().size() == 1);
 }
+
+TEST_CASE("a batch leaves room for the lease in the store's transaction")
+{
+    // With 90 rows, 8 deleted ones and the rows of the lease and the waves it was over the store's 100 entries: refused for good.
+    constexpr std::size_t mostEntries = 100;
+    // Two conditions, the sequence and the lease.
+    constexpr std::size_t ofTheHolder = 4;
+    constexpr int jobs = 200;
+    scheduler_fixture world;
+    const auto submitAndCancel = [&world](const std::string &prefix) {
+        for (int i = 0; i < jobs; ++i) {
+            const std::string id = prefix + std::to_string(i);
+            world.brain.handle(job_submitted{scheduler_fixture::job(id, {scheduler_fixture::step(1)})}, world.now);
+            world.brain.handle(job_cancelled{id}, world.now);
+        }
+    };
+    submitAndCancel("old");
+    world.step_();
+    world.now += 2 * bounds{}.statusKeepMs + 1'000;
+    world.brain.handle(tick{world.now}, world.now);
+    submitAndCancel("new");
+    wave_request wave;
+    wave.wave = 1;
+    wave.vms = {"vm-1"};
+    world.brain.handle(wave_requested{wave, world.now}, world.now);
+    const std::optional<commit_batch> batch = world.brain.takeBatch(world.now);
+    REQUIRE(batch);
+    REQUIRE_FALSE(batch->deletedKeys.empty());
+    CHECK(batch->rows.size() + batch->deletedKeys.size() + ofTheHolder <= mostEntries);
+}
