Judge the pace of runs only where it can matter, and use the one clock in the stand-ins

Cause: found by reading the change again. Change: both are skipped where they can't change the outcome; the stand-ins use base/clock. Behaviour is as before.

--- a/src/sched/scheduler_progress.cpp
+++ b/src/sched/scheduler_progress.cpp
@@ -89,8 +89,11 @@
         if (!executor.answers()) {
             continue;
         }
+        // With a backlog no run is given up for its pace, and nothing needs to be known of it.
         pace_evidence evidence;
-        judgePace(executor, evidence);
+        if (!m_backlogBinds) {
+            judgePace(executor, evidence);
+        }
         for (const task_id &id : executor.runs) {
             job_record &job = *m_jobs.at(id.job);
             task_record &task = *job.find(id);
@@ -105,12 +108,13 @@
                 requestStop(id, task, now, "no_progress");
                 continue;
             }
-            if (task.straggled || m_backlogBinds) {
+            const run_pace pace = paceOf(task, executor.listedAt);
+            if (task.straggled || m_backlogBinds || !pace.leftMs()) {
                 continue;
             }
             evidence.estimateMs = static_cast<double>(std::max<std::int64_t>(1, kind.estimateMs));
             evidence.siblingsMs = siblingDurations(job.occurrences.at(id.occurrence).steps[static_cast<std::size_t>(id.step)], item.first);
-            if (isStraggler(paceOf(task, executor.listedAt), evidence)) {
+            if (isStraggler(pace, evidence)) {
                 task.straggled = true;
                 task.failedOn = item.first;
                 requestStop(id, task, now, "straggler");
--- a/src/standins/store_standin.cpp
+++ b/src/standins/store_standin.cpp
@@ -2,6 +2,7 @@
 
 #include "standins/json_answer.h"
 
+#include "base/clock.h"
 #include "platform/wire_json.h"
 
 #include <asio/post.hpp>
@@ -55,11 +56,6 @@
     return number;
 }
 
-std::int64_t steadyNow()
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now().time_since_epoch()).count();
-}
-
 bool isWrittenByOthers(const row_key &key)
 {
     return key.table == "op" || key.table == "servers";
@@ -200,7 +196,7 @@
         }
     }
     if (!holds) {
-        respond(jsonAnswer(statusConflict, json{{"rows", current}, {"Ver", m_version}, {"NowMs", steadyNow()}}));
+        respond(jsonAnswer(statusConflict, json{{"rows", current}, {"Ver", m_version}, {"NowMs", steadyMillis()}}));
         return;
     }
     for (const json &item : puts) {
@@ -216,7 +212,7 @@
     for (const json &item : deletes) {
         erase(keyIn(item));
     }
-    respond(jsonAnswer(statusOk, json{{"Ver", m_version}, {"NowMs", steadyNow()}}));
+    respond(jsonAnswer(statusOk, json{{"Ver", m_version}, {"NowMs", steadyMillis()}}));
     wakeFeeds();
 }
 
@@ -239,7 +235,7 @@
         }
         rows.push_back(rowObject(row->second));
     }
-    respond(jsonAnswer(statusOk, json{{"rows", rows}, {"HasMore", more}, {"Ver", m_version}, {"NowMs", steadyNow()}}));
+    respond(jsonAnswer(statusOk, json{{"rows", rows}, {"HasMore", more}, {"Ver", m_version}, {"NowMs", steadyMillis()}}));
 }
 
 void store_standin::feed(const http_request &request, const http_responder &respond)
@@ -262,7 +258,7 @@
             return;
         }
         std::erase(m_feeds, waiting);
-        waiting->respond(jsonAnswer(statusOk, json{{"rows", json::array()}, {"Ver", m_version}, {"NowMs", steadyNow()}}));
+        waiting->respond(jsonAnswer(statusOk, json{{"rows", json::array()}, {"Ver", m_version}, {"NowMs", steadyMillis()}}));
     });
     m_feeds.push_back(waiting);
 }
@@ -284,7 +280,7 @@
         const auto row = m_rows.find(change.second);
         rows.push_back(rowObject(row == m_rows.end() ? store_row{change.second, "", change.first, true} : row->second));
     }
-    feed.respond(jsonAnswer(statusOk, json{{"rows", rows}, {"Ver", m_version}, {"NowMs", steadyNow()}}));
+    feed.respond(jsonAnswer(statusOk, json{{"rows", rows}, {"Ver", m_version}, {"NowMs", steadyMillis()}}));
     return true;
 }
 
--- a/src/standins/worker_standin.cpp
+++ b/src/standins/worker_standin.cpp
@@ -2,6 +2,8 @@
 
 #include "standins/json_answer.h"
 
+#include "base/clock.h"
+
 #include <algorithm>
 #include <charconv>
 
@@ -38,7 +40,7 @@
     , m_leaseTimer(context)
     , m_beatTimer(context)
 {
-    m_bornUnixMs = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+    m_bornUnixMs = unixMillis();
 }
 
 worker_standin::~worker_standin() = default;
