Log the evidence when an executor is given up

Change: executor_dead carries the birth, the ages of the entry and of the last list, and the successor with its birth.

--- a/src/sched/events.h
+++ b/src/sched/events.h
@@ -254,11 +254,14 @@
     std::string evidence;
 };
 
-/** A decision or a change of belief, for the log. Fields are name and value. */
+/** Names and values of a log line. */
+using note_fields = std::vector<std::pair<std::string, std::string>>;
+
+/** A decision or a change of belief, for the log. */
 struct decision_note
 {
     std::string event;
-    std::vector<std::pair<std::string, std::string>> fields;
+    note_fields fields;
 };
 
 using action = std::variant<start_run, stop_run, pace_run, hold_executor, ask_advice, move_vm, upkeep_vm, publish_wave, step_down, decision_note>;
--- a/src/sched/scheduler.cpp
+++ b/src/sched/scheduler.cpp
@@ -42,7 +42,7 @@
 
 scheduler::~scheduler() = default;
 
-void scheduler::note(std::string event, std::vector<std::pair<std::string, std::string>> fields)
+void scheduler::note(std::string event, note_fields fields)
 {
     m_actions.push_back(decision_note{std::move(event), std::move(fields)});
 }
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -129,7 +129,8 @@
     void unlist(executor_record &executor);
     void markSilent(executor_record &executor, time_ms now, std::string_view cause);
     void markAnswering(executor_record &executor, time_ms now);
-    void markDead(executor_record &executor, time_ms now, std::string_view cause);
+    /** `evidence` is added to the log line. */
+    void markDead(executor_record &executor, time_ms now, std::string_view cause, const note_fields &evidence = {});
     void indexExecutors();
     void sendHolds(time_ms now);
     void sweepHolds();
@@ -177,7 +178,7 @@
     bool isKnownAtWork(const task_record &task) const;
     bool mayInterrupt(job_record &job, const task_id &id) const;
 
-    void note(std::string event, std::vector<std::pair<std::string, std::string>> fields);
+    void note(std::string event, note_fields fields);
 
     bounds m_bounds;
     time_ms m_since;
--- a/src/sched/scheduler_executors.cpp
+++ b/src/sched/scheduler_executors.cpp
@@ -19,6 +19,11 @@
 // away are back about two seconds after its return.
 constexpr time_ms lapsedEntryGraceMs = 2'000;
 
+std::string ageText(time_ms at, time_ms now)
+{
+    return at == 0 ? "never" : std::to_string(now - at);
+}
+
 } // namespace
 
 executor_record &scheduler::executorFor(const std::string &id, time_ms now)
@@ -79,6 +84,7 @@
     }
     executor.entry = what.entry;
     executor.entry.bornUnixMs = born;
+    executor.entryReadAt = now;
     executor.listed = true;
     executor.unlistedAt = 0;
     m_holdDue.insert(what.entry.id);
@@ -88,7 +94,8 @@
             const bool replaced
                 = other.first != what.entry.id && other.second.entry.vm == what.entry.vm && !other.second.dead && other.second.entry.bornUnixMs < born;
             if (replaced) {
-                markDead(other.second, now, "vm_has_new_executor");
+                markDead(
+                    other.second, now, "vm_has_new_executor", {{"vm", what.entry.vm}, {"successor", what.entry.id}, {"successor_born", std::to_string(born)}});
             }
         }
     }
@@ -133,9 +140,16 @@
     executor.silentSince = 0;
 }
 
-void scheduler::markDead(executor_record &executor, time_ms now, std::string_view cause)
+void scheduler::markDead(executor_record &executor, time_ms now, std::string_view cause, const note_fields &evidence)
 {
-    note("executor_dead", {{"executor", executor.entry.id}, {"cause", std::string(cause)}, {"runs", std::to_string(executor.runs.size())}});
+    note_fields fields{{"executor", executor.entry.id},
+                       {"cause", std::string(cause)},
+                       {"runs", std::to_string(executor.runs.size())},
+                       {"born", std::to_string(executor.entry.bornUnixMs)},
+                       {"entry_age_ms", ageText(executor.entryReadAt, now)},
+                       {"list_age_ms", ageText(executor.listedAt, now)}};
+    fields.insert(fields.end(), evidence.begin(), evidence.end());
+    note("executor_dead", std::move(fields));
     executor.dead = true;
     executor.confirmed = false;
     executor.processedEnds = 0;
