--- /dev/null
+++ b/tests/sched/executor_succession_test.cpp
@@ -0,0 +1,68 @@
+#include "scheduler_fixture.h"
+
+#include <doctest/doctest.h>
+
+using namespace daisypass::sched;
+
+namespace {
+
+constexpr std::int64_t formerBorn = 500;
+constexpr std::int64_t currentBorn = 1'000;
+
+executor_entry entryOnVm(const std::string &id, const std::string &vm, std::int64_t born)
+{
+    executor_entry one = scheduler_fixture::entry(id);
+    one.vm = vm;
+    one.bornUnixMs = born;
+    return one;
+}
+
+vm_entry vmWith(const std::string &vm, const std::string &executor)
+{
+    vm_entry one;
+    one.vm = vm;
+    one.pool = "booking";
+    one.executor = executor;
+    return one;
+}
+
+} // namespace
+
+// Issue 14: the list of VMs came before the registry's rows, and a live executor was taken as the former one of its VM.
+TEST_CASE("a run isn't started twice when a former executor's entry is read before its successor's")
+{
+    scheduler_fixture first;
+    first.brain.handle(executor_seen{entryOnVm("current", "vm-1", currentBorn)}, first.now);
+    first.step_();
+    first.answerHold("current", {}, {}, order_status::Ok, currentBorn);
+    first.brain.handle(job_submitted{first.job("j1", {first.step(1)})}, first.now);
+    first.step_();
+    const std::vector<start_run> starts = first.take<start_run>();
+    REQUIRE(starts.size() == 1);
+
+    scheduler_fixture second;
+    REQUIRE(second.brain.restore(second.job("j1", {second.step(1)}), first.rows.at("j1"), second.now));
+    second.addExecutor("other");
+    second.brain.handle(vms_listed{{vmWith("vm-1", "current")}}, second.now);
+    second.brain.handle(executor_seen{entryOnVm("former", "vm-1", formerBorn)}, second.now);
+    second.step_();
+    CHECK(second.take<start_run>().empty());
+
+    SUBCASE("its own entry and list follow: the run goes on")
+    {
+        second.brain.handle(executor_seen{entryOnVm("current", "vm-1", currentBorn)}, second.now);
+        second.step_();
+        second.answerHold("current", {scheduler_fixture::running(starts[0])}, {}, order_status::Ok, currentBorn);
+        second.advance(100);
+        CHECK(second.take<start_run>().empty());
+        CHECK(second.take<stop_run>().empty());
+    }
+    SUBCASE("its list says that the run is done: the job is completed")
+    {
+        second.brain.handle(executor_seen{entryOnVm("current", "vm-1", currentBorn)}, second.now);
+        second.step_();
+        second.answerHold("current", {}, {scheduler_fixture::ended(starts[0], 1, run_end::Done)}, order_status::Ok, currentBorn);
+        CHECK(second.phaseOf("j1") == "completed");
+        CHECK(second.take<start_run>().empty());
+    }
+}
