Settle which executor of a VM lives by known births only

Cause: the list of VMs filled in the VM of an executor whose registry entry hadn't been read in this term; its birth then counted as 0, earlier than any. When the entry of the VM's former executor was read first, as a slow store makes likely, the executor that lives was given up and its runs were started elsewhere. Class: a value that isn't known yet is compared as if it were a value. Ruled out: stale entries with later births and runs that the new holder can't know (docs/incidents/2026-12-04-started-twice.md). Change: births are compared only where both are known, in whichever order the entries come; an executor whose entry has lapsed is given up when a later list of VMs names another one, which keeps the speed that the filled-in VM was for.

--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -126,6 +126,8 @@
     void on(const stop_answered &what, time_ms now);
     void on(const advice_answered &what, time_ms now);
     executor_record &executorFor(const std::string &id, time_ms now);
+    void settleSuccession(const std::string &vm, time_ms now);
+    void giveUpReplaced(const vm_entry &before, const vm_entry &after, time_ms now);
     void unlist(executor_record &executor);
     void markSilent(executor_record &executor, time_ms now, std::string_view cause);
     void markAnswering(executor_record &executor, time_ms now);
--- a/src/sched/scheduler_executors.cpp
+++ b/src/sched/scheduler_executors.cpp
@@ -88,15 +88,34 @@
     executor.listed = true;
     executor.unlistedAt = 0;
     m_holdDue.insert(what.entry.id);
-    // Another life of the same VM is over.
-    if (fresh && !what.entry.vm.empty()) {
-        for (std::pair<const std::string, executor_record> &other : m_executors) {
-            const bool replaced
-                = other.first != what.entry.id && other.second.entry.vm == what.entry.vm && !other.second.dead && other.second.entry.bornUnixMs < born;
-            if (replaced) {
-                markDead(
-                    other.second, now, "vm_has_new_executor", {{"vm", what.entry.vm}, {"successor", what.entry.id}, {"successor_born", std::to_string(born)}});
-            }
+    if (fresh || reborn) {
+        settleSuccession(what.entry.vm, now);
+    }
+}
+
+// A VM has one executor at a time, so of those whose births are known only the latest can be alive. Without a birth nothing says
+// which of two came first.
+void scheduler::settleSuccession(const std::string &vm, time_ms now)
+{
+    if (vm.empty()) {
+        return;
+    }
+    std::vector<executor_record *> lives;
+    for (std::pair<const std::string, executor_record> &item : m_executors) {
+        const bool comparable = item.second.entry.vm == vm && item.second.entry.bornUnixMs != 0 && !item.second.dead;
+        if (comparable) {
+            lives.push_back(&item.second);
+        }
+    }
+    const auto latest = std::max_element(lives.begin(), lives.end(), [](const executor_record *a, const executor_record *b) {
+        return a->entry.bornUnixMs < b->entry.bornUnixMs;
+    });
+    for (executor_record *life : lives) {
+        if (life->entry.bornUnixMs < (*latest)->entry.bornUnixMs) {
+            markDead(*life,
+                     now,
+                     "vm_has_new_executor",
+                     {{"vm", vm}, {"successor", (*latest)->entry.id}, {"successor_born", std::to_string((*latest)->entry.bornUnixMs)}});
         }
     }
 }
--- a/src/sched/scheduler_fleet.cpp
+++ b/src/sched/scheduler_fleet.cpp
@@ -28,15 +28,26 @@
         if (back) {
             m_fleet.vmIsBack(vm.vm, now);
         }
-        listed[vm.vm] = vm;
-        const auto executor = m_executors.find(vm.executor);
-        if (!vm.executor.empty() && executor != m_executors.end() && executor->second.entry.vm.empty()) {
-            executor->second.entry.vm = vm.vm;
+        if (before != m_vms.end()) {
+            giveUpReplaced(before->second, vm, now);
         }
+        listed[vm.vm] = vm;
     }
     m_vms = std::move(listed);
 }
 
+// A later list names another executor: the former one is over, also if its birth was never read.
+void scheduler::giveUpReplaced(const vm_entry &before, const vm_entry &after, time_ms now)
+{
+    if (before.executor.empty() || after.executor.empty() || before.executor == after.executor) {
+        return;
+    }
+    const auto former = m_executors.find(before.executor);
+    if (former != m_executors.end() && !former->second.dead) {
+        markDead(former->second, now, "vm_lists_new_executor", {{"vm", after.vm}, {"successor", after.executor}});
+    }
+}
+
 void scheduler::repeatDoubtfulMoves(time_ms now)
 {
     for (auto move = m_doubtfulMoves.begin(); move != m_doubtfulMoves.end();) {
--- a/tests/sched/executor_succession_test.cpp
+++ b/tests/sched/executor_succession_test.cpp
@@ -66,3 +66,50 @@
         CHECK(second.take<start_run>().empty());
     }
 }
+
+// Guards the speed of recovery: a run is placed again as soon as its executor is known to be over, not when its lease is.
+TEST_CASE("the former executor of a VM is given up in whichever order the facts come")
+{
+    scheduler_fixture first;
+    first.brain.handle(executor_seen{entryOnVm("former", "vm-1", formerBorn)}, first.now);
+    first.step_();
+    first.answerHold("former", {}, {}, order_status::Ok, formerBorn);
+    first.brain.handle(job_submitted{first.job("j1", {first.step(1)})}, first.now);
+    first.step_();
+    REQUIRE(first.take<start_run>().size() == 1);
+
+    scheduler_fixture second;
+    REQUIRE(second.brain.restore(second.job("j1", {second.step(1)}), first.rows.at("j1"), second.now));
+    second.addExecutor("other");
+
+    SUBCASE("its entry, then its successor's")
+    {
+        second.brain.handle(executor_seen{entryOnVm("former", "vm-1", formerBorn)}, second.now);
+        second.brain.handle(executor_seen{entryOnVm("current", "vm-1", currentBorn)}, second.now);
+        second.step_();
+        CHECK(second.take<start_run>().size() == 1);
+    }
+    SUBCASE("its successor's entry, then its own")
+    {
+        second.brain.handle(executor_seen{entryOnVm("current", "vm-1", currentBorn)}, second.now);
+        second.brain.handle(executor_seen{entryOnVm("former", "vm-1", formerBorn)}, second.now);
+        second.step_();
+        CHECK(second.take<start_run>().size() == 1);
+    }
+    SUBCASE("its entry has lapsed: a later list of VMs names its successor")
+    {
+        second.brain.handle(vms_listed{{vmWith("vm-1", "former")}}, second.now);
+        second.step_();
+        CHECK(second.take<start_run>().empty());
+        second.brain.handle(vms_listed{{vmWith("vm-1", "current")}}, second.now);
+        second.step_();
+        CHECK(second.take<start_run>().size() == 1);
+    }
+    SUBCASE("its entry has lapsed and no list has named it: its lease has to end")
+    {
+        second.brain.handle(vms_listed{{vmWith("vm-1", "current")}}, second.now);
+        second.brain.handle(executor_seen{entryOnVm("current", "vm-1", currentBorn)}, second.now);
+        second.step_();
+        CHECK(second.take<start_run>().empty());
+    }
+}
