Keep the reservation of an executor whose entry hasn't been read yet

What callers saw: work that had just been placed was ended by upkeep; for long-running tasks this can break their availability budget (AVAIL). Cause: a holder may order a VM down before it has read its executor's entry. Class: what isn't known yet (the entry) was taken as absent. Change: a reserved record stays until the order is settled or another executor of the VM is known.

--- a/src/sched/scheduler_executors.cpp
+++ b/src/sched/scheduler_executors.cpp
@@ -224,7 +224,9 @@
         if (executor.listed && executor.unlistedAt != 0 && now - executor.unlistedAt > lapsedEntryGraceMs) {
             unlist(executor);
         }
-        if (!executor.listed && executor.runs.empty()) {
+        // A reservation may be older than the entry; without it the executor would get runs that the order to its VM ends.
+        const bool awaited = executor.reserved && !executor.dead;
+        if (!executor.listed && executor.runs.empty() && !awaited) {
             empty.push_back(item.first);
             continue;
         }
--- a/tests/sched/executor_succession_test.cpp
+++ b/tests/sched/executor_succession_test.cpp
@@ -22,6 +22,7 @@
     vm_entry one;
     one.vm = vm;
     one.pool = "booking";
+    one.state = vm_state::Up;
     one.executor = executor;
     return one;
 }
@@ -113,3 +114,33 @@
         CHECK(second.take<start_run>().empty());
     }
 }
+
+// Found by rcm-bogota trouble-2 --seed 933374963006: a holder ordered upkeep before it had read the registry, then placed runs there.
+TEST_CASE("an executor whose VM is ordered down before its entry is read gets no runs")
+{
+    scheduler_fixture world;
+    wave_request wave;
+    wave.wave = 1;
+    wave.vms = {"vm-1"};
+    wave.durationMs = 20'000;
+    wave.cap = 1;
+    world.brain.handle(vms_listed{{vmWith("vm-1", "current")}}, world.now);
+    world.brain.handle(wave_requested{wave, 0}, world.now);
+    world.advance(200);
+    const std::vector<upkeep_vm> ordered = world.take<upkeep_vm>();
+    REQUIRE(ordered.size() == 1);
+    world.advance(200);
+    world.brain.handle(executor_seen{entryOnVm("current", "vm-1", currentBorn)}, world.now);
+    world.step_();
+    world.answerHold("current", {}, {}, order_status::Ok, currentBorn);
+    world.brain.handle(job_submitted{world.job("j1", {world.step(1)})}, world.now);
+    world.step_();
+    CHECK(world.take<start_run>().empty());
+
+    SUBCASE("the order is refused: the executor gets runs")
+    {
+        world.brain.handle(upkeep_answered{"vm-1", 1, fleet_status::NotInWave}, world.now);
+        world.advance(200);
+        CHECK(world.take<start_run>().size() == 1);
+    }
+}
