Let the next life of an executor say which runs it has

Cause: an executor may start again under its id. A start that is on its way then reaches the next life. When the news of the restart came after the start's answer, every run on the executor was given up, also the one that the next life had. Class: evidence about an earlier life was applied to what is newer than it. Change: on a restart only the runs that the former life has listed are over; any other waits for the next life's list, and a stop keeps a start from arriving late before the task is placed again. executor_restarted logs both births and the list's age.

--- a/src/sched/job_record.h
+++ b/src/sched/job_record.h
@@ -55,6 +55,8 @@
     /** When the executor was known to have the run, or to refuse it after a stop. */
     time_ms confirmedAt = 0;
     time_ms orderedAt = 0;
+    /** Birth of the executor's life that has listed the run; 0 if none has. */
+    std::int64_t listedBorn = 0;
     time_ms stopSentAt = 0;
     /** When a stop was acknowledged; 0 if none was. */
     time_ms stopAckedAt = 0;
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -133,6 +133,9 @@
     void markAnswering(executor_record &executor, time_ms now);
     /** `evidence` is added to the log line. */
     void markDead(executor_record &executor, time_ms now, std::string_view cause, const note_fields &evidence = {});
+    /** The executor has started again under its id. */
+    void beginNextLife(executor_record &executor, std::int64_t born, time_ms now);
+    void forgetLists(executor_record &executor);
     void indexExecutors();
     void sendHolds(time_ms now);
     void sweepHolds();
--- a/src/sched/scheduler_executors.cpp
+++ b/src/sched/scheduler_executors.cpp
@@ -61,8 +61,7 @@
     const bool fresh = !executor.listed && executor.entry.address.empty();
     const bool reborn = what.entry.bornUnixMs != 0 && executor.entry.bornUnixMs != 0 && what.entry.bornUnixMs > executor.entry.bornUnixMs;
     if (reborn) {
-        markDead(executor, now, "restarted");
-        executor.dead = false;
+        beginNextLife(executor, what.entry.bornUnixMs, now);
     }
     if (executor.dead) {
         return;
@@ -159,6 +158,42 @@
     executor.silentSince = 0;
 }
 
+// A start that was answered or is on its way may have reached the next life, which lists it then. Only runs that the former life has
+// listed are surely over.
+void scheduler::beginNextLife(executor_record &executor, std::int64_t born, time_ms now)
+{
+    note("executor_restarted",
+         {{"executor", executor.entry.id},
+          {"runs", std::to_string(executor.runs.size())},
+          {"born", std::to_string(executor.entry.bornUnixMs)},
+          {"next_born", std::to_string(born)},
+          {"list_age_ms", ageText(executor.listedAt, now)}});
+    const std::int64_t formerBorn = std::exchange(executor.entry.bornUnixMs, born);
+    executor.dead = false;
+    forgetLists(executor);
+    const std::set<task_id> runs = executor.runs;
+    for (const task_id &id : runs) {
+        job_record &job = *m_jobs.at(id.job);
+        task_record &task = *job.find(id);
+        if (task.listedBorn == formerBorn) {
+            loseRun(job, id, task, now, "restarted");
+        } else if (task.phase == task_phase::Running || task.phase == task_phase::Ordered) {
+            task.phase = task_phase::Doubtful;
+            task.confirmedAt = now;
+        }
+    }
+}
+
+// What the executor has listed says nothing of its next life.
+void scheduler::forgetLists(executor_record &executor)
+{
+    executor.confirmed = false;
+    executor.processedEnds = 0;
+    executor.acknowledgedEnds = 0;
+    executor.unstoredJobs.clear();
+    executor.foreign = {};
+}
+
 void scheduler::markDead(executor_record &executor, time_ms now, std::string_view cause, const note_fields &evidence)
 {
     note_fields fields{{"executor", executor.entry.id},
@@ -170,11 +205,7 @@
     fields.insert(fields.end(), evidence.begin(), evidence.end());
     note("executor_dead", std::move(fields));
     executor.dead = true;
-    executor.confirmed = false;
-    executor.processedEnds = 0;
-    executor.acknowledgedEnds = 0;
-    executor.unstoredJobs.clear();
-    executor.foreign = {};
+    forgetLists(executor);
     const std::set<task_id> runs = executor.runs;
     for (const task_id &id : runs) {
         job_record &job = *m_jobs.at(id.job);
--- a/src/sched/scheduler_holds.cpp
+++ b/src/sched/scheduler_holds.cpp
@@ -126,8 +126,7 @@
     }
     if (what.bornUnixMs && *what.bornUnixMs > executor.entry.bornUnixMs) {
         if (executor.entry.bornUnixMs != 0) {
-            markDead(executor, now, "restarted");
-            executor.dead = false;
+            beginNextLife(executor, *what.bornUnixMs, now);
         }
         executor.entry.bornUnixMs = *what.bornUnixMs;
     }
@@ -163,6 +162,7 @@
             continue;
         }
         listed.insert(run.task);
+        task->listedBorn = executor.entry.bornUnixMs;
         if (task->phase == task_phase::Ordered || task->phase == task_phase::Doubtful) {
             task->phase = task_phase::Running;
             task->confirmedAt = now;
--- a/src/sched/scheduler_runs.cpp
+++ b/src/sched/scheduler_runs.cpp
@@ -39,6 +39,7 @@
     task.phase = task_phase::Waiting;
     task.executor.clear();
     task.inherited = false;
+    task.listedBorn = 0;
     task.batch = 0;
     task.stopAckedAt = 0;
     task.stopSentAt = 0;
--- a/tests/sched/executor_succession_test.cpp
+++ b/tests/sched/executor_succession_test.cpp
@@ -144,3 +144,52 @@
         CHECK(world.take<start_run>().size() == 1);
     }
 }
+
+// Found by the model of takeovers, seed 767: an executor restarts under its id, and a start reaches its next life before the news does.
+TEST_CASE("a run that was started after its executor's restart isn't started twice")
+{
+    constexpr std::int64_t nextBorn = 2'000;
+    scheduler_fixture world;
+    world.addExecutor("e1");
+    world.brain.handle(job_submitted{world.job("j1", {world.step(1)})}, world.now);
+    world.step_();
+    const std::vector<start_run> starts = world.take<start_run>();
+    REQUIRE(starts.size() == 1);
+    world.answerStart(starts[0]);
+    world.addExecutor("e2");
+
+    SUBCASE("no list has shown it: the next life's list decides")
+    {
+        world.brain.handle(executor_seen{entryOnVm("e1", "vm-e1", nextBorn)}, world.now);
+        world.step_();
+        CHECK(world.take<start_run>().empty());
+
+        SUBCASE("it is there and goes on")
+        {
+            world.now += 10;
+            world.answerHold("e1", {scheduler_fixture::running(starts[0])}, {}, order_status::Ok, nextBorn);
+            world.advance(100);
+            CHECK(world.take<start_run>().empty());
+            CHECK(world.take<stop_run>().empty());
+        }
+        SUBCASE("it isn't: it is placed again once a stop keeps it from arriving late")
+        {
+            world.now += 10;
+            world.answerHold("e1", {}, {}, order_status::Ok, nextBorn);
+            CHECK(world.take<start_run>().empty());
+            const std::vector<stop_run> stops = world.take<stop_run>();
+            REQUIRE(stops.size() == 1);
+            world.brain.handle(stop_answered{stops[0].task, stops[0].run, "e1", order_status::Ok}, world.now);
+            world.now += 10;
+            world.answerHold("e1", {}, {}, order_status::Ok, nextBorn);
+            CHECK(world.take<start_run>().size() == 1);
+        }
+    }
+    SUBCASE("the former life has listed it: it is over, and placed again at once")
+    {
+        world.answerHold("e1", {scheduler_fixture::running(starts[0])});
+        world.brain.handle(executor_seen{entryOnVm("e1", "vm-e1", nextBorn)}, world.now);
+        world.step_();
+        CHECK(world.take<start_run>().size() == 1);
+    }
+}
