Acknowledge ends only right after a list that has them

Cause: every hold carried the cursor of the ends that were read, also seconds after the last list and after a hold without an answer. An executor that starts again under its id counts its ends anew, so the cursor of the former life made the next one forget ends that nobody had read; the run then looked as if it had never started. Class: evidence about an earlier life was applied to what is newer. Change: only a hold that directly follows a list with ends carries the cursor; a repeated list is acknowledged again. What remains: an executor that restarts, runs a task to its end and gets the hold that was due after its former list, all within the time in which that list's ends are stored. The model applied a hold again at each look of its long poll, which no executor does; corrected here.

--- a/src/sched/executor_record.h
+++ b/src/sched/executor_record.h
@@ -52,6 +52,8 @@
 
     std::int64_t processedEnds = 0;
     std::int64_t acknowledgedEnds = 0;
+    /** Its latest list has ends, and no hold has been sent since. */
+    bool endsListed = false;
     /** Jobs that must be stored before processedEnds may be acknowledged. */
     std::set<std::string> unstoredJobs;
 
--- a/src/sched/scheduler_holds.cpp
+++ b/src/sched/scheduler_holds.cpp
@@ -46,7 +46,7 @@
         if (executor.holdInFlight || executor.dead || executor.entry.address.empty() || executor.holdRetryAt > now) {
             continue;
         }
-        const bool ackDue = executor.processedEnds > executor.acknowledgedEnds;
+        const bool ackDue = executor.endsListed;
         const bool waitsForStore = ackDue && !executor.unstoredJobs.empty() && executor.silentSince == 0;
         if (waitsForStore && now - executor.holdSentAt < unstoredHoldEveryMs) {
             // A list would return at once with the same ends; the next one acknowledges them as soon as they are stored.
@@ -79,7 +79,9 @@
     if (executor.unstoredJobs.empty()) {
         executor.acknowledgedEnds = executor.processedEnds;
     }
-    order.acknowledged = executor.acknowledgedEnds;
+    // The cursor counts the ends of one life, so only a hold that follows a list with ends carries it: any other may reach a next life,
+    // which would forget ends that nobody has read.
+    order.acknowledged = std::exchange(executor.endsListed, false) ? executor.acknowledgedEnds : 0;
     const bool grants = executor.answers() && !executor.runs.empty();
     if (grants) {
         order.leaseEndMs = executor.clockAtTime(now) + m_bounds.maxLeaseMs;
@@ -132,6 +134,7 @@
     }
     markAnswering(executor, now);
     executor.listedAt = now;
+    executor.endsListed = !what.ends.empty();
     if (what.clockMs) {
         executor.clockMs = *what.clockMs;
         executor.clockAt = now;
--- a/tests/sched/executor_succession_test.cpp
+++ b/tests/sched/executor_succession_test.cpp
@@ -193,3 +193,42 @@
         CHECK(world.take<start_run>().size() == 1);
     }
 }
+
+// Found by the model of takeovers, seed 1398: the cursor of a former life made the next one forget the end of a run.
+TEST_CASE("a former life's ends aren't acknowledged to the next one")
+{
+    scheduler_fixture world;
+    world.addExecutor("e1");
+    world.brain.handle(job_submitted{world.job("j1", {world.step(1)})}, world.now);
+    world.step_();
+    const std::vector<start_run> starts = world.take<start_run>();
+    REQUIRE(starts.size() == 1);
+    world.answerStart(starts[0]);
+    world.take<hold_executor>();
+    world.answerHold("e1", {}, {scheduler_fixture::ended(starts[0], 1, run_end::Done)});
+    const std::vector<hold_executor> acknowledging = world.take<hold_executor>();
+    REQUIRE(acknowledging.size() == 1);
+    REQUIRE(acknowledging[0].acknowledged == 1);
+
+    SUBCASE("the list no longer has them: later holds name none")
+    {
+        world.answerHold("e1");
+        world.advance(3'000);
+        const std::vector<hold_executor> later = world.take<hold_executor>();
+        REQUIRE_FALSE(later.empty());
+        CHECK(later[0].acknowledged == 0);
+    }
+    SUBCASE("the hold gets no answer: the next one only looks, and the one after a list that has them acknowledges again")
+    {
+        world.answerHold("e1", {}, {}, order_status::Unknown);
+        world.advance(500);
+        const std::vector<hold_executor> looking = world.take<hold_executor>();
+        REQUIRE(looking.size() == 1);
+        CHECK(looking[0].acknowledged == 0);
+        world.answerHold("e1", {}, {scheduler_fixture::ended(starts[0], 1, run_end::Done)});
+        world.advance(500);
+        const std::vector<hold_executor> again = world.take<hold_executor>();
+        REQUIRE(again.size() == 1);
+        CHECK(again[0].acknowledged == 1);
+    }
+}
--- a/tests/sched/leased_executor.cpp
+++ b/tests/sched/leased_executor.cpp
@@ -70,10 +70,10 @@
     return order_status::Ok;
 }
 
-std::optional<executor_list> leased_executor::hold(const hold_executor &order, std::int64_t term, time_ms now)
+bool leased_executor::hold(const hold_executor &order, std::int64_t term, time_ms now)
 {
     if (fences(term)) {
-        return std::nullopt;
+        return false;
     }
     if (order.leaseEndMs) {
         m_leaseEnd = std::max(m_leaseEnd, *order.leaseEndMs);
@@ -86,6 +86,11 @@
     std::erase_if(m_ends, [&](const listed_end &end) {
         return end.number <= order.acknowledged;
     });
+    return true;
+}
+
+executor_list leased_executor::list(time_ms now) const
+{
     executor_list list;
     list.clockMs = clockAt(now);
     list.ends = m_ends;
--- a/tests/sched/leased_executor.h
+++ b/tests/sched/leased_executor.h
@@ -4,14 +4,13 @@
 //
 //     leased_executor executor(entry, now, 1.0, ledger);
 //     order_status status = executor.start(order, term, runMs, demand, now);
-//     std::optional<executor_list> list = executor.hold(order, term, now);
+//     if (executor.hold(order, term, now)) { executor_list list = executor.list(now); ... }
 
 #include "run_ledger.h"
 #include "sched/events.h"
 
 #include <cstdint>
 #include <map>
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -32,8 +31,9 @@
 
     order_status start(const start_run &order, std::int64_t term, time_ms runMs, const resources &demand, time_ms now);
     order_status stop(const stop_run &order, std::int64_t term, time_ms now);
-    /** Nothing if a higher term has been used. */
-    std::optional<executor_list> hold(const hold_executor &order, std::int64_t term, time_ms now);
+    /** Extends the lease and forgets acknowledged ends; false if a higher term has been used. */
+    bool hold(const hold_executor &order, std::int64_t term, time_ms now);
+    executor_list list(time_ms now) const;
     /** Ends the runs whose work is done or whose lease is over. */
     void advance(time_ms now);
     /** Everything ends at once, and nothing is listed any more. */
--- a/tests/sched/takeover_model.cpp
+++ b/tests/sched/takeover_model.cpp
@@ -97,6 +97,11 @@
         return between(1, m_storeSlow ? slowStoreMs : fastStoreMs);
     }
 
+    void trace(const std::string &line)
+    {
+        m_outcome.trace.push_back(std::to_string(m_now) + ' ' + line);
+    }
+
     void build();
     void planTroubles();
     void submitJobs();
@@ -302,6 +307,7 @@
     entry.vm = vm;
     entry.bornUnixMs = 1'000'000 + m_now;
     const double clockRate = chance(0.3) ? 0.98 : 1.0;
+    trace("life of " + id + " on " + vm + " begins");
     m_executors.erase(id);
     m_executors.emplace(id, leased_executor(entry, m_now, clockRate, m_ledger));
     at(m_now + between(1, 300), [this, id, born = entry.bornUnixMs] {
@@ -318,6 +324,7 @@
     if (id.empty()) {
         return;
     }
+    trace("life of " + id + " on " + vm + " ends");
     leased_executor &life = m_executors.at(id);
     m_overfull += life.wasOverfull() ? 1 : 0;
     life.end(m_now);
@@ -347,8 +354,10 @@
     if (id.empty()) {
         return;
     }
+    trace(id + " falls silent");
     m_silent.insert(id);
     at(m_now + between(300, 9'000), [this, id] {
+        trace(id + " can be reached again");
         m_silent.erase(id);
     });
 }
@@ -549,7 +558,9 @@
             return *failed;
         }
         const resources demand = m_jobs.at(order.task.job).steps[static_cast<std::size_t>(order.task.step)].demand;
-        return std::get<leased_executor *>(target)->start(order, term, m_taskMs.at(order.task.text()), demand, m_now);
+        const order_status status = std::get<leased_executor *>(target)->start(order, term, m_taskMs.at(order.task.text()), demand, m_now);
+        trace("start of " + order.task.text() + " run " + std::to_string(order.run) + " on " + order.executor + ": " + std::string(nameOf(status)));
+        return status;
     };
     send(orderTimeoutMs, act, [this, owner, order](order_status status) {
         start_answered answer;
@@ -584,6 +595,20 @@
 {
     const time_ms sentAt = m_now;
     at(m_now + between(1, 5), [this, owner, order, sentAt] {
+        const std::variant<leased_executor *, order_status> target = reach(order.executor, order.address);
+        if (leased_executor *const *executor = std::get_if<leased_executor *>(&target)) {
+            if (!(*executor)->hold(order, owner->term, m_now)) {
+                hold_answered answer;
+                answer.executor = order.executor;
+                answer.sentAt = sentAt;
+                answer.status = order_status::Fenced;
+                feed(owner, answer);
+                return;
+            }
+            if (order.acknowledged > 0) {
+                trace(order.executor + " forgets ends up to " + std::to_string(order.acknowledged));
+            }
+        }
         answerHold(owner, order, sentAt, m_now + order.waitMs);
     });
 }
@@ -595,29 +620,26 @@
     hold_answered answer;
     answer.executor = order.executor;
     answer.sentAt = sentAt;
+    answer.status = order_status::Ok;
     const std::variant<leased_executor *, order_status> target = reach(order.executor, order.address);
-    std::optional<executor_list> list;
     if (const order_status *failed = std::get_if<order_status>(&target)) {
         answer.status = *failed;
-    } else {
-        leased_executor &executor = *std::get<leased_executor *>(target);
-        list = executor.hold(order, owner->term, m_now);
-        if (list && !executor.hasEnds() && m_now < waitUntil) {
-            at(m_now + lookEveryMs, [this, owner, order, sentAt, waitUntil] {
-                answerHold(owner, order, sentAt, waitUntil);
-            });
-            return;
-        }
-        answer.status = list ? order_status::Ok : order_status::Fenced;
-        answer.bornUnixMs = executor.entry().bornUnixMs;
+    } else if (!std::get<leased_executor *>(target)->hasEnds() && m_now < waitUntil) {
+        at(m_now + lookEveryMs, [this, owner, order, sentAt, waitUntil] {
+            answerHold(owner, order, sentAt, waitUntil);
+        });
+        return;
     }
     if (chance(lostAnswerShare)) {
         answer.status = order_status::Unknown;
     }
-    if (list && answer.status == order_status::Ok) {
-        answer.clockMs = list->clockMs;
-        answer.runs = list->runs;
-        answer.ends = list->ends;
+    if (answer.status == order_status::Ok) {
+        const leased_executor &executor = *std::get<leased_executor *>(target);
+        executor_list list = executor.list(m_now);
+        answer.bornUnixMs = executor.entry().bornUnixMs;
+        answer.clockMs = list.clockMs;
+        answer.runs = std::move(list.runs);
+        answer.ends = std::move(list.ends);
     }
     const time_ms after = answer.status == order_status::Unknown ? orderTimeoutMs : between(1, 5);
     at(m_now + after, [this, owner, answer] {
@@ -711,11 +733,11 @@
 
 void takeover_world::carryOut(const holder_ptr &owner, const decision_note &note)
 {
-    std::string line = std::to_string(m_now) + " term " + std::to_string(owner->term) + ' ' + note.event;
+    std::string line = "term " + std::to_string(owner->term) + ' ' + note.event;
     for (const std::pair<std::string, std::string> &field : note.fields) {
         line += ' ' + field.first + '=' + field.second;
     }
-    m_outcome.trace.push_back(std::move(line));
+    trace(line);
 }
 
 takeover_outcome takeover_world::run()
