Let a fleet order's answer speak of the executor that it was for

What callers would see: tasks started twice after a move whose answer is late, and VMs that no task uses for the rest of a term. Cause: answers to moves and upkeep named no executor, so they were applied to whichever the VM had when they came. A move that was ordered again after a lost answer is answered with 200 although it was carried out before; by then the VM's new executor may be listed and have runs, which were given up and started elsewhere. The same answer to upkeep that was done before gave up an executor that lives; it has no runs, but its record stayed dead for as long as its registry entry stood. A late refusal took the reservation from an executor that another order had reserved, and a move was ordered again although its VM had another executor with runs. Class: evidence about one executor is applied to another, later one. Change: orders and answers carry the executor and the birth that they were for. A move's 200 gives up that life only. After any other answer that leaves open whether the executor is over, it stays reserved until it lists its runs when asked afterwards. A doubtful move is ordered again only while its VM has the executor that the order was for. Why it holds: an executor belongs to one pool for its whole life, so the life that was on the VM before the move is over after it; for upkeep only a list asked for after the answer shows who lives. The test of a repeated move and the load model now hand back the order's executor as the dispatcher does; nothing that they check was changed.

--- a/src/node/dispatcher_orders.cpp
+++ b/src/node/dispatcher_orders.cpp
@@ -81,7 +81,7 @@
     const std::weak_ptr<dispatcher> weak = weak_from_this();
     const std::function<void(fleet_status)> done = [weak, order](fleet_status status) {
         if (const std::shared_ptr<dispatcher> self = weak.lock()) {
-            self->feed(sched::move_answered{order.vm, order.pool, status});
+            self->feed(sched::move_answered{order.vm, order.pool, status, order.occupant});
         }
     };
     if (!renewalIsFresh()) {
@@ -98,7 +98,7 @@
     const std::weak_ptr<dispatcher> weak = weak_from_this();
     const std::function<void(fleet_status)> done = [weak, order](fleet_status status) {
         if (const std::shared_ptr<dispatcher> self = weak.lock()) {
-            self->feed(sched::upkeep_answered{order.vm, order.wave, status});
+            self->feed(sched::upkeep_answered{order.vm, order.wave, status, order.occupant});
         }
     };
     if (!renewalIsFresh()) {
--- a/src/sched/events.h
+++ b/src/sched/events.h
@@ -60,6 +60,13 @@
 std::string_view nameOf(fleet_status status);
 std::string_view nameOf(run_end how);
 
+/** One life of an executor; its birth is 0 if the registry hasn't told it. */
+struct executor_life
+{
+    std::string executor;
+    std::int64_t bornUnixMs = 0;
+};
+
 // Events.
 
 struct configuration_changed
@@ -149,6 +156,8 @@
     std::string vm;
     std::string pool;
     fleet_status status = fleet_status::Unknown;
+    /** The VM's executor when the move was ordered. */
+    executor_life occupant{};
 };
 
 struct upkeep_answered
@@ -156,6 +165,8 @@
     std::string vm;
     std::int64_t wave = 0;
     fleet_status status = fleet_status::Unknown;
+    /** The VM's executor when the upkeep was ordered. */
+    executor_life occupant{};
 };
 
 struct tick
@@ -233,12 +244,14 @@
 {
     std::string vm;
     std::string pool;
+    executor_life occupant{};
 };
 
 struct upkeep_vm
 {
     std::string vm;
     std::int64_t wave = 0;
+    executor_life occupant{};
 };
 
 /** Tell the operator about a wave. */
--- a/src/sched/executor_record.h
+++ b/src/sched/executor_record.h
@@ -34,6 +34,8 @@
     bool dead = false;
     /** A move or upkeep of its VM was ordered or is planned. */
     bool reserved = false;
+    /** When the order that it is reserved for was settled in a way that leaves open whether it is over; 0 if none was. */
+    time_ms reservedInDoubtSince = 0;
 
     std::int64_t clockMs = 0;
     time_ms clockAt = 0;
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -176,6 +176,10 @@
     fleet_view viewOfFleet(time_ms now) const;
     void carryOut(const fleet_decision &decision, time_ms now);
     void sendFleetOrders();
+    executor_life occupantOf(const vm_entry &vm) const;
+    /** The order for the occupant's VM is settled; the executor is over unless it answers later. */
+    void awaitAnswerOf(const executor_life &occupant, time_ms now);
+    void releaseOccupant(const executor_life &occupant, time_ms now);
     /** The availability budgets allow the system to end this run now. */
     bool isKnownAtWork(const task_record &task) const;
     bool mayInterrupt(job_record &job, const task_id &id) const;
@@ -218,7 +222,7 @@
     /** A move whose outcome isn't known; it is ordered again, which changes nothing if it was carried out. */
     struct doubtful_move
     {
-        std::string pool;
+        move_vm order;
         time_ms orderedAt = 0;
     };
 
--- a/src/sched/scheduler_fleet.cpp
+++ b/src/sched/scheduler_fleet.cpp
@@ -52,14 +52,18 @@
 {
     for (auto move = m_doubtfulMoves.begin(); move != m_doubtfulMoves.end();) {
         const auto vm = m_vms.find(move->first);
-        const bool settled = vm == m_vms.end() || vm->second.pool == move->second.pool;
-        if (settled) {
+        const move_vm &order = move->second.order;
+        const bool settled = vm == m_vms.end() || vm->second.pool == order.pool;
+        // Another executor isn't reserved, so the order would end its runs.
+        const bool occupantChanged = !settled && !vm->second.executor.empty() && vm->second.executor != order.occupant.executor;
+        if (settled || occupantChanged) {
+            awaitAnswerOf(order.occupant, now);
             move = m_doubtfulMoves.erase(move);
             continue;
         }
         if (now - move->second.orderedAt >= repeatMoveMs && vm->second.state == vm_state::Up) {
             move->second.orderedAt = now;
-            m_fleetOrders.add(move_vm{move->first, move->second.pool}, now);
+            m_fleetOrders.add(order, now);
         }
         ++move;
     }
@@ -211,7 +215,7 @@
         }
         ++m_counts.moves;
         note("move_ordered", {{"vm", move->vm}, {"from", vm.pool}, {"to", move->pool}, {"executor", vm.executor}});
-        m_fleetOrders.add(move_vm{move->vm, move->pool}, now);
+        m_fleetOrders.add(move_vm{move->vm, move->pool, occupantOf(vm)}, now);
     } else if (const upkeep_decision *upkeep = std::get_if<upkeep_decision>(&decision)) {
         const vm_entry &vm = m_vms.at(upkeep->vm);
         if (!vm.executor.empty()) {
@@ -219,7 +223,7 @@
         }
         ++m_counts.upkeeps;
         note("upkeep_ordered", {{"vm", upkeep->vm}, {"wave", std::to_string(upkeep->wave)}, {"executor", vm.executor}});
-        m_fleetOrders.add(upkeep_vm{upkeep->vm, upkeep->wave}, now);
+        m_fleetOrders.add(upkeep_vm{upkeep->vm, upkeep->wave, occupantOf(vm)}, now);
     } else if (const drain_decision *drain = std::get_if<drain_decision>(&decision)) {
         const vm_entry &vm = m_vms.at(drain->vm);
         if (!vm.executor.empty()) {
@@ -243,46 +247,75 @@
     }
 }
 
-void scheduler::on(const move_answered &what, time_ms now)
+executor_life scheduler::occupantOf(const vm_entry &vm) const
 {
-    const auto vm = m_vms.find(what.vm);
-    if (vm == m_vms.end()) {
+    const auto executor = m_executors.find(vm.executor);
+    return {vm.executor, executor == m_executors.end() ? 0 : executor->second.entry.bornUnixMs};
+}
+
+void scheduler::awaitAnswerOf(const executor_life &occupant, time_ms now)
+{
+    const auto executor = m_executors.find(occupant.executor);
+    if (executor == m_executors.end()) {
+        return;
+    }
+    executor->second.reservedInDoubtSince = now;
+    executor->second.lookSoon = true;
+    m_holdDue.insert(occupant.executor);
+}
+
+void scheduler::releaseOccupant(const executor_life &occupant, time_ms now)
+{
+    const auto executor = m_executors.find(occupant.executor);
+    if (executor == m_executors.end()) {
         return;
     }
-    const auto executor = m_executors.find(vm->second.executor);
+    executor->second.reserved = false;
+    executor->second.reservedInDoubtSince = 0;
+    executor->second.emptySince = executor->second.runs.empty() ? now : 0;
+    m_placeWanted = true;
+}
+
+// An executor belongs to one pool, so the life that was on the VM before the move is over when the VM is in the other pool. Of a life
+// whose birth wasn't known then, or of a later one, the answer says nothing.
+void scheduler::on(const move_answered &what, time_ms now)
+{
     if (what.status == fleet_status::Unknown) {
-        m_doubtfulMoves[what.vm] = {what.pool, now};
+        m_doubtfulMoves[what.vm] = {{what.vm, what.pool, what.occupant}, now};
     } else {
         m_doubtfulMoves.erase(what.vm);
     }
-    if (what.status == fleet_status::Ok) {
-        vm->second.state = vm_state::Moving;
-        vm->second.pool = what.pool;
-        if (executor != m_executors.end()) {
-            markDead(executor->second, now, "vm_moved");
+    if (what.status != fleet_status::Ok) {
+        note("move_refused", {{"vm", what.vm}, {"to", what.pool}, {"reason", std::string(nameOf(what.status))}});
+        if (what.status != fleet_status::Unknown) {
+            releaseOccupant(what.occupant, now);
         }
         return;
     }
-    note("move_refused", {{"vm", what.vm}, {"to", what.pool}, {"reason", std::string(nameOf(what.status))}});
-    if (what.status != fleet_status::Unknown && executor != m_executors.end()) {
-        executor->second.reserved = false;
-        executor->second.emptySince = executor->second.runs.empty() ? now : 0;
+    const auto vm = m_vms.find(what.vm);
+    if (vm != m_vms.end() && vm->second.executor == what.occupant.executor) {
+        vm->second.state = vm_state::Moving;
+        vm->second.pool = what.pool;
+    }
+    const auto executor = m_executors.find(what.occupant.executor);
+    if (executor != m_executors.end() && what.occupant.bornUnixMs != 0 && executor->second.entry.bornUnixMs == what.occupant.bornUnixMs) {
+        markDead(executor->second, now, "vm_moved", {{"vm", what.vm}, {"to", what.pool}});
     }
+    awaitAnswerOf(what.occupant, now);
 }
 
+// The fleet's service says the same of upkeep that was done before the present executor came, so that one is over only when it no
+// longer answers. It has no runs.
 void scheduler::on(const upkeep_answered &what, time_ms now)
 {
-    const auto vm = m_vms.find(what.vm);
-    const auto executor = vm == m_vms.end() ? m_executors.end() : m_executors.find(vm->second.executor);
     if (what.status == fleet_status::Ok) {
         m_fleet.upkeepBegun(what.wave, what.vm, now);
         m_waveRowDirty = true;
-        if (vm != m_vms.end()) {
+        const auto vm = m_vms.find(what.vm);
+        if (vm != m_vms.end() && vm->second.executor == what.occupant.executor) {
             vm->second.state = vm_state::Upkeep;
         }
-        if (executor != m_executors.end()) {
-            markDead(executor->second, now, "vm_upkeep");
-        }
+        awaitAnswerOf(what.occupant, now);
         return;
     }
     note("upkeep_refused", {{"vm", what.vm}, {"wave", std::to_string(what.wave)}, {"reason", std::string(nameOf(what.status))}});
@@ -292,9 +325,7 @@
         return;
     }
     m_fleet.upkeepRefused(what.wave, what.vm, forGood);
-    if (executor != m_executors.end()) {
-        executor->second.reserved = false;
-    }
+    releaseOccupant(what.occupant, now);
 }
 
 } // namespace daisypass::sched
--- a/src/sched/scheduler_holds.cpp
+++ b/src/sched/scheduler_holds.cpp
@@ -133,6 +133,10 @@
     }
     markAnswering(executor, now);
     executor.listedAt = now;
+    if (executor.reservedInDoubtSince != 0 && what.sentAt > executor.reservedInDoubtSince) {
+        // The order for its VM had been carried out before it came.
+        releaseOccupant({executor.entry.id, executor.entry.bornUnixMs}, now);
+    }
     if (what.clockMs) {
         executor.clockMs = *what.clockMs;
         executor.clockAt = now;
--- /dev/null
+++ b/tests/sched/fleet_answers_test.cpp
@@ -0,0 +1,182 @@
+#include "scheduler_fixture.h"
+
+#include <doctest/doctest.h>
+
+using namespace daisypass::sched;
+
+namespace {
+
+vms_listed listOf(const std::string &vm, const std::string &pool, const std::string &executor, vm_state state = vm_state::Up)
+{
+    vms_listed list;
+    list.vms.push_back({vm, pool, state, "zone", {"a"}, executor});
+    return list;
+}
+
+executor_entry entryOnVm(const std::string &id, const std::string &vm, std::int64_t born)
+{
+    executor_entry one = scheduler_fixture::entry(id);
+    one.vm = vm;
+    one.bornUnixMs = born;
+    return one;
+}
+
+wave_request waveOf(const std::string &vm)
+{
+    wave_request wave;
+    wave.wave = 1;
+    wave.vms = {vm};
+    wave.durationMs = 20'000;
+    return wave;
+}
+
+} // namespace
+
+// Answers named no executor, so the VM's current one was given up with its runs.
+TEST_CASE("the answer to a move doesn't give up an executor that came to the VM after the order")
+{
+    scheduler_fixture world;
+    world.brain.handle(listOf("vm-a", "spare", ""), world.now);
+    world.brain.handle(job_submitted{world.job("j1", {world.step(1)})}, world.now);
+    world.advance(200);
+    const std::vector<move_vm> first = world.take<move_vm>();
+    REQUIRE(first.size() == 1);
+    world.brain.handle(move_answered{"vm-a", "booking", fleet_status::Unknown, first[0].occupant}, world.now);
+    world.advance(1'200);
+    const std::vector<move_vm> again = world.take<move_vm>();
+    REQUIRE(again.size() == 1);
+
+    world.brain.handle(listOf("vm-a", "booking", "new"), world.now);
+    world.brain.handle(executor_seen{entryOnVm("new", "vm-a", 1'000)}, world.now);
+    world.step_();
+    world.answerHold("new");
+    const std::vector<start_run> starts = world.take<start_run>();
+    REQUIRE(starts.size() == 1);
+    world.answerStart(starts[0]);
+    world.addExecutor("other");
+
+    SUBCASE("the move that was ordered again had been carried out before")
+    {
+        world.brain.handle(move_answered{"vm-a", "booking", fleet_status::Ok, again[0].occupant}, world.now);
+        world.step_();
+        CHECK(world.take<start_run>().empty());
+        CHECK_FALSE(world.brain.executors().at("new").dead);
+    }
+    SUBCASE("the move that was ordered again is refused: the new executor stays reserved for the upkeep that is next")
+    {
+        world.brain.handle(wave_requested{waveOf("vm-a"), 0}, world.now);
+        world.advance(200);
+        REQUIRE(world.brain.executors().at("new").reserved);
+        world.brain.handle(move_answered{"vm-a", "booking", fleet_status::Busy, again[0].occupant}, world.now);
+        CHECK(world.brain.executors().at("new").reserved);
+    }
+}
+
+// A repeated order would end the runs of an executor that isn't reserved.
+TEST_CASE("a move without an answer isn't ordered again for another executor")
+{
+    scheduler_fixture world;
+    vms_listed list;
+    for (const char *name : {"e1", "e2", "e3", "e4", "e5", "e6"}) {
+        world.addExecutor(name);
+        list.vms.push_back({std::string("vm-") + name, "booking", vm_state::Up, "zone", {"a"}, name});
+    }
+    world.brain.handle(list, world.now);
+    world.advance(2'000);
+    const std::vector<move_vm> moves = world.take<move_vm>();
+    REQUIRE_FALSE(moves.empty());
+    CHECK(moves[0].occupant.bornUnixMs == 1'000);
+    world.brain.handle(move_answered{moves[0].vm, moves[0].pool, fleet_status::Unknown, moves[0].occupant}, world.now);
+    for (vm_entry &vm : list.vms) {
+        vm.executor = vm.vm == moves[0].vm ? "new" : vm.executor;
+    }
+    world.brain.handle(list, world.now);
+    world.advance(1'200);
+    for (const move_vm &move : world.take<move_vm>()) {
+        CHECK(move.vm != moves[0].vm);
+    }
+}
+
+TEST_CASE("the answer to a move speaks of the life that the order was for")
+{
+    scheduler_fixture world;
+    vms_listed list;
+    for (const char *name : {"e1", "e2", "e3", "e4", "e5", "e6"}) {
+        world.addExecutor(name);
+        list.vms.push_back({std::string("vm-") + name, "booking", vm_state::Up, "zone", {"a"}, name});
+    }
+    world.brain.handle(list, world.now);
+    world.advance(2'000);
+    const std::vector<move_vm> moves = world.take<move_vm>();
+    REQUIRE_FALSE(moves.empty());
+    const std::string id = moves[0].occupant.executor;
+
+    SUBCASE("the same life is over")
+    {
+        world.brain.handle(move_answered{moves[0].vm, moves[0].pool, fleet_status::Ok, moves[0].occupant}, world.now);
+        CHECK(world.brain.executors().at(id).dead);
+        SUBCASE("and a later one under the same id isn't reserved any more")
+        {
+            world.advance(100);
+            world.answerHold(id, {}, {}, order_status::Ok, 2'000);
+            world.brain.handle(executor_seen{entryOnVm(id, moves[0].vm, 2'000)}, world.now);
+            CHECK(world.brain.executors().at(id).takesNewRuns(world.now));
+        }
+    }
+    SUBCASE("a later life that answers after it lives, and is free again")
+    {
+        world.brain.handle(executor_seen{entryOnVm(id, moves[0].vm, 2'000)}, world.now);
+        world.brain.handle(move_answered{moves[0].vm, moves[0].pool, fleet_status::Ok, moves[0].occupant}, world.now);
+        CHECK_FALSE(world.brain.executors().at(id).dead);
+        CHECK(world.brain.executors().at(id).reserved);
+        world.advance(100);
+        world.answerHold(id, {}, {}, order_status::Ok, 2'000);
+        CHECK(world.brain.executors().at(id).takesNewRuns(world.now));
+    }
+}
+
+// The fleet's service says 200 also for upkeep that was done before; the executor was then left unused for the rest of the term.
+TEST_CASE("an executor that answers after its VM's upkeep was answered is used again")
+{
+    scheduler_fixture world;
+    world.addExecutor("e1");
+    world.brain.handle(listOf("vm-e1", "booking", "e1"), world.now);
+    world.brain.handle(wave_requested{waveOf("vm-e1"), 0}, world.now);
+    world.advance(200);
+    const std::vector<upkeep_vm> orders = world.take<upkeep_vm>();
+    REQUIRE(orders.size() == 1);
+    CHECK(orders[0].occupant.executor == "e1");
+    const time_ms before = world.now;
+    world.advance(100);
+    world.brain.handle(upkeep_answered{"vm-e1", 1, fleet_status::Ok, orders[0].occupant}, world.now);
+    world.brain.handle(job_submitted{world.job("j1", {world.step(1)})}, world.now);
+
+    SUBCASE("it was done before this executor came")
+    {
+        world.advance(100);
+        world.answerHold("e1");
+        world.brain.handle(listOf("vm-e1", "booking", "e1"), world.now);
+        world.advance(100);
+        CHECK(world.take<start_run>().size() == 1);
+    }
+    SUBCASE("an answer that was asked for before says nothing")
+    {
+        world.brain.handle(hold_answered{"e1", order_status::Ok, before, world.now, 1'000, {}, {}}, world.now);
+        world.advance(100);
+        CHECK(world.take<start_run>().empty());
+    }
+    SUBCASE("it is over: its successor gets the work")
+    {
+        world.answerHold("e1", {}, {}, order_status::Unreachable);
+        world.brain.handle(listOf("vm-e1", "booking", "", vm_state::Upkeep), world.now);
+        world.advance(2'000);
+        world.brain.handle(listOf("vm-e1", "booking", "e2"), world.now);
+        world.brain.handle(executor_seen{entryOnVm("e2", "vm-e1", 2'000)}, world.now);
+        world.step_();
+        world.answerHold("e2", {}, {}, order_status::Ok, 2'000);
+        const std::vector<start_run> starts = world.take<start_run>();
+        REQUIRE(starts.size() == 1);
+        CHECK(starts[0].executor == "e2");
+        CHECK(world.brain.executors().at("e1").dead);
+    }
+}
--- a/tests/sched/load_model.cpp
+++ b/tests/sched/load_model.cpp
@@ -541,7 +541,7 @@
             vm.state = vm_state::Moving;
             vm.pool = order_.pool;
             vm.executor.clear();
-            feed(move_answered{order_.vm, order_.pool, fleet_status::Ok});
+            feed(move_answered{order_.vm, order_.pool, fleet_status::Ok, order_.occupant});
             at(now + 1'500, [this, order_] {
                 vms.at(order_.vm).state = vm_state::Up;
                 if (order_.pool != "spare") {
--- a/tests/sched/scheduler_test.cpp
+++ b/tests/sched/scheduler_test.cpp
@@ -295,7 +295,7 @@
     world.advance(2'000);
     const std::vector<move_vm> moves = world.take<move_vm>();
     REQUIRE_FALSE(moves.empty());
-    world.brain.handle(move_answered{moves[0].vm, moves[0].pool, fleet_status::Unknown}, world.now);
+    world.brain.handle(move_answered{moves[0].vm, moves[0].pool, fleet_status::Unknown, moves[0].occupant}, world.now);
     world.brain.handle(list, world.now);
     world.advance(200);
     CHECK(world.take<move_vm>().empty());
