Let an answer of another executor speak of the address it came from

What callers would see: the runs of an executor that lives are given up and started a second time elsewhere. Cause: 421 says that another executor lives at the address to which an order was sent. The answer was applied to whatever is known of the executor when it comes; if that has started again meanwhile (same id, later birth) or has another address, its present life was taken as dead and its runs were lost while they go on. Class: an answer about a former life or address is applied to the present one. Change: orders carry the address and the birth they are for, answers hand both back, and a 421 for another address or an earlier life only asks the executor again at once. Why it holds: a later birth or another address was read after the order was sent, so it is newer than the answer.

--- a/src/node/dispatcher_orders.cpp
+++ b/src/node/dispatcher_orders.cpp
@@ -23,23 +23,26 @@
 void dispatcher::carryOut(const sched::start_run &order)
 {
     start_order call{order.task, order.run, order.payload, order.leaseEndMs, m_term.term, order.checkpoint, order.ticket};
-    m_executors.start(
-        {order.executor, order.address}, call, [weak = weak_from_this(), task = order.task, run = order.run, executor = order.executor](order_result result) {
-            if (const std::shared_ptr<dispatcher> self = weak.lock()) {
-                self->feed(sched::start_answered{task, run, executor, result.status, result.clockMs});
-            }
-        });
+    const sched::order_target sentTo{order.address, order.bornUnixMs};
+    m_executors.start({order.executor, order.address},
+                      call,
+                      [weak = weak_from_this(), task = order.task, run = order.run, executor = order.executor, sentTo](const order_result &result) {
+                          if (const std::shared_ptr<dispatcher> self = weak.lock()) {
+                              self->feed(sched::start_answered{task, run, executor, result.status, result.clockMs, sentTo});
+                          }
+                      });
 }
 
 void dispatcher::carryOut(const sched::stop_run &order)
 {
+    const sched::order_target sentTo{order.address, order.bornUnixMs};
     m_executors.stop({order.executor, order.address},
                      order.task,
                      order.run,
                      m_term.term,
-                     [weak = weak_from_this(), task = order.task, run = order.run, executor = order.executor](order_result result) {
+                     [weak = weak_from_this(), task = order.task, run = order.run, executor = order.executor, sentTo](const order_result &result) {
                          if (const std::shared_ptr<dispatcher> self = weak.lock()) {
-                             self->feed(sched::stop_answered{task, run, executor, result.status});
+                             self->feed(sched::stop_answered{task, run, executor, result.status, sentTo});
                          }
                      });
 }
@@ -54,12 +57,16 @@
 void dispatcher::carryOut(const sched::hold_executor &order)
 {
     const hold_order call{m_term.term, order.acknowledged, order.leaseEndMs, std::chrono::milliseconds(order.waitMs)};
-    m_executors.hold({order.executor, order.address}, call, [weak = weak_from_this(), executor = order.executor, sentAt = steadyMillis()](hold_result result) {
-        if (const std::shared_ptr<dispatcher> self = weak.lock()) {
-            self->feed(
-                sched::hold_answered{executor, result.status, sentAt, result.clockMs, result.bornUnixMs, std::move(result.runs), std::move(result.ends)});
-        }
-    });
+    const sched::order_target sentTo{order.address, order.bornUnixMs};
+    m_executors.hold(
+        {order.executor, order.address}, call, [weak = weak_from_this(), executor = order.executor, sentAt = steadyMillis(), sentTo](hold_result result) {
+            if (const std::shared_ptr<dispatcher> self = weak.lock()) {
+                sched::hold_answered answer{executor, result.status, sentAt, result.clockMs, result.bornUnixMs, {}, {}, sentTo};
+                answer.runs = std::move(result.runs);
+                answer.ends = std::move(result.ends);
+                self->feed(answer);
+            }
+        });
 }
 
 void dispatcher::carryOut(const sched::ask_advice &order)
--- a/src/sched/events.h
+++ b/src/sched/events.h
@@ -67,6 +67,13 @@
     std::int64_t bornUnixMs = 0;
 };
 
+/** Where an order was sent, and to which life as far as it was known; empty if the answer's owner doesn't say. */
+struct order_target
+{
+    std::string address;
+    std::int64_t bornUnixMs = 0;
+};
+
 // Events.
 
 struct configuration_changed
@@ -118,6 +125,7 @@
     std::string executor;
     order_status status = order_status::Unknown;
     std::optional<std::int64_t> clockMs;
+    order_target sentTo{};
 };
 
 struct stop_answered
@@ -126,6 +134,7 @@
     int run = 0;
     std::string executor;
     order_status status = order_status::Unknown;
+    order_target sentTo{};
 };
 
 struct hold_answered
@@ -138,6 +147,7 @@
     std::optional<std::int64_t> bornUnixMs;
     std::vector<listed_run> runs;
     std::vector<listed_end> ends;
+    order_target sentTo{};
 };
 
 struct advice_answered
@@ -203,6 +213,8 @@
     std::string ticket;
     /** On the executor's clock. */
     std::int64_t leaseEndMs = 0;
+    /** The executor's birth as far as it is known. */
+    std::int64_t bornUnixMs = 0;
 };
 
 struct stop_run
@@ -211,6 +223,7 @@
     int run = 0;
     std::string executor;
     std::string address;
+    std::int64_t bornUnixMs = 0;
 };
 
 struct pace_run
@@ -230,6 +243,7 @@
     /** On the executor's clock; without it the lease is not extended. */
     std::optional<std::int64_t> leaseEndMs;
     std::int64_t waitMs = 0;
+    std::int64_t bornUnixMs = 0;
 };
 
 struct ask_advice
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -133,6 +133,8 @@
     void markAnswering(executor_record &executor, time_ms now);
     /** `evidence` is added to the log line. */
     void markDead(executor_record &executor, time_ms now, std::string_view cause, const note_fields &evidence = {});
+    /** Another executor answered an order. */
+    void onWrongExecutor(executor_record &executor, const order_target &sentTo, time_ms now);
     void indexExecutors();
     void sendHolds(time_ms now);
     void sweepHolds();
--- a/src/sched/scheduler_executors.cpp
+++ b/src/sched/scheduler_executors.cpp
@@ -192,6 +192,18 @@
     }
 }
 
+// Says that the life to which the order was sent is over, and nothing of a later one or of another address.
+void scheduler::onWrongExecutor(executor_record &executor, const order_target &sentTo, time_ms now)
+{
+    const bool laterLife = sentTo.bornUnixMs != 0 && executor.entry.bornUnixMs > sentTo.bornUnixMs;
+    if (laterLife || sentTo.address != executor.entry.address) {
+        executor.lookSoon = true;
+        m_holdDue.insert(executor.entry.id);
+        return;
+    }
+    markDead(executor, now, "another_executor_at_address", {{"address", sentTo.address}});
+}
+
 void scheduler::acknowledgeStored()
 {
     for (auto executor = m_unacknowledged.begin(); executor != m_unacknowledged.end();) {
--- a/src/sched/scheduler_holds.cpp
+++ b/src/sched/scheduler_holds.cpp
@@ -76,6 +76,7 @@
     hold_executor order;
     order.executor = executor.entry.id;
     order.address = executor.entry.address;
+    order.bornUnixMs = executor.entry.bornUnixMs;
     if (executor.unstoredJobs.empty()) {
         executor.acknowledgedEnds = executor.processedEnds;
     }
@@ -110,7 +111,7 @@
         m_actions.push_back(step_down{"hold on " + what.executor});
         return;
     case order_status::WrongExecutor:
-        markDead(executor, now, "another_executor_at_address");
+        onWrongExecutor(executor, what.sentTo, now);
         return;
     default:
         markSilent(executor, now, nameOf(what.status));
@@ -163,7 +164,7 @@
             if (found != m_jobs.end() && run.task.step >= 0 && run.task.step < static_cast<int>(found->second->spec.steps.size())) {
                 executor.foreign += found->second->spec.steps[static_cast<std::size_t>(run.task.step)].countedDemand();
             }
-            m_actions.push_back(stop_run{run.task, run.run, executor.entry.id, executor.entry.address});
+            m_actions.push_back(stop_run{run.task, run.run, executor.entry.id, executor.entry.address, executor.entry.bornUnixMs});
             continue;
         }
         listed.insert(run.task);
--- a/src/sched/scheduler_orders.cpp
+++ b/src/sched/scheduler_orders.cpp
@@ -82,7 +82,7 @@
         break;
     case order_status::WrongExecutor:
         loseRun(job, what.task, *task, now, nameOf(what.status));
-        markDead(executor, now, "another_executor_at_address");
+        onWrongExecutor(executor, what.sentTo, now);
         return;
     default:
         task->notBefore = now + rejectedPauseMs;
@@ -95,7 +95,7 @@
 {
     const auto place = m_executors.find(what.executor);
     if (place != m_executors.end() && what.status == order_status::WrongExecutor) {
-        markDead(place->second, now, "another_executor_at_address");
+        onWrongExecutor(place->second, what.sentTo, now);
         return;
     }
     if (what.status == order_status::Fenced) {
