Take no run as lost that a full page of ends doesn't name

What callers would see: a task that is done is started again after a takeover, or after a start whose answer was lost. Cause: a list of runs holds at most 500 ends; the others follow when these are acknowledged. A run that was neither among the running ones nor among the listed ends was taken as never started, although its end may be behind the page. Many ends wait where an executor fails whatever it starts or where the store takes no rows for a while. Class: a belief that is hard to take back is drawn from an incomplete answer. Change: the executor client says when the list of ends is full, and the scheduler then draws nothing from a run's absence. The next list, behind the acknowledgement, settles it.

--- a/src/node/dispatcher_orders.cpp
+++ b/src/node/dispatcher_orders.cpp
@@ -61,7 +61,7 @@
     m_executors.hold(
         {order.executor, order.address}, call, [weak = weak_from_this(), executor = order.executor, sentAt = steadyMillis(), sentTo](hold_result result) {
             if (const std::shared_ptr<dispatcher> self = weak.lock()) {
-                sched::hold_answered answer{executor, result.status, sentAt, result.clockMs, result.bornUnixMs, {}, {}, sentTo};
+                sched::hold_answered answer{executor, result.status, sentAt, result.clockMs, result.bornUnixMs, {}, {}, result.moreEnds, sentTo};
                 answer.runs = std::move(result.runs);
                 answer.ends = std::move(result.ends);
                 self->feed(answer);
--- a/src/platform/executor_client.cpp
+++ b/src/platform/executor_client.cpp
@@ -17,6 +17,8 @@
 // so a lost answer is not waited for.
 constexpr std::chrono::milliseconds orderTimeout{350};
 constexpr std::chrono::milliseconds connectTimeout{350};
+// A list holds at most this many ends; the others follow when these are acknowledged.
+constexpr std::size_t mostEndsInList = 500;
 // Time beyond a long poll's wait for the answer to arrive.
 constexpr std::chrono::milliseconds holdSlack{400};
 
@@ -168,6 +170,7 @@
         }
     }
     if (ended != nullptr) {
+        read.moreEnds = ended->size() >= mostEndsInList;
         for (const json &row : *ended) {
             if (std::optional<sched::listed_end> end = readEnd(row)) {
                 read.ends.push_back(std::move(*end));
--- a/src/platform/executor_client.h
+++ b/src/platform/executor_client.h
@@ -33,6 +33,8 @@
     std::optional<std::int64_t> bornUnixMs;
     std::vector<sched::listed_run> runs;
     std::vector<sched::listed_end> ends;
+    /** The list of ends is full, so others may be behind it. */
+    bool moreEnds = false;
 };
 
 struct executor_address
--- a/src/sched/events.h
+++ b/src/sched/events.h
@@ -147,6 +147,8 @@
     std::optional<std::int64_t> bornUnixMs;
     std::vector<listed_run> runs;
     std::vector<listed_end> ends;
+    /** More ends may be waiting until these are acknowledged. */
+    bool moreEnds = false;
     order_target sentTo{};
 };
 
--- a/src/sched/scheduler_holds.cpp
+++ b/src/sched/scheduler_holds.cpp
@@ -190,7 +190,9 @@
             requestStop(run.task, *task, now, nameOf(found->second->phase));
         }
     }
-    settleMissing(executor, what, listed, now);
+    if (!what.moreEnds) {
+        settleMissing(executor, what, listed, now);
+    }
     paceFillers(executor, what.runs, now);
 }
 
--- a/tests/sched/executor_lives_test.cpp
+++ b/tests/sched/executor_lives_test.cpp
@@ -19,7 +19,7 @@
 
 hold_answered wrongExecutor(const std::string &executor, const order_target &sentTo)
 {
-    return {executor, order_status::WrongExecutor, 0, 7, std::nullopt, {}, {}, sentTo};
+    return {executor, order_status::WrongExecutor, 0, 7, std::nullopt, {}, {}, false, sentTo};
 }
 
 } // namespace
