Keep a run that the next life of its executor may have

What callers would see: tasks started twice after an executor has started again under the id that it had. Cause: a start that is sent before the restart is known is carried out by the executor's next life. When a list or the registry then told of that life, the run was taken as lost with the former one and started elsewhere: if its start was unanswered, if it was answered by the next life (the birth in the answer was not read), and if a stop was acknowledged by the former life only. The clock, too, was taken from whoever answered a start: a former life, or another executor at the address. A lease on a wrong clock may outlast the time after which its run is taken as over. Class: the state of one life is concluded from the end of another. Change: answers to starts carry the birth, and a later one than is known ends the former life then and there, before the answer is applied. When an executor has started again, unanswered starts stay doubtful and stops are sent again, until a list of the present life settles them. The clock is read only from the present life. Why it holds: an order for the id is carried out by one life, so only that life's list or its acknowledged stop settles it; runs that the former life had confirmed are over with it and are still placed again at once.

--- a/src/node/dispatcher_orders.cpp
+++ b/src/node/dispatcher_orders.cpp
@@ -28,7 +28,7 @@
                       call,
                       [weak = weak_from_this(), task = order.task, run = order.run, executor = order.executor, sentTo](const order_result &result) {
                           if (const std::shared_ptr<dispatcher> self = weak.lock()) {
-                              self->feed(sched::start_answered{task, run, executor, result.status, result.clockMs, sentTo});
+                              self->feed(sched::start_answered{task, run, executor, result.status, result.clockMs, result.bornUnixMs, sentTo});
                           }
                       });
 }
--- a/src/sched/events.h
+++ b/src/sched/events.h
@@ -124,7 +124,9 @@
     int run = 0;
     std::string executor;
     order_status status = order_status::Unknown;
+    /** Of the executor that answered. */
     std::optional<std::int64_t> clockMs;
+    std::optional<std::int64_t> bornUnixMs{};
     order_target sentTo{};
 };
 
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -135,6 +135,10 @@
     void markDead(executor_record &executor, time_ms now, std::string_view cause, const note_fields &evidence = {});
     /** Another executor answered an order. */
     void onWrongExecutor(executor_record &executor, const order_target &sentTo, time_ms now);
+    /** Ends the runs of a life that is over; with `restarted`, orders on their way may still reach the executor's next life. */
+    void endLife(executor_record &executor, time_ms now, std::string_view cause, const note_fields &evidence, bool restarted);
+    /** Notes the birth of the life that speaks; true if it is a later one than was known, which ends the earlier one. */
+    bool adoptLife(executor_record &executor, std::int64_t born, time_ms now);
     void indexExecutors();
     void sendHolds(time_ms now);
     void sweepHolds();
--- a/src/sched/scheduler_executors.cpp
+++ b/src/sched/scheduler_executors.cpp
@@ -59,11 +59,7 @@
 {
     executor_record &executor = executorFor(what.entry.id, now);
     const bool fresh = !executor.listed && executor.entry.address.empty();
-    const bool reborn = what.entry.bornUnixMs != 0 && executor.entry.bornUnixMs != 0 && what.entry.bornUnixMs > executor.entry.bornUnixMs;
-    if (reborn) {
-        markDead(executor, now, "restarted");
-        executor.dead = false;
-    }
+    const bool reborn = adoptLife(executor, what.entry.bornUnixMs, now);
     if (executor.dead) {
         return;
     }
@@ -160,6 +156,28 @@
 }
 
 void scheduler::markDead(executor_record &executor, time_ms now, std::string_view cause, const note_fields &evidence)
+{
+    endLife(executor, now, cause, evidence, false);
+    executor.dead = true;
+}
+
+bool scheduler::adoptLife(executor_record &executor, std::int64_t born, time_ms now)
+{
+    if (born <= executor.entry.bornUnixMs) {
+        return false;
+    }
+    const bool reborn = executor.entry.bornUnixMs != 0;
+    if (reborn) {
+        endLife(executor, now, "restarted", {{"next_born", std::to_string(born)}}, true);
+        executor.dead = false;
+        executor.lookSoon = true;
+        m_holdDue.insert(executor.entry.id);
+    }
+    executor.entry.bornUnixMs = born;
+    return reborn;
+}
+
+void scheduler::endLife(executor_record &executor, time_ms now, std::string_view cause, const note_fields &evidence, bool restarted)
 {
     note_fields fields{{"executor", executor.entry.id},
                        {"cause", std::string(cause)},
@@ -169,7 +187,6 @@
                        {"list_age_ms", ageText(executor.listedAt, now)}};
     fields.insert(fields.end(), evidence.begin(), evidence.end());
     note("executor_dead", std::move(fields));
-    executor.dead = true;
     executor.confirmed = false;
     executor.processedEnds = 0;
     executor.acknowledgedEnds = 0;
@@ -182,10 +199,14 @@
         if (task == nullptr || task->executor != executor.entry.id) {
             continue;
         }
-        if (task->phase == task_phase::Ordered) {
-            // The order may still arrive at the next incarnation; its answer or a stop settles it.
+        if (task->phase == task_phase::Ordered || (restarted && task->phase == task_phase::Doubtful)) {
+            // The order may have reached the next life, or may still; its answer, a list or a stop settles it.
             task->phase = task_phase::Doubtful;
             task->confirmedAt = now;
+        } else if (restarted && task->phase == task_phase::Stopping) {
+            // The next life must refuse the start too.
+            task->stopSentAt = 0;
+            task->stopAckedAt = 0;
         } else {
             loseRun(job, id, *task, now, cause);
         }
--- a/src/sched/scheduler_holds.cpp
+++ b/src/sched/scheduler_holds.cpp
@@ -125,13 +125,7 @@
         executor.lookSoon = true;
         return;
     }
-    if (what.bornUnixMs && *what.bornUnixMs > executor.entry.bornUnixMs) {
-        if (executor.entry.bornUnixMs != 0) {
-            markDead(executor, now, "restarted");
-            executor.dead = false;
-        }
-        executor.entry.bornUnixMs = *what.bornUnixMs;
-    }
+    adoptLife(executor, what.bornUnixMs.value_or(0), now);
     markAnswering(executor, now);
     executor.listedAt = now;
     if (executor.reservedInDoubtSince != 0 && what.sentAt > executor.reservedInDoubtSince) {
--- a/src/sched/scheduler_orders.cpp
+++ b/src/sched/scheduler_orders.cpp
@@ -27,9 +27,13 @@
         return;
     }
     executor_record &executor = place->second;
-    if (what.clockMs) {
-        executor.clockMs = *what.clockMs;
-        executor.clockAt = now;
+    if (what.status != order_status::WrongExecutor) {
+        adoptLife(executor, what.bornUnixMs.value_or(0), now);
+        const bool presentLife = what.bornUnixMs.value_or(executor.entry.bornUnixMs) == executor.entry.bornUnixMs;
+        if (what.clockMs && presentLife) {
+            executor.clockMs = *what.clockMs;
+            executor.clockAt = now;
+        }
     }
     const bool current = task != nullptr && task->run == what.run && task->executor == what.executor
         && (task->phase == task_phase::Ordered || task->phase == task_phase::Doubtful || task->phase == task_phase::Stopping);
--- a/src/sched/scheduler_runs.cpp
+++ b/src/sched/scheduler_runs.cpp
@@ -216,8 +216,8 @@
         }
         for (const task_id &id : item.second.runs) {
             task_record *task = m_jobs.at(id.job)->find(id);
-            const bool due = task != nullptr && task->phase == task_phase::Stopping && task->stopAckedAt == 0 && task->stopSentAt + stopRetryMs < now;
-            if (due) {
+            const bool unanswered = task != nullptr && task->phase == task_phase::Stopping && task->stopAckedAt == 0;
+            if (unanswered && (task->stopSentAt == 0 || task->stopSentAt + stopRetryMs < now)) {
                 task->stopSentAt = now;
                 m_actions.push_back(stop_run{id, task->run, item.first, item.second.entry.address, item.second.entry.bornUnixMs});
             }
--- a/tests/sched/executor_lives_test.cpp
+++ b/tests/sched/executor_lives_test.cpp
@@ -22,6 +22,22 @@
     return {executor, order_status::WrongExecutor, 0, 7, std::nullopt, {}, {}, false, sentTo};
 }
 
+/** Places one task on e1, the only executor; e2 comes with room for its second run. */
+struct one_run
+{
+    one_run()
+    {
+        world.addExecutor("e1");
+        world.brain.handle(job_submitted{world.job("j1", {world.step(1)})}, world.now);
+        world.step_();
+        start = world.take<start_run>().at(0);
+        world.addExecutor("e2");
+    }
+
+    scheduler_fixture world;
+    start_run start;
+};
+
 } // namespace
 
 // An answer from a former address gave up the executor's present life and its runs.
@@ -67,3 +83,86 @@
         CHECK(world.brain.executors().at("e1").dead);
     }
 }
+
+// The start had reached the later life; when a list showed that life, the run was taken as lost with the earlier one.
+TEST_CASE("a run that a later life of its executor has isn't started elsewhere")
+{
+    one_run story;
+    scheduler_fixture &world = story.world;
+    const start_run &start = story.start;
+
+    SUBCASE("its start was answered by the later life")
+    {
+        world.brain.handle(start_answered{start.task, start.run, "e1", order_status::Ok, 10, secondBorn}, world.now);
+        world.step_();
+        world.answerHold("e1", {scheduler_fixture::running(start)}, {}, order_status::Ok, secondBorn);
+        CHECK(world.take<start_run>().empty());
+        CHECK(world.take<stop_run>().empty());
+    }
+    SUBCASE("its start has no answer")
+    {
+        world.answerStart(start, order_status::Unknown);
+        SUBCASE("the first list of the later life shows it")
+        {
+            world.answerHold("e1", {scheduler_fixture::running(start)}, {}, order_status::Ok, secondBorn);
+            CHECK(world.take<start_run>().empty());
+            CHECK(world.take<stop_run>().empty());
+        }
+        SUBCASE("the list doesn't: the order may still be carried out, so it is stopped first")
+        {
+            world.answerHold("e1", {}, {}, order_status::Ok, secondBorn);
+            CHECK(world.take<start_run>().empty());
+            world.now += 10;
+            world.answerHold("e1", {}, {}, order_status::Ok, secondBorn);
+            CHECK(world.take<start_run>().empty());
+            CHECK(world.take<stop_run>().size() == 1);
+        }
+        SUBCASE("it is being stopped: a stop that the earlier life acknowledged doesn't count")
+        {
+            world.now += 10;
+            world.answerHold("e1", {}, {}, order_status::Ok, firstBorn);
+            REQUIRE(world.take<stop_run>().size() == 1);
+            world.brain.handle(stop_answered{start.task, start.run, "e1", order_status::Ok, {start.address, firstBorn}}, world.now);
+            world.advance(10);
+            world.answerHold("e1", {}, {}, order_status::Ok, secondBorn);
+            CHECK(world.take<start_run>().empty());
+            world.advance(100);
+            const std::vector<stop_run> stops = world.take<stop_run>();
+            REQUIRE(stops.size() == 1);
+            CHECK(stops[0].bornUnixMs == secondBorn);
+            world.brain.handle(stop_answered{start.task, start.run, "e1", order_status::Ok, {start.address, secondBorn}}, world.now);
+            world.advance(10);
+            world.answerHold("e1", {}, {}, order_status::Ok, secondBorn);
+            CHECK(world.take<start_run>().size() == 1);
+        }
+    }
+    SUBCASE("it had been confirmed by the earlier life: it is lost with that one")
+    {
+        world.brain.handle(start_answered{start.task, start.run, "e1", order_status::Ok, 10, firstBorn}, world.now);
+        world.answerHold("e1", {}, {}, order_status::Ok, secondBorn);
+        CHECK(world.take<start_run>().size() == 1);
+    }
+}
+
+// Leases on another clock may outlast the time after which their runs are taken as over.
+TEST_CASE("an executor's clock is read only from its present life")
+{
+    constexpr std::int64_t otherClock = 900'000;
+    one_run story;
+    scheduler_fixture &world = story.world;
+    const start_run &start = story.start;
+    world.brain.handle(executor_seen{secondLifeOf("e1", "10.0.0.2:80")}, world.now);
+    world.step_();
+    world.brain.handle(hold_answered{"e1", order_status::Ok, world.now, 5, secondBorn, {}, {}}, world.now);
+
+    SUBCASE("not from the earlier life")
+    {
+        world.brain.handle(start_answered{start.task, start.run, "e1", order_status::TooLate, otherClock, firstBorn}, world.now);
+    }
+    SUBCASE("not from another executor at the address")
+    {
+        world.brain.handle(start_answered{start.task, start.run, "e1", order_status::WrongExecutor, otherClock, std::nullopt, {start.address, firstBorn}},
+                           world.now);
+    }
+    CHECK(world.brain.executors().at("e1").clockAtTime(world.now) < otherClock);
+}
