Acknowledge ends once, and only to an executor that answers

What callers would see: a task that is done is started again after its executor has started again under the id that it had. Cause: every list that was asked for carried the highest number of the ends that had been read, also after a silence. Numbers begin anew with each life, so the next life forgot ends that nobody had read; their runs were missing from its list and taken as lost. Class: a number of a former life is used for a later one. Change: a number is sent until a list answers it and then no more, and an executor that is silent gets none; one that lists the ends again gets it again. Why it holds: a number is now sent only while the last list came from the life that it belongs to; what is left is a restart between that list and the next call. Tests: executor_lists_test.cpp; its checks after an answer and after a silence failed before.

--- a/src/sched/executor_record.h
+++ b/src/sched/executor_record.h
@@ -54,6 +54,8 @@
 
     std::int64_t processedEnds = 0;
     std::int64_t acknowledgedEnds = 0;
+    /** What the hold on its way acknowledges. */
+    std::int64_t acknowledging = 0;
     /** Jobs that must be stored before processedEnds may be acknowledged. */
     std::set<std::string> unstoredJobs;
 
--- a/src/sched/scheduler_executors.cpp
+++ b/src/sched/scheduler_executors.cpp
@@ -190,6 +190,7 @@
     executor.confirmed = false;
     executor.processedEnds = 0;
     executor.acknowledgedEnds = 0;
+    executor.acknowledging = 0;
     executor.unstoredJobs.clear();
     executor.foreign = {};
     const std::set<task_id> runs = executor.runs;
--- a/src/sched/scheduler_holds.cpp
+++ b/src/sched/scheduler_holds.cpp
@@ -77,10 +77,11 @@
     order.executor = executor.entry.id;
     order.address = executor.entry.address;
     order.bornUnixMs = executor.entry.bornUnixMs;
-    if (executor.unstoredJobs.empty()) {
-        executor.acknowledgedEnds = executor.processedEnds;
-    }
-    order.acknowledged = executor.acknowledgedEnds;
+    // The numbers of ends begin anew with each life, and a number of an earlier one would make the next forget ends that nobody has
+    // read. So each is sent only until it has been answered, and not to an executor that may have started again.
+    const bool acknowledges = executor.answers() && executor.unstoredJobs.empty() && executor.processedEnds > executor.acknowledgedEnds;
+    executor.acknowledging = acknowledges ? executor.processedEnds : 0;
+    order.acknowledged = executor.acknowledging;
     const bool grants = executor.answers() && !executor.runs.empty();
     if (grants) {
         order.leaseEndMs = executor.clockAtTime(now) + m_bounds.maxLeaseMs;
@@ -127,6 +128,7 @@
     }
     adoptLife(executor, what.bornUnixMs.value_or(0), now);
     markAnswering(executor, now);
+    executor.acknowledgedEnds = std::max(executor.acknowledgedEnds, executor.acknowledging);
     executor.listedAt = now;
     if (executor.reservedInDoubtSince != 0 && what.sentAt > executor.reservedInDoubtSince) {
         // The order for its VM had been carried out before it came.
--- a/tests/sched/executor_lists_test.cpp
+++ b/tests/sched/executor_lists_test.cpp
@@ -58,3 +58,36 @@
         CHECK(first.phaseOf("j1") == "completed");
     }
 }
+
+// Numbers of ends begin anew with each life, so a former life's number would make a later one forget ends that nobody has read.
+TEST_CASE("ends are acknowledged once, and only to an executor that answers")
+{
+    scheduler_fixture world;
+    world.addExecutor("e1");
+    world.brain.handle(job_submitted{world.job("j1", {world.step(1)})}, world.now);
+    world.step_();
+    const std::vector<start_run> starts = world.take<start_run>();
+    REQUIRE(starts.size() == 1);
+    world.answerStart(starts[0]);
+    world.take<hold_executor>();
+    world.answerHold("e1", {}, {scheduler_fixture::ended(starts[0], 1, run_end::Done)});
+    CHECK(acknowledgedBy(world.take<hold_executor>()) == 1);
+
+    SUBCASE("it answers: the next one acknowledges nothing")
+    {
+        world.answerHold("e1");
+        world.advance(3'000);
+        CHECK(acknowledgedBy(world.take<hold_executor>()) == 0);
+    }
+    SUBCASE("it falls silent")
+    {
+        world.answerHold("e1", {}, {}, order_status::Unknown);
+        world.advance(500);
+        CHECK(acknowledgedBy(world.take<hold_executor>()) == 0);
+        SUBCASE("it answers and still lists the end: it is acknowledged again")
+        {
+            world.answerHold("e1", {}, {scheduler_fixture::ended(starts[0], 1, run_end::Done)});
+            CHECK(acknowledgedBy(world.take<hold_executor>()) == 1);
+        }
+    }
+}
