Ignore rows of the registry that are older than what is known

What callers would see: orders sent to executors that are gone, new runs on executors that drain, and orders sent to an address where another executor answers, which ends the belief in a living one and starts its runs again elsewhere. Cause: the registry is read whole beside its feed when a VM names an unknown executor, and again when the store's history is gone, so an older row can be applied after a newer one. The entry of an earlier life replaced the address and state of a later one that a list had told of first. Class: older evidence replaces newer. Change: rows carry the store's version, and those older than the last one applied for the executor are ignored, also after its deletion. So is an entry with an earlier birth than is known. Why it holds: the store takes versions from one counter that rises with each change.

--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -76,17 +76,17 @@
 {
     const sched::time_ms now = steadyMillis();
     if (row.deleted) {
-        m_scheduler.handle(sched::executor_gone{row.key.key}, now);
+        m_scheduler.handle(sched::executor_gone{row.key.key, row.version}, now);
         return;
     }
     failure reason;
     const std::optional<sched::executor_entry> entry = readExecutor(row.key.key, row.value, reason);
     if (!entry) {
         m_services.metrics.findCounter("daisypass_executor_entries_unreadable_total").add();
-        m_scheduler.handle(sched::executor_gone{row.key.key}, now);
+        m_scheduler.handle(sched::executor_gone{row.key.key, row.version}, now);
         return;
     }
-    m_scheduler.handle(sched::executor_seen{*entry}, now);
+    m_scheduler.handle(sched::executor_seen{*entry, row.version}, now);
 }
 
 void dispatcher::onNodeRow(const store_row &row)
--- a/src/sched/events.h
+++ b/src/sched/events.h
@@ -94,11 +94,14 @@
 struct executor_seen
 {
     executor_entry entry;
+    /** Version of the registry's row; versions rise with each change. */
+    std::int64_t version = 0;
 };
 
 struct executor_gone
 {
     std::string executor;
+    std::int64_t version = 0;
 };
 
 struct vms_listed
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -126,6 +126,7 @@
     void on(const stop_answered &what, time_ms now);
     void on(const advice_answered &what, time_ms now);
     executor_record &executorFor(const std::string &id, time_ms now);
+    bool isOutdated(const std::string &executor, std::int64_t version);
     void settleSuccession(const std::string &vm, time_ms now);
     void giveUpReplaced(const vm_entry &before, const vm_entry &after, time_ms now);
     void unlist(executor_record &executor);
@@ -211,6 +212,8 @@
     /** Listed executors by pool; made anew when stale. */
     std::map<std::string, std::vector<executor_record *>> m_poolExecutors;
     bool m_executorIndexStale = true;
+    /** Version of the registry's row that was last applied, also of executors that are gone. */
+    std::map<std::string, std::int64_t> m_entryVersions;
     /** Executors whose next hold may be due. */
     std::set<std::string> m_holdDue;
     /** Executors with ends that aren't acknowledged for want of a stored row. */
--- a/src/sched/scheduler_executors.cpp
+++ b/src/sched/scheduler_executors.cpp
@@ -57,7 +57,14 @@
 
 void scheduler::on(const executor_seen &what, time_ms now)
 {
+    if (isOutdated(what.entry.id, what.version)) {
+        return;
+    }
     executor_record &executor = executorFor(what.entry.id, now);
+    const bool earlierLife = what.entry.bornUnixMs != 0 && what.entry.bornUnixMs < executor.entry.bornUnixMs;
+    if (earlierLife) {
+        return;
+    }
     const bool fresh = !executor.listed && executor.entry.address.empty();
     const bool reborn = adoptLife(executor, what.entry.bornUnixMs, now);
     if (executor.dead) {
@@ -89,6 +96,15 @@
     }
 }
 
+// The registry is read whole beside its feed, so an older row may come after a newer one.
+bool scheduler::isOutdated(const std::string &executor, std::int64_t version)
+{
+    std::int64_t &latest = m_entryVersions[executor];
+    const bool outdated = version != 0 && version < latest;
+    latest = std::max(latest, version);
+    return outdated;
+}
+
 // A VM has one executor at a time, so of those whose births are known only the latest can be alive. Without a birth nothing says
 // which of two came first.
 void scheduler::settleSuccession(const std::string &vm, time_ms now)
@@ -119,7 +135,7 @@
 void scheduler::on(const executor_gone &what, time_ms now)
 {
     const auto found = m_executors.find(what.executor);
-    if (found == m_executors.end()) {
+    if (isOutdated(what.executor, what.version) || found == m_executors.end()) {
         return;
     }
     executor_record &executor = found->second;
