--- a/src/node/dispatcher_orders.cpp
+++ b/src/node/dispatcher_orders.cpp
@@ -23,23 +23,26 @@
 void dispatcher::carryOut(const sched::start_run &order)
 {
     start_order call{order.task, order.run, order.payload, order.leaseEndMs, m_term.term, order.checkpoint, order.ticket};
-    m_executors.start(
-        {order.executor, order.address}, call, [weak = weak_from_this(), task = order.task, run = order.run, executor = order.executor](order_result result) {
-            if (const std::shared_ptr<dispatcher> self = weak.lock()) {
-                self->feed(sched::start_answered{task, run, executor, result.status, result.clockMs});
-            }
-        });
+    const sched::order_target sentTo{order.address, order.bornUnixMs};
+    m_executors.start({order.executor, order.address},
+                      call,
+                      [weak = weak_from_this(), task = order.task, run = order.run, executor = order.executor, sentTo](const order_result &result) {
+                          if (const std::shared_ptr<dispatcher> self = weak.lock()) {
+                              self->feed(sched::start_answered{task, run, executor, result.status, result.clockMs, result.bornUnixMs, sentTo});
+                          }
+                      });
 }
 
 void dispatcher::carryOut(const sched::stop_run &order)
 {
+    const sched::order_target sentTo{order.address, order.bornUnixMs};
     m_executors.stop({order.executor, order.address},
                      order.task,
                      order.run,
                      m_term.term,
-                     [weak = weak_from_this(), task = order.task, run = order.run, executor = order.executor](order_result result) {
+                     [weak = weak_from_this(), task = order.task, run = order.run, executor = order.executor, sentTo](const order_result &result) {
                          if (const std::shared_ptr<dispatcher> self = weak.lock()) {
-                             self->feed(sched::stop_answered{task, run, executor, result.status});
+                             self->feed(sched::stop_answered{task, run, executor, result.status, sentTo});
                          }
                      });
 }
@@ -54,12 +57,16 @@
 void dispatcher::carryOut(const sched::hold_executor &order)
 {
     const hold_order call{m_term.term, order.acknowledged, order.leaseEndMs, std::chrono::milliseconds(order.waitMs)};
-    m_executors.hold({order.executor, order.address}, call, [weak = weak_from_this(), executor = order.executor, sentAt = steadyMillis()](hold_result result) {
-        if (const std::shared_ptr<dispatcher> self = weak.lock()) {
-            self->feed(
-                sched::hold_answered{executor, result.status, sentAt, result.clockMs, result.bornUnixMs, std::move(result.runs), std::move(result.ends)});
-        }
-    });
+    const sched::order_target sentTo{order.address, order.bornUnixMs};
+    m_executors.hold(
+        {order.executor, order.address}, call, [weak = weak_from_this(), executor = order.executor, sentAt = steadyMillis(), sentTo](hold_result result) {
+            if (const std::shared_ptr<dispatcher> self = weak.lock()) {
+                sched::hold_answered answer{executor, result.status, sentAt, result.clockMs, result.bornUnixMs, {}, {}, result.moreEnds, sentTo};
+                answer.runs = std::move(result.runs);
+                answer.ends = std::move(result.ends);
+                self->feed(answer);
+            }
+        });
 }
 
 void dispatcher::carryOut(const sched::ask_advice &order)
@@ -81,7 +88,7 @@
     const std::weak_ptr<dispatcher> weak = weak_from_this();
     const std::function<void(fleet_status)> done = [weak, order](fleet_status status) {
         if (const std::shared_ptr<dispatcher> self = weak.lock()) {
-            self->feed(sched::move_answered{order.vm, order.pool, status});
+            self->feed(sched::move_answered{order.vm, order.pool, status, order.occupant});
         }
     };
     if (!renewalIsFresh()) {
@@ -98,7 +105,7 @@
     const std::weak_ptr<dispatcher> weak = weak_from_this();
     const std::function<void(fleet_status)> done = [weak, order](fleet_status status) {
         if (const std::shared_ptr<dispatcher> self = weak.lock()) {
-            self->feed(sched::upkeep_answered{order.vm, order.wave, status});
+            self->feed(sched::upkeep_answered{order.vm, order.wave, status, order.occupant});
         }
     };
     if (!renewalIsFresh()) {
--- a/src/sched/events.h
+++ b/src/sched/events.h
@@ -60,6 +60,20 @@
 std::string_view nameOf(fleet_status status);
 std::string_view nameOf(run_end how);
 
+/** One life of an executor; its birth is 0 if the registry hasn't told it. */
+struct executor_life
+{
+    std::string executor;
+    std::int64_t bornUnixMs = 0;
+};
+
+/** Where an order was sent, and to which life as far as it was known; empty if the answer's owner doesn't say. */
+struct order_target
+{
+    std::string address;
+    std::int64_t bornUnixMs = 0;
+};
+
 // Events.
 
 struct configuration_changed
@@ -80,11 +94,14 @@
 struct executor_seen
 {
     executor_entry entry;
+    /** Version of the registry's row; versions rise with each change. */
+    std::int64_t version = 0;
 };
 
 struct executor_gone
 {
     std::string executor;
+    std::int64_t version = 0;
 };
 
 struct vms_listed
@@ -110,7 +127,10 @@
     int run = 0;
     std::string executor;
     order_status status = order_status::Unknown;
+    /** Of the executor that answered. */
     std::optional<std::int64_t> clockMs;
+    std::optional<std::int64_t> bornUnixMs{};
+    order_target sentTo{};
 };
 
 struct stop_answered
@@ -119,6 +139,7 @@
     int run = 0;
     std::string executor;
     order_status status = order_status::Unknown;
+    order_target sentTo{};
 };
 
 struct hold_answered
@@ -131,6 +152,9 @@
     std::optional<std::int64_t> bornUnixMs;
     std::vector<listed_run> runs;
     std::vector<listed_end> ends;
+    /** More ends may be waiting until these are acknowledged. */
+    bool moreEnds = false;
+    order_target sentTo{};
 };
 
 struct advice_answered
@@ -149,6 +173,8 @@
     std::string vm;
     std::string pool;
     fleet_status status = fleet_status::Unknown;
+    /** The VM's executor when the move was ordered. */
+    executor_life occupant{};
 };
 
 struct upkeep_answered
@@ -156,6 +182,8 @@
     std::string vm;
     std::int64_t wave = 0;
     fleet_status status = fleet_status::Unknown;
+    /** The VM's executor when the upkeep was ordered. */
+    executor_life occupant{};
 };
 
 struct tick
@@ -192,6 +220,8 @@
     std::string ticket;
     /** On the executor's clock. */
     std::int64_t leaseEndMs = 0;
+    /** The executor's birth as far as it is known. */
+    std::int64_t bornUnixMs = 0;
 };
 
 struct stop_run
@@ -200,6 +230,7 @@
     int run = 0;
     std::string executor;
     std::string address;
+    std::int64_t bornUnixMs = 0;
 };
 
 struct pace_run
@@ -219,6 +250,7 @@
     /** On the executor's clock; without it the lease is not extended. */
     std::optional<std::int64_t> leaseEndMs;
     std::int64_t waitMs = 0;
+    std::int64_t bornUnixMs = 0;
 };
 
 struct ask_advice
@@ -233,12 +265,14 @@
 {
     std::string vm;
     std::string pool;
+    executor_life occupant{};
 };
 
 struct upkeep_vm
 {
     std::string vm;
     std::int64_t wave = 0;
+    executor_life occupant{};
 };
 
 /** Tell the operator about a wave. */
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -126,7 +126,9 @@
     void on(const stop_answered &what, time_ms now);
     void on(const advice_answered &what, time_ms now);
     executor_record &executorFor(const std::string &id, time_ms now);
+    bool isOutdated(const std::string &executor, std::int64_t version);
     void settleSuccession(const std::string &vm, time_ms now);
+    /** Gives up the executor that was on the VM if the later list shows that it is over. */
     void giveUpReplaced(const vm_entry &before, const vm_entry &after, time_ms now);
     void unlist(executor_record &executor);
     void markSilent(executor_record &executor, time_ms now, std::string_view cause);
@@ -136,6 +138,10 @@
     /** The executor has started again under its id. */
     void beginNextLife(executor_record &executor, std::int64_t born, time_ms now);
     void forgetLists(executor_record &executor);
+    /** Another executor answered an order. */
+    void onWrongExecutor(executor_record &executor, const order_target &sentTo, time_ms now);
+    /** Notes the birth of the life that speaks; true if it is a later one than was known, which ends the earlier one. */
+    bool adoptLife(executor_record &executor, std::int64_t born, time_ms now);
     void indexExecutors();
     void sendHolds(time_ms now);
     void sweepHolds();
@@ -179,6 +185,10 @@
     fleet_view viewOfFleet(time_ms now) const;
     void carryOut(const fleet_decision &decision, time_ms now);
     void sendFleetOrders();
+    executor_life occupantOf(const vm_entry &vm) const;
+    /** The order for the occupant's VM is settled; the executor is over unless it answers later. */
+    void awaitAnswerOf(const executor_life &occupant, time_ms now);
+    void releaseOccupant(const executor_life &occupant, time_ms now);
     /** The availability budgets allow the system to end this run now. */
     bool isKnownAtWork(const task_record &task) const;
     bool mayInterrupt(job_record &job, const task_id &id) const;
@@ -204,6 +214,8 @@
     /** Listed executors by pool; made anew when stale. */
     std::map<std::string, std::vector<executor_record *>> m_poolExecutors;
     bool m_executorIndexStale = true;
+    /** Version of the registry's row that was last applied, also of executors that are gone. */
+    std::map<std::string, std::int64_t> m_entryVersions;
     /** Executors whose next hold may be due. */
     std::set<std::string> m_holdDue;
     /** Executors with ends that aren't acknowledged for want of a stored row. */
@@ -221,7 +233,7 @@
     /** A move whose outcome isn't known; it is ordered again, which changes nothing if it was carried out. */
     struct doubtful_move
     {
-        std::string pool;
+        move_vm order;
         time_ms orderedAt = 0;
     };
 
--- a/src/sched/scheduler_executors.cpp
+++ b/src/sched/scheduler_executors.cpp
@@ -57,12 +57,16 @@
 
 void scheduler::on(const executor_seen &what, time_ms now)
 {
+    if (isOutdated(what.entry.id, what.version)) {
+        return;
+    }
     executor_record &executor = executorFor(what.entry.id, now);
-    const bool fresh = !executor.listed && executor.entry.address.empty();
-    const bool reborn = what.entry.bornUnixMs != 0 && executor.entry.bornUnixMs != 0 && what.entry.bornUnixMs > executor.entry.bornUnixMs;
-    if (reborn) {
-        beginNextLife(executor, what.entry.bornUnixMs, now);
+    const bool earlierLife = what.entry.bornUnixMs != 0 && what.entry.bornUnixMs < executor.entry.bornUnixMs;
+    if (earlierLife) {
+        return;
     }
+    const bool fresh = !executor.listed && executor.entry.address.empty();
+    const bool reborn = adoptLife(executor, what.entry.bornUnixMs, now);
     if (executor.dead) {
         return;
     }
@@ -92,6 +96,15 @@
     }
 }
 
+// The registry is read whole beside its feed, so an older row may come after a newer one.
+bool scheduler::isOutdated(const std::string &executor, std::int64_t version)
+{
+    std::int64_t &latest = m_entryVersions[executor];
+    const bool outdated = version != 0 && version < latest;
+    latest = std::max(latest, version);
+    return outdated;
+}
+
 // A VM has one executor at a time, so of those whose births are known only the latest can be alive. Without a birth nothing says
 // which of two came first.
 void scheduler::settleSuccession(const std::string &vm, time_ms now)
@@ -122,7 +135,7 @@
 void scheduler::on(const executor_gone &what, time_ms now)
 {
     const auto found = m_executors.find(what.executor);
-    if (found == m_executors.end()) {
+    if (isOutdated(what.executor, what.version) || found == m_executors.end()) {
         return;
     }
     executor_record &executor = found->second;
@@ -158,8 +171,21 @@
     executor.silentSince = 0;
 }
 
-// A start that was answered or is on its way may have reached the next life, which lists it then. Only runs that the former life has
-// listed are surely over.
+bool scheduler::adoptLife(executor_record &executor, std::int64_t born, time_ms now)
+{
+    if (born <= executor.entry.bornUnixMs) {
+        return false;
+    }
+    const bool reborn = executor.entry.bornUnixMs != 0;
+    if (reborn) {
+        beginNextLife(executor, born, now);
+    }
+    executor.entry.bornUnixMs = born;
+    return reborn;
+}
+
+// A start that was answered or is on its way may have reached the next life; its list or a stop settles it. Only runs that the former
+// life has listed are surely over.
 void scheduler::beginNextLife(executor_record &executor, std::int64_t born, time_ms now)
 {
     note("executor_restarted",
@@ -168,8 +194,10 @@
           {"born", std::to_string(executor.entry.bornUnixMs)},
           {"next_born", std::to_string(born)},
           {"list_age_ms", ageText(executor.listedAt, now)}});
-    const std::int64_t formerBorn = std::exchange(executor.entry.bornUnixMs, born);
+    const std::int64_t formerBorn = executor.entry.bornUnixMs;
     executor.dead = false;
+    executor.lookSoon = true;
+    m_holdDue.insert(executor.entry.id);
     forgetLists(executor);
     const std::set<task_id> runs = executor.runs;
     for (const task_id &id : runs) {
@@ -177,7 +205,11 @@
         task_record &task = *job.find(id);
         if (task.listedBorn == formerBorn) {
             loseRun(job, id, task, now, "restarted");
-        } else if (task.phase == task_phase::Running || task.phase == task_phase::Ordered) {
+        } else if (task.phase == task_phase::Stopping) {
+            // The next life must refuse the start too.
+            task.stopSentAt = 0;
+            task.stopAckedAt = 0;
+        } else if (task.phase != task_phase::Placing) {
             task.phase = task_phase::Doubtful;
             task.confirmedAt = now;
         }
@@ -215,7 +247,7 @@
             continue;
         }
         if (task->phase == task_phase::Ordered) {
-            // The order may still arrive at the next incarnation; its answer or a stop settles it.
+            // The order may still arrive at a next life; its answer or a stop settles it.
             task->phase = task_phase::Doubtful;
             task->confirmedAt = now;
         } else {
@@ -224,6 +256,18 @@
     }
 }
 
+// Says that the life to which the order was sent is over, and nothing of a later one or of another address.
+void scheduler::onWrongExecutor(executor_record &executor, const order_target &sentTo, time_ms now)
+{
+    const bool laterLife = sentTo.bornUnixMs != 0 && executor.entry.bornUnixMs > sentTo.bornUnixMs;
+    if (laterLife || sentTo.address != executor.entry.address) {
+        executor.lookSoon = true;
+        m_holdDue.insert(executor.entry.id);
+        return;
+    }
+    markDead(executor, now, "another_executor_at_address", {{"address", sentTo.address}});
+}
+
 void scheduler::acknowledgeStored()
 {
     for (auto executor = m_unacknowledged.begin(); executor != m_unacknowledged.end();) {
--- a/src/sched/scheduler_holds.cpp
+++ b/src/sched/scheduler_holds.cpp
@@ -76,6 +76,7 @@
     hold_executor order;
     order.executor = executor.entry.id;
     order.address = executor.entry.address;
+    order.bornUnixMs = executor.entry.bornUnixMs;
     if (executor.unstoredJobs.empty()) {
         executor.acknowledgedEnds = executor.processedEnds;
     }
@@ -112,7 +113,7 @@
         m_actions.push_back(step_down{"hold on " + what.executor});
         return;
     case order_status::WrongExecutor:
-        markDead(executor, now, "another_executor_at_address");
+        onWrongExecutor(executor, what.sentTo, now);
         return;
     default:
         markSilent(executor, now, nameOf(what.status));
@@ -126,15 +127,14 @@
         executor.lookSoon = true;
         return;
     }
-    if (what.bornUnixMs && *what.bornUnixMs > executor.entry.bornUnixMs) {
-        if (executor.entry.bornUnixMs != 0) {
-            beginNextLife(executor, *what.bornUnixMs, now);
-        }
-        executor.entry.bornUnixMs = *what.bornUnixMs;
-    }
+    adoptLife(executor, what.bornUnixMs.value_or(0), now);
     markAnswering(executor, now);
     executor.listedAt = now;
     executor.endsListed = !what.ends.empty();
+    if (executor.reservedInDoubtSince != 0 && what.sentAt > executor.reservedInDoubtSince) {
+        // The order for its VM had been carried out before it came.
+        releaseOccupant({executor.entry.id, executor.entry.bornUnixMs}, now);
+    }
     if (what.clockMs) {
         executor.clockMs = *what.clockMs;
         executor.clockAt = now;
@@ -161,7 +161,7 @@
             if (found != m_jobs.end() && run.task.step >= 0 && run.task.step < static_cast<int>(found->second->spec.steps.size())) {
                 executor.foreign += found->second->spec.steps[static_cast<std::size_t>(run.task.step)].countedDemand();
             }
-            m_actions.push_back(stop_run{run.task, run.run, executor.entry.id, executor.entry.address});
+            m_actions.push_back(stop_run{run.task, run.run, executor.entry.id, executor.entry.address, executor.entry.bornUnixMs});
             continue;
         }
         listed.insert(run.task);
@@ -188,7 +188,9 @@
             requestStop(run.task, *task, now, nameOf(found->second->phase));
         }
     }
-    settleMissing(executor, what, listed, now);
+    if (!what.moreEnds) {
+        settleMissing(executor, what, listed, now);
+    }
     paceFillers(executor, what.runs, now);
 }
 
--- a/src/sched/scheduler_orders.cpp
+++ b/src/sched/scheduler_orders.cpp
@@ -27,9 +27,13 @@
         return;
     }
     executor_record &executor = place->second;
-    if (what.clockMs) {
-        executor.clockMs = *what.clockMs;
-        executor.clockAt = now;
+    if (what.status != order_status::WrongExecutor) {
+        adoptLife(executor, what.bornUnixMs.value_or(0), now);
+        const bool presentLife = what.bornUnixMs.value_or(executor.entry.bornUnixMs) == executor.entry.bornUnixMs;
+        if (what.clockMs && presentLife) {
+            executor.clockMs = *what.clockMs;
+            executor.clockAt = now;
+        }
     }
     const bool current = task != nullptr && task->run == what.run && task->executor == what.executor
         && (task->phase == task_phase::Ordered || task->phase == task_phase::Doubtful || task->phase == task_phase::Stopping);
@@ -44,6 +48,7 @@
         task->confirmedAt = now;
         task->progressAt = now;
         task->percent = 0;
+        task->listedBorn = what.bornUnixMs.value_or(0);
         if (task->phase != task_phase::Stopping) {
             task->phase = task_phase::Running;
         }
@@ -82,7 +87,7 @@
         break;
     case order_status::WrongExecutor:
         loseRun(job, what.task, *task, now, nameOf(what.status));
-        markDead(executor, now, "another_executor_at_address");
+        onWrongExecutor(executor, what.sentTo, now);
         return;
     default:
         task->notBefore = now + rejectedPauseMs;
@@ -95,7 +100,7 @@
 {
     const auto place = m_executors.find(what.executor);
     if (place != m_executors.end() && what.status == order_status::WrongExecutor) {
-        markDead(place->second, now, "another_executor_at_address");
+        onWrongExecutor(place->second, what.sentTo, now);
         return;
     }
     if (what.status == order_status::Fenced) {
--- a/tests/sched/executor_succession_test.cpp
+++ b/tests/sched/executor_succession_test.cpp
@@ -139,7 +139,7 @@
 
     SUBCASE("the order is refused: the executor gets runs")
     {
-        world.brain.handle(upkeep_answered{"vm-1", 1, fleet_status::NotInWave}, world.now);
+        world.brain.handle(upkeep_answered{"vm-1", 1, fleet_status::NotInWave, ordered[0].occupant}, world.now);
         world.advance(200);
         CHECK(world.take<start_run>().size() == 1);
     }
--- a/tests/sched/takeover_model.cpp
+++ b/tests/sched/takeover_model.cpp
@@ -163,12 +163,13 @@
     std::map<std::string, leased_executor> m_executors;
     std::set<std::string> m_silent;
     int m_overfull = 0;
-    std::map<std::string, executor_entry> m_registry;
     struct registry_change
     {
         std::string id;
         std::optional<executor_entry> entry;
+        std::int64_t version = 0;
     };
+    std::map<std::string, registry_change> m_registry;
     std::vector<registry_change> m_changes;
     std::map<std::string, job_spec> m_jobs;
     std::map<std::string, time_ms> m_taskMs;
@@ -279,19 +280,18 @@
 
 void takeover_world::putEntry(const std::string &id)
 {
-    const executor_entry entry = m_executors.at(id).entry();
-    m_registry[id] = entry;
-    m_changes.push_back({id, entry});
+    m_changes.push_back({id, m_executors.at(id).entry(), static_cast<std::int64_t>(m_changes.size()) + 1});
+    m_registry[id] = m_changes.back();
 }
 
 void takeover_world::removeEntry(const std::string &id, std::int64_t born)
 {
     const auto entry = m_registry.find(id);
-    if (entry == m_registry.end() || entry->second.bornUnixMs != born) {
+    if (entry == m_registry.end() || entry->second.entry->bornUnixMs != born) {
         return;
     }
     m_registry.erase(entry);
-    m_changes.push_back({id, std::nullopt});
+    m_changes.push_back({id, std::nullopt, static_cast<std::int64_t>(m_changes.size()) + 1});
 }
 
 void takeover_world::beginLife(const std::string &vm, const std::string &id)
@@ -403,11 +403,11 @@
         owner->brain.restore(job.second, row == m_rows.end() ? std::string() : row->second, m_now);
     }
     owner->recovered = true;
-    const std::map<std::string, executor_entry> snapshot = m_registry;
+    const std::map<std::string, registry_change> snapshot = m_registry;
     owner->nextChange = m_changes.size();
     at(m_now + storeMs(), [this, owner, snapshot] {
-        for (const std::pair<const std::string, executor_entry> &entry : snapshot) {
-            feed(owner, executor_seen{entry.second});
+        for (const std::pair<const std::string, registry_change> &row : snapshot) {
+            feed(owner, executor_seen{*row.second.entry, row.second.version});
         }
         owner->followsRegistry = true;
         followRegistry(owner);
@@ -426,9 +426,9 @@
         for (; owner->nextChange < known; ++owner->nextChange) {
             const registry_change &change = m_changes[owner->nextChange];
             if (change.entry) {
-                feed(owner, executor_seen{*change.entry});
+                feed(owner, executor_seen{*change.entry, change.version});
             } else {
-                feed(owner, executor_gone{change.id});
+                feed(owner, executor_gone{change.id, change.version});
             }
         }
         followRegistry(owner);
@@ -568,6 +568,7 @@
         answer.run = order.run;
         answer.executor = order.executor;
         answer.status = status;
+        answer.sentTo = {order.address, order.bornUnixMs};
         feed(owner, answer);
     });
 }
@@ -587,6 +588,7 @@
         answer.run = order.run;
         answer.executor = order.executor;
         answer.status = status;
+        answer.sentTo = {order.address, order.bornUnixMs};
         feed(owner, answer);
     });
 }
@@ -620,6 +622,7 @@
     hold_answered answer;
     answer.executor = order.executor;
     answer.sentAt = sentAt;
+    answer.sentTo = {order.address, order.bornUnixMs};
     answer.status = order_status::Ok;
     const std::variant<leased_executor *, order_status> target = reach(order.executor, order.address);
     if (const order_status *failed = std::get_if<order_status>(&target)) {
@@ -708,6 +711,7 @@
         answer.vm = order.vm;
         answer.pool = order.pool;
         answer.status = status;
+        answer.occupant = order.occupant;
         feed(owner, answer);
     });
 }
@@ -722,6 +726,7 @@
         answer.vm = order.vm;
         answer.wave = order.wave;
         answer.status = status;
+        answer.occupant = order.occupant;
         feed(owner, answer);
     });
 }
