--- /dev/null
+++ b/tests/sched/load_executors.cpp
@@ -0,0 +1,285 @@
+#include "load_executors.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <memory>
+#include <utility>
+
+namespace daisypass::sched {
+namespace {
+
+constexpr time_ms restoreMs = 100;
+constexpr time_ms forEverMs = 1'000'000'000;
+// After this time the scheduler learns that an executor is gone, or that an order got no answer.
+constexpr time_ms silenceMs = 1'000;
+
+} // namespace
+
+load_executors::load_executors(const load_settings &settings, const load_demand &demand, load_timeline &timeline, load_outcome &outcome, event_sink feed)
+    : m_settings(settings)
+    , m_demand(demand)
+    , m_timeline(timeline)
+    , m_outcome(outcome)
+    , m_feed(std::move(feed))
+{
+    int vm = 0;
+    const std::function<void(int, executor_fault)> spread = [&](int count, executor_fault kind) {
+        for (int i = 0; i < count; ++i) {
+            m_faults.emplace("vm" + std::to_string(vm++ * settings.vmsPerPool / 2), kind);
+        }
+    };
+    spread(settings.failingExecutors, executor_fault::FailsRuns);
+    spread(settings.stalledExecutors, executor_fault::StallsRuns);
+    spread(settings.silentExecutors, executor_fault::FallsSilent);
+}
+
+load_executors::executor_fault load_executors::faultOf(const std::string &vm) const
+{
+    const auto found = m_faults.find(vm);
+    return found == m_faults.end() ? executor_fault::None : found->second;
+}
+
+std::string load_executors::begin(const std::string &vm, const std::string &pool)
+{
+    modelled_executor executor;
+    executor.id = "e" + std::to_string(m_executors.size() + 1);
+    executor.pool = pool;
+    executor.capacity = m_settings.vmCapacity;
+    executor.fault = faultOf(vm);
+    executor_entry entry;
+    entry.id = executor.id;
+    entry.pool = pool;
+    entry.address = executor.id;
+    entry.capacity = executor.capacity;
+    entry.vm = vm;
+    entry.bornUnixMs = m_timeline.now() + 1;
+    entry.clockMs = m_timeline.now();
+    m_executors[executor.id] = std::move(executor);
+    m_feed(executor_seen{entry});
+    return entry.id;
+}
+
+void load_executors::end(const std::string &id)
+{
+    const auto found = m_executors.find(id);
+    if (found == m_executors.end()) {
+        return;
+    }
+    dropRuns(found->second);
+    found->second.gone = true;
+    if (found->second.waitingHold) {
+        std::exchange(found->second.waitingHold, nullptr)();
+    }
+    m_timeline.at(m_timeline.now() + silenceMs, [this, id] {
+        m_feed(executor_gone{id});
+    });
+}
+
+void load_executors::silence()
+{
+    for (std::pair<const std::string, modelled_executor> &executor : m_executors) {
+        if (executor.second.fault == executor_fault::FallsSilent) {
+            executor.second.silent = true;
+            dropRuns(executor.second);
+        }
+    }
+}
+
+void load_executors::dropRuns(modelled_executor &executor)
+{
+    for (const std::pair<const std::string, modelled_run> &run : executor.runs) {
+        --m_aliveRuns[run.first];
+    }
+    executor.runs.clear();
+}
+
+load_executors::modelled_executor *load_executors::findLive(const std::string &id)
+{
+    const auto found = m_executors.find(id);
+    return found == m_executors.end() || found->second.gone || found->second.silent ? nullptr : &found->second;
+}
+
+void load_executors::carryOut(const start_run &order)
+{
+    m_timeline.at(m_timeline.now() + loadNetworkMs, [this, order] {
+        const order_status status = start(order);
+        m_timeline.at(m_timeline.now() + loadNetworkMs, [this, order, status] {
+            m_feed(start_answered{order.task, order.run, order.executor, status, m_timeline.now()});
+        });
+    });
+}
+
+load_executors::modelled_run load_executors::runOf(const start_run &order) const
+{
+    modelled_run run;
+    run.task = order.task;
+    run.run = order.run;
+    run.startedAt = m_timeline.now();
+    const auto found = m_demand.jobs().find(order.task.job);
+    if (found == m_demand.jobs().end()) {
+        run.takesMs = forEverMs;
+        run.demand = longRunningDemand();
+        return run;
+    }
+    const modelled_job &job = found->second;
+    const step_spec &step = job.spec.steps[static_cast<std::size_t>(order.task.step)];
+    run.takesMs = job.taskMs.at(order.task.text());
+    run.fails = job.hopeless;
+    run.demand = step.demand;
+    run.saves = step.checkpointing;
+    if (!order.checkpoint.empty()) {
+        run.resumedMs = std::atoll(order.checkpoint.c_str());
+        run.takesMs = std::max<time_ms>(1, run.takesMs - run.resumedMs) + restoreMs;
+    }
+    return run;
+}
+
+order_status load_executors::start(const start_run &order)
+{
+    modelled_executor *executor = findLive(order.executor);
+    if (executor == nullptr) {
+        return order_status::Unreachable;
+    }
+    modelled_run run = runOf(order);
+    run.fails = run.fails || executor->fault == executor_fault::FailsRuns;
+    run.stalls = executor->fault == executor_fault::StallsRuns;
+    if (run.fails) {
+        run.takesMs /= 2;
+    }
+    const std::string task = order.task.text();
+    executor->runs[task] = run;
+    ++m_aliveRuns[task];
+    countBrokenPromises(*executor, task);
+    if (!run.stalls) {
+        m_timeline.at(m_timeline.now() + run.takesMs, [this, id = executor->id, task, number = run.run] {
+            finish(id, task, number, run_end::Done);
+        });
+    }
+    return order_status::Ok;
+}
+
+void load_executors::countBrokenPromises(const modelled_executor &executor, const std::string &task)
+{
+    if (m_aliveRuns[task] > 1) {
+        ++m_outcome.doubleRuns;
+    }
+    resources used;
+    for (const std::pair<const std::string, modelled_run> &run : executor.runs) {
+        used += run.second.demand;
+    }
+    if (!used.fitsIn(executor.capacity)) {
+        ++m_outcome.overfull;
+    }
+}
+
+void load_executors::finish(const std::string &id, const std::string &task, int number, run_end how)
+{
+    const auto found = m_executors.find(id);
+    if (found == m_executors.end()) {
+        return;
+    }
+    modelled_executor &executor = found->second;
+    const auto run = executor.runs.find(task);
+    if (run == executor.runs.end() || run->second.run != number) {
+        return;
+    }
+    if (how == run_end::Done && run->second.fails) {
+        how = run_end::Failed;
+    }
+    listed_end end;
+    end.number = ++executor.lastEnd;
+    end.task = run->second.task;
+    end.run = number;
+    end.how = how;
+    if (run->second.saves && how == run_end::Stopped) {
+        end.checkpoint = std::to_string(run->second.resumedMs + m_timeline.now() - run->second.startedAt);
+    }
+    executor.ends.push_back(end);
+    executor.runs.erase(run);
+    --m_aliveRuns[task];
+    if (executor.waitingHold) {
+        std::exchange(executor.waitingHold, nullptr)();
+    }
+}
+
+void load_executors::carryOut(const stop_run &order)
+{
+    m_timeline.at(m_timeline.now() + loadNetworkMs, [this, order] {
+        finish(order.executor, order.task.text(), order.run, run_end::Stopped);
+        m_timeline.at(m_timeline.now() + loadNetworkMs, [this, order] {
+            m_feed(stop_answered{order.task, order.run, order.executor, order_status::Ok});
+        });
+    });
+}
+
+void load_executors::carryOut(const hold_executor &order)
+{
+    m_timeline.at(m_timeline.now() + loadNetworkMs, [this, order, sentAt = m_timeline.now()] {
+        hold(order, sentAt);
+    });
+}
+
+void load_executors::hold(const hold_executor &order, time_ms sentAt)
+{
+    modelled_executor *executor = findLive(order.executor);
+    if (executor == nullptr) {
+        loseHold(order.executor, sentAt);
+        return;
+    }
+    std::erase_if(executor->ends, [&](const listed_end &end) {
+        return end.number <= order.acknowledged;
+    });
+    if (!executor->ends.empty() || order.waitMs == 0) {
+        answerHold(order.executor, sentAt);
+        return;
+    }
+    const std::shared_ptr<bool> answered = std::make_shared<bool>(false);
+    executor->waitingHold = [this, id = order.executor, sentAt, answered] {
+        *answered = true;
+        answerHold(id, sentAt);
+    };
+    m_timeline.at(m_timeline.now() + order.waitMs, [this, id = order.executor, sentAt, answered] {
+        if (!*answered) {
+            *answered = true;
+            m_executors.at(id).waitingHold = nullptr;
+            answerHold(id, sentAt);
+        }
+    });
+}
+
+void load_executors::answerHold(const std::string &id, time_ms sentAt)
+{
+    const modelled_executor *executor = findLive(id);
+    if (executor == nullptr) {
+        loseHold(id, sentAt);
+        return;
+    }
+    hold_answered answer{id, order_status::Ok, sentAt, m_timeline.now(), {}, {}, executor->ends};
+    for (const std::pair<const std::string, modelled_run> &run : executor->runs) {
+        answer.runs.push_back(listRun(run.second));
+    }
+    m_timeline.at(m_timeline.now() + loadNetworkMs, [this, answer = std::move(answer)] {
+        m_feed(answer);
+    });
+}
+
+void load_executors::loseHold(const std::string &id, time_ms sentAt)
+{
+    m_timeline.at(m_timeline.now() + silenceMs, [this, id, sentAt] {
+        m_feed(hold_answered{id, order_status::Unknown, sentAt, {}, {}, {}, {}});
+    });
+}
+
+listed_run load_executors::listRun(const modelled_run &run) const
+{
+    listed_run listed;
+    listed.task = run.task;
+    listed.run = run.run;
+    const time_ms workedMs = run.stalls ? 0 : m_timeline.now() - run.startedAt;
+    const time_ms allMs = run.resumedMs + run.takesMs;
+    const time_ms percent = 100 * (run.resumedMs + workedMs) / std::max<time_ms>(1, allMs);
+    listed.percent = run.takesMs == forEverMs ? 100 : static_cast<int>(std::min<time_ms>(99, percent));
+    return listed;
+}
+
+} // namespace daisypass::sched
--- a/tests/sched/load_model.h
+++ b/tests/sched/load_model.h
@@ -7,82 +7,13 @@
 //
 // The same seed gives the same day. Network and store take fixed times; tasks take their drawn work.
 
-#include "sched/scheduler.h"
+#include "load_outcome.h"
+#include "load_settings.h"
 
-#include <cstdint>
-#include <functional>
-#include <map>
-#include <queue>
-#include <random>
-#include <string>
-#include <vector>
+#include <memory>
 
 namespace daisypass::sched {
 
-struct load_queue
-{
-    std::string pool;
-    double jobsPerSecond = 8;
-    double stepsMean = 1.6;
-    double tasksMean = 6;
-    double taskCpuMean = 1'800;
-    double taskMsMean = 680;
-    int priority = 0;
-    int maxAttempts = 4;
-    /** Share of jobs of which every run fails. */
-    double hopelessShare = 0;
-    /** Worth of a job of average work. */
-    double worth = 1;
-    /** Share of jobs whose tasks save their progress. */
-    double checkpointingShare = 0;
-    /** Spread of the durations of a step's tasks, and of the estimate. */
-    double taskSpread = 0.15;
-    double estimateSpread = 0.2;
-    /** Tasks of each of the queue's two long-running jobs, at most one on an executor; 0 for no such jobs. */
-    int longRunningTasks = 0;
-    double taskMsMost = 20'000;
-};
-
-struct load_settings
-{
-    std::uint64_t seed = 1;
-    std::vector<load_queue> queues;
-    /** VMs of each queue's pool at the start. */
-    int vmsPerPool = 10;
-    int spareVms = 8;
-    resources vmCapacity{32'000, 65'536, 0};
-    time_ms lengthMs = 34'000;
-    /** Each queue in turn asks this many times its mean for this long, and a twentieth in between. */
-    double turnFactor = 4.0;
-    time_ms turnMs = 8'000;
-    /** Executors that fail every run, and executors on which tasks stand still. */
-    int failingExecutors = 0;
-    int stalledExecutors = 0;
-    /** Executors that fall silent for good at the middle of the day. */
-    int silentExecutors = 0;
-};
-
-struct load_outcome
-{
-    int jobs = 0;
-    int inObjective = 0;
-    int late = 0;
-    int failed = 0;
-    int unfinished = 0;
-    /** Of the tenth of jobs with the most work. */
-    int largest = 0;
-    int largestInObjective = 0;
-    /** Worth earned of the worth owed: over the day, and over the two worst windows of 2 s. */
-    double earnedShare = 0;
-    double worstWindowsShare = 0;
-    int moves = 0;
-    double vmSecondsInPools = 0;
-    /** Broken promises seen by the executors: two runs of a task at once, or more than a capacity. */
-    int doubleRuns = 0;
-    int overfull = 0;
-    scheduler_counts counts;
-};
-
 class load_model
 {
 public:
@@ -97,7 +28,4 @@
     std::unique_ptr<implementation> m_implementation;
 };
 
-/** The shape of the brief's first user: four queues of short and longer work over five pools. */
-load_settings shopDay(std::uint64_t seed);
-
 } // namespace daisypass::sched
--- /dev/null
+++ b/tests/sched/load_settings.cpp
@@ -0,0 +1,17 @@
+#include "load_settings.h"
+
+namespace daisypass::sched {
+
+load_settings shopDay(std::uint64_t seed)
+{
+    load_settings settings;
+    settings.seed = seed;
+    load_queue booking{"booking", 7.65, 1.6, 6, 1'800, 680, 0, 4, 0.01, 0.491, 0, 0.15, 0.2, 5, 7'200};
+    load_queue profiles{"profiles", 0.933, 2, 8, 3'800, 1'800, 1, 2, 0.03, 4.54, 0.8, 0.3, 0.5, 5, 19'000};
+    load_queue counter{"counter", 9.56, 1.6, 6, 1'800, 680, 0, 4, 0.01, 0.491, 0, 0.15, 0.2, 5, 7'200};
+    load_queue grinder{"grinder", 1.14, 2, 8, 3'800, 1'800, 1, 2, 0.03, 4.54, 0.8, 0.3, 0.5, 5, 19'000};
+    settings.queues = {booking, profiles, counter, grinder};
+    return settings;
+}
+
+} // namespace daisypass::sched
