Split the HTTP client along its jobs

src/http/http_client.cpp had 562 lines and did three jobs: the public client, the worker that drives libcurl by the readiness of its sockets, and one call as libcurl carries it out. The latter two are http_client_worker and http_transfer now. The code moved as it was, except that the set-up of a request, the result of a call and its count of bytes became functions of the transfer.

--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -1,6 +1,6 @@
 #pragma once
 
-// HTTP/1.1 client on libcurl, kept behind one source file.
+// HTTP/1.1 client on libcurl, whose types stay within src/http.
 //
 //     http_client client(options);
 //     client.send(call, [](http_result result) { ... });      // runs on a client thread
--- /dev/null
+++ b/src/http/http_client_worker.h
@@ -0,0 +1,83 @@
+#pragma once
+
+// One of the HTTP client's workers: it drives a libcurl multi handle by the readiness of its sockets, so that a call costs the
+// same however many others are waiting.
+
+#include "http/http_client.h"
+#include "http/http_transfer.h"
+
+#include <asio.hpp>
+#include <curl/curl.h>
+
+#include <atomic>
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <mutex>
+#include <unordered_map>
+#include <vector>
+
+namespace daisypass {
+
+/** Everything but `add` and `bytes` runs on one strand; connections are reused by the worker's own transfers only. */
+class http_client_worker : public std::enable_shared_from_this<http_client_worker>
+{
+public:
+    http_client_worker(const http_client_options &options, asio::io_context &context);
+    ~http_client_worker();
+    http_client_worker(const http_client_worker &) = delete;
+    http_client_worker &operator=(const http_client_worker &) = delete;
+
+    void add(std::unique_ptr<http_transfer> item);
+    /** Ends all transfers as timed out. Only when nothing runs on the context any more. */
+    void abandonAll();
+    std::uint64_t bytes() const;
+
+private:
+    /** A socket of libcurl's, watched while a transfer waits for it. */
+    struct watched_socket
+    {
+        explicit watched_socket(asio::io_context &context)
+            : descriptor(context)
+        {
+        }
+
+        asio::posix::stream_descriptor descriptor;
+        int wanted = CURL_POLL_NONE;
+        bool waitingToRead = false;
+        bool waitingToWrite = false;
+    };
+
+    static int onSocketInterest(CURL *, curl_socket_t socket, int wanted, void *user, void *);
+    static int onTimerInterest(CURLM *, long timeoutMs, void *user);
+    static curl_socket_t onSocketOpened(void *user, curlsocktype, curl_sockaddr *address);
+    static int onSocketClosed(void *user, curl_socket_t socket);
+    void watch(curl_socket_t socket, int wanted);
+    void waitFor(curl_socket_t socket, const std::shared_ptr<watched_socket> &watched);
+    void onReady(curl_socket_t socket, const std::shared_ptr<watched_socket> &watched, int event, const asio::error_code &error);
+    void forgetSocket(curl_socket_t socket);
+    void closeSocket(curl_socket_t socket);
+    void setTimer(long timeoutMs);
+    void startWaiting();
+    CURL *takeHandle();
+    void setUpHandle(CURL *handle, http_transfer &item);
+    void finishDone();
+    void complete(CURL *handle, CURLcode code);
+    void releaseHandle(CURL *handle);
+
+    http_client_options m_options;
+    asio::io_context &m_context;
+    asio::strand<asio::io_context::executor_type> m_strand;
+    asio::steady_timer m_timer;
+    CURLM *m_multi;
+    bool m_abandoning = false;
+    std::atomic<std::uint64_t> m_bytes{0};
+    std::mutex m_lock;
+    std::deque<std::unique_ptr<http_transfer>> m_waiting;
+    // Touched on the strand only.
+    std::unordered_map<CURL *, std::unique_ptr<http_transfer>> m_active;
+    std::unordered_map<curl_socket_t, std::shared_ptr<watched_socket>> m_sockets;
+    std::vector<CURL *> m_idleHandles;
+};
+
+} // namespace daisypass
