Name status codes and plain answers once

The status codes stood as constants of their own in nine sources, 412 and 504 under other names than the field's, and an answer without a body and one with JSON were made in three places. http/http_answers has them now.

--- /dev/null
+++ b/src/http/http_answers.h
@@ -0,0 +1,29 @@
+#pragma once
+
+// Status codes by their names, and the answers that carry little else.
+
+#include "http/http_server.h"
+
+#include <string>
+
+namespace daisypass {
+
+inline constexpr int statusOk = 200;
+inline constexpr int statusBadRequest = 400;
+inline constexpr int statusForbidden = 403;
+inline constexpr int statusNotFound = 404;
+inline constexpr int statusMethodNotAllowed = 405;
+inline constexpr int statusConflict = 409;
+inline constexpr int statusGone = 410;
+inline constexpr int statusPreconditionFailed = 412;
+inline constexpr int statusTooLarge = 413;
+inline constexpr int statusMisdirected = 421;
+inline constexpr int statusTooMany = 429;
+inline constexpr int statusUnavailable = 503;
+inline constexpr int statusGatewayTimeout = 504;
+
+http_response emptyAnswer(int status);
+/** `json` is the body's text. */
+http_response jsonTextAnswer(int status, std::string json);
+
+} // namespace daisypass
--- a/src/node/front_service.cpp
+++ b/src/node/front_service.cpp
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "http/http_answers.h"
 #include "node/tables.h"
 #include "platform/records.h"
 #include "sched/job_record.h"
@@ -25,29 +26,9 @@
 // After a failed call to the store this node passes requests on for this long, unless a call succeeds before.
 constexpr sched::time_ms suspicionMs = 1'000;
 
-constexpr int statusOk = 200;
-constexpr int statusBadRequest = 400;
-constexpr int statusNotFound = 404;
-constexpr int statusMethodNotAllowed = 405;
-constexpr int statusGone = 410;
-constexpr int statusTooLarge = 413;
-constexpr int statusUnavailable = 503;
-constexpr int statusOutcomeUnknown = 504;
-
-http_response answer(int status, std::string body = {})
-{
-    http_response response;
-    response.status = status;
-    if (!body.empty()) {
-        response.headers.push_back({"Content-Type", "application/json"});
-    }
-    response.body = std::move(body);
-    return response;
-}
-
 http_response refusal(int status, int retryAfterSeconds)
 {
-    http_response response = answer(status);
+    http_response response = emptyAnswer(status);
     response.headers.push_back({"Retry-After", std::to_string(retryAfterSeconds)});
     return response;
 }
@@ -130,7 +111,7 @@
 http_responder front_service::withForwarding(http_request request, http_responder respond)
 {
     return [this, request = std::move(request), respond = std::move(respond)](http_response response) {
-        const bool storeMissing = response.status == statusUnavailable || response.status == statusOutcomeUnknown;
+        const bool storeMissing = response.status == statusUnavailable || response.status == statusGatewayTimeout;
         if (!storeMissing) {
             respond(std::move(response));
             return;
@@ -140,7 +121,7 @@
             noteConfigurationOf(other);
             // What may have been written can't be refused any more.
             const bool refusedNow = other.status == 0 || other.status == statusUnavailable;
-            const bool outcomeUnknown = own.status == statusOutcomeUnknown;
+            const bool outcomeUnknown = own.status == statusGatewayTimeout;
             respond(refusedNow && outcomeUnknown ? own : (other.status == 0 ? own : other));
         });
     };
@@ -215,7 +196,7 @@
     const std::optional<queue_match> match = matchQueue(*view, findHeader(request.headers, "Host"), request.path);
     if (!match) {
         logChange("request_refused", {{"path", request.path}, {"reason", "no_such_queue"}, {"configuration_version", view->version}});
-        counted(answer(statusNotFound));
+        counted(emptyAnswer(statusNotFound));
         return;
     }
     if (match->rest.empty() && request.method == "GET") {
@@ -223,13 +204,13 @@
         return;
     }
     if (!isJobId(match->rest)) {
-        counted(answer(statusBadRequest));
+        counted(emptyAnswer(statusBadRequest));
         return;
     }
     if (request.method == "POST") {
         const bool tooLarge = view->maxBodyBytes > 0 && static_cast<std::int64_t>(request.body.size()) > view->maxBodyBytes;
         if (tooLarge) {
-            counted(answer(statusTooLarge));
+            counted(emptyAnswer(statusTooLarge));
             return;
         }
         submit(request, *match, mayForward, std::move(counted));
@@ -238,7 +219,7 @@
     } else if (request.method == "DELETE") {
         cancel(match->rest, writeDeadline(request, mayForward), std::move(counted));
     } else {
-        counted(answer(statusMethodNotAllowed));
+        counted(emptyAnswer(statusMethodNotAllowed));
     }
 }
 
@@ -248,7 +229,7 @@
     std::optional<sched::job_spec> job = readSubmission(request.body, reason);
     if (!job) {
         logChange("submission_malformed", {{"request", match.rest}, {"reason", describe(reason)}});
-        respond(answer(statusBadRequest));
+        respond(emptyAnswer(statusBadRequest));
         return;
     }
     job->id = match.rest;
@@ -262,7 +243,7 @@
         case submission_result::Stored:
             m_stored(key, row);
             logChange("job_accepted", {{"request", id}});
-            respond(answer(statusOk));
+            respond(emptyAnswer(statusOk));
             return;
         case submission_result::NotStored:
             logChange("job_refused", {{"request", id}, {"reason", "store_refused"}});
@@ -270,7 +251,7 @@
             return;
         case submission_result::Unknown:
             logChange("job_outcome_unknown", {{"request", id}});
-            respond(answer(statusOutcomeUnknown));
+            respond(emptyAnswer(statusGatewayTimeout));
             return;
         }
     });
@@ -286,7 +267,7 @@
         }
         const std::string phase = result.rows.empty() ? std::string() : sched::phaseIn(result.rows.front().value);
         if (!phase.empty()) {
-            respond(answer(statusOk, jobStateText(phase)));
+            respond(jsonTextAnswer(statusOk, jobStateText(phase)));
             return;
         }
         showStored(job, respond);
@@ -309,11 +290,11 @@
             cancelled = cancelled || row.key.key.ends_with(tables::cancelSuffix);
         }
         if (!known) {
-            respond(answer(statusGone));
+            respond(emptyAnswer(statusGone));
             return;
         }
         const sched::job_phase phase = cancelled ? sched::job_phase::Cancelled : sched::job_phase::Pending;
-        respond(answer(statusOk, jobStateText(sched::nameOf(phase))));
+        respond(jsonTextAnswer(statusOk, jobStateText(sched::nameOf(phase))));
     });
 }
 
@@ -326,17 +307,17 @@
             return;
         }
         if (result.rows.empty()) {
-            respond(answer(statusGone));
+            respond(emptyAnswer(statusGone));
             return;
         }
         m_writer->add(tables::cancelRow(job), "{}", deadline, [this, job, respond](submission_result written) {
             if (written != submission_result::Stored) {
-                respond(written == submission_result::Unknown ? answer(statusOutcomeUnknown) : refusal(statusUnavailable, 1));
+                respond(written == submission_result::Unknown ? emptyAnswer(statusGatewayTimeout) : refusal(statusUnavailable, 1));
                 return;
             }
             m_stored(tables::cancelRow(job), {});
             logChange("cancel_accepted", {{"request", job}});
-            respond(answer(statusOk));
+            respond(emptyAnswer(statusOk));
         });
     });
 }
@@ -362,7 +343,7 @@
                 return;
             }
         }
-        respond(answer(statusOk, waitingText(waiting)));
+        respond(jsonTextAnswer(statusOk, waitingText(waiting)));
     });
 }
 
--- a/src/node/node_peers.cpp
+++ b/src/node/node_peers.cpp
@@ -1,5 +1,6 @@
 #include "node/node_peers.h"
 
+#include "http/http_answers.h"
 #include "node/front_service.h"
 #include "node/tables.h"
 #include "platform/records.h"
@@ -20,16 +21,6 @@
 constexpr std::chrono::milliseconds forwardConnectTimeout{250};
 constexpr std::chrono::milliseconds forwardTimeout{1'500};
 
-constexpr int statusUnavailable = 503;
-constexpr int statusOutcomeUnknown = 504;
-
-http_response emptyAnswer(int status)
-{
-    http_response response;
-    response.status = status;
-    return response;
-}
-
 // Headers of the connection to the other node are not the caller's.
 http_response passedOn(http_response response)
 {
@@ -176,7 +167,7 @@
                       } else if (result.state == send_state::Answered) {
                           respond(passedOn(std::move(result.response)));
                       } else {
-                          respond(emptyAnswer(statusOutcomeUnknown));
+                          respond(emptyAnswer(statusGatewayTimeout));
                       }
                   });
 }
--- a/src/node/relay_server.cpp
+++ b/src/node/relay_server.cpp
@@ -1,12 +1,12 @@
 #include "node/relay_server.h"
 
+#include "http/http_answers.h"
+
 #include <utility>
 
 namespace daisypass {
 namespace {
 
-constexpr int statusOk = 200;
-constexpr int statusBadRequest = 400;
 // Results that arrive this close together share one answer; it delays an end by as much.
 constexpr std::chrono::milliseconds gatherTime{8};
 // Sessions of former holders are dropped when there are more than this.
@@ -24,9 +24,7 @@
 {
     std::optional<relay_exchange> exchange = decodeExchange(request.body);
     if (!exchange) {
-        http_response refused;
-        refused.status = statusBadRequest;
-        respond(std::move(refused));
+        respond(emptyAnswer(statusBadRequest));
         return;
     }
     const std::string name = exchange->session;
--- a/src/platform/executor_client.cpp
+++ b/src/platform/executor_client.cpp
@@ -1,5 +1,6 @@
 #include "platform/executor_client.h"
 
+#include "http/http_answers.h"
 #include "platform/wire_json.h"
 
 namespace daisypass {
@@ -7,12 +8,6 @@
 
 using wire::json;
 
-constexpr int statusOk = 200;
-constexpr int statusConflict = 409;
-constexpr int statusWrongInstance = 421;
-constexpr int statusTooMany = 429;
-constexpr int statusUnavailable = 503;
-
 // An order is answered within a few network round trips. One without an answer is settled by the next list, which costs little,
 // so a lost answer is not waited for.
 constexpr std::chrono::milliseconds orderTimeout{350};
@@ -54,7 +49,7 @@
         return order_status::Ok;
     case statusConflict:
         return statusOfConflict(body);
-    case statusWrongInstance:
+    case statusMisdirected:
         return order_status::WrongExecutor;
     case statusTooMany:
     case statusUnavailable:
--- a/src/platform/fleet_client.cpp
+++ b/src/platform/fleet_client.cpp
@@ -1,5 +1,6 @@
 #include "platform/fleet_client.h"
 
+#include "http/http_answers.h"
 #include "platform/records.h"
 #include "platform/wire_json.h"
 
@@ -8,10 +9,6 @@
 
 using wire::json;
 
-constexpr int statusOk = 200;
-constexpr int statusConflict = 409;
-constexpr int statusTooMany = 429;
-constexpr int statusUnavailable = 503;
 constexpr std::chrono::milliseconds callTimeout{1'500};
 constexpr std::chrono::milliseconds connectTimeout{800};
 
--- a/src/platform/store_client.cpp
+++ b/src/platform/store_client.cpp
@@ -1,5 +1,6 @@
 #include "platform/store_client.h"
 
+#include "http/http_answers.h"
 #include "platform/wire_json.h"
 
 namespace daisypass {
@@ -7,12 +8,6 @@
 
 using wire::json;
 
-constexpr int statusOk = 200;
-constexpr int statusGone = 410;
-constexpr int statusConflict = 412;
-constexpr int statusTooMany = 429;
-constexpr int statusUnavailable = 503;
-
 // Time beyond a long poll's wait for the answer to arrive.
 constexpr std::chrono::milliseconds feedSlack{600};
 constexpr std::chrono::milliseconds connectTimeout{700};
@@ -71,7 +66,7 @@
     switch (result.response.status) {
     case statusOk:
         return store_status::Ok;
-    case statusConflict:
+    case statusPreconditionFailed:
         return store_status::Conflict;
     case statusGone:
         return store_status::HistoryGone;
--- a/src/standins/deployment_standin.cpp
+++ b/src/standins/deployment_standin.cpp
@@ -11,10 +11,6 @@
 
 using wire::json;
 
-constexpr int statusOk = 200;
-constexpr int statusBadRequest = 400;
-constexpr int statusNotFound = 404;
-constexpr int statusConflict = 409;
 constexpr std::chrono::milliseconds upkeepTime{500};
 constexpr std::size_t mostBreaches = 50;
 constexpr const char *sparePool = "spare";
--- a/src/standins/store_standin.cpp
+++ b/src/standins/store_standin.cpp
@@ -17,22 +17,8 @@
 
 using wire::json;
 
-constexpr int statusOk = 200;
-constexpr int statusBadRequest = 400;
-constexpr int statusForbidden = 403;
-constexpr int statusNotFound = 404;
-constexpr int statusGone = 410;
-constexpr int statusConflict = 412;
-constexpr int statusUnavailable = 503;
 constexpr std::size_t mostRows = 500;
 
-http_response plainAnswer(int status)
-{
-    http_response response;
-    response.status = status;
-    return response;
-}
-
 row_key keyIn(const json &item)
 {
     return {wire::textIn(item, "Table").value_or(""), wire::textIn(item, "part").value_or(""), wire::textIn(item, "Key").value_or("")};
@@ -129,7 +115,7 @@
 {
     switch (m_fault.kind) {
     case store_fault_kind::Busy:
-        respond(plainAnswer(statusUnavailable));
+        respond(emptyAnswer(statusUnavailable));
         return;
     case store_fault_kind::Silent:
         return;
@@ -169,7 +155,7 @@
     } else if (request.path == "/-/rows-feed") {
         feed(request, respond);
     } else {
-        respond(plainAnswer(statusNotFound));
+        respond(emptyAnswer(statusNotFound));
     }
 }
 
@@ -177,7 +163,7 @@
 {
     const std::optional<json> body = wire::parseObject(request.body);
     if (!body) {
-        respond(plainAnswer(statusBadRequest));
+        respond(emptyAnswer(statusBadRequest));
         return;
     }
     ++m_writes;
@@ -196,12 +182,12 @@
         }
     }
     if (!holds) {
-        respond(jsonAnswer(statusConflict, json{{"rows", current}, {"Ver", m_version}, {"NowMs", steadyMillis()}}));
+        respond(jsonAnswer(statusPreconditionFailed, json{{"rows", current}, {"Ver", m_version}, {"NowMs", steadyMillis()}}));
         return;
     }
     for (const json &item : puts) {
         if (isWrittenByOthers(keyIn(item))) {
-            respond(plainAnswer(statusForbidden));
+            respond(emptyAnswer(statusForbidden));
             return;
         }
     }
@@ -242,7 +228,7 @@
 {
     const std::int64_t after = numberOf(findHeader(request.query, "After"));
     if (after < m_historyFrom) {
-        respond(plainAnswer(statusGone));
+        respond(emptyAnswer(statusGone));
         return;
     }
     const std::shared_ptr<waiting_feed> waiting = std::make_shared<waiting_feed>();
--- a/src/standins/worker_standin.cpp
+++ b/src/standins/worker_standin.cpp
@@ -12,11 +12,6 @@
 
 using wire::json;
 
-constexpr int statusOk = 200;
-constexpr int statusBadRequest = 400;
-constexpr int statusNotFound = 404;
-constexpr int statusConflict = 409;
-constexpr int statusWrongInstance = 421;
 constexpr int atWorkPercent = 100;
 
 std::int64_t millisIn(std::string_view payload)
@@ -132,7 +127,7 @@
     }
     const std::string_view wanted = findHeader(request.headers, "X-Daisypass-Expected-Instance");
     if (!wanted.empty() && wanted != m_options.id) {
-        respond(jsonAnswer(statusWrongInstance, json::object()));
+        respond(jsonAnswer(statusMisdirected, json::object()));
         return;
     }
     const std::optional<json> body = wire::parseObject(request.body);
