--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -4,11 +4,11 @@
 #include "base/log.h"
 #include "base/metrics.h"
 #include "http/http_client.h"
-#include "http/http_server.h"
-#include "node/dispatcher.h"
+#include "node/dispatcher_owner.h"
 #include "node/front_service.h"
 #include "node/leadership.h"
 #include "node/node_peers.h"
+#include "node/node_servers.h"
 #include "node/relay_server.h"
 #include "node/submission_writer.h"
 #include "node/table_feed.h"
@@ -41,17 +41,10 @@
 constexpr sched::time_ms graceReserveMs = 700;
 
 constexpr double assumedLargestShare = 0.5;
-// A small holder keeps the lease for this long before it gives it back to a larger machine that has come.
-constexpr sched::time_ms smallHolderKeepsMs = 3'000;
-// An exchange holds some hundred orders of a few kilobytes.
-constexpr std::size_t mostExchangeBytes = 8 << 20;
 
 // Where a node tells the holder of a row of the jobs table; the row's key follows.
 constexpr std::string_view rowPath = "/relay/row/";
 
-constexpr int statusOk = 200;
-constexpr int statusUnavailable = 503;
-
 std::int64_t randomIncarnation()
 {
     std::random_device device;
@@ -89,9 +82,15 @@
               [this](const row_key &key, const std::string &value) {
                   tellHolder(key, value);
               })
-        , peers(std::make_shared<node_peers>(store, client, later(), node_entry{settings.node, settings.availabilityZone, relayAddress(), settings.cpuShare}))
+        , peers(std::make_shared<node_peers>(
+              store, client, later(), node_entry{settings.node, settings.availabilityZone, relayAddress(settings), settings.cpuShare}))
         , ticker(context)
         , signals(context)
+        , servers(settings, handlers(), context)
+        , relay(std::make_shared<relay_server>(directSender(client), later()))
+        , owner([this](const held_term &term) {
+            return makeDispatcher(term);
+        })
     {
     }
 
@@ -107,21 +106,12 @@
     std::shared_ptr<node_peers> peers;
     asio::steady_timer ticker;
     asio::signal_set signals;
-    std::unique_ptr<http_server> frontServer;
-    std::unique_ptr<http_server> readyServer;
-    std::unique_ptr<http_server> metricsServer;
-    std::unique_ptr<http_server> relayHttpServer;
+    node_servers servers;
     std::shared_ptr<relay_server> relay;
     std::unique_ptr<table_feed> operatorFeed;
     std::shared_ptr<leadership> lease;
 
-    std::mutex lock;
-    std::shared_ptr<dispatcher> owner;
-    std::shared_ptr<const sched::configuration_view> view;
-    std::map<std::int64_t, sched::wave_request> waves;
-    sched::time_ms ownerSince = 0;
-    /** Version of the newest entry of a larger machine when this process took the lease. */
-    std::int64_t largerSeen = 0;
+    dispatcher_owner owner;
 
     std::atomic<sched::time_ms> storeReachedAt{0};
     std::atomic<bool> storeReached{false};
@@ -150,11 +140,7 @@
     // The holder learns of a stored row at once; if this is lost, the feed tells it a little later.
     void tellHolder(const row_key &key, const std::string &value)
     {
-        std::shared_ptr<dispatcher> current;
-        {
-            const std::lock_guard<std::mutex> guard(lock);
-            current = owner;
-        }
+        const std::shared_ptr<dispatcher> current = owner.current();
         if (current) {
             current->offerJobRow({key, value, 0, false});
             return;
@@ -167,11 +153,7 @@
 
     void onRowFromNode(const http_request &request, const http_responder &respond)
     {
-        std::shared_ptr<dispatcher> current;
-        {
-            const std::lock_guard<std::mutex> guard(lock);
-            current = owner;
-        }
+        const std::shared_ptr<dispatcher> current = owner.current();
         if (current) {
             store_row row;
             row.key.table = tables::jobs;
@@ -212,12 +194,7 @@
         if (!wave) {
             return;
         }
-        std::shared_ptr<dispatcher> current;
-        {
-            const std::lock_guard<std::mutex> guard(lock);
-            waves[wave->wave] = *wave;
-            current = owner;
-        }
+        const std::shared_ptr<dispatcher> current = owner.keepWave(*wave);
         logChange("wave_seen", {{"wave", wave->wave}, {"vms", wave->vms.size()}, {"cap", wave->cap}, {"duration_ms", wave->durationMs}});
         if (current) {
             current->addWave(*wave);
@@ -226,131 +203,70 @@
 
     void applyConfiguration(sched::configuration_view read)
     {
-        std::shared_ptr<dispatcher> current;
-        std::shared_ptr<const sched::configuration_view> next;
-        {
-            const std::lock_guard<std::mutex> guard(lock);
-            if (view && read.version <= view->version) {
-                return;
-            }
-            next = std::make_shared<const sched::configuration_view>(std::move(read));
-            view = next;
-            current = owner;
+        const std::optional<adopted_configuration> adopted = owner.adopt(std::move(read));
+        if (!adopted) {
+            return;
         }
-        front.configure(next);
+        const sched::configuration_view &view = *adopted->view;
+        front.configure(adopted->view);
         configured = true;
-        logChange("configuration_applied", {{"version", next->version}, {"queues", next->queues.size()}, {"pools", next->pools.size()}});
-        if (current) {
-            current->configure(*next);
+        logChange("configuration_applied", {{"version", view.version}, {"queues", view.queues.size()}, {"pools", view.pools.size()}});
+        if (adopted->current) {
+            adopted->current->configure(view);
         }
     }
 
     void onGained(const held_term &term)
     {
         logChange("term_gained", {{"term", term.term}});
-        std::shared_ptr<dispatcher> next;
-        std::shared_ptr<const sched::configuration_view> currentView;
-        std::map<std::int64_t, sched::wave_request> currentWaves;
-        {
-            const std::lock_guard<std::mutex> guard(lock);
-            if (owner) {
-                owner->stop();
-            }
-            next = std::make_shared<dispatcher>(dispatcher_services{store, fleet, metrics, client, later()}, settings, term, [this] {
-                onLost();
-            });
-            owner = next;
-            ownerSince = steadyMillis();
-            currentView = view;
-            currentWaves = waves;
-        }
-        if (currentView) {
-            next->configure(*currentView);
-        }
-        for (const std::pair<const std::int64_t, sched::wave_request> &wave : currentWaves) {
-            next->addWave(wave.second);
-        }
-        next->start();
+        owner.begin(term);
+    }
+
+    std::shared_ptr<dispatcher> makeDispatcher(const held_term &term)
+    {
+        return std::make_shared<dispatcher>(dispatcher_services{store, fleet, metrics, client, later()}, settings, term, [this] {
+            onLost();
+        });
     }
 
     void onLost()
     {
-        std::shared_ptr<dispatcher> former;
-        {
-            const std::lock_guard<std::mutex> guard(lock);
-            former = std::exchange(owner, nullptr);
-        }
+        const std::shared_ptr<dispatcher> former = owner.take();
         if (former) {
             former->stop();
         }
         lease->forgetTerm();
     }
 
-    bool startServers(failure &reason)
+    node_handlers handlers()
     {
-        http_server_options frontOptions;
-        frontOptions.listen = settings.front;
-        frontOptions.readTimeout = std::chrono::seconds(20);
-        frontServer = std::make_unique<http_server>(
-            frontOptions,
-            [this](http_request request, http_responder respond) {
-                front.handle(std::move(request), std::move(respond));
-            },
-            context);
-        http_server_options readyOptions;
-        readyOptions.listen = settings.ready;
-        readyServer = std::make_unique<http_server>(
-            readyOptions,
-            [this](const http_request &, const http_responder &respond) {
-                http_response response;
-                response.status = isReady() ? statusOk : statusUnavailable;
-                respond(std::move(response));
-            },
-            context);
-        if (!frontServer->start(reason) || !readyServer->start(reason)) {
-            return false;
-        }
-        if (settings.internalPort == 0) {
-            return true;
-        }
-        http_server_options metricsOptions;
-        metricsOptions.listen = {settings.front.address, settings.internalPort};
-        metricsServer = std::make_unique<http_server>(
-            metricsOptions,
-            [this](const http_request &, const http_responder &respond) {
-                http_response response;
-                response.headers.push_back({"Content-Type", "text/plain; version=0.0.4"});
-                response.body = metrics.render();
-                respond(std::move(response));
-            },
-            context);
-        if (!metricsServer->start(reason)) {
-            return false;
-        }
-        relay = std::make_shared<relay_server>(directSender(client), later());
-        http_server_options relayOptions;
-        relayOptions.listen = relayAddress();
-        relayOptions.maxBodyBytes = mostExchangeBytes;
-        relayHttpServer = std::make_unique<http_server>(
-            relayOptions,
-            [this](http_request request, http_responder respond) {
-                if (request.path == "/relay/exchange") {
-                    relay->handle(request, respond);
-                } else if (request.path.starts_with(rowPath)) {
-                    onRowFromNode(request, respond);
-                } else if (request.path == alivePath) {
-                    respond(http_response{});
-                } else {
-                    front.handleForwarded(std::move(request), std::move(respond));
-                }
-            },
-            context);
-        return relayHttpServer->start(reason);
+        node_handlers made;
+        made.front = [this](http_request request, http_responder respond) {
+            front.handle(std::move(request), std::move(respond));
+        };
+        made.isReady = [this] {
+            return isReady();
+        };
+        made.renderMetrics = [this] {
+            return metrics.render();
+        };
+        made.internal = [this](http_request request, http_responder respond) {
+            onInternalRequest(std::move(request), std::move(respond));
+        };
+        return made;
     }
 
-    endpoint relayAddress() const
+    void onInternalRequest(http_request request, http_responder respond)
     {
-        return {settings.front.address, static_cast<std::uint16_t>(settings.internalPort + 1)};
+        if (request.path == "/relay/exchange") {
+            relay->handle(request, respond);
+        } else if (request.path.starts_with(rowPath)) {
+            onRowFromNode(request, respond);
+        } else if (request.path == alivePath) {
+            respond(http_response{});
+        } else {
+            front.handleForwarded(std::move(request), std::move(respond));
+        }
     }
 
     void startFollowing()
@@ -396,14 +312,9 @@
     // A machine that is bound by its processor leaves the lease to a larger one that has started since.
     void giveWayTo(std::int64_t newestLarger)
     {
-        std::shared_ptr<dispatcher> current;
-        {
-            const std::lock_guard<std::mutex> guard(lock);
-            const bool newer = newestLarger > std::exchange(largerSeen, std::max(largerSeen, newestLarger));
-            if (!owner || !newer || steadyMillis() - ownerSince < smallHolderKeepsMs) {
-                return;
-            }
-            current = std::exchange(owner, nullptr);
+        const std::shared_ptr<dispatcher> current = owner.takeForLarger(newestLarger);
+        if (!current) {
+            return;
         }
         logChange("term_given_back", {{"reason", "larger_machine"}, {"cpu_share", settings.cpuShare}});
         current->release(false, [this] {
@@ -413,11 +324,7 @@
 
     void tick()
     {
-        std::shared_ptr<dispatcher> current;
-        {
-            const std::lock_guard<std::mutex> guard(lock);
-            current = owner;
-        }
+        const std::shared_ptr<dispatcher> current = owner.current();
         if (current) {
             current->tick();
         }
@@ -473,11 +380,7 @@
         terminatingSince = steadyMillis();
         front.beginDrain();
         lease->retire();
-        std::shared_ptr<dispatcher> current;
-        {
-            const std::lock_guard<std::mutex> guard(lock);
-            current = std::exchange(owner, nullptr);
-        }
+        const std::shared_ptr<dispatcher> current = owner.take();
         peers->leave();
         if (!current) {
             released = true;
@@ -503,7 +406,7 @@
     self.signals.add(SIGINT);
     self.signals.add(SIGHUP);
     self.waitForSignal();
-    if (!self.startServers(reason)) {
+    if (!self.servers.start(reason)) {
         return false;
     }
     logChange("started",
