Read a table's pages in one place

A term's recovery had the same paged read twice, for the jobs and for the scheduler's rows, and the feed worked out the next page's range a third time. The store client names the range that follows a page now, and the recovery reads any range with one function.

--- a/src/node/dispatcher.h
+++ b/src/node/dispatcher.h
@@ -65,8 +65,9 @@
         sched::time_ms beganAt = 0;
     };
 
-    void readJobs(std::size_t part, const std::string &from);
-    void readState(const std::string &from);
+    /** Reads the range page by page; a page that can't be read is tried again. */
+    void readPages(const row_range &range, void (dispatcher::*onRow)(const store_row &));
+    void onStateRow(const store_row &row);
     void restoreFleetOrders(const store_row &row);
     void noteReadFailed(std::string_view table, store_status status) const;
     void onReadDone(std::unique_lock<std::mutex> &guard);
--- a/src/node/dispatcher_recovery.cpp
+++ b/src/node/dispatcher_recovery.cpp
@@ -22,15 +22,14 @@
     const std::lock_guard<std::mutex> guard(m_lock);
     m_recovery->readsLeft = tables::jobParts + 1;
     for (std::size_t part = 0; part < tables::jobParts; ++part) {
-        readJobs(part, "");
+        readPages({tables::jobs, std::to_string(part), "", ""}, &dispatcher::onJobRow);
     }
-    readState("");
+    readPages({tables::state, tables::holderPart, "", ""}, &dispatcher::onStateRow);
 }
 
-void dispatcher::readJobs(std::size_t part, const std::string &from)
+void dispatcher::readPages(const row_range &range, void (dispatcher::*onRow)(const store_row &))
 {
-    const std::string partName = std::to_string(part);
-    m_services.store.get({tables::jobs, partName, from, ""}, holderReadTimeout, [weak = weak_from_this(), part, from](rows_result result) {
+    m_services.store.get(range, holderReadTimeout, [weak = weak_from_this(), range, onRow](const rows_result &result) {
         const std::shared_ptr<dispatcher> self = weak.lock();
         if (!self) {
             return;
@@ -40,62 +39,36 @@
             return;
         }
         if (result.status != store_status::Ok) {
-            self->noteReadFailed(tables::jobs, result.status);
-            self->m_services.later(holderReadRetry, [weak, part, from] {
+            self->noteReadFailed(range.table, result.status);
+            self->m_services.later(holderReadRetry, [weak, range, onRow] {
                 if (const std::shared_ptr<dispatcher> again = weak.lock()) {
-                    again->readJobs(part, from);
+                    again->readPages(range, onRow);
                 }
             });
             return;
         }
         for (const store_row &row : result.rows) {
-            self->onJobRow(row);
+            (self.get()->*onRow)(row);
         }
-        if (result.more && !result.rows.empty()) {
-            self->readJobs(part, result.rows.back().key.key + '!');
+        if (const std::optional<row_range> next = nextPage(range, result)) {
+            self->readPages(*next, onRow);
         } else {
             self->onReadDone(guard);
         }
     });
 }
 
-void dispatcher::readState(const std::string &from)
+void dispatcher::onStateRow(const store_row &row)
 {
-    m_services.store.get({tables::state, tables::holderPart, from, ""}, holderReadTimeout, [weak = weak_from_this(), from](rows_result result) {
-        const std::shared_ptr<dispatcher> self = weak.lock();
-        if (!self) {
-            return;
-        }
-        std::unique_lock<std::mutex> guard(self->m_lock);
-        if (self->m_stopped) {
-            return;
-        }
-        if (result.status != store_status::Ok) {
-            self->noteReadFailed(tables::state, result.status);
-            self->m_services.later(holderReadRetry, [weak, from] {
-                if (const std::shared_ptr<dispatcher> again = weak.lock()) {
-                    again->readState(from);
-                }
-            });
-            return;
-        }
-        for (store_row &row : result.rows) {
-            if (row.key.key == tables::sequenceKey) {
-                self->m_sequenceVersion = row.version;
-            } else if (row.key.key == sched::wavesRowKey) {
-                self->m_scheduler.restoreWave(row.value);
-            } else if (row.key.key == sched::fleetOrdersRowKey) {
-                self->restoreFleetOrders(row);
-            } else {
-                self->m_recovery->states[row.key.key] = std::move(row.value);
-            }
-        }
-        if (result.more && !result.rows.empty()) {
-            self->readState(result.rows.back().key.key + '!');
-            return;
-        }
-        self->onReadDone(guard);
-    });
+    if (row.key.key == tables::sequenceKey) {
+        m_sequenceVersion = row.version;
+    } else if (row.key.key == sched::wavesRowKey) {
+        m_scheduler.restoreWave(row.value);
+    } else if (row.key.key == sched::fleetOrdersRowKey) {
+        restoreFleetOrders(row);
+    } else {
+        m_recovery->states[row.key.key] = row.value;
+    }
 }
 
 void dispatcher::restoreFleetOrders(const store_row &row)
--- a/src/node/table_feed.cpp
+++ b/src/node/table_feed.cpp
@@ -40,14 +40,14 @@
     std::set<row_key> known;
     // While reading the table whole.
     std::size_t part = 0;
-    std::string from;
+    row_range page;
     std::int64_t readVersion = 0;
     std::set<row_key> readKeys;
 
     void beginRead()
     {
         part = 0;
-        from.clear();
+        page = {table, parts[part], "", ""};
         readVersion = std::numeric_limits<std::int64_t>::max();
         readKeys.clear();
         readPage();
@@ -55,7 +55,7 @@
 
     void readPage()
     {
-        store.get({table, parts[part], from, ""}, readTimeout, [self = shared_from_this()](const rows_result &result) {
+        store.get(page, readTimeout, [self = shared_from_this()](const rows_result &result) {
             const std::lock_guard<std::mutex> guard(self->lock);
             self->onPage(result);
         });
@@ -80,13 +80,13 @@
             handlers.changed(row);
         }
         handlers.applied();
-        if (result.more && !result.rows.empty()) {
-            from = result.rows.back().key.key + '!';
+        if (std::optional<row_range> next = nextPage(page, result)) {
+            page = std::move(*next);
             readPage();
             return;
         }
-        from.clear();
         if (++part < parts.size()) {
+            page = {table, parts[part], "", ""};
             readPage();
             return;
         }
--- a/src/platform/store_client.cpp
+++ b/src/platform/store_client.cpp
@@ -127,6 +127,16 @@
 
 } // namespace
 
+std::optional<row_range> nextPage(row_range range, const rows_result &page)
+{
+    if (!page.more || page.rows.empty()) {
+        return std::nullopt;
+    }
+    // Keys hold no blanks, so each key behind the last one of the page sorts from here on.
+    range.from = page.rows.back().key.key + '!';
+    return range;
+}
+
 std::string_view nameOf(store_status status)
 {
     switch (status) {
--- a/src/platform/store_client.h
+++ b/src/platform/store_client.h
@@ -13,6 +13,7 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <tuple>
 #include <vector>
@@ -112,6 +113,9 @@
     std::string to;
 };
 
+/** The range that follows a page of an earlier read, if the store has more rows. */
+std::optional<row_range> nextPage(row_range range, const rows_result &page);
+
 class store_client
 {
 public:
