--- a/src/node/dispatcher.h
+++ b/src/node/dispatcher.h
@@ -99,6 +99,8 @@
     void loseTerm(std::string_view cause);
     void announceLoss(std::unique_lock<std::mutex> &guard);
     bool renewalIsFresh() const;
+    /** Whether the last renewal is recent enough for an order to the fleet; otherwise `done` gets Refused a little later. */
+    bool mayOrderFleet(const std::function<void(fleet_status)> &done);
     void readRegistryIfBehind();
     void listVms(const std::string &page);
     void onVmPage(const vm_page &page);
--- a/src/node/dispatcher_orders.cpp
+++ b/src/node/dispatcher_orders.cpp
@@ -11,6 +11,7 @@
 #include <algorithm>
 
 namespace daisypass {
+
 void dispatcher::carryOut(const sched::action &next)
 {
     std::visit(
@@ -76,6 +77,17 @@
     });
 }
 
+bool dispatcher::mayOrderFleet(const std::function<void(fleet_status)> &done)
+{
+    if (renewalIsFresh()) {
+        return true;
+    }
+    m_services.later(std::chrono::milliseconds(1), [done] {
+        done(fleet_status::Refused);
+    });
+    return false;
+}
+
 void dispatcher::carryOut(const sched::move_vm &order)
 {
     const std::weak_ptr<dispatcher> weak = weak_from_this();
@@ -84,13 +96,9 @@
             self->feed(sched::move_answered{order.vm, order.pool, status});
         }
     };
-    if (!renewalIsFresh()) {
-        m_services.later(std::chrono::milliseconds(1), [done] {
-            done(fleet_status::Refused);
-        });
-        return;
+    if (mayOrderFleet(done)) {
+        m_services.fleet.move({m_term.node, m_term.term}, order.vm, order.pool, done);
     }
-    m_services.fleet.move({m_term.node, m_term.term}, order.vm, order.pool, done);
 }
 
 void dispatcher::carryOut(const sched::upkeep_vm &order)
@@ -101,13 +109,9 @@
             self->feed(sched::upkeep_answered{order.vm, order.wave, status});
         }
     };
-    if (!renewalIsFresh()) {
-        m_services.later(std::chrono::milliseconds(1), [done] {
-            done(fleet_status::Refused);
-        });
-        return;
+    if (mayOrderFleet(done)) {
+        m_services.fleet.upkeep({m_term.node, m_term.term}, order.vm, order.wave, done);
     }
-    m_services.fleet.upkeep({m_term.node, m_term.term}, order.vm, order.wave, done);
 }
 
 void dispatcher::carryOut(const sched::publish_wave &order)
