Stop long-running tasks for upkeep only when they can go on or the VM can go down

It was stopped for upkeep at 18.461 s on the only executor of its pool. That executor was reserved, so the task had nowhere to go; with the step's budget used up the other four tasks stayed on it, so the upkeep couldn't begin either. This lasted until another VM joined the pool (ordered at 27.662 s, seen at 29.195 s, run 3 at 29.233 s), and the upkeep began at 33.264 s. Cause: a drain looked only at the step's budget, not at what follows the stop. Class: a resource is given up before its replacement is there. Ruled out: placement (a pass each 100 ms with no executor that takes runs in the pool), an advice or a pause of the executor (none in the log), a stop without an answer (the run is listed as stopped after 0.16 s). Change: a run is stopped for upkeep if an executor of the pool can hold the task beside the long-running tasks that it has, and beside those that are already away; or if the budgets allow all that runs on the reserved executor to be away at once, so that the upkeep begins. The pool's shortage, which counts reserved VMs as absent, brings the VM that the others wait for.

--- a/src/sched/executor_record.h
+++ b/src/sched/executor_record.h
@@ -5,6 +5,7 @@
 #include "sched/events.h"
 #include "sched/model.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -89,6 +90,11 @@
         return room;
     }
 
+    bool hasLabel(const std::string &label) const
+    {
+        return label.empty() || std::find(entry.labels.begin(), entry.labels.end(), label) != entry.labels.end();
+    }
+
     bool answers() const
     {
         return confirmed && silentSince == 0 && !dead;
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -104,6 +104,8 @@
     struct ready_step;
     struct placement_pass;
     friend struct placement_pass;
+    struct drain_pass;
+    friend struct drain_pass;
 
     // Jobs.
     void on(const configuration_changed &what, time_ms now);
@@ -176,9 +178,9 @@
     fleet_view viewOfFleet(time_ms now) const;
     void carryOut(const fleet_decision &decision, time_ms now);
     void sendFleetOrders();
-    /** The availability budgets allow the system to end this run now. */
+    /** Ends long-running tasks on executors whose VM has a move or upkeep before it. */
+    void drainReserved(time_ms now);
     bool isKnownAtWork(const task_record &task) const;
-    bool mayInterrupt(job_record &job, const task_id &id) const;
 
     void note(std::string event, note_fields fields);
 
--- a/src/sched/scheduler_fleet.cpp
+++ b/src/sched/scheduler_fleet.cpp
@@ -160,42 +160,7 @@
         carryOut(decision, now);
     }
     sendFleetOrders();
-    // Long-running tasks on reserved executors are ended one by one as their steps allow.
-    for (std::pair<const std::string, executor_record> &item : m_executors) {
-        if (!item.second.reserved) {
-            continue;
-        }
-        const std::set<task_id> runs = item.second.runs;
-        for (const task_id &id : runs) {
-            job_record &job = *m_jobs.at(id.job);
-            task_record &task = *job.find(id);
-            const bool lasting = job.spec.steps[static_cast<std::size_t>(id.step)].longRunning;
-            if (lasting && task.phase == task_phase::Running && mayInterrupt(job, id)) {
-                requestStop(id, task, now, "upkeep");
-            }
-        }
-    }
-}
-
-// A task on a silent executor may have ended long ago.
-bool scheduler::isKnownAtWork(const task_record &task) const
-{
-    const auto executor = m_executors.find(task.executor);
-    return task.phase == task_phase::Running && task.atWork && executor != m_executors.end() && executor->second.answers();
-}
-
-bool scheduler::mayInterrupt(job_record &job, const task_id &id) const
-{
-    const step_spec &kind = job.spec.steps[static_cast<std::size_t>(id.step)];
-    const step_record &step = job.occurrences.at(id.occurrence).steps[static_cast<std::size_t>(id.step)];
-    int away = 0;
-    for (std::size_t index = 0; index < step.tasks.size(); ++index) {
-        const task_record &other = step.tasks[index];
-        if (static_cast<int>(index) != id.index && !isKnownAtWork(other)) {
-            ++away;
-        }
-    }
-    return away < std::max(1, kind.allowedUnavailable);
+    drainReserved(now);
 }
 
 void scheduler::carryOut(const fleet_decision &decision, time_ms now)
--- a/src/sched/scheduler_place.cpp
+++ b/src/sched/scheduler_place.cpp
@@ -253,8 +253,7 @@
                 return false;
             }
         }
-        const std::vector<std::string> &labels = executor.entry.labels;
-        return kind.requiredLabel.empty() || std::find(labels.begin(), labels.end(), kind.requiredLabel) != labels.end();
+        return executor.hasLabel(kind.requiredLabel);
     }
 
     // The fullest executor that has room is taken, so that others stay empty and can move.
--- /dev/null
+++ b/tests/sched/long_running_drain_test.cpp
@@ -0,0 +1,178 @@
+#include "scheduler_fixture.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+using namespace daisypass::sched;
+
+namespace {
+
+constexpr time_ms planMs = 200;
+
+// A pool whose VMs run long-running tasks, and a wave for the first VM.
+class drain_fixture : public scheduler_fixture
+{
+public:
+    static step_spec lasting(int count, std::int64_t cpu)
+    {
+        step_spec one = step(count, cpu);
+        one.longRunning = true;
+        one.allowedUnavailable = 1;
+        return one;
+    }
+
+    void submit(const job_spec &job)
+    {
+        brain.handle(job_submitted{job}, now);
+        step_();
+        listRuns();
+    }
+
+    void addVm(const std::string &executor)
+    {
+        addExecutor(executor);
+        m_list.vms.push_back({"vm-" + executor, "booking", vm_state::Up, "zone", {"a"}, executor});
+        brain.handle(m_list, now);
+        listRuns();
+    }
+
+    void beginWave(const std::string &executor)
+    {
+        wave_request wave;
+        wave.wave = 1;
+        wave.vms = {"vm-" + executor};
+        wave.durationMs = 60'000;
+        brain.handle(wave_requested{wave, 0}, now);
+    }
+
+    /** Answers the start orders, and lists all runs as at work for long enough to count. */
+    void listRuns()
+    {
+        for (const start_run &start : take<start_run>()) {
+            m_runs.push_back(start);
+            answerStart(start);
+        }
+        for (const std::pair<const std::string, executor_record> &item : brain.executors()) {
+            std::vector<listed_run> runs;
+            for (const start_run &run : m_runs) {
+                if (run.executor == item.first) {
+                    runs.push_back(running(run, 100));
+                }
+            }
+            answerHold(item.first, runs);
+        }
+    }
+
+    /** Lets the planner work for a while; returns the stops that it orders. */
+    std::vector<stop_run> plans(int times = 5)
+    {
+        for (int i = 0; i < times; ++i) {
+            advance(planMs);
+            listRuns();
+        }
+        return take<stop_run>();
+    }
+
+    void end(const task_id &task, run_end how)
+    {
+        const auto run = std::find_if(m_runs.begin(), m_runs.end(), [&task](const start_run &one) {
+            return one.task == task;
+        });
+        REQUIRE(run != m_runs.end());
+        const start_run order = *run;
+        m_runs.erase(run);
+        std::vector<listed_run> left;
+        for (const start_run &one : m_runs) {
+            if (one.executor == order.executor) {
+                left.push_back(running(one, 100));
+            }
+        }
+        answerHold(order.executor, left, {ended(order, ++m_ends, how)});
+    }
+
+    const std::vector<start_run> &runs() const
+    {
+        return m_runs;
+    }
+
+private:
+    vms_listed m_list;
+    std::vector<start_run> m_runs;
+    std::int64_t m_ends = 0;
+};
+
+} // namespace
+
+// rcm-bogota trouble-2 (LOST): one of five tasks was stopped, and with its step's budget used up the others stayed for 10 s.
+TEST_CASE("a long-running task isn't stopped for upkeep while it can neither go on elsewhere nor let the upkeep begin")
+{
+    drain_fixture world;
+    world.addVm("e1");
+
+    SUBCASE("more tasks than the budget allows to be away")
+    {
+        world.submit(world.job("j1", {world.lasting(2, 2'000)}));
+        world.beginWave("e1");
+        CHECK(world.plans().empty());
+
+        SUBCASE("another executor joins the pool: they go there one after the other, and the upkeep begins")
+        {
+            world.addVm("e2");
+            for (int task = 0; task < 2; ++task) {
+                const std::vector<stop_run> stops = world.plans();
+                REQUIRE(stops.size() == 1);
+                world.end(stops[0].task, run_end::Stopped);
+                world.listRuns();
+                CHECK(world.runs().back().task == stops[0].task);
+                CHECK(world.runs().back().executor == "e2");
+            }
+            world.plans();
+            CHECK(world.take<upkeep_vm>().size() == 1);
+        }
+    }
+    SUBCASE("the other executor has room for one task more, and two are there to go")
+    {
+        world.submit(world.job("j1", {world.lasting(1, 1'900), world.lasting(1, 1'900)}));
+        world.submit(world.job("j2", {world.step(1, 100)}));
+        world.addVm("e2");
+        world.submit(world.job("j3", {world.lasting(1, 2'000)}));
+        REQUIRE(world.runs().back().executor == "e2");
+        world.beginWave("e1");
+        CHECK(world.plans().size() == 1);
+    }
+    SUBCASE("tasks that end by themselves leave room on the other executor in a moment")
+    {
+        world.submit(world.job("j1", {world.lasting(2, 2'000)}));
+        world.addVm("e2");
+        world.submit(world.job("j2", {world.step(1, 4'000)}));
+        REQUIRE(world.runs().back().executor == "e2");
+        world.beginWave("e1");
+        CHECK(world.plans().size() == 1);
+    }
+    SUBCASE("the other executor has as many of the step's tasks as it may")
+    {
+        step_spec spread = world.lasting(4, 1'000);
+        spread.mostPerExecutor = 2;
+        world.submit(world.job("j1", {spread}));
+        world.addVm("e2");
+        REQUIRE(world.runs().size() == 4);
+        world.beginWave("e1");
+        CHECK(world.plans().empty());
+    }
+    SUBCASE("a single task is stopped once nothing else keeps the executor from its upkeep")
+    {
+        world.submit(world.job("j1", {world.lasting(1, 2'000)}));
+        world.submit(world.job("j2", {world.step(1, 1'000)}));
+        REQUIRE(world.runs().size() == 2);
+        const task_id batch = world.runs()[1].task;
+        world.beginWave("e1");
+        CHECK(world.plans().empty());
+        world.end(batch, run_end::Done);
+        const std::vector<stop_run> stops = world.plans();
+        REQUIRE(stops.size() == 1);
+        world.end(stops[0].task, run_end::Stopped);
+        world.plans(1);
+        CHECK(world.take<upkeep_vm>().size() == 1);
+    }
+}
