--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -104,6 +104,8 @@
     struct ready_step;
     struct placement_pass;
     friend struct placement_pass;
+    struct drain_pass;
+    friend struct drain_pass;
 
     // Jobs.
     void on(const configuration_changed &what, time_ms now);
@@ -189,9 +191,9 @@
     /** The order for the occupant's VM is settled; the executor is over unless it answers later. */
     void awaitAnswerOf(const executor_life &occupant, time_ms now);
     void releaseOccupant(const executor_life &occupant, time_ms now);
-    /** The availability budgets allow the system to end this run now. */
+    /** Ends long-running tasks on executors whose VM has a move or upkeep before it. */
+    void drainReserved(time_ms now);
     bool isKnownAtWork(const task_record &task) const;
-    bool mayInterrupt(job_record &job, const task_id &id) const;
 
     void note(std::string event, note_fields fields);
 
