Make the start of a test's only task a step of the scheduler's fixture

Nine test cases submitted a job of one task, took its start, required that it be the only one and answered it line by line.

--- a/tests/sched/scheduler_fixture.h
+++ b/tests/sched/scheduler_fixture.h
@@ -4,6 +4,8 @@
 
 #include "sched/scheduler.h"
 
+#include <doctest/doctest.h>
+
 #include <string>
 #include <vector>
 
@@ -121,6 +123,36 @@
         return found;
     }
 
+    /** The one start that was ordered since the last take. */
+    start_run takeStart()
+    {
+        const std::vector<start_run> starts = take<start_run>();
+        REQUIRE(starts.size() == 1);
+        return starts[0];
+    }
+
+    /** Submits a job of one task and returns the order to start it. */
+    start_run placeTask(const std::string &id, std::int64_t cpu = 1'000)
+    {
+        brain.handle(job_submitted{job(id, {step(1, cpu)})}, now);
+        step_();
+        return takeStart();
+    }
+
+    /** Like placeTask(); the executor says that the run has started. */
+    start_run runTask(const std::string &id, std::int64_t cpu = 1'000)
+    {
+        const start_run order = placeTask(id, cpu);
+        answerStart(order);
+        return order;
+    }
+
+    /** Restores a job of one task from the rows that a former scheduler has stored. */
+    void takeOver(const scheduler_fixture &former, const std::string &id)
+    {
+        REQUIRE(brain.restore(job(id, {step(1)}), former.rows.at(id), now));
+    }
+
     void answerStart(const start_run &order, order_status status = order_status::Ok)
     {
         brain.handle(start_answered{order.task, order.run, order.executor, status, 10}, now);
--- a/tests/sched/scheduler_test.cpp
+++ b/tests/sched/scheduler_test.cpp
@@ -27,11 +27,10 @@
     SUBCASE("the end is acknowledged only after the job's row is stored")
     {
         world.step_();
-        const std::vector<start_run> starts = world.take<start_run>();
-        REQUIRE(starts.size() == 1);
-        world.answerStart(starts[0]);
+        const start_run start = world.takeStart();
+        world.answerStart(start);
         world.take<hold_executor>();
-        world.brain.handle(hold_answered{"e1", order_status::Ok, world.now, world.now, 1'000, {}, {scheduler_fixture::ended(starts[0], 1, run_end::Done)}},
+        world.brain.handle(hold_answered{"e1", order_status::Ok, world.now, world.now, 1'000, {}, {scheduler_fixture::ended(start, 1, run_end::Done)}},
                            world.now);
         world.brain.plan(world.now);
         world.collect();
@@ -50,29 +49,23 @@
     // counted an end again that the former one had stored and not yet acknowledged.
     scheduler_fixture first;
     first.addExecutor("e1");
-    first.brain.handle(job_submitted{first.job("j1", {first.step(1)})}, first.now);
-    first.step_();
-    const std::vector<start_run> starts = first.take<start_run>();
-    REQUIRE(starts.size() == 1);
-    first.answerStart(starts[0]);
-    const listed_end failed = scheduler_fixture::ended(starts[0], 1, run_end::Failed);
+    const start_run start = first.runTask("j1");
+    const listed_end failed = scheduler_fixture::ended(start, 1, run_end::Failed);
     first.answerHold("e1", {}, {failed});
 
     scheduler_fixture second;
-    REQUIRE(second.brain.restore(second.job("j1", {second.step(1)}), first.rows.at("j1"), second.now));
+    second.takeOver(first, "j1");
     second.brain.handle(executor_seen{scheduler_fixture::entry("e1")}, second.now);
     second.step_();
     second.answerHold("e1", {}, {failed});
-    std::vector<start_run> again = second.take<start_run>();
-    REQUIRE(again.size() == 1);
-    second.answerStart(again[0]);
-    second.answerHold("e1", {}, {scheduler_fixture::ended(again[0], 2, run_end::Failed)});
+    start_run again = second.takeStart();
+    second.answerStart(again);
+    second.answerHold("e1", {}, {scheduler_fixture::ended(again, 2, run_end::Failed)});
     second.advance(10'000);
     CHECK(second.phaseOf("j1") == "running");
-    again = second.take<start_run>();
-    REQUIRE(again.size() == 1);
-    second.answerStart(again[0]);
-    second.answerHold("e1", {}, {scheduler_fixture::ended(again[0], 3, run_end::Failed)});
+    again = second.takeStart();
+    second.answerStart(again);
+    second.answerHold("e1", {}, {scheduler_fixture::ended(again, 3, run_end::Failed)});
     CHECK(second.phaseOf("j1") == "failed");
 }
 
@@ -80,13 +73,10 @@
 {
     scheduler_fixture first;
     first.addExecutor("e1");
-    first.brain.handle(job_submitted{first.job("j1", {first.step(1)})}, first.now);
-    first.step_();
-    const std::vector<start_run> starts = first.take<start_run>();
-    REQUIRE(starts.size() == 1);
+    const start_run start = first.placeTask("j1");
 
     scheduler_fixture second;
-    REQUIRE(second.brain.restore(second.job("j1", {second.step(1)}), first.rows.at("j1"), second.now));
+    second.takeOver(first, "j1");
     second.addExecutor("e2");
     CHECK(second.take<start_run>().empty());
 
@@ -94,7 +84,7 @@
     {
         second.brain.handle(executor_seen{scheduler_fixture::entry("e1")}, second.now);
         second.step_();
-        second.answerHold("e1", {scheduler_fixture::running(starts[0])});
+        second.answerHold("e1", {scheduler_fixture::running(start)});
         second.advance(100);
         CHECK(second.take<start_run>().empty());
         CHECK(second.take<stop_run>().empty());
@@ -104,9 +94,8 @@
         second.brain.handle(executor_seen{scheduler_fixture::entry("e1")}, second.now);
         second.step_();
         second.answerHold("e1");
-        const std::vector<start_run> again = second.take<start_run>();
-        REQUIRE(again.size() == 1);
-        CHECK(again[0].run == starts[0].run + 1);
+        const start_run again = second.takeStart();
+        CHECK(again.run == start.run + 1);
     }
     SUBCASE("a run on an executor that can't be reached counts until its lease is over on the slowest clock")
     {
@@ -122,20 +111,17 @@
 {
     scheduler_fixture world;
     world.addExecutor("e1");
-    world.brain.handle(job_submitted{world.job("j1", {world.step(1)})}, world.now);
-    world.step_();
-    const std::vector<start_run> starts = world.take<start_run>();
-    REQUIRE(starts.size() == 1);
+    const start_run start = world.placeTask("j1");
     world.addExecutor("e2");
     world.answerHold("e1");
     world.now += 10;
-    world.answerStart(starts[0], order_status::Unknown);
+    world.answerStart(start, order_status::Unknown);
     CHECK(world.take<start_run>().empty());
 
     SUBCASE("the list shows it: it runs")
     {
         world.now += 10;
-        world.answerHold("e1", {scheduler_fixture::running(starts[0])});
+        world.answerHold("e1", {scheduler_fixture::running(start)});
         CHECK(world.take<stop_run>().empty());
         CHECK(world.take<start_run>().empty());
     }
@@ -174,9 +160,8 @@
     SUBCASE("a running task is stopped")
     {
         world.step_();
-        const std::vector<start_run> starts = world.take<start_run>();
-        REQUIRE(starts.size() == 1);
-        world.answerStart(starts[0]);
+        const start_run start = world.takeStart();
+        world.answerStart(start);
         world.brain.handle(job_cancelled{"j1"}, world.now);
         world.step_();
         CHECK(world.take<stop_run>().size() == 1);
@@ -260,12 +245,8 @@
     // Found by brusilica-grown trouble-3: runs on executors whose lists were lost for a while were stopped as if they stood still.
     scheduler_fixture world;
     world.addExecutor("e1");
-    world.brain.handle(job_submitted{world.job("j1", {world.step(1)})}, world.now);
-    world.step_();
-    const std::vector<start_run> starts = world.take<start_run>();
-    REQUIRE(starts.size() == 1);
-    world.answerStart(starts[0]);
-    world.answerHold("e1", {scheduler_fixture::running(starts[0], 10)});
+    const start_run start = world.runTask("j1");
+    world.answerHold("e1", {scheduler_fixture::running(start, 10)});
 
     SUBCASE("no list for three seconds")
     {
@@ -275,7 +256,7 @@
     SUBCASE("lists without progress for three seconds")
     {
         world.now += 3'000;
-        world.answerHold("e1", {scheduler_fixture::running(starts[0], 10)});
+        world.answerHold("e1", {scheduler_fixture::running(start, 10)});
         world.advance(200);
         CHECK(world.take<stop_run>().size() == 1);
     }
@@ -312,23 +293,17 @@
     // placed again meanwhile.
     scheduler_fixture world;
     world.addExecutor("e1");
-    world.brain.handle(job_submitted{world.job("j1", {world.step(1, 4'000)})}, world.now);
-    world.step_();
-    const std::vector<start_run> first = world.take<start_run>();
-    REQUIRE(first.size() == 1);
-    world.answerStart(first[0]);
+    const start_run first = world.runTask("j1", 4'000);
     world.answerHold("e1", {}, {}, order_status::Unknown);
     world.advance(6'200);
     world.addExecutor("e2");
     world.step_();
-    const std::vector<start_run> second = world.take<start_run>();
-    REQUIRE(second.size() == 1);
-    REQUIRE(second[0].executor == "e2");
-    world.answerStart(second[0]);
+    const start_run second = world.takeStart();
+    REQUIRE(second.executor == "e2");
+    world.answerStart(second);
     world.brain.handle(job_submitted{world.job("j2", {world.step(1, 4'000)})}, world.now);
     world.answerHold("e1", {}, {}, order_status::Unknown);
-    world.brain.handle(hold_answered{"e1", order_status::Ok, world.now, world.now, 1'000, {}, {scheduler_fixture::ended(first[0], 1, run_end::Done)}},
-                       world.now);
+    world.brain.handle(hold_answered{"e1", order_status::Ok, world.now, world.now, 1'000, {}, {scheduler_fixture::ended(first, 1, run_end::Done)}}, world.now);
     world.step_();
     CHECK(world.phaseOf("j1") == "completed");
     const std::vector<stop_run> stops = world.take<stop_run>();
@@ -349,18 +324,13 @@
     vms_listed list;
     list.vms.push_back({"vm-e1", "booking", vm_state::Up, "zone", {"a"}, "e1"});
     world.brain.handle(list, world.now);
-    world.brain.handle(job_submitted{world.job("j1", {world.step(1)})}, world.now);
-    world.step_();
-    const std::vector<start_run> starts = world.take<start_run>();
-    REQUIRE(starts.size() == 1);
-    world.answerStart(starts[0]);
+    const start_run start = world.runTask("j1");
     wave_request wave;
     wave.wave = 1;
     wave.vms = {"vm-e1"};
     wave.durationMs = 20'000;
     world.brain.handle(wave_requested{wave, 0}, world.now);
-    world.brain.handle(hold_answered{"e1", order_status::Ok, world.now, world.now, 1'000, {}, {scheduler_fixture::ended(starts[0], 1, run_end::Done)}},
-                       world.now);
+    world.brain.handle(hold_answered{"e1", order_status::Ok, world.now, world.now, 1'000, {}, {scheduler_fixture::ended(start, 1, run_end::Done)}}, world.now);
     world.now += 200;
     world.brain.handle(tick{world.now}, world.now);
     world.collect();
