--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <charconv>
 #include <mutex>
 #include <shared_mutex>
 #include <thread>
@@ -172,6 +173,14 @@
     return found == headers.end() ? std::string_view() : std::string_view(found->value);
 }
 
+std::int64_t findNumber(const std::vector<http_header> &headers, std::string_view name, std::int64_t fallback)
+{
+    const std::string_view text = findHeader(headers, name);
+    std::int64_t number = fallback;
+    std::from_chars(text.data(), text.data() + text.size(), number);
+    return number;
+}
+
 struct http_server::implementation
 {
     http_server_options options;
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -38,6 +38,9 @@
 /** Value of the first header with this name (letter case ignored), or empty. */
 std::string_view findHeader(const std::vector<http_header> &headers, std::string_view name);
 
+/** The whole number at the start of the first header with this name, or `fallback` if there's none. */
+std::int64_t findNumber(const std::vector<http_header> &headers, std::string_view name, std::int64_t fallback = 0);
+
 struct http_request
 {
     std::string method;
--- a/src/node/front_service.cpp
+++ b/src/node/front_service.cpp
@@ -40,9 +40,7 @@
 
 sched::time_ms deadlineOf(const http_request &request)
 {
-    const std::string_view text = findHeader(request.headers, deadlineHeader);
-    std::int64_t waitMs = 0;
-    std::from_chars(text.data(), text.data() + text.size(), waitMs);
+    const std::int64_t waitMs = findNumber(request.headers, deadlineHeader);
     return steadyMillis() + (waitMs > 0 ? waitMs : defaultDeadlineMs) - answerSlackMs;
 }
 
@@ -94,9 +92,7 @@
 
 void front_service::noteConfigurationOf(const http_response &other)
 {
-    const std::string_view text = findHeader(other.headers, configurationHeader);
-    std::int64_t version = 0;
-    std::from_chars(text.data(), text.data() + text.size(), version);
+    const std::int64_t version = findNumber(other.headers, configurationHeader);
     std::int64_t known = m_answeredVersion;
     while (version > known && !m_answeredVersion.compare_exchange_weak(known, version)) {
     }
@@ -176,9 +172,7 @@
         }
     } else {
         // The sender's caller must not be answered by an older configuration than the sender has, nor later by one older than this.
-        std::int64_t wanted = 0;
-        const std::string_view text = findHeader(request.headers, configurationHeader);
-        std::from_chars(text.data(), text.data() + text.size(), wanted);
+        const std::int64_t wanted = findNumber(request.headers, configurationHeader);
         counted = [inner = std::move(counted), version](http_response response) {
             response.headers.push_back({std::string(configurationHeader), std::to_string(version)});
             inner(std::move(response));
--- a/src/standins/deployment_standin.cpp
+++ b/src/standins/deployment_standin.cpp
@@ -1,9 +1,9 @@
 #include "standins/deployment_standin.h"
 
 #include "standins/json_answer.h"
+#include "standins/standin_server.h"
 
 #include <algorithm>
-#include <charconv>
 #include <cstdlib>
 
 namespace daisypass {
@@ -20,13 +20,6 @@
     return "pool-" + std::to_string(index);
 }
 
-std::int64_t numberIn(std::string_view text)
-{
-    std::int64_t number = 0;
-    std::from_chars(text.data(), text.data() + text.size(), number);
-    return number;
-}
-
 store_fault_kind faultKind(std::string_view word)
 {
     if (word == "busy") {
@@ -54,15 +47,10 @@
 
 bool deployment_standin::start(failure &reason)
 {
-    http_server_options options;
-    options.listen = m_options.listen;
-    m_server = std::make_unique<http_server>(
-        options,
-        [this](const http_request &request, const http_responder &respond) {
-            handle(request, respond);
-        },
-        m_context);
-    if (!m_server->start(reason)) {
+    m_server = startServer(m_options.listen, m_context, reason, [this](const http_request &request, const http_responder &respond) {
+        handle(request, respond);
+    });
+    if (!m_server) {
         return false;
     }
     writeConfiguration();
@@ -162,7 +150,7 @@
         fault.kind = faultKind(findHeader(request.query, "kind"));
         const std::string share(findHeader(request.query, "share"));
         fault.share = share.empty() ? 1.0 : std::strtod(share.c_str(), nullptr);
-        fault.delay = std::chrono::milliseconds(numberIn(findHeader(request.query, "delay_ms")));
+        fault.delay = std::chrono::milliseconds(findNumber(request.query, "delay_ms"));
         m_store.setFault(fault);
     } else if (request.path == "/admin/forget") {
         m_store.forgetHistory();
@@ -200,7 +188,7 @@
         return;
     }
     vm_state &vm = found->second;
-    const std::int64_t token = numberIn(findHeader(request.headers, "X-Daisypass-Fencing-Token"));
+    const std::int64_t token = findNumber(request.headers, "X-Daisypass-Fencing-Token");
     const std::string holder(findHeader(request.headers, "X-Daisypass-Lease-Holder"));
     if (token < vm.fence) {
         respond(jsonAnswer(statusConflict, json{{"Reason", "fence"}}));
--- a/src/standins/store_standin.cpp
+++ b/src/standins/store_standin.cpp
@@ -9,7 +9,6 @@
 #include <asio/steady_timer.hpp>
 
 #include <algorithm>
-#include <charconv>
 #include <chrono>
 
 namespace daisypass {
@@ -35,13 +34,6 @@
     return item;
 }
 
-std::int64_t numberOf(std::string_view text)
-{
-    std::int64_t number = 0;
-    std::from_chars(text.data(), text.data() + text.size(), number);
-    return number;
-}
-
 bool isWrittenByOthers(const row_key &key)
 {
     return key.table == "op" || key.table == "servers";
@@ -226,7 +218,7 @@
 
 void store_standin::feed(const http_request &request, const http_responder &respond)
 {
-    const std::int64_t after = numberOf(findHeader(request.query, "After"));
+    const std::int64_t after = findNumber(request.query, "After");
     if (after < m_historyFrom) {
         respond(emptyAnswer(statusGone));
         return;
@@ -238,7 +230,7 @@
     if (answerFeed(*waiting)) {
         return;
     }
-    waiting->timer = std::make_shared<asio::steady_timer>(m_context, std::chrono::milliseconds(numberOf(findHeader(request.query, "WaitMs"))));
+    waiting->timer = std::make_shared<asio::steady_timer>(m_context, std::chrono::milliseconds(findNumber(request.query, "WaitMs")));
     waiting->timer->async_wait([this, waiting](const asio::error_code &error) {
         if (error) {
             return;
--- a/src/standins/target_standin.cpp
+++ b/src/standins/target_standin.cpp
@@ -3,7 +3,6 @@
 #include "base/time.h"
 
 #include <algorithm>
-#include <charconv>
 
 namespace daisypass {
 namespace {
@@ -272,10 +271,8 @@
 
 std::chrono::milliseconds target_standin::runTime(const http_request &request) const
 {
-    std::int64_t value = m_options.defaultRun.count();
-    const std::string_view text = findHeader(request.headers, "X-Run-Ms");
-    std::from_chars(text.data(), text.data() + text.size(), value);
-    return std::chrono::milliseconds(std::max<std::int64_t>(0, value));
+    const std::int64_t runMs = findNumber(request.headers, "X-Run-Ms", m_options.defaultRun.count());
+    return std::chrono::milliseconds(std::max<std::int64_t>(0, runMs));
 }
 
 void target_standin::write(const execution_record &record)
--- a/src/standins/worker_standin.cpp
+++ b/src/standins/worker_standin.cpp
@@ -1,6 +1,7 @@
 #include "standins/worker_standin.h"
 
 #include "standins/json_answer.h"
+#include "standins/standin_server.h"
 
 #include "base/clock.h"
 
@@ -42,15 +43,10 @@
 
 bool worker_standin::start(failure &reason)
 {
-    http_server_options options;
-    options.listen = {"127.0.0.1", 0};
-    m_server = std::make_unique<http_server>(
-        options,
-        [this](const http_request &request, const http_responder &respond) {
-            handle(request, respond);
-        },
-        m_context);
-    if (!m_server->start(reason)) {
+    m_server = startServer({"127.0.0.1", 0}, m_context, reason, [this](const http_request &request, const http_responder &respond) {
+        handle(request, respond);
+    });
+    if (!m_server) {
         return false;
     }
     beat();
@@ -111,7 +107,9 @@
         endRun(task, "stopped");
     }
     m_store.remove({"servers", "", m_options.id});
-    m_server->stop();
+    if (m_server) {
+        m_server->stop();
+    }
 }
 
 void worker_standin::setDraining()
