Delete the state of an old job only after its submission

What callers would see: jobs that ended minutes ago run again, all of their tasks, after the lease has changed its holder or the store has lost its history. Cause: the holder deletes the state rows of jobs that ended more than twice `status_s` ago, and nobody deletes their submissions. A submission without a state row counts as one to which nothing has happened, so the next whole read of the submissions started it anew. Class: the absence of a value that was taken away is read as a value. Change: the holder deletes the submission and its cancellation first, and the state row, as before, once that is acknowledged. For 30 s it ignores the submission if a read that began before still brings it. Why it holds: only final jobs whose state is stored are named, so a deletion that comes late or twice, also from a former holder, takes nothing away that is needed. The test of a batch's size now answers the order to delete submissions, since state rows are deleted after it; its checks are the same. The fixture applies deletions.

--- a/src/node/dispatcher.h
+++ b/src/node/dispatcher.h
@@ -88,6 +88,7 @@
     void carryOut(const sched::ask_advice &order);
     void carryOut(const sched::move_vm &order);
     void carryOut(const sched::upkeep_vm &order);
+    void carryOut(const sched::drop_jobs &order);
     void carryOut(const sched::publish_wave &order);
     void carryOut(const sched::step_down &order);
     void carryOut(const sched::decision_note &note);
--- a/src/node/dispatcher_orders.cpp
+++ b/src/node/dispatcher_orders.cpp
@@ -121,6 +121,28 @@
     }
 }
 
+// Only jobs that have ended for good are named, so the deletion needs no condition and may be repeated, or come late.
+void dispatcher::carryOut(const sched::drop_jobs &order)
+{
+    std::map<std::string, std::vector<std::string>> parts;
+    for (const std::string &job : order.jobs) {
+        parts[tables::partOfJob(job)].push_back(job);
+    }
+    for (const std::pair<const std::string, std::vector<std::string>> &part : parts) {
+        row_transaction transaction;
+        for (const std::string &job : part.second) {
+            transaction.deletes.push_back(tables::jobRow(job));
+            transaction.deletes.push_back(tables::cancelRow(job));
+        }
+        m_services.store.transact(transaction, holderCommitTimeout, [weak = weak_from_this(), jobs = part.second](const transact_result &result) {
+            const std::shared_ptr<dispatcher> self = weak.lock();
+            if (self && result.status == store_status::Ok) {
+                self->feed(sched::jobs_dropped{jobs});
+            }
+        });
+    }
+}
+
 void dispatcher::carryOut(const sched::publish_wave &order)
 {
     row_transaction transaction;
--- a/src/sched/events.h
+++ b/src/sched/events.h
@@ -115,6 +115,12 @@
     std::int64_t unixMs = 0;
 };
 
+/** The submissions of these jobs are deleted for good. */
+struct jobs_dropped
+{
+    std::vector<std::string> jobs;
+};
+
 /** The rows of a batch are stored. */
 struct batch_committed
 {
@@ -194,6 +200,7 @@
 using event = std::variant<configuration_changed,
                            job_submitted,
                            job_cancelled,
+                           jobs_dropped,
                            executor_seen,
                            executor_gone,
                            vms_listed,
@@ -275,6 +282,12 @@
     executor_life occupant{};
 };
 
+/** Delete the submissions of jobs that ended long ago. */
+struct drop_jobs
+{
+    std::vector<std::string> jobs;
+};
+
 /** Tell the operator about a wave. */
 struct publish_wave
 {
@@ -298,7 +311,7 @@
     note_fields fields;
 };
 
-using action = std::variant<start_run, stop_run, pace_run, hold_executor, ask_advice, move_vm, upkeep_vm, publish_wave, step_down, decision_note>;
+using action = std::variant<start_run, stop_run, pace_run, hold_executor, ask_advice, move_vm, upkeep_vm, drop_jobs, publish_wave, step_down, decision_note>;
 
 /** Rows to store in one transaction, before anything that they record is done. */
 struct commit_batch
--- a/src/sched/job_record.h
+++ b/src/sched/job_record.h
@@ -143,6 +143,8 @@
     /** On this process's clock. */
     time_ms acceptedAt = 0;
     time_ms endedAt = 0;
+    /** When the deletion of its submission was last asked for; 0 if it wasn't. */
+    time_ms dropAskedAt = 0;
     /** The row must be stored again. */
     bool dirty = false;
     /** The scheduler looks at the job when it places tasks. */
--- a/src/sched/scheduler.cpp
+++ b/src/sched/scheduler.cpp
@@ -13,6 +13,12 @@
 constexpr std::size_t mostDeletesPerBatch = 8;
 // Clean-up looks for old jobs this often.
 constexpr time_ms cleanEveryMs = 1'000;
+// Submissions deleted with one order; a store's transaction takes 100 entries, and a job has two.
+constexpr std::size_t mostDropsAtOnce = 40;
+// An order to delete submissions that isn't answered is repeated after this time.
+constexpr time_ms repeatDropMs = 5'000;
+// A read of the submissions that began before their deletion is over within this time.
+constexpr time_ms droppedKeepMs = 30'000;
 // Silent executors, unanswered stops and runs without progress are looked for this often.
 constexpr time_ms sweepEveryMs = 100;
 // Placements closer together than this share one pass and mostly one transaction, which takes as long.
@@ -158,7 +164,8 @@
 
 void scheduler::on(const job_submitted &what, time_ms now)
 {
-    if (m_jobs.contains(what.job.id)) {
+    // A page of the table that was read before the deletion may still bring a dropped one.
+    if (m_jobs.contains(what.job.id) || m_dropped.contains(what.job.id)) {
         return;
     }
     std::unique_ptr<job_record> job = std::make_unique<job_record>(what.job);
@@ -339,25 +346,47 @@
     }
 }
 
+// A submission without a state row is one to which nothing has happened, so the state is deleted only after the submission.
 void scheduler::dropOldJobs(time_ms now)
 {
+    std::erase_if(m_dropped, [&](const std::pair<const std::string, time_ms> &job) {
+        return job.second + droppedKeepMs < now;
+    });
     // Twice the time for which callers may ask, so that a takeover in between doesn't shorten it.
     const time_ms keep = 2 * m_bounds.statusKeepMs;
-    std::size_t dropped = 0;
-    while (dropped < m_ended.size()) {
-        const auto found = m_jobs.find(m_ended[dropped]);
-        const bool old = found == m_jobs.end() || (found->second->endedAt + keep < now && !found->second->dirty && !m_stopping.contains(m_ended[dropped]));
-        if (!old) {
+    drop_jobs order;
+    for (const std::string &id : m_ended) {
+        job_record &job = *m_jobs.at(id);
+        if (job.endedAt + keep >= now || order.jobs.size() >= mostDropsAtOnce) {
             break;
         }
-        if (found != m_jobs.end()) {
-            m_deletedRows.push_back(found->first);
-            std::erase(m_backlog, found->second.get());
-            m_jobs.erase(found);
+        const bool settled = !job.dirty && job.batch <= m_committed && !m_stopping.contains(id);
+        if (settled && (job.dropAskedAt == 0 || job.dropAskedAt + repeatDropMs < now)) {
+            job.dropAskedAt = now;
+            order.jobs.push_back(id);
+        }
+    }
+    if (!order.jobs.empty()) {
+        m_actions.push_back(std::move(order));
+    }
+}
+
+void scheduler::on(const jobs_dropped &what, time_ms now)
+{
+    const std::set<std::string> dropped(what.jobs.begin(), what.jobs.end());
+    std::erase_if(m_ended, [&](const std::string &id) {
+        return dropped.contains(id);
+    });
+    for (const std::string &id : dropped) {
+        const auto found = m_jobs.find(id);
+        if (found == m_jobs.end()) {
+            continue;
         }
-        ++dropped;
+        m_dropped[id] = now;
+        m_deletedRows.push_back(id);
+        std::erase(m_backlog, found->second.get());
+        m_jobs.erase(found);
     }
-    m_ended.erase(m_ended.begin(), m_ended.begin() + static_cast<std::ptrdiff_t>(dropped));
 }
 
 std::map<queue_key, std::int64_t> scheduler::waitingJobs() const
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -111,6 +111,7 @@
     void on(const configuration_changed &what, time_ms now);
     void on(const job_submitted &what, time_ms now);
     void on(const job_cancelled &what, time_ms now);
+    void on(const jobs_dropped &what, time_ms now);
     void on(const batch_committed &what, time_ms now);
     void on(const tick &what, time_ms now);
     void finishJob(job_record &job, job_phase phase, time_ms now);
@@ -213,6 +214,8 @@
     std::vector<std::string> m_ended;
     std::set<std::string> m_dirty;
     std::vector<std::string> m_deletedRows;
+    /** Jobs whose submissions were deleted a moment ago, with the time. */
+    std::map<std::string, time_ms> m_dropped;
     std::map<std::string, executor_record> m_executors;
     /** Listed executors by pool; made anew when stale. */
     std::map<std::string, std::vector<executor_record *>> m_poolExecutors;
--- a/tests/sched/load_model.cpp
+++ b/tests/sched/load_model.cpp
@@ -199,6 +199,11 @@
     {
     }
 
+    void carryOut(const drop_jobs &order_)
+    {
+        feed(jobs_dropped{order_.jobs});
+    }
+
     void carryOut(const publish_wave &)
     {
     }
--- a/tests/sched/scheduler_fixture.h
+++ b/tests/sched/scheduler_fixture.h
@@ -93,6 +93,9 @@
             for (const std::pair<std::string, std::string> &row : batch->rows) {
                 rows[row.first] = row.second;
             }
+            for (const std::string &key : batch->deletedKeys) {
+                rows.erase(key);
+            }
             brain.handle(batch_committed{batch->number}, now);
             now += 5;
             brain.plan(now);
--- a/tests/sched/scheduler_test.cpp
+++ b/tests/sched/scheduler_test.cpp
@@ -359,6 +359,10 @@
     world.step_();
     world.now += 2 * bounds{}.statusKeepMs + 1'000;
     world.brain.handle(tick{world.now}, world.now);
+    world.collect();
+    for (const drop_jobs &order : world.take<drop_jobs>()) {
+        world.brain.handle(jobs_dropped{order.jobs}, world.now);
+    }
     submitAndCancel("new");
     wave_request wave;
     wave.wave = 1;
