--- a/tests/sched/load_model.cpp
+++ b/tests/sched/load_model.cpp
@@ -199,9 +199,9 @@
     {
     }
 
-    void carryOut(const drop_jobs &order_)
+    void carryOut(const drop_jobs &order)
     {
-        feed(jobs_dropped{order_.jobs});
+        feed(jobs_dropped{order.jobs});
     }
 
     void carryOut(const publish_wave &)
--- a/tests/sched/takeover_model.cpp
+++ b/tests/sched/takeover_model.cpp
@@ -135,6 +135,9 @@
     void carryOut(const holder_ptr &, const ask_advice &)
     {
     }
+    void carryOut(const holder_ptr &, const drop_jobs &)
+    {
+    }
     void carryOut(const holder_ptr &, const publish_wave &)
     {
     }
