Give a pool without any VM one before a larger backlog takes them all

A task that fails on a reserved executor, or with its machine, waits for such a move however the drain goes on. Cause: free VMs go to the pool with the largest shortage until it has all that it wants; a shortage of one VM comes last at every plan for as long as the turn lasts. Class: starvation by a strict order of priority. Change: pools with a shortage and no VM that counts as present get one each, then the largest shortage follows as before.

--- a/src/sched/fleet_planner.cpp
+++ b/src/sched/fleet_planner.cpp
@@ -313,24 +313,31 @@
     std::sort(backlogged.begin(), backlogged.end(), [](const pool_need *a, const pool_need *b) {
         return a->wanted - a->present > b->wanted - b->present;
     });
-    for (pool_need *need : backlogged) {
+    const auto fill = [&](pool_need &need, int upTo) {
         for (bool fromSpare : {true, false}) {
             for (std::pair<const std::string, pool_need> &donor : needs) {
-                if (donor.second.pool->spare != fromSpare || &donor.second == need) {
+                if (donor.second.pool->spare != fromSpare || &donor.second == &need) {
                     continue;
                 }
                 const int keep = fromSpare ? 0 : donor.second.wanted;
                 std::vector<const fleet_vm *> &movable = donor.second.movable;
-                while (need->wanted > need->present && donor.second.present > keep && !movable.empty() && moves < mostMovesPerPlan) {
+                while (need.present < upTo && donor.second.present > keep && !movable.empty() && moves < mostMovesPerPlan) {
                     const fleet_vm *vm = movable.back();
                     if (vm->hasExecutor && now - vm->emptySince < emptyBeforeHelpMs) {
                         break;
                     }
                     movable.pop_back();
-                    order(*vm, donor.second, *need);
+                    order(*vm, donor.second, need);
                 }
             }
         }
+    };
+    // In a pool without any VM nothing goes on at all, however little waits there.
+    for (pool_need *need : backlogged) {
+        fill(*need, 1);
+    }
+    for (pool_need *need : backlogged) {
+        fill(*need, need->wanted);
     }
     if (sparePool.empty()) {
         return;
--- a/tests/sched/fleet_planner_test.cpp
+++ b/tests/sched/fleet_planner_test.cpp
@@ -93,6 +93,20 @@
             CHECK(only<move_decision>(planner.plan(view, start + 100)).empty());
         }
     }
+    SUBCASE("a pool without any VM gets one before a larger backlog takes them all")
+    {
+        // rcm-bogota trouble-2: a pool whose only VM awaited its upkeep got none for 9 s, while another pool had its turn.
+        fleet_view view;
+        view.pools = {poolWith("booking", 4 * vmCapacity.cpu), poolWith("profiles", 2 * vmCapacity.cpu), sparePool()};
+        view.vms = {emptyVm("a", "booking"), emptyVm("b", "profiles"), spareVm("c", "spare"), spareVm("d", "spare")};
+        view.vms[0].runs = 1;
+        view.vms[1].runs = 1;
+        view.vms[1].reserved = true;
+        const std::vector<move_decision> moves = only<move_decision>(planner.plan(view, start));
+        REQUIRE(moves.size() == 2);
+        CHECK(moves[0].pool == "profiles");
+        CHECK(moves[1].pool == "booking");
+    }
     SUBCASE("a pool in which work arrives gets VMs before it has a backlog")
     {
         fleet_view view;
