Bound the leases that a former holder can extend

Cause: the new holder took the runs of executors that it couldn't reach as over when the longest lease had passed since its own term began. The former holder went on extending these leases until an executor refused its token: 0.9 to 1.1 s after the takeover when the store answered 100 times as slowly, and without an end if it reached only executors that the new one didn't. Class: a time limit that is counted from the reader's clock while the writer may still move it. Ruled out: starts sent by the former holder. Change: a holder extends leases in full for 2.5 s after it sent its last stored renewal, and then to no later an end. The successor waits from the renewal that it saw last. The row of the holder carries how long still earlier holders may extend leases, so that quick takeovers in a row are safe. Refused connections don't count as proof that the holder is gone. A stored start isn't sent if no lease may be granted. The fixture of the scheduler's tests renews the lease as time passes, as a dispatcher does.

--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -20,13 +20,13 @@
     , m_settings(settings)
     , m_term(std::move(term))
     , m_lost(std::move(lost))
-    , m_scheduler(settings.bounds, steadyMillis())
+    , m_scheduler(settings.bounds, m_term.times)
     , m_recovery(std::make_unique<recovery>())
     , m_relays(std::make_shared<relay_pool>(m_services.client, m_services.later, m_term.node + '.' + std::to_string(m_term.term), m_term.node))
     , m_executors([relays = m_relays](http_call call, std::function<void(http_result)> done) {
         relays->send(std::move(call), std::move(done));
     })
-    , m_renewedAt(steadyMillis())
+    , m_renewedAt(m_term.times.takenAt)
 {
     m_recovery->beganAt = steadyMillis();
 }
@@ -211,12 +211,17 @@
     m_relays->stop();
 }
 
+std::string dispatcher::leaseText(bool released, bool stopping) const
+{
+    return sched::writeLease({m_term.node, m_term.incarnation, m_term.term, released, stopping, m_term.times.earlierGrantsLeft(steadyMillis())});
+}
+
 void dispatcher::release(bool stopping, std::function<void()> done)
 {
     stop();
     row_transaction transaction;
     transaction.expects = {{tables::termRow(), m_term.termVersion}};
-    transaction.puts = {{tables::holderRow(), sched::writeLease({m_term.node, m_term.incarnation, m_term.term, true, stopping})}};
+    transaction.puts = {{tables::holderRow(), leaseText(true, stopping)}};
     m_services.store.transact(transaction, releaseTimeout, [done = std::move(done)](const transact_result &) {
         done();
     });
--- a/src/node/dispatcher.h
+++ b/src/node/dispatcher.h
@@ -91,6 +91,7 @@
     void carryOut(const sched::step_down &order);
     void carryOut(const sched::decision_note &note);
 
+    std::string leaseText(bool released, bool stopping) const;
     void commitIfNeeded();
     void sendCommit();
     void onCommitted(const transact_result &result);
--- a/src/node/dispatcher_store.cpp
+++ b/src/node/dispatcher_store.cpp
@@ -72,7 +72,7 @@
     }
     m_transactionRenews = now - m_renewedAt >= renewWithBatchMs;
     if (m_transactionRenews) {
-        transaction.puts.push_back({tables::holderRow(), sched::writeLease({m_term.node, m_term.incarnation, m_term.term, false, false})});
+        transaction.puts.push_back({tables::holderRow(), leaseText(false, false)});
     }
     m_transaction = std::move(transaction);
     sendCommit();
@@ -149,6 +149,7 @@
     }
     if (m_transactionRenews) {
         m_renewedAt = m_commitSentAt;
+        m_scheduler.handle(sched::lease_renewed{m_renewedAt}, now);
     }
     m_transaction.reset();
     if (m_transactionBatch != 0) {
--- a/src/node/leadership.h
+++ b/src/node/leadership.h
@@ -27,6 +27,7 @@
     std::int64_t incarnation = 0;
     /** An earlier holder may still be alive, with orders to the fleet on their way. */
     bool earlierHolderMayLive = true;
+    sched::term_times times;
 };
 
 struct leadership_handlers
@@ -59,7 +60,7 @@
     void onRow(const store_row &row);
     void probeHolder(std::unique_lock<std::mutex> &guard);
     void tryTake();
-    void onTaken(const transact_result &result, const sched::lease_row &wanted, bool earlierHolderMayLive);
+    void onTaken(const transact_result &result, const sched::lease_row &wanted, bool earlierHolderMayLive, const sched::term_times &times);
 
     store_client &m_store;
     sched::lease_identity m_self;
--- a/src/sched/events.h
+++ b/src/sched/events.h
@@ -98,6 +98,13 @@
     std::int64_t unixMs = 0;
 };
 
+/** A renewal of this term's lease is stored. */
+struct lease_renewed
+{
+    /** When the call that stored it was sent, or an earlier time. */
+    time_ms sentAt = 0;
+};
+
 /** The rows of a batch are stored. */
 struct batch_committed
 {
@@ -170,6 +177,7 @@
                            executor_gone,
                            vms_listed,
                            wave_requested,
+                           lease_renewed,
                            batch_committed,
                            start_answered,
                            stop_answered,
--- a/src/sched/lease_rules.cpp
+++ b/src/sched/lease_rules.cpp
@@ -34,7 +34,13 @@
 
 std::string writeLease(const lease_row &row)
 {
-    return json{{"node", row.node}, {"incarnation", row.incarnation}, {"term", row.term}, {"released", row.released}, {"stopped", row.stopped}}.dump();
+    return json{{"node", row.node},
+                {"incarnation", row.incarnation},
+                {"term", row.term},
+                {"released", row.released},
+                {"stopped", row.stopped},
+                {"earlier_grants_ms", row.earlierGrantsMs}}
+        .dump();
 }
 
 std::optional<lease_row> readLease(std::string_view text)
@@ -49,6 +55,8 @@
     row.incarnation = value.value("incarnation", std::int64_t{0});
     row.released = value.value("released", false);
     row.stopped = value.value("stopped", false);
+    // A row without the figure may be of a holder that came right after another.
+    row.earlierGrantsMs = value.value("earlier_grants_ms", grantsWithoutRenewalMs);
     return row;
 }
 
@@ -88,6 +96,19 @@
     return !m_row || m_row->stopped || (m_row->node == m_self.node && m_row->incarnation != m_self.incarnation);
 }
 
+// The latest renewal was sent before it was seen here. A holder that refuses connections isn't known to be gone: so does a link
+// that is cut.
+time_ms lease_rules::earlierGrantsUntil(time_ms now) const
+{
+    if (!m_row) {
+        return now;
+    }
+    const time_ms seenAt = m_unchangedSince.value_or(now);
+    const bool formerSelf = m_row->node == m_self.node && m_row->incarnation != m_self.incarnation;
+    const time_ms ownMs = m_row->released || formerSelf ? 0 : grantsWithoutRenewalMs;
+    return seenAt + std::max(ownMs, m_row->earlierGrantsMs);
+}
+
 bool lease_rules::heldByOther() const
 {
     return m_row && !m_row->released && m_row->node != m_self.node;
--- a/src/sched/lease_rules.h
+++ b/src/sched/lease_rules.h
@@ -12,6 +12,7 @@
 
 #include "sched/model.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -19,6 +20,28 @@
 
 namespace daisypass::sched {
 
+/**
+ * For this long after it sent its last stored renewal, a holder extends the leases of executors in full; later extensions end no
+ * later than these. Its successor knows when that renewal was stored, and so when the leases have ended on executors that only the
+ * former holder reaches. With leases of 5.5 s, runs survive a store that is away for 6 s; a successor that has waited for the 2 s
+ * of the holder's lease waits 0.5 s more than a lease for executors that it can't reach.
+ */
+inline constexpr time_ms grantsWithoutRenewalMs = 2'500;
+
+/** What a new holder knows of the time around its takeover. */
+struct term_times
+{
+    /** When the transaction that took the lease was sent. */
+    time_ms takenAt = 0;
+    /** Earlier holders may have extended executors' leases in full until then; later than now if one may be alive. */
+    time_ms earlierGrantsUntil = 0;
+
+    time_ms earlierGrantsLeft(time_ms now) const
+    {
+        return std::max<time_ms>(0, earlierGrantsUntil - now);
+    }
+};
+
 /** The lease as it is stored. */
 struct lease_row
 {
@@ -30,6 +53,8 @@
     bool released = false;
     /** The holder stopped; one that goes on running gives its lease back without this. */
     bool stopped = false;
+    /** How long after this row was written holders before this one may still extend leases of executors. */
+    time_ms earlierGrantsMs = 0;
 };
 
 std::string writeLease(const lease_row &row);
@@ -63,6 +88,8 @@
     bool isOwn() const;
     /** The last holder's process is over: it was this machine's earlier life, or it said so. */
     bool holderIsOver() const;
+    /** Until when earlier holders may have extended leases of executors in full. */
+    time_ms earlierGrantsUntil(time_ms now) const;
     /** The holder isn't known to be gone, and is another machine. */
     bool heldByOther() const;
     const std::optional<lease_row> &row() const
--- a/src/sched/scheduler.cpp
+++ b/src/sched/scheduler.cpp
@@ -32,9 +32,10 @@
 
 } // namespace
 
-scheduler::scheduler(bounds limits, time_ms now)
+scheduler::scheduler(bounds limits, const term_times &term)
     : m_bounds(withShortLeases(limits))
-    , m_since(now)
+    , m_term(term)
+    , m_renewedAt(term.takenAt)
     , m_fleet(limits)
     , m_fleetOrders(limits.leaseMs + fleetOrderSlackMs)
 {
@@ -280,6 +281,11 @@
     sendFleetOrders();
 }
 
+void scheduler::on(const lease_renewed &what, time_ms)
+{
+    m_renewedAt = std::max(m_renewedAt, what.sentAt);
+}
+
 void scheduler::emitStarts(job_record &job, std::int64_t batch, time_ms now)
 {
     job.eachOccupied([&](const task_id &id, task_record &task) {
@@ -287,9 +293,10 @@
             return;
         }
         executor_record &executor = executorFor(task.executor, now);
-        if (!executor.answers()) {
+        const time_ms leaseMs = grantMs(now);
+        if (!executor.answers() || leaseMs == 0) {
             // Nothing was sent, so nothing runs.
-            loseRun(job, id, task, now, "executor_silent_before_start");
+            loseRun(job, id, task, now, leaseMs == 0 ? "lease_not_renewed" : "executor_silent_before_start");
             return;
         }
         task.phase = task_phase::Ordered;
@@ -309,7 +316,7 @@
         if (ticket != tickets.end()) {
             order.ticket = ticket->second.ticket;
         }
-        order.leaseEndMs = executor.clockAtTime(now) + m_bounds.maxLeaseMs;
+        order.leaseEndMs = executor.clockAtTime(now) + leaseMs;
         m_actions.push_back(std::move(order));
     });
 }
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -2,7 +2,7 @@
 
 // Places the tasks of jobs on executors, keeps their leases, and follows each run to its end.
 //
-//     scheduler brain(bounds, ownerSince);
+//     scheduler brain(bounds, termTimes);
 //     brain.restore(job, row);                     // for every stored job, before the first event
 //     brain.handle(event, now);
 //     for (const action &next : brain.takeActions()) { ... }
@@ -14,6 +14,7 @@
 // - A start order is sent only after the row that names the run and its executor is stored.
 // - A task has at most one run that can be alive. It is placed again only after the former run has ended, or was refused,
 //   or can't be alive any more because its lease is over on the slowest clock or its executor restarted.
+// - Leases are extended only as far as this term's successor can know from the last stored renewal (lease_rules.h).
 // - An end is acknowledged only after the rows of the jobs that it changes are stored.
 
 #include "sched/arrival_rate.h"
@@ -22,6 +23,7 @@
 #include "sched/fleet_orders.h"
 #include "sched/fleet_planner.h"
 #include "sched/job_record.h"
+#include "sched/lease_rules.h"
 #include "sched/model.h"
 #include "sched/run_pace.h"
 
@@ -60,8 +62,7 @@
 class scheduler
 {
 public:
-    /** `now` is when the term began. */
-    scheduler(bounds limits, time_ms now);
+    scheduler(bounds limits, const term_times &term);
     ~scheduler();
 
     /** Adds a stored job with its state row; an empty row means that nothing has happened to it. False if the row can't be read. */
@@ -109,6 +110,7 @@
     void on(const configuration_changed &what, time_ms now);
     void on(const job_submitted &what, time_ms now);
     void on(const job_cancelled &what, time_ms now);
+    void on(const lease_renewed &what, time_ms now);
     void on(const batch_committed &what, time_ms now);
     void on(const tick &what, time_ms now);
     void finishJob(job_record &job, job_phase phase, time_ms now);
@@ -137,6 +139,8 @@
     void sendHolds(time_ms now);
     void sweepHolds();
     void sendHold(executor_record &executor, time_ms now);
+    /** How long a lease that is granted now may last; 0 if none may be granted. */
+    time_ms grantMs(time_ms now) const;
     bool sharesWithFillers(const executor_record &executor) const;
     void acknowledgeStored();
     void expireSilent(time_ms now);
@@ -183,7 +187,9 @@
     void note(std::string event, note_fields fields);
 
     bounds m_bounds;
-    time_ms m_since;
+    term_times m_term;
+    /** When this term's last stored renewal was sent. */
+    time_ms m_renewedAt;
     std::int64_t m_unixMs = 0;
     configuration_view m_configuration;
     std::map<queue_key, queue_config> m_queues;
--- a/src/sched/scheduler_executors.cpp
+++ b/src/sched/scheduler_executors.cpp
@@ -33,8 +33,7 @@
     if (added) {
         found->second.entry.id = id;
         found->second.emptySince = now;
-        // An earlier holder may have extended leases until this term began.
-        found->second.lastGrantAt = m_since;
+        found->second.lastGrantAt = m_term.earlierGrantsUntil;
         found->second.silentSince = now;
         m_executorIndexStale = true;
     }
--- a/src/sched/scheduler_holds.cpp
+++ b/src/sched/scheduler_holds.cpp
@@ -71,6 +71,14 @@
     return fills && serves;
 }
 
+// A successor starts runs again when the leases of this term's executors are over. It doesn't reach all of them, so their end has
+// to follow from the last renewal that it saw.
+time_ms scheduler::grantMs(time_ms now) const
+{
+    const time_ms latestEnd = m_renewedAt + grantsWithoutRenewalMs + m_bounds.maxLeaseMs;
+    return std::clamp<time_ms>(latestEnd - now, 0, m_bounds.maxLeaseMs);
+}
+
 void scheduler::sendHold(executor_record &executor, time_ms now)
 {
     hold_executor order;
@@ -80,12 +88,13 @@
         executor.acknowledgedEnds = executor.processedEnds;
     }
     order.acknowledged = executor.acknowledgedEnds;
-    const bool grants = executor.answers() && !executor.runs.empty();
-    if (grants) {
-        order.leaseEndMs = executor.clockAtTime(now) + m_bounds.maxLeaseMs;
+    const bool works = executor.answers() && !executor.runs.empty();
+    const time_ms leaseMs = grantMs(now);
+    if (works && leaseMs > 0) {
+        order.leaseEndMs = executor.clockAtTime(now) + leaseMs;
         executor.lastGrantAt = now;
     }
-    order.waitMs = grants && !executor.lookSoon ? (sharesWithFillers(executor) ? pacingHoldWaitMs : holdWaitMs) : 0;
+    order.waitMs = works && !executor.lookSoon ? (sharesWithFillers(executor) ? pacingHoldWaitMs : holdWaitMs) : 0;
     executor.lookSoon = false;
     executor.holdInFlight = true;
     executor.holdSentAt = now;
--- a/tests/sched/lease_rules_test.cpp
+++ b/tests/sched/lease_rules_test.cpp
@@ -126,3 +126,57 @@
     CHECK_FALSE(readLease("not json"));
     CHECK_FALSE(readLease("{}"));
 }
+
+TEST_CASE("a new holder knows until when earlier ones may have extended the leases of executors")
+{
+    lease_rules rules = rulesOf("n1", 7);
+
+    SUBCASE("nobody held the lease before")
+    {
+        rules.sawRow(std::nullopt, 0, 1'000);
+        CHECK(rules.earlierGrantsUntil(1'100) == 1'100);
+    }
+    SUBCASE("a holder that may live counts from its last renewal that was seen")
+    {
+        rules.sawRow(lease_row{"n2", 1, 3, false, false}, 10, 1'000);
+        rules.sawRow(lease_row{"n2", 1, 3, false, false}, 11, 1'500);
+        CHECK(rules.earlierGrantsUntil(3'600) == 1'500 + grantsWithoutRenewalMs);
+    }
+    SUBCASE("one that refuses connections may live behind a link that is cut")
+    {
+        rules.sawRow(lease_row{"n2", 1, 3, false, false}, 10, 1'000);
+        rules.probedHolder(true);
+        rules.probedHolder(true);
+        REQUIRE(rules.mayTake(1'900));
+        CHECK(rules.earlierGrantsUntil(1'900) == 1'000 + grantsWithoutRenewalMs);
+    }
+    SUBCASE("without the store for a while the last renewal may have been stored at any time of it")
+    {
+        rules.sawRow(lease_row{"n2", 1, 3, false, false}, 10, 1'000);
+        rules.lostStore();
+        CHECK(rules.earlierGrantsUntil(9'000) == 9'000 + grantsWithoutRenewalMs);
+    }
+    SUBCASE("one that gave the lease back stopped before, and so did an earlier life of this machine")
+    {
+        rules.sawRow(lease_row{"n2", 1, 3, true, true}, 10, 1'000);
+        CHECK(rules.earlierGrantsUntil(1'100) == 1'000);
+        rules.sawRow(lease_row{"n1", 6, 4, false, false}, 11, 2'000);
+        CHECK(rules.earlierGrantsUntil(2'100) == 2'000);
+    }
+    SUBCASE("the holder before a short term may still go on")
+    {
+        rules.sawRow(lease_row{"n2", 1, 3, true, true, 3'200}, 10, 1'000);
+        CHECK(rules.earlierGrantsUntil(1'100) == 4'200);
+        rules.sawRow(lease_row{"n2", 1, 3, true, true, 100}, 11, 4'000);
+        CHECK(rules.earlierGrantsUntil(4'050) == 4'100);
+    }
+    SUBCASE("the row says so to whoever reads it")
+    {
+        const std::optional<lease_row> read = readLease(writeLease({"n2", 1, 3, false, false, 3'200}));
+        REQUIRE(read);
+        CHECK(read->earlierGrantsMs == 3'200);
+        const std::optional<lease_row> withoutFigure = readLease(R"({"node":"n2","term":3})");
+        REQUIRE(withoutFigure);
+        CHECK(withoutFigure->earlierGrantsMs == grantsWithoutRenewalMs);
+    }
+}
--- a/tests/sched/load_model.cpp
+++ b/tests/sched/load_model.cpp
@@ -71,7 +71,7 @@
     explicit implementation(load_settings given)
         : settings(std::move(given))
         , random(settings.seed)
-        , brain(limits(), 0)
+        , brain(limits(), {})
     {
     }
 
@@ -193,6 +193,7 @@
             step();
         });
         repeat(2, tickEveryMs, [this] {
+            feed(lease_renewed{now});
             feed(tick{now});
             measurePools();
         });
--- a/tests/sched/scheduler_fixture.h
+++ b/tests/sched/scheduler_fixture.h
@@ -12,9 +12,9 @@
 class scheduler_fixture
 {
 public:
-    explicit scheduler_fixture(bounds limits = {})
-        : m_limits(limits)
-        , brain(limits, 0)
+    explicit scheduler_fixture(bounds limits = {}, const term_times &term = {})
+        : now(term.takenAt + 100)
+        , brain(limits, term)
     {
         brain.handle(configuration_changed{oneQueue()}, now);
     }
@@ -87,7 +87,11 @@
         now += 5;
         brain.plan(now);
         collect();
-        while (std::optional<commit_batch> batch = brain.takeBatch(now)) {
+        while (storeReached) {
+            std::optional<commit_batch> batch = brain.takeBatch(now);
+            if (!batch) {
+                break;
+            }
             for (const std::pair<std::string, std::string> &row : batch->rows) {
                 rows[row.first] = row.second;
             }
@@ -165,15 +169,16 @@
     void advance(time_ms ms)
     {
         now += ms;
+        if (storeReached) {
+            brain.handle(lease_renewed{now}, now);
+        }
         brain.handle(tick{now}, now);
         step_();
     }
 
-private:
-    bounds m_limits;
-
-public:
-    time_ms now = 100;
+    time_ms now;
+    /** Without the store nothing is committed and the lease isn't renewed. */
+    bool storeReached = true;
     scheduler brain;
     std::vector<action> actions;
     std::map<std::string, std::string> rows;
