Count a renewal from the call that may have stored it

After a lost answer the holder repeats its transaction, and a conflict that shows its own batch says that an earlier call has stored it. The renewal was then counted from the sending of the last call, up to 1.6 s (time limit and pause) after the store had it. The successor counts from when it was stored, so a holder without the store could extend leases that much longer than its successor waits, and send orders to the fleet up to 3.1 s after its renewal, when others may take the lease after 2 s. Cause: the time of the last attempt stood for the time of the attempt that succeeded. Class: an outcome is credited to the wrong call. Change: a renewal that an earlier call has stored counts from the first call. The test failed before (2,560 in place of 1,000).

--- a/src/node/dispatcher.h
+++ b/src/node/dispatcher.h
@@ -131,11 +131,12 @@
     std::int64_t m_transactionBatch = 0;
     bool m_commitInFlight = false;
     sched::time_ms m_commitSentAt = 0;
+    sched::renewal_attempts m_attempts;
     sched::time_ms m_commitRetryAt = 0;
     std::int64_t m_sequence = 0;
     std::int64_t m_sequenceVersion = 0;
     bool m_transactionRenews = false;
-    /** When the last renewal that is known to be stored was sent. */
+    /** When the last renewal that is known to be stored was sent, or an earlier time. */
     sched::time_ms m_renewedAt = 0;
     std::map<sched::queue_key, std::int64_t> m_publishedWaiting;
     sched::time_ms m_queuesPublishedAt = 0;
--- a/src/node/dispatcher_store.cpp
+++ b/src/node/dispatcher_store.cpp
@@ -75,6 +75,7 @@
         transaction.puts.push_back({tables::holderRow(), leaseText(false, false)});
     }
     m_transaction = std::move(transaction);
+    m_attempts = {};
     sendCommit();
 }
 
@@ -106,6 +107,7 @@
 {
     m_commitInFlight = true;
     m_commitSentAt = steadyMillis();
+    m_attempts.sent(m_commitSentAt);
     m_services.store.transact(*m_transaction, holderCommitTimeout, [weak = weak_from_this()](const transact_result &result) {
         if (const std::shared_ptr<dispatcher> self = weak.lock()) {
             self->onCommitted(result);
@@ -148,7 +150,7 @@
         m_sequenceVersion = version;
     }
     if (m_transactionRenews) {
-        m_renewedAt = m_commitSentAt;
+        m_renewedAt = m_attempts.storedAfter(result.status == store_status::Conflict);
         m_scheduler.handle(sched::lease_renewed{m_renewedAt}, now);
     }
     m_transaction.reset();
--- a/src/sched/lease_rules.h
+++ b/src/sched/lease_rules.h
@@ -69,6 +69,27 @@
     time_ms candidateDelayMs = 0;
 };
 
+/** The calls that try to store one renewal, which is repeated until its outcome is known. */
+class renewal_attempts
+{
+public:
+    void sent(time_ms now)
+    {
+        m_firstSentAt = m_firstSentAt.value_or(now);
+        m_lastSentAt = now;
+    }
+
+    /** A time before the renewal was stored; `byEarlierCall` says that the last call found it stored. */
+    time_ms storedAfter(bool byEarlierCall) const
+    {
+        return byEarlierCall ? m_firstSentAt.value_or(m_lastSentAt) : m_lastSentAt;
+    }
+
+private:
+    std::optional<time_ms> m_firstSentAt;
+    time_ms m_lastSentAt = 0;
+};
+
 class lease_rules
 {
 public:
--- a/tests/sched/lease_rules_test.cpp
+++ b/tests/sched/lease_rules_test.cpp
@@ -180,3 +180,20 @@
         CHECK(withoutFigure->earlierGrantsMs == grantsWithoutRenewalMs);
     }
 }
+
+// A holder that took a repeated call's time went on 1.6 s longer than its successor could know.
+TEST_CASE("a renewal whose answer was lost counts from the call that may have stored it")
+{
+    renewal_attempts attempts;
+    attempts.sent(1'000);
+    attempts.sent(2'560);
+
+    SUBCASE("the repeated call finds it stored")
+    {
+        CHECK(attempts.storedAfter(true) == 1'000);
+    }
+    SUBCASE("the repeated call stores it")
+    {
+        CHECK(attempts.storedAfter(false) == 2'560);
+    }
+}
