--- a/src/sched/events.h
+++ b/src/sched/events.h
@@ -121,6 +121,13 @@
     std::vector<std::string> jobs;
 };
 
+/** A renewal of this term's lease is stored. */
+struct lease_renewed
+{
+    /** When the call that stored it was sent, or an earlier time. */
+    time_ms sentAt = 0;
+};
+
 /** The rows of a batch are stored. */
 struct batch_committed
 {
@@ -205,6 +212,7 @@
                            executor_gone,
                            vms_listed,
                            wave_requested,
+                           lease_renewed,
                            batch_committed,
                            start_answered,
                            stop_answered,
--- a/tests/sched/load_model.cpp
+++ b/tests/sched/load_model.cpp
@@ -43,7 +43,7 @@
     explicit implementation(load_settings given)
         : settings(std::move(given))
         , demand(settings)
-        , brain(bounds{}, 0)
+        , brain(bounds{}, {})
         , executors(settings, demand, timeline, outcome, sink())
         , fleet(settings, executors, timeline, outcome, sink())
     {
@@ -88,6 +88,7 @@
             step();
         });
         timeline.repeat(2, tickEveryMs, [this] {
+            feed(lease_renewed{timeline.now()});
             feed(tick{timeline.now()});
             measurePools();
         });
--- a/tests/sched/takeover_model.cpp
+++ b/tests/sched/takeover_model.cpp
@@ -25,6 +25,9 @@
 constexpr time_ms renewalFreshMs = 1'500;
 constexpr double lostAnswerShare = 0.02;
 constexpr double lateShare = 0.01;
+// Of the takeovers: the former holder loses the store, or an executor answers only the former holder.
+constexpr double cutOffShare = 0.3;
+constexpr time_ms longestGoingOnMs = 15'000;
 const resources vmCapacity{8'000, 65'536, 0};
 
 struct modelled_vm
@@ -38,9 +41,10 @@
 /** One holder of the scheduling lease. */
 struct holder
 {
-    holder(bounds limits, time_ms now, std::int64_t heldTerm)
-        : brain(limits, now)
+    holder(bounds limits, const term_times &times, std::int64_t heldTerm)
+        : brain(limits, times)
         , term(heldTerm)
+        , renewedAt(times.takenAt)
     {
     }
 
@@ -49,7 +53,9 @@
     bool recovered = false;
     bool stopped = false;
     bool committing = false;
-    time_ms renewedAt = 0;
+    /** Its calls to the store get no answers any more. */
+    bool withoutStore = false;
+    time_ms renewedAt;
     /** Registry changes from this one on haven't been read. */
     std::size_t nextChange = 0;
     bool followsRegistry = false;
@@ -109,7 +115,7 @@
     void beginLife(const std::string &vm, const std::string &id);
     void endLife(const std::string &vm);
     void crash(const std::string &vm);
-    void fallSilent(const std::string &vm);
+    void fallSilent(const std::string &vm, std::int64_t firstTerm);
     void putEntry(const std::string &id);
     void removeEntry(const std::string &id, std::int64_t born);
 
@@ -145,7 +151,7 @@
     /** Sends an order: `act` runs when it arrives, `done` gets its status. */
     void send(time_ms timeoutMs, const std::function<order_status()> &act, const std::function<void(order_status)> &done);
     /** The executor that an order reaches, or why none does. */
-    std::variant<leased_executor *, order_status> reach(const std::string &id, const std::string &address);
+    std::variant<leased_executor *, order_status> reach(const std::string &id, const std::string &address, std::int64_t term);
     void answerHold(const holder_ptr &owner, const hold_executor &order, time_ms sentAt, time_ms waitUntil);
     fleet_status orderVm(const holder_ptr &owner, const std::string &vm, const std::string &pool, std::int64_t wave);
     void sendToFleet(const holder_ptr &owner, const std::function<fleet_status()> &act, const std::function<void(fleet_status)> &done);
@@ -164,7 +170,8 @@
     std::map<std::string, modelled_vm> m_vms;
     /** Lives by id; the latest of an id that started again. */
     std::map<std::string, leased_executor> m_executors;
-    std::set<std::string> m_silent;
+    /** Executors that answer no holder of this term or a later one. */
+    std::map<std::string, std::int64_t> m_silentSince;
     int m_overfull = 0;
     struct registry_change
     {
@@ -276,7 +283,7 @@
         const std::string vm = "vm-" + std::to_string(between(0, vmCount - 1));
         const bool silent = chance(0.5);
         at(when, [this, vm, silent] {
-            silent ? fallSilent(vm) : crash(vm);
+            silent ? fallSilent(vm, 0) : crash(vm);
         });
     }
 }
@@ -351,17 +358,18 @@
     });
 }
 
-void takeover_world::fallSilent(const std::string &vm)
+// With a first term, holders of earlier terms still reach the executor.
+void takeover_world::fallSilent(const std::string &vm, std::int64_t firstTerm)
 {
     const std::string id = m_vms.at(vm).listed.executor;
     if (id.empty()) {
         return;
     }
-    trace(id + " falls silent");
-    m_silent.insert(id);
+    trace(id + " falls silent for terms from " + std::to_string(firstTerm));
+    m_silentSince[id] = firstTerm;
     at(m_now + between(300, 9'000), [this, id] {
         trace(id + " can be reached again");
-        m_silent.erase(id);
+        m_silentSince.erase(id);
     });
 }
 
@@ -374,16 +382,23 @@
     }
 }
 
+// The former holder goes on for a while; at times it is cut off from the store, and alone reaches some executors.
 void takeover_world::takeOver()
 {
+    term_times times{m_now, m_now};
     if (m_holder) {
         ++m_outcome.takeovers;
-        at(m_now + between(0, 1'200), [former = m_holder] {
+        times.earlierGrantsUntil = m_holder->renewedAt + grantsWithoutRenewalMs;
+        m_holder->withoutStore = chance(cutOffShare);
+        const time_ms goesOnMs = m_holder->withoutStore ? longestGoingOnMs : between(0, 1'200);
+        at(m_now + goesOnMs, [former = m_holder] {
             former->stopped = true;
         });
     }
-    m_holder = std::make_shared<holder>(m_bounds, m_now, ++m_term);
-    m_holder->renewedAt = m_now;
+    m_holder = std::make_shared<holder>(m_bounds, times, ++m_term);
+    if (chance(cutOffShare)) {
+        fallSilent("vm-" + std::to_string(between(0, vmCount - 1)), m_term);
+    }
     at(m_now + storeMs(), [this, owner = m_holder] {
         recover(owner);
     });
@@ -464,6 +479,7 @@
     }
     if (owner->term == m_term) {
         owner->renewedAt = m_now;
+        feed(owner, lease_renewed{m_now});
     }
     feed(owner, tick{m_now});
     at(m_now + tickEveryMs, [this, owner] {
@@ -501,6 +517,9 @@
 
 void takeover_world::commit(const holder_ptr &owner, commit_batch batch)
 {
+    if (owner->withoutStore) {
+        return;
+    }
     at(m_now + storeMs(), [this, owner, batch = std::move(batch)] {
         const bool accepted = owner->term == m_term;
         if (accepted) {
@@ -537,9 +556,10 @@
     });
 }
 
-std::variant<leased_executor *, order_status> takeover_world::reach(const std::string &id, const std::string &address)
+std::variant<leased_executor *, order_status> takeover_world::reach(const std::string &id, const std::string &address, std::int64_t term)
 {
-    if (m_silent.contains(id)) {
+    const auto silent = m_silentSince.find(id);
+    if (silent != m_silentSince.end() && term >= silent->second) {
         return order_status::Unknown;
     }
     advanceExecutors();
@@ -555,13 +575,13 @@
 
 void takeover_world::carryOut(const holder_ptr &owner, const start_run &order)
 {
-    const std::function<order_status()> act = [this, order, term = owner->term] {
-        const std::variant<leased_executor *, order_status> target = reach(order.executor, order.address);
+    const std::function<order_status()> act = [this, order, owner] {
+        const std::variant<leased_executor *, order_status> target = reach(order.executor, order.address, owner->term);
         if (const order_status *failed = std::get_if<order_status>(&target)) {
             return *failed;
         }
         const resources demand = m_jobs.at(order.task.job).steps[static_cast<std::size_t>(order.task.step)].demand;
-        const order_status status = std::get<leased_executor *>(target)->start(order, term, m_taskMs.at(order.task.text()), demand, m_now);
+        const order_status status = std::get<leased_executor *>(target)->start(order, owner->term, m_taskMs.at(order.task.text()), demand, m_now);
         trace("start of " + order.task.text() + " run " + std::to_string(order.run) + " on " + order.executor + ": " + std::string(nameOf(status)));
         return status;
     };
@@ -578,12 +598,12 @@
 
 void takeover_world::carryOut(const holder_ptr &owner, const stop_run &order)
 {
-    const std::function<order_status()> act = [this, order, term = owner->term] {
-        const std::variant<leased_executor *, order_status> target = reach(order.executor, order.address);
+    const std::function<order_status()> act = [this, order, owner] {
+        const std::variant<leased_executor *, order_status> target = reach(order.executor, order.address, owner->term);
         if (const order_status *failed = std::get_if<order_status>(&target)) {
             return *failed;
         }
-        return std::get<leased_executor *>(target)->stop(order, term, m_now);
+        return std::get<leased_executor *>(target)->stop(order, owner->term, m_now);
     };
     send(orderTimeoutMs, act, [this, owner, order](order_status status) {
         stop_answered answer;
@@ -600,7 +620,7 @@
 {
     const time_ms sentAt = m_now;
     at(m_now + between(1, 5), [this, owner, order, sentAt] {
-        const std::variant<leased_executor *, order_status> target = reach(order.executor, order.address);
+        const std::variant<leased_executor *, order_status> target = reach(order.executor, order.address, owner->term);
         if (leased_executor *const *executor = std::get_if<leased_executor *>(&target)) {
             if (!(*executor)->hold(order, owner->term, m_now)) {
                 hold_answered answer;
@@ -627,7 +647,7 @@
     answer.sentAt = sentAt;
     answer.sentTo = {order.address, order.bornUnixMs};
     answer.status = order_status::Ok;
-    const std::variant<leased_executor *, order_status> target = reach(order.executor, order.address);
+    const std::variant<leased_executor *, order_status> target = reach(order.executor, order.address, owner->term);
     if (const order_status *failed = std::get_if<order_status>(&target)) {
         answer.status = *failed;
     } else if (!std::get<leased_executor *>(target)->hasEnds() && m_now < waitUntil) {
