Count a long-running task as at work only once a former holder's stops are over

Class: what a predecessor has ordered is missing from the state that its successor reads. Change: a task counts as at work when its executor has answered this holder for StopMs; with the first answer the executor refuses the former holder's orders. Drains pause for that long after a takeover.

--- a/src/sched/executor_record.h
+++ b/src/sched/executor_record.h
@@ -31,6 +31,8 @@
     time_ms unlistedAt = 0;
     /** It has answered a hold in this term, so earlier terms can't start anything on it. */
     bool confirmed = false;
+    /** When it first answered. */
+    time_ms confirmedAt = 0;
     /** Another incarnation or executor has taken its place; it runs nothing. */
     bool dead = false;
     /** A move or upkeep of its VM was ordered or is planned. */
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -180,7 +180,7 @@
     void sendFleetOrders();
     /** Ends long-running tasks on executors whose VM has a move or upkeep before it. */
     void drainReserved(time_ms now);
-    bool isKnownAtWork(const task_record &task) const;
+    bool isKnownAtWork(const task_record &task, time_ms now) const;
 
     void note(std::string event, note_fields fields);
 
--- a/src/sched/scheduler_holds.cpp
+++ b/src/sched/scheduler_holds.cpp
@@ -139,6 +139,7 @@
     }
     if (!executor.confirmed) {
         executor.confirmed = true;
+        executor.confirmedAt = now;
         m_placeWanted = true;
     }
     for (const listed_end &end : what.ends) {
--- a/tests/sched/long_running_drain_test.cpp
+++ b/tests/sched/long_running_drain_test.cpp
@@ -176,3 +176,54 @@
         CHECK(world.take<upkeep_vm>().size() == 1);
     }
 }
+
+// rcm-bogota trouble-2 (AVAIL): the list still shows a run that the former holder has told to stop, for as long as a stop may take.
+TEST_CASE("a successor ends no long-running task while a stop of the former holder may be under way")
+{
+    bounds limits;
+    limits.stopMs = 400;
+    scheduler_fixture first(limits);
+    first.addExecutor("e1");
+    first.addExecutor("e2");
+    step_spec lasting = first.step(2, 3'000);
+    lasting.longRunning = true;
+    lasting.allowedUnavailable = 1;
+    first.brain.handle(job_submitted{first.job("j1", {lasting})}, first.now);
+    first.step_();
+    const std::vector<start_run> starts = first.take<start_run>();
+    REQUIRE(starts.size() == 2);
+
+    scheduler_fixture second(limits);
+    REQUIRE(second.brain.restore(second.job("j1", {lasting}), first.rows.at("j1"), second.now));
+    vms_listed list;
+    for (const start_run &start : starts) {
+        second.brain.handle(executor_seen{second.entry(start.executor)}, second.now);
+        second.step_();
+        list.vms.push_back({"vm-" + start.executor, "booking", vm_state::Up, "zone", {"a"}, start.executor});
+        second.answerHold(start.executor, {scheduler_fixture::running(start, 100)});
+    }
+    wave_request wave;
+    wave.wave = 1;
+    wave.vms = {"vm-" + starts[0].executor};
+    wave.durationMs = 60'000;
+    second.brain.handle(list, second.now);
+    second.brain.handle(wave_requested{wave, 0}, second.now);
+    second.advance(150);
+    second.advance(150);
+    CHECK(second.take<stop_run>().empty());
+
+    SUBCASE("the other task has been stopped: this one stays until that one is at work again")
+    {
+        second.answerHold(starts[1].executor, {}, {scheduler_fixture::ended(starts[1], 1, run_end::Stopped)});
+        second.advance(150);
+        second.advance(150);
+        CHECK(second.take<stop_run>().empty());
+    }
+    SUBCASE("the other task is still listed after the longest stop: this one is ended")
+    {
+        second.advance(150);
+        second.answerHold(starts[1].executor, {scheduler_fixture::running(starts[1], 100)});
+        second.advance(150);
+        CHECK(second.take<stop_run>().size() == 1);
+    }
+}
