--- a/tests/sched/takeover_model.cpp
+++ b/tests/sched/takeover_model.cpp
@@ -15,7 +15,7 @@
 
 constexpr int vmCount = 10;
 constexpr time_ms trafficMs = 25'000;
-constexpr time_ms dayMs = 60'000;
+constexpr time_ms dayMs = 120'000;
 constexpr time_ms tickEveryMs = 20;
 constexpr time_ms listVmsEveryMs = 900;
 constexpr time_ms entryLapsesMs = 4'500;
@@ -25,6 +25,7 @@
 constexpr time_ms renewalFreshMs = 1'500;
 constexpr double lostAnswerShare = 0.02;
 constexpr double lateShare = 0.01;
+constexpr double longTaskShare = 0.15;
 // Of the takeovers: the former holder loses the store, or an executor answers only the former holder.
 constexpr double cutOffShare = 0.3;
 constexpr time_ms longestGoingOnMs = 15'000;
@@ -247,7 +248,8 @@
             step_spec step;
             step.taskCount = static_cast<int>(between(1, 4));
             step.demand = {between(500, 3'000), 1'000, 0};
-            step.estimateMs = between(100, 1'500);
+            // Some runs outlast a lease.
+            step.estimateMs = chance(longTaskShare) ? between(5'000, 20'000) : between(100, 1'500);
             if (number > 0) {
                 step.after = {number - 1};
             }
@@ -266,7 +268,7 @@
 void takeover_world::planTroubles()
 {
     takeOver();
-    for (time_ms when = between(1'000, 4'000); when < trafficMs; when += between(1'500, 6'000)) {
+    for (time_ms when = between(1'000, 4'000); when < trafficMs; when += between(1'500, 12'000)) {
         at(when, [this] {
             takeOver();
         });
@@ -367,7 +369,7 @@
     }
     trace(id + " falls silent for terms from " + std::to_string(firstTerm));
     m_silentSince[id] = firstTerm;
-    at(m_now + between(300, 9'000), [this, id] {
+    at(m_now + between(300, 15'000), [this, id] {
         trace(id + " can be reached again");
         m_silentSince.erase(id);
     });
