Read the registry again for an executor that only has a reservation

What callers would see: after a takeover an executor's capacity stays unused, and its runs end with their leases, for as long as the registry's feed hears nothing. Cause: the registry is read whole when a VM that is up names an executor without a record. A reservation, or a restored run, makes a record before the entry is read. Since reserved executors keep their record, such an executor counted as announced. Class: a value that isn't known yet is taken as known. Change: an executor counts as announced once its entry has been read in this term.

--- a/src/sched/scheduler_fleet.cpp
+++ b/src/sched/scheduler_fleet.cpp
@@ -71,7 +71,9 @@
 bool scheduler::hasUnknownExecutor() const
 {
     return std::any_of(m_vms.begin(), m_vms.end(), [this](const std::pair<const std::string, vm_entry> &vm) {
-        return vm.second.state == vm_state::Up && !vm.second.executor.empty() && !m_executors.contains(vm.second.executor);
+        const auto executor = m_executors.find(vm.second.executor);
+        const bool announced = executor != m_executors.end() && executor->second.entryReadAt != 0;
+        return vm.second.state == vm_state::Up && !vm.second.executor.empty() && !announced;
     });
 }
 
