Count an acknowledged stop only for the life that acknowledged it

What callers would see: a task is started twice after its executor has started again under its id. Cause: a stop that is answered by the former life after the next one is known was taken as acknowledged by the next one. That one has no stop, so a start that arrives late is carried out there, while the task has been placed elsewhere. Class: the state of one life is concluded from the answer of another. Change: answers to stops carry the birth of the executor that answered. Without it, an answer may come from the life that the order was sent to. An answer of a former life settles nothing; the stop is sent again. Test: stale_evidence_test.cpp; it failed before.

--- a/src/node/dispatcher_orders.cpp
+++ b/src/node/dispatcher_orders.cpp
@@ -43,7 +43,7 @@
                      m_term.term,
                      [weak = weak_from_this(), task = order.task, run = order.run, executor = order.executor, sentTo](const order_result &result) {
                          if (const std::shared_ptr<dispatcher> self = weak.lock()) {
-                             self->feed(sched::stop_answered{task, run, executor, result.status, sentTo});
+                             self->feed(sched::stop_answered{task, run, executor, result.status, sentTo, result.bornUnixMs});
                          }
                      });
 }
--- a/src/sched/events.h
+++ b/src/sched/events.h
@@ -140,6 +140,8 @@
     std::string executor;
     order_status status = order_status::Unknown;
     order_target sentTo{};
+    /** Of the executor that answered. */
+    std::optional<std::int64_t> bornUnixMs{};
 };
 
 struct hold_answered
--- a/src/sched/scheduler_orders.cpp
+++ b/src/sched/scheduler_orders.cpp
@@ -115,7 +115,10 @@
     if (task == nullptr || task->phase != task_phase::Stopping || task->run != what.run || task->executor != what.executor) {
         return;
     }
-    if (what.status == order_status::Ok || what.status == order_status::StaleRun) {
+    // A life knows nothing of the stops that a former one acknowledged. An answer that names no life may be of the one that it was sent to.
+    const std::int64_t answeredBy = what.bornUnixMs.value_or(what.sentTo.bornUnixMs);
+    const bool formerLife = place != m_executors.end() && answeredBy != 0 && answeredBy < place->second.entry.bornUnixMs;
+    if (!formerLife && (what.status == order_status::Ok || what.status == order_status::StaleRun)) {
         task->stopAckedAt = now;
         if (place != m_executors.end()) {
             place->second.lookSoon = true;
--- a/tests/sched/stale_evidence_test.cpp
+++ b/tests/sched/stale_evidence_test.cpp
@@ -46,3 +46,25 @@
     REQUIRE(world.take<upkeep_vm>().size() == 1);
     CHECK(world.brain.hasUnknownExecutor());
 }
+
+// The next life knows nothing of a stop that the earlier one acknowledged, so a start that is late would be carried out there.
+TEST_CASE("a stop's answer from an earlier life doesn't free the task once a later life is known")
+{
+    scheduler_fixture world;
+    world.addExecutor("e1");
+    world.brain.handle(job_submitted{world.job("j1", {world.step(1)})}, world.now);
+    world.step_();
+    const start_run start = world.take<start_run>().at(0);
+    world.addExecutor("e2");
+    world.answerStart(start, order_status::Unknown);
+    world.now += 10;
+    world.answerHold("e1", {}, {}, order_status::Ok, firstBorn);
+    REQUIRE(world.take<stop_run>().size() == 1);
+
+    world.brain.handle(executor_seen{lifeOf("e1", secondBorn)}, world.now);
+    world.step_();
+    world.brain.handle(stop_answered{start.task, start.run, "e1", order_status::Ok, {start.address, firstBorn}}, world.now);
+    world.advance(10);
+    world.answerHold("e1", {}, {}, order_status::Ok, secondBorn);
+    CHECK(world.take<start_run>().empty());
+}
