Keep a reservation that was made after an answer left one open

What callers would see: runs that are placed on an executor whose VM's upkeep is ordered end with it, long-running tasks among them. Cause: the answer to a wave's upkeep says 200 also for upkeep that was done before, so its executor is free again as soon as it answers later. A second wave's order reserved the executor in between; its answer to a hold ended that reservation too. Class: older evidence ends a later belief. Change: a new reservation isn't in doubt, whatever an earlier order left open. Test: stale_evidence_test.cpp; it failed before.

--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -185,6 +185,7 @@
     fleet_view viewOfFleet(time_ms now) const;
     void carryOut(const fleet_decision &decision, time_ms now);
     void sendFleetOrders();
+    void reserve(const std::string &executor, time_ms now);
     executor_life occupantOf(const vm_entry &vm) const;
     /** The order for the occupant's VM is settled; the executor is over unless it answers later. */
     void awaitAnswerOf(const executor_life &occupant, time_ms now);
--- a/src/sched/scheduler_fleet.cpp
+++ b/src/sched/scheduler_fleet.cpp
@@ -208,11 +208,11 @@
     if (const move_decision *move = std::get_if<move_decision>(&decision)) {
         const vm_entry &vm = m_vms.at(move->vm);
         if (!vm.executor.empty()) {
-            executor_record &executor = executorFor(vm.executor, now);
+            const executor_record &executor = executorFor(vm.executor, now);
             if (!executor.runs.empty() || executor.reserved) {
                 return;
             }
-            executor.reserved = true;
+            reserve(vm.executor, now);
         }
         ++m_counts.moves;
         note("move_ordered", {{"vm", move->vm}, {"from", vm.pool}, {"to", move->pool}, {"executor", vm.executor}});
@@ -220,7 +220,7 @@
     } else if (const upkeep_decision *upkeep = std::get_if<upkeep_decision>(&decision)) {
         const vm_entry &vm = m_vms.at(upkeep->vm);
         if (!vm.executor.empty()) {
-            executorFor(vm.executor, now).reserved = true;
+            reserve(vm.executor, now);
         }
         ++m_counts.upkeeps;
         note("upkeep_ordered", {{"vm", upkeep->vm}, {"wave", std::to_string(upkeep->wave)}, {"executor", vm.executor}});
@@ -228,7 +228,7 @@
     } else if (const drain_decision *drain = std::get_if<drain_decision>(&decision)) {
         const vm_entry &vm = m_vms.at(drain->vm);
         if (!vm.executor.empty()) {
-            executorFor(vm.executor, now).reserved = true;
+            reserve(vm.executor, now);
             note("vm_draining", {{"vm", drain->vm}, {"wave", std::to_string(drain->wave)}, {"executor", vm.executor}});
         }
     } else if (const wave_decision *wave = std::get_if<wave_decision>(&decision)) {
@@ -248,6 +248,14 @@
     }
 }
 
+// What an earlier order for its VM left open doesn't end a later reservation.
+void scheduler::reserve(const std::string &executor, time_ms now)
+{
+    executor_record &record = executorFor(executor, now);
+    record.reserved = true;
+    record.reservedInDoubtSince = 0;
+}
+
 executor_life scheduler::occupantOf(const vm_entry &vm) const
 {
     const auto executor = m_executors.find(vm.executor);
--- a/tests/sched/stale_evidence_test.cpp
+++ b/tests/sched/stale_evidence_test.cpp
@@ -68,3 +68,22 @@
     world.answerHold("e1", {}, {}, order_status::Ok, secondBorn);
     CHECK(world.take<start_run>().empty());
 }
+
+// The answer to one order released the reservation that a later order had made.
+TEST_CASE("an executor stays reserved for the upkeep that was ordered last")
+{
+    scheduler_fixture world;
+    world.addExecutor("e1");
+    world.brain.handle(listOf("vm-e1", "e1"), world.now);
+    world.brain.handle(wave_requested{waveOf(1, "vm-e1"), 0}, world.now);
+    world.advance(200);
+    const std::vector<upkeep_vm> first = world.take<upkeep_vm>();
+    REQUIRE(first.size() == 1);
+    world.brain.handle(upkeep_answered{"vm-e1", 1, fleet_status::Ok, first[0].occupant}, world.now);
+    world.brain.handle(listOf("vm-e1", "e1"), world.now);
+    world.brain.handle(wave_requested{waveOf(2, "vm-e1"), 0}, world.now);
+    world.advance(200);
+    REQUIRE(world.take<upkeep_vm>().size() == 1);
+    world.answerHold("e1");
+    CHECK(world.brain.executors().at("e1").reserved);
+}
