Order no upkeep of a VM while a move of it has no answer

What callers would see: runs that are placed on an executor whose VM's upkeep is ordered end with it, long-running tasks among them. Cause: upkeep was ordered for a VM without runs, also while a move of it was on its way. The answer that refuses the move (too many calls, say) releases the executor, which then got runs before the upkeep was carried out. Class: one flag stands for two orders, and the answer to either clears it. Change: a VM whose move has no answer, or a doubtful one, isn't ordered otherwise while the executor that the move was for is on it. Why it doesn't wait for ever: each call is answered within its time limit, and a doubtful move is ordered again until it is settled. Test: stale_evidence_test.cpp; before the change the upkeep was ordered and the refused move released its executor.

--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -185,6 +185,8 @@
     fleet_view viewOfFleet(time_ms now) const;
     void carryOut(const fleet_decision &decision, time_ms now);
     void sendFleetOrders();
+    /** A move that may end the VM's executor has no answer yet. */
+    bool moveIsOpen(const vm_entry &vm) const;
     void reserve(const std::string &executor, time_ms now);
     executor_life occupantOf(const vm_entry &vm) const;
     /** The order for the occupant's VM is settled; the executor is over unless it answers later. */
@@ -239,6 +241,8 @@
     };
 
     std::map<std::string, doubtful_move> m_doubtfulMoves;
+    /** Executor of each VM whose move has no answer. */
+    std::map<std::string, std::string> m_openMoves;
     fleet_planner m_fleet;
     fleet_orders m_fleetOrders;
     std::vector<action> m_actions;
--- a/src/sched/scheduler_fleet.cpp
+++ b/src/sched/scheduler_fleet.cpp
@@ -62,12 +62,21 @@
         }
         if (now - move->second.orderedAt >= repeatMoveMs && vm->second.state == vm_state::Up) {
             move->second.orderedAt = now;
+            m_openMoves[move->first] = order.occupant.executor;
             m_fleetOrders.add(order, now);
         }
         ++move;
     }
 }
 
+bool scheduler::moveIsOpen(const vm_entry &vm) const
+{
+    const auto unanswered = m_openMoves.find(vm.vm);
+    const auto doubtful = m_doubtfulMoves.find(vm.vm);
+    return (unanswered != m_openMoves.end() && unanswered->second == vm.executor)
+        || (doubtful != m_doubtfulMoves.end() && doubtful->second.order.occupant.executor == vm.executor);
+}
+
 bool scheduler::hasUnknownExecutor() const
 {
     return std::any_of(m_vms.begin(), m_vms.end(), [this](const std::pair<const std::string, vm_entry> &vm) {
@@ -102,7 +111,7 @@
         vm.pool = entry.pool;
         vm.state = entry.state;
         vm.kind = kindOf(entry);
-        vm.mayBeOrdered = m_fleetOrders.isEarlier(entry.vm, now);
+        vm.mayBeOrdered = m_fleetOrders.isEarlier(entry.vm, now) || moveIsOpen(entry);
         const auto found = m_executors.find(entry.executor);
         if (found != m_executors.end() && !found->second.dead) {
             const executor_record &executor = found->second;
@@ -216,6 +225,7 @@
         }
         ++m_counts.moves;
         note("move_ordered", {{"vm", move->vm}, {"from", vm.pool}, {"to", move->pool}, {"executor", vm.executor}});
+        m_openMoves[move->vm] = vm.executor;
         m_fleetOrders.add(move_vm{move->vm, move->pool, occupantOf(vm)}, now);
     } else if (const upkeep_decision *upkeep = std::get_if<upkeep_decision>(&decision)) {
         const vm_entry &vm = m_vms.at(upkeep->vm);
@@ -289,6 +299,7 @@
 // whose birth wasn't known then, or of a later one, the answer says nothing.
 void scheduler::on(const move_answered &what, time_ms now)
 {
+    m_openMoves.erase(what.vm);
     if (what.status == fleet_status::Unknown) {
         m_doubtfulMoves[what.vm] = {{what.vm, what.pool, what.occupant}, now};
     } else {
--- a/tests/sched/stale_evidence_test.cpp
+++ b/tests/sched/stale_evidence_test.cpp
@@ -87,3 +87,39 @@
     world.answerHold("e1");
     CHECK(world.brain.executors().at("e1").reserved);
 }
+
+// The answer to a refused move released the executor, which got runs that the upkeep then ended.
+TEST_CASE("no upkeep is ordered while a move of the VM has no answer")
+{
+    scheduler_fixture world;
+    vms_listed list;
+    for (const char *name : {"e1", "e2", "e3", "e4", "e5", "e6"}) {
+        world.addExecutor(name);
+        list.vms.push_back({std::string("vm-") + name, "booking", vm_state::Up, "zone", {"a"}, name});
+    }
+    world.brain.handle(list, world.now);
+    world.advance(2'000);
+    const std::vector<move_vm> moves = world.take<move_vm>();
+    REQUIRE_FALSE(moves.empty());
+    world.brain.handle(wave_requested{waveOf(1, moves[0].vm), 0}, world.now);
+    world.advance(200);
+    CHECK(world.take<upkeep_vm>().empty());
+
+    SUBCASE("the move is refused: the upkeep follows")
+    {
+        world.brain.handle(move_answered{moves[0].vm, moves[0].pool, fleet_status::Refused, moves[0].occupant}, world.now);
+    }
+    SUBCASE("the move gets no answer until it is ordered again")
+    {
+        world.brain.handle(move_answered{moves[0].vm, moves[0].pool, fleet_status::Unknown, moves[0].occupant}, world.now);
+        world.advance(200);
+        CHECK(world.take<upkeep_vm>().empty());
+        world.advance(1'000);
+        CHECK(world.take<move_vm>().size() == 1);
+        CHECK(world.take<upkeep_vm>().empty());
+        world.brain.handle(move_answered{moves[0].vm, moves[0].pool, fleet_status::Refused, moves[0].occupant}, world.now);
+    }
+    world.advance(200);
+    CHECK(world.take<upkeep_vm>().size() == 1);
+    CHECK(world.brain.executors().at(moves[0].occupant.executor).reserved);
+}
