Place no runs where the former holder's order may end them

What callers would see: shortly after a takeover, runs are ended by an upkeep or move that the former holder had ordered; for long-running tasks beyond what their steps allow. Cause: the row of fleet orders kept the new holder from ordering such a VM, but nothing reserved its executor. The former holder had emptied it, so it was the one with the most room. Class: what another holder has begun is taken as not begun. Change: while an order of a former holder that may live can still be carried out, its VM's executor gets no runs, unless the order is a move to the pool that the executor is in. Test: stale_evidence_test.cpp; the stories of the upkeep and of the move to another pool failed before.

--- a/src/sched/fleet_orders.cpp
+++ b/src/sched/fleet_orders.cpp
@@ -118,6 +118,16 @@
     return m_earlierHolderMayLive && order != m_earlier.end() && now - order->second.at < m_keepMs;
 }
 
+// A move to the pool that the VM is in has been carried out, or changes nothing.
+bool fleet_orders::mayEndExecutor(const std::string &vm, const std::string &pool, time_ms now) const
+{
+    if (!isEarlier(vm, now)) {
+        return false;
+    }
+    const move_vm *move = std::get_if<move_vm>(&m_earlier.at(vm).order);
+    return move == nullptr || move->pool != pool;
+}
+
 std::vector<upkeep_vm> fleet_orders::earlierUpkeep() const
 {
     std::vector<upkeep_vm> upkeep;
--- a/src/sched/fleet_orders.h
+++ b/src/sched/fleet_orders.h
@@ -53,6 +53,8 @@
     bool readEarlier(std::string_view row, bool holderMayLive, time_ms now);
     /** An earlier holder's order may still be carried out on the VM. */
     bool isEarlier(const std::string &vm, time_ms now) const;
+    /** An order of the earlier holder may yet end the executor that is on the VM in this pool. */
+    bool mayEndExecutor(const std::string &vm, const std::string &pool, time_ms now) const;
     /** Upkeep that an earlier holder may have begun: VM and wave. */
     std::vector<upkeep_vm> earlierUpkeep() const;
 
--- a/src/sched/scheduler_place.cpp
+++ b/src/sched/scheduler_place.cpp
@@ -66,7 +66,8 @@
         for (const std::pair<const std::string, std::vector<executor_record *>> &pool : owner.m_poolExecutors) {
             std::vector<executor_record *> &usable = executorsOf[pool.first];
             std::copy_if(pool.second.begin(), pool.second.end(), std::back_inserter(usable), [this](const executor_record *executor) {
-                return executor->takesNewRuns(now) && executor->freeRoom().memoryMb > 0;
+                const bool mayEnd = owner.m_fleetOrders.mayEndExecutor(executor->entry.vm, executor->entry.pool, now);
+                return executor->takesNewRuns(now) && !mayEnd && executor->freeRoom().memoryMb > 0;
             });
         }
     }
--- a/tests/sched/stale_evidence_test.cpp
+++ b/tests/sched/stale_evidence_test.cpp
@@ -123,3 +123,45 @@
     CHECK(world.take<upkeep_vm>().size() == 1);
     CHECK(world.brain.executors().at(moves[0].occupant.executor).reserved);
 }
+
+// An order of the former holder that is on its way ended runs that its successor had placed.
+TEST_CASE("a VM that the former holder may still order down gets no runs")
+{
+    scheduler_fixture first;
+    first.addExecutor("e1");
+    first.brain.handle(listOf("vm-e1", "e1"), first.now);
+    first.brain.handle(wave_requested{waveOf(1, "vm-e1"), 0}, first.now);
+    first.advance(200);
+    REQUIRE(first.take<upkeep_vm>().size() == 1);
+
+    scheduler_fixture second;
+    second.addExecutor("e1");
+    second.brain.handle(job_submitted{second.job("j1", {second.step(1)})}, second.now);
+
+    SUBCASE("upkeep that may be on its way")
+    {
+        REQUIRE(second.brain.restoreFleetOrders(first.rows.at(fleetOrdersRowKey), true, second.now));
+        second.advance(100);
+        CHECK(second.take<start_run>().empty());
+        second.advance(4'000);
+        CHECK(second.take<start_run>().size() == 1);
+    }
+    SUBCASE("a move to another pool")
+    {
+        REQUIRE(second.brain.restoreFleetOrders(R"({"vm-e1":"spare"})", true, second.now));
+        second.advance(100);
+        CHECK(second.take<start_run>().empty());
+    }
+    SUBCASE("not so a move that has been carried out")
+    {
+        REQUIRE(second.brain.restoreFleetOrders(R"({"vm-e1":"booking"})", true, second.now));
+        second.advance(100);
+        CHECK(second.take<start_run>().size() == 1);
+    }
+    SUBCASE("nor an order of a holder that is over")
+    {
+        REQUIRE(second.brain.restoreFleetOrders(first.rows.at(fleetOrdersRowKey), false, second.now));
+        second.advance(100);
+        CHECK(second.take<start_run>().size() == 1);
+    }
+}
