Judge an executor's life only by lists of VMs asked for later

What callers would see: tasks are started twice, and an executor stays unused for the rest of the term. Cause: a list of VMs that shows a VM taken down gives up the executor that the list before it named. The fleet's service may be slow and the list has several pages, so the answer can be older than an executor that has started again under the same id after the upkeep. Class: older evidence replaces newer. Change: lists carry the time at which they were asked for, and a life whose birth was read later than that isn't given up by them. A former executor that is spared so has a known birth, and its successor's entry gives it up. Test: stale_evidence_test.cpp; it failed before.

--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -189,6 +189,7 @@
     if (!m_listingVms && now - m_vmsListedAt >= listVmsMs) {
         m_listingVms = true;
         m_vmPages.clear();
+        m_vmsAskedAt = now;
         listVms("");
     }
     pump(guard);
--- a/src/node/dispatcher.h
+++ b/src/node/dispatcher.h
@@ -143,6 +143,7 @@
     sched::time_ms m_queuesPublishedAt = 0;
     std::vector<row_update> m_statusPuts;
 
+    sched::time_ms m_vmsAskedAt = 0;
     sched::time_ms m_vmsListedAt = 0;
     bool m_listingVms = false;
     bool m_readingRegistry = false;
--- a/src/node/dispatcher_orders.cpp
+++ b/src/node/dispatcher_orders.cpp
@@ -185,7 +185,7 @@
     }
     m_listingVms = false;
     m_vmsListedAt = steadyMillis();
-    m_scheduler.handle(sched::vms_listed{std::move(m_vmPages)}, m_vmsListedAt);
+    m_scheduler.handle(sched::vms_listed{std::move(m_vmPages), m_vmsAskedAt}, m_vmsListedAt);
     m_vmPages.clear();
     readRegistryIfBehind();
     pump(guard);
--- a/src/sched/events.h
+++ b/src/sched/events.h
@@ -107,6 +107,8 @@
 struct vms_listed
 {
     std::vector<vm_entry> vms;
+    /** When the list was asked for, if its owner says. */
+    std::optional<time_ms> askedAt{};
 };
 
 struct wave_requested
--- a/src/sched/executor_record.h
+++ b/src/sched/executor_record.h
@@ -26,6 +26,8 @@
     bool listed = false;
     /** When its entry was last read; 0 if it hasn't been in this term. */
     time_ms entryReadAt = 0;
+    /** When the birth of its present life was first read. */
+    time_ms lifeSeenAt = 0;
     /** When its entry vanished; 0 while it is there. */
     time_ms unlistedAt = 0;
     /** It has answered a hold in this term, so earlier terms can't start anything on it. */
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -129,7 +129,7 @@
     bool isOutdated(const std::string &executor, std::int64_t version);
     void settleSuccession(const std::string &vm, time_ms now);
     /** Gives up the executor that was on the VM if the later list shows that it is over. */
-    void giveUpReplaced(const vm_entry &before, const vm_entry &after, time_ms now);
+    void giveUpReplaced(const vm_entry &before, const vm_entry &after, time_ms askedAt, time_ms now);
     void unlist(executor_record &executor);
     void markSilent(executor_record &executor, time_ms now, std::string_view cause);
     void markAnswering(executor_record &executor, time_ms now);
--- a/src/sched/scheduler_executors.cpp
+++ b/src/sched/scheduler_executors.cpp
@@ -181,6 +181,7 @@
         beginNextLife(executor, born, now);
     }
     executor.entry.bornUnixMs = born;
+    executor.lifeSeenAt = now;
     return reborn;
 }
 
--- a/src/sched/scheduler_fleet.cpp
+++ b/src/sched/scheduler_fleet.cpp
@@ -29,20 +29,24 @@
             m_fleet.vmIsBack(vm.vm, now);
         }
         if (before != m_vms.end()) {
-            giveUpReplaced(before->second, vm, now);
+            giveUpReplaced(before->second, vm, what.askedAt.value_or(now), now);
         }
         listed[vm.vm] = vm;
     }
     m_vms = std::move(listed);
 }
 
-// A later list names another executor, or shows the VM taken down: the former one is over, also if its birth was never read.
-void scheduler::giveUpReplaced(const vm_entry &before, const vm_entry &after, time_ms now)
+// A later list names another executor, or shows the VM taken down: the former one is over, also if its birth was never read. A life
+// that was first heard of after the list was asked for may have begun after it.
+void scheduler::giveUpReplaced(const vm_entry &before, const vm_entry &after, time_ms askedAt, time_ms now)
 {
     const bool takenDown = after.state == vm_state::Moving || after.state == vm_state::Upkeep;
     const bool replaced = !after.executor.empty() && after.executor != before.executor;
     const auto former = m_executors.find(before.executor);
-    if (former != m_executors.end() && !former->second.dead && (takenDown || replaced)) {
+    if (former == m_executors.end() || former->second.dead || former->second.lifeSeenAt > askedAt) {
+        return;
+    }
+    if (takenDown || replaced) {
         markDead(former->second, now, "vm_lists_new_executor", {{"vm", after.vm}, {"successor", after.executor}});
     }
 }
--- a/tests/sched/stale_evidence_test.cpp
+++ b/tests/sched/stale_evidence_test.cpp
@@ -69,6 +69,41 @@
     CHECK(world.take<start_run>().empty());
 }
 
+// The VM's upkeep ended the earlier life; a slow answer came after the later one had been given work.
+TEST_CASE("a list of VMs that is older than an executor's life doesn't give it up")
+{
+    scheduler_fixture world;
+    world.addExecutor("e1");
+    world.brain.handle(listOf("vm-e1", "e1"), world.now);
+    const time_ms askedAt = world.now;
+    world.advance(100);
+    world.brain.handle(executor_seen{lifeOf("e1", secondBorn)}, world.now);
+    world.step_();
+    world.answerHold("e1", {}, {}, order_status::Ok, secondBorn);
+    world.brain.handle(job_submitted{world.job("j1", {world.step(1)})}, world.now);
+    world.step_();
+    const start_run start = world.take<start_run>().at(0);
+    world.brain.handle(start_answered{start.task, start.run, "e1", order_status::Ok, 10, secondBorn}, world.now);
+    world.addExecutor("e2");
+    vms_listed list = listOf("vm-e1", "", vm_state::Upkeep);
+
+    SUBCASE("it was asked for before the life was heard of")
+    {
+        list.askedAt = askedAt;
+        world.brain.handle(list, world.now);
+        world.step_();
+        CHECK_FALSE(world.brain.executors().at("e1").dead);
+        CHECK(world.take<start_run>().empty());
+    }
+    SUBCASE("it was asked for after it")
+    {
+        list.askedAt = world.now;
+        world.brain.handle(list, world.now);
+        world.step_();
+        CHECK(world.take<start_run>().size() == 1);
+    }
+}
+
 // The answer to one order released the reservation that a later order had made.
 TEST_CASE("an executor stays reserved for the upkeep that was ordered last")
 {
