Keep a run whose start is unanswered when its executor is given up

What callers would see: a task is started twice if a start arrives late, at an executor that has started again under its id. Cause: when an executor was given up, a run whose start still waited for its answer stayed doubtful, as it may arrive at a next life. A run whose start had had no answer in time was taken as lost at once, though its order can arrive late just as well. Class: an incomplete answer is taken as a refusal. Change: both stay doubtful until a next life's list and a stop settle them, or until the lease is over. Runs of an earlier term are still placed again at once. Test: stale_evidence_test.cpp; it failed before.

--- a/src/sched/scheduler_executors.cpp
+++ b/src/sched/scheduler_executors.cpp
@@ -247,7 +247,8 @@
         if (task == nullptr || task->executor != executor.entry.id) {
             continue;
         }
-        if (task->phase == task_phase::Ordered) {
+        const bool unanswered = task->phase == task_phase::Ordered || (task->phase == task_phase::Doubtful && !task->inherited);
+        if (unanswered) {
             // The order may still arrive at a next life; its answer or a stop settles it.
             task->phase = task_phase::Doubtful;
             task->confirmedAt = now;
--- a/tests/sched/stale_evidence_test.cpp
+++ b/tests/sched/stale_evidence_test.cpp
@@ -104,6 +104,41 @@
     }
 }
 
+// A start without an answer may still be carried out by a next life, as one that waits for its answer may.
+TEST_CASE("a run whose start wasn't answered is kept when its executor is given up")
+{
+    scheduler_fixture world;
+    world.addExecutor("e1");
+    world.brain.handle(job_submitted{world.job("j1", {world.step(1)})}, world.now);
+    world.step_();
+    const start_run start = world.take<start_run>().at(0);
+    world.addExecutor("e2");
+    SUBCASE("its answer is awaited")
+    {
+    }
+    SUBCASE("it has had no answer in time")
+    {
+        world.answerStart(start, order_status::Unknown);
+    }
+    world.brain.handle(hold_answered{"e1", order_status::WrongExecutor, 0, 7, std::nullopt, {}, {}, false, {start.address, firstBorn}}, world.now);
+    REQUIRE(world.brain.executors().at("e1").dead);
+    world.step_();
+    CHECK(world.take<start_run>().empty());
+    SUBCASE("a next life has it: it goes on")
+    {
+        world.brain.handle(executor_seen{lifeOf("e1", secondBorn)}, world.now);
+        world.step_();
+        world.answerHold("e1", {scheduler_fixture::running(start)}, {}, order_status::Ok, secondBorn);
+        CHECK(world.take<start_run>().empty());
+        CHECK(world.take<stop_run>().empty());
+    }
+    SUBCASE("none comes: it is placed again when its lease is over")
+    {
+        world.advance(7'000);
+        CHECK(world.take<start_run>().size() == 1);
+    }
+}
+
 // The answer to one order released the reservation that a later order had made.
 TEST_CASE("an executor stays reserved for the upkeep that was ordered last")
 {
