Test four rules of executors' lives that no test guarded

Undoing each of these left all tests of the scheduler green: births are compared only where both are known, an executor that has started again gives up the one between, a list of an earlier life is ignored, and a next life is asked for its runs before it gets new ones. With these tests each of the four fails when its rule is undone. The code isn't changed.

--- a/tests/sched/executor_lives_test.cpp
+++ b/tests/sched/executor_lives_test.cpp
@@ -166,3 +166,41 @@
     }
     CHECK(world.brain.executors().at("e1").clockAtTime(world.now) < otherClock);
 }
+
+// A list of the present life comes first: its clock and its runs are unknown until then.
+TEST_CASE("an executor that has started again gets no runs before it has listed what it has")
+{
+    one_run story;
+    scheduler_fixture &world = story.world;
+    REQUIRE(world.brain.executors().at("e1").takesNewRuns(world.now));
+
+    SUBCASE("its entry tells")
+    {
+        world.brain.handle(executor_seen{secondLifeOf("e1", "10.0.0.2:80")}, world.now);
+    }
+    SUBCASE("the answer to a start tells")
+    {
+        world.brain.handle(start_answered{story.start.task, story.start.run, "e1", order_status::Ok, 10, secondBorn}, world.now);
+    }
+    CHECK_FALSE(world.brain.executors().at("e1").takesNewRuns(world.now));
+    world.answerHold("e1", {}, {}, order_status::Ok, secondBorn);
+    CHECK(world.brain.executors().at("e1").takesNewRuns(world.now));
+}
+
+// The list of a former life came late and was taken for one of the present life.
+TEST_CASE("a list of an earlier life says nothing of the present one")
+{
+    one_run story;
+    scheduler_fixture &world = story.world;
+    const start_run &start = story.start;
+    world.brain.handle(start_answered{start.task, start.run, "e1", order_status::Ok, 10, secondBorn}, world.now);
+    world.step_();
+    world.now += 10;
+    start_run other = start;
+    other.task.job = "gone";
+    world.answerHold("e1", {}, {scheduler_fixture::ended(other, 7, run_end::Done)}, order_status::Ok, firstBorn);
+    CHECK(world.take<stop_run>().empty());
+    CHECK(world.take<start_run>().empty());
+    world.answerHold("e1", {}, {scheduler_fixture::ended(start, 1, run_end::Done)}, order_status::Ok, secondBorn);
+    CHECK(world.phaseOf("j1") == "completed");
+}
--- a/tests/sched/executor_succession_test.cpp
+++ b/tests/sched/executor_succession_test.cpp
@@ -115,6 +115,28 @@
     }
 }
 
+// Zero stands for a birth that isn't known, which is no earlier than any other.
+TEST_CASE("an executor whose entry names no birth isn't given up for another one of its VM")
+{
+    scheduler_fixture world;
+    world.brain.handle(executor_seen{entryOnVm("current", "vm-1", 0)}, world.now);
+    world.brain.handle(executor_seen{entryOnVm("former", "vm-1", formerBorn)}, world.now);
+    CHECK_FALSE(world.brain.executors().at("current").dead);
+    CHECK_FALSE(world.brain.executors().at("former").dead);
+}
+
+TEST_CASE("an executor that has started again on its VM is the one that lives")
+{
+    constexpr std::int64_t nextBorn = 2'000;
+    scheduler_fixture world;
+    world.brain.handle(executor_seen{entryOnVm("e1", "vm-1", formerBorn)}, world.now);
+    world.brain.handle(executor_seen{entryOnVm("between", "vm-1", currentBorn)}, world.now);
+    REQUIRE(world.brain.executors().at("e1").dead);
+    world.brain.handle(executor_seen{entryOnVm("e1", "vm-1", nextBorn)}, world.now);
+    CHECK_FALSE(world.brain.executors().at("e1").dead);
+    CHECK(world.brain.executors().at("between").dead);
+}
+
 // Found by rcm-bogota trouble-2 --seed 933374963006: a holder ordered upkeep before it had read the registry, then placed runs there.
 TEST_CASE("an executor whose VM is ordered down before its entry is read gets no runs")
 {
