Count late starts of an earlier run as double starts in the model of takeovers

The ledger judged a start after a done end only if its run was the higher one. RULES.md (TWICE) makes no such difference: a start that is carried out late, after a later run of the task has ended as done, breaks it too.

--- a/tests/sched/run_ledger.cpp
+++ b/tests/sched/run_ledger.cpp
@@ -45,7 +45,7 @@
     for (const std::pair<const std::string, task_history> &task : m_tasks) {
         for (const run_start &start : task.second.starts) {
             const bool afterDone = std::any_of(task.second.done.begin(), task.second.done.end(), [&](const done_end &end) {
-                return end.acknowledged && end.run < start.run && end.at < start.at;
+                return end.acknowledged && end.at < start.at;
             });
             if (start.besideAnother || afterDone) {
                 broken.push_back(task.first + " run " + std::to_string(start.run) + " on " + start.executor + " at " + std::to_string(start.at)
