--- a/src/node/dispatcher_orders.cpp
+++ b/src/node/dispatcher_orders.cpp
@@ -43,7 +43,7 @@
                      m_term.term,
                      [weak = weak_from_this(), task = order.task, run = order.run, executor = order.executor, sentTo](const order_result &result) {
                          if (const std::shared_ptr<dispatcher> self = weak.lock()) {
-                             self->feed(sched::stop_answered{task, run, executor, result.status, sentTo});
+                             self->feed(sched::stop_answered{task, run, executor, result.status, sentTo, result.bornUnixMs});
                          }
                      });
 }
@@ -207,7 +207,7 @@
     }
     m_listingVms = false;
     m_vmsListedAt = steadyMillis();
-    m_scheduler.handle(sched::vms_listed{std::move(m_vmPages)}, m_vmsListedAt);
+    m_scheduler.handle(sched::vms_listed{std::move(m_vmPages), m_vmsAskedAt}, m_vmsListedAt);
     m_vmPages.clear();
     readRegistryIfBehind();
     pump(guard);
--- a/src/sched/events.h
+++ b/src/sched/events.h
@@ -107,6 +107,8 @@
 struct vms_listed
 {
     std::vector<vm_entry> vms;
+    /** When the list was asked for, if its owner says. */
+    std::optional<time_ms> askedAt{};
 };
 
 struct wave_requested
@@ -153,6 +155,8 @@
     std::string executor;
     order_status status = order_status::Unknown;
     order_target sentTo{};
+    /** Of the executor that answered. */
+    std::optional<std::int64_t> bornUnixMs{};
 };
 
 struct hold_answered
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -134,7 +134,7 @@
     bool isOutdated(const std::string &executor, std::int64_t version);
     void settleSuccession(const std::string &vm, time_ms now);
     /** Gives up the executor that was on the VM if the later list shows that it is over. */
-    void giveUpReplaced(const vm_entry &before, const vm_entry &after, time_ms now);
+    void giveUpReplaced(const vm_entry &before, const vm_entry &after, time_ms askedAt, time_ms now);
     void unlist(executor_record &executor);
     void markSilent(executor_record &executor, time_ms now, std::string_view cause);
     void markAnswering(executor_record &executor, time_ms now);
@@ -193,6 +193,9 @@
     fleet_view viewOfFleet(time_ms now) const;
     void carryOut(const fleet_decision &decision, time_ms now);
     void sendFleetOrders();
+    /** A move that may end the VM's executor has no answer yet. */
+    bool moveIsOpen(const vm_entry &vm) const;
+    void reserve(const std::string &executor, time_ms now);
     executor_life occupantOf(const vm_entry &vm) const;
     /** The order for the occupant's VM is settled; the executor is over unless it answers later. */
     void awaitAnswerOf(const executor_life &occupant, time_ms now);
@@ -250,6 +253,8 @@
     };
 
     std::map<std::string, doubtful_move> m_doubtfulMoves;
+    /** Executor of each VM whose move has no answer. */
+    std::map<std::string, std::string> m_openMoves;
     fleet_planner m_fleet;
     fleet_orders m_fleetOrders;
     std::vector<action> m_actions;
--- a/src/sched/scheduler_executors.cpp
+++ b/src/sched/scheduler_executors.cpp
@@ -189,6 +189,7 @@
         beginNextLife(executor, born, now);
     }
     executor.entry.bornUnixMs = born;
+    executor.lifeSeenAt = now;
     return reborn;
 }
 
@@ -270,7 +271,8 @@
         if (task == nullptr || task->executor != executor.entry.id) {
             continue;
         }
-        if (task->phase == task_phase::Ordered) {
+        const bool unanswered = task->phase == task_phase::Ordered || (task->phase == task_phase::Doubtful && !task->inherited);
+        if (unanswered) {
             // The order may still arrive at a next life; its answer or a stop settles it.
             task->phase = task_phase::Doubtful;
             task->confirmedAt = now;
--- a/src/sched/scheduler_fleet.cpp
+++ b/src/sched/scheduler_fleet.cpp
@@ -29,20 +29,24 @@
             m_fleet.vmIsBack(vm.vm, now);
         }
         if (before != m_vms.end()) {
-            giveUpReplaced(before->second, vm, now);
+            giveUpReplaced(before->second, vm, what.askedAt.value_or(now), now);
         }
         listed[vm.vm] = vm;
     }
     m_vms = std::move(listed);
 }
 
-// A later list names another executor, or shows the VM taken down: the former one is over, also if its birth was never read.
-void scheduler::giveUpReplaced(const vm_entry &before, const vm_entry &after, time_ms now)
+// A later list names another executor, or shows the VM taken down: the former one is over, also if its birth was never read. A life
+// that was first heard of after the list was asked for may have begun after it.
+void scheduler::giveUpReplaced(const vm_entry &before, const vm_entry &after, time_ms askedAt, time_ms now)
 {
     const bool takenDown = after.state == vm_state::Moving || after.state == vm_state::Upkeep;
     const bool replaced = !after.executor.empty() && after.executor != before.executor;
     const auto former = m_executors.find(before.executor);
-    if (former != m_executors.end() && !former->second.dead && (takenDown || replaced)) {
+    if (former == m_executors.end() || former->second.dead || former->second.lifeSeenAt > askedAt) {
+        return;
+    }
+    if (takenDown || replaced) {
         markDead(former->second, now, "vm_lists_new_executor", {{"vm", after.vm}, {"successor", after.executor}});
     }
 }
@@ -62,16 +66,27 @@
         }
         if (now - move->second.orderedAt >= repeatMoveMs && vm->second.state == vm_state::Up) {
             move->second.orderedAt = now;
+            m_openMoves[move->first] = order.occupant.executor;
             m_fleetOrders.add(order, now);
         }
         ++move;
     }
 }
 
+bool scheduler::moveIsOpen(const vm_entry &vm) const
+{
+    const auto unanswered = m_openMoves.find(vm.vm);
+    const auto doubtful = m_doubtfulMoves.find(vm.vm);
+    return (unanswered != m_openMoves.end() && unanswered->second == vm.executor)
+        || (doubtful != m_doubtfulMoves.end() && doubtful->second.order.occupant.executor == vm.executor);
+}
+
 bool scheduler::hasUnknownExecutor() const
 {
     return std::any_of(m_vms.begin(), m_vms.end(), [this](const std::pair<const std::string, vm_entry> &vm) {
-        return vm.second.state == vm_state::Up && !vm.second.executor.empty() && !m_executors.contains(vm.second.executor);
+        const auto executor = m_executors.find(vm.second.executor);
+        const bool announced = executor != m_executors.end() && executor->second.entryReadAt != 0;
+        return vm.second.state == vm_state::Up && !vm.second.executor.empty() && !announced;
     });
 }
 
@@ -100,7 +115,7 @@
         vm.pool = entry.pool;
         vm.state = entry.state;
         vm.kind = kindOf(entry);
-        vm.mayBeOrdered = m_fleetOrders.isEarlier(entry.vm, now);
+        vm.mayBeOrdered = m_fleetOrders.isEarlier(entry.vm, now) || moveIsOpen(entry);
         const auto found = m_executors.find(entry.executor);
         if (found != m_executors.end() && !found->second.dead) {
             const executor_record &executor = found->second;
@@ -171,19 +186,20 @@
     if (const move_decision *move = std::get_if<move_decision>(&decision)) {
         const vm_entry &vm = m_vms.at(move->vm);
         if (!vm.executor.empty()) {
-            executor_record &executor = executorFor(vm.executor, now);
+            const executor_record &executor = executorFor(vm.executor, now);
             if (!executor.runs.empty() || executor.reserved) {
                 return;
             }
-            executor.reserved = true;
+            reserve(vm.executor, now);
         }
         ++m_counts.moves;
         note("move_ordered", {{"vm", move->vm}, {"from", vm.pool}, {"to", move->pool}, {"executor", vm.executor}});
+        m_openMoves[move->vm] = vm.executor;
         m_fleetOrders.add(move_vm{move->vm, move->pool, occupantOf(vm)}, now);
     } else if (const upkeep_decision *upkeep = std::get_if<upkeep_decision>(&decision)) {
         const vm_entry &vm = m_vms.at(upkeep->vm);
         if (!vm.executor.empty()) {
-            executorFor(vm.executor, now).reserved = true;
+            reserve(vm.executor, now);
         }
         ++m_counts.upkeeps;
         note("upkeep_ordered", {{"vm", upkeep->vm}, {"wave", std::to_string(upkeep->wave)}, {"executor", vm.executor}});
@@ -191,7 +207,7 @@
     } else if (const drain_decision *drain = std::get_if<drain_decision>(&decision)) {
         const vm_entry &vm = m_vms.at(drain->vm);
         if (!vm.executor.empty()) {
-            executorFor(vm.executor, now).reserved = true;
+            reserve(vm.executor, now);
             note("vm_draining", {{"vm", drain->vm}, {"wave", std::to_string(drain->wave)}, {"executor", vm.executor}});
         }
     } else if (const wave_decision *wave = std::get_if<wave_decision>(&decision)) {
@@ -211,6 +227,14 @@
     }
 }
 
+// What an earlier order for its VM left open doesn't end a later reservation.
+void scheduler::reserve(const std::string &executor, time_ms now)
+{
+    executor_record &record = executorFor(executor, now);
+    record.reserved = true;
+    record.reservedInDoubtSince = 0;
+}
+
 executor_life scheduler::occupantOf(const vm_entry &vm) const
 {
     const auto executor = m_executors.find(vm.executor);
@@ -244,6 +268,7 @@
 // whose birth wasn't known then, or of a later one, the answer says nothing.
 void scheduler::on(const move_answered &what, time_ms now)
 {
+    m_openMoves.erase(what.vm);
     if (what.status == fleet_status::Unknown) {
         m_doubtfulMoves[what.vm] = {{what.vm, what.pool, what.occupant}, now};
     } else {
--- /dev/null
+++ b/tests/sched/stale_evidence_test.cpp
@@ -0,0 +1,237 @@
+#include "scheduler_fixture.h"
+
+#include <doctest/doctest.h>
+
+using namespace daisypass::sched;
+
+namespace {
+
+constexpr std::int64_t firstBorn = 1'000;
+constexpr std::int64_t secondBorn = 2'000;
+
+vms_listed listOf(const std::string &vm, const std::string &executor, vm_state state = vm_state::Up)
+{
+    vms_listed list;
+    list.vms.push_back({vm, "booking", state, "zone", {"a"}, executor});
+    return list;
+}
+
+wave_request waveOf(std::int64_t number, const std::string &vm)
+{
+    wave_request wave;
+    wave.wave = number;
+    wave.vms = {vm};
+    wave.durationMs = 20'000;
+    wave.cap = 1;
+    return wave;
+}
+
+executor_entry lifeOf(const std::string &id, std::int64_t born)
+{
+    executor_entry one = scheduler_fixture::entry(id);
+    one.bornUnixMs = born;
+    return one;
+}
+
+} // namespace
+
+// The registry was read again only for executors without a record; a reservation makes a record before the entry is read.
+TEST_CASE("an executor that is reserved before its entry is read still counts as unknown")
+{
+    scheduler_fixture world;
+    world.brain.handle(listOf("vm-1", "current"), world.now);
+    REQUIRE(world.brain.hasUnknownExecutor());
+    world.brain.handle(wave_requested{waveOf(1, "vm-1"), 0}, world.now);
+    world.advance(200);
+    REQUIRE(world.take<upkeep_vm>().size() == 1);
+    CHECK(world.brain.hasUnknownExecutor());
+}
+
+// The next life knows nothing of a stop that the earlier one acknowledged, so a start that is late would be carried out there.
+TEST_CASE("a stop's answer from an earlier life doesn't free the task once a later life is known")
+{
+    scheduler_fixture world;
+    world.addExecutor("e1");
+    world.brain.handle(job_submitted{world.job("j1", {world.step(1)})}, world.now);
+    world.step_();
+    const start_run start = world.take<start_run>().at(0);
+    world.addExecutor("e2");
+    world.answerStart(start, order_status::Unknown);
+    world.now += 10;
+    world.answerHold("e1", {}, {}, order_status::Ok, firstBorn);
+    REQUIRE(world.take<stop_run>().size() == 1);
+
+    world.brain.handle(executor_seen{lifeOf("e1", secondBorn)}, world.now);
+    world.step_();
+    world.brain.handle(stop_answered{start.task, start.run, "e1", order_status::Ok, {start.address, firstBorn}}, world.now);
+    world.advance(10);
+    world.answerHold("e1", {}, {}, order_status::Ok, secondBorn);
+    CHECK(world.take<start_run>().empty());
+}
+
+// The VM's upkeep ended the earlier life; a slow answer came after the later one had been given work.
+TEST_CASE("a list of VMs that is older than an executor's life doesn't give it up")
+{
+    scheduler_fixture world;
+    world.addExecutor("e1");
+    world.brain.handle(listOf("vm-e1", "e1"), world.now);
+    const time_ms askedAt = world.now;
+    world.advance(100);
+    world.brain.handle(executor_seen{lifeOf("e1", secondBorn)}, world.now);
+    world.step_();
+    world.answerHold("e1", {}, {}, order_status::Ok, secondBorn);
+    world.brain.handle(job_submitted{world.job("j1", {world.step(1)})}, world.now);
+    world.step_();
+    const start_run start = world.take<start_run>().at(0);
+    world.brain.handle(start_answered{start.task, start.run, "e1", order_status::Ok, 10, secondBorn}, world.now);
+    world.addExecutor("e2");
+    vms_listed list = listOf("vm-e1", "", vm_state::Upkeep);
+
+    SUBCASE("it was asked for before the life was heard of")
+    {
+        list.askedAt = askedAt;
+        world.brain.handle(list, world.now);
+        world.step_();
+        CHECK_FALSE(world.brain.executors().at("e1").dead);
+        CHECK(world.take<start_run>().empty());
+    }
+    SUBCASE("it was asked for after it")
+    {
+        list.askedAt = world.now;
+        world.brain.handle(list, world.now);
+        world.step_();
+        CHECK(world.take<start_run>().size() == 1);
+    }
+}
+
+// A start without an answer may still be carried out by a next life, as one that waits for its answer may.
+TEST_CASE("a run whose start wasn't answered is kept when its executor is given up")
+{
+    scheduler_fixture world;
+    world.addExecutor("e1");
+    world.brain.handle(job_submitted{world.job("j1", {world.step(1)})}, world.now);
+    world.step_();
+    const start_run start = world.take<start_run>().at(0);
+    world.addExecutor("e2");
+    SUBCASE("its answer is awaited")
+    {
+    }
+    SUBCASE("it has had no answer in time")
+    {
+        world.answerStart(start, order_status::Unknown);
+    }
+    world.brain.handle(hold_answered{"e1", order_status::WrongExecutor, 0, 7, std::nullopt, {}, {}, false, {start.address, firstBorn}}, world.now);
+    REQUIRE(world.brain.executors().at("e1").dead);
+    world.step_();
+    CHECK(world.take<start_run>().empty());
+    SUBCASE("a next life has it: it goes on")
+    {
+        world.brain.handle(executor_seen{lifeOf("e1", secondBorn)}, world.now);
+        world.step_();
+        world.answerHold("e1", {scheduler_fixture::running(start)}, {}, order_status::Ok, secondBorn);
+        CHECK(world.take<start_run>().empty());
+        CHECK(world.take<stop_run>().empty());
+    }
+    SUBCASE("none comes: it is placed again when its lease is over")
+    {
+        world.advance(7'000);
+        CHECK(world.take<start_run>().size() == 1);
+    }
+}
+
+// The answer to one order released the reservation that a later order had made.
+TEST_CASE("an executor stays reserved for the upkeep that was ordered last")
+{
+    scheduler_fixture world;
+    world.addExecutor("e1");
+    world.brain.handle(listOf("vm-e1", "e1"), world.now);
+    world.brain.handle(wave_requested{waveOf(1, "vm-e1"), 0}, world.now);
+    world.advance(200);
+    const std::vector<upkeep_vm> first = world.take<upkeep_vm>();
+    REQUIRE(first.size() == 1);
+    world.brain.handle(upkeep_answered{"vm-e1", 1, fleet_status::Ok, first[0].occupant}, world.now);
+    world.brain.handle(listOf("vm-e1", "e1"), world.now);
+    world.brain.handle(wave_requested{waveOf(2, "vm-e1"), 0}, world.now);
+    world.advance(200);
+    REQUIRE(world.take<upkeep_vm>().size() == 1);
+    world.answerHold("e1");
+    CHECK(world.brain.executors().at("e1").reserved);
+}
+
+// The answer to a refused move released the executor, which got runs that the upkeep then ended.
+TEST_CASE("no upkeep is ordered while a move of the VM has no answer")
+{
+    scheduler_fixture world;
+    vms_listed list;
+    for (const char *name : {"e1", "e2", "e3", "e4", "e5", "e6"}) {
+        world.addExecutor(name);
+        list.vms.push_back({std::string("vm-") + name, "booking", vm_state::Up, "zone", {"a"}, name});
+    }
+    world.brain.handle(list, world.now);
+    world.advance(2'000);
+    const std::vector<move_vm> moves = world.take<move_vm>();
+    REQUIRE_FALSE(moves.empty());
+    world.brain.handle(wave_requested{waveOf(1, moves[0].vm), 0}, world.now);
+    world.advance(200);
+    CHECK(world.take<upkeep_vm>().empty());
+
+    SUBCASE("the move is refused: the upkeep follows")
+    {
+        world.brain.handle(move_answered{moves[0].vm, moves[0].pool, fleet_status::Refused, moves[0].occupant}, world.now);
+    }
+    SUBCASE("the move gets no answer until it is ordered again")
+    {
+        world.brain.handle(move_answered{moves[0].vm, moves[0].pool, fleet_status::Unknown, moves[0].occupant}, world.now);
+        world.advance(200);
+        CHECK(world.take<upkeep_vm>().empty());
+        world.advance(1'000);
+        CHECK(world.take<move_vm>().size() == 1);
+        CHECK(world.take<upkeep_vm>().empty());
+        world.brain.handle(move_answered{moves[0].vm, moves[0].pool, fleet_status::Refused, moves[0].occupant}, world.now);
+    }
+    world.advance(200);
+    CHECK(world.take<upkeep_vm>().size() == 1);
+    CHECK(world.brain.executors().at(moves[0].occupant.executor).reserved);
+}
+
+// An order of the former holder that is on its way ended runs that its successor had placed.
+TEST_CASE("a VM that the former holder may still order down gets no runs")
+{
+    scheduler_fixture first;
+    first.addExecutor("e1");
+    first.brain.handle(listOf("vm-e1", "e1"), first.now);
+    first.brain.handle(wave_requested{waveOf(1, "vm-e1"), 0}, first.now);
+    first.advance(200);
+    REQUIRE(first.take<upkeep_vm>().size() == 1);
+
+    scheduler_fixture second;
+    second.addExecutor("e1");
+    second.brain.handle(job_submitted{second.job("j1", {second.step(1)})}, second.now);
+
+    SUBCASE("upkeep that may be on its way")
+    {
+        REQUIRE(second.brain.restoreFleetOrders(first.rows.at(fleetOrdersRowKey), true, second.now));
+        second.advance(100);
+        CHECK(second.take<start_run>().empty());
+        second.advance(4'000);
+        CHECK(second.take<start_run>().size() == 1);
+    }
+    SUBCASE("a move to another pool")
+    {
+        REQUIRE(second.brain.restoreFleetOrders(R"({"vm-e1":"spare"})", true, second.now));
+        second.advance(100);
+        CHECK(second.take<start_run>().empty());
+    }
+    SUBCASE("not so a move that has been carried out")
+    {
+        REQUIRE(second.brain.restoreFleetOrders(R"({"vm-e1":"booking"})", true, second.now));
+        second.advance(100);
+        CHECK(second.take<start_run>().size() == 1);
+    }
+    SUBCASE("nor an order of a holder that is over")
+    {
+        REQUIRE(second.brain.restoreFleetOrders(first.rows.at(fleetOrdersRowKey), false, second.now));
+        second.advance(100);
+        CHECK(second.take<start_run>().size() == 1);
+    }
+}
