Stop starts without an answer again after their executor's entry had vanished

What callers would see: a task started again after it was done. Cause: what is kept of starts without an answer, so that a next life under the executor's id is told to refuse them, went with the executor's record when its entry vanished and nothing ran there. A crash does just that. Change: the record stays for the 12 s in which such a start may come. Measured: the test's new section failed before (no stop was sent) and passes.

--- a/src/sched/scheduler_executors.cpp
+++ b/src/sched/scheduler_executors.cpp
@@ -327,8 +327,9 @@
         if (executor.listed && executor.unlistedAt != 0 && now - executor.unlistedAt > lapsedEntryGraceMs) {
             unlist(executor);
         }
-        // A reservation may be older than the entry; without it the executor would get runs that the order to its VM ends.
-        const bool awaited = executor.reserved && !executor.dead;
+        // A reservation may be older than the entry; without it the executor would get runs that the order to its VM ends. A next life
+        // under its id has to be told the stops of starts that may still come.
+        const bool awaited = (executor.reserved && !executor.dead) || !executor.unansweredStarts.empty();
         if (!executor.listed && executor.runs.empty() && !awaited) {
             empty.push_back(item.first);
             continue;
--- a/tests/sched/executor_succession_test.cpp
+++ b/tests/sched/executor_succession_test.cpp
@@ -271,6 +271,22 @@
         CHECK(repeated[0].run == start.run);
         CHECK(repeated[0].bornUnixMs == nextBorn);
     }
+    SUBCASE("also when its entry had vanished, and the task is done")
+    {
+        world.answerHold("e1", {}, {scheduler_fixture::ended(again, 1, run_end::Done)});
+        world.answerHold("e1", {}, {}, order_status::Unknown);
+        world.brain.handle(executor_gone{"e1"}, world.now);
+        world.advance(1'000);
+        world.take<stop_run>();
+        executor_entry next = scheduler_fixture::entry("e1");
+        next.bornUnixMs = nextBorn;
+        world.brain.handle(executor_seen{next}, world.now);
+        world.step_();
+        const std::vector<stop_run> repeated = world.take<stop_run>();
+        REQUIRE(repeated.size() == 1);
+        CHECK(repeated[0].run == start.run);
+        CHECK(repeated[0].bornUnixMs == nextBorn);
+    }
     SUBCASE("not later")
     {
         world.now += 13'000;
