Stop a former holder's starts again when their executor restarts

What callers would see: a task started again beside another run, or after it was done. Cause: after a takeover a run that its executor doesn't list is placed again. The row of the run doesn't say whether the former holder's start was answered, so it may still come; an executor that restarts under its id has seen no newer fencing token and would carry it out. Only starts that this term had sent were stopped again in the next life. Class: unknown taken as settled. Change: an inherited run that is lost counts as a start without an answer. Measured: both sections of the test failed before (no stop was sent) and pass.

--- a/src/sched/scheduler_runs.cpp
+++ b/src/sched/scheduler_runs.cpp
@@ -189,6 +189,10 @@
 {
     ++m_counts.lostRuns;
     note("run_lost", {{"task", id.text()}, {"run", std::to_string(task.run)}, {"executor", task.executor}, {"cause", std::string(cause)}});
+    if (task.inherited) {
+        // Its row doesn't say whether the former holder's start was answered, so it may still come.
+        executorFor(task.executor, now).unansweredStarts.push_back({id, task.run, now});
+    }
     release(id, job.spec.steps[static_cast<std::size_t>(id.step)], task, now);
     markDirty(job);
 }
--- a/tests/sched/executor_succession_test.cpp
+++ b/tests/sched/executor_succession_test.cpp
@@ -294,3 +294,35 @@
         CHECK(world.take<stop_run>().empty());
     }
 }
+
+// The row doesn't say whether the former holder's start was answered, so it may still be on its way.
+TEST_CASE("a former holder's late start isn't carried out by an executor's next life")
+{
+    constexpr std::int64_t nextBorn = 2'000;
+    scheduler_fixture first;
+    first.addExecutor("e1");
+    const start_run start = first.placeTask("j1");
+
+    scheduler_fixture second;
+    second.takeOver(first, "j1");
+
+    SUBCASE("its executor answers without it, and restarts")
+    {
+        second.addExecutor("e1");
+        second.takeStart();
+        second.brain.handle(executor_seen{entryOnVm("e1", "vm-e1", nextBorn)}, second.now);
+    }
+    SUBCASE("its executor is silent until the lease is over, and restarts")
+    {
+        second.brain.handle(executor_seen{scheduler_fixture::entry("e1")}, second.now);
+        second.step_();
+        second.answerHold("e1", {}, {}, order_status::Unknown);
+        second.advance(7'000);
+        second.brain.handle(executor_seen{entryOnVm("e1", "vm-e1", nextBorn)}, second.now);
+    }
+    second.step_();
+    const std::vector<stop_run> stops = second.take<stop_run>();
+    REQUIRE(stops.size() == 1);
+    CHECK(stops[0].run == start.run);
+    CHECK(stops[0].bornUnixMs == nextBorn);
+}
