Ask an executor again that was given up when a later list of VMs names it

What callers would see: work waits for room while an executor that lives stands unused until the next takeover. Cause: that an executor is over was drawn from one piece of evidence and could only be taken back by a later birth under its id. Class: a belief that can't be taken back. Change: a list of VMs that was asked for after the verdict and names the executor on an up VM takes it back. The executor gets no runs before it has answered. Measured: the test failed before (the executor was never asked) and passes; the list asked for earlier changes nothing.

--- a/src/sched/executor_record.h
+++ b/src/sched/executor_record.h
@@ -46,6 +46,8 @@
     time_ms confirmedAt = 0;
     /** Another incarnation or executor has taken its place; it runs nothing. */
     bool dead = false;
+    /** When it was last taken as dead. */
+    time_ms deadSince = 0;
     /** A move or upkeep of its VM was ordered or is planned. */
     bool reserved = false;
     /** When the order that it is reserved for was settled in a way that leaves open whether it is over; 0 if none was. */
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -135,11 +135,15 @@
     void settleSuccession(const std::string &vm, time_ms now);
     /** Gives up the executor that was on the VM if the later list shows that it is over. */
     void giveUpReplaced(const vm_entry &before, const vm_entry &after, time_ms askedAt, time_ms now);
+    /** Takes back that the VM's executor is over if the list was asked for after that. */
+    void reviveNamed(const vm_entry &vm, time_ms askedAt, time_ms now);
     void unlist(executor_record &executor);
     void markSilent(executor_record &executor, time_ms now, std::string_view cause);
     void markAnswering(executor_record &executor, time_ms now);
     /** `evidence` is added to the log line. */
     void markDead(executor_record &executor, time_ms now, std::string_view cause, const note_fields &evidence = {});
+    /** The executor, which was given up, is alive after all. */
+    void revive(executor_record &executor, time_ms now);
     /** The executor has started again under its id. */
     void beginNextLife(executor_record &executor, std::int64_t born, time_ms now);
     void stopUnansweredStarts(executor_record &executor, std::int64_t born, time_ms now);
--- a/src/sched/scheduler_executors.cpp
+++ b/src/sched/scheduler_executors.cpp
@@ -263,6 +263,7 @@
     fields.insert(fields.end(), evidence.begin(), evidence.end());
     note("executor_dead", std::move(fields));
     executor.dead = true;
+    executor.deadSince = now;
     forgetLists(executor);
     const std::set<task_id> runs = executor.runs;
     for (const task_id &id : runs) {
@@ -282,6 +283,17 @@
     }
 }
 
+// It is asked for its runs, and gets none before it has answered.
+void scheduler::revive(executor_record &executor, time_ms now)
+{
+    note("executor_revived", {{"executor", executor.entry.id}, {"vm", executor.entry.vm}, {"dead_ms", std::to_string(now - executor.deadSince)}});
+    executor.dead = false;
+    executor.silentSince = now;
+    executor.holdRetryAt = now;
+    executor.lookSoon = true;
+    m_holdDue.insert(executor.entry.id);
+}
+
 // Says that the life to which the order was sent is over, and nothing of a later one or of another address.
 void scheduler::onWrongExecutor(executor_record &executor, const order_target &sentTo, time_ms now)
 {
--- a/src/sched/scheduler_fleet.cpp
+++ b/src/sched/scheduler_fleet.cpp
@@ -31,6 +31,9 @@
         if (before != m_vms.end()) {
             giveUpReplaced(before->second, vm, what.askedAt.value_or(now), now);
         }
+        if (what.askedAt) {
+            reviveNamed(vm, *what.askedAt, now);
+        }
         listed[vm.vm] = vm;
     }
     m_vms = std::move(listed);
@@ -51,6 +54,15 @@
     }
 }
 
+void scheduler::reviveNamed(const vm_entry &vm, time_ms askedAt, time_ms now)
+{
+    const auto named = m_executors.find(vm.executor);
+    const bool givenUp = named != m_executors.end() && named->second.dead && named->second.deadSince < askedAt;
+    if (givenUp && vm.state == vm_state::Up) {
+        revive(named->second, now);
+    }
+}
+
 void scheduler::repeatDoubtfulMoves(time_ms now)
 {
     for (auto move = m_doubtfulMoves.begin(); move != m_doubtfulMoves.end();) {
--- a/tests/sched/stale_evidence_test.cpp
+++ b/tests/sched/stale_evidence_test.cpp
@@ -235,3 +235,36 @@
         CHECK(second.take<start_run>().size() == 1);
     }
 }
+
+// A wrong verdict lasted the term: the executor was neither asked nor given work again.
+TEST_CASE("an executor that was given up is asked again when a later list of VMs names it")
+{
+    scheduler_fixture world;
+    world.addExecutor("e1");
+    world.brain.handle(hold_answered{"e1", order_status::WrongExecutor, 0, 7, std::nullopt, {}, {}, false, {"10.0.0.1:80", firstBorn}}, world.now);
+    REQUIRE(world.brain.executors().at("e1").dead);
+    world.take<hold_executor>();
+    vms_listed list = listOf("vm-e1", "e1");
+
+    SUBCASE("the list was asked for before: it stays given up")
+    {
+        list.askedAt = world.now - 1;
+        world.advance(100);
+        world.brain.handle(list, world.now);
+        world.advance(100);
+        CHECK(world.brain.executors().at("e1").dead);
+        CHECK(world.take<hold_executor>().empty());
+    }
+    SUBCASE("it was asked for later: nothing is started there before it answers")
+    {
+        world.advance(100);
+        list.askedAt = world.now;
+        world.brain.handle(list, world.now);
+        world.brain.handle(job_submitted{world.job("j1", {world.step(1)})}, world.now);
+        world.advance(100);
+        REQUIRE(world.take<hold_executor>().size() == 1);
+        CHECK(world.take<start_run>().empty());
+        world.answerHold("e1");
+        CHECK(world.take<start_run>().size() == 1);
+    }
+}
