Write a wave's running status only if it has none

Callers would see `running` in status/wave/N after `completed`: a write of a former holder, or one of this holder without an answer, may be carried out late. The next holder did it on every takeover too, since it announces each wave that it reads.

Cause: status/wave/N was put without a condition.

Change: `running` expects that the row doesn't exist; that it does is as good as written. `completed` stays without a condition, since all upkeep of a wave that has begun stays begun.

Weighed: expecting the term's row would keep out a former holder, but neither a late write of this one nor the next holder's own announcement, and it needs `Across`, which takes twice the time in the part of the holder's batches. The row's own version as a condition keeps out all three with one part. It isn't needed for `completed`, where it would only add a read and a retry.

The stand-in reports a wave that is shown as running after it was completed, in all integration tests.

--- a/src/node/dispatcher_orders.cpp
+++ b/src/node/dispatcher_orders.cpp
@@ -6,6 +6,7 @@
 #include "base/log.h"
 #include "node/store_limits.h"
 #include "node/tables.h"
+#include "node/wave_status.h"
 #include "platform/records.h"
 
 #include <algorithm>
@@ -145,11 +146,10 @@
 
 void dispatcher::carryOut(const sched::publish_wave &order)
 {
-    row_transaction transaction;
-    transaction.puts = {{{statusTable, "", waveStatusKey(order.wave)}, waveStatusText(order.wave, order.completed)}};
-    m_services.store.transact(transaction, holderCommitTimeout, [weak = weak_from_this(), order](const transact_result &result) {
+    const row_transaction write = waveStatusWrite(order.wave, order.completed);
+    m_services.store.transact(write, holderCommitTimeout, [weak = weak_from_this(), order](const transact_result &result) {
         const std::shared_ptr<dispatcher> self = weak.lock();
-        if (!self || result.status == store_status::Ok) {
+        if (!self || waveStatusIsWritten(result.status)) {
             return;
         }
         self->m_services.later(holderReadRetry, [weak, order] {
--- a/src/standins/deployment_standin.cpp
+++ b/src/standins/deployment_standin.cpp
@@ -3,6 +3,8 @@
 #include "standins/json_answer.h"
 #include "standins/standin_server.h"
 
+#include "platform/records.h"
+
 #include <algorithm>
 #include <cstdlib>
 
@@ -41,6 +43,9 @@
     , m_options(std::move(options))
     , m_store(context, m_options.seed)
 {
+    m_store.watchPuts([this](const store_row &row) {
+        observeWrite(row);
+    });
 }
 
 deployment_standin::~deployment_standin() = default;
@@ -251,6 +256,19 @@
     }
 }
 
+void deployment_standin::observeWrite(const store_row &row)
+{
+    if (row.key.table != statusTable) {
+        return;
+    }
+    const std::string state = wire::textIn(wire::parseObject(row.value).value_or(json::object()), "State").value_or("");
+    if (state == "completed") {
+        m_completedWaves.insert(row.key.key);
+    } else if (m_completedWaves.contains(row.key.key)) {
+        breach("wave_status", row.key.key + " is shown as " + state + " after it was completed");
+    }
+}
+
 void deployment_standin::breach(const std::string &rule, const std::string &detail)
 {
     if (m_breaches.size() < mostBreaches) {
--- a/src/standins/deployment_standin.h
+++ b/src/standins/deployment_standin.h
@@ -65,6 +65,7 @@
     bool bringUp(const std::string &vm, failure &reason);
     void writeConfiguration();
     void observe(const worker_event &what);
+    void observeWrite(const store_row &row);
     void breach(const std::string &rule, const std::string &detail);
 
     asio::io_context &m_context;
@@ -81,6 +82,8 @@
     std::map<std::string, int> m_ends;
     std::map<std::string, std::string> m_runningOn;
     std::set<std::string> m_done;
+    /** Status rows that have said that their wave is completed. */
+    std::set<std::string> m_completedWaves;
     std::vector<std::string> m_breaches;
 };
 
--- a/src/standins/store_standin.cpp
+++ b/src/standins/store_standin.cpp
@@ -52,6 +52,11 @@
     m_fault = fault;
 }
 
+void store_standin::watchPuts(std::function<void(const store_row &)> watcher)
+{
+    m_watcher = std::move(watcher);
+}
+
 void store_standin::forgetHistory()
 {
     m_historyFrom = m_version;
@@ -185,7 +190,11 @@
     }
     ++m_version;
     for (const json &item : puts) {
-        store(keyIn(item), wire::decodeBase64(wire::textIn(item, "Value").value_or("")).value_or(""));
+        const row_key key = keyIn(item);
+        store(key, wire::decodeBase64(wire::textIn(item, "Value").value_or("")).value_or(""));
+        if (m_watcher) {
+            m_watcher(m_rows.at(key));
+        }
     }
     for (const json &item : deletes) {
         erase(keyIn(item));
--- a/src/standins/store_standin.h
+++ b/src/standins/store_standin.h
@@ -14,6 +14,7 @@
 #include <asio/steady_timer.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <random>
@@ -52,6 +53,8 @@
     /** Empty if there is no such row. */
     std::string value(const row_key &key) const;
     std::vector<store_row> rowsOf(const std::string &table) const;
+    /** Called with each row that a transaction puts. */
+    void watchPuts(std::function<void(const store_row &)> watcher);
     void setFault(store_fault fault);
     /** Feeds from before now answer that the history is gone. */
     void forgetHistory();
@@ -88,6 +91,7 @@
     std::int64_t m_writes = 0;
     store_fault m_fault;
     std::vector<std::shared_ptr<waiting_feed>> m_feeds;
+    std::function<void(const store_row &)> m_watcher;
 };
 
 } // namespace daisypass
--- a/tests/integration/platform_scenarios.cpp
+++ b/tests/integration/platform_scenarios.cpp
@@ -162,3 +162,21 @@
     CHECK(platform.report()["upkeeps"] == 3);
     checkAllCompleted(platform, 1, jobs);
 }
+
+// The next holder announced each wave that it read, so the operator saw a completed one as running again.
+TEST_CASE("a completed wave is not shown as running again after a takeover")
+{
+    platform_deployment platform({.nodes = 2, .waveVms = 2});
+    const std::size_t former = platform.holder();
+    REQUIRE(waitUntil([&] {
+        return platform.report().value("wave_status", "").find("completed") != std::string::npos;
+    }));
+    platform.node(former).kill();
+    const std::size_t other = otherThan(former);
+    REQUIRE(waitUntil([&] {
+        return platform.node(other).log().find("\"wave_completed\"") != std::string::npos;
+    }));
+    const std::string job = platform.submit(other, taskMs, 2);
+    REQUIRE_FALSE(job.empty());
+    checkAllCompleted(platform, other, {job});
+}
