Keep the open orders of a term in one ledger

Three records said that an order of this term may yet end an executor: moves without an answer by VM, moves to be ordered again by VM, and for each executor a flag with a time of doubt. An answer changed what stood under its VM or executor, also if that belonged to another order.

Change: order_ledger has one record for each VM and occupant with the order, the life that it is for, when it was sent, and whether it is planned, awaits its answer, had none or is in doubt. An answer changes only the record that holds its order. The flag on the executor is its copy, for each pass of the placement. While an order has no answer its VM gets no other; a move without one is ordered again a second after it was sent, no longer a second after its time-out.

The earlier holder's orders stay in fleet_orders, beside the row that they are read from: they have no answer and no known occupant, only a time after which they can't come. In the ledger most fields of a record would be optional. A record for each VM alone, without the occupant, would drop what is open for the former executor when the next one is ordered.

--- a/src/sched/executor_record.h
+++ b/src/sched/executor_record.h
@@ -46,10 +46,8 @@
     time_ms confirmedAt = 0;
     /** Another incarnation or executor has taken its place; it runs nothing. */
     bool dead = false;
-    /** A move or upkeep of its VM was ordered or is planned. */
+    /** The ledger of orders reserves it: a move or upkeep of its VM is planned, or may yet end it. */
     bool reserved = false;
-    /** When the order that it is reserved for was settled in a way that leaves open whether it is over; 0 if none was. */
-    time_ms reservedInDoubtSince = 0;
 
     std::int64_t clockMs = 0;
     time_ms clockAt = 0;
--- a/src/sched/fleet_orders.cpp
+++ b/src/sched/fleet_orders.cpp
@@ -10,15 +10,6 @@
 
 using json = nlohmann::json;
 
-const std::string &vmOf(const fleet_order &order)
-{
-    return std::visit(
-        [](const auto &one) -> const std::string & {
-            return one.vm;
-        },
-        order);
-}
-
 // A move is written as its pool, an upkeep as its wave.
 struct order_writer
 {
@@ -46,6 +37,24 @@
 
 } // namespace
 
+const std::string &vmOf(const fleet_order &order)
+{
+    return std::visit(
+        [](const auto &one) -> const std::string & {
+            return one.vm;
+        },
+        order);
+}
+
+const executor_life &occupantOf(const fleet_order &order)
+{
+    return std::visit(
+        [](const auto &one) -> const executor_life & {
+            return one.occupant;
+        },
+        order);
+}
+
 fleet_orders::fleet_orders(time_ms keepMs)
     : m_keepMs(keepMs)
 {
--- a/src/sched/fleet_orders.h
+++ b/src/sched/fleet_orders.h
@@ -29,6 +29,9 @@
 
 using fleet_order = std::variant<move_vm, upkeep_vm>;
 
+const std::string &vmOf(const fleet_order &order);
+const executor_life &occupantOf(const fleet_order &order);
+
 class fleet_orders
 {
 public:
--- /dev/null
+++ b/src/sched/order_ledger.cpp
@@ -0,0 +1,142 @@
+#include "sched/order_ledger.h"
+
+namespace daisypass::sched {
+namespace {
+
+/** Tells whether the visited order asks for the same as another one for the same VM and occupant. */
+struct order_comparison
+{
+    const fleet_order &other;
+
+    bool operator()(const move_vm &move) const
+    {
+        const move_vm *same = std::get_if<move_vm>(&other);
+        return same != nullptr && same->pool == move.pool;
+    }
+
+    bool operator()(const upkeep_vm &upkeep) const
+    {
+        const upkeep_vm *same = std::get_if<upkeep_vm>(&other);
+        return same != nullptr && same->wave == upkeep.wave;
+    }
+};
+
+bool isSame(const fleet_order &one, const fleet_order &other)
+{
+    return occupantOf(one).bornUnixMs == occupantOf(other).bornUnixMs && std::visit(order_comparison{other}, one);
+}
+
+} // namespace
+
+order_ledger::record_key order_ledger::keyOf(const fleet_order &order)
+{
+    return {occupantOf(order).executor, vmOf(order)};
+}
+
+// What an earlier order left in doubt doesn't end a later reservation.
+void order_ledger::plan(const std::string &vm, const executor_life &occupant)
+{
+    record &one = m_records[{occupant.executor, vm}];
+    if (one.state == phase::InDoubt) {
+        one = {};
+    }
+}
+
+void order_ledger::add(const fleet_order &order, time_ms now)
+{
+    record &one = m_records[keyOf(order)];
+    one = {};
+    one.order = order;
+    one.state = phase::Open;
+    one.sentAt = now;
+}
+
+void order_ledger::answered(const fleet_order &order, fleet_status status, time_ms now)
+{
+    const auto one = m_records.find(keyOf(order));
+    if (one == m_records.end() || one->second.state != phase::Open || !isSame(order, *one->second.order)) {
+        return;
+    }
+    switch (status) {
+    case fleet_status::Ok:
+        putInDoubt(one, now);
+        return;
+    case fleet_status::Unknown:
+        one->second.state = phase::Unanswered;
+        return;
+    default:
+        m_records.erase(one);
+    }
+}
+
+void order_ledger::settle(const move_vm &order, time_ms now)
+{
+    const auto one = m_records.find(keyOf(order));
+    if (one != m_records.end() && one->second.isUnansweredMove()) {
+        putInDoubt(one, now);
+    }
+}
+
+void order_ledger::putInDoubt(record_map::iterator one, time_ms now)
+{
+    if (one->first.occupant.empty()) {
+        m_records.erase(one);
+        return;
+    }
+    one->second.state = phase::InDoubt;
+    one->second.inDoubtSince = now;
+}
+
+template<typename Predicate>
+void order_ledger::eraseOf(const std::string &executor, Predicate ended)
+{
+    auto one = m_records.lower_bound({executor, ""});
+    while (one != m_records.end() && one->first.occupant == executor) {
+        one = ended(one->second) ? m_records.erase(one) : std::next(one);
+    }
+}
+
+void order_ledger::listed(const std::string &executor, time_ms askedAt)
+{
+    eraseOf(executor, [askedAt](const record &one) {
+        return one.state == phase::InDoubt && one.inDoubtSince < askedAt;
+    });
+}
+
+// VMs that are off have no executor in common.
+void order_ledger::forget(const std::string &executor)
+{
+    if (executor.empty()) {
+        return;
+    }
+    eraseOf(executor, [](const record &one) {
+        const bool openMove = one.state == phase::Open && std::holds_alternative<move_vm>(*one.order);
+        return !openMove && !one.isUnansweredMove();
+    });
+}
+
+bool order_ledger::reserves(const std::string &executor) const
+{
+    const auto first = m_records.lower_bound({executor, ""});
+    return first != m_records.end() && first->first.occupant == executor;
+}
+
+// Upkeep without an answer is ordered again by its wave, so it doesn't keep the VM from that.
+bool order_ledger::isOpen(const std::string &vm, const std::string &occupant) const
+{
+    const auto one = m_records.find({occupant, vm});
+    return one != m_records.end() && (one->second.state == phase::Open || one->second.isUnansweredMove());
+}
+
+std::vector<unanswered_move> order_ledger::unansweredMoves() const
+{
+    std::vector<unanswered_move> moves;
+    for (const std::pair<const record_key, record> &one : m_records) {
+        if (one.second.isUnansweredMove()) {
+            moves.push_back({std::get<move_vm>(*one.second.order), one.second.sentAt});
+        }
+    }
+    return moves;
+}
+
+} // namespace daisypass::sched
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -25,6 +25,7 @@
 #include "sched/job_record.h"
 #include "sched/lease_rules.h"
 #include "sched/model.h"
+#include "sched/order_ledger.h"
 #include "sched/run_pace.h"
 
 #include <map>
@@ -189,17 +190,15 @@
     void on(const move_answered &what, time_ms now);
     void on(const upkeep_answered &what, time_ms now);
     void planFleet(time_ms now);
-    void repeatDoubtfulMoves(time_ms now);
+    void repeatUnansweredMoves(time_ms now);
     fleet_view viewOfFleet(time_ms now) const;
     void carryOut(const fleet_decision &decision, time_ms now);
     void sendFleetOrders();
-    /** A move that may end the VM's executor has no answer yet. */
-    bool moveIsOpen(const vm_entry &vm) const;
-    void reserve(const std::string &executor, time_ms now);
-    executor_life occupantOf(const vm_entry &vm) const;
-    /** The order for the occupant's VM is settled; the executor is over unless it answers later. */
-    void awaitAnswerOf(const executor_life &occupant, time_ms now);
-    void releaseOccupant(const executor_life &occupant, time_ms now);
+    void orderFleet(const fleet_order &order, time_ms now);
+    executor_life currentOccupant(const vm_entry &vm) const;
+    void showReservation(const std::string &executor, time_ms now);
+    /** The order for the executor's VM is settled; the executor is over unless it lists its runs later. */
+    void awaitListOf(const std::string &executor);
     /** Ends long-running tasks on executors whose VM has a move or upkeep before it. */
     void drainReserved(time_ms now);
     bool isKnownAtWork(const task_record &task, time_ms now) const;
@@ -245,18 +244,9 @@
     bool m_placeWanted = false;
     time_ms m_placedAt = 0;
     std::map<std::string, vm_entry> m_vms;
-    /** A move whose outcome isn't known; it is ordered again, which changes nothing if it was carried out. */
-    struct doubtful_move
-    {
-        move_vm order;
-        time_ms orderedAt = 0;
-    };
-
-    std::map<std::string, doubtful_move> m_doubtfulMoves;
-    /** Executor of each VM whose move has no answer. */
-    std::map<std::string, std::string> m_openMoves;
     fleet_planner m_fleet;
     fleet_orders m_fleetOrders;
+    order_ledger m_ledger;
     std::vector<action> m_actions;
     std::int64_t m_batch = 0;
     std::int64_t m_committed = 0;
--- a/src/sched/scheduler_executors.cpp
+++ b/src/sched/scheduler_executors.cpp
@@ -44,6 +44,7 @@
         found->second.emptySince = now;
         found->second.lastGrantAt = m_term.earlierGrantsUntil;
         found->second.silentSince = now;
+        found->second.reserved = m_ledger.reserves(id);
         m_executorIndexStale = true;
     }
     return found->second;
@@ -346,6 +347,7 @@
     }
     for (const std::string &id : empty) {
         m_executors.erase(id);
+        m_ledger.forget(id);
         m_executorIndexStale = true;
     }
 }
--- a/src/sched/scheduler_fleet.cpp
+++ b/src/sched/scheduler_fleet.cpp
@@ -9,7 +9,7 @@
 
 // Moves and upkeep are planned this often.
 constexpr time_ms planEveryMs = 100;
-// A move without an answer is ordered again after this time.
+// A move without an answer is ordered again this long after it was sent.
 constexpr time_ms repeatMoveMs = 1'000;
 
 std::string kindOf(const vm_entry &vm)
@@ -51,36 +51,22 @@
     }
 }
 
-void scheduler::repeatDoubtfulMoves(time_ms now)
+void scheduler::repeatUnansweredMoves(time_ms now)
 {
-    for (auto move = m_doubtfulMoves.begin(); move != m_doubtfulMoves.end();) {
-        const auto vm = m_vms.find(move->first);
-        const move_vm &order = move->second.order;
-        const bool settled = vm == m_vms.end() || vm->second.pool == order.pool;
-        // Another executor isn't reserved, so the order would end its runs.
-        const bool occupantChanged = !settled && !vm->second.executor.empty() && vm->second.executor != order.occupant.executor;
-        if (settled || occupantChanged) {
-            awaitAnswerOf(order.occupant, now);
-            move = m_doubtfulMoves.erase(move);
-            continue;
-        }
-        if (now - move->second.orderedAt >= repeatMoveMs && vm->second.state == vm_state::Up) {
-            move->second.orderedAt = now;
-            m_openMoves[move->first] = order.occupant.executor;
-            m_fleetOrders.add(order, now);
+    for (const unanswered_move &move : m_ledger.unansweredMoves()) {
+        const auto vm = m_vms.find(move.order.vm);
+        const bool done = vm == m_vms.end() || vm->second.pool == move.order.pool;
+        // The order would end the runs of another executor, which isn't reserved for it.
+        const bool occupantChanged = !done && !vm->second.executor.empty() && vm->second.executor != move.order.occupant.executor;
+        if (done || occupantChanged) {
+            m_ledger.settle(move.order, now);
+            awaitListOf(move.order.occupant.executor);
+        } else if (now - move.sentAt >= repeatMoveMs && vm->second.state == vm_state::Up) {
+            orderFleet(move.order, now);
         }
-        ++move;
     }
 }
 
-bool scheduler::moveIsOpen(const vm_entry &vm) const
-{
-    const auto unanswered = m_openMoves.find(vm.vm);
-    const auto doubtful = m_doubtfulMoves.find(vm.vm);
-    return (unanswered != m_openMoves.end() && unanswered->second == vm.executor)
-        || (doubtful != m_doubtfulMoves.end() && doubtful->second.order.occupant.executor == vm.executor);
-}
-
 bool scheduler::hasUnknownExecutor() const
 {
     return std::any_of(m_vms.begin(), m_vms.end(), [this](const std::pair<const std::string, vm_entry> &vm) {
@@ -115,7 +101,7 @@
         vm.pool = entry.pool;
         vm.state = entry.state;
         vm.kind = kindOf(entry);
-        vm.mayBeOrdered = m_fleetOrders.isEarlier(entry.vm, now) || moveIsOpen(entry);
+        vm.mayBeOrdered = m_fleetOrders.isEarlier(entry.vm, now) || m_ledger.isOpen(entry.vm, entry.executor);
         const auto found = m_executors.find(entry.executor);
         if (found != m_executors.end() && !found->second.dead) {
             const executor_record &executor = found->second;
@@ -173,7 +159,7 @@
     }
     m_lastFleetPlan = now;
     m_fleetOrders.expire(now);
-    repeatDoubtfulMoves(now);
+    repeatUnansweredMoves(now);
     for (const fleet_decision &decision : m_fleet.plan(viewOfFleet(now), now)) {
         carryOut(decision, now);
     }
@@ -190,24 +176,24 @@
             if (!executor.runs.empty() || executor.reserved) {
                 return;
             }
-            reserve(vm.executor, now);
         }
         ++m_counts.moves;
         note("move_ordered", {{"vm", move->vm}, {"from", vm.pool}, {"to", move->pool}, {"executor", vm.executor}});
-        m_openMoves[move->vm] = vm.executor;
-        m_fleetOrders.add(move_vm{move->vm, move->pool, occupantOf(vm)}, now);
+        orderFleet(move_vm{move->vm, move->pool, currentOccupant(vm)}, now);
     } else if (const upkeep_decision *upkeep = std::get_if<upkeep_decision>(&decision)) {
         const vm_entry &vm = m_vms.at(upkeep->vm);
         if (!vm.executor.empty()) {
-            reserve(vm.executor, now);
+            executorFor(vm.executor, now);
         }
         ++m_counts.upkeeps;
         note("upkeep_ordered", {{"vm", upkeep->vm}, {"wave", std::to_string(upkeep->wave)}, {"executor", vm.executor}});
-        m_fleetOrders.add(upkeep_vm{upkeep->vm, upkeep->wave, occupantOf(vm)}, now);
+        orderFleet(upkeep_vm{upkeep->vm, upkeep->wave, currentOccupant(vm)}, now);
     } else if (const drain_decision *drain = std::get_if<drain_decision>(&decision)) {
         const vm_entry &vm = m_vms.at(drain->vm);
         if (!vm.executor.empty()) {
-            reserve(vm.executor, now);
+            executorFor(vm.executor, now);
+            m_ledger.plan(drain->vm, currentOccupant(vm));
+            showReservation(vm.executor, now);
             note("vm_draining", {{"vm", drain->vm}, {"wave", std::to_string(drain->wave)}, {"executor", vm.executor}});
         }
     } else if (const wave_decision *wave = std::get_if<wave_decision>(&decision)) {
@@ -216,6 +202,13 @@
     }
 }
 
+void scheduler::orderFleet(const fleet_order &order, time_ms now)
+{
+    m_ledger.add(order, now);
+    m_fleetOrders.add(order, now);
+    showReservation(occupantOf(order).executor, now);
+}
+
 void scheduler::sendFleetOrders()
 {
     for (const fleet_order &order : m_fleetOrders.takeDue()) {
@@ -227,58 +220,47 @@
     }
 }
 
-// What an earlier order for its VM left open doesn't end a later reservation.
-void scheduler::reserve(const std::string &executor, time_ms now)
+// The flag is the ledger's answer, kept where each placement reads it.
+void scheduler::showReservation(const std::string &executor, time_ms now)
 {
-    executor_record &record = executorFor(executor, now);
-    record.reserved = true;
-    record.reservedInDoubtSince = 0;
+    const auto found = m_executors.find(executor);
+    if (found == m_executors.end()) {
+        return;
+    }
+    executor_record &record = found->second;
+    const bool reserved = m_ledger.reserves(executor);
+    if (record.reserved && !reserved) {
+        record.emptySince = record.runs.empty() ? now : 0;
+        m_placeWanted = true;
+    }
+    record.reserved = reserved;
 }
 
-executor_life scheduler::occupantOf(const vm_entry &vm) const
+executor_life scheduler::currentOccupant(const vm_entry &vm) const
 {
     const auto executor = m_executors.find(vm.executor);
     return {vm.executor, executor == m_executors.end() ? 0 : executor->second.entry.bornUnixMs};
 }
 
-void scheduler::awaitAnswerOf(const executor_life &occupant, time_ms now)
+void scheduler::awaitListOf(const std::string &executor)
 {
-    const auto executor = m_executors.find(occupant.executor);
-    if (executor == m_executors.end()) {
+    const auto found = m_executors.find(executor);
+    if (found == m_executors.end()) {
+        m_ledger.forget(executor);
         return;
     }
-    executor->second.reservedInDoubtSince = now;
-    executor->second.lookSoon = true;
-    m_holdDue.insert(occupant.executor);
-}
-
-void scheduler::releaseOccupant(const executor_life &occupant, time_ms now)
-{
-    const auto executor = m_executors.find(occupant.executor);
-    if (executor == m_executors.end()) {
-        return;
-    }
-    executor->second.reserved = false;
-    executor->second.reservedInDoubtSince = 0;
-    executor->second.emptySince = executor->second.runs.empty() ? now : 0;
-    m_placeWanted = true;
+    found->second.lookSoon = true;
+    m_holdDue.insert(executor);
 }
 
 // An executor belongs to one pool, so the life that was on the VM before the move is over when the VM is in the other pool. Of a life
 // whose birth wasn't known then, or of a later one, the answer says nothing.
 void scheduler::on(const move_answered &what, time_ms now)
 {
-    m_openMoves.erase(what.vm);
-    if (what.status == fleet_status::Unknown) {
-        m_doubtfulMoves[what.vm] = {{what.vm, what.pool, what.occupant}, now};
-    } else {
-        m_doubtfulMoves.erase(what.vm);
-    }
+    m_ledger.answered(move_vm{what.vm, what.pool, what.occupant}, what.status, now);
+    showReservation(what.occupant.executor, now);
     if (what.status != fleet_status::Ok) {
         note("move_refused", {{"vm", what.vm}, {"to", what.pool}, {"reason", std::string(nameOf(what.status))}});
-        if (what.status != fleet_status::Unknown) {
-            releaseOccupant(what.occupant, now);
-        }
         return;
     }
     const auto vm = m_vms.find(what.vm);
@@ -290,13 +272,15 @@
     if (executor != m_executors.end() && what.occupant.bornUnixMs != 0 && executor->second.entry.bornUnixMs == what.occupant.bornUnixMs) {
         markDead(executor->second, now, "vm_moved", {{"vm", what.vm}, {"to", what.pool}});
     }
-    awaitAnswerOf(what.occupant, now);
+    awaitListOf(what.occupant.executor);
 }
 
 // The fleet's service says the same of upkeep that was done before the present executor came, so that one is over only when it no
 // longer answers. It has no runs.
 void scheduler::on(const upkeep_answered &what, time_ms now)
 {
+    m_ledger.answered(upkeep_vm{what.vm, what.wave, what.occupant}, what.status, now);
+    showReservation(what.occupant.executor, now);
     if (what.status == fleet_status::Ok) {
         m_fleet.upkeepBegun(what.wave, what.vm, now);
         m_waveRowDirty = true;
@@ -304,7 +288,7 @@
         if (vm != m_vms.end() && vm->second.executor == what.occupant.executor) {
             vm->second.state = vm_state::Upkeep;
         }
-        awaitAnswerOf(what.occupant, now);
+        awaitListOf(what.occupant.executor);
         return;
     }
     note("upkeep_refused", {{"vm", what.vm}, {"wave", std::to_string(what.wave)}, {"reason", std::string(nameOf(what.status))}});
@@ -314,7 +298,6 @@
         return;
     }
     m_fleet.upkeepRefused(what.wave, what.vm, forGood);
-    releaseOccupant(what.occupant, now);
 }
 
 } // namespace daisypass::sched
--- a/src/sched/scheduler_holds.cpp
+++ b/src/sched/scheduler_holds.cpp
@@ -140,10 +140,8 @@
     markAnswering(executor, now);
     executor.listedAt = now;
     executor.endsListed = !what.ends.empty();
-    if (executor.reservedInDoubtSince != 0 && what.sentAt > executor.reservedInDoubtSince) {
-        // The order for its VM had been carried out before it came.
-        releaseOccupant({executor.entry.id, executor.entry.bornUnixMs}, now);
-    }
+    m_ledger.listed(executor.entry.id, what.sentAt);
+    showReservation(executor.entry.id, now);
     if (what.clockMs) {
         executor.clockMs = *what.clockMs;
         executor.clockAt = now;
