Keep an order to the fleet open when only its repetition is refused

What callers would see: a long-running task is ended beyond its step's budget, or a wave's VM beyond its cap, by an order of seconds ago. Cause: a move or upkeep without an answer may be carried out late. It is ordered again; a refusal of the second order (busy, or too many calls) says nothing of the first, yet it released the VM's executor for runs. Class: an answer to one order was taken for another. Change: the ledger notes that an order follows one without an answer, and such a refusal leaves it unanswered, to be ordered again. An answer that holds for both (done, rejected, not of the wave) settles it. Tests: two cases of open_orders_test and stale_evidence_test took such a refusal as the end of the first order. They now check that it isn't, that the move is ordered once more, and that a rejection ends it. Measured: the new section of order_ledger_test failed before and passes; unit tests without the model and the load model: 174 of 174.

--- a/src/sched/order_ledger.cpp
+++ b/src/sched/order_ledger.cpp
@@ -45,12 +45,15 @@
 void order_ledger::add(const fleet_order &order, time_ms now)
 {
     record &one = m_records[keyOf(order)];
+    const bool repeats = one.repeats || one.state == phase::Unanswered;
     one = {};
+    one.repeats = repeats;
     one.order = order;
     one.state = phase::Open;
     one.sentAt = now;
 }
 
+// Refusals for now say nothing of an order before this one, which had no answer.
 void order_ledger::answered(const fleet_order &order, fleet_status status, time_ms now)
 {
     const auto one = m_records.find(keyOf(order));
@@ -64,6 +67,14 @@
     case fleet_status::Unknown:
         one->second.state = phase::Unanswered;
         return;
+    case fleet_status::Busy:
+    case fleet_status::Refused:
+        if (one->second.repeats) {
+            one->second.state = phase::Unanswered;
+            return;
+        }
+        m_records.erase(one);
+        return;
     default:
         m_records.erase(one);
     }
--- a/src/sched/order_ledger.h
+++ b/src/sched/order_ledger.h
@@ -87,6 +87,8 @@
         phase state = phase::Planned;
         time_ms sentAt = 0;
         time_ms inDoubtSince = 0;
+        /** An order before this one had no answer. */
+        bool repeats = false;
 
         bool isUnansweredMove() const
         {
--- a/tests/sched/open_orders_test.cpp
+++ b/tests/sched/open_orders_test.cpp
@@ -92,11 +92,15 @@
     world.answerHold(id, {}, {}, order_status::Ok, secondBorn);
     CHECK_FALSE(world.brain.executors().at(id).takesNewRuns(world.now));
 
-    SUBCASE("until the move is refused")
+    SUBCASE("also after a refusal of the second order, until one is rejected for good")
     {
         world.advance(1'000);
         REQUIRE(world.movesOf(move.vm) == 1);
         world.answer(move, fleet_status::Refused);
+        CHECK_FALSE(world.brain.executors().at(id).takesNewRuns(world.now));
+        world.advance(1'000);
+        REQUIRE(world.movesOf(move.vm) == 1);
+        world.answer(move, fleet_status::Rejected);
         CHECK(world.brain.executors().at(id).takesNewRuns(world.now));
     }
 }
--- a/tests/sched/order_ledger_test.cpp
+++ b/tests/sched/order_ledger_test.cpp
@@ -70,6 +70,24 @@
                 ledger.listed("e1", 700);
                 CHECK_FALSE(ledger.reserves("e1"));
             }
+            SUBCASE("also when it is refused the second time: the first may still be carried out")
+            {
+                ledger.add(toSpare, 1'100);
+                ledger.answered(toSpare, fleet_status::Refused, 1'110);
+                CHECK(ledger.reserves("e1"));
+                CHECK(ledger.isOpen("vm-1", "e1"));
+                REQUIRE(ledger.unansweredMoves().size() == 1);
+                CHECK(ledger.unansweredMoves()[0].sentAt == 1'100);
+                ledger.add(toSpare, 2'100);
+                ledger.answered(toSpare, fleet_status::Busy, 2'110);
+                CHECK(ledger.reserves("e1"));
+            }
+            SUBCASE("but not when the VM can't be moved so")
+            {
+                ledger.add(toSpare, 1'100);
+                ledger.answered(toSpare, fleet_status::Rejected, 1'110);
+                CHECK_FALSE(ledger.reserves("e1"));
+            }
             SUBCASE("and not a second time before that has its answer")
             {
                 ledger.add(toSpare, 1'100);
--- a/tests/sched/stale_evidence_test.cpp
+++ b/tests/sched/stale_evidence_test.cpp
@@ -187,7 +187,13 @@
         world.advance(1'000);
         CHECK(world.take<move_vm>().size() == 1);
         CHECK(world.take<upkeep_vm>().empty());
+        // The first order may still be carried out.
         world.brain.handle(move_answered{moves[0].vm, moves[0].pool, fleet_status::Refused, moves[0].occupant}, world.now);
+        world.advance(200);
+        CHECK(world.take<upkeep_vm>().empty());
+        world.advance(1'000);
+        CHECK(world.take<move_vm>().size() == 1);
+        world.brain.handle(move_answered{moves[0].vm, moves[0].pool, fleet_status::Rejected, moves[0].occupant}, world.now);
     }
     world.advance(200);
     CHECK(world.take<upkeep_vm>().size() == 1);
