Leave VMs alone that a stopped holder has ordered down

What callers would see: a long-running task is ended beyond its step's budget, or new runs are, by a move or upkeep that the former holder sent just before it stopped. Cause: a holder that says that it stops, or whose machine has started again, counted as over, and with it its orders to the fleet. An order that is on its way outlives its sender; the fleet's service may be slow. Class: evidence of one thing taken for another. Change: the VMs that the former holder has named get no runs and no order for LeaseMs after every takeover; whether the holder may be alive is no longer asked for. All other VMs follow the load at once, as before. Tests: two sections checked the opposite, that the orders of a holder that is over are as good as gone. There is one rule for all former holders now, which the other sections check.

--- a/src/node/dispatcher_recovery.cpp
+++ b/src/node/dispatcher_recovery.cpp
@@ -73,7 +73,7 @@
 
 void dispatcher::restoreFleetOrders(const store_row &row)
 {
-    if (!m_scheduler.restoreFleetOrders(row.value, m_term.earlierHolderMayLive, steadyMillis())) {
+    if (!m_scheduler.restoreFleetOrders(row.value, steadyMillis())) {
         logChange("fleet_orders_unreadable", {{"term", m_term.term}, {"row", row.value}});
     }
 }
--- a/src/node/leadership.cpp
+++ b/src/node/leadership.cpp
@@ -163,14 +163,14 @@
     row_transaction transaction;
     transaction.expects = {{tables::holderRow(), std::max<std::int64_t>(0, m_rules.version())}, {tables::termRow(), m_termVersion}};
     transaction.puts = {{tables::holderRow(), sched::writeLease(wanted)}, {tables::termRow(), std::to_string(wanted.term)}};
-    m_store.transact(transaction, takeTimeout, [weak = weak_from_this(), wanted, mayLive = !m_rules.holderIsOver(), times](const transact_result &result) {
+    m_store.transact(transaction, takeTimeout, [weak = weak_from_this(), wanted, times](const transact_result &result) {
         if (const std::shared_ptr<leadership> self = weak.lock()) {
-            self->onTaken(result, wanted, mayLive, times);
+            self->onTaken(result, wanted, times);
         }
     });
 }
 
-void leadership::onTaken(const transact_result &result, const sched::lease_row &wanted, bool earlierHolderMayLive, const sched::term_times &times)
+void leadership::onTaken(const transact_result &result, const sched::lease_row &wanted, const sched::term_times &times)
 {
     {
         const std::lock_guard<std::mutex> guard(m_lock);
@@ -188,7 +188,7 @@
         m_termVersion = result.version;
         m_rules.sawRow(wanted, result.version, steadyMillis());
     }
-    m_handlers.gained({wanted.term, result.version, wanted.node, wanted.incarnation, earlierHolderMayLive, times});
+    m_handlers.gained({wanted.term, result.version, wanted.node, wanted.incarnation, times});
 }
 
 } // namespace daisypass
--- a/src/node/leadership.h
+++ b/src/node/leadership.h
@@ -25,8 +25,6 @@
     std::int64_t termVersion = 0;
     std::string node;
     std::int64_t incarnation = 0;
-    /** An earlier holder may still be alive, with orders to the fleet on their way. */
-    bool earlierHolderMayLive = true;
     sched::term_times times;
 };
 
@@ -60,7 +58,7 @@
     void onRow(const store_row &row);
     void probeHolder(std::unique_lock<std::mutex> &guard);
     void tryTake();
-    void onTaken(const transact_result &result, const sched::lease_row &wanted, bool earlierHolderMayLive, const sched::term_times &times);
+    void onTaken(const transact_result &result, const sched::lease_row &wanted, const sched::term_times &times);
 
     store_client &m_store;
     sched::lease_identity m_self;
--- a/src/sched/fleet_orders.cpp
+++ b/src/sched/fleet_orders.cpp
@@ -102,9 +102,8 @@
 }
 
 // The time since the earlier order isn't known: clocks of two machines may differ by anything.
-bool fleet_orders::readEarlier(std::string_view row, bool holderMayLive, time_ms now)
+bool fleet_orders::readEarlier(std::string_view row, time_ms now)
 {
-    m_earlierHolderMayLive = holderMayLive;
     const json value = json::parse(row, nullptr, false);
     if (!value.is_object()) {
         return false;
@@ -124,7 +123,7 @@
 bool fleet_orders::isEarlier(const std::string &vm, time_ms now) const
 {
     const auto order = m_earlier.find(vm);
-    return m_earlierHolderMayLive && order != m_earlier.end() && now - order->second.at < m_keepMs;
+    return order != m_earlier.end() && now - order->second.at < m_keepMs;
 }
 
 // A move to the pool that the VM is in has been carried out, or changes nothing.
--- a/src/sched/fleet_orders.h
+++ b/src/sched/fleet_orders.h
@@ -9,10 +9,10 @@
 //     orders.rowStored();
 //     for (const fleet_order &one : orders.takeDue()) { ... send it ... }
 //
-//     orders.readEarlier(row, true, now);                   // after a takeover
+//     orders.readEarlier(row, now);                   // after a takeover
 //     if (orders.isEarlier(vm, now)) { ... leave the VM alone ... }
 //
-// The failure it answers: a holder that is cut off may be alive, and its last order may arrive after its successor's first one.
+// The failure it answers: an order may be carried out after its sender has stopped, and after its successor's first one.
 // Only the VMs that it named have to wait for that; all others follow the load at once. Upkeep is sent only when it is stored,
 // because its wave's cap must hold across holders; a move is sent at once, since turns don't wait for the store.
 
@@ -52,8 +52,8 @@
     /** Orders to send now. */
     std::vector<fleet_order> takeDue();
 
-    /** The row of an earlier holder; false if it can't be read. Orders of one that is surely over don't keep VMs back. */
-    bool readEarlier(std::string_view row, bool holderMayLive, time_ms now);
+    /** The row of an earlier holder; false if it can't be read. */
+    bool readEarlier(std::string_view row, time_ms now);
     /** An earlier holder's order may still be carried out on the VM. */
     bool isEarlier(const std::string &vm, time_ms now) const;
     /** An order of the earlier holder may yet end the executor that is on the VM in this pool. */
@@ -76,7 +76,6 @@
     std::vector<fleet_order> m_inRow;
     std::map<std::string, recent_order> m_recent;
     std::map<std::string, recent_order> m_earlier;
-    bool m_earlierHolderMayLive = true;
 };
 
 } // namespace daisypass::sched
--- a/src/sched/lease_rules.cpp
+++ b/src/sched/lease_rules.cpp
@@ -91,11 +91,6 @@
     return m_row && m_row->node == m_self.node && m_row->incarnation == m_self.incarnation && !m_row->released;
 }
 
-bool lease_rules::holderIsOver() const
-{
-    return !m_row || m_row->stopped || (m_row->node == m_self.node && m_row->incarnation != m_self.incarnation);
-}
-
 // The latest renewal was sent before it was seen here. A holder that refuses connections isn't known to be gone: so does a link
 // that is cut.
 time_ms lease_rules::earlierGrantsUntil(time_ms now) const
--- a/src/sched/lease_rules.h
+++ b/src/sched/lease_rules.h
@@ -107,8 +107,6 @@
     void probedHolder(bool refused);
     bool mayTake(time_ms now) const;
     bool isOwn() const;
-    /** The last holder's process is over: it was this machine's earlier life, or it said so. */
-    bool holderIsOver() const;
     /** Until when earlier holders may have extended leases of executors in full. */
     time_ms earlierGrantsUntil(time_ms now) const;
     /** The holder isn't known to be gone, and is another machine. */
--- a/src/sched/scheduler.cpp
+++ b/src/sched/scheduler.cpp
@@ -124,9 +124,9 @@
     m_fleet.readRow(row);
 }
 
-bool scheduler::restoreFleetOrders(std::string_view row, bool holderMayLive, time_ms now)
+bool scheduler::restoreFleetOrders(std::string_view row, time_ms now)
 {
-    if (!m_fleetOrders.readEarlier(row, holderMayLive, now)) {
+    if (!m_fleetOrders.readEarlier(row, now)) {
         return false;
     }
     for (const upkeep_vm &upkeep : m_fleetOrders.earlierUpkeep()) {
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -71,7 +71,7 @@
     /** Adds the stored progress of a wave. */
     void restoreWave(std::string_view row);
     /** Adds the fleet orders that an earlier holder may have sent; false if the row can't be read. */
-    bool restoreFleetOrders(std::string_view row, bool holderMayLive, time_ms now);
+    bool restoreFleetOrders(std::string_view row, time_ms now);
 
     void handle(const event &what, time_ms now);
     /** Places waiting tasks and looks at executors; call after a group of events. */
--- a/tests/sched/fleet_orders_test.cpp
+++ b/tests/sched/fleet_orders_test.cpp
@@ -57,7 +57,7 @@
     earlier.add(move_vm{"vm-1", "booking"}, 100);
     earlier.add(upkeep_vm{"vm-2", 7}, 100);
     fleet_orders orders(3'000);
-    REQUIRE(orders.readEarlier(earlier.writeRow(), true, 50'000));
+    REQUIRE(orders.readEarlier(earlier.writeRow(), 50'000));
 
     SUBCASE("for the time that the order matters, counted from the takeover")
     {
@@ -75,21 +75,14 @@
     SUBCASE("the one after it does so too")
     {
         fleet_orders third(3'000);
-        REQUIRE(third.readEarlier(orders.writeRow(), true, 60'000));
+        REQUIRE(third.readEarlier(orders.writeRow(), 60'000));
         CHECK(third.isEarlier("vm-1", 60'000));
     }
-    SUBCASE("not if that one is surely over; its upkeep counts all the same")
-    {
-        fleet_orders other(3'000);
-        REQUIRE(other.readEarlier(earlier.writeRow(), false, 50'000));
-        CHECK_FALSE(other.isEarlier("vm-1", 50'100));
-        CHECK(other.earlierUpkeep().size() == 1);
-    }
     SUBCASE("rows that can't be read are told")
     {
         for (const char *row : {"", "[]", R"({"vm-1":null})", R"({"vm-1":1.5})"}) {
             CAPTURE(row);
-            CHECK_FALSE(fleet_orders(3'000).readEarlier(row, true, 1));
+            CHECK_FALSE(fleet_orders(3'000).readEarlier(row, 1));
         }
     }
 }
@@ -104,7 +97,7 @@
     }
     fleet_orders earlier(3'000);
     earlier.add(move_vm{"vm-a", "other"}, 0);
-    REQUIRE(world.brain.restoreFleetOrders(earlier.writeRow(), true, world.now));
+    REQUIRE(world.brain.restoreFleetOrders(earlier.writeRow(), world.now));
     world.brain.handle(list, world.now);
     world.brain.handle(job_submitted{scheduler_fixture::job("j1", {scheduler_fixture::step(8)})}, world.now);
 
--- a/tests/sched/stale_evidence_test.cpp
+++ b/tests/sched/stale_evidence_test.cpp
@@ -216,7 +216,7 @@
 
     SUBCASE("upkeep that may be on its way")
     {
-        REQUIRE(second.brain.restoreFleetOrders(first.rows.at(fleetOrdersRowKey), true, second.now));
+        REQUIRE(second.brain.restoreFleetOrders(first.rows.at(fleetOrdersRowKey), second.now));
         second.advance(100);
         CHECK(second.take<start_run>().empty());
         second.advance(4'000);
@@ -224,19 +224,13 @@
     }
     SUBCASE("a move to another pool")
     {
-        REQUIRE(second.brain.restoreFleetOrders(R"({"vm-e1":"spare"})", true, second.now));
+        REQUIRE(second.brain.restoreFleetOrders(R"({"vm-e1":"spare"})", second.now));
         second.advance(100);
         CHECK(second.take<start_run>().empty());
     }
     SUBCASE("not so a move that has been carried out")
     {
-        REQUIRE(second.brain.restoreFleetOrders(R"({"vm-e1":"booking"})", true, second.now));
-        second.advance(100);
-        CHECK(second.take<start_run>().size() == 1);
-    }
-    SUBCASE("nor an order of a holder that is over")
-    {
-        REQUIRE(second.brain.restoreFleetOrders(first.rows.at(fleetOrdersRowKey), false, second.now));
+        REQUIRE(second.brain.restoreFleetOrders(R"({"vm-e1":"booking"})", second.now));
         second.advance(100);
         CHECK(second.take<start_run>().size() == 1);
     }
--- a/tests/sched/takeover_holders.cpp
+++ b/tests/sched/takeover_holders.cpp
@@ -41,7 +41,7 @@
 {
     const auto orders = m_rows.find(fleetOrdersRowKey);
     if (orders != m_rows.end()) {
-        owner->brain.restoreFleetOrders(orders->second, true, m_now);
+        owner->brain.restoreFleetOrders(orders->second, m_now);
     }
     const auto waves = m_rows.find(wavesRowKey);
     if (waves != m_rows.end()) {
