Print what callers were told when an integration check fails

The checks compared the outcome's number.

The checks for a completed request now compare a description that holds the outcome, the reason and the detail; it reads "completed" for exactly the outcome Completed, so they are as strict as before. The report keeps the answer's detail (its title if there is none).

--- a/src/standins/load_run.cpp
+++ b/src/standins/load_run.cpp
@@ -59,6 +59,7 @@
         // Nothing reached the entry, or its answer is missing; only the first case is certain not to have run.
         report.outcome = result.state == send_state::NotSent ? told_outcome::NotRun : told_outcome::Unknown;
         report.reason = "caller_" + std::string(codeName(result.reason.code));
+        report.detail = describe(result.reason);
         return;
     }
     const http_response &response = result.response;
@@ -73,6 +74,7 @@
         report.outcome = outcomeFromName(body.value("outcome", ""));
     }
     report.reason = body.value("reason", "status_" + std::to_string(response.status));
+    report.detail = body.value("detail", body.value("title", ""));
     if (report.requestId.empty()) {
         report.requestId = body.value("request_id", "");
     }
--- a/src/standins/outcome_checker.h
+++ b/src/standins/outcome_checker.h
@@ -42,6 +42,8 @@
     bool repeatable = false;
     told_outcome outcome = told_outcome::Other;
     std::string reason;
+    /** What the answer adds to the reason; empty if there was none. */
+    std::string detail;
     /** Id in the answer; empty if there was none. */
     std::string requestId;
     /** Body of a completed answer. */
--- a/tests/integration/deployment.cpp
+++ b/tests/integration/deployment.cpp
@@ -51,6 +51,14 @@
 
 } // namespace
 
+std::string describe(const submission_report &report)
+{
+    if (report.outcome == told_outcome::Completed) {
+        return "completed";
+    }
+    return std::string(outcomeName(report.outcome)) + ", " + report.reason + ": " + report.detail;
+}
+
 deployment::deployment(deployment_options options)
     : m_options(options)
     , m_directory(newDirectory())
--- a/tests/integration/deployment.h
+++ b/tests/integration/deployment.h
@@ -40,6 +40,9 @@
     bool async = false;
 };
 
+/** "completed", or another outcome with its reason and detail, so that a failing check prints what the caller was told. */
+std::string describe(const submission_report &report);
+
 struct running_entry
 {
     std::string name;
--- a/tests/integration/fleet_scenarios.cpp
+++ b/tests/integration/fleet_scenarios.cpp
@@ -144,10 +144,10 @@
             return !fleet.entryReady(0);
         }));
         for (std::future<submission_report> &each : told) {
-            CHECK(each.get().outcome == told_outcome::Completed);
+            CHECK(describe(each.get()) == "completed");
         }
         CHECK(fleet.entry(0).process->waitForExit() == 0);
-        CHECK(fleet.post(1, "booking").outcome == told_outcome::Completed);
+        CHECK(describe(fleet.post(1, "booking")) == "completed");
         CHECK(waitUntil([&] {
             return fleet.status().value("entries", nlohmann::json::array()).size() == 2;
         }));
@@ -188,7 +188,7 @@
     const std::string smaller = fleet.writeConfiguration("operator", {0});
     // daisypassctl waits for every entry and fails after 11 s, the bound of the requirements.
     CHECK(fleet.apply(smaller, 0, 11'000) == 0);
-    CHECK(fleet.post(1, "booking").outcome == told_outcome::Completed);
+    CHECK(describe(fleet.post(1, "booking")) == "completed");
     fleet.entry(1).platform->set({});
     CHECK(fleet.check() == "");
 }
@@ -246,6 +246,6 @@
         CHECK(operations.insert(each.value("operation", "")).second);
     }
     CHECK(cutOff(fleet, 6) == 0);
-    CHECK(fleet.post(0, "grinder").outcome == told_outcome::Completed);
+    CHECK(describe(fleet.post(0, "grinder")) == "completed");
     CHECK(fleet.check() == "");
 }
--- a/tests/integration/request_scenarios.cpp
+++ b/tests/integration/request_scenarios.cpp
@@ -39,22 +39,22 @@
     deployment fleet({.entries = 3});
     for (std::size_t entry = 0; entry < 3; ++entry) {
         const submission_report plain = fleet.post(entry, "booking");
-        CHECK(plain.outcome == told_outcome::Completed);
+        CHECK(describe(plain) == "completed");
         CHECK(plain.answer == attemptBody(plain.token, 1));
 
         const std::string key = "key-" + std::to_string(entry);
         const submission_report keyed = fleet.post(entry, "booking", {.key = key});
-        CHECK(keyed.outcome == told_outcome::Completed);
+        CHECK(describe(keyed) == "completed");
         // The second submission of the key goes through another entry and gets the answer of the first run.
         const submission_report again = fleet.post((entry + 1) % 3, "booking", {.key = key}, keyed.token);
-        CHECK(again.outcome == told_outcome::Completed);
+        CHECK(describe(again) == "completed");
         CHECK(again.answer == keyed.answer);
         CHECK(fleet.executionsOf(keyed.token) == 1);
 
         const std::string ticket = fleet.ticket(entry);
         REQUIRE_FALSE(ticket.empty());
         const submission_report ticketed = fleet.post(entry, "grinder", {.key = ticket});
-        CHECK(ticketed.outcome == told_outcome::Completed);
+        CHECK(describe(ticketed) == "completed");
         CHECK(fleet.post((entry + 1) % 3, "grinder", {.key = ticket}, ticketed.token).answer == ticketed.answer);
         CHECK(fleet.executionsOf(ticketed.token) == 1);
     }
@@ -155,10 +155,10 @@
         const submission_report late = fleet.post(0, "booking", {.key = "late", .deadlineMs = 500});
         CHECK(late.outcome == told_outcome::NotRun);
         CHECK(late.reason == "store_unavailable");
-        CHECK(fleet.post(0, "booking").outcome == told_outcome::Completed);
-        CHECK(fleet.post(1, "grinder", {.key = fleet.ticket(1)}).outcome == told_outcome::Completed);
+        CHECK(describe(fleet.post(0, "booking")) == "completed");
+        CHECK(describe(fleet.post(1, "grinder", {.key = fleet.ticket(1)})) == "completed");
         fleet.platformFaults({{"outage", false}});
-        CHECK(waiting.get().outcome == told_outcome::Completed);
+        CHECK(describe(waiting.get()) == "completed");
     }
 
     SUBCASE("claims succeed on a slow store")
@@ -176,7 +176,7 @@
         for (int i = 0; i < 10; ++i) {
             fleet.platformFaults({{"lose_answers", 1}});
             const submission_report told = fleet.post(static_cast<std::size_t>(i % 2), "booking", {.key = "lost-" + std::to_string(i)});
-            CHECK(told.outcome == told_outcome::Completed);
+            CHECK(describe(told) == "completed");
             CHECK(fleet.executionsOf(told.token) == 1);
         }
     }
@@ -240,7 +240,7 @@
             CHECK((told.outcome == told_outcome::NotRun) == (fleet.executionsOf(each.token) == 0));
         }
     }
-    CHECK(fleet.post(0, "booking").outcome == told_outcome::Completed);
+    CHECK(describe(fleet.post(0, "booking")) == "completed");
     CHECK(fleet.check() == "");
 }
 
@@ -265,7 +265,7 @@
         CHECK(fleet.entry(0).process->waitForExit() == 0);
         submission_report later = accepted;
         readOutcome(fleet.call(fleet.entry(1).callers, "GET", path), later);
-        CHECK(later.outcome == told_outcome::Completed);
+        CHECK(describe(later) == "completed");
         CHECK(later.answer == told.answer);
     }
     CHECK(fleet.executionsOf(accepted.token) == 1);
