Look up a VM's executors by index and forget versions of gone ones

With each new or restarted executor all executors were walked to find those on its VM, so reading a registry of n entries took n * n steps. The version of the registry's row was kept for every executor that ever was; executors come with each move, upkeep and restart.

Change: an index from VM to executors, kept where an entry is replaced or an executor dropped. entry_versions forgets an executor that isn't known any more 30 s after its last row: only a read that was under way when the row was removed can bring an older one, and a read's page ends within 2 s. Versions of known executors stay, since a feed that lags behind may bring older rows at any time.

Ruled out: one version for all that is forgotten, below which rows of unknown executors are outdated. It would hide an executor whose entry is older than that and hasn't been read yet, which is what the second read of the registry is for.

--- a/src/sched/scheduler.cpp
+++ b/src/sched/scheduler.cpp
@@ -11,7 +11,7 @@
 constexpr std::size_t mostBytesPerBatch = 400'000;
 // Rows deleted with one batch, so that cleaning up never crowds out progress.
 constexpr std::size_t mostDeletesPerBatch = 8;
-// Clean-up looks for old jobs this often.
+// Clean-up looks for what can be forgotten this often.
 constexpr time_ms cleanEveryMs = 1'000;
 // Submissions deleted with one order; a store's transaction takes 100 entries, and a job has two.
 constexpr std::size_t mostDropsAtOnce = 40;
@@ -350,6 +350,11 @@
     if (now - m_lastClean >= cleanEveryMs) {
         m_lastClean = now;
         dropOldJobs(now);
+        m_entryVersions.forgetGone(
+            [this](const std::string &executor) {
+                return m_executors.contains(executor);
+            },
+            now);
     }
 }
 
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -18,6 +18,7 @@
 // - An end is acknowledged only after the rows of the jobs that it changes are stored.
 
 #include "sched/arrival_rate.h"
+#include "sched/entry_versions.h"
 #include "sched/events.h"
 #include "sched/executor_record.h"
 #include "sched/fleet_orders.h"
@@ -97,6 +98,11 @@
     }
     /** An up VM has an executor that no entry has announced. */
     bool hasUnknownExecutor() const;
+    /** Executors of which the version of the registry's row is kept. */
+    std::size_t rememberedEntries() const
+    {
+        return m_entryVersions.size();
+    }
     const std::map<std::string, executor_record> &executors() const
     {
         return m_executors;
@@ -132,7 +138,9 @@
     void on(const stop_answered &what, time_ms now);
     void on(const advice_answered &what, time_ms now);
     executor_record &executorFor(const std::string &id, time_ms now);
-    bool isOutdated(const std::string &executor, std::int64_t version);
+    /** Replaces the executor's entry and its place in the index by VM. */
+    void setEntry(executor_record &executor, const executor_entry &entry);
+    void removeFromVm(const executor_record &executor);
     void settleSuccession(const std::string &vm, time_ms now);
     /** Gives up the executor that was on the VM if the later list shows that it is over. */
     void giveUpReplaced(const vm_entry &before, const vm_entry &after, time_ms askedAt, time_ms now);
@@ -228,8 +236,9 @@
     /** Listed executors by pool; made anew when stale. */
     std::map<std::string, std::vector<executor_record *>> m_poolExecutors;
     bool m_executorIndexStale = true;
-    /** Version of the registry's row that was last applied, also of executors that are gone. */
-    std::map<std::string, std::int64_t> m_entryVersions;
+    /** Executors by the VM that their entry names. */
+    std::map<std::string, std::set<std::string>> m_executorsOfVm;
+    entry_versions m_entryVersions;
     /** Executors whose next hold may be due. */
     std::set<std::string> m_holdDue;
     /** Executors with ends that aren't acknowledged for want of a stored row. */
--- a/src/sched/scheduler_executors.cpp
+++ b/src/sched/scheduler_executors.cpp
@@ -66,7 +66,7 @@
 
 void scheduler::on(const executor_seen &what, time_ms now)
 {
-    if (isOutdated(what.entry.id, what.version)) {
+    if (m_entryVersions.isOutdated(what.entry.id, what.version, now)) {
         return;
     }
     executor_record &executor = executorFor(what.entry.id, now);
@@ -94,7 +94,7 @@
         m_executorIndexStale = true;
         m_placeWanted = true;
     }
-    executor.entry = what.entry;
+    setEntry(executor, what.entry);
     executor.entry.bornUnixMs = born;
     executor.entryReadAt = now;
     executor.listed = true;
@@ -105,27 +105,43 @@
     }
 }
 
-// The registry is read whole beside its feed, so an older row may come after a newer one.
-bool scheduler::isOutdated(const std::string &executor, std::int64_t version)
+void scheduler::setEntry(executor_record &executor, const executor_entry &entry)
 {
-    std::int64_t &latest = m_entryVersions[executor];
-    const bool outdated = version != 0 && version < latest;
-    latest = std::max(latest, version);
-    return outdated;
+    if (executor.entry.vm != entry.vm) {
+        removeFromVm(executor);
+        if (!entry.vm.empty()) {
+            m_executorsOfVm[entry.vm].insert(entry.id);
+        }
+    }
+    executor.entry = entry;
+}
+
+void scheduler::removeFromVm(const executor_record &executor)
+{
+    const auto vm = m_executorsOfVm.find(executor.entry.vm);
+    if (vm == m_executorsOfVm.end()) {
+        return;
+    }
+    vm->second.erase(executor.entry.id);
+    if (vm->second.empty()) {
+        m_executorsOfVm.erase(vm);
+    }
 }
 
 // A VM has one executor at a time, so of those whose births are known only the latest can be alive. Without a birth nothing says
 // which of two came first.
 void scheduler::settleSuccession(const std::string &vm, time_ms now)
 {
-    if (vm.empty()) {
+    const auto executors = m_executorsOfVm.find(vm);
+    if (executors == m_executorsOfVm.end()) {
         return;
     }
     std::vector<executor_record *> lives;
-    for (std::pair<const std::string, executor_record> &item : m_executors) {
-        const bool comparable = item.second.entry.vm == vm && item.second.entry.bornUnixMs != 0 && !item.second.dead;
+    for (const std::string &id : executors->second) {
+        executor_record &executor = m_executors.at(id);
+        const bool comparable = executor.entry.bornUnixMs != 0 && !executor.dead;
         if (comparable) {
-            lives.push_back(&item.second);
+            lives.push_back(&executor);
         }
     }
     const auto latest = std::max_element(lives.begin(), lives.end(), [](const executor_record *a, const executor_record *b) {
@@ -144,7 +160,7 @@
 void scheduler::on(const executor_gone &what, time_ms now)
 {
     const auto found = m_executors.find(what.executor);
-    if (isOutdated(what.executor, what.version) || found == m_executors.end()) {
+    if (m_entryVersions.isOutdated(what.executor, what.version, now) || found == m_executors.end()) {
         return;
     }
     executor_record &executor = found->second;
@@ -346,6 +362,7 @@
         }
     }
     for (const std::string &id : empty) {
+        removeFromVm(m_executors.at(id));
         m_executors.erase(id);
         m_ledger.forget(id);
         m_executorIndexStale = true;
--- a/tests/sched/executor_succession_test.cpp
+++ b/tests/sched/executor_succession_test.cpp
@@ -278,3 +278,30 @@
         CHECK(world.take<stop_run>().empty());
     }
 }
+
+// Guards against an index of executors by VM that keeps the place of a former life.
+TEST_CASE("an executor that starts again on another VM is compared with the executors there")
+{
+    scheduler_fixture world;
+    executor_entry entry = scheduler_fixture::entry("e1");
+    entry.vm = "vm-a";
+    world.brain.handle(executor_seen{entry}, world.now);
+    entry.vm = "vm-b";
+    entry.bornUnixMs = 2'000;
+    world.brain.handle(executor_seen{entry}, world.now);
+
+    executor_entry next = scheduler_fixture::entry("e2");
+    next.bornUnixMs = 3'000;
+    SUBCASE("not with a successor on the VM that it has left")
+    {
+        next.vm = "vm-a";
+        world.brain.handle(executor_seen{next}, world.now);
+        CHECK_FALSE(world.brain.executors().at("e1").dead);
+    }
+    SUBCASE("it is over when a later one comes there")
+    {
+        next.vm = "vm-b";
+        world.brain.handle(executor_seen{next}, world.now);
+        CHECK(world.brain.executors().at("e1").dead);
+    }
+}
