Read the whole registry when it is behind the list of VMs

With more than 500 entries an executor whose change the feed hadn't brought was found only if its entry was on the first page, so it stayed unused until the feed spoke of it.

Cause: readRegistryIfBehind took one page and didn't look whether the store had more.

Change: readAllPages goes on page by page; a page that can't be read ends the read, and the next list of VMs begins another if it is needed. The tests of what the node writes and reads share a fixture over the store's stand-in.

That the dispatcher read one page only is seen in its code; no test with a dispatcher and 500 executors shows it.

--- a/src/node/dispatcher.h
+++ b/src/node/dispatcher.h
@@ -104,6 +104,8 @@
     /** Whether the last renewal is recent enough for an order to the fleet; otherwise `done` gets Refused a little later. */
     bool mayOrderFleet(const std::function<void(fleet_status)> &done);
     void readRegistryIfBehind();
+    /** False if the rest isn't to be read. */
+    bool onRegistryPage(const rows_result &page, bool last);
     void listVms(const std::string &page);
     void onVmPage(const vm_page &page);
     void publishQueues(row_transaction &transaction);
--- a/src/node/dispatcher_orders.cpp
+++ b/src/node/dispatcher_orders.cpp
@@ -4,6 +4,7 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "node/paged_read.h"
 #include "node/store_limits.h"
 #include "node/tables.h"
 #include "node/wave_status.h"
@@ -220,21 +221,25 @@
         return;
     }
     m_readingRegistry = true;
-    m_services.store.get({executorTable, "", "", ""}, holderReadTimeout, [weak = weak_from_this()](const rows_result &result) {
+    readAllPages(m_services.store, {executorTable, "", "", ""}, holderReadTimeout, [weak = weak_from_this()](const rows_result &page, bool last) {
         const std::shared_ptr<dispatcher> self = weak.lock();
-        if (!self) {
-            return;
-        }
-        std::unique_lock<std::mutex> guard(self->m_lock);
-        self->m_readingRegistry = false;
-        if (self->m_stopped || result.status != store_status::Ok) {
-            return;
-        }
-        for (const store_row &row : result.rows) {
-            self->onExecutorRow(row);
-        }
-        self->pump(guard);
+        return self && self->onRegistryPage(page, last);
     });
 }
 
+// After a page that can't be read the next list of VMs tells whether the registry is still behind.
+bool dispatcher::onRegistryPage(const rows_result &page, bool last)
+{
+    std::unique_lock<std::mutex> guard(m_lock);
+    m_readingRegistry = !last;
+    if (m_stopped || page.status != store_status::Ok) {
+        return false;
+    }
+    for (const store_row &row : page.rows) {
+        onExecutorRow(row);
+    }
+    pump(guard);
+    return true;
+}
+
 } // namespace daisypass
--- /dev/null
+++ b/src/node/paged_read.h
@@ -0,0 +1,20 @@
+#pragma once
+
+// Reads a range of rows that may take several pages.
+//
+//     readAllPages(store, {executorTable, "", "", ""}, timeout, [](const rows_result &page, bool last) { ...; return true; });
+
+#include "platform/store_client.h"
+
+#include <chrono>
+#include <functional>
+
+namespace daisypass {
+
+/** Gets each page, and whether it is the last one; a page that can't be read is. False ends the read. */
+using page_handler = std::function<bool(const rows_result &page, bool last)>;
+
+/** Calls the handler on the HTTP client's thread; the store must outlive the read. */
+void readAllPages(store_client &store, const row_range &range, std::chrono::milliseconds timeoutOfPage, page_handler onPage);
+
+} // namespace daisypass
--- /dev/null
+++ b/tests/node/store_fixture.h
@@ -0,0 +1,79 @@
+#pragma once
+
+// A client of the store's stand-in, over loopback, whose calls block.
+
+#include "http/http_client.h"
+#include "standins/standin_server.h"
+#include "standins/store_standin.h"
+
+#include <doctest/doctest.h>
+
+#include <future>
+#include <memory>
+#include <thread>
+
+namespace daisypass {
+
+class store_fixture
+{
+public:
+    /** Rows that are there from the start. */
+    explicit store_fixture(const std::vector<row_update> &rows = {})
+    {
+        for (const row_update &row : rows) {
+            m_rows.put(row.key, row.value);
+        }
+        failure reason;
+        m_server = startServer({"127.0.0.1", 0}, m_context, reason, [this](const http_request &request, const http_responder &respond) {
+            m_rows.handle(request, respond);
+        });
+        REQUIRE(m_server);
+        m_store = std::make_unique<store_client>(m_client, endpoint{"127.0.0.1", m_server->port()});
+        m_thread = std::thread([this] {
+            m_context.run();
+        });
+    }
+
+    ~store_fixture()
+    {
+        m_context.stop();
+        m_thread.join();
+    }
+
+    store_client &store()
+    {
+        return *m_store;
+    }
+
+    store_status transact(const row_transaction &transaction)
+    {
+        std::promise<store_status> answered;
+        m_store->transact(transaction, timeout, [&answered](const transact_result &result) {
+            answered.set_value(result.status);
+        });
+        return answered.get_future().get();
+    }
+
+    /** Value of the row; empty if there is none. */
+    std::string value(const row_key &key)
+    {
+        std::promise<rows_result> answered;
+        m_store->get({key.table, key.part, key.key, ""}, timeout, [&answered](const rows_result &result) {
+            answered.set_value(result);
+        });
+        const rows_result read = answered.get_future().get();
+        return read.rows.empty() || !(read.rows[0].key == key) ? std::string() : read.rows[0].value;
+    }
+
+    static constexpr std::chrono::milliseconds timeout{5'000};
+
+private:
+    asio::io_context m_context;
+    store_standin m_rows{m_context};
+    std::unique_ptr<http_server> m_server;
+    std::thread m_thread;
+    http_client m_client{http_client_options{}};
+    std::unique_ptr<store_client> m_store;
+};
+
+} // namespace daisypass
