--- a/tests/sched/takeover_orders.cpp
+++ b/tests/sched/takeover_orders.cpp
@@ -12,6 +12,18 @@
 constexpr double lostAnswerShare = 0.02;
 constexpr double lateShare = 0.01;
 
+template<typename Answer, typename Order>
+Answer answerTo(const Order &order, order_status status)
+{
+    Answer answer;
+    answer.task = order.task;
+    answer.run = order.run;
+    answer.executor = order.executor;
+    answer.status = status;
+    answer.sentTo = {order.address, order.bornUnixMs};
+    return answer;
+}
+
 } // namespace
 
 void takeover_world::send(time_ms timeoutMs, const std::function<order_status()> &act, const std::function<void(order_status)> &done)
@@ -65,13 +77,7 @@
         return status;
     };
     send(orderTimeoutMs, act, [this, owner, order](order_status status) {
-        start_answered answer;
-        answer.task = order.task;
-        answer.run = order.run;
-        answer.executor = order.executor;
-        answer.status = status;
-        answer.sentTo = {order.address, order.bornUnixMs};
-        feed(owner, answer);
+        feed(owner, answerTo<start_answered>(order, status));
     });
 }
 
@@ -85,13 +91,7 @@
         return std::get<leased_executor *>(target)->stop(order, owner->term, m_now);
     };
     send(orderTimeoutMs, act, [this, owner, order](order_status status) {
-        stop_answered answer;
-        answer.task = order.task;
-        answer.run = order.run;
-        answer.executor = order.executor;
-        answer.status = status;
-        answer.sentTo = {order.address, order.bornUnixMs};
-        feed(owner, answer);
+        feed(owner, answerTo<stop_answered>(order, status));
     });
 }
 
