Drop the number of acknowledged ends from the executor's record

It mattered only while listed ends weren't stored: the hold then repeated the cursor that had been sent before. Such a hold now carries none, which acknowledges nothing either, and processedEnds is the cursor as soon as all is stored.

--- a/src/sched/executor_record.h
+++ b/src/sched/executor_record.h
@@ -64,8 +64,8 @@
     /** When an order that extends leases was last sent. */
     time_ms lastGrantAt = 0;
 
+    /** Number of the last end that was taken from a list of this life. */
     std::int64_t processedEnds = 0;
-    std::int64_t acknowledgedEnds = 0;
     /** Its latest list has ends, and no hold has been sent since. */
     bool endsListed = false;
     /** Jobs that must be stored before processedEnds may be acknowledged. */
--- a/src/sched/scheduler_executors.cpp
+++ b/src/sched/scheduler_executors.cpp
@@ -263,7 +263,6 @@
 {
     executor.confirmed = false;
     executor.processedEnds = 0;
-    executor.acknowledgedEnds = 0;
     executor.endsListed = false;
     executor.unstoredJobs.clear();
     executor.foreign = {};
--- a/src/sched/scheduler_holds.cpp
+++ b/src/sched/scheduler_holds.cpp
@@ -85,12 +85,10 @@
     order.executor = executor.entry.id;
     order.address = executor.entry.address;
     order.bornUnixMs = executor.entry.bornUnixMs;
-    if (executor.unstoredJobs.empty()) {
-        executor.acknowledgedEnds = executor.processedEnds;
-    }
     // The cursor counts the ends of one life, so only a hold that follows a list with ends carries it: any other may reach a next life,
     // which would forget ends that nobody has read.
-    order.acknowledged = std::exchange(executor.endsListed, false) ? executor.acknowledgedEnds : 0;
+    const bool followsEnds = std::exchange(executor.endsListed, false);
+    order.acknowledged = followsEnds && executor.unstoredJobs.empty() ? executor.processedEnds : 0;
     const bool works = executor.answers() && !executor.runs.empty();
     const time_ms leaseMs = grantMs(now);
     if (works && leaseMs > 0) {
