Judge the pace of inherited runs by what this holder has seen of them

Cause: a new holder took the percent that a run had reached in all as reached since the takeover, so the pace of each inherited run was too high, by more the further it was, and a run that was less far than its siblings looked slow. The duration of inherited runs that ended was too short in the same way. Ruled out: slow executors; the traces show siblings at one speed.

Change: the percent in the first list is kept, and the pace counts only what was seen after it. A duration is learned only from runs that were seen from their beginning.

--- a/src/sched/job_record.h
+++ b/src/sched/job_record.h
@@ -63,6 +63,8 @@
     /** Not placed before this time. */
     time_ms notBefore = 0;
     int percent = 0;
+    /** The percent at confirmedAt; above 0 if this holder hasn't seen the run's beginning. */
+    int confirmedPercent = 0;
     /** The run went on from a checkpoint, so its progress says nothing of its speed. */
     bool resumed = false;
     /** The task has been given up as a straggler once; a second time its work is the reason, not its executor. */
--- a/src/sched/run_pace.cpp
+++ b/src/sched/run_pace.cpp
@@ -11,6 +11,8 @@
 constexpr double leastShareRun = 0.6;
 // A step's own tasks elsewhere say how long one takes, if there are this many.
 constexpr std::size_t leastSiblings = 2;
+// A run that was first seen at work may have been about to reach its next percent, so a few of them say too little.
+constexpr int leastPercentSeen = 5;
 // Estimates are off by half and more, so runs of one job must be slower than runs of several to count against the executor.
 constexpr double slowRatioOfOneJob = 3.5;
 constexpr double slowRatioOfManyJobs = 2.0;
@@ -25,16 +27,17 @@
 
 std::optional<double> run_pace::totalMs() const
 {
-    if (percent <= 0) {
+    const int seen = percent - fromPercent;
+    if (seen < (fromPercent > 0 ? leastPercentSeen : 1)) {
         return std::nullopt;
     }
-    return ranMs * 100.0 / percent;
+    return ranMs * 100.0 / seen;
 }
 
 std::optional<double> run_pace::leftMs() const
 {
     const std::optional<double> total = totalMs();
-    return total ? std::optional<double>(*total - ranMs - sinceMs) : std::nullopt;
+    return total ? std::optional<double>(*total * (100 - percent) / 100.0 - sinceMs) : std::nullopt;
 }
 
 double medianOf(std::span<const double> values)
--- a/src/sched/run_pace.h
+++ b/src/sched/run_pace.h
@@ -16,17 +16,19 @@
 
 namespace daisypass::sched {
 
-/** The progress of one run since it started. */
+/** The progress of one run since it started, or since it was first seen. */
 struct run_pace
 {
-    /** From the start to the latest progress. */
+    /** From then to the latest progress. */
     double ranMs = 0;
     /** Share of the task's work that the run has done, in hundredths. */
     int percent = 0;
     /** From the latest progress to the latest list. */
     double sinceMs = 0;
+    /** The percent when it was first seen. */
+    int fromPercent = 0;
 
-    /** Duration of the whole run if it goes on as it did; nothing before its first progress. */
+    /** Duration of the whole run if it goes on as it did; nothing before it has made enough progress to tell. */
     std::optional<double> totalMs() const;
     /** What is left of it. */
     std::optional<double> leftMs() const;
--- a/src/sched/scheduler_holds.cpp
+++ b/src/sched/scheduler_holds.cpp
@@ -180,6 +180,7 @@
             task->phase = task_phase::Running;
             task->confirmedAt = now;
             task->progressAt = now;
+            task->confirmedPercent = run.percent;
             task->inherited = false;
         }
         if (run.percent > task->percent || run.percent >= 100) {
--- a/src/sched/scheduler_orders.cpp
+++ b/src/sched/scheduler_orders.cpp
@@ -48,6 +48,7 @@
         task->confirmedAt = now;
         task->progressAt = now;
         task->percent = 0;
+        task->confirmedPercent = 0;
         task->listedBorn = what.bornUnixMs.value_or(0);
         if (task->phase != task_phase::Stopping) {
             task->phase = task_phase::Running;
--- a/src/sched/scheduler_progress.cpp
+++ b/src/sched/scheduler_progress.cpp
@@ -22,6 +22,7 @@
     pace.percent = task.resumed ? 0 : task.percent;
     pace.ranMs = static_cast<double>(task.progressAt - task.confirmedAt);
     pace.sinceMs = static_cast<double>(listedAt - task.progressAt);
+    pace.fromPercent = task.resumed ? 0 : task.confirmedPercent;
     return pace;
 }
 
@@ -34,7 +35,7 @@
 
 void scheduler::learnSpeed(executor_record &executor, const step_spec &step, task_record &task, time_ms now)
 {
-    if (step.estimateMs <= 0 || task.confirmedAt == 0 || task.resumed) {
+    if (step.estimateMs <= 0 || task.confirmedAt == 0 || task.resumed || task.confirmedPercent > 0) {
         return;
     }
     task.tookMs = now - task.confirmedAt;
--- a/src/sched/scheduler_runs.cpp
+++ b/src/sched/scheduler_runs.cpp
@@ -44,6 +44,7 @@
     task.stopAckedAt = 0;
     task.stopSentAt = 0;
     task.percent = 0;
+    task.confirmedPercent = 0;
     task.pacedPercent = 100;
     if (task.atWork || task.awaySince == 0) {
         task.awaySince = now;
--- a/tests/sched/run_pace_test.cpp
+++ b/tests/sched/run_pace_test.cpp
@@ -70,6 +70,16 @@
     }
 }
 
+TEST_CASE("the pace of a run that was first seen at work counts only what was seen")
+{
+    // From 40% to 60% in 2 s.
+    const run_pace seenLate{2'000, 60, 500, 40};
+    CHECK(seenLate.totalMs() == 10'000);
+    CHECK(seenLate.leftMs() == 3'500);
+    // A single percent may have been nearly over when the run was first seen.
+    CHECK_FALSE(run_pace{100, 41, 0, 40}.totalMs());
+}
+
 TEST_CASE("a run that is nearly over, or has just begun, is left alone")
 {
     pace_evidence evidence = estimateOf(1'000);
