Move runs that outlast a wave off its VMs

Change: a run that can go on from its checkpoint is stopped once its progress shows that it would end after the wave is due, if a VM outside the wave has room for it now. Tasks whose estimate reaches beyond that time are placed on VMs of the wave last. Runs without checkpoints stay, as their work would be lost.

--- a/src/sched/fleet_planner.cpp
+++ b/src/sched/fleet_planner.cpp
@@ -108,12 +108,25 @@
     }
 }
 
+bool fleet_planner::wave_state::awaits(const std::string &vm) const
+{
+    return !completed && !done.contains(vm) && std::find(request.vms.begin(), request.vms.end(), vm) != request.vms.end();
+}
+
 bool fleet_planner::awaitsUpkeep(const std::string &vm) const
 {
-    return std::any_of(m_waves.begin(), m_waves.end(), [&](const std::pair<const std::int64_t, wave_state> &wave) {
-        const std::vector<std::string> &vms = wave.second.request.vms;
-        return !wave.second.completed && !wave.second.done.contains(vm) && std::find(vms.begin(), vms.end(), vm) != vms.end();
-    });
+    return upkeepDueAt(vm).has_value();
+}
+
+std::optional<time_ms> fleet_planner::upkeepDueAt(const std::string &vm) const
+{
+    std::optional<time_ms> dueAt;
+    for (const std::pair<const std::int64_t, wave_state> &wave : m_waves) {
+        if (wave.second.awaits(vm)) {
+            dueAt = std::min(dueAt.value_or(wave.second.dueAt), wave.second.dueAt);
+        }
+    }
+    return dueAt;
 }
 
 std::vector<fleet_decision> fleet_planner::plan(const fleet_view &view, time_ms now)
--- a/src/sched/fleet_planner.h
+++ b/src/sched/fleet_planner.h
@@ -14,6 +14,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -114,6 +115,8 @@
 
     /** The VM has its upkeep before it in a wave. */
     bool awaitsUpkeep(const std::string &vm) const;
+    /** When the first wave in which the VM has its upkeep before it is due; nothing if there is none. */
+    std::optional<time_ms> upkeepDueAt(const std::string &vm) const;
 
     /** Progress of the waves, to be stored. */
     std::string writeRow() const;
@@ -129,6 +132,9 @@
         std::map<std::string, time_ms> down;
         bool announced = false;
         bool completed = false;
+
+        /** The VM has its upkeep in this wave before it. */
+        bool awaits(const std::string &vm) const;
     };
 
     void planWaves(const fleet_view &view, time_ms now, std::vector<fleet_decision> &decisions);
--- a/src/sched/job_record.cpp
+++ b/src/sched/job_record.cpp
@@ -100,6 +100,16 @@
     return phaseNames[static_cast<std::size_t>(phase)];
 }
 
+run_pace task_record::paceAt(time_ms listedAt) const
+{
+    run_pace pace;
+    pace.percent = resumed ? 0 : percent;
+    pace.ranMs = static_cast<double>(progressAt - confirmedAt);
+    pace.sinceMs = static_cast<double>(listedAt - progressAt);
+    pace.fromPercent = resumed ? 0 : confirmedPercent;
+    return pace;
+}
+
 bool task_record::countFailure(int failedRun)
 {
     if (std::find(failedRuns.begin(), failedRuns.end(), failedRun) != failedRuns.end()) {
--- a/src/sched/job_record.h
+++ b/src/sched/job_record.h
@@ -11,6 +11,7 @@
 // run can be. It is stored before the run's start order is sent.
 
 #include "sched/model.h"
+#include "sched/run_pace.h"
 
 #include <cstdint>
 #include <functional>
@@ -86,6 +87,9 @@
         return static_cast<int>(failedRuns.size());
     }
 
+    /** Its progress by a list of this time; without a percent for a run that went on from a checkpoint. */
+    run_pace paceAt(time_ms listedAt) const;
+
     /** False if the failure of this run was counted before. */
     bool countFailure(int failedRun);
 
--- a/src/sched/scheduler_drain.cpp
+++ b/src/sched/scheduler_drain.cpp
@@ -2,12 +2,23 @@
 //
 // A task is stopped only within its step's budget, and only if it can go on elsewhere or if the upkeep can then begin. Otherwise the
 // stop would gain nothing: the task waits beside its former executor, and with the budget used up the step's other tasks stay there.
+//
+// Other runs end by themselves, and nothing is gained by a stop, unless one would end after its wave is due. Such a run goes on elsewhere
+// from its checkpoint.
 
 #include "sched/scheduler.h"
 
 #include <algorithm>
 
 namespace daisypass::sched {
+namespace {
+
+// The last upkeep of a wave is planned to begin this long before the wave is due, as the end of a run is known only roughly.
+constexpr time_ms lastUpkeepMarginMs = 4'000;
+// From this progress on the end of a run is known to a tenth.
+constexpr int leastPercentToProject = 10;
+
+} // namespace
 
 // One walk over the reserved executors.
 struct scheduler::drain_pass
@@ -18,6 +29,8 @@
     {
         const executor_record *executor = nullptr;
         resources room{};
+        // What is left beside all of its runs.
+        resources freeNow{};
         std::vector<task_id> tasks{};
     };
 
@@ -30,18 +43,30 @@
         return owner.m_jobs.at(id.job)->spec.steps[static_cast<std::size_t>(id.step)];
     }
 
-    bool hasLongRunning(const executor_record &executor) const
+    bool hasRunsToEnd(const executor_record &executor) const
     {
-        return std::any_of(executor.runs.begin(), executor.runs.end(), [this](const task_id &id) {
-            return kindOf(id).longRunning;
+        return std::any_of(executor.runs.begin(), executor.runs.end(), [&](const task_id &id) {
+            return kindOf(id).longRunning || outlastsWave(executor, id);
         });
     }
 
+    bool outlastsWave(const executor_record &executor, const task_id &id) const
+    {
+        const task_record &task = *owner.m_jobs.at(id.job)->find(id);
+        const std::optional<time_ms> dueAt = owner.m_fleet.upkeepDueAt(executor.entry.vm);
+        const bool canGoOn = kindOf(id).checkpointing && !kindOf(id).gang && task.phase == task_phase::Running;
+        if (!canGoOn || !dueAt || task.percent - task.confirmedPercent < leastPercentToProject) {
+            return false;
+        }
+        const std::optional<double> left = task.paceAt(executor.listedAt).leftMs();
+        return left && static_cast<double>(executor.listedAt) + *left > static_cast<double>(*dueAt - lastUpkeepMarginMs);
+    }
+
     void drainAll()
     {
         std::vector<executor_record *> reserved;
         for (std::pair<const std::string, executor_record> &item : owner.m_executors) {
-            if (item.second.reserved && hasLongRunning(item.second)) {
+            if (item.second.reserved && hasRunsToEnd(item.second)) {
                 reserved.push_back(&item.second);
             }
         }
@@ -62,7 +87,7 @@
             if (!executor.takesNewRuns(now)) {
                 continue;
             }
-            vacancy one{&executor, executor.entry.capacity};
+            vacancy one{&executor, executor.entry.capacity, executor.freeRoom()};
             one.room -= executor.foreign;
             for (const task_id &id : executor.runs) {
                 if (kindOf(id).longRunning) {
@@ -120,6 +145,25 @@
         return false;
     }
 
+    // Takes room that is free now for a run that ends by itself; a VM of a wave would have to be emptied of it again.
+    bool claimNow(const job_record &job, const task_id &id)
+    {
+        const auto pool = vacanciesOf.find(owner.poolOf(job));
+        if (pool == vacanciesOf.end()) {
+            return false;
+        }
+        const resources demand = kindOf(id).countedDemand();
+        for (vacancy &one : pool->second) {
+            const bool stays = !owner.m_fleet.awaitsUpkeep(one.executor->entry.vm);
+            if (stays && mayHave(one, job, id) && demand.fitsIn(one.freeNow)) {
+                one.freeNow -= demand;
+                one.tasks.push_back(id);
+                return true;
+            }
+        }
+        return false;
+    }
+
     bool mayHave(const vacancy &one, const job_record &job, const task_id &id) const
     {
         const step_spec &kind = kindOf(id);
@@ -140,6 +184,10 @@
         for (const task_id &id : runs) {
             job_record &job = *owner.m_jobs.at(id.job);
             task_record &task = *job.find(id);
+            if (outlastsWave(executor, id) && claimNow(job, id)) {
+                owner.requestStop(id, task, now, "upkeep");
+                continue;
+            }
             const bool mayEnd = kindOf(id).longRunning && task.phase == task_phase::Running && mayInterrupt(job, id, nullptr);
             if (mayEnd && (claim(job, id) || upkeepCanFollow)) {
                 owner.requestStop(id, task, now, "upkeep");
--- a/src/sched/scheduler_place.cpp
+++ b/src/sched/scheduler_place.cpp
@@ -264,7 +264,7 @@
         if (!kind.dataRack.empty() && kind.dataRack != executor.entry.rack) {
             weight += farFromData;
         }
-        if (kind.longRunning && !executor.entry.vm.empty() && owner.m_fleet.awaitsUpkeep(executor.entry.vm)) {
+        if (outlastsWave(kind, executor)) {
             weight += awaitsUpkeepWeight;
         }
         if (executor.isSlow()) {
@@ -276,6 +276,13 @@
         return weight;
     }
 
+    // The task would still run when its VM's wave is due.
+    bool outlastsWave(const step_spec &kind, const executor_record &executor) const
+    {
+        const std::optional<time_ms> dueAt = executor.entry.vm.empty() ? std::nullopt : owner.m_fleet.upkeepDueAt(executor.entry.vm);
+        return dueAt && (kind.longRunning || now + kind.estimateMs > *dueAt);
+    }
+
     // All members or none: room is taken step by step and given back if a member finds none.
     void placeGang(ready_step &ready, const step_spec &kind, std::vector<executor_record *> &executors)
     {
--- a/src/sched/scheduler_progress.cpp
+++ b/src/sched/scheduler_progress.cpp
@@ -16,16 +16,6 @@
 constexpr double slownessWeight = 0.25;
 constexpr double mostSlownessSample = 8.0;
 
-run_pace paceOf(const task_record &task, time_ms listedAt)
-{
-    run_pace pace;
-    pace.percent = task.resumed ? 0 : task.percent;
-    pace.ranMs = static_cast<double>(task.progressAt - task.confirmedAt);
-    pace.sinceMs = static_cast<double>(listedAt - task.progressAt);
-    pace.fromPercent = task.resumed ? 0 : task.confirmedPercent;
-    return pace;
-}
-
 bool isWatched(const task_record &task, const step_spec &kind)
 {
     return task.phase == task_phase::Running && !kind.longRunning && !kind.gang && task.pacedPercent >= 100;
@@ -54,7 +44,7 @@
         job_record &job = *m_jobs.at(id.job);
         const task_record &task = *job.find(id);
         const step_spec &kind = job.spec.steps[static_cast<std::size_t>(id.step)];
-        const std::optional<double> total = paceOf(task, executor.listedAt).totalMs();
+        const std::optional<double> total = task.paceAt(executor.listedAt).totalMs();
         if (isWatched(task, kind) && kind.estimateMs > 0 && total) {
             ratios.push_back(*total / static_cast<double>(kind.estimateMs));
             jobs.insert(id.job);
@@ -73,7 +63,7 @@
             durations.push_back(static_cast<double>(task.tookMs));
         }
         if (task.phase == task_phase::Running && task.executor != executor) {
-            const std::optional<double> total = paceOf(task, task.progressAt).totalMs();
+            const std::optional<double> total = task.paceAt(task.progressAt).totalMs();
             if (total) {
                 durations.push_back(*total);
             }
@@ -109,7 +99,7 @@
                 requestStop(id, task, now, "no_progress");
                 continue;
             }
-            const run_pace pace = paceOf(task, executor.listedAt);
+            const run_pace pace = task.paceAt(executor.listedAt);
             if (task.straggled || m_backlogBinds || !pace.leftMs()) {
                 continue;
             }
