Keep a VM that is being emptied for upkeep empty across takeovers

Cause: a reservation lived in the holder's memory only. Its successor placed runs on the VM in the 0.1 s between the registry's entry and its first plan of the fleet. Ruled out: the row of fleet orders, which names an upkeep only once it was ordered and stored.

Change: the row of a wave names the VMs that are being emptied, and a successor reserves their executors when it first sees them.

--- a/src/sched/fleet_planner.cpp
+++ b/src/sched/fleet_planner.cpp
@@ -40,6 +40,15 @@
     return vm.state == vm_state::Up && empty && !vm.leaving && !vm.reserved && !vm.mayBeOrdered;
 }
 
+void insertNames(const json &wave, const char *field, std::set<std::string> &names)
+{
+    for (const json &name : wave.value(field, json::array())) {
+        if (name.is_string()) {
+            names.insert(name.get<std::string>());
+        }
+    }
+}
+
 int vmsFor(double amount, std::int64_t ofVm)
 {
     return static_cast<int>(std::ceil(amount / static_cast<double>(std::max<std::int64_t>(1, ofVm))));
@@ -63,6 +72,7 @@
     const auto stored = m_stored.find(wave.wave);
     if (stored != m_stored.end()) {
         found->second.done = stored->second.done;
+        found->second.draining = stored->second.draining;
         found->second.down = stored->second.down;
         if (stored->second.dueUnixMs != 0) {
             found->second.dueUnixMs = stored->second.dueUnixMs;
@@ -76,6 +86,7 @@
     const auto found = m_waves.find(wave);
     if (found != m_waves.end()) {
         found->second.done.insert(vm);
+        found->second.draining.erase(vm);
         found->second.down[vm] = now;
     }
 }
@@ -94,6 +105,7 @@
     found->second.down.erase(vm);
     if (forGood) {
         found->second.done.insert(vm);
+        found->second.draining.erase(vm);
     }
 }
 
@@ -118,6 +130,15 @@
     return upkeepDueAt(vm).has_value();
 }
 
+bool fleet_planner::wasDraining(const std::string &vm) const
+{
+    return std::any_of(m_stored.begin(), m_stored.end(), [&](const std::pair<const std::int64_t, stored_wave> &stored) {
+        const auto wave = m_waves.find(stored.first);
+        const bool pending = wave == m_waves.end() ? !stored.second.done.contains(vm) : wave->second.awaits(vm);
+        return pending && stored.second.draining.contains(vm);
+    });
+}
+
 std::optional<time_ms> fleet_planner::upkeepDueAt(const std::string &vm) const
 {
     std::optional<time_ms> dueAt;
@@ -221,6 +242,7 @@
             // The next ones are emptied while others are down.
             ++draining;
             m_taken.insert(vm->vm);
+            wave.draining.insert(vm->vm);
             decisions.push_back(drain_decision{vm->vm, wave.request.wave});
         }
     }
@@ -377,7 +399,7 @@
 {
     json waves = json::object();
     for (const std::pair<const std::int64_t, wave_state> &wave : m_waves) {
-        waves[std::to_string(wave.first)] = json{{"done", wave.second.done}, {"due_unix_ms", wave.second.dueUnixMs}};
+        waves[std::to_string(wave.first)] = json{{"done", wave.second.done}, {"draining", wave.second.draining}, {"due_unix_ms", wave.second.dueUnixMs}};
     }
     return json{{"waves", waves}}.dump();
 }
@@ -392,11 +414,8 @@
     for (auto item = waves.begin(); item != waves.end(); ++item) {
         stored_wave &stored = m_stored[std::atoll(item.key().c_str())];
         stored.dueUnixMs = item.value().value("due_unix_ms", std::int64_t{0});
-        for (const json &vm : item.value().value("done", json::array())) {
-            if (vm.is_string()) {
-                stored.done.insert(vm.get<std::string>());
-            }
-        }
+        insertNames(item.value(), "done", stored.done);
+        insertNames(item.value(), "draining", stored.draining);
     }
 }
 
--- a/src/sched/fleet_planner.h
+++ b/src/sched/fleet_planner.h
@@ -115,6 +115,8 @@
 
     /** The VM has its upkeep before it in a wave. */
     bool awaitsUpkeep(const std::string &vm) const;
+    /** An earlier holder was emptying the VM for an upkeep that it still has before it. */
+    bool wasDraining(const std::string &vm) const;
     /** When the first wave in which the VM has its upkeep before it is due; nothing if there is none. */
     std::optional<time_ms> upkeepDueAt(const std::string &vm) const;
 
@@ -129,6 +131,8 @@
         std::int64_t dueUnixMs = 0;
         time_ms dueAt = 0;
         std::set<std::string> done;
+        /** VMs that are emptied for their upkeep. */
+        std::set<std::string> draining;
         std::map<std::string, time_ms> down;
         bool announced = false;
         bool completed = false;
@@ -149,6 +153,7 @@
     struct stored_wave
     {
         std::set<std::string> done;
+        std::set<std::string> draining;
         std::map<std::string, time_ms> down;
         std::int64_t dueUnixMs = 0;
     };
--- a/src/sched/scheduler_executors.cpp
+++ b/src/sched/scheduler_executors.cpp
@@ -102,6 +102,11 @@
     if (fresh || reborn) {
         settleSuccession(what.entry.vm, now);
     }
+    // The first plan of the fleet comes later, and until then the VM would be filled again.
+    if (fresh && !executor.reserved && m_fleet.wasDraining(what.entry.vm)) {
+        reserve(what.entry.id, now);
+        note("vm_still_draining", {{"vm", what.entry.vm}, {"executor", what.entry.id}});
+    }
 }
 
 // The registry is read whole beside its feed, so an older row may come after a newer one.
--- a/src/sched/scheduler_fleet.cpp
+++ b/src/sched/scheduler_fleet.cpp
@@ -208,6 +208,7 @@
         const vm_entry &vm = m_vms.at(drain->vm);
         if (!vm.executor.empty()) {
             reserve(vm.executor, now);
+            m_waveRowDirty = true;
             note("vm_draining", {{"vm", drain->vm}, {"wave", std::to_string(drain->wave)}, {"executor", vm.executor}});
         }
     } else if (const wave_decision *wave = std::get_if<wave_decision>(&decision)) {
--- a/tests/sched/batch_drain_test.cpp
+++ b/tests/sched/batch_drain_test.cpp
@@ -136,3 +136,38 @@
         CHECK(world.takeStart().executor == "e2");
     }
 }
+
+// rcm-bogota trouble-2: runs of 15 s came to VMs that were nearly empty, between a takeover and the first plan of the fleet.
+TEST_CASE("a VM that is emptied for its upkeep isn't filled again by a new holder")
+{
+    batch_drain former(true);
+    former.beginWave();
+    former.goOn(10'000, 4 * stepMs);
+    REQUIRE(former.rows.contains(wavesRowKey));
+    scheduler_fixture world;
+    world.brain.restoreWave(former.rows.at(wavesRowKey));
+
+    SUBCASE("it gets no runs before the first plan")
+    {
+        world.addExecutor("e1");
+        world.brain.handle(job_submitted{world.job("j2", {scheduler_fixture::step(1)})}, world.now);
+        world.step_();
+        CHECK(world.take<start_run>().empty());
+    }
+    SUBCASE("a VM that wasn't to be emptied gets runs")
+    {
+        world.addExecutor("e2");
+        CHECK(world.placeTask("j2").executor == "e2");
+    }
+    SUBCASE("a VM that has had its upkeep gets runs")
+    {
+        former.goOn(500, waveMs);
+        former.answerHold("e1", {}, {});
+        former.brain.handle(upkeep_answered{"vm-e1", 1, fleet_status::Ok, {"e1", 1'000}}, former.now);
+        former.step_();
+        scheduler_fixture later;
+        later.brain.restoreWave(former.rows.at(wavesRowKey));
+        later.addExecutor("e1");
+        CHECK(later.placeTask("j2").executor == "e1");
+    }
+}
