--- a/src/sched/fleet_planner.h
+++ b/src/sched/fleet_planner.h
@@ -14,6 +14,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -114,6 +115,10 @@
 
     /** The VM has its upkeep before it in a wave. */
     bool awaitsUpkeep(const std::string &vm) const;
+    /** An earlier holder was emptying the VM for an upkeep that it still has before it. */
+    bool wasDraining(const std::string &vm) const;
+    /** When the first wave in which the VM has its upkeep before it is due; nothing if there is none. */
+    std::optional<time_ms> upkeepDueAt(const std::string &vm) const;
 
     /** Progress of the waves, to be stored. */
     std::string writeRow() const;
@@ -126,9 +131,14 @@
         std::int64_t dueUnixMs = 0;
         time_ms dueAt = 0;
         std::set<std::string> done;
+        /** VMs that are emptied for their upkeep. */
+        std::set<std::string> draining;
         std::map<std::string, time_ms> down;
         bool announced = false;
         bool completed = false;
+
+        /** The VM has its upkeep in this wave before it. */
+        bool awaits(const std::string &vm) const;
     };
 
     void planWaves(const fleet_view &view, time_ms now, std::vector<fleet_decision> &decisions);
@@ -143,6 +153,7 @@
     struct stored_wave
     {
         std::set<std::string> done;
+        std::set<std::string> draining;
         std::map<std::string, time_ms> down;
         std::int64_t dueUnixMs = 0;
     };
--- a/src/sched/job_record.h
+++ b/src/sched/job_record.h
@@ -11,6 +11,7 @@
 // run can be. It is stored before the run's start order is sent.
 
 #include "sched/model.h"
+#include "sched/run_pace.h"
 
 #include <cstdint>
 #include <functional>
@@ -63,6 +64,8 @@
     /** Not placed before this time. */
     time_ms notBefore = 0;
     int percent = 0;
+    /** The percent at confirmedAt; above 0 if this holder hasn't seen the run's beginning. */
+    int confirmedPercent = 0;
     /** The run went on from a checkpoint, so its progress says nothing of its speed. */
     bool resumed = false;
     /** The task has been given up as a straggler once; a second time its work is the reason, not its executor. */
@@ -84,6 +87,9 @@
         return static_cast<int>(failedRuns.size());
     }
 
+    /** Its progress by a list of this time; without a percent for a run that went on from a checkpoint. */
+    run_pace paceAt(time_ms listedAt) const;
+
     /** False if the failure of this run was counted before. */
     bool countFailure(int failedRun);
 
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -208,6 +208,8 @@
     void sendFleetOrders();
     void orderFleet(const fleet_order &order, time_ms now);
     executor_life currentOccupant(const vm_entry &vm) const;
+    /** The VM is emptied for its upkeep: the occupant gets no new runs. */
+    void reserveForUpkeep(const std::string &vm, const executor_life &occupant, time_ms now);
     void showReservation(const std::string &executor, time_ms now);
     /** The order for the executor's VM is settled; the executor is over unless it lists its runs later. */
     void awaitListOf(const std::string &executor);
--- a/src/sched/scheduler_executors.cpp
+++ b/src/sched/scheduler_executors.cpp
@@ -103,6 +103,11 @@
     if (fresh || reborn) {
         settleSuccession(what.entry.vm, now);
     }
+    // The first plan of the fleet comes later, and until then the VM would be filled again.
+    if (fresh && !executor.reserved && m_fleet.wasDraining(what.entry.vm)) {
+        reserveForUpkeep(what.entry.vm, {what.entry.id, executor.entry.bornUnixMs}, now);
+        note("vm_still_draining", {{"vm", what.entry.vm}, {"executor", what.entry.id}});
+    }
 }
 
 void scheduler::setEntry(executor_record &executor, const executor_entry &entry)
--- a/src/sched/scheduler_fleet.cpp
+++ b/src/sched/scheduler_fleet.cpp
@@ -203,9 +203,8 @@
     } else if (const drain_decision *drain = std::get_if<drain_decision>(&decision)) {
         const vm_entry &vm = m_vms.at(drain->vm);
         if (!vm.executor.empty()) {
-            executorFor(vm.executor, now);
-            m_ledger.plan(drain->vm, currentOccupant(vm));
-            showReservation(vm.executor, now);
+            reserveForUpkeep(drain->vm, currentOccupant(vm), now);
+            m_waveRowDirty = true;
             note("vm_draining", {{"vm", drain->vm}, {"wave", std::to_string(drain->wave)}, {"executor", vm.executor}});
         }
     } else if (const wave_decision *wave = std::get_if<wave_decision>(&decision)) {
@@ -232,6 +231,13 @@
     }
 }
 
+void scheduler::reserveForUpkeep(const std::string &vm, const executor_life &occupant, time_ms now)
+{
+    executorFor(occupant.executor, now);
+    m_ledger.plan(vm, occupant);
+    showReservation(occupant.executor, now);
+}
+
 // The flag is the ledger's answer, kept where each placement reads it.
 void scheduler::showReservation(const std::string &executor, time_ms now)
 {
