Count a task as at work only from a list asked for after a former holder's stops

What callers would see: just after a takeover more tasks of a step away than AllowMiss allows (rule AVAIL). Cause: counts a long-running task as at work when its executor has answered this holder for StopMs, but judged by whichever list came last. That could be the first one, or one that was asked for before the stops were over and came late; both may show a run that a former holder's stop has ended since. A list that waits up to 700 ms, a slow link or a lost packet is enough. Class: evidence that is older than the belief drawn from it. Ruled out: judging by the arrival of the list (its content may be older than StopMs after the first answer). Change: the task counts from the first list that was asked for StopMs after the first answer. Until then lists wait no longer than until that moment, so that drains pause for little more than StopMs, as before.

--- a/src/sched/executor_record.h
+++ b/src/sched/executor_record.h
@@ -44,6 +44,8 @@
     bool confirmed = false;
     /** When it first answered. */
     time_ms confirmedAt = 0;
+    /** It was asked for its runs when no stop of an earlier term could be under way any more, and has listed them. */
+    bool earlierStopsOver = false;
     /** Another incarnation or executor has taken its place; it runs nothing. */
     bool dead = false;
     /** A move or upkeep of its VM was ordered or is planned. */
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -155,6 +155,8 @@
     /** How long a lease that is granted now may last; 0 if none may be granted. */
     time_ms grantMs(time_ms now) const;
     bool sharesWithFillers(const executor_record &executor) const;
+    /** How long the next list may wait for an end. */
+    std::int64_t listWaitMs(const executor_record &executor, time_ms now) const;
     void acknowledgeStored();
     void expireSilent(time_ms now);
 
@@ -202,7 +204,7 @@
     void releaseOccupant(const executor_life &occupant, time_ms now);
     /** Ends long-running tasks on executors whose VM has a move or upkeep before it. */
     void drainReserved(time_ms now);
-    bool isKnownAtWork(const task_record &task, time_ms now) const;
+    bool isKnownAtWork(const task_record &task) const;
 
     void note(std::string event, note_fields fields);
 
--- a/src/sched/scheduler_drain.cpp
+++ b/src/sched/scheduler_drain.cpp
@@ -163,7 +163,7 @@
         for (std::size_t index = 0; index < tasks.size(); ++index) {
             const task_record &other = tasks[index];
             const bool ends = together != nullptr && other.executor == together->entry.id;
-            if (static_cast<int>(index) != id.index && (ends || !owner.isKnownAtWork(other, now))) {
+            if (static_cast<int>(index) != id.index && (ends || !owner.isKnownAtWork(other))) {
                 ++away;
             }
         }
@@ -177,14 +177,15 @@
 }
 
 // A task on a silent executor may have ended long ago. A stop that a former holder ordered can be under way for StopMs after the first
-// answer, with which the executor begins to refuse that holder's orders; until then its lists show the run as at work.
-bool scheduler::isKnownAtWork(const task_record &task, time_ms now) const
+// answer, with which the executor begins to refuse that holder's orders; until then its lists show the run as at work. A list that was
+// asked for earlier says nothing of the end, also if it comes later.
+bool scheduler::isKnownAtWork(const task_record &task) const
 {
     const auto executor = m_executors.find(task.executor);
     if (task.phase != task_phase::Running || !task.atWork || executor == m_executors.end()) {
         return false;
     }
-    return executor->second.answers() && now - executor->second.confirmedAt >= m_bounds.stopMs;
+    return executor->second.answers() && executor->second.earlierStopsOver;
 }
 
 } // namespace daisypass::sched
--- a/src/sched/scheduler_holds.cpp
+++ b/src/sched/scheduler_holds.cpp
@@ -79,6 +79,14 @@
     return std::clamp<time_ms>(latestEnd - now, 0, m_bounds.maxLeaseMs);
 }
 
+// Drains wait for the first list that was asked for when the former holder's stops were over.
+std::int64_t scheduler::listWaitMs(const executor_record &executor, time_ms now) const
+{
+    const std::int64_t wait = sharesWithFillers(executor) ? pacingHoldWaitMs : holdWaitMs;
+    const time_ms stopsOverIn = std::max<time_ms>(0, executor.confirmedAt + m_bounds.stopMs - now);
+    return executor.earlierStopsOver ? wait : std::min(wait, stopsOverIn);
+}
+
 void scheduler::sendHold(executor_record &executor, time_ms now)
 {
     hold_executor order;
@@ -97,7 +105,7 @@
         order.leaseEndMs = executor.clockAtTime(now) + leaseMs;
         executor.lastGrantAt = now;
     }
-    order.waitMs = works && !executor.lookSoon ? (sharesWithFillers(executor) ? pacingHoldWaitMs : holdWaitMs) : 0;
+    order.waitMs = works && !executor.lookSoon ? listWaitMs(executor, now) : 0;
     executor.lookSoon = false;
     executor.holdInFlight = true;
     executor.holdSentAt = now;
@@ -151,7 +159,10 @@
     if (!executor.confirmed) {
         executor.confirmed = true;
         executor.confirmedAt = now;
+        executor.earlierStopsOver = false;
         m_placeWanted = true;
+    } else if (what.sentAt >= executor.confirmedAt + m_bounds.stopMs) {
+        executor.earlierStopsOver = true;
     }
     for (const listed_end &end : what.ends) {
         if (end.number > executor.processedEnds) {
--- a/tests/sched/long_running_drain_test.cpp
+++ b/tests/sched/long_running_drain_test.cpp
@@ -226,4 +226,30 @@
         second.advance(150);
         CHECK(second.take<stop_run>().size() == 1);
     }
+    SUBCASE("no list has come since: this one stays")
+    {
+        second.advance(150);
+        second.advance(150);
+        CHECK(second.take<stop_run>().empty());
+    }
+    SUBCASE("the latest list was asked for before the longest stop was over: this one stays")
+    {
+        const time_ms askedAt = second.now;
+        second.advance(150);
+        const std::vector<listed_run> runs{scheduler_fixture::running(starts[1], 100)};
+        second.brain.handle(hold_answered{starts[1].executor, order_status::Ok, askedAt, second.now, 1'000, runs, {}}, second.now);
+        second.advance(150);
+        CHECK(second.take<stop_run>().empty());
+    }
+    SUBCASE("the executors are asked again as soon as the longest stop is over")
+    {
+        for (const hold_executor &hold : second.take<hold_executor>()) {
+            CHECK(hold.waitMs <= limits.stopMs);
+        }
+        second.advance(150);
+        second.answerHold(starts[1].executor, {scheduler_fixture::running(starts[1], 100)});
+        const std::vector<hold_executor> next = second.take<hold_executor>();
+        REQUIRE(next.size() == 1);
+        CHECK(next[0].waitMs > limits.stopMs);
+    }
 }
