Don't stop a run again that shows up after its start had no answer

The start was carried out late; later lists showed the run at work, and the stop was repeated every 1.3 s all the same until one ended it. Class: evidence older than what is known. Change: a list that was asked for after such a stop, and shows the run while the stop has no answer and the job goes on, takes the run back.

--- a/src/sched/job_record.h
+++ b/src/sched/job_record.h
@@ -59,6 +59,8 @@
     /** Birth of the life that has listed or confirmed the run; 0 if none has. */
     std::int64_t listedBorn = 0;
     time_ms stopSentAt = 0;
+    /** The stop only makes sure that the run, which no list shows, isn't there; it is still wanted. */
+    bool stopSettlesStart = false;
     /** When a stop was acknowledged; 0 if none was. */
     time_ms stopAckedAt = 0;
     /** Not placed before this time. */
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -186,6 +186,9 @@
     void loseRun(job_record &job, const task_id &id, task_record &task, time_ms now, std::string_view cause);
     void settleMissing(executor_record &executor, const hold_answered &what, const std::set<task_id> &listed, time_ms now);
     void requestStop(const task_id &id, task_record &task, time_ms now, std::string_view cause);
+    /** Stops a run that a list doesn't show, so that it can't come any more. */
+    void stopMissing(const task_id &id, task_record &task, time_ms now, std::string_view cause);
+    static bool isStoppedInVain(const job_record &job, const task_record &task, time_ms listAskedAt);
     void resendStops(time_ms now);
     void watchProgress(time_ms now);
     void paceFillers(executor_record &executor, const std::vector<listed_run> &runs, time_ms now);
--- a/src/sched/scheduler_holds.cpp
+++ b/src/sched/scheduler_holds.cpp
@@ -183,7 +183,7 @@
         }
         listed.insert(run.task);
         task->listedBorn = executor.entry.bornUnixMs;
-        if (task->phase == task_phase::Ordered || task->phase == task_phase::Doubtful) {
+        if (task->phase == task_phase::Ordered || task->phase == task_phase::Doubtful || isStoppedInVain(*found->second, *task, what.sentAt)) {
             task->phase = task_phase::Running;
             task->confirmedAt = now;
             task->progressAt = now;
@@ -257,6 +257,19 @@
     }
 }
 
+// The stop was to make sure that the run isn't there, and has had no answer. A list that was asked for after it shows the run.
+bool scheduler::isStoppedInVain(const job_record &job, const task_record &task, time_ms listAskedAt)
+{
+    const bool unanswered = task.phase == task_phase::Stopping && task.stopSettlesStart && task.stopAckedAt == 0;
+    return unanswered && !job.ended() && listAskedAt > task.stopSentAt;
+}
+
+void scheduler::stopMissing(const task_id &id, task_record &task, time_ms now, std::string_view cause)
+{
+    requestStop(id, task, now, cause);
+    task.stopSettlesStart = true;
+}
+
 void scheduler::settleMissing(executor_record &executor, const hold_answered &what, const std::set<task_id> &listed, time_ms now)
 {
     const std::set<task_id> runs = executor.runs;
@@ -276,12 +289,12 @@
         case task_phase::Running:
             if (listIsLater) {
                 // It should be listed as ended. A stop makes sure that it isn't there.
-                requestStop(id, task, now, "not_listed");
+                stopMissing(id, task, now, "not_listed");
             }
             break;
         case task_phase::Doubtful:
             if (listIsLater) {
-                requestStop(id, task, now, "start_unanswered");
+                stopMissing(id, task, now, "start_unanswered");
             }
             break;
         case task_phase::Stopping:
--- a/src/sched/scheduler_runs.cpp
+++ b/src/sched/scheduler_runs.cpp
@@ -43,6 +43,7 @@
     task.batch = 0;
     task.stopAckedAt = 0;
     task.stopSentAt = 0;
+    task.stopSettlesStart = false;
     task.percent = 0;
     task.confirmedPercent = 0;
     task.pacedPercent = 100;
@@ -207,6 +208,7 @@
     task.phase = task_phase::Stopping;
     task.stopSentAt = now;
     task.stopAckedAt = 0;
+    task.stopSettlesStart = false;
     ++m_counts.stops;
     const executor_record &executor = executorFor(task.executor, now);
     if (!executor.entry.address.empty()) {
--- a/tests/sched/long_running_drain_test.cpp
+++ b/tests/sched/long_running_drain_test.cpp
@@ -253,3 +253,58 @@
         CHECK(next[0].waitMs > limits.stopMs);
     }
 }
+
+// Days of late orders: the stop that makes sure that an unanswered start isn't there was repeated while the run was at work.
+TEST_CASE("a run that shows up after its start had no answer isn't stopped again")
+{
+    scheduler_fixture world;
+    world.addExecutor("e1");
+    step_spec lasting = world.step(1);
+    lasting.longRunning = true;
+    world.brain.handle(job_submitted{world.job("j1", {lasting})}, world.now);
+    world.step_();
+    const start_run start = world.takeStart();
+    world.answerStart(start, order_status::Unknown);
+    world.now += 10;
+    world.answerHold("e1");
+    const std::vector<stop_run> stops = world.take<stop_run>();
+    REQUIRE(stops.size() == 1);
+    const listed_run atWork = scheduler_fixture::running(start, 100);
+
+    SUBCASE("the stop has no answer: the run goes on")
+    {
+        world.brain.handle(stop_answered{start.task, start.run, "e1", order_status::Unknown}, world.now);
+        world.now += 10;
+        world.answerHold("e1", {atWork});
+        world.advance(2'000);
+        CHECK(world.take<stop_run>().empty());
+        CHECK(world.take<start_run>().empty());
+        SUBCASE("and is stopped when its job is cancelled")
+        {
+            world.brain.handle(job_cancelled{"j1"}, world.now);
+            world.step_();
+            CHECK(world.take<stop_run>().size() == 1);
+        }
+        SUBCASE("and is placed again when the first stop comes late")
+        {
+            world.answerHold("e1", {}, {scheduler_fixture::ended(start, 1, run_end::Stopped)});
+            world.advance(100);
+            CHECK(world.takeStart().run == start.run + 1);
+        }
+    }
+    SUBCASE("the list was asked for before the stop: it says nothing yet")
+    {
+        world.brain.handle(hold_answered{"e1", order_status::Ok, world.now - 50, world.now, 1'000, {atWork}, {}}, world.now);
+        world.advance(2'000);
+        CHECK(world.take<stop_run>().size() == 1);
+    }
+    SUBCASE("the stop was acknowledged: the run is about to end")
+    {
+        world.brain.handle(stop_answered{start.task, start.run, "e1", order_status::Ok}, world.now);
+        world.now += 10;
+        world.answerHold("e1", {atWork});
+        world.answerHold("e1", {}, {scheduler_fixture::ended(start, 1, run_end::Stopped)});
+        world.advance(400);
+        CHECK(world.takeStart().run == start.run + 1);
+    }
+}
