Wait for the targets before a deployment is handed to its test

Cause: the constructor of the tests' deployment returned when the configuration was in force on every entry. A new VM then is still stopped (detail "join") until the controller that holds the control lease has probed its target and its return has reached the entries (docs/configuration.md). A controller that is not the holder takes the lease only from 1.5 s after the begin of each 5 s interval of the wall clock, so a configuration can be in force before the controller even looks at the VMs. If the outage begins before that, no VM can join, and both requests end at their deadline of 10 s as no_target; the claim's deadline of 15 s passes in the meantime. Nothing wrong was told: the product serves from the last view during an outage, and the last view had no serving target. The test played a state that nothing promises to serve.

Ruled out: isolation of an entry (the reason would be isolated, and the logs show none), missing slot loans (deadline_passed), calls that did not reach the entry (caller_...).

The deployment now also waits until all VMs serve and every entry has that revision. Requests that arrive before that were covered only by chance; they have a subcase of their own now. Both subcases of the new case hold the lease elsewhere at the start, which makes the late join certain.

--- a/tests/integration/deployment.cpp
+++ b/tests/integration/deployment.cpp
@@ -1,5 +1,10 @@
 #include "integration/deployment.h"
 
+#include "base/time.h"
+#include "control/control_lease.h"
+#include "services/table_service.h"
+#include "services/write_id.h"
+
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <doctest/doctest.h>
@@ -66,6 +71,9 @@
 {
     startPlatform();
     startTargets();
+    if (options.leaseHeldElsewhere) {
+        takeLeaseElsewhere();
+    }
     for (int i = 0; i < options.entries; ++i) {
         addEntry();
     }
@@ -75,6 +83,9 @@
     if (options.apply && apply(writeConfiguration("operator")) != 0) {
         throw std::runtime_error("the configuration was not applied:\n" + m_controllers[0].process->log());
     }
+    if (options.apply && !waitUntilServing()) {
+        throw std::runtime_error("the targets do not serve:\n" + m_controllers[0].process->log());
+    }
 }
 
 deployment::~deployment()
@@ -124,6 +135,14 @@
     call(m_platform, "PUT", "/admin/vms", vms.dump());
 }
 
+void deployment::takeLeaseElsewhere()
+{
+    control_lease lease(table_service(http_table(std::make_shared<http_client>(http_client_options{}), m_platform)), "control-elsewhere");
+    const timestamp now = wallNow();
+    const timestamp intervalBegin = now - now % control_lease::interval;
+    REQUIRE(lease.hold(intervalBegin + control_lease::takeoverDelay, newWriteId()));
+}
+
 std::size_t deployment::addEntry()
 {
     const std::size_t index = m_entries.size();
@@ -187,6 +206,28 @@
     return result.state == send_state::Answered && result.response.status == 200;
 }
 
+bool deployment::waitUntilServing()
+{
+    return waitUntil([&] {
+        return serving();
+    });
+}
+
+// A VM joins only after the controller holds its lease and has probed the target, and the entries learn it by a later revision.
+bool deployment::serving()
+{
+    const nlohmann::json seen = status();
+    const nlohmann::json vms = seen.value("vms", nlohmann::json::array());
+    const nlohmann::json entries = seen.value("entries", nlohmann::json::array());
+    const bool joined = std::all_of(vms.begin(), vms.end(), [](const nlohmann::json &vm) {
+        return vm.value("state", "") == "serving";
+    });
+    const bool known = std::all_of(entries.begin(), entries.end(), [&](const nlohmann::json &entry) {
+        return entry["revision"].is_number() && entry["revision"] >= seen["revision"];
+    });
+    return joined && known && vms.size() == m_targets.size() && entries.size() == m_entries.size();
+}
+
 std::string deployment::writeConfiguration(const std::string &name, const std::vector<std::size_t> &withoutTargets, const std::vector<std::size_t> &moved)
 {
     const std::string directory = path(name);
--- a/tests/integration/deployment.h
+++ b/tests/integration/deployment.h
@@ -27,7 +27,10 @@
     /** Targets of the pool `booking` (claims) and of the pool `grinder` (tickets). */
     int bookingTargets = 3;
     int grinderTargets = 3;
+    /** Applies the configuration and waits until its targets serve. */
     bool apply = true;
+    /** A controller that is not there holds the control lease at the start, so the targets join seconds after the configuration is in force. */
+    bool leaseHeldElsewhere = false;
 };
 
 struct request_options
@@ -92,6 +95,8 @@
     std::size_t addEntry();
     std::size_t addController();
     bool entryReady(std::size_t index);
+    /** Waits until all VMs serve and every entry knows it; a configuration is in force before that. */
+    bool waitUntilServing();
 
     /** Writes the configuration into the directory of that name, without some targets and with some in the other pool; returns its path. */
     std::string writeConfiguration(const std::string &name, const std::vector<std::size_t> &withoutTargets = {}, const std::vector<std::size_t> &moved = {});
@@ -124,6 +129,8 @@
     int inFlight();
     void startPlatform();
     void startTargets();
+    void takeLeaseElsewhere();
+    bool serving();
     http_call buildCall(std::size_t entry, const std::string &pool, const request_options &options, submission_report &report);
     std::string path(const std::string &name) const;
 
--- a/tests/integration/request_scenarios.cpp
+++ b/tests/integration/request_scenarios.cpp
@@ -183,6 +183,28 @@
     CHECK(fleet.check() == "");
 }
 
+// Guards against requests that are refused, and faults that tests begin, while no target of a new configuration serves yet.
+TEST_CASE("a configuration is in force before its targets serve")
+{
+    SUBCASE("requests wait for the targets")
+    {
+        deployment fleet({.entries = 2, .apply = false, .leaseHeldElsewhere = true});
+        CHECK(fleet.apply(fleet.writeConfiguration("operator")) == 0);
+        CHECK(describe(fleet.post(0, "booking")) == "completed");
+        CHECK(describe(fleet.post(1, "grinder", {.key = fleet.ticket(1)})) == "completed");
+        CHECK(fleet.check() == "");
+    }
+
+    SUBCASE("a deployment is handed to its test when they serve")
+    {
+        deployment fleet({.entries = 2, .leaseHeldElsewhere = true});
+        fleet.platformFaults({{"outage", true}});
+        CHECK(describe(fleet.post(0, "booking")) == "completed");
+        CHECK(describe(fleet.post(1, "grinder", {.key = fleet.ticket(1)})) == "completed");
+        CHECK(fleet.check() == "");
+    }
+}
+
 // Guards against answers that are cut, late or another request's, and against a second run after such an answer.
 TEST_CASE("a target truncates answers, answers with another id or closes early")
 {
