Repeat the stop of a run that no list shows only after a later list

Cause, from its log: the stop that makes sure that an unanswered start isn't there was repeated at each 1.3 s from 17.449 s on; the lists in between got no answer, so it wasn't known that the run had come and was at work. Change: such a stop is repeated only when a list that was asked for after the last one shows that the run still isn't there. A stop for a cancelled job, for upkeep or for a next life is repeated as before.

--- a/src/sched/executor_record.h
+++ b/src/sched/executor_record.h
@@ -63,6 +63,8 @@
     bool lookSoon = true;
     /** When it last listed its runs. */
     time_ms listedAt = 0;
+    /** When that list was asked for. */
+    time_ms listAskedAt = 0;
     /** Start of the current silence; 0 while it answers. */
     time_ms silentSince = 0;
     /** When an order that extends leases was last sent. */
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -189,6 +189,7 @@
     /** Stops a run that a list doesn't show, so that it can't come any more. */
     void stopMissing(const task_id &id, task_record &task, time_ms now, std::string_view cause);
     static bool isStoppedInVain(const job_record &job, const task_record &task, time_ms listAskedAt);
+    static bool mayRepeatStop(const job_record &job, const task_record &task, const executor_record &executor);
     void resendStops(time_ms now);
     void watchProgress(time_ms now);
     void paceFillers(executor_record &executor, const std::vector<listed_run> &runs, time_ms now);
--- a/src/sched/scheduler_holds.cpp
+++ b/src/sched/scheduler_holds.cpp
@@ -145,6 +145,7 @@
     adoptLife(executor, what.bornUnixMs.value_or(0), now);
     markAnswering(executor, now);
     executor.listedAt = now;
+    executor.listAskedAt = what.sentAt;
     executor.endsListed = !what.ends.empty();
     m_ledger.listed(executor.entry.id, what.sentAt);
     showReservation(executor.entry.id, now);
--- a/src/sched/scheduler_runs.cpp
+++ b/src/sched/scheduler_runs.cpp
@@ -216,6 +216,15 @@
     }
 }
 
+// A run that is still wanted may have come since the stop, and be at work; only a later list shows that it hasn't.
+bool scheduler::mayRepeatStop(const job_record &job, const task_record &task, const executor_record &executor)
+{
+    if (!task.stopSettlesStart || job.ended() || task.stopSentAt == 0) {
+        return true;
+    }
+    return executor.answers() && executor.listAskedAt > task.stopSentAt;
+}
+
 void scheduler::resendStops(time_ms now)
 {
     for (std::pair<const std::string, executor_record> &item : m_executors) {
@@ -223,9 +232,11 @@
             continue;
         }
         for (const task_id &id : item.second.runs) {
-            task_record *task = m_jobs.at(id.job)->find(id);
+            job_record &job = *m_jobs.at(id.job);
+            task_record *task = job.find(id);
             const bool unanswered = task != nullptr && task->phase == task_phase::Stopping && task->stopAckedAt == 0;
-            if (unanswered && (task->stopSentAt == 0 || task->stopSentAt + stopRetryMs < now)) {
+            const bool due = unanswered && (task->stopSentAt == 0 || task->stopSentAt + stopRetryMs < now);
+            if (due && mayRepeatStop(job, *task, item.second)) {
                 task->stopSentAt = now;
                 m_actions.push_back(stop_run{id, task->run, item.first, item.second.entry.address, item.second.entry.bornUnixMs});
             }
--- a/tests/sched/long_running_drain_test.cpp
+++ b/tests/sched/long_running_drain_test.cpp
@@ -292,10 +292,25 @@
             CHECK(world.takeStart().run == start.run + 1);
         }
     }
+    SUBCASE("the stop has no answer and no list follows: it isn't repeated, as the run may be at work by now")
+    {
+        world.brain.handle(stop_answered{start.task, start.run, "e1", order_status::Unknown}, world.now);
+        world.answerHold("e1", {}, {}, order_status::Unknown);
+        world.advance(2'000);
+        CHECK(world.take<stop_run>().empty());
+        SUBCASE("until a list shows that it isn't there")
+        {
+            world.answerHold("e1");
+            world.advance(200);
+            CHECK(world.take<stop_run>().size() == 1);
+        }
+    }
     SUBCASE("the list was asked for before the stop: it says nothing yet")
     {
         world.brain.handle(hold_answered{"e1", order_status::Ok, world.now - 50, world.now, 1'000, {atWork}, {}}, world.now);
         world.advance(2'000);
+        world.answerHold("e1");
+        world.advance(200);
         CHECK(world.take<stop_run>().size() == 1);
     }
     SUBCASE("the stop was acknowledged: the run is about to end")
