Send the stops of late starts to the life that they are for

What callers would see: a task started again beside another run, or after it was done. Cause: when the registry told of an executor's next life, the stops of starts without an answer went to the address of its former life. And none were sent if the first life that this term heard of was a next one: its entry had vanished before the takeover, so its birth was unknown. Class: evidence about an earlier life was applied to what is newer; an unknown birth was taken as no former life. Change: the life that is adopted brings its address, and starts without an answer are stopped also when no birth was known before. What remains: such a stop is sent once; if it gets no answer it isn't repeated.

--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -154,13 +154,13 @@
     /** The executor, which was given up, is alive after all. */
     void revive(executor_record &executor, time_ms now);
     /** The executor has started again under its id. */
-    void beginNextLife(executor_record &executor, std::int64_t born, time_ms now);
-    void stopUnansweredStarts(executor_record &executor, std::int64_t born, time_ms now);
+    void beginNextLife(executor_record &executor, const order_target &life, time_ms now);
+    void stopUnansweredStarts(executor_record &executor, const order_target &life, time_ms now);
     void forgetLists(executor_record &executor);
     /** Another executor answered an order. */
     void onWrongExecutor(executor_record &executor, const order_target &sentTo, time_ms now);
     /** Notes the birth of the life that speaks; true if it is a later one than was known, which ends the earlier one. */
-    bool adoptLife(executor_record &executor, std::int64_t born, time_ms now);
+    bool adoptLife(executor_record &executor, const order_target &life, time_ms now);
     void indexExecutors();
     void sendHolds(time_ms now);
     void sweepHolds();
--- a/src/sched/scheduler_executors.cpp
+++ b/src/sched/scheduler_executors.cpp
@@ -75,7 +75,7 @@
         return;
     }
     const bool fresh = !executor.listed && executor.entry.address.empty();
-    const bool reborn = adoptLife(executor, what.entry.bornUnixMs, now);
+    const bool reborn = adoptLife(executor, {what.entry.address, what.entry.bornUnixMs}, now);
     if (executor.dead) {
         return;
     }
@@ -201,36 +201,37 @@
     executor.silentSince = 0;
 }
 
-bool scheduler::adoptLife(executor_record &executor, std::int64_t born, time_ms now)
+bool scheduler::adoptLife(executor_record &executor, const order_target &life, time_ms now)
 {
-    if (born <= executor.entry.bornUnixMs) {
+    if (life.bornUnixMs <= executor.entry.bornUnixMs) {
         return false;
     }
+    // The first life that is heard of may be a next one, too.
+    stopUnansweredStarts(executor, life, now);
     const bool reborn = executor.entry.bornUnixMs != 0;
     if (reborn) {
-        beginNextLife(executor, born, now);
+        beginNextLife(executor, life, now);
     }
-    executor.entry.bornUnixMs = born;
+    executor.entry.bornUnixMs = life.bornUnixMs;
     executor.lifeSeenAt = now;
     return reborn;
 }
 
 // A start that was answered or is on its way may have reached the next life; its list or a stop settles it. Only runs that the former
 // life has listed are surely over.
-void scheduler::beginNextLife(executor_record &executor, std::int64_t born, time_ms now)
+void scheduler::beginNextLife(executor_record &executor, const order_target &life, time_ms now)
 {
     note("executor_restarted",
          {{"executor", executor.entry.id},
           {"runs", std::to_string(executor.runs.size())},
           {"born", std::to_string(executor.entry.bornUnixMs)},
-          {"next_born", std::to_string(born)},
+          {"next_born", std::to_string(life.bornUnixMs)},
           {"list_age_ms", ageText(executor.listedAt, now)}});
     const std::int64_t formerBorn = executor.entry.bornUnixMs;
     executor.dead = false;
     executor.lookSoon = true;
     m_holdDue.insert(executor.entry.id);
     forgetLists(executor);
-    stopUnansweredStarts(executor, born, now);
     const std::set<task_id> runs = executor.runs;
     for (const task_id &id : runs) {
         job_record &job = *m_jobs.at(id.job);
@@ -250,7 +251,7 @@
 
 // The next life doesn't know that the former one has stopped them, and would carry out an order that comes late. Runs that are still
 // wanted have a way of their own to be settled.
-void scheduler::stopUnansweredStarts(executor_record &executor, std::int64_t born, time_ms now)
+void scheduler::stopUnansweredStarts(executor_record &executor, const order_target &life, time_ms now)
 {
     forgetLateStarts(executor, now);
     for (const unanswered_start &start : executor.unansweredStarts) {
@@ -258,7 +259,7 @@
         const task_record *task = job == m_jobs.end() ? nullptr : job->second->find(start.task);
         const bool current = task != nullptr && task->occupies() && task->run == start.run;
         if (!current) {
-            m_actions.push_back(stop_run{start.task, start.run, executor.entry.id, executor.entry.address, born});
+            m_actions.push_back(stop_run{start.task, start.run, executor.entry.id, life.address, life.bornUnixMs});
         }
     }
 }
--- a/src/sched/scheduler_holds.cpp
+++ b/src/sched/scheduler_holds.cpp
@@ -142,7 +142,7 @@
         executor.lookSoon = true;
         return;
     }
-    adoptLife(executor, what.bornUnixMs.value_or(0), now);
+    adoptLife(executor, {executor.entry.address, what.bornUnixMs.value_or(0)}, now);
     markAnswering(executor, now);
     executor.listedAt = now;
     executor.listAskedAt = what.sentAt;
--- a/src/sched/scheduler_orders.cpp
+++ b/src/sched/scheduler_orders.cpp
@@ -28,7 +28,7 @@
     }
     executor_record &executor = place->second;
     if (what.status != order_status::WrongExecutor) {
-        adoptLife(executor, what.bornUnixMs.value_or(0), now);
+        adoptLife(executor, {executor.entry.address, what.bornUnixMs.value_or(0)}, now);
         const bool presentLife = what.bornUnixMs.value_or(executor.entry.bornUnixMs) == executor.entry.bornUnixMs;
         if (what.clockMs && presentLife) {
             executor.clockMs = *what.clockMs;
--- /dev/null
+++ b/tests/sched/next_life_stops_test.cpp
@@ -0,0 +1,99 @@
+#include "scheduler_fixture.h"
+
+#include <doctest/doctest.h>
+
+using namespace daisypass::sched;
+
+namespace {
+
+constexpr std::int64_t nextBorn = 2'000;
+const std::string nextAddress = "10.0.0.2:80";
+
+executor_entry nextLifeAt(const std::string &address)
+{
+    executor_entry next = scheduler_fixture::entry("e1");
+    next.bornUnixMs = nextBorn;
+    next.address = address;
+    return next;
+}
+
+} // namespace
+
+// Guards against a stop that goes to the address that the executor has left: its next life would carry out the late start.
+TEST_CASE("a start without an answer is stopped at the address of its executor's next life")
+{
+    scheduler_fixture first;
+    first.addExecutor("e1");
+    const start_run start = first.placeTask("j1");
+
+    scheduler_fixture second;
+    second.takeOver(first, "j1");
+    second.addExecutor("e1");
+    second.takeStart();
+    second.brain.handle(executor_seen{nextLifeAt(nextAddress)}, second.now);
+    second.step_();
+    const std::vector<stop_run> stops = second.take<stop_run>();
+    REQUIRE(stops.size() == 1);
+    CHECK(stops[0].run == start.run);
+    CHECK(stops[0].bornUnixMs == nextBorn);
+    CHECK(stops[0].address == nextAddress);
+}
+
+// Guards against an unknown birth that is taken as no former life: its entry had vanished before this term began.
+TEST_CASE("a former holder's late start is stopped in a life that is the first one heard of")
+{
+    scheduler_fixture first;
+    first.addExecutor("e1");
+    const start_run start = first.placeTask("j1");
+
+    scheduler_fixture second;
+    second.takeOver(first, "j1");
+    second.addExecutor("e2");
+    second.advance(7'000);
+    REQUIRE(second.brain.executors().at("e1").runs.empty());
+    second.brain.handle(executor_seen{nextLifeAt(nextAddress)}, second.now);
+    second.step_();
+    const std::vector<stop_run> stops = second.take<stop_run>();
+    REQUIRE(stops.size() == 1);
+    CHECK(stops[0].run == start.run);
+    CHECK(stops[0].address == nextAddress);
+}
+
+// Guards against a stop of a run that the next life has legally: it would end the task's only run.
+TEST_CASE("a run that is still wanted isn't stopped in its executor's next life")
+{
+    scheduler_fixture world;
+    world.addExecutor("e1");
+    const start_run start = world.placeTask("j1");
+    world.answerStart(start, order_status::Unknown);
+    world.brain.handle(executor_seen{nextLifeAt(nextAddress)}, world.now);
+    world.step_();
+    CHECK(world.take<stop_run>().empty());
+    world.answerHold("e1", {scheduler_fixture::running(start)}, {}, order_status::Ok, nextBorn);
+    CHECK(world.take<stop_run>().empty());
+    CHECK(world.take<start_run>().empty());
+}
+
+// Guards against records that stay for the rest of the term.
+TEST_CASE("an executor that is gone is forgotten when no late start can come any more")
+{
+    scheduler_fixture first;
+    first.addExecutor("e1");
+    first.placeTask("j1");
+
+    scheduler_fixture second;
+    second.takeOver(first, "j1");
+    second.addExecutor("e1");
+    second.takeStart();
+    second.brain.handle(batch_committed{0}, second.now);
+    second.brain.handle(job_cancelled{"j1"}, second.now);
+    second.step_();
+    second.answerHold("e1", {}, {}, order_status::Unknown);
+    second.brain.handle(executor_gone{"e1"}, second.now);
+    second.advance(3'000);
+    CHECK(second.brain.executors().contains("e1"));
+    for (int i = 0; i < 10; ++i) {
+        second.advance(2'000);
+    }
+    CHECK_FALSE(second.brain.executors().contains("e1"));
+}
