Settle upkeep without an answer only by an answer for the same wave

What callers would see: runs are ended by upkeep that was ordered before, long-running tasks beyond their step's budget. Cause: an order that followed one without an answer was taken as its repetition. Upkeep for another wave of the VM may follow, too; its refusal (not of that wave) released the executor while the first wave's order could still be carried out. Class: an answer to one order was taken for another. Change: the ledger keeps the orders without an answer; a final answer settles those that ask for the same, and the others go on. Measured: the test failed before and passes, with all others of the ledger, of orders to the fleet and of stale evidence.

--- a/src/sched/order_ledger.cpp
+++ b/src/sched/order_ledger.cpp
@@ -45,41 +45,50 @@
 void order_ledger::add(const fleet_order &order, time_ms now)
 {
     record &one = m_records[keyOf(order)];
-    const bool repeats = one.repeats || one.state == phase::Unanswered;
+    std::vector<fleet_order> unanswered = std::move(one.unanswered);
     one = {};
-    one.repeats = repeats;
+    one.unanswered = std::move(unanswered);
     one.order = order;
     one.state = phase::Open;
     one.sentAt = now;
 }
 
-// Refusals for now say nothing of an order before this one, which had no answer.
+// Refusals for now say nothing of an order before this one, which had no answer; what is final holds for both if they are the same.
 void order_ledger::answered(const fleet_order &order, fleet_status status, time_ms now)
 {
     const auto one = m_records.find(keyOf(order));
     if (one == m_records.end() || one->second.state != phase::Open || !isSame(order, *one->second.order)) {
         return;
     }
-    switch (status) {
-    case fleet_status::Ok:
-        putInDoubt(one, now);
-        return;
-    case fleet_status::Unknown:
-        one->second.state = phase::Unanswered;
-        return;
-    case fleet_status::Busy:
-    case fleet_status::Refused:
-        if (one->second.repeats) {
-            one->second.state = phase::Unanswered;
-            return;
-        }
-        m_records.erase(one);
+    std::vector<fleet_order> &unanswered = one->second.unanswered;
+    const bool final = status != fleet_status::Unknown && status != fleet_status::Busy && status != fleet_status::Refused;
+    if (final) {
+        std::erase_if(unanswered, [&order](const fleet_order &earlier) {
+            return isSame(order, earlier);
+        });
+    } else if (status == fleet_status::Unknown) {
+        unanswered.push_back(order);
+    }
+    if (awaitUnanswered(one->second)) {
         return;
-    default:
+    }
+    if (status == fleet_status::Ok) {
+        putInDoubt(one, now);
+    } else {
         m_records.erase(one);
     }
 }
 
+bool order_ledger::awaitUnanswered(record &one)
+{
+    if (one.unanswered.empty()) {
+        return false;
+    }
+    one.order = one.unanswered.back();
+    one.state = phase::Unanswered;
+    return true;
+}
+
 void order_ledger::settle(const move_vm &order, time_ms now)
 {
     const auto one = m_records.find(keyOf(order));
@@ -94,6 +103,7 @@
         m_records.erase(one);
         return;
     }
+    one->second.unanswered.clear();
     one->second.state = phase::InDoubt;
     one->second.inDoubtSince = now;
 }
--- a/src/sched/order_ledger.h
+++ b/src/sched/order_ledger.h
@@ -87,8 +87,8 @@
         phase state = phase::Planned;
         time_ms sentAt = 0;
         time_ms inDoubtSince = 0;
-        /** An order before this one had no answer. */
-        bool repeats = false;
+        /** Orders, this one or earlier ones, that had no answer and none that holds for them too. */
+        std::vector<fleet_order> unanswered{};
 
         bool isUnansweredMove() const
         {
@@ -103,6 +103,8 @@
     template<typename Predicate>
     void eraseOf(const std::string &executor, Predicate ended);
     void putInDoubt(record_map::iterator one, time_ms now);
+    /** The latest of the orders without an answer stands for the record again; false if there is none. */
+    static bool awaitUnanswered(record &one);
 
     record_map m_records;
 };
--- a/tests/sched/open_orders_test.cpp
+++ b/tests/sched/open_orders_test.cpp
@@ -178,3 +178,25 @@
     world.advance(200);
     CHECK(world.take<move_vm>().size() == 1);
 }
+
+// Guards against a refusal of one wave's order that is taken for the end of another wave's, which may yet end the executor's runs.
+TEST_CASE("an executor stays reserved for upkeep without an answer when another wave's order for its VM is refused")
+{
+    scheduler_fixture world;
+    world.addExecutor("e1");
+    vms_listed list;
+    list.vms.push_back({"vm-e1", "booking", vm_state::Up, "zone", {"a"}, "e1"});
+    world.brain.handle(list, world.now);
+    world.brain.handle(wave_requested{waveOf(1, "vm-e1"), 0}, world.now);
+    world.advance(200);
+    const std::vector<upkeep_vm> first = world.take<upkeep_vm>();
+    REQUIRE(first.size() == 1);
+    world.brain.handle(upkeep_answered{"vm-e1", 1, fleet_status::Unknown, first[0].occupant}, world.now);
+    world.brain.handle(wave_requested{waveOf(2, "vm-e1"), 0}, world.now);
+    world.advance(200);
+    for (const upkeep_vm &second : world.take<upkeep_vm>()) {
+        world.brain.handle(upkeep_answered{"vm-e1", 2, fleet_status::NotInWave, second.occupant}, world.now);
+    }
+    world.answerHold("e1");
+    CHECK(world.brain.executors().at("e1").reserved);
+}
