Move no VM that is off while its upkeep had no answer

What callers would see: runs of an executor that has just joined a pool are ended by its VM's upkeep. Cause: what keeps a VM from being moved after upkeep without an answer is the reservation of its executor, and a VM that is off has none. The upkeep may be carried out late, after the move. Class: an incomplete answer is taken as a refusal. Change: such a VM counts as reserved while the ledger holds something for it; its wave orders it again as before.

--- a/src/sched/scheduler_fleet.cpp
+++ b/src/sched/scheduler_fleet.cpp
@@ -114,6 +114,8 @@
         vm.state = entry.state;
         vm.kind = kindOf(entry);
         vm.mayBeOrdered = m_fleetOrders.isEarlier(entry.vm, now) || m_ledger.isOpen(entry.vm, entry.executor);
+        // A VM that is off has no executor that could be reserved.
+        vm.reserved = entry.executor.empty() && m_ledger.holds(entry.vm, entry.executor);
         const auto found = m_executors.find(entry.executor);
         if (found != m_executors.end() && !found->second.dead) {
             const executor_record &executor = found->second;
--- a/tests/sched/open_orders_test.cpp
+++ b/tests/sched/open_orders_test.cpp
@@ -200,3 +200,31 @@
     world.answerHold("e1");
     CHECK(world.brain.executors().at("e1").reserved);
 }
+
+// Guards against a move to a VM that a late upkeep then takes down with the runs of its new executor.
+TEST_CASE("a VM that is off isn't moved after its upkeep had no answer")
+{
+    scheduler_fixture world;
+    vms_listed list;
+    list.vms.push_back({"vm-a", "spare", vm_state::Up, "zone", {"a"}, ""});
+    world.brain.handle(list, world.now);
+    world.brain.handle(wave_requested{waveOf(1, "vm-a"), 0}, world.now);
+    world.advance(200);
+    const std::vector<upkeep_vm> upkeep = world.take<upkeep_vm>();
+    REQUIRE(upkeep.size() == 1);
+    world.brain.handle(upkeep_answered{"vm-a", 1, fleet_status::Unknown, upkeep[0].occupant}, world.now);
+    world.brain.handle(job_submitted{world.job("j1", {world.step(1)})}, world.now);
+    world.advance(200);
+    CHECK(world.take<move_vm>().empty());
+
+    SUBCASE("until its wave's next order for it is answered")
+    {
+        world.advance(4'700);
+        const std::vector<upkeep_vm> again = world.take<upkeep_vm>();
+        REQUIRE(again.size() == 1);
+        CHECK(world.take<move_vm>().empty());
+        world.brain.handle(upkeep_answered{"vm-a", 1, fleet_status::NotInWave, again[0].occupant}, world.now);
+        world.advance(200);
+        CHECK(world.take<move_vm>().size() == 1);
+    }
+}
