--- a/tests/sched/open_orders_test.cpp
+++ b/tests/sched/open_orders_test.cpp
@@ -228,3 +228,14 @@
         CHECK(world.take<move_vm>().size() == 1);
     }
 }
+
+// Guards against a second move of a VM that is on its way, which would end the executor that comes with the first.
+TEST_CASE("a move without an answer isn't ordered again while its VM is listed as moving")
+{
+    idle_fixture world;
+    const move_vm move = world.takeMove();
+    world.answer(move, fleet_status::Unknown);
+    world.list(move.vm, vm_state::Moving, move.occupant.executor);
+    world.advance(1'500);
+    CHECK(world.movesOf(move.vm) == 0);
+}
--- a/tests/sched/stale_evidence_test.cpp
+++ b/tests/sched/stale_evidence_test.cpp
@@ -268,3 +268,41 @@
         CHECK(world.take<start_run>().size() == 1);
     }
 }
+
+// Guards against orders to an executor that is being taken down, and against runs that it gets for an answer from before the verdict.
+TEST_CASE("an executor that was given up isn't used for what is known of its former days")
+{
+    scheduler_fixture world;
+    world.addExecutor("e1");
+    world.take<hold_executor>();
+    world.advance(3'000);
+    const time_ms heldAt = world.now;
+    REQUIRE(world.take<hold_executor>().size() == 1);
+    world.brain.handle(stop_answered{{"j0", 0, 0, 0}, 1, "e1", order_status::WrongExecutor, {"10.0.0.1:80", firstBorn}}, world.now);
+    REQUIRE(world.brain.executors().at("e1").dead);
+    world.advance(100);
+
+    SUBCASE("a later list shows its VM as taken down: it stays given up")
+    {
+        vms_listed list = listOf("vm-e1", "e1", vm_state::Upkeep);
+        list.askedAt = world.now;
+        world.brain.handle(list, world.now);
+        world.advance(100);
+        CHECK(world.brain.executors().at("e1").dead);
+        CHECK(world.take<hold_executor>().empty());
+    }
+    SUBCASE("a hold that was sent before is answered: nothing is started before it answers one that was sent later")
+    {
+        world.brain.handle(hold_answered{"e1", order_status::Ok, heldAt, world.now, firstBorn, {}, {}}, world.now);
+        vms_listed list = listOf("vm-e1", "e1");
+        list.askedAt = world.now;
+        world.brain.handle(list, world.now);
+        world.brain.handle(job_submitted{world.job("j1", {world.step(1)})}, world.now);
+        world.advance(100);
+        CHECK(world.take<start_run>().empty());
+        REQUIRE(world.take<hold_executor>().size() == 1);
+        world.answerHold("e1");
+        world.advance(100);
+        CHECK(world.take<start_run>().size() == 1);
+    }
+}
