Count the time of an order to the fleet across takeovers

What callers would see: VMs that are out of use for the whole of a rolling restart of the nodes, and tasks that wait for room. Cause: each new holder counted the orders of the earlier ones from its own begin, so with takeovers less than 3.2 s apart an order kept its VM back for ever. Since orders of holders that stopped in order count too, each rolling restart did that. Class: unknown taken as now. Change: the row says how long each order still matters. Upkeep counts from when its row is stored, since it is sent only then. Measured: the review's test failed before (10 s after the order the VM was still kept back) and passes.

--- a/src/sched/fleet_orders.cpp
+++ b/src/sched/fleet_orders.cpp
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <iterator>
 #include <optional>
 
@@ -24,6 +25,12 @@
     }
 };
 
+struct stored_order
+{
+    fleet_order order;
+    time_ms leftMs = 0;
+};
+
 std::optional<fleet_order> readOrder(const std::string &vm, const json &value)
 {
     if (value.is_string()) {
@@ -35,6 +42,17 @@
     return std::nullopt;
 }
 
+// A row without the time that is left is of a holder that didn't write it.
+std::optional<stored_order> readStored(const std::string &vm, const json &value, time_ms keepMs)
+{
+    const bool timed = value.is_array() && value.size() == 2 && value[1].is_number_integer();
+    const std::optional<fleet_order> order = readOrder(vm, timed ? value[0] : value);
+    if (!order) {
+        return std::nullopt;
+    }
+    return stored_order{*order, timed ? std::min(keepMs, value[1].get<time_ms>()) : keepMs};
+}
+
 } // namespace
 
 const std::string &vmOf(const fleet_order &order)
@@ -60,8 +78,14 @@
 {
 }
 
+time_ms fleet_orders::leftMs(const recent_order &order) const
+{
+    return std::max<time_ms>(0, order.at + m_keepMs - m_now);
+}
+
 void fleet_orders::add(fleet_order order, time_ms now)
 {
+    m_now = now;
     m_recent[vmOf(order)] = {order, now};
     const bool waitsForRow = std::holds_alternative<upkeep_vm>(order);
     (waitsForRow ? m_unstored : m_due).push_back(std::move(order));
@@ -70,6 +94,7 @@
 
 void fleet_orders::expire(time_ms now)
 {
+    m_now = now;
     const std::size_t expired = std::erase_if(m_recent, [&](const std::pair<const std::string, recent_order> &order) {
         return order.second.at + m_keepMs < now;
     });
@@ -83,13 +108,17 @@
     m_unstored.clear();
     json row = json::object();
     for (const std::pair<const std::string, recent_order> &order : m_recent) {
-        row[order.first] = std::visit(order_writer{}, order.second.order);
+        row[order.first] = {std::visit(order_writer{}, order.second.order), leftMs(order.second)};
     }
     return row.dump();
 }
 
 void fleet_orders::rowStored()
 {
+    for (const fleet_order &order : m_inRow) {
+        // It is sent only now.
+        m_recent[vmOf(order)] = {order, m_now};
+    }
     std::move(m_inRow.begin(), m_inRow.end(), std::back_inserter(m_due));
     m_inRow.clear();
 }
@@ -101,19 +130,20 @@
     return due;
 }
 
-// The time since the earlier order isn't known: clocks of two machines may differ by anything.
+// The time since the row was written isn't known: clocks of two machines may differ by anything.
 bool fleet_orders::readEarlier(std::string_view row, time_ms now)
 {
     const json value = json::parse(row, nullptr, false);
     if (!value.is_object()) {
         return false;
     }
+    m_now = now;
     for (auto item = value.begin(); item != value.end(); ++item) {
-        const std::optional<fleet_order> order = readOrder(item.key(), item.value());
-        if (!order) {
+        const std::optional<stored_order> stored = readStored(item.key(), item.value(), m_keepMs);
+        if (!stored) {
             return false;
         }
-        m_earlier[item.key()] = {*order, now};
+        m_earlier[item.key()] = {stored->order, now - (m_keepMs - stored->leftMs)};
     }
     // They matter to the next holder too.
     m_recent.insert(m_earlier.begin(), m_earlier.end());
--- a/src/sched/fleet_orders.h
+++ b/src/sched/fleet_orders.h
@@ -46,7 +46,7 @@
     }
     /** Forgets what no longer matters; the row becomes dirty by that. */
     void expire(time_ms now);
-    /** The orders that matter. Only one row may be on its way to the store. */
+    /** The orders that matter, each with the time that is left of it. Only one row may be on its way to the store. */
     std::string writeRow();
     void rowStored();
     /** Orders to send now. */
@@ -68,7 +68,12 @@
         time_ms at = 0;
     };
 
+    /** How long the order still matters. */
+    time_ms leftMs(const recent_order &order) const;
+
     time_ms m_keepMs;
+    /** The latest time that was told. */
+    time_ms m_now = 0;
     bool m_dirty = false;
     std::vector<fleet_order> m_due;
     /** Upkeep that waits for the next row, and for the one on its way. */
--- a/tests/sched/fleet_orders_test.cpp
+++ b/tests/sched/fleet_orders_test.cpp
@@ -143,3 +143,22 @@
     CHECK(upkeepIn(planner.plan(view, 1'100)) == 0);
     CHECK(upkeepIn(planner.plan(view, 6'000)) == 1);
 }
+
+// Guards against VMs that stay out of use throughout a rolling restart of the nodes, long after their order could come.
+TEST_CASE("an order doesn't keep its VM back longer with each takeover")
+{
+    constexpr time_ms keepMs = 3'000;
+    constexpr time_ms betweenTakeovers = 2'000;
+    fleet_orders first(keepMs);
+    first.add(move_vm{"vm-1", "booking"}, 100);
+    std::string row = first.writeRow();
+    for (time_ms now = 100; now < 10'000; now += betweenTakeovers) {
+        fleet_orders next(keepMs);
+        REQUIRE(next.readEarlier(row, now));
+        next.expire(now + betweenTakeovers);
+        row = next.writeRow();
+    }
+    fleet_orders last(keepMs);
+    REQUIRE(last.readEarlier(row, 10'100));
+    CHECK_FALSE(last.isEarlier("vm-1", 10'200));
+}
