Keep the place under a wave's cap while an upkeep may come yet

What callers would see: more VMs of a wave down than its cap (LIMIT). Cause: upkeep without an answer was ordered again; when that was refused for now, its place under the cap was given to another VM, though the first order may still be carried out. Class: an answer to one order was taken for another. Change: the place stays taken while the ledger holds an order without an answer for the VM.

--- a/src/sched/scheduler_fleet.cpp
+++ b/src/sched/scheduler_fleet.cpp
@@ -313,7 +313,8 @@
     }
     note("upkeep_refused", {{"vm", what.vm}, {"wave", std::to_string(what.wave)}, {"reason", std::string(nameOf(what.status))}});
     const bool forGood = what.status == fleet_status::NotInWave || what.status == fleet_status::Rejected;
-    if (what.status == fleet_status::Unknown) {
+    const bool mayComeYet = !forGood && m_ledger.holds(what.vm, what.occupant.executor);
+    if (what.status == fleet_status::Unknown || mayComeYet) {
         // Its place under the cap stays taken until the list shows the VM, and then it is asked for again.
         return;
     }
--- a/tests/sched/open_orders_test.cpp
+++ b/tests/sched/open_orders_test.cpp
@@ -239,3 +239,33 @@
     world.advance(1'500);
     CHECK(world.movesOf(move.vm) == 0);
 }
+
+// Guards against a wave that takes down more VMs than it may: a VM's order without an answer can still be carried out.
+TEST_CASE("upkeep without an answer keeps its place under the cap when its repetition is refused")
+{
+    scheduler_fixture world;
+    world.addExecutor("e1");
+    vms_listed list;
+    list.vms.push_back({"vm-e1", "booking", vm_state::Up, "zone", {"a"}, "e1"});
+    world.brain.handle(list, world.now);
+    wave_request wave = waveOf(1, "vm-e1");
+    wave.vms.push_back("vm-off");
+    wave.durationMs = 60'000;
+    world.brain.handle(wave_requested{wave, 0}, world.now);
+    world.advance(200);
+    const std::vector<upkeep_vm> first = world.take<upkeep_vm>();
+    REQUIRE(first.size() == 1);
+    world.brain.handle(upkeep_answered{"vm-e1", 1, fleet_status::Unknown, first[0].occupant}, world.now);
+    world.advance(4'700);
+    const std::vector<upkeep_vm> repeated = world.take<upkeep_vm>();
+    REQUIRE(repeated.size() == 1);
+    REQUIRE(repeated[0].vm == "vm-e1");
+    list.vms.push_back({"vm-off", "spare", vm_state::Up, "zone", {"a"}, ""});
+    world.brain.handle(list, world.now);
+    world.brain.handle(upkeep_answered{"vm-e1", 1, fleet_status::Refused, repeated[0].occupant}, world.now);
+    world.advance(200);
+    const std::vector<upkeep_vm> next = world.take<upkeep_vm>();
+    CHECK(std::none_of(next.begin(), next.end(), [](const upkeep_vm &upkeep) {
+        return upkeep.vm == "vm-off";
+    }));
+}
