Count upkeep that waits for its row in full

What callers would see: a task placed by a new holder is ended by an upkeep that the former one sent just before. Upkeep is sent when its row is stored, with a slow store seconds later. Change: it counts from when its row is written, and again from when that is stored.

--- a/src/sched/fleet_orders.cpp
+++ b/src/sched/fleet_orders.cpp
@@ -104,6 +104,7 @@
 std::string fleet_orders::writeRow()
 {
     m_dirty = false;
+    countFromNow(m_unstored);
     std::move(m_unstored.begin(), m_unstored.end(), std::back_inserter(m_inRow));
     m_unstored.clear();
     json row = json::object();
@@ -113,12 +114,17 @@
     return row.dump();
 }
 
-void fleet_orders::rowStored()
+// Upkeep is sent when its row is stored, however long ago it was decided.
+void fleet_orders::countFromNow(std::span<const fleet_order> orders)
 {
-    for (const fleet_order &order : m_inRow) {
-        // It is sent only now.
+    for (const fleet_order &order : orders) {
         m_recent[vmOf(order)] = {order, m_now};
     }
+}
+
+void fleet_orders::rowStored()
+{
+    countFromNow(m_inRow);
     std::move(m_inRow.begin(), m_inRow.end(), std::back_inserter(m_due));
     m_inRow.clear();
 }
--- a/src/sched/fleet_orders.h
+++ b/src/sched/fleet_orders.h
@@ -20,6 +20,7 @@
 #include "sched/model.h"
 
 #include <map>
+#include <span>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -70,6 +71,8 @@
 
     /** How long the order still matters. */
     time_ms leftMs(const recent_order &order) const;
+    /** The orders matter for the whole time from now on. */
+    void countFromNow(std::span<const fleet_order> orders);
 
     time_ms m_keepMs;
     /** The latest time that was told. */
--- a/tests/sched/fleet_orders_test.cpp
+++ b/tests/sched/fleet_orders_test.cpp
@@ -144,6 +144,33 @@
     CHECK(upkeepIn(planner.plan(view, 6'000)) == 1);
 }
 
+// Guards against a successor that uses a VM while an upkeep that was stored late may come.
+TEST_CASE("upkeep that has waited for its row counts in full")
+{
+    constexpr time_ms keepMs = 3'000;
+    fleet_orders first(keepMs);
+    first.add(upkeep_vm{"vm-1", 7}, 100);
+    first.expire(1'600);
+    const std::string row = first.writeRow();
+
+    SUBCASE("for the next holder")
+    {
+        fleet_orders next(keepMs);
+        REQUIRE(next.readEarlier(row, 50'000));
+        CHECK(next.isEarlier("vm-1", 52'900));
+    }
+    SUBCASE("also when the row is written again after the order was sent")
+    {
+        first.expire(3'000);
+        first.rowStored();
+        REQUIRE(first.takeDue().size() == 1);
+        first.expire(3'100);
+        fleet_orders next(keepMs);
+        REQUIRE(next.readEarlier(first.writeRow(), 50'000));
+        CHECK(next.isEarlier("vm-1", 52'800));
+    }
+}
+
 // Guards against VMs that stay out of use throughout a rolling restart of the nodes, long after their order could come.
 TEST_CASE("an order doesn't keep its VM back longer with each takeover")
 {
