Look up a wave's VMs in a set

Cause: since tasks that outlast a wave are placed on its VMs last, the placement asks for each task and each executor whether the VM has its upkeep before it. Each question went through the list of the wave's VMs, up to 140 on the grown sites. Change: a wave keeps its VMs in a set for that. Behaviour is the same.

--- a/src/sched/fleet_planner.cpp
+++ b/src/sched/fleet_planner.cpp
@@ -68,6 +68,7 @@
     }
     const auto found = m_waves.try_emplace(wave.wave).first;
     found->second.request = wave;
+    found->second.vms.insert(wave.vms.begin(), wave.vms.end());
     found->second.dueUnixMs = unixMs + wave.durationMs;
     const auto stored = m_stored.find(wave.wave);
     if (stored != m_stored.end()) {
@@ -122,7 +123,7 @@
 
 bool fleet_planner::wave_state::awaits(const std::string &vm) const
 {
-    return !completed && !done.contains(vm) && std::find(request.vms.begin(), request.vms.end(), vm) != request.vms.end();
+    return !completed && vms.contains(vm) && !done.contains(vm);
 }
 
 bool fleet_planner::awaitsUpkeep(const std::string &vm) const
--- a/src/sched/fleet_planner.h
+++ b/src/sched/fleet_planner.h
@@ -128,6 +128,8 @@
     struct wave_state
     {
         wave_request request;
+        /** The request's VMs, for look-ups. */
+        std::set<std::string> vms;
         std::int64_t dueUnixMs = 0;
         time_ms dueAt = 0;
         std::set<std::string> done;
