--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -151,6 +151,8 @@
     void markAnswering(executor_record &executor, time_ms now);
     /** `evidence` is added to the log line. */
     void markDead(executor_record &executor, time_ms now, std::string_view cause, const note_fields &evidence = {});
+    /** The executor's next hold is sent at once and doesn't wait for an end. */
+    void askSoon(executor_record &executor);
     /** The executor, which was given up, is alive after all. */
     void revive(executor_record &executor, time_ms now);
     /** The executor has started again under its id. */
--- a/src/sched/scheduler_executors.cpp
+++ b/src/sched/scheduler_executors.cpp
@@ -229,8 +229,7 @@
           {"list_age_ms", ageText(executor.listedAt, now)}});
     const std::int64_t formerBorn = executor.entry.bornUnixMs;
     executor.dead = false;
-    executor.lookSoon = true;
-    m_holdDue.insert(executor.entry.id);
+    askSoon(executor);
     forgetLists(executor);
     const std::set<task_id> runs = executor.runs;
     for (const task_id &id : runs) {
@@ -305,6 +304,12 @@
     }
 }
 
+void scheduler::askSoon(executor_record &executor)
+{
+    executor.lookSoon = true;
+    m_holdDue.insert(executor.entry.id);
+}
+
 // It is asked for its runs, and gets none before it has answered.
 void scheduler::revive(executor_record &executor, time_ms now)
 {
@@ -312,8 +317,7 @@
     executor.dead = false;
     executor.silentSince = now;
     executor.holdRetryAt = now;
-    executor.lookSoon = true;
-    m_holdDue.insert(executor.entry.id);
+    askSoon(executor);
 }
 
 // Says that the life to which the order was sent is over, and nothing of a later one or of another address.
@@ -321,8 +325,7 @@
 {
     const bool laterLife = sentTo.bornUnixMs != 0 && executor.entry.bornUnixMs > sentTo.bornUnixMs;
     if (laterLife || sentTo.address != executor.entry.address) {
-        executor.lookSoon = true;
-        m_holdDue.insert(executor.entry.id);
+        askSoon(executor);
         return;
     }
     markDead(executor, now, "another_executor_at_address", {{"address", sentTo.address}});
--- a/src/sched/scheduler_fleet.cpp
+++ b/src/sched/scheduler_fleet.cpp
@@ -269,8 +269,7 @@
         m_ledger.forget(executor);
         return;
     }
-    found->second.lookSoon = true;
-    m_holdDue.insert(executor);
+    askSoon(found->second);
 }
 
 // An executor belongs to one pool, so the life that was on the VM before the move is over when the VM is in the other pool. Of a life
--- a/src/sched/scheduler_orders.cpp
+++ b/src/sched/scheduler_orders.cpp
@@ -65,8 +65,7 @@
         }
         task->confirmedAt = now;
         executor.unansweredStarts.push_back({what.task, what.run, now});
-        executor.lookSoon = true;
-        m_holdDue.insert(what.executor);
+        askSoon(executor);
         executor.avoidUntil = std::max(executor.avoidUntil, now + rejectedPauseMs);
         return;
     }
@@ -123,8 +122,7 @@
     if (!formerLife && (what.status == order_status::Ok || what.status == order_status::StaleRun)) {
         task->stopAckedAt = now;
         if (place != m_executors.end()) {
-            place->second.lookSoon = true;
-            m_holdDue.insert(what.executor);
+            askSoon(place->second);
         }
     }
 }
--- a/src/sched/scheduler_runs.cpp
+++ b/src/sched/scheduler_runs.cpp
@@ -92,8 +92,7 @@
             m_actions.push_back(stop_run{end.task, task->run, task->executor, place.entry.address, place.entry.bornUnixMs});
             // The later run takes its room until a list no longer shows it.
             place.foreign += job.spec.steps[static_cast<std::size_t>(end.task.step)].countedDemand();
-            place.lookSoon = true;
-            m_holdDue.insert(task->executor);
+            askSoon(place);
         }
         ++m_counts.doneRuns;
         if (current) {
