Give tests of fleet orders one copy of their set-ups

The set-up "idle VMs, of which one is ordered to move" stood four times and "one VM whose upkeep is ordered" five times in open_orders_test, fleet_answers_test and stale_evidence_test, and waveOf twice. They are two fixtures and a function in fleet_order_fixtures.h now.

--- a/tests/sched/fleet_answers_test.cpp
+++ b/tests/sched/fleet_answers_test.cpp
@@ -1,4 +1,4 @@
-#include "scheduler_fixture.h"
+#include "fleet_order_fixtures.h"
 
 #include <doctest/doctest.h>
 
@@ -75,58 +75,39 @@
 // A repeated order would end the runs of an executor that isn't reserved.
 TEST_CASE("a move without an answer isn't ordered again for another executor")
 {
-    scheduler_fixture world;
-    vms_listed list;
-    for (const char *name : {"e1", "e2", "e3", "e4", "e5", "e6"}) {
-        world.addExecutor(name);
-        list.vms.push_back({std::string("vm-") + name, "booking", vm_state::Up, "zone", {"a"}, name});
-    }
-    world.brain.handle(list, world.now);
-    world.advance(2'000);
-    const std::vector<move_vm> moves = world.take<move_vm>();
-    REQUIRE_FALSE(moves.empty());
-    CHECK(moves[0].occupant.bornUnixMs == 1'000);
-    world.brain.handle(move_answered{moves[0].vm, moves[0].pool, fleet_status::Unknown, moves[0].occupant}, world.now);
-    for (vm_entry &vm : list.vms) {
-        vm.executor = vm.vm == moves[0].vm ? "new" : vm.executor;
-    }
-    world.brain.handle(list, world.now);
+    idle_fixture world;
+    const move_vm move = world.takeMove();
+    CHECK(move.occupant.bornUnixMs == 1'000);
+    world.answer(move, fleet_status::Unknown);
+    world.list(move.vm, vm_state::Up, "new");
     world.advance(1'200);
-    for (const move_vm &move : world.take<move_vm>()) {
-        CHECK(move.vm != moves[0].vm);
+    for (const move_vm &later : world.take<move_vm>()) {
+        CHECK(later.vm != move.vm);
     }
 }
 
 TEST_CASE("the answer to a move speaks of the life that the order was for")
 {
-    scheduler_fixture world;
-    vms_listed list;
-    for (const char *name : {"e1", "e2", "e3", "e4", "e5", "e6"}) {
-        world.addExecutor(name);
-        list.vms.push_back({std::string("vm-") + name, "booking", vm_state::Up, "zone", {"a"}, name});
-    }
-    world.brain.handle(list, world.now);
-    world.advance(2'000);
-    const std::vector<move_vm> moves = world.take<move_vm>();
-    REQUIRE_FALSE(moves.empty());
-    const std::string id = moves[0].occupant.executor;
+    idle_fixture world;
+    const move_vm move = world.takeMove();
+    const std::string id = move.occupant.executor;
 
     SUBCASE("the same life is over")
     {
-        world.brain.handle(move_answered{moves[0].vm, moves[0].pool, fleet_status::Ok, moves[0].occupant}, world.now);
+        world.answer(move, fleet_status::Ok);
         CHECK(world.brain.executors().at(id).dead);
         SUBCASE("and a later one under the same id isn't reserved any more")
         {
             world.advance(100);
             world.answerHold(id, {}, {}, order_status::Ok, 2'000);
-            world.brain.handle(executor_seen{entryOnVm(id, moves[0].vm, 2'000)}, world.now);
+            world.brain.handle(executor_seen{entryOnVm(id, move.vm, 2'000)}, world.now);
             CHECK(world.brain.executors().at(id).takesNewRuns(world.now));
         }
     }
     SUBCASE("a later life that answers after it lives, and is free again")
     {
-        world.brain.handle(executor_seen{entryOnVm(id, moves[0].vm, 2'000)}, world.now);
-        world.brain.handle(move_answered{moves[0].vm, moves[0].pool, fleet_status::Ok, moves[0].occupant}, world.now);
+        world.brain.handle(executor_seen{entryOnVm(id, move.vm, 2'000)}, world.now);
+        world.answer(move, fleet_status::Ok);
         CHECK_FALSE(world.brain.executors().at(id).dead);
         CHECK(world.brain.executors().at(id).reserved);
         world.advance(100);
--- /dev/null
+++ b/tests/sched/fleet_order_fixtures.h
@@ -0,0 +1,118 @@
+#pragma once
+
+// Schedulers under test that have ordered a move or an upkeep, for tests of what the answers mean.
+
+#include "scheduler_fixture.h"
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+namespace daisypass::sched {
+
+inline wave_request waveOf(std::int64_t number, const std::string &vm)
+{
+    wave_request wave;
+    wave.wave = number;
+    wave.vms = {vm};
+    wave.durationMs = 20'000;
+    wave.cap = 1;
+    return wave;
+}
+
+/** More empty VMs than the pool keeps, so that some are moved to the spare pool. */
+class idle_fixture : public scheduler_fixture
+{
+public:
+    idle_fixture()
+    {
+        for (const char *name : {"e1", "e2", "e3", "e4", "e5", "e6"}) {
+            addExecutor(name);
+            m_list.vms.push_back({std::string("vm-") + name, "booking", vm_state::Up, "zone", {"a"}, name});
+        }
+        brain.handle(m_list, now);
+    }
+
+    move_vm takeMove()
+    {
+        advance(2'000);
+        const std::vector<move_vm> moves = take<move_vm>();
+        REQUIRE_FALSE(moves.empty());
+        return moves[0];
+    }
+
+    std::size_t movesOf(const std::string &vm)
+    {
+        const std::vector<move_vm> moves = take<move_vm>();
+        return static_cast<std::size_t>(std::count_if(moves.begin(), moves.end(), [&vm](const move_vm &move) {
+            return move.vm == vm;
+        }));
+    }
+
+    void answer(const move_vm &move, fleet_status status)
+    {
+        brain.handle(move_answered{move.vm, move.pool, status, move.occupant}, now);
+    }
+
+    void list(const std::string &vm, vm_state state, const std::string &executor)
+    {
+        for (vm_entry &entry : m_list.vms) {
+            if (entry.vm == vm) {
+                entry.state = state;
+                entry.executor = executor;
+            }
+        }
+        brain.handle(m_list, now);
+    }
+
+private:
+    vms_listed m_list;
+};
+
+/** One VM, whose upkeep in wave 1 has been ordered. Without an executor it is off, in the spare pool. */
+class upkeep_fixture : public scheduler_fixture
+{
+public:
+    explicit upkeep_fixture(const std::string &executor)
+    {
+        if (!executor.empty()) {
+            addExecutor(executor);
+        }
+        m_list.vms.push_back({vm, executor.empty() ? "spare" : "booking", vm_state::Up, "zone", {"a"}, executor});
+        list();
+        requestWave(1);
+        first = takeUpkeep();
+    }
+
+    void list()
+    {
+        brain.handle(m_list, now);
+    }
+
+    void requestWave(std::int64_t number)
+    {
+        brain.handle(wave_requested{waveOf(number, vm), 0}, now);
+        advance(200);
+    }
+
+    /** The one upkeep that was ordered since the last take. */
+    upkeep_vm takeUpkeep()
+    {
+        const std::vector<upkeep_vm> orders = take<upkeep_vm>();
+        REQUIRE(orders.size() == 1);
+        return orders[0];
+    }
+
+    void answer(const upkeep_vm &order, fleet_status status)
+    {
+        brain.handle(upkeep_answered{order.vm, order.wave, status, order.occupant}, now);
+    }
+
+    const std::string vm = "vm-e1";
+    upkeep_vm first;
+
+private:
+    vms_listed m_list;
+};
+
+} // namespace daisypass::sched
--- a/tests/sched/open_orders_test.cpp
+++ b/tests/sched/open_orders_test.cpp
@@ -1,4 +1,4 @@
-#include "scheduler_fixture.h"
+#include "fleet_order_fixtures.h"
 
 #include <doctest/doctest.h>
 
@@ -10,65 +10,6 @@
 
 constexpr std::int64_t secondBorn = 2'000;
 
-// More empty VMs than the pool keeps, so that some are moved to the spare pool.
-class idle_fixture : public scheduler_fixture
-{
-public:
-    idle_fixture()
-    {
-        for (const char *name : {"e1", "e2", "e3", "e4", "e5", "e6"}) {
-            addExecutor(name);
-            m_list.vms.push_back({std::string("vm-") + name, "booking", vm_state::Up, "zone", {"a"}, name});
-        }
-        brain.handle(m_list, now);
-    }
-
-    move_vm takeMove()
-    {
-        advance(2'000);
-        const std::vector<move_vm> moves = take<move_vm>();
-        REQUIRE_FALSE(moves.empty());
-        return moves[0];
-    }
-
-    std::size_t movesOf(const std::string &vm)
-    {
-        const std::vector<move_vm> moves = take<move_vm>();
-        return static_cast<std::size_t>(std::count_if(moves.begin(), moves.end(), [&vm](const move_vm &move) {
-            return move.vm == vm;
-        }));
-    }
-
-    void answer(const move_vm &move, fleet_status status)
-    {
-        brain.handle(move_answered{move.vm, move.pool, status, move.occupant}, now);
-    }
-
-    void list(const std::string &vm, vm_state state, const std::string &executor)
-    {
-        for (vm_entry &entry : m_list.vms) {
-            if (entry.vm == vm) {
-                entry.state = state;
-                entry.executor = executor;
-            }
-        }
-        brain.handle(m_list, now);
-    }
-
-private:
-    vms_listed m_list;
-};
-
-wave_request waveOf(std::int64_t number, const std::string &vm)
-{
-    wave_request wave;
-    wave.wave = number;
-    wave.vms = {vm};
-    wave.durationMs = 20'000;
-    wave.cap = 1;
-    return wave;
-}
-
 } // namespace
 
 // The reservation went with the record of the life that was over, and the move that was ordered again ended the next one's runs.
@@ -128,53 +69,36 @@
 // With two orders on their way the refusal of one released the executor, and the other ended the runs that it got.
 TEST_CASE("one wave's upkeep isn't ordered while another wave's order for the VM has no answer")
 {
-    scheduler_fixture world;
-    world.addExecutor("e1");
-    vms_listed list;
-    list.vms.push_back({"vm-e1", "booking", vm_state::Up, "zone", {"a"}, "e1"});
-    world.brain.handle(list, world.now);
-    world.brain.handle(wave_requested{waveOf(1, "vm-e1"), 0}, world.now);
-    world.advance(200);
-    const std::vector<upkeep_vm> first = world.take<upkeep_vm>();
-    REQUIRE(first.size() == 1);
-    world.brain.handle(wave_requested{waveOf(2, "vm-e1"), 0}, world.now);
-    world.advance(200);
+    upkeep_fixture world("e1");
+    world.requestWave(2);
     CHECK(world.take<upkeep_vm>().empty());
 
     SUBCASE("it is refused")
     {
-        world.brain.handle(upkeep_answered{"vm-e1", 1, fleet_status::NotInWave, first[0].occupant}, world.now);
+        world.answer(world.first, fleet_status::NotInWave);
     }
     SUBCASE("it had been carried out before the executor came")
     {
-        world.brain.handle(upkeep_answered{"vm-e1", 1, fleet_status::Ok, first[0].occupant}, world.now);
-        world.brain.handle(list, world.now);
+        world.answer(world.first, fleet_status::Ok);
+        world.list();
     }
     world.advance(200);
-    const std::vector<upkeep_vm> second = world.take<upkeep_vm>();
-    REQUIRE(second.size() == 1);
-    CHECK(second[0].wave == 2);
+    const upkeep_vm second = world.takeUpkeep();
+    CHECK(second.wave == 2);
     world.answerHold("e1");
     CHECK(world.brain.executors().at("e1").reserved);
-    world.brain.handle(upkeep_answered{"vm-e1", 2, fleet_status::NotInWave, second[0].occupant}, world.now);
+    world.answer(second, fleet_status::NotInWave);
     CHECK_FALSE(world.brain.executors().at("e1").reserved);
 }
 
 // Nothing stands on such a VM, so no reservation kept it; the upkeep could end the runs of the executor that came with the move.
 TEST_CASE("a VM that is off isn't moved while its upkeep has no answer")
 {
-    scheduler_fixture world;
-    vms_listed list;
-    list.vms.push_back({"vm-a", "spare", vm_state::Up, "zone", {"a"}, ""});
-    world.brain.handle(list, world.now);
-    world.brain.handle(wave_requested{waveOf(1, "vm-a"), 0}, world.now);
-    world.advance(200);
-    const std::vector<upkeep_vm> upkeep = world.take<upkeep_vm>();
-    REQUIRE(upkeep.size() == 1);
+    upkeep_fixture world("");
     world.brain.handle(job_submitted{world.job("j1", {world.step(1)})}, world.now);
     world.advance(200);
     CHECK(world.take<move_vm>().empty());
-    world.brain.handle(upkeep_answered{"vm-a", 1, fleet_status::NotInWave, upkeep[0].occupant}, world.now);
+    world.answer(world.first, fleet_status::NotInWave);
     world.advance(200);
     CHECK(world.take<move_vm>().size() == 1);
 }
@@ -182,20 +106,11 @@
 // Guards against a refusal of one wave's order that is taken for the end of another wave's, which may yet end the executor's runs.
 TEST_CASE("an executor stays reserved for upkeep without an answer when another wave's order for its VM is refused")
 {
-    scheduler_fixture world;
-    world.addExecutor("e1");
-    vms_listed list;
-    list.vms.push_back({"vm-e1", "booking", vm_state::Up, "zone", {"a"}, "e1"});
-    world.brain.handle(list, world.now);
-    world.brain.handle(wave_requested{waveOf(1, "vm-e1"), 0}, world.now);
-    world.advance(200);
-    const std::vector<upkeep_vm> first = world.take<upkeep_vm>();
-    REQUIRE(first.size() == 1);
-    world.brain.handle(upkeep_answered{"vm-e1", 1, fleet_status::Unknown, first[0].occupant}, world.now);
-    world.brain.handle(wave_requested{waveOf(2, "vm-e1"), 0}, world.now);
-    world.advance(200);
+    upkeep_fixture world("e1");
+    world.answer(world.first, fleet_status::Unknown);
+    world.requestWave(2);
     for (const upkeep_vm &second : world.take<upkeep_vm>()) {
-        world.brain.handle(upkeep_answered{"vm-e1", 2, fleet_status::NotInWave, second.occupant}, world.now);
+        world.answer(second, fleet_status::NotInWave);
     }
     world.answerHold("e1");
     CHECK(world.brain.executors().at("e1").reserved);
@@ -204,15 +119,8 @@
 // Guards against a move to a VM that a late upkeep then takes down with the runs of its new executor.
 TEST_CASE("a VM that is off isn't moved after its upkeep had no answer")
 {
-    scheduler_fixture world;
-    vms_listed list;
-    list.vms.push_back({"vm-a", "spare", vm_state::Up, "zone", {"a"}, ""});
-    world.brain.handle(list, world.now);
-    world.brain.handle(wave_requested{waveOf(1, "vm-a"), 0}, world.now);
-    world.advance(200);
-    const std::vector<upkeep_vm> upkeep = world.take<upkeep_vm>();
-    REQUIRE(upkeep.size() == 1);
-    world.brain.handle(upkeep_answered{"vm-a", 1, fleet_status::Unknown, upkeep[0].occupant}, world.now);
+    upkeep_fixture world("");
+    world.answer(world.first, fleet_status::Unknown);
     world.brain.handle(job_submitted{world.job("j1", {world.step(1)})}, world.now);
     world.advance(200);
     CHECK(world.take<move_vm>().empty());
@@ -220,10 +128,9 @@
     SUBCASE("until its wave's next order for it is answered")
     {
         world.advance(4'700);
-        const std::vector<upkeep_vm> again = world.take<upkeep_vm>();
-        REQUIRE(again.size() == 1);
+        const upkeep_vm again = world.takeUpkeep();
         CHECK(world.take<move_vm>().empty());
-        world.brain.handle(upkeep_answered{"vm-a", 1, fleet_status::NotInWave, again[0].occupant}, world.now);
+        world.answer(again, fleet_status::NotInWave);
         world.advance(200);
         CHECK(world.take<move_vm>().size() == 1);
     }
--- a/tests/sched/stale_evidence_test.cpp
+++ b/tests/sched/stale_evidence_test.cpp
@@ -1,4 +1,4 @@
-#include "scheduler_fixture.h"
+#include "fleet_order_fixtures.h"
 
 #include <doctest/doctest.h>
 
@@ -16,16 +16,6 @@
     return list;
 }
 
-wave_request waveOf(std::int64_t number, const std::string &vm)
-{
-    wave_request wave;
-    wave.wave = number;
-    wave.vms = {vm};
-    wave.durationMs = 20'000;
-    wave.cap = 1;
-    return wave;
-}
-
 executor_entry lifeOf(const std::string &id, std::int64_t born)
 {
     executor_entry one = scheduler_fixture::entry(id);
@@ -142,18 +132,11 @@
 // The answer to one order released the reservation that a later order had made.
 TEST_CASE("an executor stays reserved for the upkeep that was ordered last")
 {
-    scheduler_fixture world;
-    world.addExecutor("e1");
-    world.brain.handle(listOf("vm-e1", "e1"), world.now);
-    world.brain.handle(wave_requested{waveOf(1, "vm-e1"), 0}, world.now);
-    world.advance(200);
-    const std::vector<upkeep_vm> first = world.take<upkeep_vm>();
-    REQUIRE(first.size() == 1);
-    world.brain.handle(upkeep_answered{"vm-e1", 1, fleet_status::Ok, first[0].occupant}, world.now);
-    world.brain.handle(listOf("vm-e1", "e1"), world.now);
-    world.brain.handle(wave_requested{waveOf(2, "vm-e1"), 0}, world.now);
-    world.advance(200);
-    REQUIRE(world.take<upkeep_vm>().size() == 1);
+    upkeep_fixture world("e1");
+    world.answer(world.first, fleet_status::Ok);
+    world.list();
+    world.requestWave(2);
+    world.takeUpkeep();
     world.answerHold("e1");
     CHECK(world.brain.executors().at("e1").reserved);
 }
@@ -161,43 +144,35 @@
 // The answer to a refused move released the executor, which got runs that the upkeep then ended.
 TEST_CASE("no upkeep is ordered while a move of the VM has no answer")
 {
-    scheduler_fixture world;
-    vms_listed list;
-    for (const char *name : {"e1", "e2", "e3", "e4", "e5", "e6"}) {
-        world.addExecutor(name);
-        list.vms.push_back({std::string("vm-") + name, "booking", vm_state::Up, "zone", {"a"}, name});
-    }
-    world.brain.handle(list, world.now);
-    world.advance(2'000);
-    const std::vector<move_vm> moves = world.take<move_vm>();
-    REQUIRE_FALSE(moves.empty());
-    world.brain.handle(wave_requested{waveOf(1, moves[0].vm), 0}, world.now);
+    idle_fixture world;
+    const move_vm move = world.takeMove();
+    world.brain.handle(wave_requested{waveOf(1, move.vm), 0}, world.now);
     world.advance(200);
     CHECK(world.take<upkeep_vm>().empty());
 
     SUBCASE("the move is refused: the upkeep follows")
     {
-        world.brain.handle(move_answered{moves[0].vm, moves[0].pool, fleet_status::Refused, moves[0].occupant}, world.now);
+        world.answer(move, fleet_status::Refused);
     }
     SUBCASE("the move gets no answer until it is ordered again")
     {
-        world.brain.handle(move_answered{moves[0].vm, moves[0].pool, fleet_status::Unknown, moves[0].occupant}, world.now);
+        world.answer(move, fleet_status::Unknown);
         world.advance(200);
         CHECK(world.take<upkeep_vm>().empty());
         world.advance(1'000);
         CHECK(world.take<move_vm>().size() == 1);
         CHECK(world.take<upkeep_vm>().empty());
         // The first order may still be carried out.
-        world.brain.handle(move_answered{moves[0].vm, moves[0].pool, fleet_status::Refused, moves[0].occupant}, world.now);
+        world.answer(move, fleet_status::Refused);
         world.advance(200);
         CHECK(world.take<upkeep_vm>().empty());
         world.advance(1'000);
         CHECK(world.take<move_vm>().size() == 1);
-        world.brain.handle(move_answered{moves[0].vm, moves[0].pool, fleet_status::Rejected, moves[0].occupant}, world.now);
+        world.answer(move, fleet_status::Rejected);
     }
     world.advance(200);
     CHECK(world.take<upkeep_vm>().size() == 1);
-    CHECK(world.brain.executors().at(moves[0].occupant.executor).reserved);
+    CHECK(world.brain.executors().at(move.occupant.executor).reserved);
 }
 
 // An order of the former holder that is on its way ended runs that its successor had placed.
