--- a/src/node/dispatcher.h
+++ b/src/node/dispatcher.h
@@ -21,6 +21,7 @@
 #include "sched/scheduler.h"
 
 #include <functional>
+#include <limits>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -62,6 +63,8 @@
         std::map<std::string, std::string> stateRows{};
         std::vector<std::string> cancelledJobs{};
         int pendingReads = 0;
+        /** Lowest version of the answers read so far. */
+        std::int64_t version = std::numeric_limits<std::int64_t>::max();
         sched::time_ms startedAt = 0;
     };
 
@@ -72,7 +75,7 @@
     void logReadFailure(std::string_view table, store_status status) const;
     void onReadDone(std::unique_lock<std::mutex> &guard);
     void finishRecovery();
-    void startFeeds();
+    void startFeeds(std::int64_t recoveredVersion);
     void onJobRow(const store_row &row);
     void onExecutorRow(const store_row &row);
     void onNodeRow(const store_row &row);
@@ -125,6 +128,7 @@
     std::vector<sched::event> m_eventsBeforeRecovery;
 
     std::shared_ptr<relay_pool> m_relays;
+    /** For the advice service. Orders to executors go through the relays. */
     executor_client m_executors;
     std::map<std::string, node_entry> m_nodes;
 
@@ -144,7 +148,8 @@
     bool m_transactionRenewsLease = false;
     /** A time no later than when the last renewal known to be stored was sent. */
     sched::time_ms m_renewedAt = 0;
-    std::map<sched::queue_key, std::int64_t> m_publishedWaiting;
+    /** On the store's clock: every job that was stored before this time has been passed to the scheduler; 0 before the first answer. */
+    std::int64_t m_jobsCompleteUntil = 0;
     sched::time_ms m_queuesPublishedAt = 0;
     std::vector<row_update> m_statusPuts;
 
--- a/src/node/dispatcher_recovery.cpp
+++ b/src/node/dispatcher_recovery.cpp
@@ -14,6 +14,8 @@
 namespace {
 
 constexpr std::chrono::milliseconds feedWait{1'500};
+// The counts of waiting jobs are as old as the job feed's latest answer, and should be at most two seconds old.
+constexpr std::chrono::milliseconds jobFeedWait{800};
 
 } // namespace
 
@@ -47,6 +49,7 @@
             });
             return;
         }
+        self->m_recovery->version = std::min(self->m_recovery->version, result.version);
         for (const store_row &row : result.rows) {
             (self.get()->*onRow)(row);
         }
@@ -106,15 +109,17 @@
     logEvent(
         "term_recovered",
         {{"term", m_term.term}, {"jobs", m_recovery->jobs.size()}, {"state_rows", m_recovery->stateRows.size()}, {"took_ms", now - m_recovery->startedAt}});
+    const std::int64_t recoveredVersion = m_recovery->version;
     m_recovery.reset();
     for (const sched::event &event : m_eventsBeforeRecovery) {
         m_scheduler.handle(event, now);
     }
     m_eventsBeforeRecovery.clear();
-    startFeeds();
+    startFeeds(recoveredVersion);
 }
 
-void dispatcher::startFeeds()
+// The job feed starts at the lowest version of the pages that were read, so it may repeat changes that they contain.
+void dispatcher::startFeeds(std::int64_t recoveredVersion)
 {
     const std::weak_ptr<dispatcher> weak = weak_from_this();
     const std::function<table_feed_handlers(void(dispatcher::*)(const store_row &))> handlersFor = [weak](void (dispatcher::*onRow)(const store_row &)) {
@@ -144,14 +149,20 @@
     for (int part = 0; part < tables::jobParts; ++part) {
         jobParts.push_back(std::to_string(part));
     }
-    m_jobFeed
-        = std::make_unique<table_feed>(m_dependencies.store, m_dependencies.runAfter, tables::jobs, jobParts, feedWait, handlersFor(&dispatcher::onJobRow));
+    table_feed_handlers jobHandlers = handlersFor(&dispatcher::onJobRow);
+    jobHandlers.caughtUp = [weak](std::int64_t storeMs) {
+        if (const std::shared_ptr<dispatcher> self = weak.lock()) {
+            const std::lock_guard<std::mutex> guard(self->m_lock);
+            self->m_jobsCompleteUntil = storeMs;
+        }
+    };
+    m_jobFeed = std::make_unique<table_feed>(m_dependencies.store, m_dependencies.runAfter, tables::jobs, jobParts, jobFeedWait, std::move(jobHandlers));
     m_executorFeed = std::make_unique<table_feed>(
         m_dependencies.store, m_dependencies.runAfter, executorTable, std::vector<std::string>{""}, feedWait, handlersFor(&dispatcher::onExecutorRow));
     m_nodeFeed = std::make_unique<table_feed>(
         m_dependencies.store, m_dependencies.runAfter, tables::nodes, std::vector<std::string>{""}, feedWait, handlersFor(&dispatcher::onNodeRow));
     m_nodeFeed->start();
-    m_jobFeed->start();
+    m_jobFeed->startAfter(recoveredVersion);
     m_executorFeed->start();
 }
 
--- a/src/node/dispatcher_store.cpp
+++ b/src/node/dispatcher_store.cpp
@@ -4,6 +4,7 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "node/queue_counts.h"
 #include "node/store_limits.h"
 #include "node/tables.h"
 #include "platform/records.h"
@@ -21,15 +22,8 @@
 // Orders to the fleet service are sent only within this time after a stored renewal, which is well before another node may take the
 // lease.
 constexpr sched::time_ms maxRenewalAgeForFleetOrdersMs = 1'500;
-// Entries of a transaction that are reserved for the preconditions and the lease row.
-constexpr std::size_t reservedEntries = 5;
 constexpr sched::time_ms queuePublishIntervalMs = 1'000;
 
-std::string queueRowKey(const sched::queue_key &queue)
-{
-    return queue.host + queue.prefix;
-}
-
 } // namespace
 
 bool dispatcher::renewalIsFresh() const
@@ -81,28 +75,15 @@
     sendCommit();
 }
 
-// Each count is stored with its time, so that nodes can reject counts of a former holder that no longer updates them.
+// Nothing is published before the job feed has caught up once: until then the former holder's counts hold, or none.
 void dispatcher::publishQueueCounts(row_transaction &transaction)
 {
     const sched::time_ms now = steadyMillis();
-    if (now - m_queuesPublishedAt < queuePublishIntervalMs) {
+    if (m_jobsCompleteUntil == 0 || now - m_queuesPublishedAt < queuePublishIntervalMs) {
         return;
     }
     m_queuesPublishedAt = now;
-    const std::map<sched::queue_key, std::int64_t> waiting = m_scheduler.waitingJobs();
-    for (std::pair<const sched::queue_key, std::int64_t> &queue : m_publishedWaiting) {
-        queue.second = 0;
-    }
-    for (const std::pair<const sched::queue_key, std::int64_t> &queue : waiting) {
-        m_publishedWaiting[queue.first] = queue.second;
-    }
-    const std::string time = std::to_string(unixMillis());
-    for (const std::pair<const sched::queue_key, std::int64_t> &queue : m_publishedWaiting) {
-        if (transaction.puts.size() + transaction.deletes.size() + reservedEntries > maxTransactionEntries) {
-            return;
-        }
-        transaction.puts.push_back({{tables::queues, tables::holderPart, queueRowKey(queue.first)}, std::to_string(queue.second) + ' ' + time});
-    }
+    transaction.puts.push_back({tables::countsRow(), writeQueueCounts({m_jobsCompleteUntil, m_scheduler.waitingJobs()})});
 }
 
 void dispatcher::sendCommit()
--- a/src/node/front_service.cpp
+++ b/src/node/front_service.cpp
@@ -3,12 +3,12 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "http/http_answers.h"
+#include "node/queue_counts.h"
 #include "node/tables.h"
 #include "platform/records.h"
 #include "sched/job_record.h"
 
 #include <algorithm>
-#include <charconv>
 
 namespace daisypass {
 namespace {
@@ -20,8 +20,6 @@
 constexpr sched::time_ms answerMarginMs = 150;
 // A write is tried on this node for this long before the request is forwarded to another one.
 constexpr sched::time_ms localWriteTimeoutMs = 1'400;
-// Counts of waiting jobs older than this are not returned. The lease holder stores them every second.
-constexpr std::int64_t maxCountAgeMs = 4'000;
 constexpr std::size_t idLength = 16;
 // After a failed call to the store, requests are forwarded for this long, or until a call succeeds.
 constexpr sched::time_ms storeFailureWindowMs = 1'000;
@@ -33,6 +31,27 @@
     return response;
 }
 
+front_answer finalAnswer(http_response response)
+{
+    return {std::move(response), answer_scope::Final};
+}
+
+front_answer storeUnavailable()
+{
+    return {refusal(statusUnavailable, 1), answer_scope::StoreUnavailable};
+}
+
+front_answer nodeUnavailable()
+{
+    return {refusal(statusUnavailable, 1), answer_scope::NodeUnavailable};
+}
+
+// The write may have been stored.
+front_answer outcomeUnknown()
+{
+    return {emptyResponse(statusGatewayTimeout), answer_scope::StoreUnavailable};
+}
+
 std::string_view withoutPort(std::string_view host)
 {
     return host.substr(0, host.rfind(':'));
@@ -104,21 +123,22 @@
     return failedAt != 0 && steadyMillis() - failedAt < storeFailureWindowMs;
 }
 
-http_responder front_service::withForwarding(http_request request, http_responder respond)
+front_responder front_service::withForwarding(http_request request, http_responder respond)
 {
-    return [this, request = std::move(request), respond = std::move(respond)](http_response response) {
-        const bool storeUnavailable = response.status == statusUnavailable || response.status == statusGatewayTimeout;
-        if (!storeUnavailable) {
-            respond(std::move(response));
+    return [this, request = std::move(request), respond = std::move(respond)](front_answer answer) {
+        if (answer.scope == answer_scope::Final) {
+            respond(std::move(answer.response));
             return;
         }
-        recordStoreResult(false);
-        m_forward(request, [this, respond, localAnswer = response](const http_response &forwardedAnswer) {
+        if (answer.scope == answer_scope::StoreUnavailable) {
+            recordStoreResult(false);
+        }
+        m_forward(request, [this, respond, localAnswer = std::move(answer.response)](const http_response &forwardedAnswer) {
             recordConfigurationVersion(forwardedAnswer);
             // After a local write with unknown outcome, a refusal by the other node must not tell the caller that nothing was written.
             const bool forwardRefused = forwardedAnswer.status == 0 || forwardedAnswer.status == statusUnavailable;
-            const bool outcomeUnknown = localAnswer.status == statusGatewayTimeout;
-            respond(forwardRefused && outcomeUnknown ? localAnswer : (forwardedAnswer.status == 0 ? localAnswer : forwardedAnswer));
+            const bool localOutcomeUnknown = localAnswer.status == statusGatewayTimeout;
+            respond(forwardRefused && localOutcomeUnknown ? localAnswer : (forwardedAnswer.status == 0 ? localAnswer : forwardedAnswer));
         });
     };
 }
@@ -162,69 +182,67 @@
         view = m_view;
     }
     const std::int64_t version = view ? view->version : 0;
+    front_responder answer;
+    std::int64_t requiredVersion = 0;
     if (mayForward) {
-        const std::int64_t minVersion = std::max<std::int64_t>(version, m_highestAnsweredVersion);
-        request.headers.push_back({std::string(configurationHeader), std::to_string(minVersion)});
-        instrumented = withForwarding(request, std::move(instrumented));
-        if (storeRecentlyFailed() || version < m_highestAnsweredVersion) {
-            instrumented(refusal(statusUnavailable, 1));
-            return;
-        }
+        requiredVersion = m_highestAnsweredVersion;
+        request.headers.push_back({std::string(configurationHeader), std::to_string(std::max(version, requiredVersion))});
+        answer = withForwarding(request, std::move(instrumented));
     } else {
         // A caller must never see an older configuration after a newer one. So this node refuses if its configuration is older than the
         // sender's, and returns its version, which the sender uses as the minimum for later answers.
-        const std::int64_t requiredVersion = findNumber(request.headers, configurationHeader);
-        instrumented = [inner = std::move(instrumented), version](http_response response) {
-            response.headers.push_back({std::string(configurationHeader), std::to_string(version)});
-            inner(std::move(response));
+        requiredVersion = findNumber(request.headers, configurationHeader);
+        answer = [inner = std::move(instrumented), version](front_answer local) {
+            local.response.headers.push_back({std::string(configurationHeader), std::to_string(version)});
+            inner(std::move(local.response));
         };
-        if (storeRecentlyFailed() || version < requiredVersion) {
-            instrumented(refusal(statusUnavailable, 1));
-            return;
-        }
+    }
+    if (storeRecentlyFailed() || version < requiredVersion) {
+        answer(nodeUnavailable());
+        return;
     }
     if (!view) {
         logEvent("request_refused", {{"path", request.path}, {"reason", "no_configuration"}});
-        instrumented(refusal(statusUnavailable, 1));
+        answer(nodeUnavailable());
         return;
     }
     const std::optional<queue_match> match = matchQueue(*view, findHeader(request.headers, "Host"), request.path);
     if (!match) {
         logEvent("request_refused", {{"path", request.path}, {"reason", "no_such_queue"}, {"configuration_version", view->version}});
-        instrumented(emptyResponse(statusNotFound));
+        answer(finalAnswer(emptyResponse(statusNotFound)));
         return;
     }
     if (match->pathSuffix.empty() && request.method == "GET") {
-        answerWaitingCount(match->queue.key, std::move(instrumented));
+        answerWaitingCount(match->queue.key, std::move(answer));
         return;
     }
     if (!isJobId(match->pathSuffix)) {
-        instrumented(emptyResponse(statusBadRequest));
+        answer(finalAnswer(emptyResponse(statusBadRequest)));
         return;
     }
     if (request.method == "POST") {
         const bool tooLarge = view->maxBodyBytes > 0 && static_cast<std::int64_t>(request.body.size()) > view->maxBodyBytes;
         if (tooLarge) {
-            instrumented(emptyResponse(statusTooLarge));
+            answer(finalAnswer(emptyResponse(statusTooLarge)));
             return;
         }
-        submit(request, *match, mayForward, std::move(instrumented));
+        submit(request, *match, mayForward, std::move(answer));
     } else if (request.method == "GET") {
-        answerJobState(match->pathSuffix, std::move(instrumented));
+        answerJobState(match->pathSuffix, std::move(answer));
     } else if (request.method == "DELETE") {
-        cancel(match->pathSuffix, writeDeadline(request, mayForward), std::move(instrumented));
+        cancel(match->pathSuffix, writeDeadline(request, mayForward), std::move(answer));
     } else {
-        instrumented(emptyResponse(statusMethodNotAllowed));
+        answer(finalAnswer(emptyResponse(statusMethodNotAllowed)));
     }
 }
 
-void front_service::submit(const http_request &request, const queue_match &match, bool mayForward, http_responder respond)
+void front_service::submit(const http_request &request, const queue_match &match, bool mayForward, front_responder respond)
 {
     failure reason;
     std::optional<sched::job_spec> job = readSubmission(request.body, reason);
     if (!job) {
         logEvent("submission_malformed", {{"request", match.pathSuffix}, {"reason", describe(reason)}});
-        respond(emptyResponse(statusBadRequest));
+        respond(finalAnswer(emptyResponse(statusBadRequest)));
         return;
     }
     job->id = match.pathSuffix;
@@ -238,31 +256,31 @@
         case submission_result::Stored:
             m_onRowStored(key, row);
             logEvent("job_accepted", {{"request", id}});
-            respond(emptyResponse(statusOk));
+            respond(finalAnswer(emptyResponse(statusOk)));
             return;
         case submission_result::NotStored:
             logEvent("job_refused", {{"request", id}, {"reason", "store_refused"}});
-            respond(refusal(statusUnavailable, 1));
+            respond(storeUnavailable());
             return;
         case submission_result::Unknown:
             logEvent("job_outcome_unknown", {{"request", id}});
-            respond(emptyResponse(statusGatewayTimeout));
+            respond(outcomeUnknown());
             return;
         }
     });
 }
 
-void front_service::answerJobState(const std::string &job, http_responder respond)
+void front_service::answerJobState(const std::string &job, front_responder respond)
 {
     // The range ends right after the key, so it contains this one row only.
     m_store.get({tables::state, tables::holderPart, job, job + '!'}, readTimeout, [this, job, respond = std::move(respond)](const rows_result &result) {
         if (result.status != store_status::Ok) {
-            respond(refusal(statusUnavailable, 1));
+            respond(storeUnavailable());
             return;
         }
         const std::string phase = result.rows.empty() ? std::string() : sched::phaseIn(result.rows.front().value);
         if (!phase.empty()) {
-            respond(jsonTextResponse(statusOk, encodeJobState(phase)));
+            respond(finalAnswer(jsonTextResponse(statusOk, encodeJobState(phase))));
             return;
         }
         answerUnplacedJobState(job, respond);
@@ -270,12 +288,12 @@
 }
 
 // Answers for a job without a state row: no task has been placed, so the job is pending, cancelled, or unknown.
-void front_service::answerUnplacedJobState(const std::string &job, http_responder respond)
+void front_service::answerUnplacedJobState(const std::string &job, front_responder respond)
 {
     const row_key submissionKey = tables::jobRow(job);
     m_store.get({submissionKey.table, submissionKey.part, job, job + '~'}, readTimeout, [job, respond = std::move(respond)](const rows_result &result) {
         if (result.status != store_status::Ok) {
-            respond(refusal(statusUnavailable, 1));
+            respond(storeUnavailable());
             return;
         }
         bool submitted = false;
@@ -285,61 +303,59 @@
             cancelled = cancelled || row.key.key.ends_with(tables::cancelSuffix);
         }
         if (!submitted) {
-            respond(emptyResponse(statusGone));
+            respond(finalAnswer(emptyResponse(statusGone)));
             return;
         }
         const sched::job_phase phase = cancelled ? sched::job_phase::Cancelled : sched::job_phase::Pending;
-        respond(jsonTextResponse(statusOk, encodeJobState(sched::nameOf(phase))));
+        respond(finalAnswer(jsonTextResponse(statusOk, encodeJobState(sched::nameOf(phase)))));
     });
 }
 
-void front_service::cancel(const std::string &job, sched::time_ms deadline, http_responder respond)
+void front_service::cancel(const std::string &job, sched::time_ms deadline, front_responder respond)
 {
     const row_key submissionKey = tables::jobRow(job);
     m_store.get(
         {submissionKey.table, submissionKey.part, job, job + '!'}, readTimeout, [this, job, deadline, respond = std::move(respond)](const rows_result &result) {
             if (result.status != store_status::Ok) {
-                respond(refusal(statusUnavailable, 1));
+                respond(storeUnavailable());
                 return;
             }
             if (result.rows.empty()) {
-                respond(emptyResponse(statusGone));
+                respond(finalAnswer(emptyResponse(statusGone)));
                 return;
             }
             m_writer->add(tables::cancelRow(job), "{}", deadline, [this, job, respond](submission_result written) {
                 if (written != submission_result::Stored) {
-                    respond(written == submission_result::Unknown ? emptyResponse(statusGatewayTimeout) : refusal(statusUnavailable, 1));
+                    respond(written == submission_result::Unknown ? outcomeUnknown() : storeUnavailable());
                     return;
                 }
                 m_onRowStored(tables::cancelRow(job), {});
                 logEvent("cancel_accepted", {{"request", job}});
-                respond(emptyResponse(statusOk));
+                respond(finalAnswer(emptyResponse(statusOk)));
             });
         });
 }
 
-void front_service::answerWaitingCount(const sched::queue_key &queue, http_responder respond)
+// The count can be given only if it includes all jobs that were accepted some seconds ago. Its age is taken from the store's clock, because
+// the clocks of the machines differ.
+void front_service::answerWaitingCount(const sched::queue_key &queue, front_responder respond)
 {
-    const std::string key = queue.host + queue.prefix;
-    m_store.get({tables::queues, tables::holderPart, key, key + '!'}, readTimeout, [respond = std::move(respond)](const rows_result &result) {
+    const row_key row = tables::countsRow();
+    m_store.get({row.table, row.part, row.key, row.key + '!'}, readTimeout, [this, queue, respond = std::move(respond)](const rows_result &result) {
         if (result.status != store_status::Ok) {
-            respond(refusal(statusUnavailable, 1));
+            respond(storeUnavailable());
             return;
         }
-        std::int64_t waiting = 0;
-        if (!result.rows.empty()) {
-            const std::string &text = result.rows.front().value;
-            const std::from_chars_result count = std::from_chars(text.data(), text.data() + text.size(), waiting);
-            std::int64_t countedAtUnixMs = 0;
-            const char *time = std::min(count.ptr + 1, text.data() + text.size());
-            std::from_chars(time, text.data() + text.size(), countedAtUnixMs);
-            if (unixMillis() - countedAtUnixMs > maxCountAgeMs) {
-                logEvent("count_too_old", {{"counted_unix_ms", countedAtUnixMs}, {"waiting", waiting}});
-                respond(refusal(statusUnavailable, 1));
-                return;
-            }
+        const std::optional<queue_counts> counts = result.rows.empty() ? std::nullopt : readQueueCounts(result.rows.front().value);
+        const std::variant<std::int64_t, count_error> waiting = countAt(counts, queue, result.storeMs);
+        if (const count_error *error = std::get_if<count_error>(&waiting)) {
+            m_metrics.findCounter("daisypass_counts_refused_total", {{"reason", std::string(nameOf(*error))}}).add();
+            logEvent("count_refused",
+                     {{"queue", queue.host + queue.prefix}, {"reason", nameOf(*error)}, {"age_ms", counts ? result.storeMs - counts->completeUntil : -1}});
+            respond(finalAnswer(refusal(statusUnavailable, 1)));
+            return;
         }
-        respond(jsonTextResponse(statusOk, encodeWaitingCount(waiting)));
+        respond(finalAnswer(jsonTextResponse(statusOk, encodeWaitingCount(std::get<std::int64_t>(waiting)))));
     });
 }
 
--- a/src/node/front_service.h
+++ b/src/node/front_service.h
@@ -42,6 +42,24 @@
 /** Called with each stored row of the jobs table, so that the lease holder needn't wait for the store's change feed. */
 using stored_row_listener = std::function<void(const row_key &, const std::string &)>;
 
+/** Whether another node may have a better answer than this one. */
+enum class answer_scope {
+    /** The answer is the deployment's; other nodes would give the same. */
+    Final,
+    /** This node could not use the store, and another one may. */
+    StoreUnavailable,
+    /** This node can't answer for another reason, for example because its configuration is older than the caller has seen. */
+    NodeUnavailable,
+};
+
+struct front_answer
+{
+    http_response response;
+    answer_scope scope = answer_scope::Final;
+};
+
+using front_responder = std::function<void(front_answer)>;
+
 class front_service
 {
 public:
@@ -67,15 +85,15 @@
 
 private:
     void serve(http_request request, http_responder respond, bool mayForward);
-    /** Returns a responder that forwards the request to another node instead of answering that the store is unavailable. */
-    http_responder withForwarding(http_request request, http_responder respond);
+    /** Returns a responder that forwards the request to another node if this node's answer isn't final. */
+    front_responder withForwarding(http_request request, http_responder respond);
     bool storeRecentlyFailed() const;
     void recordConfigurationVersion(const http_response &forwardedAnswer);
-    void submit(const http_request &request, const queue_match &match, bool mayForward, http_responder respond);
-    void answerJobState(const std::string &job, http_responder respond);
-    void answerUnplacedJobState(const std::string &job, http_responder respond);
-    void cancel(const std::string &job, sched::time_ms deadline, http_responder respond);
-    void answerWaitingCount(const sched::queue_key &queue, http_responder respond);
+    void submit(const http_request &request, const queue_match &match, bool mayForward, front_responder respond);
+    void answerJobState(const std::string &job, front_responder respond);
+    void answerUnplacedJobState(const std::string &job, front_responder respond);
+    void cancel(const std::string &job, sched::time_ms deadline, front_responder respond);
+    void answerWaitingCount(const sched::queue_key &queue, front_responder respond);
 
     store_client &m_store;
     std::shared_ptr<submission_writer> m_writer;
--- a/src/node/table_feed.cpp
+++ b/src/node/table_feed.cpp
@@ -146,6 +146,9 @@
             handlers.rowChanged(row);
         }
         version = std::max(version, result.version);
+        if (handlers.caughtUp && !result.atLimit && result.storeMs != 0) {
+            handlers.caughtUp(result.storeMs);
+        }
         if (!result.rows.empty()) {
             handlers.batchApplied();
         }
@@ -194,6 +197,13 @@
     m_state->beginSnapshot();
 }
 
+void table_feed::startAfter(std::int64_t version)
+{
+    const std::lock_guard<std::mutex> guard(m_state->lock);
+    m_state->version = version;
+    m_state->poll();
+}
+
 void table_feed::stop()
 {
     m_state->stopped = true;
--- a/src/node/table_feed.h
+++ b/src/node/table_feed.h
@@ -30,6 +30,8 @@
     std::function<void()> snapshotComplete;
     /** Called when all rows of one answer were passed to `rowChanged`. */
     std::function<void()> batchApplied;
+    /** May be empty. Called when every change up to this time on the store's clock was passed to `rowChanged`. */
+    std::function<void(std::int64_t storeMs)> caughtUp{};
     /** Called after each call to the store; `reached` is false if the store did not serve it. */
     std::function<void(bool reached)> storeReached;
 };
@@ -48,6 +50,8 @@
     /** Must be called before `start`. */
     void setHandlers(table_feed_handlers handlers);
     void start();
+    /** Like start(), but reads no snapshot: the caller has read the table, with answers of this version or a later one. */
+    void startAfter(std::int64_t version);
     void stop();
 
 private:
--- a/src/node/tables.h
+++ b/src/node/tables.h
@@ -21,6 +21,8 @@
 inline constexpr int jobParts = 16;
 /** The row with the sequence number of the holder's latest batch. Like the scheduler's own rows it sorts after all job ids. */
 inline constexpr const char *sequenceKey = "~sequence";
+/** The row with the counts of waiting jobs of all queues. */
+inline constexpr const char *countsKey = "~waiting";
 /** A row whose key is a job's id with this suffix requests the job's cancellation. */
 inline constexpr std::string_view cancelSuffix = ".x";
 
@@ -45,6 +47,11 @@
     return {state, holderPart, id};
 }
 
+inline row_key countsRow()
+{
+    return {queues, holderPart, countsKey};
+}
+
 inline row_key holderRow()
 {
     return {lease, holderPart, "holder"};
--- a/src/platform/store_client.cpp
+++ b/src/platform/store_client.cpp
@@ -1,5 +1,6 @@
 #include "platform/store_client.h"
 
+#include "base/json_text.h"
 #include "http/http_answers.h"
 #include "platform/wire_json.h"
 
@@ -11,29 +12,43 @@
 // Added to a long poll's wait time, so that the answer can arrive.
 constexpr std::chrono::milliseconds pollMargin{600};
 constexpr std::chrono::milliseconds connectTimeout{700};
+// The store's limits for one answer. The limit of bytes is 1 MB; a row that doesn't fit any more ends the answer below it.
+constexpr std::size_t maxRowsPerAnswer = 500;
+constexpr std::size_t nearMaxBytesPerAnswer = 900'000;
 
-json keyObject(const row_key &key)
+// Appends the members that name a row, without the braces around them.
+void appendKey(std::string &body, const row_key &key)
 {
-    return json{{"Table", key.table}, {"part", key.part}, {"Key", key.key}};
+    body += "\"Table\":";
+    appendJsonString(body, key.table);
+    body += ",\"part\":";
+    appendJsonString(body, key.part);
+    body += ",\"Key\":";
+    appendJsonString(body, key.key);
 }
 
 std::string transactionBody(const row_transaction &transaction)
 {
-    json body{{"ExpectedRev", json::array()}, {"Puts", json::array()}, {"Deletes", json::array()}};
+    std::string body = "{\"ExpectedRev\":[";
     for (const row_precondition &expected : transaction.preconditions) {
-        json entry = keyObject(expected.key);
-        entry["Ver"] = expected.version;
-        body["ExpectedRev"].push_back(std::move(entry));
+        body += &expected == transaction.preconditions.data() ? "{" : ",{";
+        appendKey(body, expected.key);
+        body += ",\"Ver\":" + std::to_string(expected.version) + '}';
     }
+    body += "],\"Puts\":[";
     for (const row_update &put : transaction.puts) {
-        json entry = keyObject(put.key);
-        entry["Value"] = wire::encodeBase64(put.value);
-        body["Puts"].push_back(std::move(entry));
+        body += &put == transaction.puts.data() ? "{" : ",{";
+        appendKey(body, put.key);
+        body += ",\"Value\":\"" + wire::encodeBase64(put.value) + "\"}";
     }
+    body += "],\"Deletes\":[";
     for (const row_key &key : transaction.deletes) {
-        body["Deletes"].push_back(keyObject(key));
+        body += &key == transaction.deletes.data() ? "{" : ",{";
+        appendKey(body, key);
+        body += '}';
     }
-    return wire::dump(body);
+    body += "]}";
+    return body;
 }
 
 // A row whose value is no valid base64 gets an empty value, and its reader decides how to treat it.
@@ -99,6 +114,8 @@
     read.rows = readRows(*body);
     read.more = wire::boolIn(*body, "HasMore");
     read.version = wire::integerIn(*body, "Ver").value_or(0);
+    read.storeMs = wire::integerIn(*body, "NowMs").value_or(0);
+    read.atLimit = read.rows.size() >= maxRowsPerAnswer || result.response.body.size() >= nearMaxBytesPerAnswer;
     return read;
 }
 
--- a/src/platform/store_client.h
+++ b/src/platform/store_client.h
@@ -100,6 +100,10 @@
     bool more = false;
     /** For a read, the store's latest version; for a feed, the version after which the next call continues. */
     std::int64_t version = 0;
+    /** The store's steady clock when it answered, in ms; 0 if the answer doesn't have it. */
+    std::int64_t storeMs = 0;
+    /** The answer is at the store's limit of rows or bytes, so it may end before the latest change. */
+    bool atLimit = false;
     int httpStatus = 0;
 };
 
--- /dev/null
+++ b/tests/node/waiting_count_test.cpp
@@ -0,0 +1,120 @@
+#include "base/clock.h"
+#include "node/front_service.h"
+#include "node/queue_counts.h"
+#include "node/tables.h"
+#include "store_fixture.h"
+
+#include <doctest/doctest.h>
+
+using namespace daisypass;
+
+namespace {
+
+const sched::queue_key bookingQueue{"shop.example", "/book/"};
+const sched::queue_key grinderQueue{"shop.example", "/grind/"};
+
+/** A front on a store whose counts were complete some time ago; no counts if the time isn't given. */
+class front_fixture : public store_fixture
+{
+public:
+    explicit front_fixture(std::optional<std::int64_t> countsAgeMs)
+    {
+        std::shared_ptr<sched::configuration_view> view = std::make_shared<sched::configuration_view>();
+        view->version = 1;
+        for (const sched::queue_key &key : {bookingQueue, grinderQueue}) {
+            sched::queue_config queue;
+            queue.key = key;
+            queue.pool = "booking";
+            view->queues.push_back(queue);
+        }
+        m_front.configure(view);
+        if (countsAgeMs) {
+            const queue_counts counts{steadyMillis() - *countsAgeMs, {{bookingQueue, 7}}};
+            REQUIRE(transact({{}, {{tables::countsRow(), writeQueueCounts(counts)}}, {}}) == store_status::Ok);
+        }
+    }
+
+    http_response request(const std::string &method, const std::string &path, const std::string &body = {})
+    {
+        http_request request;
+        request.method = method;
+        request.path = path;
+        request.headers = {{"Host", "shop.example"}};
+        request.body = body;
+        std::promise<http_response> answered;
+        m_front.handle(request, [&answered](http_response response) {
+            answered.set_value(std::move(response));
+        });
+        return answered.get_future().get();
+    }
+
+    int forwardedRequests() const
+    {
+        return m_forwarded;
+    }
+
+private:
+    metrics_registry m_metrics;
+    int m_forwarded = 0;
+    front_service m_front{store(),
+                          std::make_shared<submission_writer>(store(),
+                                                              [](std::chrono::milliseconds, const std::function<void()> &) {
+                                                              }),
+                          m_metrics,
+                          [this](const http_request &, const http_responder &respond) {
+                              ++m_forwarded;
+                              respond(http_response{});
+                          },
+                          [](const row_key &, const std::string &) {
+                          }};
+};
+
+} // namespace
+
+TEST_CASE("a node gives a count of waiting jobs only while it includes all jobs that were accepted some seconds ago")
+{
+    SUBCASE("recent counts are given, and a queue that they don't name has no waiting jobs")
+    {
+        front_fixture front(1'000);
+        CHECK(front.request("GET", "/book/").body == R"({"Waiting":7})");
+        CHECK(front.request("GET", "/grind/").body == R"({"Waiting":0})");
+    }
+    // Guards against the count 0 that was given for a queue whose jobs the lease holder hadn't read yet.
+    SUBCASE("without counts the node says that it can't give one")
+    {
+        front_fixture front(std::nullopt);
+        CHECK(front.request("GET", "/book/").status == 503);
+    }
+    // Guards against counts of a lease holder that is seconds behind with the jobs, or that was replaced.
+    SUBCASE("counts that lack the jobs of the last seconds aren't given")
+    {
+        front_fixture front(4'500);
+        const http_response answer = front.request("GET", "/book/");
+        CHECK(answer.status == 503);
+        CHECK(findHeader(answer.headers, "Retry-After") == "1");
+        CHECK(front.request("GET", "/grind/").status == 503);
+    }
+}
+
+// Guards against a refusal that is taken for a failure of the store: all further requests of the node were sent to other nodes for a second.
+TEST_CASE("a refused count doesn't send other requests of the node elsewhere")
+{
+    front_fixture front(4'500);
+    CHECK(front.request("GET", "/book/").status == 503);
+    CHECK(front.request("POST", "/book/0123456789abcdef", R"({"Steps":[{"Count":1}]})").status == 200);
+    CHECK(front.forwardedRequests() == 0);
+}
+
+TEST_CASE("counts of waiting jobs are read back as they were written")
+{
+    const queue_counts written{1'234, {{bookingQueue, 3}, {grinderQueue, 0}}};
+    const std::optional<queue_counts> read = readQueueCounts(writeQueueCounts(written));
+    REQUIRE(read);
+    CHECK(read->completeUntil == 1'234);
+    CHECK(read->waiting == std::map<sched::queue_key, std::int64_t>{{bookingQueue, 3}});
+
+    for (const char *damaged : {"", "[]", R"({"complete_until":1})", R"({"complete_until":1,"waiting":[["a","b"]]})", "3 1700000000000"}) {
+        CAPTURE(damaged);
+        CHECK_FALSE(readQueueCounts(damaged));
+    }
+}
