Keep the room of a run that is no longer needed until it can't start any more

Change: such runs are kept with their executor and use capacity until a list requested after a confirmed stop lacks them, their end is listed, or late orders are over; stops are repeated until confirmed, also for a new incarnation under the same id.

--- a/src/sched/executor_record.h
+++ b/src/sched/executor_record.h
@@ -4,6 +4,7 @@
 //
 //     if (executor.takesNewRuns(now) && demand.fitsIn(executor.freeCapacity())) { ... place a task on it ... }
 
+#include "sched/abandoned_runs.h"
 #include "sched/events.h"
 #include "sched/model.h"
 
@@ -71,6 +72,10 @@
     time_ms listedAt = 0;
     /** When the poll that returned that list was sent. */
     time_ms listAskedAt = 0;
+    /** Number of lists in this term. */
+    std::int64_t listNumber = 0;
+    /** Number of the list with which the progress of its runs was last checked. */
+    std::int64_t checkedListNumber = 0;
     /** Since when the executor has not answered; 0 while it answers. */
     time_ms unresponsiveSince = 0;
     /** When an order that grants or extends leases was last sent. */
@@ -89,8 +94,12 @@
     /** Resources used by `runs`, the tasks that are placed here. */
     resources used;
     std::set<task_id> runs;
-    /** Resources used by runs that are or may be on the executor without being placed here. */
+    /** Number of long-running tasks among them. */
+    int longRunningRuns = 0;
+    /** Resources used by listed runs that are neither placed here nor abandoned. */
     resources untracked;
+    /** Runs that are no longer placed here but may still be here. */
+    abandoned_runs abandoned;
 
     /** No new runs before this time. */
     time_ms backoffUntil = 0;
@@ -120,6 +129,7 @@
         resources remaining = entry.capacity;
         remaining -= used;
         remaining -= untracked;
+        remaining -= abandoned.demand();
         return remaining;
     }
 
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -82,6 +82,8 @@
     /** When `plan` should be called next for a placement that was delayed to batch events; empty if there is none. */
     std::optional<time_ms> nextPlanAt() const;
     std::vector<action> takeActions();
+    /** Minimum time between two placement passes while this many jobs wait and this many executors are known. */
+    static time_ms placementIntervalMs(std::size_t waitingJobs, std::size_t executors);
 
     bool hasUnstoredChanges() const;
     /** The next changes to store; empty if there are none. At most one batch may be outstanding. */
@@ -92,7 +94,7 @@
         return m_counts;
     }
 
-    /** Number of accepted jobs in each queue that have not started; repeating jobs are not counted. */
+    /** Number of accepted jobs in each queue of which no executor has confirmed a start; repeating jobs are not counted. */
     std::map<queue_key, std::int64_t> waitingJobs() const;
     std::size_t jobCount() const
     {
@@ -183,13 +185,16 @@
     void release(const task_id &id, const step_spec &step, task_record &task, time_ms now);
     void applyPoll(executor_record &executor, const poll_answered &what, time_ms now);
     void applyEnd(executor_record &executor, const listed_end &end, time_ms now);
+    /** Gives up the task's current run, because another run has done the task, and sends a stop for it. */
+    void abandonRun(const task_id &id, const task_record &task, const step_spec &step, time_ms now);
     void endRun(job_record &job, const task_id &id, task_record &task, run_end how, const std::string &checkpoint, time_ms now);
     void completeTask(job_record &job, const task_id &id, task_record &task, time_ms now);
     void failTask(job_record &job, const task_id &id, task_record &task, time_ms now);
     void failIfOutOfAttempts(job_record &job, const task_id &id, const task_record &task, time_ms now);
     /** Returns the task to its waiting state because its run can't be alive any more and has no known end. */
     void markRunLost(job_record &job, const task_id &id, task_record &task, time_ms now, std::string_view cause);
-    void resolveUnlistedRuns(executor_record &executor, const poll_answered &what, const std::set<task_id> &listed, time_ms now);
+    /** Handles the runs that the executor's latest list doesn't show. */
+    void resolveUnlistedRuns(executor_record &executor, const poll_answered &what, time_ms now);
     void requestStop(const task_id &id, task_record &task, time_ms now, std::string_view cause);
     /** Sends a stop for a run that the executor doesn't list, so that a delayed start order is refused. */
     void stopUnlistedRun(const task_id &id, task_record &task, time_ms now, std::string_view cause);
@@ -241,6 +246,8 @@
     std::unordered_map<std::string, std::unique_ptr<job_record>> m_jobs;
     /** Jobs that have not ended. */
     std::set<std::string> m_activeJobs;
+    /** Tasks to which a stop was sent that may have no answer yet. */
+    std::set<task_id> m_unansweredStops;
     /** Ended jobs with runs that have not ended. */
     std::set<std::string> m_stoppingJobs;
     /** Ended jobs in the order in which they ended, for the clean-up. */
--- a/src/sched/scheduler_drain.cpp
+++ b/src/sched/scheduler_drain.cpp
@@ -90,6 +90,7 @@
             }
             executor_capacity one{&executor, executor.entry.capacity, executor.freeCapacity()};
             one.longRunningCapacity -= executor.untracked;
+            one.longRunningCapacity -= executor.abandoned.demand();
             for (const task_id &id : executor.runs) {
                 if (specOf(id).longRunning) {
                     one.longRunningCapacity -= specOf(id).countedDemand();
--- a/src/sched/scheduler_executors.cpp
+++ b/src/sched/scheduler_executors.cpp
@@ -18,8 +18,6 @@
 // An executor that answers remains listed for this long after its registry entry was removed: entries that expired while the store was
 // down are written again about two seconds after its recovery.
 constexpr time_ms removedEntryGraceMs = 2'000;
-// An order without an answer is carried out within this time or not at all.
-constexpr time_ms maxOrderDelayMs = 12'000;
 
 void forgetExpiredStarts(executor_record &executor, time_ms now)
 {
@@ -207,6 +205,7 @@
         return false;
     }
     // Even the first known incarnation may be a restart of the one to which the starts were sent.
+    executor.abandoned.executorRestarted();
     stopUnansweredStarts(executor, incarnation, now);
     const bool restarted = executor.entry.startedUnixMs != 0;
     if (restarted) {
@@ -241,6 +240,7 @@
             // The new incarnation must refuse the start order as well.
             task.stopSentAt = 0;
             task.stopAckedAt = 0;
+            m_unansweredStops.insert(id);
         } else if (task.phase != task_phase::Placing) {
             task.phase = task_phase::Unconfirmed;
             task.confirmedAt = now;
@@ -258,6 +258,10 @@
         const task_record *task = job == m_jobs.end() ? nullptr : job->second->find(start.task);
         const bool current = task != nullptr && task->occupies() && task->run == start.run;
         if (!current) {
+            if (task != nullptr) {
+                executor.abandoned.add({start.task, start.run}, job->second->spec.steps[static_cast<std::size_t>(start.task.step)].countedDemand(), start.at);
+            }
+            executor.abandoned.stopSent({start.task, start.run}, now);
             m_actions.push_back(stop_run{start.task, start.run, executor.entry.id, incarnation.address, incarnation.startedUnixMs});
         }
     }
@@ -368,8 +372,8 @@
         // The record is kept while it is reserved, because the reservation may be older than the entry, and without it the executor would
         // get runs that the order for its VM ends. It is also kept while starts are unanswered, because a new incarnation under the same
         // id must receive the stops for them.
-        const bool awaited = (executor.reserved && !executor.dead) || !executor.unansweredStarts.empty();
-        if (!executor.listed && executor.runs.empty() && !awaited) {
+        const bool awaited = !executor.dead && (executor.reserved || !executor.abandoned.empty());
+        if (!executor.listed && executor.runs.empty() && !awaited && executor.unansweredStarts.empty()) {
             empty.push_back(item.first);
             continue;
         }
--- a/src/sched/scheduler_orders.cpp
+++ b/src/sched/scheduler_orders.cpp
@@ -45,6 +45,7 @@
         return;
     }
     if (what.status == order_status::Ok) {
+        job.begun = true;
         task->confirmedAt = now;
         task->progressAt = now;
         task->percent = 0;
@@ -108,24 +109,27 @@
         m_actions.push_back(step_down{"stop on " + what.executor});
         return;
     }
-    const auto found = m_jobs.find(what.task.job);
-    if (found == m_jobs.end()) {
-        return;
-    }
-    task_record *task = found->second->find(what.task);
-    if (task == nullptr || task->phase != task_phase::Stopping || task->run != what.run || task->executor != what.executor) {
-        return;
-    }
     // An incarnation doesn't know the stops that an earlier one acknowledged. An answer without a start time may come from the incarnation
     // to which the stop was sent.
     const std::int64_t answeredByStartUnixMs = what.startedUnixMs.value_or(what.sentTo.startedUnixMs);
     const bool earlierIncarnation
         = foundExecutor != m_executors.end() && answeredByStartUnixMs != 0 && answeredByStartUnixMs < foundExecutor->second.entry.startedUnixMs;
-    if (!earlierIncarnation && (what.status == order_status::Ok || what.status == order_status::StaleRun)) {
-        task->stopAckedAt = now;
-        if (foundExecutor != m_executors.end()) {
-            requestPoll(foundExecutor->second);
-        }
+    const bool confirmed = !earlierIncarnation && (what.status == order_status::Ok || what.status == order_status::StaleRun);
+    if (!confirmed) {
+        return;
+    }
+    if (foundExecutor != m_executors.end() && foundExecutor->second.abandoned.contains({what.task, what.run})) {
+        foundExecutor->second.abandoned.stopConfirmed({what.task, what.run}, now);
+        requestPoll(foundExecutor->second);
+    }
+    const auto found = m_jobs.find(what.task.job);
+    task_record *task = found == m_jobs.end() ? nullptr : found->second->find(what.task);
+    if (task == nullptr || task->phase != task_phase::Stopping || task->run != what.run || task->executor != what.executor) {
+        return;
+    }
+    task->stopAckedAt = now;
+    if (foundExecutor != m_executors.end()) {
+        requestPoll(foundExecutor->second);
     }
 }
 
--- a/src/sched/scheduler_polls.cpp
+++ b/src/sched/scheduler_polls.cpp
@@ -148,6 +148,7 @@
     adoptIncarnation(executor, {executor.entry.address, what.startedUnixMs.value_or(0)}, now);
     markResponsive(executor, now);
     executor.listedAt = now;
+    ++executor.listNumber;
     executor.listAskedAt = what.sentAt;
     executor.endsListed = !what.ends.empty();
     m_orderLedger.listed(executor.entry.id, what.sentAt);
@@ -167,25 +168,31 @@
     for (const listed_end &end : what.ends) {
         if (end.number > executor.processedEnds) {
             executor.processedEnds = end.number;
+            executor.abandoned.ended({end.task, end.run});
             applyEnd(executor, end, now);
         }
     }
-    std::set<task_id> listed;
+    std::set<run_id> listedAbandoned;
     executor.untracked = {};
     for (const listed_run &run : what.runs) {
         const auto found = m_jobs.find(run.task.job);
         task_record *task = found == m_jobs.end() ? nullptr : found->second->find(run.task);
+        if (found != m_jobs.end()) {
+            found->second->begun = true;
+        }
         const bool current = task != nullptr && task->occupies() && task->run == run.run && task->executor == executor.entry.id;
         if (!current) {
             // The scheduler no longer tracks this run. It is stopped so that it can't continue in parallel with a later run of the task.
             logEvent("unexpected_run", {{"task", run.task.text()}, {"run", std::to_string(run.run)}, {"executor", executor.entry.id}});
-            if (found != m_jobs.end() && run.task.step >= 0 && run.task.step < static_cast<int>(found->second->spec.steps.size())) {
+            if (executor.abandoned.contains({run.task, run.run})) {
+                listedAbandoned.insert({run.task, run.run});
+            } else if (found != m_jobs.end() && run.task.step >= 0 && run.task.step < static_cast<int>(found->second->spec.steps.size())) {
                 executor.untracked += found->second->spec.steps[static_cast<std::size_t>(run.task.step)].countedDemand();
             }
             m_actions.push_back(stop_run{run.task, run.run, executor.entry.id, executor.entry.address, executor.entry.startedUnixMs});
             continue;
         }
-        listed.insert(run.task);
+        task->listNumber = executor.listNumber;
         task->reporterStartedUnixMs = executor.entry.startedUnixMs;
         if (task->phase == task_phase::Starting || task->phase == task_phase::Unconfirmed || startedDespiteStop(*found->second, *task, what.sentAt)) {
             task->phase = task_phase::Running;
@@ -210,8 +217,9 @@
             requestStop(run.task, *task, now, nameOf(found->second->phase));
         }
     }
+    executor.abandoned.applyList(listedAbandoned, what.sentAt);
     if (!what.moreEnds) {
-        resolveUnlistedRuns(executor, what, listed, now);
+        resolveUnlistedRuns(executor, what, now);
     }
     throttleBestEffort(executor, what.runs, now);
 }
@@ -276,13 +284,15 @@
     task.stopConfirmsAbsence = true;
 }
 
-void scheduler::resolveUnlistedRuns(executor_record &executor, const poll_answered &what, const std::set<task_id> &listed, time_ms now)
+void scheduler::resolveUnlistedRuns(executor_record &executor, const poll_answered &what, time_ms now)
 {
-    const std::set<task_id> runs = executor.runs;
-    for (const task_id &id : runs) {
-        if (listed.contains(id)) {
-            continue;
+    std::vector<task_id> unlisted;
+    for (const task_id &id : executor.runs) {
+        if (m_jobs.at(id.job)->find(id)->listNumber != executor.listNumber) {
+            unlisted.push_back(id);
         }
+    }
+    for (const task_id &id : unlisted) {
         job_record &job = *m_jobs.at(id.job);
         task_record &task = *job.find(id);
         if (task.inherited) {
--- a/src/sched/scheduler_runs.cpp
+++ b/src/sched/scheduler_runs.cpp
@@ -7,8 +7,6 @@
 namespace daisypass::sched {
 namespace {
 
-// An unanswered stop is repeated after this time.
-constexpr time_ms stopRetryMs = 1'300;
 // Exponential backoff of an executor after this many consecutive failed runs; it doubles with each further failure up to the maximum.
 constexpr int failuresBeforeBackoff = 2;
 constexpr time_ms firstFailureBackoffMs = 1'000;
@@ -18,6 +16,7 @@
 
 void scheduler::occupy(const task_id &id, const step_spec &step, executor_record &executor)
 {
+    executor.longRunningRuns += step.longRunning ? 1 : 0;
     executor.used += step.countedDemand();
     executor.runs.insert(id);
     executor.emptySince = 0;
@@ -30,6 +29,7 @@
     const auto found = m_executors.find(task.executor);
     if (found != m_executors.end() && found->second.runs.erase(id) > 0) {
         found->second.used -= step.countedDemand();
+        found->second.longRunningRuns -= step.longRunning ? 1 : 0;
         if (found->second.runs.empty()) {
             found->second.emptySince = now;
         }
@@ -47,6 +47,7 @@
     task.percent = 0;
     task.confirmedPercent = 0;
     task.throttlePercent = 100;
+    task.listNumber = 0;
     if (task.available || task.availabilityChangedAt == 0) {
         task.availabilityChangedAt = now;
     }
@@ -68,6 +69,7 @@
         return;
     }
     job_record &job = *found->second;
+    job.begun = true;
     executor.unstoredJobs.insert(job.spec.id);
     m_executorsToAcknowledge.insert(executor.entry.id);
     task_record *task = job.find(end.task);
@@ -88,11 +90,7 @@
     if (end.how == run_end::Done) {
         // A completed run completes the task, even if it isn't the task's current run.
         if (task->occupies() && !current) {
-            executor_record &currentExecutor = executorFor(task->executor, now);
-            m_actions.push_back(stop_run{end.task, task->run, task->executor, currentExecutor.entry.address, currentExecutor.entry.startedUnixMs});
-            // The current run uses capacity until the executor no longer lists it.
-            currentExecutor.untracked += job.spec.steps[static_cast<std::size_t>(end.task.step)].countedDemand();
-            requestPoll(currentExecutor);
+            abandonRun(end.task, *task, job.spec.steps[static_cast<std::size_t>(end.task.step)], now);
         }
         ++m_counts.doneRuns;
         if (current) {
@@ -109,6 +107,21 @@
     }
 }
 
+// The run's start may have no answer yet, so it can begin after this. It uses capacity until it has certainly ended.
+void scheduler::abandonRun(const task_id &id, const task_record &task, const step_spec &step, time_ms now)
+{
+    if (task.phase == task_phase::Placing) {
+        // The start order was not sent, and won't be.
+        return;
+    }
+    executor_record &executor = executorFor(task.executor, now);
+    const run_id run{id, task.run};
+    executor.abandoned.add(run, step.countedDemand(), task.startSentAt == 0 ? now : task.startSentAt);
+    executor.abandoned.stopSent(run, now);
+    m_actions.push_back(stop_run{id, task.run, task.executor, executor.entry.address, executor.entry.startedUnixMs});
+    requestPoll(executor);
+}
+
 void scheduler::endRun(job_record &job, const task_id &id, task_record &task, run_end how, const std::string &checkpoint, time_ms now)
 {
     if (!checkpoint.empty()) {
@@ -145,6 +158,9 @@
         member.executor.clear();
         member.checkpoint.clear();
     }
+    if (step.finished()) {
+        job.stepFinished();
+    }
     markDirty(job);
     if (job.ended()) {
         return;
@@ -206,6 +222,7 @@
     }
     logEvent("run_stopping", {{"task", id.text()}, {"run", std::to_string(task.run)}, {"executor", task.executor}, {"cause", std::string(cause)}});
     task.phase = task_phase::Stopping;
+    m_unansweredStops.insert(id);
     task.stopSentAt = now;
     task.stopAckedAt = 0;
     task.stopConfirmsAbsence = false;
@@ -228,19 +245,29 @@
 
 void scheduler::resendStops(time_ms now)
 {
+    for (auto id = m_unansweredStops.begin(); id != m_unansweredStops.end();) {
+        const auto job = m_jobs.find(id->job);
+        task_record *task = job == m_jobs.end() ? nullptr : job->second->find(*id);
+        const bool unanswered = task != nullptr && task->phase == task_phase::Stopping && task->stopAckedAt == 0;
+        if (!unanswered) {
+            id = m_unansweredStops.erase(id);
+            continue;
+        }
+        const auto executor = m_executors.find(task->executor);
+        const bool reachable = executor != m_executors.end() && !executor->second.dead && !executor->second.entry.address.empty();
+        const bool due = task->stopSentAt == 0 || task->stopSentAt + stopRetryMs < now;
+        if (reachable && due && mayResendStop(*job->second, *task, executor->second)) {
+            task->stopSentAt = now;
+            m_actions.push_back(stop_run{*id, task->run, task->executor, executor->second.entry.address, executor->second.entry.startedUnixMs});
+        }
+        ++id;
+    }
     for (std::pair<const std::string, executor_record> &item : m_executors) {
         if (item.second.dead || item.second.entry.address.empty()) {
             continue;
         }
-        for (const task_id &id : item.second.runs) {
-            job_record &job = *m_jobs.at(id.job);
-            task_record *task = job.find(id);
-            const bool unanswered = task != nullptr && task->phase == task_phase::Stopping && task->stopAckedAt == 0;
-            const bool due = unanswered && (task->stopSentAt == 0 || task->stopSentAt + stopRetryMs < now);
-            if (due && mayResendStop(job, *task, item.second)) {
-                task->stopSentAt = now;
-                m_actions.push_back(stop_run{id, task->run, item.first, item.second.entry.address, item.second.entry.startedUnixMs});
-            }
+        for (const run_id &run : item.second.abandoned.takeDueStops(now)) {
+            m_actions.push_back(stop_run{run.first, run.second, item.first, item.second.entry.address, item.second.entry.startedUnixMs});
         }
     }
 }
--- a/tests/sched/takeover_model.cpp
+++ b/tests/sched/takeover_model.cpp
@@ -230,9 +230,9 @@
     return std::move(m_outcome);
 }
 
-takeover_outcome simulateTakeovers(std::uint64_t seed)
+takeover_outcome simulateTakeovers(std::uint64_t seed, const late_orders &lateness)
 {
-    return takeover_world(seed).run();
+    return takeover_world(seed, lateness).run();
 }
 
 } // namespace daisypass::sched
--- a/tests/sched/takeover_model.h
+++ b/tests/sched/takeover_model.h
@@ -31,6 +31,13 @@
     std::vector<std::string> trace;
 };
 
-takeover_outcome simulateTakeovers(std::uint64_t seed);
+/** How often the executors' orders are carried out late, and how much later at most. */
+struct late_orders
+{
+    double probability = 0.01;
+    time_ms maxDelayMs = 6'000;
+};
+
+takeover_outcome simulateTakeovers(std::uint64_t seed, const late_orders &lateness = {});
 
 } // namespace daisypass::sched
--- a/tests/sched/takeover_orders.cpp
+++ b/tests/sched/takeover_orders.cpp
@@ -10,7 +10,7 @@
 constexpr time_ms orderTimeoutMs = 400;
 constexpr time_ms maxRenewalAgeMs = 1'500;
 constexpr double lostAnswerProbability = 0.02;
-constexpr double lateOrderProbability = 0.01;
+constexpr time_ms minLateOrderDelayMs = 2'000;
 
 template<typename Answer, typename Order>
 Answer answerTo(const Order &order, order_status status)
@@ -28,8 +28,8 @@
 
 void takeover_world::send(time_ms timeoutMs, const std::function<order_status()> &execute, const std::function<void(order_status)> &onAnswer)
 {
-    if (drawWithProbability(lateOrderProbability)) {
-        at(m_now + between(2'000, 6'000), [execute] {
+    if (drawWithProbability(m_lateness.probability)) {
+        at(m_now + between(minLateOrderDelayMs, m_lateness.maxDelayMs), [execute] {
             execute();
         });
         at(m_now + timeoutMs, [onAnswer] {
--- a/tests/sched/takeover_test.cpp
+++ b/tests/sched/takeover_test.cpp
@@ -58,6 +58,21 @@
     MESSAGE("days " << range.count << ", takeovers " << takeovers << ", moves " << moves);
 }
 
+// Guards against starts over an executor's capacity while half of the orders are carried out up to 12 s late.
+TEST_CASE("late orders don't bring an executor over its capacity")
+{
+    const seed_range range = requestedSeeds();
+    int starts = 0;
+    for (std::uint64_t seed = range.first; seed < range.first + range.count; ++seed) {
+        const takeover_outcome outcome = simulateTakeovers(seed, {0.5, 12'000});
+        CAPTURE(seed);
+        INFO(traceOf(outcome, range));
+        starts += outcome.starts;
+        CHECK(outcome.overloadedExecutors == 0);
+    }
+    MESSAGE("days " << range.count << ", starts " << starts);
+}
+
 // With these seeds, a start order that got no answer arrives seconds later at an incarnation that began after the order was sent.
 TEST_CASE("a late start isn't carried out by an executor's next life")
 {
--- a/tests/sched/takeover_world.h
+++ b/tests/sched/takeover_world.h
@@ -53,8 +53,9 @@
 class takeover_world
 {
 public:
-    explicit takeover_world(std::uint64_t seed)
+    explicit takeover_world(std::uint64_t seed, const late_orders &lateness = {})
         : m_random(seed)
+        , m_lateness(lateness)
     {
     }
 
@@ -151,6 +152,7 @@
     void advanceExecutors();
 
     std::mt19937_64 m_random;
+    late_orders m_lateness;
     std::priority_queue<timed_call, std::vector<timed_call>, std::greater<>> m_events;
     std::uint64_t m_order = 0;
     // Starts at 1, because the scheduler's records use 0 for "never".
