Pass typed orders to the relays, which speak HTTP with the executors

Change: relays get typed orders, make the calls, read the executors' answers and return typed answers, packed by msgpack-cxx without a document in between. Orders are collected for longer the more relays there are. Orders that a relay has refused or never got are sent directly (before, they ended as sent); a relay responds to the polls of sessions that it drops. A holder of an earlier version finds no relay on nodes of this one and the other way round; both then send directly.

--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -23,9 +23,7 @@
     , m_scheduler(settings.bounds, m_term.times)
     , m_recovery(std::make_unique<recovery>())
     , m_relays(std::make_shared<relay_pool>(m_dependencies.client, m_dependencies.runAfter, m_term.node + '.' + std::to_string(m_term.term), m_term.node))
-    , m_executors([relays = m_relays](http_call call, std::function<void(http_result)> done) {
-        relays->send(std::move(call), std::move(done));
-    })
+    , m_executors(directSender(m_dependencies.client))
     , m_renewedAt(m_term.times.acquiredAt)
 {
     m_recovery->startedAt = steadyMillis();
--- a/src/node/dispatcher_orders.cpp
+++ b/src/node/dispatcher_orders.cpp
@@ -25,51 +25,50 @@
 
 void dispatcher::execute(const sched::start_run &order)
 {
-    start_order call{order.task, order.run, order.payload, order.leaseEndMs, m_term.term, order.checkpoint, order.ticket};
+    const start_order call{order.task, order.run, order.payload, order.leaseEndMs, m_term.term, order.checkpoint, order.ticket};
     const sched::order_target sentTo{order.address, order.startedUnixMs};
-    m_executors.start({order.executor, order.address},
-                      call,
-                      [weak = weak_from_this(), task = order.task, run = order.run, executor = order.executor, sentTo](const order_result &result) {
-                          if (const std::shared_ptr<dispatcher> self = weak.lock()) {
-                              self->handleEvent(sched::start_answered{task, run, executor, result.status, result.clockMs, result.startedUnixMs, sentTo});
-                          }
-                      });
+    m_relays->send({{order.executor, order.address}, call},
+                   [weak = weak_from_this(), task = order.task, run = order.run, executor = order.executor, sentTo](const executor_answer &answer) {
+                       if (const std::shared_ptr<dispatcher> self = weak.lock()) {
+                           const order_result &result = std::get<order_result>(answer);
+                           self->handleEvent(sched::start_answered{task, run, executor, result.status, result.clockMs, result.startedUnixMs, sentTo});
+                       }
+                   });
 }
 
 void dispatcher::execute(const sched::stop_run &order)
 {
     const sched::order_target sentTo{order.address, order.startedUnixMs};
-    m_executors.stop({order.executor, order.address},
-                     order.task,
-                     order.run,
-                     m_term.term,
-                     [weak = weak_from_this(), task = order.task, run = order.run, executor = order.executor, sentTo](const order_result &result) {
-                         if (const std::shared_ptr<dispatcher> self = weak.lock()) {
-                             self->handleEvent(sched::stop_answered{task, run, executor, result.status, sentTo, result.startedUnixMs});
-                         }
-                     });
+    m_relays->send({{order.executor, order.address}, stop_order{order.task, order.run, m_term.term}},
+                   [weak = weak_from_this(), task = order.task, run = order.run, executor = order.executor, sentTo](const executor_answer &answer) {
+                       if (const std::shared_ptr<dispatcher> self = weak.lock()) {
+                           const order_result &result = std::get<order_result>(answer);
+                           self->handleEvent(sched::stop_answered{task, run, executor, result.status, sentTo, result.startedUnixMs});
+                       }
+                   });
 }
 
 void dispatcher::execute(const sched::throttle_run &order)
 {
-    m_executors.throttle({order.executor, order.address}, order.task, order.run, order.percent, m_term.term, [](order_result) {
+    m_relays->send({{order.executor, order.address}, throttle_order{order.task, order.run, order.percent, m_term.term}}, [](const executor_answer &) {
         // The answer isn't needed: the executor's next list of runs shows the effect, and the scheduler repeats a lost order.
     });
 }
 
 void dispatcher::execute(const sched::poll_executor &order)
 {
-    const poll_request call{m_term.term, order.acknowledged, order.leaseEndMs, std::chrono::milliseconds(order.waitMs)};
+    const poll_order call{m_term.term, order.acknowledged, order.leaseEndMs, std::chrono::milliseconds(order.waitMs)};
     const sched::order_target sentTo{order.address, order.startedUnixMs};
-    m_executors.poll(
-        {order.executor, order.address}, call, [weak = weak_from_this(), executor = order.executor, sentAt = steadyMillis(), sentTo](poll_result result) {
-            if (const std::shared_ptr<dispatcher> self = weak.lock()) {
-                sched::poll_answered answer{executor, result.status, sentAt, result.clockMs, result.startedUnixMs, {}, {}, result.moreEnds, sentTo};
-                answer.runs = std::move(result.runs);
-                answer.ends = std::move(result.ends);
-                self->handleEvent(answer);
-            }
-        });
+    m_relays->send({{order.executor, order.address}, call},
+                   [weak = weak_from_this(), executor = order.executor, sentAt = steadyMillis(), sentTo](executor_answer answer) {
+                       if (const std::shared_ptr<dispatcher> self = weak.lock()) {
+                           poll_result &result = std::get<poll_result>(answer);
+                           sched::poll_answered event{executor, result.status, sentAt, result.clockMs, result.startedUnixMs, {}, {}, result.moreEnds, sentTo};
+                           event.runs = std::move(result.runs);
+                           event.ends = std::move(result.ends);
+                           self->handleEvent(event);
+                       }
+                   });
 }
 
 void dispatcher::execute(const sched::request_advice &order)
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -88,7 +88,7 @@
         , ticker(context)
         , signals(context)
         , servers(settings, handlers(), context)
-        , relay(std::make_shared<relay_server>(directSender(client), makeRunAfter()))
+        , relay(std::make_shared<relay_server>(executor_client(directSender(client)), makeRunAfter()))
         , owner([this](const held_term &term) {
             return makeDispatcher(term);
         })
@@ -259,7 +259,7 @@
 
     void onInternalRequest(http_request request, http_responder respond)
     {
-        if (request.path == "/relay/exchange") {
+        if (request.path == relayExchangePath) {
             relay->handle(request, respond);
         } else if (request.path.starts_with(jobRowPath)) {
             onRowFromNode(request, respond);
--- a/src/node/relay_messages.h
+++ b/src/node/relay_messages.h
@@ -1,11 +1,14 @@
 #pragma once
 
-// Messages between the lease holder and a relay: calls to executors in requests, and their results in answers.
+// Messages between the lease holder and a relay: orders to executors in requests, and the executors' answers in responses.
 //
-// Bodies are MessagePack. An exchange sends new calls and returns the results available so far; with a wait time it is a long poll
-// that waits for the first result.
+//     std::string body = encode(relay_exchange{session, waitMs, orders});
+//     std::optional<std::vector<relayed_answer>> answers = decodeAnswers(response.body);
+//
+// Bodies are MessagePack. An exchange passes new orders and returns the answers available so far; with a wait time it is a long poll
+// that waits for the first answer.
 
-#include "http/http_client.h"
+#include "platform/executor_orders.h"
 
 #include <cstdint>
 #include <optional>
@@ -15,30 +18,35 @@
 
 namespace daisypass {
 
-struct relayed_call
+/** Path of an exchange on a relay's server for other nodes. */
+inline constexpr std::string_view relayExchangePath = "/relay/orders";
+
+struct relayed_order
 {
     std::int64_t number = 0;
-    http_call call;
+    executor_order order;
 };
 
 struct relay_exchange
 {
-    /** Identifies one term of one holder. A poll returns results of its own session only. */
+    /** Identifies one term of one holder. A poll returns answers of its own session only. */
     std::string session;
-    /** Longest wait for a result, in ms; with 0 the relay answers at once. */
+    /** Longest wait for an answer, in ms; with 0 the relay responds at once. */
     std::int64_t waitMs = 0;
-    std::vector<relayed_call> calls;
+    std::vector<relayed_order> orders;
 };
 
-struct relayed_result
+struct relayed_answer
 {
     std::int64_t number = 0;
-    http_result result;
+    executor_answer answer;
 };
 
 std::string encode(const relay_exchange &exchange);
+/** Returns nothing if the body is malformed. */
 std::optional<relay_exchange> decodeExchange(std::string_view body);
-std::string encode(const std::vector<relayed_result> &results);
-std::optional<std::vector<relayed_result>> decodeResults(std::string_view body);
+std::string encode(const std::vector<relayed_answer> &answers);
+/** Returns nothing if the body is malformed. */
+std::optional<std::vector<relayed_answer>> decodeAnswers(std::string_view body);
 
 } // namespace daisypass
--- a/src/node/relay_pool.cpp
+++ b/src/node/relay_pool.cpp
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "http/http_answers.h"
 
 #include <algorithm>
 
@@ -11,40 +12,28 @@
 // The holder serves up to this many executors directly.
 constexpr std::size_t executorsWithoutRelay = 100;
 constexpr std::size_t executorsPerRelay = 110;
-// Calls made within this time of the first one share its exchange.
-constexpr std::chrono::milliseconds batchDelay{4};
+// Orders given within this time of the first one share its exchange. Each exchange costs the holder as much processor time as dozens of
+// orders, so the time grows with the number of relays.
+constexpr std::chrono::milliseconds minBatchDelay{4};
+constexpr std::chrono::milliseconds maxBatchDelay{16};
 constexpr std::chrono::milliseconds pollWait{1'000};
 constexpr std::chrono::milliseconds exchangeTimeout{1'000};
 constexpr std::chrono::milliseconds connectTimeout{400};
 // A failed relay gets no new calls for this long.
 constexpr sched::time_ms failedRelayAvoidMs = 3'000;
-// Added to a call's own timeout for the way through the relay.
+// Added to an order's own timeout for the way through the relay.
 constexpr sched::time_ms relayMarginMs = 400;
 
-http_result unansweredResult()
-{
-    http_result result;
-    result.state = send_state::Sent;
-    result.reason = failure{failure_code::PeerUnreachable, "no result from the relay"};
-    return result;
-}
-
 std::uint64_t rendezvousHash(const std::string &a, const std::string &b)
 {
     return std::hash<std::string>{}(a + '|' + b);
 }
 
-// Returns the host and port of an executor's URL.
-std::string addressOfUrl(const std::string &url)
-{
-    constexpr std::size_t scheme = 7;
-    return url.substr(scheme, url.find('/', scheme) - scheme);
-}
-
 } // namespace
 
 relay_pool::relay_pool(http_client &client, run_after_function runAfter, std::string session, std::string self)
     : m_client(client)
+    , m_direct(directSender(client))
     , m_runAfter(std::move(runAfter))
     , m_session(std::move(session))
     , m_self(std::move(self))
@@ -59,6 +48,11 @@
     return (executors + executorsPerRelay - 1) / executorsPerRelay;
 }
 
+std::chrono::milliseconds relay_pool::batchDelay(std::size_t relays)
+{
+    return std::clamp(std::chrono::milliseconds(relays), minBatchDelay, maxBatchDelay);
+}
+
 void relay_pool::setNodes(std::vector<node_entry> nodes)
 {
     const std::lock_guard<std::mutex> guard(m_lock);
@@ -114,10 +108,9 @@
     m_relays = std::move(selected);
 }
 
-relay_pool::relay_state *relay_pool::relayFor(const std::string &url)
+relay_pool::relay_state *relay_pool::relayFor(const std::string &address)
 {
     const sched::time_ms now = steadyMillis();
-    const std::string address = addressOfUrl(url);
     relay_state *best = nullptr;
     std::uint64_t bestHash = 0;
     for (std::pair<const std::string, relay_state> &relay : m_relays) {
@@ -130,22 +123,22 @@
     return best;
 }
 
-void relay_pool::send(http_call call, std::function<void(http_result)> done)
+void relay_pool::send(executor_order order, answer_handler done)
 {
     {
         const std::lock_guard<std::mutex> guard(m_lock);
-        relay_state *relay = m_stopped ? nullptr : relayFor(call.url);
+        relay_state *relay = m_stopped ? nullptr : relayFor(order.target.address);
         if (relay != nullptr) {
             const std::int64_t number = ++m_lastNumber;
-            const sched::time_ms deadline = steadyMillis() + call.totalTimeout.count() + relayMarginMs;
-            m_outstanding[number] = {relay->node.node, deadline, std::move(done)};
+            const sched::time_ms deadline = steadyMillis() + timeoutOf(order).count() + relayMarginMs;
+            m_outstanding[number] = {relay->node.node, deadline, unknownAnswerTo(order), std::move(done)};
             ++relay->outstanding;
-            relay->queued.push_back({number, std::move(call)});
+            relay->queued.push_back({number, std::move(order)});
             scheduleFlush(*relay);
             return;
         }
     }
-    m_client.send(std::move(call), std::move(done));
+    m_direct.send(order, std::move(done));
 }
 
 void relay_pool::scheduleFlush(relay_state &relay)
@@ -154,7 +147,7 @@
         return;
     }
     relay.flushScheduled = true;
-    m_runAfter(batchDelay, [weak = weak_from_this(), name = relay.node.node] {
+    m_runAfter(batchDelay(m_relays.size()), [weak = weak_from_this(), name = relay.node.node] {
         if (const std::shared_ptr<relay_pool> self = weak.lock()) {
             self->flush(name);
         }
@@ -173,27 +166,29 @@
     relay_exchange exchange;
     exchange.session = m_session;
     exchange.waitMs = relay.polling ? 0 : pollWait.count();
-    exchange.calls = std::exchange(relay.queued, {});
+    exchange.orders = std::exchange(relay.queued, {});
     const bool isPoll = !relay.polling;
     relay.polling = true;
     http_call call;
     call.method = "POST";
-    call.url = "http://" + toString(relay.node.address) + "/relay/exchange";
+    call.url = "http://" + toString(relay.node.address) + std::string(relayExchangePath);
     call.headers = {{"Content-Type", "application/msgpack"}};
     call.body = encode(exchange);
     call.connectTimeout = connectTimeout;
     call.totalTimeout = isPoll ? pollWait + exchangeTimeout : exchangeTimeout;
-    m_client.send(std::move(call), [weak = weak_from_this(), name, isPoll, calls = std::move(exchange.calls)](const http_result &result) mutable {
+    m_client.send(std::move(call), [weak = weak_from_this(), name, isPoll, orders = std::move(exchange.orders)](const http_result &result) mutable {
         if (const std::shared_ptr<relay_pool> self = weak.lock()) {
-            self->onExchange(name, isPoll, std::move(calls), result);
+            self->onExchange(name, isPoll, std::move(orders), result);
         }
     });
 }
 
-void relay_pool::onExchange(const std::string &name, bool isPoll, std::vector<relayed_call> calls, const http_result &result)
+void relay_pool::onExchange(const std::string &name, bool isPoll, std::vector<relayed_order> orders, const http_result &result)
 {
-    const bool answered = result.state == send_state::Answered && result.response.status == 200;
-    std::optional<std::vector<relayed_result>> results = answered ? decodeResults(result.response.body) : std::nullopt;
+    const bool served = result.state == send_state::Answered && result.response.status == statusOk;
+    std::optional<std::vector<relayed_answer>> answers = served ? decodeAnswers(result.response.body) : std::nullopt;
+    // A relay that can't be reached, or that answers anything else than 200, has done nothing with these orders.
+    const bool notReceived = result.state == send_state::NotSent || (result.state == send_state::Answered && !served);
     std::vector<std::function<void()>> callbacks;
     {
         const std::lock_guard<std::mutex> guard(m_lock);
@@ -206,20 +201,9 @@
             if (isPoll) {
                 relay.polling = false;
             }
-            if (!results) {
-                if (result.state == send_state::NotSent) {
-                    // The relay has received none of these calls, so they can be sent directly.
-                    for (relayed_call &relayed : calls) {
-                        const auto entry = m_outstanding.find(relayed.number);
-                        if (entry == m_outstanding.end()) {
-                            continue;
-                        }
-                        relay.outstanding -= relay.outstanding > 0 ? 1 : 0;
-                        callbacks.emplace_back([this, call = std::move(relayed.call), done = std::move(entry->second.done)] {
-                            m_client.send(call, done);
-                        });
-                        m_outstanding.erase(entry);
-                    }
+            if (!answers) {
+                if (notReceived) {
+                    takeForDirect(relay, std::move(orders), callbacks);
                 }
                 failRelay(relay, callbacks);
             }
@@ -228,10 +212,10 @@
     for (const std::function<void()> &call : callbacks) {
         call();
     }
-    if (results) {
-        deliver(std::move(*results));
+    if (answers) {
+        deliver(std::move(*answers));
     }
-    if (isPoll && results) {
+    if (isPoll && answers) {
         const std::lock_guard<std::mutex> guard(m_lock);
         const auto found = m_relays.find(name);
         if (found != m_relays.end() && found->second.outstanding > 0) {
@@ -240,31 +224,48 @@
     }
 }
 
+void relay_pool::takeForDirect(relay_state &relay, std::vector<relayed_order> orders, std::vector<std::function<void()>> &callbacks)
+{
+    for (relayed_order &relayed : orders) {
+        const auto entry = m_outstanding.find(relayed.number);
+        if (entry == m_outstanding.end()) {
+            continue;
+        }
+        relay.outstanding -= relay.outstanding > 0 ? 1 : 0;
+        callbacks.emplace_back([self = shared_from_this(), order = std::move(relayed.order), done = std::move(entry->second.done)] {
+            self->m_direct.send(order, done);
+        });
+        m_outstanding.erase(entry);
+    }
+}
+
+// Orders that were still queued have not left this process. All others may have been carried out.
 void relay_pool::failRelay(relay_state &relay, std::vector<std::function<void()>> &callbacks)
 {
     logEvent("relay_failed", {{"node", relay.node.node}, {"calls", relay.outstanding}});
+    takeForDirect(relay, std::exchange(relay.queued, {}), callbacks);
     relay.avoidUntil = steadyMillis() + failedRelayAvoidMs;
     relay.outstanding = 0;
-    relay.queued.clear();
     for (auto entry = m_outstanding.begin(); entry != m_outstanding.end();) {
         if (entry->second.relay != relay.node.node) {
             ++entry;
             continue;
         }
-        callbacks.emplace_back([done = std::move(entry->second.done)] {
-            done(unansweredResult());
+        callbacks.emplace_back([done = std::move(entry->second.done), answer = std::move(entry->second.unknownAnswer)] {
+            done(answer);
         });
         entry = m_outstanding.erase(entry);
     }
     selectRelays();
 }
 
-void relay_pool::deliver(std::vector<relayed_result> results)
+void relay_pool::deliver(std::vector<relayed_answer> answers)
 {
-    std::vector<std::pair<std::function<void(http_result)>, http_result>> finished;
+    std::vector<std::pair<answer_handler, executor_answer>> finished;
+    finished.reserve(answers.size());
     {
         const std::lock_guard<std::mutex> guard(m_lock);
-        for (relayed_result &relayed : results) {
+        for (relayed_answer &relayed : answers) {
             const auto entry = m_outstanding.find(relayed.number);
             if (entry == m_outstanding.end()) {
                 continue;
@@ -273,18 +274,20 @@
             if (relay != m_relays.end() && relay->second.outstanding > 0) {
                 --relay->second.outstanding;
             }
-            finished.emplace_back(std::move(entry->second.done), std::move(relayed.result));
+            // An answer to another kind of order than the one sent says nothing about it.
+            const bool matches = relayed.answer.index() == entry->second.unknownAnswer.index();
+            finished.emplace_back(std::move(entry->second.done), matches ? std::move(relayed.answer) : std::move(entry->second.unknownAnswer));
             m_outstanding.erase(entry);
         }
     }
-    for (std::pair<std::function<void(http_result)>, http_result> &relayed : finished) {
+    for (std::pair<answer_handler, executor_answer> &relayed : finished) {
         relayed.first(std::move(relayed.second));
     }
 }
 
 void relay_pool::tick(sched::time_ms now)
 {
-    std::vector<std::function<void(http_result)>> overdue;
+    std::vector<std::pair<answer_handler, executor_answer>> overdue;
     {
         const std::lock_guard<std::mutex> guard(m_lock);
         for (auto entry = m_outstanding.begin(); entry != m_outstanding.end();) {
@@ -296,12 +299,12 @@
             if (relay != m_relays.end() && relay->second.outstanding > 0) {
                 --relay->second.outstanding;
             }
-            overdue.push_back(std::move(entry->second.done));
+            overdue.emplace_back(std::move(entry->second.done), std::move(entry->second.unknownAnswer));
             entry = m_outstanding.erase(entry);
         }
     }
-    for (const std::function<void(http_result)> &done : overdue) {
-        done(unansweredResult());
+    for (std::pair<answer_handler, executor_answer> &order : overdue) {
+        order.first(std::move(order.second));
     }
 }
 
--- a/src/node/relay_pool.h
+++ b/src/node/relay_pool.h
@@ -1,25 +1,27 @@
 #pragma once
 
-// The lease holder's side of the relays: assigns the executors to some other nodes and sends calls to them in batches.
+// The lease holder's side of the relays: assigns the executors to some other nodes and sends orders to them in batches.
 //
 //     std::shared_ptr<relay_pool> relays = std::make_shared<relay_pool>(client, runAfter, session, self);
 //     relays->setNodes(nodes);
 //     relays->setExecutors(count);
-//     relays->send(call, done);
+//     relays->send(order, done);
 //
-// If a relay can't be reached, its calls are sent directly. If a relay fails after it may have received a call, the call ends as sent
-// without an answer.
+// Orders that a relay has certainly not received, or has refused, are sent directly. If a relay fails after it may have received an
+// order, the order ends without an answer.
 
-#include "http/call_sender.h"
+#include "http/http_client.h"
 #include "node/node_directory.h"
 #include "node/relay_messages.h"
 #include "node/table_feed.h"
+#include "platform/executor_client.h"
 #include "sched/model.h"
 
 #include <map>
 #include <memory>
 #include <mutex>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace daisypass {
@@ -35,22 +37,29 @@
 
     void setNodes(std::vector<node_entry> nodes);
     void setExecutors(std::size_t executors);
-    void send(http_call call, std::function<void(http_result)> done);
+    /** How long orders to one relay are collected before they are sent, with this many relays. */
+    static std::chrono::milliseconds batchDelay(std::size_t relays);
+
+    void send(executor_order order, std::function<void(executor_answer)> done);
     void tick(sched::time_ms now);
     void stop();
 
 private:
-    struct outstanding_call
+    using answer_handler = std::function<void(executor_answer)>;
+
+    struct outstanding_order
     {
         std::string relay;
         sched::time_ms deadline = 0;
-        std::function<void(http_result)> done;
+        /** What the holder gets if the relay returns no answer. */
+        executor_answer unknownAnswer;
+        answer_handler done;
     };
 
     struct relay_state
     {
         node_entry node;
-        std::vector<relayed_call> queued;
+        std::vector<relayed_order> queued;
         bool flushScheduled = false;
         bool polling = false;
         sched::time_ms avoidUntil = 0;
@@ -61,12 +70,14 @@
     relay_state *relayFor(const std::string &url);
     void scheduleFlush(relay_state &relay);
     void flush(const std::string &name);
-    void poll(const std::string &name);
-    void onExchange(const std::string &name, bool isPoll, std::vector<relayed_call> calls, const http_result &result);
-    void deliver(std::vector<relayed_result> results);
+    void onExchange(const std::string &name, bool isPoll, std::vector<relayed_order> orders, const http_result &result);
+    void deliver(std::vector<relayed_answer> answers);
+    /** Takes the orders from the outstanding ones, to be sent without the relay. */
+    void takeForDirect(relay_state &relay, std::vector<relayed_order> orders, std::vector<std::function<void()>> &callbacks);
     void failRelay(relay_state &relay, std::vector<std::function<void()>> &callbacks);
 
     http_client &m_client;
+    executor_client m_direct;
     run_after_function m_runAfter;
     std::string m_session;
     std::string m_self;
@@ -76,7 +87,7 @@
     std::size_t m_executors = 0;
     std::map<std::string, relay_state> m_relays;
     std::int64_t m_lastNumber = 0;
-    std::map<std::int64_t, outstanding_call> m_outstanding;
+    std::unordered_map<std::int64_t, outstanding_order> m_outstanding;
 };
 
 } // namespace daisypass
--- a/src/node/relay_server.cpp
+++ b/src/node/relay_server.cpp
@@ -7,15 +7,15 @@
 namespace daisypass {
 namespace {
 
-// Results that arrive within this time of the first one share its answer. This delays the report of a run's end by as much.
-constexpr std::chrono::milliseconds batchDelay{8};
+// Answers that arrive within this time of the first one share its response. This delays the report of a run's end by as much.
+constexpr std::chrono::milliseconds batchDelay{10};
 // If a new session would exceed this number, all older ones are dropped: they belong to former holders.
 constexpr std::size_t maxSessions = 4;
 
 } // namespace
 
-relay_server::relay_server(call_sender sender, run_after_function runAfter)
-    : m_sender(std::move(sender))
+relay_server::relay_server(executor_client executors, run_after_function runAfter)
+    : m_executors(std::move(executors))
     , m_runAfter(std::move(runAfter))
 {
 }
@@ -31,44 +31,55 @@
     {
         const std::lock_guard<std::mutex> guard(m_lock);
         if (!m_sessions.contains(name) && m_sessions.size() >= maxSessions) {
-            m_sessions.clear();
+            dropSessions();
         }
         session &current = m_sessions[name];
         if (exchange->waitMs > 0) {
             if (current.pollResponder) {
-                answerPoll(current);
+                respondToPoll(current);
             }
             current.pollResponder = respond;
             const std::int64_t pollNumber = ++current.pollNumber;
-            if (!current.results.empty()) {
-                answerPoll(current);
+            if (!current.answers.empty()) {
+                respondToPoll(current);
             } else {
                 m_runAfter(std::chrono::milliseconds(exchange->waitMs), [weak = weak_from_this(), name, pollNumber] {
                     if (const std::shared_ptr<relay_server> self = weak.lock()) {
                         const std::lock_guard<std::mutex> callbackGuard(self->m_lock);
                         const auto found = self->m_sessions.find(name);
                         if (found != self->m_sessions.end() && found->second.pollNumber == pollNumber && found->second.pollResponder) {
-                            self->answerPoll(found->second);
+                            self->respondToPoll(found->second);
                         }
                     }
                 });
             }
         } else {
             http_response accepted;
-            accepted.body = encode(std::exchange(current.results, {}));
+            accepted.body = encode(std::exchange(current.answers, {}));
             respond(std::move(accepted));
         }
     }
-    for (relayed_call &relayed : exchange->calls) {
-        m_sender(std::move(relayed.call), [weak = weak_from_this(), name, number = relayed.number](http_result result) {
+    for (const relayed_order &relayed : exchange->orders) {
+        m_executors.send(relayed.order, [weak = weak_from_this(), name, number = relayed.number](executor_answer answer) {
             if (const std::shared_ptr<relay_server> self = weak.lock()) {
-                self->onResult(name, {number, std::move(result)});
+                self->onAnswer(name, {number, std::move(answer)});
             }
         });
     }
 }
 
-void relay_server::onResult(const std::string &name, relayed_result result)
+// Waiting polls get a response, so that a holder whose session is dropped doesn't wait for one until its time-out.
+void relay_server::dropSessions()
+{
+    for (std::pair<const std::string, session> &dropped : m_sessions) {
+        if (dropped.second.pollResponder) {
+            respondToPoll(dropped.second);
+        }
+    }
+    m_sessions.clear();
+}
+
+void relay_server::onAnswer(const std::string &name, relayed_answer answer)
 {
     const std::lock_guard<std::mutex> guard(m_lock);
     const auto found = m_sessions.find(name);
@@ -76,11 +87,11 @@
         return;
     }
     session &current = found->second;
-    current.results.push_back(std::move(result));
-    if (current.answerScheduled) {
+    current.answers.push_back(std::move(answer));
+    if (current.responseScheduled) {
         return;
     }
-    current.answerScheduled = true;
+    current.responseScheduled = true;
     m_runAfter(batchDelay, [weak = weak_from_this(), name] {
         if (const std::shared_ptr<relay_server> self = weak.lock()) {
             const std::lock_guard<std::mutex> callbackGuard(self->m_lock);
@@ -88,19 +99,19 @@
             if (entry == self->m_sessions.end()) {
                 return;
             }
-            entry->second.answerScheduled = false;
+            entry->second.responseScheduled = false;
             if (entry->second.pollResponder) {
-                self->answerPoll(entry->second);
+                self->respondToPoll(entry->second);
             }
         }
     });
 }
 
-void relay_server::answerPoll(session &current)
+void relay_server::respondToPoll(session &current)
 {
     http_response response;
     response.status = statusOk;
-    response.body = encode(std::exchange(current.results, {}));
+    response.body = encode(std::exchange(current.answers, {}));
     std::exchange(current.pollResponder, nullptr)(std::move(response));
 }
 
--- a/src/platform/executor_client.cpp
+++ b/src/platform/executor_client.cpp
@@ -175,6 +175,44 @@
     return read;
 }
 
+/** The path and the body of a call to an executor. */
+struct executor_request
+{
+    const char *path;
+    json body;
+};
+
+executor_request requestFor(const start_order &order)
+{
+    json body{{"Task", order.task.text()}, {"Run", order.run}, {"Spec", order.payload}, {"DeadlineMs", order.leaseEndMs}, {"FenceToken", order.fencingToken}};
+    if (!order.checkpoint.empty()) {
+        body["Checkpoint"] = order.checkpoint;
+    }
+    if (!order.ticket.empty()) {
+        body["Ticket"] = order.ticket;
+    }
+    return {"/-/run-start", std::move(body)};
+}
+
+executor_request requestFor(const stop_order &order)
+{
+    return {"/-/run-stop", json{{"Task", order.task.text()}, {"Run", order.run}, {"FenceToken", order.fencingToken}}};
+}
+
+executor_request requestFor(const throttle_order &order)
+{
+    return {"/-/pace", json{{"Task", order.task.text()}, {"Run", order.run}, {"Percent", order.percent}, {"FenceToken", order.fencingToken}}};
+}
+
+executor_request requestFor(const poll_order &order)
+{
+    json body{{"FenceToken", order.fencingToken}, {"AckCursor", order.acknowledged}, {"WaitMs", order.wait.count()}};
+    if (order.leaseEndMs) {
+        body["DeadlineMs"] = *order.leaseEndMs;
+    }
+    return {"/-/hold", std::move(body)};
+}
+
 advice_result readAdvice(const http_result &result)
 {
     const json body = bodyOf(result);
@@ -218,46 +256,22 @@
     });
 }
 
-void executor_client::start(const executor_address &target, const start_order &order, std::function<void(order_result)> done)
-{
-    json body{{"Task", order.task.text()}, {"Run", order.run}, {"Spec", order.payload}, {"DeadlineMs", order.leaseEndMs}, {"FenceToken", order.fencingToken}};
-    if (!order.checkpoint.empty()) {
-        body["Checkpoint"] = order.checkpoint;
-    }
-    if (!order.ticket.empty()) {
-        body["Ticket"] = order.ticket;
-    }
-    post(target, "/-/run-start", wire::dump(body), orderTimeout, [done = std::move(done)](const http_result &result) {
-        done(readOrder(result));
-    });
-}
-
-void executor_client::stop(
-    const executor_address &target, const sched::task_id &task, int run, std::int64_t fencingToken, std::function<void(order_result)> done)
+std::chrono::milliseconds timeoutOf(const executor_order &order)
 {
-    const json body{{"Task", task.text()}, {"Run", run}, {"FenceToken", fencingToken}};
-    post(target, "/-/run-stop", wire::dump(body), orderTimeout, [done = std::move(done)](const http_result &result) {
-        done(readOrder(result));
-    });
+    const poll_order *poll = std::get_if<poll_order>(&order.what);
+    return poll == nullptr ? orderTimeout : poll->wait + pollMargin;
 }
 
-void executor_client::throttle(
-    const executor_address &target, const sched::task_id &task, int run, int percent, std::int64_t fencingToken, std::function<void(order_result)> done)
+void executor_client::send(const executor_order &order, std::function<void(executor_answer)> done)
 {
-    const json body{{"Task", task.text()}, {"Run", run}, {"Percent", percent}, {"FenceToken", fencingToken}};
-    post(target, "/-/pace", wire::dump(body), orderTimeout, [done = std::move(done)](const http_result &result) {
-        done(readOrder(result));
-    });
-}
-
-void executor_client::poll(const executor_address &target, const poll_request &order, std::function<void(poll_result)> done)
-{
-    json body{{"FenceToken", order.fencingToken}, {"AckCursor", order.acknowledged}, {"WaitMs", order.wait.count()}};
-    if (order.leaseEndMs) {
-        body["DeadlineMs"] = *order.leaseEndMs;
-    }
-    post(target, "/-/hold", wire::dump(body), order.wait + pollMargin, [done = std::move(done)](const http_result &result) {
-        done(readPollResult(result));
+    const executor_request request = std::visit(
+        [](const auto &what) {
+            return requestFor(what);
+        },
+        order.what);
+    const bool isPoll = std::holds_alternative<poll_order>(order.what);
+    post(order.target, request.path, wire::dump(request.body), timeoutOf(order), [isPoll, done = std::move(done)](const http_result &result) {
+        done(isPoll ? executor_answer(readPollResult(result)) : executor_answer(readOrder(result)));
     });
 }
 
--- a/tests/platform/executor_client_test.cpp
+++ b/tests/platform/executor_client_test.cpp
@@ -22,8 +22,8 @@
         done(std::move(result));
     });
     poll_result read;
-    client.poll({"e1", "127.0.0.1:1"}, {}, [&read](poll_result result) {
-        read = std::move(result);
+    client.send({{"e1", "127.0.0.1:1"}, poll_order{}}, [&read](executor_answer answer) {
+        read = std::get<poll_result>(std::move(answer));
     });
     return read;
 }
