Make the scheduler's passes over runs, jobs and executors cheaper

Cause: every list of runs was compared through sets of copied ids, progress and stops were checked for all runs ten times a second, each placement pass looked at all executors and recalculated each waiting job's remaining path, and rows were written through JSON documents.

--- a/src/platform/records.cpp
+++ b/src/platform/records.cpp
@@ -199,6 +199,28 @@
     return item;
 }
 
+std::optional<sched::job_spec> readSubmission(const json &body, failure &reason)
+{
+    const json *steps = wire::arrayIn(body, "Steps");
+    if (steps == nullptr || steps->empty() || steps->size() > maxSteps) {
+        reason = wrongFieldType("Steps", "1 to " + std::to_string(maxSteps) + " steps");
+        return std::nullopt;
+    }
+    sched::job_spec job;
+    job.payload = wire::stringIn(body, "Spec").value_or("");
+    for (const json &item : *steps) {
+        step_spec step = readStep(item);
+        if (!stepIsValid(step, static_cast<int>(job.steps.size()), reason)) {
+            return std::nullopt;
+        }
+        job.steps.push_back(std::move(step));
+    }
+    job.repeatCount = static_cast<int>(wire::integerIn(body, "RepeatCount").value_or(0));
+    job.firstAtUnixMs = wire::integerIn(body, "FirstMs").value_or(0);
+    job.intervalMs = wire::integerIn(body, "IntervalMs").value_or(0);
+    return job;
+}
+
 std::optional<sched::vm_state> parseVmState(const std::string &name)
 {
     if (name == "up") {
@@ -345,27 +367,7 @@
 std::optional<sched::job_spec> readSubmission(std::string_view text, failure &reason)
 {
     const std::optional<json> body = parse(text, reason);
-    if (!body) {
-        return std::nullopt;
-    }
-    const json *steps = wire::arrayIn(*body, "Steps");
-    if (steps == nullptr || steps->empty() || steps->size() > maxSteps) {
-        reason = wrongFieldType("Steps", "1 to " + std::to_string(maxSteps) + " steps");
-        return std::nullopt;
-    }
-    sched::job_spec job;
-    job.payload = wire::stringIn(*body, "Spec").value_or("");
-    for (const json &item : *steps) {
-        step_spec step = readStep(item);
-        if (!stepIsValid(step, static_cast<int>(job.steps.size()), reason)) {
-            return std::nullopt;
-        }
-        job.steps.push_back(std::move(step));
-    }
-    job.repeatCount = static_cast<int>(wire::integerIn(*body, "RepeatCount").value_or(0));
-    job.firstAtUnixMs = wire::integerIn(*body, "FirstMs").value_or(0);
-    job.intervalMs = wire::integerIn(*body, "IntervalMs").value_or(0);
-    return job;
+    return body ? readSubmission(*body, reason) : std::nullopt;
 }
 
 std::string encodeJobState(std::string_view state)
@@ -394,9 +396,9 @@
 
 std::optional<sched::job_spec> readJob(std::string_view text, failure &reason)
 {
-    std::optional<sched::job_spec> job = readSubmission(text, reason);
-    const std::optional<json> body = wire::parseObject(text);
-    if (!job || !body) {
+    const std::optional<json> body = parse(text, reason);
+    std::optional<sched::job_spec> job = body ? readSubmission(*body, reason) : std::nullopt;
+    if (!job) {
         return std::nullopt;
     }
     job->queue = {wire::stringIn(*body, "host").value_or(""), wire::stringIn(*body, "prefix").value_or("")};
--- a/src/sched/job_record.cpp
+++ b/src/sched/job_record.cpp
@@ -1,5 +1,7 @@
 #include "sched/job_record.h"
 
+#include "base/json_text.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -31,9 +33,29 @@
     return task.phase == task_phase::Waiting && task.run == 0;
 }
 
-json writeTask(const task_id &id, const task_record &task)
+void appendNumber(std::string &row, int value)
+{
+    row += std::to_string(value);
+    row += ',';
+}
+
+void appendTask(std::string &row, int occurrence, std::size_t step, std::size_t index, const task_record &task)
 {
-    return json::array({id.occurrence, id.step, id.index, kindOf(task), task.run, task.failedRuns, task.executor, task.checkpoint});
+    row += '[';
+    appendNumber(row, occurrence);
+    appendNumber(row, static_cast<int>(step));
+    appendNumber(row, static_cast<int>(index));
+    appendNumber(row, kindOf(task));
+    appendNumber(row, task.run);
+    row += '[';
+    for (std::size_t i = 0; i < task.failedRuns.size(); ++i) {
+        row += (i > 0 ? "," : "") + std::to_string(task.failedRuns[i]);
+    }
+    row += "],";
+    appendJsonString(row, task.executor);
+    row += ',';
+    appendJsonString(row, task.checkpoint);
+    row += ']';
 }
 
 bool readTask(const json &row, job_record &job)
@@ -55,6 +77,8 @@
         return true;
     }
     const int kind = row[3].get<int>();
+    // A placement alone doesn't show that the start order reached the executor.
+    job.begun = job.begun || kind == kindDone || !row[5].empty() || !row[7].get_ref<const std::string &>().empty();
     task->run = row[4].get<int>();
     for (const json &failedRun : row[5]) {
         if (failedRun.is_number_integer()) {
@@ -68,6 +92,7 @@
         task->phase = task_phase::Done;
         ++step.done;
         --step.waiting;
+        job.stepFinished();
     } else if (kind == kindPlaced) {
         task->phase = task_phase::Unconfirmed;
         task->inherited = true;
@@ -155,6 +180,7 @@
             occurrence.steps.push_back(std::move(record));
         }
         occurrences.emplace(number, std::move(occurrence));
+        m_remainingPathMs.reset();
     }
 }
 
@@ -179,20 +205,6 @@
     return &tasks[static_cast<std::size_t>(id.index)];
 }
 
-void job_record::forEachOccupying(const std::function<void(const task_id &, task_record &)> &visit)
-{
-    for (std::pair<const int, occurrence_record> &occurrence : occurrences) {
-        for (std::size_t step = 0; step < occurrence.second.steps.size(); ++step) {
-            std::vector<task_record> &tasks = occurrence.second.steps[step].tasks;
-            for (std::size_t index = 0; index < tasks.size(); ++index) {
-                if (tasks[index].occupies()) {
-                    visit({spec.id, occurrence.first, static_cast<int>(step), static_cast<int>(index)}, tasks[index]);
-                }
-            }
-        }
-    }
-}
-
 bool job_record::anyOccupying() const
 {
     for (const std::pair<const int, occurrence_record> &occurrence : occurrences) {
@@ -210,6 +222,7 @@
     while (!occurrences.empty() && occurrences.begin()->first == firstOpen && occurrences.begin()->second.finished()) {
         occurrences.erase(occurrences.begin());
         ++firstOpen;
+        m_remainingPathMs.reset();
     }
     return firstOpen >= occurrenceCount();
 }
@@ -227,13 +240,15 @@
     return work;
 }
 
-std::int64_t job_record::remainingCriticalPathMs() const
+std::int64_t job_record::remainingCriticalPathMs()
 {
-    std::int64_t longest = 0;
-    for (const std::pair<const int, occurrence_record> &occurrence : occurrences) {
-        longest = std::max(longest, criticalPathOf(spec.steps, &occurrence.second));
+    if (!m_remainingPathMs) {
+        m_remainingPathMs = 0;
+        for (const std::pair<const int, occurrence_record> &occurrence : occurrences) {
+            m_remainingPathMs = std::max(*m_remainingPathMs, criticalPathOf(spec.steps, &occurrence.second));
+        }
     }
-    return longest;
+    return *m_remainingPathMs;
 }
 
 bool job_record::hasLongRunning() const
@@ -245,27 +260,30 @@
 
 std::string writeState(const job_record &job)
 {
-    json row{{"phase", nameOf(job.phase)}};
-    if (job.firstOpen > 0) {
-        row["first_open"] = job.firstOpen;
-    }
+    std::string tasks;
     // The row of an ended job has only the runs that may still be on an executor.
-    json tasks = json::array();
     for (const std::pair<const int, occurrence_record> &occurrence : job.occurrences) {
         for (std::size_t step = 0; step < occurrence.second.steps.size(); ++step) {
             const std::vector<task_record> &records = occurrence.second.steps[step].tasks;
             for (std::size_t index = 0; index < records.size(); ++index) {
                 const bool needed = job.ended() ? records[index].occupies() : !isUntouched(records[index]);
                 if (needed) {
-                    tasks.push_back(writeTask({job.spec.id, occurrence.first, static_cast<int>(step), static_cast<int>(index)}, records[index]));
+                    tasks += tasks.empty() ? "" : ",";
+                    appendTask(tasks, occurrence.first, step, index, records[index]);
                 }
             }
         }
     }
+    std::string row = "{\"phase\":";
+    appendJsonString(row, nameOf(job.phase));
+    if (job.firstOpen > 0) {
+        row += ",\"first_open\":" + std::to_string(job.firstOpen);
+    }
     if (!tasks.empty()) {
-        row["tasks"] = std::move(tasks);
+        row += ",\"tasks\":[" + tasks + ']';
     }
-    return row.dump(-1, ' ', false, json::error_handler_t::replace);
+    row += '}';
+    return row;
 }
 
 std::string phaseIn(std::string_view row)
@@ -295,6 +313,7 @@
             lastOccurrence = std::max(lastOccurrence, task[0].get<int>());
         }
     }
+    job.begun = job.firstOpen > 0;
     job.openDueOccurrences(job.spec.firstAtUnixMs + lastOccurrence * job.spec.intervalMs);
     return std::all_of(tasks.begin(), tasks.end(), [&](const json &task) {
         return readTask(task, job);
--- a/src/sched/job_record.h
+++ b/src/sched/job_record.h
@@ -14,8 +14,8 @@
 #include "sched/run_pace.h"
 
 #include <cstdint>
-#include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -79,6 +79,8 @@
     std::string completedOn;
     /** When `percent` last rose. */
     time_ms progressAt = 0;
+    /** Number of the latest list of its executor that shows the run; see executor_record::listNumber. */
+    std::int64_t listNumber = 0;
     /** The run was placed by an earlier lease holder, and not confirmed since. */
     bool inherited = false;
     /** When `available` last changed; set for long-running tasks. */
@@ -162,6 +164,8 @@
     time_ms deletionRequestedAt = 0;
     /** The job has changed since its row was written. */
     bool dirty = false;
+    /** An executor has confirmed that a task of the job started. Until then the job counts as waiting, even if its tasks are placed. */
+    bool begun = false;
     /** The job is in the backlog, whose jobs are considered for placement. */
     bool inBacklog = false;
     /** Length of the critical path through all steps, by their estimates. */
@@ -182,18 +186,69 @@
     bool isStepReady(const occurrence_record &occurrence, int step) const;
     /** The task's record; null if the occurrence isn't open or the id is out of range. */
     task_record *find(const task_id &id);
-    /** Calls `visit` for every task that occupies an executor. */
-    void forEachOccupying(const std::function<void(const task_id &, task_record &)> &visit);
+    /** Calls `visit(id, task)` for every task that occupies an executor. */
+    template<typename Visit>
+    void forEachOccupying(Visit visit);
+    /** The same for the tasks in this phase only. */
+    template<typename Visit>
+    void forEachIn(task_phase wanted, Visit visit);
     bool anyOccupying() const;
     /** Drops finished occurrences from the front; true if all occurrences are finished. */
     bool dropFinished();
     /** Estimated work of the waiting tasks in core-milliseconds. */
     double waitingWork() const;
     /** Length of the longest critical path through the unfinished steps of an occurrence, by their estimates. */
-    std::int64_t remainingCriticalPathMs() const;
+    std::int64_t remainingCriticalPathMs();
+    /** Must be called when a step has finished. */
+    void stepFinished()
+    {
+        m_remainingPathMs.reset();
+    }
     bool hasLongRunning() const;
+
+private:
+    template<typename Wanted, typename Visit>
+    void forEachTask(Wanted wanted, Visit visit);
+
+    /** The remaining critical path; empty if it must be calculated again. */
+    std::optional<std::int64_t> m_remainingPathMs;
 };
 
+template<typename Wanted, typename Visit>
+void job_record::forEachTask(Wanted wanted, Visit visit)
+{
+    for (std::pair<const int, occurrence_record> &occurrence : occurrences) {
+        for (std::size_t step = 0; step < occurrence.second.steps.size(); ++step) {
+            std::vector<task_record> &tasks = occurrence.second.steps[step].tasks;
+            for (std::size_t index = 0; index < tasks.size(); ++index) {
+                if (wanted(tasks[index])) {
+                    visit(task_id{spec.id, occurrence.first, static_cast<int>(step), static_cast<int>(index)}, tasks[index]);
+                }
+            }
+        }
+    }
+}
+
+template<typename Visit>
+void job_record::forEachOccupying(Visit visit)
+{
+    forEachTask(
+        [](const task_record &task) {
+            return task.occupies();
+        },
+        visit);
+}
+
+template<typename Visit>
+void job_record::forEachIn(task_phase wanted, Visit visit)
+{
+    forEachTask(
+        [wanted](const task_record &task) {
+            return task.phase == wanted;
+        },
+        visit);
+}
+
 /** The job's state as a row for the store. */
 std::string writeState(const job_record &job);
 /** The name of the job phase in a row, as callers get it; empty if the row can't be parsed. */
--- a/src/sched/scheduler.cpp
+++ b/src/sched/scheduler.cpp
@@ -21,8 +21,13 @@
 constexpr time_ms deletedJobKeepMs = 30'000;
 // Interval of the check for unresponsive executors, unanswered stops and runs without progress.
 constexpr time_ms sweepIntervalMs = 100;
-// Minimum time between two placement passes. A transaction takes about as long, so the placements of a pass mostly share one.
-constexpr time_ms placementIntervalMs = 4;
+// Minimum time between two placement passes. A transaction takes about as long, so the placements of a pass mostly share one. A pass
+// looks at all waiting jobs and at the executors of their pools, so the time grows with them: passes must leave most of the processor to
+// the handling of events.
+constexpr time_ms minPlacementIntervalMs = 4;
+constexpr time_ms maxPlacementIntervalMs = 25;
+constexpr std::size_t waitingJobsPerMs = 150;
+constexpr std::size_t executorsPerMs = 250;
 // Longest lease that executors are granted. It is long enough to last through a change of lease holder, and short enough that a run on an
 // executor that has left is placed again within six seconds.
 constexpr time_ms maxGrantedLeaseMs = 5'500;
@@ -50,6 +55,12 @@
 
 scheduler::~scheduler() = default;
 
+time_ms scheduler::placementIntervalMs(std::size_t waitingJobs, std::size_t executors)
+{
+    const time_ms interval = minPlacementIntervalMs + static_cast<time_ms>(waitingJobs / waitingJobsPerMs + executors / executorsPerMs);
+    return std::min(interval, maxPlacementIntervalMs);
+}
+
 void scheduler::logEvent(std::string event, log_fields fields)
 {
     m_actions.push_back(log_event{std::move(event), std::move(fields)});
@@ -73,7 +84,7 @@
 
 void scheduler::plan(time_ms now)
 {
-    if (m_placementPending && now - m_lastPlacementAt >= placementIntervalMs) {
+    if (m_placementPending && now - m_lastPlacementAt >= placementIntervalMs(m_backlog.size(), m_executors.size())) {
         m_placementPending = false;
         m_lastPlacementAt = now;
         place(now);
@@ -86,7 +97,7 @@
     if (!m_placementPending || m_backlog.empty()) {
         return std::nullopt;
     }
-    return m_lastPlacementAt + placementIntervalMs;
+    return m_lastPlacementAt + placementIntervalMs(m_backlog.size(), m_executors.size());
 }
 
 bool scheduler::restore(const job_spec &spec, const std::string &row, time_ms now)
@@ -251,10 +262,8 @@
         job_record &job = *m_jobs.at(id);
         job.dirty = false;
         job.batch = batch.number;
-        job.forEachOccupying([&](const task_id &, task_record &task) {
-            if (task.phase == task_phase::Placing && task.batch == 0) {
-                task.batch = batch.number;
-            }
+        job.forEachIn(task_phase::Placing, [&](const task_id &, task_record &task) {
+            task.batch = task.batch == 0 ? batch.number : task.batch;
         });
         batch.rows.emplace_back(id, writeState(job));
         bytes += batch.rows.back().second.size();
@@ -296,8 +305,8 @@
 
 void scheduler::emitStarts(job_record &job, std::int64_t batch, time_ms now)
 {
-    job.forEachOccupying([&](const task_id &id, task_record &task) {
-        if (task.phase != task_phase::Placing || task.batch == 0 || task.batch > batch) {
+    job.forEachIn(task_phase::Placing, [&](const task_id &id, task_record &task) {
+        if (task.batch == 0 || task.batch > batch) {
             return;
         }
         executor_record &executor = executorFor(task.executor, now);
@@ -407,7 +416,7 @@
     std::map<queue_key, std::int64_t> waiting;
     for (const std::string &id : m_activeJobs) {
         const job_record &job = *m_jobs.at(id);
-        if (job.phase == job_phase::Pending && job.spec.repeatCount == 0) {
+        if (!job.begun && job.spec.repeatCount == 0) {
             ++waiting[job.spec.queue];
         }
     }
--- a/src/sched/scheduler_fleet.cpp
+++ b/src/sched/scheduler_fleet.cpp
@@ -128,10 +128,7 @@
             vm.runs = static_cast<int>(executor.runs.size()) + (endsStored ? 0 : 1);
             vm.capacity = executor.entry.capacity;
             vm.emptySince = executor.runs.empty() && endsStored && executor.isResponsive() && executor.untracked.cpu == 0 ? executor.emptySince : 0;
-            for (const task_id &id : executor.runs) {
-                const job_record &job = *m_jobs.at(id.job);
-                vm.longRunning += job.spec.steps[static_cast<std::size_t>(id.step)].longRunning ? 1 : 0;
-            }
+            vm.longRunning = executor.longRunningRuns;
         }
         view.vms.push_back(std::move(vm));
     }
--- a/src/sched/scheduler_place.cpp
+++ b/src/sched/scheduler_place.cpp
@@ -60,16 +60,19 @@
     std::map<std::string, std::vector<executor_record *>> executorsByPool{};
     std::map<std::string, std::vector<ready_step>> readyByPool{};
 
-    void collectExecutors()
+    // The pool's executors that take new runs. They are collected when the first job of the pool needs them.
+    const std::vector<executor_record *> &usableExecutors(const std::string &pool)
     {
-        owner.indexExecutors();
-        for (const std::pair<const std::string, std::vector<executor_record *>> &pool : owner.m_poolExecutors) {
-            std::vector<executor_record *> &usable = executorsByPool[pool.first];
-            std::copy_if(pool.second.begin(), pool.second.end(), std::back_inserter(usable), [this](const executor_record *executor) {
-                const bool mayBeEnded = owner.m_fleetOrders.mayEndExecutor(executor->entry.vm, executor->entry.pool, now);
-                return executor->takesNewRuns(now) && !mayBeEnded && executor->freeCapacity().memoryMb > 0;
-            });
+        const auto [usable, added] = executorsByPool.try_emplace(pool);
+        const auto listed = owner.m_poolExecutors.find(pool);
+        if (!added || listed == owner.m_poolExecutors.end()) {
+            return usable->second;
         }
+        std::copy_if(listed->second.begin(), listed->second.end(), std::back_inserter(usable->second), [this](const executor_record *executor) {
+            return executor->takesNewRuns(now) && executor->freeCapacity().memoryMb > 0
+                && !owner.m_fleetOrders.mayEndExecutor(executor->entry.vm, executor->entry.pool, now);
+        });
+        return usable->second;
     }
 
     // Removes jobs without a ready task from the backlog; they are added again when a task becomes ready.
@@ -85,8 +88,7 @@
     bool collectReady(job_record &job)
     {
         const std::string &pool = owner.poolOf(job);
-        const auto executors = executorsByPool.find(pool);
-        if (executors == executorsByPool.end() || executors->second.empty()) {
+        if (usableExecutors(pool).empty()) {
             // The pool has no usable executor, and the job stays in the backlog.
             return true;
         }
@@ -122,7 +124,7 @@
         }
     }
 
-    bool isLate(const job_record &job, const queue_config *queue) const
+    bool isLate(job_record &job, const queue_config *queue) const
     {
         if (queue == nullptr) {
             return false;
@@ -370,8 +372,8 @@
         return;
     }
     m_capacityShort = false;
+    indexExecutors();
     placement_pass pass{*this, now};
-    pass.collectExecutors();
     pass.collectReady();
     pass.placeAll();
 }
--- a/src/sched/scheduler_progress.cpp
+++ b/src/sched/scheduler_progress.cpp
@@ -77,9 +77,11 @@
 {
     for (std::pair<const std::string, executor_record> &item : m_executors) {
         executor_record &executor = item.second;
-        if (!executor.isResponsive()) {
+        // Progress is known from lists only. While tasks wait for capacity, a list is checked for stalled runs alone, so it is checked again.
+        if (!executor.isResponsive() || executor.checkedListNumber == executor.listNumber) {
             continue;
         }
+        executor.checkedListNumber = m_capacityShort ? executor.checkedListNumber : executor.listNumber;
         // While tasks wait for capacity, no run is stopped as a straggler, so the evidence isn't needed.
         pace_evidence evidence;
         if (!m_capacityShort) {
