--- a/src/ctl/control_client.cpp
+++ b/src/ctl/control_client.cpp
@@ -42,6 +42,24 @@
 
 } // namespace
 
+std::string describeLagging(const json &status, revision_number revision)
+{
+    const auto entries = status.find("entries");
+    if (entries == status.end() || !entries->is_array()) {
+        return "the status has no list of entries";
+    }
+    std::string lagging;
+    for (const json &entry : *entries) {
+        const bool hasRevision = entry.is_object() && entry.contains("revision") && entry["revision"].is_number_unsigned();
+        if (hasRevision && entry["revision"].get<revision_number>() >= revision) {
+            continue;
+        }
+        const bool named = entry.is_object() && entry.contains("entry") && entry["entry"].is_string();
+        lagging += (lagging.empty() ? "not yet in force on " : ", ") + (named ? entry["entry"].get<std::string>() : "an unnamed entry");
+    }
+    return lagging;
+}
+
 control_client::control_client(endpoint service, std::string token)
     : m_service(std::move(service))
     , m_token(std::move(token))
--- a/src/ctl/control_client.h
+++ b/src/ctl/control_client.h
@@ -37,6 +37,9 @@
     std::string details;
 };
 
+/** A line that names the entries whose revision in a status is below this one, or says that the status has no list of them; empty if all have it. */
+std::string describeLagging(const nlohmann::json &status, revision_number revision);
+
 class control_client
 {
 public:
--- a/src/ctl/ctl_main.cpp
+++ b/src/ctl/ctl_main.cpp
@@ -128,10 +128,7 @@
         if (!status) {
             lagging = describe(reason);
         } else {
-            for (const nlohmann::json &entry : status->at("entries")) {
-                const bool current = entry.at("revision").is_number() && entry.at("revision").get<revision_number>() >= revision;
-                lagging += current ? "" : (lagging.empty() ? "not yet in force on " : ", ") + entry.value("entry", "");
-            }
+            lagging = describeLagging(*status, revision);
         }
         if (lagging.empty()) {
             std::cout << "in force on every entry\n";
--- a/src/entry/outcome_table.cpp
+++ b/src/entry/outcome_table.cpp
@@ -138,6 +138,12 @@
             found->second.key.clear();
         }
     }
+    removeKey(key, number);
+}
+
+// The key may have been released and taken by another request since.
+void outcome_table::removeKey(std::string_view key, request_number number)
+{
     key_shard &keys = shardOfKey(key);
     const std::lock_guard<std::mutex> guard(keys.lock);
     const auto mapped = keys.numbers.find(std::string(key));
@@ -174,9 +180,7 @@
         removeRecord(shard, number);
     }
     if (!key.empty()) {
-        key_shard &keys = shardOfKey(key);
-        const std::lock_guard<std::mutex> guard(keys.lock);
-        keys.numbers.erase(key);
+        removeKey(key, number);
     }
     for (const waiter &callback : waiters) {
         callback(outcome);
@@ -270,9 +274,7 @@
             }
         }
         for (const std::pair<std::string, request_number> &key : keys) {
-            key_shard &holder = shardOfKey(key.first);
-            const std::lock_guard<std::mutex> guard(holder.lock);
-            holder.numbers.erase(key.first);
+            removeKey(key.first, key.second);
         }
     }
 }
--- a/src/entry/outcome_table.h
+++ b/src/entry/outcome_table.h
@@ -123,6 +123,8 @@
     const key_shard &shardOfKey(std::string_view key) const;
     void evictResponses(number_shard &shard) const;
     static void removeRecord(number_shard &shard, request_number number);
+    /** Removes the key if it still belongs to the request. */
+    void removeKey(std::string_view key, request_number number);
 
     outcome_table_options m_options;
     std::array<number_shard, shardCount> m_shards;
--- a/src/node/dispatcher.h
+++ b/src/node/dispatcher.h
@@ -151,7 +151,6 @@
     /** On the store's clock: every job that was stored before this time has been passed to the scheduler; 0 before the first answer. */
     std::int64_t m_jobsCompleteUntil = 0;
     sched::time_ms m_queuesPublishedAt = 0;
-    std::vector<row_update> m_statusPuts;
 
     sched::time_ms m_vmListRequestedAt = 0;
     sched::time_ms m_vmListFinishedAt = 0;
--- a/src/node/dispatcher_owner.cpp
+++ b/src/node/dispatcher_owner.cpp
@@ -2,17 +2,9 @@
 
 #include "base/clock.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace daisypass {
-namespace {
-
-// A small machine holds the lease for at least this long before it releases it for a larger one.
-constexpr sched::time_ms minSmallHolderTermMs = 3'000;
-
-} // namespace
-
 dispatcher_owner::dispatcher_owner(std::function<std::shared_ptr<dispatcher>(const held_term &)> createDispatcher)
     : m_createDispatcher(std::move(createDispatcher))
 {
@@ -36,7 +28,7 @@
         }
         next = m_createDispatcher(term);
         m_current = next;
-        m_termStartedAt = steadyMillis();
+        m_yieldRule.termStarted(steadyMillis());
         view = m_view;
         waves = m_waves;
     }
@@ -58,11 +50,7 @@
 std::shared_ptr<dispatcher> dispatcher_owner::detachForLargerNode(std::int64_t newestLargerEntry)
 {
     const std::lock_guard<std::mutex> guard(m_lock);
-    const bool newer = newestLargerEntry > std::exchange(m_newestLargerEntry, std::max(m_newestLargerEntry, newestLargerEntry));
-    if (!m_current || !newer || steadyMillis() - m_termStartedAt < minSmallHolderTermMs) {
-        return nullptr;
-    }
-    return std::exchange(m_current, nullptr);
+    return m_yieldRule.mustYield(m_current != nullptr, newestLargerEntry, steadyMillis()) ? std::exchange(m_current, nullptr) : nullptr;
 }
 
 std::optional<configuration_update> dispatcher_owner::updateConfiguration(sched::configuration_view read)
--- a/src/node/dispatcher_owner.h
+++ b/src/node/dispatcher_owner.h
@@ -8,6 +8,7 @@
 //     std::shared_ptr<dispatcher> former = owner.detach();
 
 #include "node/dispatcher.h"
+#include "node/lease_yield_rule.h"
 #include "sched/model.h"
 
 #include <cstdint>
@@ -37,10 +38,7 @@
     void startTerm(const held_term &term);
     /** Passes the dispatcher to the caller, who must stop or release it; null without a term. */
     std::shared_ptr<dispatcher> detach();
-    /**
-     * Like detach(), but only if a much larger machine has joined since the last call and the term has lasted the minimum time; otherwise
-     * returns null. `newestLargerEntry` is the highest version of such a machine's directory entry.
-     */
+    /** Like detach(), but only if the lease must be released for a much larger machine (lease_yield_rule.h); otherwise returns null. */
     std::shared_ptr<dispatcher> detachForLargerNode(std::int64_t newestLargerEntry);
 
     /** Stores the configuration if its version is higher than the current one; otherwise returns nothing. */
@@ -54,9 +52,7 @@
     std::shared_ptr<dispatcher> m_current;
     std::shared_ptr<const sched::configuration_view> m_view;
     std::map<std::int64_t, sched::wave_request> m_waves;
-    sched::time_ms m_termStartedAt = 0;
-    /** Highest version of a larger machine's directory entry seen so far. */
-    std::int64_t m_newestLargerEntry = 0;
+    lease_yield_rule m_yieldRule;
 };
 
 } // namespace daisypass
--- a/src/node/dispatcher_store.cpp
+++ b/src/node/dispatcher_store.cpp
@@ -44,7 +44,7 @@
         return;
     }
     const bool renewAlone = now - m_renewedAt >= renewAloneMs;
-    const bool hasChanges = m_recovered && (m_scheduler.hasUnstoredChanges() || !m_statusPuts.empty());
+    const bool hasChanges = m_recovered && m_scheduler.hasUnstoredChanges();
     if (!hasChanges && !renewAlone) {
         return;
     }
--- a/src/node/relay_pool.cpp
+++ b/src/node/relay_pool.cpp
@@ -101,7 +101,8 @@
     // because their records tell until when.
     for (std::pair<const std::string, relay_state> &former : m_relays) {
         if (former.second.outstanding > 0 || former.second.avoidUntil > now) {
-            former.second.avoidUntil = std::max(former.second.avoidUntil, now + failedRelayAvoidMs);
+            // A relay that is avoided already isn't avoided for longer by each further change of the nodes.
+            former.second.avoidUntil = former.second.avoidUntil > now ? former.second.avoidUntil : now + failedRelayAvoidMs;
             selected.emplace(former.first, std::move(former.second));
         }
     }
--- a/src/services/fleet_log.cpp
+++ b/src/services/fleet_log.cpp
@@ -1,5 +1,7 @@
 #include "services/fleet_log.h"
 
+#include "services/write_id.h"
+
 #include <nlohmann/json.hpp>
 
 #include <cinttypes>
@@ -176,7 +178,8 @@
     if (!oldestRows) {
         return false;
     }
-    table_transaction removal{"trim/" + std::to_string(snapshot), {}, {}, {}};
+    // Several trims may follow one snapshot, and each is a transaction of its own.
+    table_transaction removal{newWriteId(), {}, {}, {}};
     for (const table_row &record : *oldestRows) {
         if (record.key < logKey(snapshot - keptRecords)) {
             removal.deletes.push_back(record.key);
--- a/src/services/http_answer.cpp
+++ b/src/services/http_answer.cpp
@@ -8,13 +8,13 @@
 constexpr std::chrono::milliseconds platformConnectTimeout{500};
 constexpr std::chrono::milliseconds platformCallTimeout{2'000};
 
-std::string stringMember(const nlohmann::json &row, const char *name)
+} // namespace
+
+std::string stringMember(const nlohmann::json &object, const char *name)
 {
-    return row.contains(name) && row.at(name).is_string() ? row.at(name).get<std::string>() : std::string();
+    return object.is_object() && object.contains(name) && object.at(name).is_string() ? object.at(name).get<std::string>() : std::string();
 }
 
-} // namespace
-
 http_call platformCall(const endpoint &service, std::string_view method, std::string_view path, std::string body)
 {
     http_call call;
--- a/src/services/http_answer.h
+++ b/src/services/http_answer.h
@@ -25,6 +25,9 @@
 /** The JSON body of a 2xx response. Fails like checkAnswer(). */
 std::optional<nlohmann::json> readJson(const http_result &result, std::string_view subject, failure &reason);
 
+/** The member's text; empty if the value is no object, or has no such member of type string. */
+std::string stringMember(const nlohmann::json &object, const char *name);
+
 /** Decodes a row; a missing member leaves its field empty. */
 table_row rowFromJson(const nlohmann::json &row);
 
--- a/src/services/table_service.cpp
+++ b/src/services/table_service.cpp
@@ -149,12 +149,22 @@
     const std::string path = "/table/rows?prefix=" + percentEncode(prefix) + "&after=" + percentEncode(after) + "&limit=" + std::to_string(limit);
     const http_result result = m_client->fetch(platformCall(m_service, "GET", path));
     std::optional<nlohmann::json> body = readJson(result, prefix, reason);
-    if (!body || !body->contains("rows") || !body->at("rows").is_array()) {
+    if (!body) {
+        return std::nullopt;
+    }
+    const auto list = body->find("rows");
+    if (!body->is_object() || list == body->end() || !list->is_array()) {
+        reason = failure{failure_code::BadAnswer, std::string(prefix), {}, "an object with rows"};
         return std::nullopt;
     }
     std::vector<table_row> rows;
-    for (const nlohmann::json &row : body->at("rows")) {
-        rows.push_back(rowFromJson(row));
+    for (const nlohmann::json &item : *list) {
+        rows.push_back(rowFromJson(item));
+        if (rows.back().key.empty()) {
+            // Without this row the others would have a gap.
+            reason = failure{failure_code::BadAnswer, std::string(prefix) + ": " + item.dump(), {}, "a row with a key"};
+            return std::nullopt;
+        }
     }
     return rows;
 }
--- a/src/services/vm_list.cpp
+++ b/src/services/vm_list.cpp
@@ -26,15 +26,15 @@
 {
     listed_vm vm;
     failure ignored;
-    const std::optional<endpoint> address = parseEndpoint(item.value("address", ""), ignored);
-    const std::optional<listed_state> state = stateFromName(item.value("state", ""));
-    if (!address || !state) {
+    const std::optional<endpoint> address = parseEndpoint(stringMember(item, "address"), ignored);
+    const std::optional<listed_state> state = stateFromName(stringMember(item, "state"));
+    vm.id = stringMember(item, "id");
+    if (!address || !state || vm.id.empty()) {
         return std::nullopt;
     }
-    vm.id = item.value("id", "");
     vm.address = *address;
-    vm.availabilityZone = item.value("availability_zone", "");
-    vm.rack = item.value("rack", "");
+    vm.availabilityZone = stringMember(item, "availability_zone");
+    vm.rack = stringMember(item, "rack");
     vm.state = *state;
     return vm;
 }
@@ -93,9 +93,14 @@
     if (!body) {
         return std::nullopt;
     }
+    // Anything else than a list must not be read as a list without VMs.
+    if (!body->is_array()) {
+        reason = failure{failure_code::BadAnswer, "vm list", {}, "an array"};
+        return std::nullopt;
+    }
     std::vector<listed_vm> vms;
     for (const nlohmann::json &item : *body) {
-        std::optional<listed_vm> vm = item.is_object() ? vmFromJson(item) : std::nullopt;
+        std::optional<listed_vm> vm = vmFromJson(item);
         if (!vm) {
             reason = failure{failure_code::BadAnswer, "vm list: " + item.dump()};
             return std::nullopt;
--- a/tests/integration/child_process.cpp
+++ b/tests/integration/child_process.cpp
@@ -167,13 +167,6 @@
     return process.waitForExit().value_or(-1);
 }
 
-std::uint16_t freePort()
-{
-    asio::io_context context;
-    asio::ip::tcp::acceptor acceptor(context, {asio::ip::address_v4::loopback(), 0});
-    return acceptor.local_endpoint().port();
-}
-
 std::uint16_t freePorts(int count)
 {
     // Below the system's ephemeral port range, so that no outgoing connection takes a port before its process starts.
--- a/tests/integration/child_process.h
+++ b/tests/integration/child_process.h
@@ -60,9 +60,6 @@
     std::optional<int> m_status;
 };
 
-/** Returns a currently free port of 127.0.0.1, for a process whose address others must know before it starts. */
-std::uint16_t freePort();
-
 /** Returns the first of `count` consecutive free ports, from a range that outgoing connections don't use. Throws std::runtime_error if there are none. */
 std::uint16_t freePorts(int count);
 
--- a/tests/integration/deployment.cpp
+++ b/tests/integration/deployment.cpp
@@ -149,7 +149,7 @@
     running_entry entry;
     entry.name = "entry-" + std::to_string(index + 1);
     entry.platform = proxyTo(m_platform);
-    const endpoint peers{loopback, freePort()};
+    const endpoint peers{loopback, freePorts(1)};
     entry.peers = proxyTo(peers);
     writeFile(path(entry.name + ".json"),
               {{"entry", entry.name},
