Order moves as fast as the fleet service accepts them

A turn needs some 400 VMs, and one plan ordered at most 12, or 120 a second, where the service accepts 590. Change: a plan orders up to a tenth of a second's share of the rate limit from the settings (four fifths of it, 12 at least).

--- a/src/platform/node_settings.cpp
+++ b/src/platform/node_settings.cpp
@@ -173,6 +173,7 @@
     bounds.harmMs = reader.millisOr("Bounds.HarmMs", bounds.harmMs);
     bounds.checkpointMs = reader.secondsAsMillisOr("Bounds.CheckpointS", bounds.checkpointMs);
     bounds.farFactor = reader.numberOr("Bounds.FarFactor", bounds.farFactor);
+    bounds.fleetOrdersPerSecond = reader.numberOr("Cloud.DutyPerS", bounds.fleetOrdersPerSecond);
     return bounds;
 }
 
@@ -206,7 +207,6 @@
     settings.storeWritesPerSecond = reader.numberOr("platform.WritesPerS", 300);
     settings.storeReadsPerSecond = reader.numberOr("platform.ReadsPerS", 1'000);
     settings.storePartWritesPerSecond = reader.numberOr("platform.PartWritesS", 100);
-    settings.fleetCallsPerSecond = reader.numberOr("Cloud.RatePerS", 16);
     settings.executorHeartbeatMs = reader.millisOr("HeartbeatMs", settings.executorHeartbeatMs);
     settings.shutdownGraceMs = reader.secondsAsMillisOr("Bounds.GraceS", settings.shutdownGraceMs);
     settings.bounds = readBounds(reader);
--- a/src/platform/node_settings.h
+++ b/src/platform/node_settings.h
@@ -35,7 +35,6 @@
     double storeWritesPerSecond = 0;
     double storeReadsPerSecond = 0;
     double storePartWritesPerSecond = 0;
-    double fleetCallsPerSecond = 0;
     std::int64_t executorHeartbeatMs = 1'500;
     std::int64_t shutdownGraceMs = 6'000;
     sched::bounds bounds;
--- a/src/sched/fleet_planner.cpp
+++ b/src/sched/fleet_planner.cpp
@@ -23,8 +23,11 @@
 constexpr time_ms moveCooldownMs = 2'500;
 // The answer to a move order, and the next list of VMs, arrive within this time.
 constexpr time_ms moveAnswerMs = 2'000;
-// Most moves in one plan, well below the fleet service's rate limit.
-constexpr int maxMovesPerPlan = 12;
+// Moves that one plan may order whatever the fleet service's rate limit is: a small fleet needs so few that they don't exceed it for long.
+constexpr int minMovesPerPlan = 12;
+// Plans in a second, and the share of the rate limit that they use for moves; the rest is for maintenance and repeated orders.
+constexpr double plansPerSecond = 10;
+constexpr double moveShareOfRateLimit = 0.8;
 // If a VM is listed as up this long after its maintenance should have ended, the maintenance is over or its order was never carried out.
 constexpr time_ms maintenanceSlackMs = 2'500;
 // Time that the order, and the wait for the list that shows the VM as up, add to the maintenance of each VM.
@@ -57,6 +60,11 @@
 
 } // namespace
 
+int fleet_planner::maxMovesPerPlan(double fleetOrdersPerSecond)
+{
+    return std::max(minMovesPerPlan, static_cast<int>(fleetOrdersPerSecond * moveShareOfRateLimit / plansPerSecond));
+}
+
 fleet_planner::fleet_planner(bounds limits)
     : m_bounds(limits)
 {
@@ -292,7 +300,6 @@
         int desired = 0;
         std::int64_t cpu = 0;
         std::int64_t memory = 0;
-        std::set<std::string> kinds{};
         std::vector<const fleet_vm *> movable{};
     };
     std::map<std::string, pool_need> needs;
@@ -335,6 +342,7 @@
         });
     }
     int moves = 0;
+    const int maxMoves = maxMovesPerPlan(m_bounds.fleetOrdersPerSecond);
     const auto order = [&](const fleet_vm &vm, pool_need &from, pool_need &to) {
         m_plannedVms.insert(vm.vm);
         m_lastMove[vm.vm] = now;
@@ -361,7 +369,7 @@
                 }
                 const int keep = fromSpare ? 0 : donor.second.desired;
                 std::vector<const fleet_vm *> &movable = donor.second.movable;
-                while (need.present < upTo && donor.second.present > keep && !movable.empty() && moves < maxMovesPerPlan) {
+                while (need.present < upTo && donor.second.present > keep && !movable.empty() && moves < maxMoves) {
                     const fleet_vm *vm = movable.back();
                     if (vm->hasExecutor && now - vm->emptySince < emptyBeforeDonationMs) {
                         break;
@@ -388,7 +396,7 @@
         if (need.pool->spare) {
             continue;
         }
-        while (need.present > need.desired + reserveVms && !need.movable.empty() && moves < maxMovesPerPlan) {
+        while (need.present > need.desired + reserveVms && !need.movable.empty() && moves < maxMoves) {
             const fleet_vm *vm = need.movable.back();
             need.movable.pop_back();
             const auto moved = m_lastMove.find(vm->vm);
--- a/src/sched/fleet_planner.h
+++ b/src/sched/fleet_planner.h
@@ -107,6 +107,9 @@
 public:
     explicit fleet_planner(bounds limits);
 
+    /** Most moves that one plan orders while the fleet service accepts this many orders in a second. */
+    static int maxMovesPerPlan(double fleetOrdersPerSecond);
+
     /** Adds a wave; a wave that was added before isn't changed. */
     void addWave(const wave_request &wave, time_ms now, std::int64_t unixMs);
     void maintenanceStarted(std::int64_t wave, const std::string &vm, time_ms now);
--- a/src/sched/model.h
+++ b/src/sched/model.h
@@ -239,7 +239,7 @@
     int cap = 1;
 };
 
-/** Bounds from the settings (Bounds.*). */
+/** Bounds from the settings. */
 struct bounds
 {
     /** Longest lease on runs that an executor may be granted. */
@@ -259,6 +259,8 @@
     std::int64_t harmMs = 4'000;
     std::int64_t checkpointMs = 1'000;
     double farFactor = 2.0;
+    /** Orders to move or maintain VMs that the fleet service accepts in a second, from all nodes together. */
+    double fleetOrdersPerSecond = 64;
 };
 
 } // namespace daisypass::sched
--- a/tests/sched/fleet_planner_test.cpp
+++ b/tests/sched/fleet_planner_test.cpp
@@ -93,6 +93,21 @@
             CHECK(only<move_decision>(planner.plan(view, start + 100)).empty());
         }
     }
+    SUBCASE("as many at once as the fleet service's rate limit allows")
+    {
+        CHECK(fleet_planner::maxMovesPerPlan(16) == 12);
+        CHECK(fleet_planner::maxMovesPerPlan(600) == 48);
+        fleet_view view;
+        view.pools = {poolWith("booking", 500 * vmCapacity.cpu), sparePool()};
+        view.vms = {emptyVm("a", "booking")};
+        for (int i = 0; i < 200; ++i) {
+            view.vms.push_back(spareVm("spare-" + std::to_string(i), "spare"));
+        }
+        bounds limits = shortBounds();
+        limits.fleetOrdersPerSecond = 600;
+        fleet_planner planner600(limits);
+        CHECK(only<move_decision>(planner600.plan(view, start)).size() == 48);
+    }
     SUBCASE("a pool without a usable VM gets one before a pool with a larger backlog gets them all")
     {
         // A pool whose only VM awaited its maintenance got no other VM for 9 s, because another pool had a burst of demand
--- a/tests/sched/load_model.cpp
+++ b/tests/sched/load_model.cpp
@@ -36,6 +36,13 @@
     return view;
 }
 
+bounds boundsOf(const load_settings &settings)
+{
+    bounds limits;
+    limits.fleetOrdersPerSecond = settings.fleetOrdersPerSecond;
+    return limits;
+}
+
 } // namespace
 
 struct load_model::implementation
@@ -43,7 +50,7 @@
     explicit implementation(load_settings given)
         : settings(std::move(given))
         , demand(settings)
-        , taskScheduler(bounds{}, {})
+        , taskScheduler(boundsOf(settings), {})
         , executors(settings, demand, timeline, outcome, sink())
         , fleet(settings, executors, timeline, outcome, sink())
     {
--- a/tests/sched/load_settings.h
+++ b/tests/sched/load_settings.h
@@ -47,6 +47,8 @@
     int spareVms = 8;
     resources vmCapacity{32'000, 65'536, 0};
     time_ms lengthMs = 34'000;
+    /** Rate limit of the fleet service. */
+    double fleetOrdersPerSecond = 64;
     /** The queues peak in turn, each for `peakMs` at this multiple of its mean rate. Outside its peak a queue gets a twentieth of it. */
     double peakFactor = 4.0;
     time_ms peakMs = 8'000;
--- a/tests/sched/load_test.cpp
+++ b/tests/sched/load_test.cpp
@@ -38,6 +38,25 @@
         CHECK(outcome.unfinished == 0);
         CHECK(outcome.failed == 0);
     }
+    // Guards against a large fleet that follows a burst at the pace of a small one: the callers of its first seconds waited for VMs that
+    // were ordered one after the other, far below the fleet service's rate limit.
+    SUBCASE("a fleet of ten times the size follows a burst as fast as a small one")
+    {
+        constexpr int scale = 10;
+        load_settings settings = referenceDay(5);
+        settings.vmsPerPool *= scale;
+        settings.spareVms *= scale;
+        settings.fleetOrdersPerSecond *= scale;
+        for (load_queue &queue : settings.queues) {
+            queue.jobsPerSecond *= scale;
+        }
+        settings.lengthMs = 18'000;
+        outcome = load_model(settings).run();
+        MESSAGE("worst windows " << outcome.worstWindowsShare);
+        CHECK(outcome.inObjective >= outcome.jobs * 85 / 100);
+        CHECK(outcome.worstWindowsShare >= 0.75);
+        CHECK(outcome.unfinished == 0);
+    }
     MESSAGE("jobs " << outcome.jobs << ", in objective " << outcome.inObjective << ", late " << outcome.late << ", largest " << outcome.largestInObjective
                     << '/' << outcome.largestJobs << ", moves " << outcome.moves << ", VM seconds " << outcome.vmSecondsInPools);
     CHECK(outcome.duplicateRuns == 0);
