--- a/bench/sched_load_bench.cpp
+++ b/bench/sched_load_bench.cpp
@@ -43,6 +43,7 @@
         load_settings settings = referenceDay(static_cast<std::uint64_t>(seed));
         settings.vmsPerPool *= scale;
         settings.spareVms *= scale;
+        settings.fleetOrdersPerSecond *= scale;
         for (load_queue &queue : settings.queues) {
             queue.jobsPerSecond *= scale * load;
         }
