Keep the row of recent fleet orders below the store's limit

Cause: with more moves a second the row of all orders of the last 3.2 s grows with the fleet; beyond the store's 64 KiB no batch of the lease holder could be stored any more. It was also written through a JSON document in each batch. Change: moves wait while 1,200 orders are unexpired; the row is written directly.

--- a/src/sched/fleet_orders.cpp
+++ b/src/sched/fleet_orders.cpp
@@ -1,5 +1,7 @@
 #include "sched/fleet_orders.h"
 
+#include "base/json_text.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -11,17 +13,22 @@
 
 using json = nlohmann::json;
 
-// Writes a move as the name of its pool and maintenance as the number of its wave.
-struct order_writer
+// The row must stay below the store's limit of 64 KiB, with names of 20 characters each for VM and pool.
+constexpr std::size_t maxOrdersInRow = 1'200;
+
+// Appends a move as the name of its pool and maintenance as the number of its wave.
+struct order_appender
 {
-    json operator()(const move_vm &move) const
+    std::string &row;
+
+    void operator()(const move_vm &move) const
     {
-        return move.pool;
+        appendJsonString(row, move.pool);
     }
 
-    json operator()(const maintain_vm &maintenance) const
+    void operator()(const maintain_vm &maintenance) const
     {
-        return maintenance.wave;
+        row += std::to_string(maintenance.wave);
     }
 };
 
@@ -92,6 +99,11 @@
     m_dirty = true;
 }
 
+std::size_t fleet_orders::roomForMoves() const
+{
+    return maxOrdersInRow - std::min(maxOrdersInRow, m_recent.size());
+}
+
 void fleet_orders::expire(time_ms now)
 {
     m_now = now;
@@ -107,11 +119,16 @@
     restartTtl(m_unstored);
     std::move(m_unstored.begin(), m_unstored.end(), std::back_inserter(m_storing));
     m_unstored.clear();
-    json row = json::object();
+    std::string row = "{";
     for (const std::pair<const std::string, recent_order> &order : m_recent) {
-        row[order.first] = {std::visit(order_writer{}, order.second.order), remainingMs(order.second)};
+        row += row.size() > 1 ? "," : "";
+        appendJsonString(row, order.first);
+        row += ":[";
+        std::visit(order_appender{row}, order.second.order);
+        row += ',' + std::to_string(remainingMs(order.second)) + ']';
     }
-    return row.dump();
+    row += '}';
+    return row;
 }
 
 // Maintenance is sent only when its row is stored, so its time to live doesn't count from the decision.
--- a/src/sched/fleet_orders.h
+++ b/src/sched/fleet_orders.h
@@ -47,6 +47,8 @@
     {
         return m_dirty;
     }
+    /** Number of moves that may be added before earlier orders expire; the row of all unexpired orders has a limited size. */
+    std::size_t roomForMoves() const;
     /** Removes expired orders, which makes the row dirty. */
     void expire(time_ms now);
     /** The unexpired orders as a row, each with its remaining time. Only one row may be on its way to the store at a time. */
--- a/src/sched/fleet_planner.cpp
+++ b/src/sched/fleet_planner.cpp
@@ -342,7 +342,7 @@
         });
     }
     int moves = 0;
-    const int maxMoves = maxMovesPerPlan(m_bounds.fleetOrdersPerSecond);
+    const int maxMoves = static_cast<int>(std::min<std::size_t>(view.roomForMoves, static_cast<std::size_t>(maxMovesPerPlan(m_bounds.fleetOrdersPerSecond))));
     const auto order = [&](const fleet_vm &vm, pool_need &from, pool_need &to) {
         m_plannedVms.insert(vm.vm);
         m_lastMove[vm.vm] = now;
--- a/src/sched/fleet_planner.h
+++ b/src/sched/fleet_planner.h
@@ -13,6 +13,7 @@
 #include "sched/model.h"
 
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <optional>
 #include <set>
@@ -72,6 +73,8 @@
 {
     std::vector<fleet_vm> vms;
     std::vector<fleet_pool> pools;
+    /** Number of moves that may be ordered until earlier orders have expired. */
+    std::size_t roomForMoves = std::numeric_limits<std::size_t>::max();
 };
 
 struct move_decision
--- a/src/sched/scheduler_fleet.cpp
+++ b/src/sched/scheduler_fleet.cpp
@@ -97,6 +97,7 @@
 fleet_view scheduler::viewOfFleet(time_ms now) const
 {
     fleet_view view;
+    view.roomForMoves = m_fleetOrders.roomForMoves();
     std::map<std::string, fleet_pool> pools;
     for (const std::pair<const std::string, pool_config> &pool : m_pools) {
         pools[pool.first].pool = pool.first;
--- a/tests/sched/fleet_orders_test.cpp
+++ b/tests/sched/fleet_orders_test.cpp
@@ -51,6 +51,25 @@
     }
 }
 
+// Guards against a row over the store's limit of 64 KiB, which would keep the lease holder from storing anything.
+TEST_CASE("the row of unexpired orders keeps below the store's limit however many VMs there are")
+{
+    constexpr std::size_t maxRowBytes = 65'536;
+    fleet_orders orders(3'000);
+    int added = 0;
+    while (orders.roomForMoves() > 0 && added < 100'000) {
+        orders.add(move_vm{"machine-number-" + std::to_string(100'000 + added++), "name-of-a-pool-of-20"}, 100);
+    }
+    CHECK(added >= 1'000);
+    CHECK(orders.writeRow().size() < maxRowBytes);
+
+    SUBCASE("and there is room again when orders have expired")
+    {
+        orders.expire(3'200);
+        CHECK(orders.roomForMoves() >= 1'000);
+    }
+}
+
 TEST_CASE("a new lease holder gives no orders for VMs that an earlier one has ordered")
 {
     fleet_orders earlier(3'000);
--- a/tests/sched/fleet_planner_test.cpp
+++ b/tests/sched/fleet_planner_test.cpp
@@ -107,6 +107,8 @@
         limits.fleetOrdersPerSecond = 600;
         fleet_planner planner600(limits);
         CHECK(only<move_decision>(planner600.plan(view, start)).size() == 48);
+        view.roomForMoves = 5;
+        CHECK(only<move_decision>(planner600.plan(view, start + 5'000)).size() == 5);
     }
     SUBCASE("a pool without a usable VM gets one before a pool with a larger backlog gets them all")
     {
