--- a/src/sched/scheduler_place.cpp
+++ b/src/sched/scheduler_place.cpp
@@ -63,16 +63,17 @@
     // The pool's executors that take new runs. They are collected when the first job of the pool needs them.
     const std::vector<executor_record *> &usableExecutors(const std::string &pool)
     {
-        const auto [usable, added] = executorsByPool.try_emplace(pool);
+        const bool collected = executorsByPool.contains(pool);
+        std::vector<executor_record *> &usable = executorsByPool[pool];
         const auto listed = owner.m_poolExecutors.find(pool);
-        if (!added || listed == owner.m_poolExecutors.end()) {
-            return usable->second;
+        if (collected || listed == owner.m_poolExecutors.end()) {
+            return usable;
         }
-        std::copy_if(listed->second.begin(), listed->second.end(), std::back_inserter(usable->second), [this](const executor_record *executor) {
+        std::copy_if(listed->second.begin(), listed->second.end(), std::back_inserter(usable), [this](const executor_record *executor) {
             return executor->takesNewRuns(now) && executor->freeCapacity().memoryMb > 0
                 && !owner.m_fleetOrders.mayEndExecutor(executor->entry.vm, executor->entry.pool, now);
         });
-        return usable->second;
+        return usable;
     }
 
     // Removes jobs without a ready task from the backlog; they are added again when a task becomes ready.
