Count stopped stragglers for an executor's speed, and forget runs of executors that have left

The record of an executor that had left was kept, with a stop every 1.3 s, while a run that wasn't needed any more was open there (found by reading the new code). An exchange that a relay answers with 5xx other than 503 may have been received. The list of an executor was copied once for the scheduler. Change: a straggler's projected duration counts for its executor; when the leases of a silent executor are over, only orders that may still be carried out keep its record; only refusals let orders be sent directly.

--- a/src/node/dispatcher_orders.cpp
+++ b/src/node/dispatcher_orders.cpp
@@ -66,7 +66,7 @@
                            sched::poll_answered event{executor, result.status, sentAt, result.clockMs, result.startedUnixMs, {}, {}, result.moreEnds, sentTo};
                            event.runs = std::move(result.runs);
                            event.ends = std::move(result.ends);
-                           self->handleEvent(event);
+                           self->handleEvent(std::move(event));
                        }
                    });
 }
--- a/src/node/relay_pool.cpp
+++ b/src/node/relay_pool.cpp
@@ -188,8 +188,9 @@
 {
     const bool served = result.state == send_state::Answered && result.response.status == statusOk;
     std::optional<std::vector<relayed_answer>> answers = served ? decodeAnswers(result.response.body) : std::nullopt;
-    // A relay that can't be reached, or that answers anything else than 200, has done nothing with these orders.
-    const bool notReceived = result.state == send_state::NotSent || (result.state == send_state::Answered && !served);
+    // A relay that can't be reached, or that refuses the exchange, has done nothing with these orders.
+    const bool refused = result.state == send_state::Answered && (result.response.status / 100 == 4 || result.response.status == statusUnavailable);
+    const bool notReceived = result.state == send_state::NotSent || refused;
     std::vector<std::function<void()>> callbacks;
     {
         const std::lock_guard<std::mutex> guard(m_lock);
--- a/src/sched/scheduler_executors.cpp
+++ b/src/sched/scheduler_executors.cpp
@@ -386,6 +386,8 @@
                 job_record &job = *m_jobs.at(id.job);
                 markRunLost(job, id, *job.find(id), now, "lease_over");
             }
+            // Nothing runs there any more, and only a late order can still start a run.
+            executor.abandoned.applyList({}, now);
         }
     }
     for (const std::string &id : empty) {
--- a/src/sched/scheduler_progress.cpp
+++ b/src/sched/scheduler_progress.cpp
@@ -16,6 +16,13 @@
 constexpr double slownessWeight = 0.25;
 constexpr double maxSlownessSample = 8.0;
 
+// `ratio` is a run's duration, or projected duration, relative to its estimate.
+void addSlownessSample(executor_record &executor, double ratio)
+{
+    executor.slowness += slownessWeight * (std::min(ratio, maxSlownessSample) - executor.slowness);
+    ++executor.slownessSamples;
+}
+
 bool isWatched(const task_record &task, const step_spec &stepSpec)
 {
     return task.phase == task_phase::Running && !stepSpec.longRunning && !stepSpec.gang && task.throttlePercent >= 100;
@@ -30,9 +37,7 @@
     }
     task.runDurationMs = now - task.confirmedAt;
     task.completedOn = executor.entry.id;
-    const double ratio = static_cast<double>(task.runDurationMs) / static_cast<double>(step.estimateMs);
-    executor.slowness += slownessWeight * (std::min(ratio, maxSlownessSample) - executor.slowness);
-    ++executor.slownessSamples;
+    addSlownessSample(executor, static_cast<double>(task.runDurationMs) / static_cast<double>(step.estimateMs));
 }
 
 // Compares the projected durations of all runs on the executor with their estimates.
@@ -110,6 +115,8 @@
             if (isStraggler(pace, evidence)) {
                 task.straggled = true;
                 task.avoidedExecutor = item.first;
+                // The run won't end as done, so its projected duration counts for the executor's speed.
+                addSlownessSample(executor, *pace.totalMs() / evidence.estimateMs);
                 requestStop(id, task, now, "straggler");
             }
         }
--- a/tests/sched/abandoned_runs_test.cpp
+++ b/tests/sched/abandoned_runs_test.cpp
@@ -107,3 +107,17 @@
     world.advance(stopRetryMs + 100);
     CHECK(world.take<stop_run>().empty());
 }
+
+// Guards against an executor that has left for good, whose record was kept and to which stops were sent for the rest of the term.
+TEST_CASE("no stops are sent to an executor that can't start the run any more because it has left")
+{
+    done_after_all_fixture world;
+    world.answerPoll("e2", {}, {}, order_status::Unreachable);
+    const time_ms ordersAreOver = world.now + maxOrderDelayMs;
+    while (world.now <= ordersAreOver) {
+        world.advance(100);
+    }
+    world.take<stop_run>();
+    world.advance(stopRetryMs + 100);
+    CHECK(world.take<stop_run>().empty());
+}
