--- a/src/node/relay_pool.cpp
+++ b/src/node/relay_pool.cpp
@@ -12,8 +12,8 @@
 // The holder serves up to this many executors directly.
 constexpr std::size_t executorsWithoutRelay = 100;
 constexpr std::size_t executorsPerRelay = 110;
-// Orders given within this time of the first one share its exchange. Each exchange costs the holder as much processor time as dozens of
-// orders, so the time grows with the number of relays.
+// Orders given within this time of the first one share its exchange. Every relay has exchanges of its own, which cost the holder processor
+// time, so the time grows with the number of relays.
 constexpr std::chrono::milliseconds minBatchDelay{4};
 constexpr std::chrono::milliseconds maxBatchDelay{16};
 constexpr std::chrono::milliseconds pollWait{1'000};
