--- a/src/node/relay_messages.cpp
+++ b/src/node/relay_messages.cpp
@@ -9,7 +9,7 @@
 
 using packer = msgpack::packer<msgpack::sbuffer>;
 
-// Position of an order's kind in the variant, which is its kind in a message. The kinds are part of the protocol between nodes.
+// The kind of an order in a message. These numbers, and those of order_status and run_end, are part of the protocol between nodes.
 enum class order_kind : std::uint8_t { Start, Stop, Throttle, Poll };
 
 void packText(packer &out, std::string_view text)
--- a/src/sched/abandoned_runs.h
+++ b/src/sched/abandoned_runs.h
@@ -4,9 +4,9 @@
 // be carried out seconds later.
 //
 //     abandoned_runs runs;
-//     runs.add(task, run, demand, startSentAt);
-//     for (const abandoned_run &due : runs.takeDueStops(now)) { ... send a stop ... }
-//     runs.stopConfirmed(task, run, now);
+//     runs.add({task, run}, demand, startSentAt);
+//     for (const run_id &due : runs.takeDueStops(now)) { ... send a stop ... }
+//     runs.stopConfirmed({task, run}, now);
 //     runs.applyList(listed, askedAt);
 //
 // Each uses capacity until a list shows that it is gone: one requested after the executor confirmed a stop, which then refuses a late
@@ -33,7 +33,7 @@
 class abandoned_runs
 {
 public:
-    /** `startSentAt` is when the start order was sent, or any later time. */
+    /** `startSentAt` is when the start order was sent, or a later time if that isn't known. */
     void add(const run_id &run, const resources &demand, time_ms startSentAt);
     /** Records that a stop has just been sent, so that the next one is due after the retry interval. */
     void stopSent(const run_id &run, time_ms now);
