Read an apply's answer without an exception on members of another type

Change: texts and revisions are read by one function each (stringMember of the services, revisionIn), also for the entries of a status.

--- a/src/ctl/control_client.cpp
+++ b/src/ctl/control_client.cpp
@@ -1,5 +1,7 @@
 #include "ctl/control_client.h"
 
+#include "services/http_answer.h"
+
 #include <map>
 #include <utility>
 
@@ -30,7 +32,7 @@
     const auto failures = body.find("failures");
     if (failures != body.end() && failures->is_array()) {
         for (const json &item : *failures) {
-            lines += item.is_object() ? item.value("message", "") + '\n' : std::string();
+            lines += item.is_object() ? stringMember(item, "message") + '\n' : std::string();
         }
     }
     const auto difference = body.find("difference");
@@ -40,6 +42,12 @@
     return lines;
 }
 
+std::optional<revision_number> revisionIn(const json &object)
+{
+    const bool present = object.is_object() && object.contains("revision") && object["revision"].is_number_unsigned();
+    return present ? std::optional<revision_number>(object["revision"].get<revision_number>()) : std::nullopt;
+}
+
 } // namespace
 
 std::string describeLagging(const json &status, revision_number revision)
@@ -50,12 +58,12 @@
     }
     std::string lagging;
     for (const json &entry : *entries) {
-        const bool hasRevision = entry.is_object() && entry.contains("revision") && entry["revision"].is_number_unsigned();
-        if (hasRevision && entry["revision"].get<revision_number>() >= revision) {
+        const std::optional<revision_number> current = revisionIn(entry);
+        if (current && *current >= revision) {
             continue;
         }
-        const bool named = entry.is_object() && entry.contains("entry") && entry["entry"].is_string();
-        lagging += (lagging.empty() ? "not yet in force on " : ", ") + (named ? entry["entry"].get<std::string>() : "an unnamed entry");
+        const std::string name = stringMember(entry, "entry");
+        lagging += (lagging.empty() ? "not yet in force on " : ", ") + (name.empty() ? "an unnamed entry" : name);
     }
     return lagging;
 }
@@ -120,13 +128,13 @@
             continue;
         }
         const json answer = json::parse(result.response.body, nullptr, false);
-        const std::optional<reported_outcome> outcome = answer.is_object() ? outcomeFromName(answer.value("outcome", "")) : std::nullopt;
+        const std::optional<reported_outcome> outcome = outcomeFromName(stringMember(answer, "outcome"));
         if (!outcome) {
             // A 4xx response without an outcome means that the request was rejected before it reached the configuration service.
             const bool refused = !mayHaveTakenEffect && result.response.status >= 400 && result.response.status < 500;
             return {refused ? reported_outcome::Refused : reported_outcome::Unknown, 0, answer.is_object() ? formatFailures(answer) : std::string()};
         }
-        report = {*outcome, answer.value("revision", revision_number{0}), formatFailures(answer)};
+        report = {*outcome, revisionIn(answer).value_or(0), formatFailures(answer)};
         if (*outcome == reported_outcome::Refused && mayHaveTakenEffect) {
             report.outcome = reported_outcome::Unknown;
         }
--- a/tests/service_answers_test.cpp
+++ b/tests/service_answers_test.cpp
@@ -90,6 +90,23 @@
     }
 }
 
+// Guards against daisypassctl ending by an exception after it has sent a configuration: the operator wouldn't learn whether it took effect.
+TEST_CASE("an answer to an apply with members of another type is reported, not thrown")
+{
+    SUBCASE("without a readable outcome it is unknown whether the configuration took effect")
+    {
+        const answering_service service(R"({"outcome":5})");
+        CHECK(control_client(service.address(), "token").apply({}, 0, "author", "write-1").outcome == reported_outcome::Unknown);
+    }
+    SUBCASE("details that can't be read are left out")
+    {
+        const answering_service service(R"({"outcome":"invalid","revision":"seven","failures":[{"message":7}]})");
+        const apply_report report = control_client(service.address(), "token").apply({}, 0, "author", "write-1");
+        CHECK(report.outcome == reported_outcome::Invalid);
+        CHECK(report.revision == 0);
+    }
+}
+
 // Guards against daisypassctl ending by an exception while it waits for a revision.
 TEST_CASE("entries that lag behind a revision are named")
 {
