--- a/tests/node/relay_test.cpp
+++ b/tests/node/relay_test.cpp
@@ -88,12 +88,7 @@
         return m_ordersCarriedOut;
     }
 
-    asio::io_context &context()
-    {
-        return m_context;
-    }
-
-protected:
+private:
     std::mutex m_lock;
     std::condition_variable m_answered;
     int m_ordersCarriedOut = 0;
--- a/tests/sched/batch_drain_test.cpp
+++ b/tests/sched/batch_drain_test.cpp
@@ -74,7 +74,7 @@
 
 } // namespace
 
-// A run of 28 s was on a VM when a wave of 26 s began, and the VM's maintenance was late (rcm-bogota trouble-2, 14 of 40 runs).
+// A run of 28 s was on a VM when a wave of 26 s began, and the VM's maintenance was late.
 TEST_CASE("a run that outlasts the wave doesn't keep its VM from the upkeep in time")
 {
     SUBCASE("a checkpointing run is resumed on another executor, and the maintenance begins")
@@ -137,8 +137,7 @@
     }
 }
 
-// Between a takeover and the new holder's first fleet plan, runs of 15 s were placed on VMs that were nearly drained
-// (rcm-bogota trouble-2).
+// Between a takeover and the new holder's first fleet plan, runs of 15 s were placed on VMs that were nearly drained.
 TEST_CASE("a new lease holder places no runs on a VM that its predecessor is draining for maintenance")
 {
     batch_drain former(true);
--- a/tests/sched/executor_succession_test.cpp
+++ b/tests/sched/executor_succession_test.cpp
@@ -132,8 +132,7 @@
     CHECK(world.taskScheduler.executors().at("between").dead);
 }
 
-// A holder ordered maintenance of a VM before it had read the registry, and then placed runs on the VM's executor
-// (rcm-bogota trouble-2 --seed 933374963006).
+// A holder ordered maintenance of a VM before it had read the registry, and then placed runs on the VM's executor.
 TEST_CASE("an executor whose VM is ordered into maintenance before its entry is read gets no runs")
 {
     scheduler_fixture world;
--- a/tests/sched/fleet_planner_test.cpp
+++ b/tests/sched/fleet_planner_test.cpp
@@ -112,8 +112,7 @@
     }
     SUBCASE("a pool without a usable VM gets one before a pool with a larger backlog gets them all")
     {
-        // A pool whose only VM awaited its maintenance got no other VM for 9 s, because another pool had a burst of demand
-        // (rcm-bogota trouble-2).
+        // A pool whose only VM awaited its maintenance got no other VM for 9 s, because another pool had a burst of demand.
         fleet_view view;
         view.pools = {poolWith("booking", 4 * vmCapacity.cpu), poolWith("profiles", 2 * vmCapacity.cpu), sparePool()};
         view.vms = {emptyVm("a", "booking"), emptyVm("b", "profiles"), spareVm("c", "spare"), spareVm("d", "spare")};
@@ -176,7 +175,7 @@
 
     SUBCASE("a list that was read before the maintenance started doesn't free its place under the cap")
     {
-        // Such a list led to eleven VMs down at once under a cap of ten (brusilica scale-2).
+        // Such a list led to eleven VMs down at once under a cap of ten.
         planner.maintenanceStarted(1, first[0].vm, start + 10);
         planner.vmIsBack(first[0].vm, start + 50);
         CHECK(only<maintenance_decision>(planner.plan(view, start + 100)).empty());
--- a/tests/sched/inherited_pace_test.cpp
+++ b/tests/sched/inherited_pace_test.cpp
@@ -73,7 +73,7 @@
 
 } // namespace
 
-// Three quarters of all runs that were stopped as stragglers were stopped within a second of a takeover (rcm-bogota trouble-2).
+// Guards against a new lease holder that takes all progress of an inherited run as made since the takeover and stops the run.
 TEST_CASE("a run isn't taken for a straggler because a new holder hasn't seen its beginning")
 {
     inherited_runs world;
--- a/tests/sched/lease_rules_test.cpp
+++ b/tests/sched/lease_rules_test.cpp
@@ -60,8 +60,7 @@
 
 TEST_CASE("the lease of a holder whose process has ended is acquired before it expires")
 {
-    // No task was started for 2.1 s after a holder was killed, which was too long for the jobs of the first seconds of a burst
-    // (rcm-bogota fresh-2979).
+    // No task was started for 2.1 s after a holder was killed, which was too long for the jobs of the first seconds of a burst.
     lease_rules rules({"n1", 5, 100}, 2'000);
     rules.onRowRead(lease_row{"n2", 1, 3, false}, 10, 1'000);
     CHECK_FALSE(rules.suspectsHolder(1'700));
@@ -108,7 +107,7 @@
 
 TEST_CASE("small machines leave the lease to large ones")
 {
-    // A machine with 0.12 core acquired the lease for 350 executors after a rolling restart (rcm-bogota-grown fresh-73f7).
+    // A machine with 0.12 core acquired the lease for 350 executors after a rolling restart.
     CHECK(candidateDelay("small", 0.12, 0.5) > candidateDelay("large", 0.5, 0.5) + 1'000);
     CHECK(candidateDelay("only", 0.25, 0.25) < 200);
     CHECK(isMuchSmaller(0.12, 0.5));
--- a/tests/sched/long_running_drain_test.cpp
+++ b/tests/sched/long_running_drain_test.cpp
@@ -105,7 +105,7 @@
 } // namespace
 
 // One of five tasks on a VM was stopped, which used up its step's budget: the others stayed for 10 s, so that the maintenance couldn't
-// begin (rcm-bogota trouble-2, LOST).
+// begin.
 TEST_CASE("a long-running task isn't stopped for upkeep while it can neither go on elsewhere nor let the upkeep begin")
 {
     drain_fixture world;
@@ -178,8 +178,7 @@
     }
 }
 
-// While a stop takes effect, the list still shows the run that the former holder has stopped, and the new holder counted it as available
-// (rcm-bogota trouble-2, AVAIL).
+// While a stop takes effect, the list still shows the run that the former holder has stopped, and the new holder counted it as available.
 TEST_CASE("a new lease holder stops no long-running task while a stop of the former holder may be in progress")
 {
     bounds limits;
--- a/tests/sched/scheduler_test.cpp
+++ b/tests/sched/scheduler_test.cpp
@@ -46,7 +46,7 @@
 TEST_CASE("a failed run counts once, however often its end is listed")
 {
     // A new lease holder counted a failed run again whose end its predecessor had stored but not yet acknowledged, so a job failed after
-    // three of its four attempts (rcm-bogota trouble-2).
+    // three of its four attempts.
     scheduler_fixture first;
     first.addExecutor("e1");
     const start_run start = first.runTask("j1");
@@ -188,7 +188,7 @@
 
 TEST_CASE("upkeep ends long-running tasks only within their step's budget")
 {
-    // Tasks on a rack that had stopped answering still counted as available (brusilica-grown scale-2, AVAIL).
+    // Tasks on a rack that had stopped answering still counted as available.
     scheduler_fixture world;
     const std::vector<std::string> names{"e1", "e2", "e3"};
     for (const std::string &name : names) {
@@ -242,7 +242,7 @@
 
 TEST_CASE("a lost list is no standstill")
 {
-    // Runs were stopped as stalled because their executors' lists had been lost for a while (brusilica-grown trouble-3).
+    // Runs were stopped as stalled because their executors' lists had been lost for a while.
     scheduler_fixture world;
     world.addExecutor("e1");
     const start_run start = world.runTask("j1");
@@ -290,7 +290,7 @@
 TEST_CASE("an end that comes late frees no room that a later run still takes")
 {
     // Executors came back from a network partition and listed ends of runs that had been placed again in the meantime. The capacity of the
-    // later runs was freed while they were still active (rcm-bogota-grown mix --seed 423660670714, LIMIT).
+    // later runs was freed while they were still active.
     scheduler_fixture world;
     world.addExecutor("e1");
     const start_run first = world.runTask("j1", 4'000);
