Separate the elements of written JSON in one way

The change had written the comma before a further element in six places and three ways, one of them by comparing addresses. One function decides by the bracket before it. A poll's answer is built at once instead of being filled after its construction.

--- a/src/base/json_text.cpp
+++ b/src/base/json_text.cpp
@@ -25,4 +25,11 @@
     out += '"';
 }
 
+void appendSeparator(std::string &out)
+{
+    if (out.back() != '[' && out.back() != '{') {
+        out += ',';
+    }
+}
+
 } // namespace daisypass
--- a/src/node/dispatcher_orders.cpp
+++ b/src/node/dispatcher_orders.cpp
@@ -63,10 +63,15 @@
                    [weak = weak_from_this(), executor = order.executor, sentAt = steadyMillis(), sentTo](executor_answer answer) {
                        if (const std::shared_ptr<dispatcher> self = weak.lock()) {
                            poll_result &result = std::get<poll_result>(answer);
-                           sched::poll_answered event{executor, result.status, sentAt, result.clockMs, result.startedUnixMs, {}, {}, result.moreEnds, sentTo};
-                           event.runs = std::move(result.runs);
-                           event.ends = std::move(result.ends);
-                           self->handleEvent(std::move(event));
+                           self->handleEvent(sched::poll_answered{executor,
+                                                                  result.status,
+                                                                  sentAt,
+                                                                  result.clockMs,
+                                                                  result.startedUnixMs,
+                                                                  std::move(result.runs),
+                                                                  std::move(result.ends),
+                                                                  result.moreEnds,
+                                                                  sentTo});
                        }
                    });
 }
--- a/src/node/dispatcher_owner.cpp
+++ b/src/node/dispatcher_owner.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 namespace daisypass {
+
 dispatcher_owner::dispatcher_owner(std::function<std::shared_ptr<dispatcher>(const held_term &)> createDispatcher)
     : m_createDispatcher(std::move(createDispatcher))
 {
--- a/src/platform/store_client.cpp
+++ b/src/platform/store_client.cpp
@@ -31,19 +31,22 @@
 {
     std::string body = "{\"ExpectedRev\":[";
     for (const row_precondition &expected : transaction.preconditions) {
-        body += &expected == transaction.preconditions.data() ? "{" : ",{";
+        appendSeparator(body);
+        body += '{';
         appendKey(body, expected.key);
         body += ",\"Ver\":" + std::to_string(expected.version) + '}';
     }
     body += "],\"Puts\":[";
     for (const row_update &put : transaction.puts) {
-        body += &put == transaction.puts.data() ? "{" : ",{";
+        appendSeparator(body);
+        body += '{';
         appendKey(body, put.key);
         body += ",\"Value\":\"" + wire::encodeBase64(put.value) + "\"}";
     }
     body += "],\"Deletes\":[";
     for (const row_key &key : transaction.deletes) {
-        body += &key == transaction.deletes.data() ? "{" : ",{";
+        appendSeparator(body);
+        body += '{';
         appendKey(body, key);
         body += '}';
     }
--- a/src/sched/fleet_orders.cpp
+++ b/src/sched/fleet_orders.cpp
@@ -121,7 +121,7 @@
     m_unstored.clear();
     std::string row = "{";
     for (const std::pair<const std::string, recent_order> &order : m_recent) {
-        row += row.size() > 1 ? "," : "";
+        appendSeparator(row);
         appendJsonString(row, order.first);
         row += ":[";
         std::visit(order_appender{row}, order.second.order);
--- a/src/sched/job_record.cpp
+++ b/src/sched/job_record.cpp
@@ -48,8 +48,9 @@
     appendNumber(row, kindOf(task));
     appendNumber(row, task.run);
     row += '[';
-    for (std::size_t i = 0; i < task.failedRuns.size(); ++i) {
-        row += (i > 0 ? "," : "") + std::to_string(task.failedRuns[i]);
+    for (const int failedRun : task.failedRuns) {
+        appendSeparator(row);
+        row += std::to_string(failedRun);
     }
     row += "],";
     appendJsonString(row, task.executor);
@@ -260,7 +261,7 @@
 
 std::string writeState(const job_record &job)
 {
-    std::string tasks;
+    std::string tasks = "[";
     // The row of an ended job has only the runs that may still be on an executor.
     for (const std::pair<const int, occurrence_record> &occurrence : job.occurrences) {
         for (std::size_t step = 0; step < occurrence.second.steps.size(); ++step) {
@@ -268,7 +269,7 @@
             for (std::size_t index = 0; index < records.size(); ++index) {
                 const bool needed = job.ended() ? records[index].occupies() : !isUntouched(records[index]);
                 if (needed) {
-                    tasks += tasks.empty() ? "" : ",";
+                    appendSeparator(tasks);
                     appendTask(tasks, occurrence.first, step, index, records[index]);
                 }
             }
@@ -279,8 +280,8 @@
     if (job.firstOpen > 0) {
         row += ",\"first_open\":" + std::to_string(job.firstOpen);
     }
-    if (!tasks.empty()) {
-        row += ",\"tasks\":[" + tasks + ']';
+    if (tasks.size() > 1) {
+        row += ",\"tasks\":" + tasks + ']';
     }
     row += '}';
     return row;
