Correct the load model's store and show the loss with the fleet that lost it

The test is replaced by one for the fleet of the incident: 1,097 VMs, a turn of the demand and an outage of the store of 2.4 s.

--- a/tests/sched/load_model.cpp
+++ b/tests/sched/load_model.cpp
@@ -51,11 +51,11 @@
     explicit implementation(load_settings given)
         : settings(std::move(given))
         , demand(settings)
-        , taskScheduler(boundsOf(settings), {})
         , processor(timeline,
                     [this] {
                         return workUs();
                     })
+        , taskScheduler(boundsOf(settings), {})
         , executors(settings, demand, timeline, outcome, sink())
         , fleet(settings, executors, timeline, outcome, sink())
     {
@@ -65,8 +65,8 @@
     load_timeline timeline;
     load_demand demand;
     load_outcome outcome;
-    scheduler taskScheduler;
     load_processor processor;
+    scheduler taskScheduler;
     std::int64_t messages = 0;
     load_executors executors;
     load_fleet fleet;
@@ -182,19 +182,28 @@
             return;
         }
         committing = true;
-        timeline.at(timeline.now() + commitMs, [this, batch = std::move(*batch)] {
-            committing = false;
+        timeline.at(commitEnd(), [this, batch = std::move(*batch)] {
             for (const std::pair<std::string, std::string> &row : batch.rows) {
                 recordJobEnd(row.first, row.second);
             }
             processor.post([this, number = batch.number] {
+                committing = false;
                 ++messages;
                 taskScheduler.handle(batch_committed{number}, timeline.now());
-                carryOutActions();
+                planAndCommit();
             });
         });
     }
 
+    // When a transaction that is sent now is answered.
+    time_ms commitEnd() const
+    {
+        const time_ms outageBegin = loadStartMs + settings.storeOutageAt;
+        const time_ms outageEnd = outageBegin + settings.storeOutageMs;
+        const bool away = timeline.now() >= outageBegin && timeline.now() < outageEnd;
+        return (away ? outageEnd : timeline.now()) + commitMs;
+    }
+
     void recordJobEnd(const std::string &job, const std::string &row)
     {
         const std::string phase = phaseIn(row);
--- a/tests/sched/load_settings.cpp
+++ b/tests/sched/load_settings.cpp
@@ -19,16 +19,19 @@
     return settings;
 }
 
-load_settings scaledDay(std::uint64_t seed, int scale)
+load_settings largeFleetDay(std::uint64_t seed)
 {
-    load_settings settings = referenceDay(seed);
-    settings.lengthMs = 18'000;
-    settings.vmsPerPool *= scale;
-    settings.spareVms *= scale;
-    settings.fleetOrdersPerSecond *= scale;
-    for (load_queue &queue : settings.queues) {
-        queue.jobsPerSecond *= scale;
-    }
+    load_settings settings;
+    settings.seed = seed;
+    load_queue booking{"booking", 42.1, 1.6, 8, 4'500, 850, 0, 4, 0.01, 0.276, 0, 0.15, 0.2, 24, 9'000};
+    load_queue profiles{"profiles", 10.3, 2, 8, 9'700, 1'400, 1, 4, 0.02, 1.26, 0.8, 0.3, 0.5, 24, 15'000};
+    load_queue counter{"counter", 52.7, 1.6, 8, 4'500, 850, 0, 4, 0.01, 0.276, 0, 0.15, 0.2, 24, 9'000};
+    load_queue grinder{"grinder", 12.6, 2, 8, 9'700, 1'400, 1, 4, 0.02, 1.26, 0.8, 0.3, 0.5, 24, 15'000};
+    settings.queues = {booking, profiles, counter, grinder};
+    settings.vmsPerPool = 230;
+    settings.spareVms = 177;
+    settings.lengthMs = 14'000;
+    settings.fleetOrdersPerSecond = 590;
     // A lease holder with half a core.
     settings.costs = {20, 1.7, 0.08, 1.0, 2.7};
     return settings;
--- a/tests/sched/load_settings.h
+++ b/tests/sched/load_settings.h
@@ -73,13 +73,16 @@
     int stalledExecutors = 0;
     /** Executors that become unresponsive for good at the middle of the day. */
     int unresponsiveExecutors = 0;
+    /** The store answers no call of the lease holder from this time after the first arrival, for `storeOutageMs`. */
+    time_ms storeOutageAt = 0;
+    time_ms storeOutageMs = 0;
     /** All zero for a processor that takes no time. */
     processor_costs costs;
 };
 
 /** The first user's day: four queues of short and longer work, each with its pool, and the spare pool. */
 load_settings referenceDay(std::uint64_t seed);
-/** A reference day with this many times the load, the VMs and the rate of orders to the fleet service, on a real processor. */
-load_settings scaledDay(std::uint64_t seed, int scale);
+/** A day of a fleet of 1,097 VMs with the same kinds of queues, on a real processor. */
+load_settings largeFleetDay(std::uint64_t seed);
 
 } // namespace daisypass::sched
--- a/tests/sched/load_test.cpp
+++ b/tests/sched/load_test.cpp
@@ -65,19 +65,18 @@
     CHECK(outcome.capacityViolations == 0);
 }
 
-// Guards against a backlog that keeps the lease holder's processor from the ends and answers that would reduce it.
-TEST_CASE("a processor that is twice as slow still serves a large fleet's bursts")
+// Guards against a lease holder that falls further behind the slower its processor is, because its own passes take it from the answers.
+TEST_CASE("a slow processor costs the callers of a large fleet little, also after an outage of the store")
 {
-    load_settings settings = scaledDay(6, 10);
-    const processor_costs costs = settings.costs;
-    for (double slowdown : {1.0, 1.5, 2.0}) {
-        settings.costs = costs.slowedBy(slowdown);
-        const load_outcome outcome = load_model(settings).run();
-        INFO("slower by " << slowdown << ": in objective " << outcome.inObjective << " of " << outcome.jobs << ", worst windows "
-                          << outcome.worstWindowsShare << ", longest wait " << outcome.longestWaitMs << " ms");
-        CHECK(outcome.inObjective >= outcome.jobs * 85 / 100);
-        CHECK(outcome.unfinished == 0);
-        CHECK(outcome.duplicateRuns == 0);
-        CHECK(outcome.capacityViolations == 0);
-    }
+    load_settings settings = largeFleetDay(6);
+    settings.storeOutageAt = 2'000;
+    settings.storeOutageMs = 2'400;
+    const load_outcome usual = load_model(settings).run();
+    settings.costs = settings.costs.slowedBy(2.0);
+    const load_outcome slow = load_model(settings).run();
+    MESSAGE("in objective " << usual.inObjective << ", at half the speed " << slow.inObjective << " of " << slow.jobs << "; longest wait for the processor "
+                            << usual.longestWaitMs << " and " << slow.longestWaitMs << " ms");
+    CHECK(slow.inObjective >= usual.inObjective * 9 / 10);
+    CHECK(slow.duplicateRuns == 0);
+    CHECK(slow.capacityViolations == 0);
 }
