Keep the lease holder's passes from taking the processor from the answers

Nothing was refused; jobs started seconds late, and the backlog didn't shrink again.

A search for an executor now starts at the least free capacity that is enough and mostly ends at once, and a pass is due again when it has taken its share of the time, as measured by a clock that the scheduler's owner gives it.

--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "base/time.h"
 #include "node/tables.h"
 #include "platform/records.h"
 
@@ -20,7 +21,11 @@
     , m_settings(settings)
     , m_term(std::move(term))
     , m_onTermLost(std::move(onTermLost))
-    , m_scheduler(settings.bounds, m_term.times)
+    , m_scheduler(settings.bounds,
+                  m_term.times,
+                  [] {
+                      return steadyNow().count();
+                  })
     , m_recovery(std::make_unique<recovery>())
     , m_relays(std::make_shared<relay_pool>(m_dependencies.client, m_dependencies.runAfter, m_term.node + '.' + std::to_string(m_term.term), m_term.node))
     , m_executors(directSender(m_dependencies.client))
--- a/src/sched/scheduler.cpp
+++ b/src/sched/scheduler.cpp
@@ -19,15 +19,13 @@
 constexpr time_ms deleteRetryMs = 5'000;
 // Deleted jobs are remembered for this long; any read of the submissions that began before the deletion has ended by then.
 constexpr time_ms deletedJobKeepMs = 30'000;
-// Interval of the check for unresponsive executors, unanswered stops and runs without progress.
-constexpr time_ms sweepIntervalMs = 100;
-// Minimum time between two placement passes. A transaction takes about as long, so the placements of a pass mostly share one. A pass
-// looks at all waiting jobs and at the executors of their pools, so the time grows with them: passes must leave most of the processor to
-// the handling of events.
-constexpr time_ms minPlacementIntervalMs = 4;
-constexpr time_ms maxPlacementIntervalMs = 25;
-constexpr std::size_t waitingJobsPerMs = 150;
-constexpr std::size_t executorsPerMs = 250;
+// A placement pass looks at all waiting jobs and at the executors of their pools, a sweep at all executors and runs, and a fleet plan at all
+// jobs and VMs. The more work waits, the longer they take, so each gets a share of the processor: the handling of ends and answers, which
+// reduces the waiting work, needs the rest. A transaction takes about as long as the shortest time between two placement passes, so the
+// placements of a pass mostly share one.
+constexpr pass_limits placementLimits{4, 250, 0.2};
+constexpr pass_limits sweepLimits{100, 400, 0.1};
+constexpr pass_limits fleetLimits{100, 500, 0.1};
 // Longest lease that executors are granted. It is long enough to last through a change of lease holder, and short enough that a run on an
 // executor that has left is placed again within six seconds.
 constexpr time_ms maxGrantedLeaseMs = 5'500;
@@ -44,23 +42,21 @@
 
 } // namespace
 
-scheduler::scheduler(bounds limits, const term_times &term)
+scheduler::scheduler(bounds limits, const term_times &term, processing_clock clock)
     : m_bounds(withCappedLease(limits))
     , m_term(term)
     , m_renewedAt(term.acquiredAt)
     , m_fleetPlanner(limits)
     , m_fleetOrders(limits.leaseMs + fleetOrderMarginMs)
+    , m_placementPacer(placementLimits)
+    , m_fleetPacer(fleetLimits)
+    , m_sweepPacer(sweepLimits)
+    , m_clock(std::move(clock))
 {
 }
 
 scheduler::~scheduler() = default;
 
-time_ms scheduler::placementIntervalMs(std::size_t waitingJobs, std::size_t executors)
-{
-    const time_ms interval = minPlacementIntervalMs + static_cast<time_ms>(waitingJobs / waitingJobsPerMs + executors / executorsPerMs);
-    return std::min(interval, maxPlacementIntervalMs);
-}
-
 void scheduler::logEvent(std::string event, log_fields fields)
 {
     m_actions.push_back(log_event{std::move(event), std::move(fields)});
@@ -84,10 +80,11 @@
 
 void scheduler::plan(time_ms now)
 {
-    if (m_placementPending && now - m_lastPlacementAt >= placementIntervalMs(m_backlog.size(), m_executors.size())) {
+    if (m_placementPending && m_placementPacer.isDue(now)) {
         m_placementPending = false;
-        m_lastPlacementAt = now;
-        place(now);
+        makePass(m_placementPacer, now, [&] {
+            place(now);
+        });
     }
     sendPolls(now);
 }
@@ -97,7 +94,7 @@
     if (!m_placementPending || m_backlog.empty()) {
         return std::nullopt;
     }
-    return m_lastPlacementAt + placementIntervalMs(m_backlog.size(), m_executors.size());
+    return m_placementPacer.dueAt();
 }
 
 bool scheduler::restore(const job_spec &spec, const std::string &row, time_ms now)
@@ -342,15 +339,24 @@
 void scheduler::on(const tick &what, time_ms now)
 {
     m_unixMs = std::max(m_unixMs, what.unixMs);
-    planFleet(now);
-    if (now - m_lastSweep < sweepIntervalMs) {
-        return;
+    if (!m_vms.empty() && m_fleetPacer.isDue(now)) {
+        makePass(m_fleetPacer, now, [&] {
+            planFleet(now);
+        });
     }
-    m_lastSweep = now;
+    if (m_sweepPacer.isDue(now)) {
+        makePass(m_sweepPacer, now, [&] {
+            sweep(now, what.unixMs);
+        });
+    }
+}
+
+void scheduler::sweep(time_ms now, std::int64_t unixMs)
+{
     m_placementPending = true;
     for (const std::string &id : m_repeatingJobs) {
         job_record &job = *m_jobs.at(id);
-        job.openDueOccurrences(what.unixMs);
+        job.openDueOccurrences(unixMs);
         addToBacklog(job);
     }
     expireUnresponsive(now);
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -10,7 +10,8 @@
 //     for (const action &next : instance.takeActions()) { ... carry it out ... }
 //     if (std::optional<commit_batch> batch = instance.takeBatch(now)) { ... store it, then handle(batch_committed) ... }
 //
-// A scheduler object serves one term of the leadership lease and is destroyed at its end. It has no clock, socket or thread.
+// A scheduler object serves one term of the leadership lease and is destroyed at its end. It has no socket or thread, and no clock but the
+// one that it is given to measure its passes over all jobs, executors or VMs, whose pace follows from the time that they take.
 //
 // Invariants:
 // - A start order is sent only after the row that names the run and its executor is stored.
@@ -29,8 +30,10 @@
 #include "sched/lease_rules.h"
 #include "sched/model.h"
 #include "sched/order_ledger.h"
+#include "sched/pass_pacer.h"
 #include "sched/run_pace.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -70,10 +73,14 @@
 inline constexpr const char *wavesRowKey = "~waves";
 inline constexpr const char *fleetOrdersRowKey = "~orders";
 
+/** Returns the time in microseconds on any monotonic clock. */
+using processing_clock = std::function<std::int64_t()>;
+
 class scheduler
 {
 public:
-    scheduler(bounds limits, const term_times &term);
+    /** Without a clock, passes count as if they took no time. */
+    scheduler(bounds limits, const term_times &term, processing_clock clock = {});
     ~scheduler();
 
     /** Adds a stored job with its state row; an empty row means that the job has not started. False if the row is malformed. */
@@ -89,8 +96,6 @@
     /** When `plan` should be called next for a placement that was delayed to batch events; empty if there is none. */
     std::optional<time_ms> nextPlanAt() const;
     std::vector<action> takeActions();
-    /** Minimum time between two placement passes while this many jobs wait and this many executors are known. */
-    static time_ms placementIntervalMs(std::size_t waitingJobs, std::size_t executors);
 
     bool hasUnstoredChanges() const;
     /** The next changes to store; empty if there are none. At most one batch may be outstanding. */
@@ -240,6 +245,10 @@
     void drainReservedExecutors(time_ms now);
     bool isConfirmedAvailable(const task_record &task) const;
 
+    /** Makes the pass and records the time that it took. */
+    template<typename Pass>
+    void makePass(pass_pacer &pacer, time_ms now, Pass pass);
+    void sweep(time_ms now, std::int64_t unixMs);
     void logEvent(std::string event, log_fields fields);
 
     bounds m_bounds;
@@ -284,7 +293,6 @@
     /** The last placement found no executor for a ready task. */
     bool m_capacityShort = false;
     bool m_placementPending = false;
-    time_ms m_lastPlacementAt = 0;
     std::map<std::string, vm_entry> m_vms;
     fleet_planner m_fleetPlanner;
     fleet_orders m_fleetOrders;
@@ -296,9 +304,19 @@
     std::vector<std::string> m_jobsInBatch;
     bool m_waveRowDirty = false;
     scheduler_counts m_counts;
-    time_ms m_lastFleetPlan = 0;
-    time_ms m_lastSweep = 0;
+    pass_pacer m_placementPacer;
+    pass_pacer m_fleetPacer;
+    pass_pacer m_sweepPacer;
+    processing_clock m_clock;
     time_ms m_lastCleanup = 0;
 };
 
+template<typename Pass>
+void scheduler::makePass(pass_pacer &pacer, time_ms now, Pass pass)
+{
+    const std::int64_t startedAtUs = m_clock ? m_clock() : 0;
+    pass();
+    pacer.ran(now, m_clock ? m_clock() - startedAtUs : 0);
+}
+
 } // namespace daisypass::sched
--- a/src/sched/scheduler_fleet.cpp
+++ b/src/sched/scheduler_fleet.cpp
@@ -7,8 +7,6 @@
 namespace daisypass::sched {
 namespace {
 
-// Interval of planning moves and maintenance.
-constexpr time_ms planIntervalMs = 100;
 // An unanswered move is ordered again after this time.
 constexpr time_ms moveRetryMs = 1'000;
 
@@ -166,10 +164,6 @@
 
 void scheduler::planFleet(time_ms now)
 {
-    if (m_vms.empty() || now - m_lastFleetPlan < planIntervalMs) {
-        return;
-    }
-    m_lastFleetPlan = now;
     m_counts.vmsPlanned += static_cast<std::int64_t>(m_vms.size());
     m_fleetOrders.expire(now);
     resendUnansweredMoves(now);
--- a/src/sched/scheduler_place.cpp
+++ b/src/sched/scheduler_place.cpp
@@ -4,6 +4,7 @@
 // steps come first, then jobs that can still meet their objective: those that have started, then the others, each group by remaining
 // work, so that many small jobs don't wait behind a large one. Jobs that can no longer meet their objective follow.
 
+#include "sched/placement_candidates.h"
 #include "sched/scheduler.h"
 
 #include <algorithm>
@@ -57,23 +58,28 @@
 {
     scheduler &owner;
     time_ms now;
-    std::map<std::string, std::vector<executor_record *>> executorsByPool{};
+    std::map<std::string, placement_candidates> candidatesByPool{};
     std::map<std::string, std::vector<ready_step>> readyByPool{};
 
     // The pool's executors that take new runs. They are collected when the first job of the pool needs them.
-    const std::vector<executor_record *> &usableExecutors(const std::string &pool)
+    const placement_candidates &candidatesOf(const std::string &pool)
     {
-        const bool collected = executorsByPool.contains(pool);
-        std::vector<executor_record *> &usable = executorsByPool[pool];
+        const bool collected = candidatesByPool.contains(pool);
+        placement_candidates &candidates = candidatesByPool[pool];
         const auto listed = owner.m_poolExecutors.find(pool);
         if (collected || listed == owner.m_poolExecutors.end()) {
-            return usable;
+            return candidates;
         }
-        std::copy_if(listed->second.begin(), listed->second.end(), std::back_inserter(usable), [this](const executor_record *executor) {
-            return executor->takesNewRuns(now) && executor->freeCapacity().memoryMb > 0
+        owner.m_counts.executorsConsidered += static_cast<std::int64_t>(listed->second.size());
+        for (executor_record *executor : listed->second) {
+            const bool usable = executor->takesNewRuns(now) && executor->freeCapacity().memoryMb > 0
                 && !owner.m_fleetOrders.mayEndExecutor(executor->entry.vm, executor->entry.pool, now);
-        });
-        return usable;
+            if (usable) {
+                candidates.add(*executor);
+            }
+        }
+        candidates.sort();
+        return candidates;
     }
 
     // Removes jobs without a ready task from the backlog; they are added again when a task becomes ready.
@@ -90,7 +96,7 @@
     bool collectReady(job_record &job)
     {
         const std::string &pool = owner.poolOf(job);
-        if (usableExecutors(pool).empty()) {
+        if (candidatesOf(pool).empty()) {
             // The pool has no usable executor, and the job stays in the backlog.
             return true;
         }
@@ -141,12 +147,12 @@
             std::sort(item.second.begin(), item.second.end());
             std::vector<resources> refused;
             for (ready_step &ready : item.second) {
-                placeStep(ready, executorsByPool[item.first], refused);
+                placeStep(ready, candidatesByPool[item.first], refused);
             }
         }
     }
 
-    void placeStep(ready_step &ready, std::vector<executor_record *> &executors, std::vector<resources> &refused)
+    void placeStep(ready_step &ready, placement_candidates &candidates, std::vector<resources> &refused)
     {
         const step_spec &stepSpec = ready.job->spec.steps[static_cast<std::size_t>(ready.step)];
         const resources demand = stepSpec.countedDemand();
@@ -158,28 +164,31 @@
         }
         const queue_config *queue = owner.queueOf(*ready.job);
         if (queue != nullptr && queue->requiresAdvice) {
-            std::vector<executor_record *> withTicket = executorsWithTicket(ready, executors);
+            placement_candidates withTicket = candidatesWithTicket(ready, candidates);
             placeAmong(ready, stepSpec, withTicket, refused, true);
             return;
         }
-        placeAmong(ready, stepSpec, executors, refused, false);
+        placeAmong(ready, stepSpec, candidates, refused, false);
     }
 
     // Executors with a valid ticket for the step; requests more advice if there are too few.
-    std::vector<executor_record *> executorsWithTicket(ready_step &ready, const std::vector<executor_record *> &executors)
+    placement_candidates candidatesWithTicket(ready_step &ready, const placement_candidates &candidates)
     {
         step_record &record = ready.occurrence->steps[static_cast<std::size_t>(ready.step)];
-        std::vector<executor_record *> withTicket;
+        placement_candidates withTicket;
+        int tickets = 0;
         std::vector<std::string> unknown;
-        for (executor_record *executor : executors) {
+        for (executor_record *executor : candidates.executors()) {
             const auto ticket = record.tickets.find(executor->entry.id);
             if (ticket != record.tickets.end() && ticket->second.validUntil > now + minTicketValidityMs) {
-                withTicket.push_back(executor);
+                withTicket.add(*executor);
+                ++tickets;
             } else if (!record.advisedAgainst.contains(executor->entry.id) && unknown.size() < maxExecutorsPerAdvice) {
                 unknown.push_back(executor->entry.id);
             }
         }
-        const bool enough = static_cast<int>(withTicket.size()) >= record.waiting;
+        withTicket.sort();
+        const bool enough = tickets >= record.waiting;
         if (!enough && !unknown.empty() && !record.adviceAsked && record.adviceRetryAt <= now) {
             record.adviceAsked = true;
             owner.m_actions.push_back(request_advice{ready.job->spec.id, ready.occurrence->number, ready.step, std::move(unknown)});
@@ -187,12 +196,11 @@
         return withTicket;
     }
 
-    void
-    placeAmong(ready_step &ready, const step_spec &stepSpec, std::vector<executor_record *> &executors, std::vector<resources> &refused, bool requiresAdvice)
+    void placeAmong(ready_step &ready, const step_spec &stepSpec, placement_candidates &candidates, std::vector<resources> &refused, bool requiresAdvice)
     {
         const resources demand = stepSpec.countedDemand();
         if (stepSpec.gang) {
-            placeGang(ready, stepSpec, executors);
+            placeGang(ready, stepSpec, candidates);
             return;
         }
         const bool constrained = requiresAdvice || stepSpec.maxTasksPerExecutor > 0 || !stepSpec.requiredLabel.empty();
@@ -203,7 +211,7 @@
             if (task.phase != task_phase::Waiting || task.notBefore > now) {
                 continue;
             }
-            executor_record *chosen = choose(stepSpec, task, executors, here);
+            executor_record *chosen = choose(stepSpec, task, candidates, here);
             if (chosen == nullptr) {
                 owner.m_capacityShort = true;
                 if (!constrained) {
@@ -212,6 +220,7 @@
                 return;
             }
             assign(ready, stepSpec, static_cast<int>(index), task.run + 1, *chosen);
+            candidates.refresh(*chosen);
             ++here[chosen->entry.id];
         }
     }
@@ -230,29 +239,35 @@
         return count;
     }
 
-    executor_record *
-    choose(const step_spec &stepSpec, const task_record &task, std::vector<executor_record *> &executors, const std::map<std::string, int> &here)
+    // Best fit: prefers the executor with the least free cpu, so that others stay empty and their VMs can be moved. The candidates are
+    // ordered by it, so the first one without a penalty ends the search.
+    executor_record *choose(const step_spec &stepSpec, const task_record &task, const placement_candidates &candidates, const std::map<std::string, int> &here)
     {
         executor_record *best = nullptr;
         double bestWeight = 0;
         const resources demand = stepSpec.countedDemand();
-        owner.m_counts.executorsConsidered += static_cast<std::int64_t>(executors.size());
-        for (executor_record *executor : executors) {
-            if (!allowed(stepSpec, demand, *executor, here)) {
+        for (auto candidate = candidates.firstWith(demand.cpu); candidate != candidates.end(); ++candidate) {
+            ++owner.m_counts.executorsConsidered;
+            executor_record &executor = *candidate->executor;
+            if (!allowed(stepSpec, demand, executor, here)) {
                 continue;
             }
-            const double weight = weightOf(stepSpec, task, *executor);
+            const double penalty = penaltyOf(stepSpec, task, executor);
+            const double weight = static_cast<double>(candidate->freeCpu) + penalty;
             if (best == nullptr || weight < bestWeight) {
-                best = executor;
+                best = &executor;
                 bestWeight = weight;
             }
+            if (penalty == 0) {
+                break;
+            }
         }
         return best;
     }
 
     bool allowed(const step_spec &stepSpec, const resources &demand, const executor_record &executor, const std::map<std::string, int> &here) const
     {
-        if (!executor.takesNewRuns(now) || !demand.fitsIn(executor.freeCapacity())) {
+        if (!demand.fitsIn(executor.freeCapacity())) {
             return false;
         }
         if (stepSpec.maxTasksPerExecutor > 0) {
@@ -264,23 +279,22 @@
         return executor.hasLabel(stepSpec.requiredLabel);
     }
 
-    // Best fit: prefers the executor with the least free cpu, so that others stay empty and their VMs can be moved.
-    double weightOf(const step_spec &stepSpec, const task_record &task, const executor_record &executor) const
+    double penaltyOf(const step_spec &stepSpec, const task_record &task, const executor_record &executor) const
     {
-        double weight = static_cast<double>(executor.freeCapacity().cpu);
+        double penalty = 0;
         if (!stepSpec.dataRack.empty() && stepSpec.dataRack != executor.entry.rack) {
-            weight += farFromDataWeight;
+            penalty += farFromDataWeight;
         }
         if (outlastsWave(stepSpec, executor)) {
-            weight += maintenanceDueWeight;
+            penalty += maintenanceDueWeight;
         }
         if (executor.isSlow()) {
-            weight += slowExecutorWeight * executor.slowness;
+            penalty += slowExecutorWeight * executor.slowness;
         }
         if (!task.avoidedExecutor.empty() && task.avoidedExecutor == executor.entry.id) {
-            weight += failedHereWeight;
+            penalty += failedHereWeight;
         }
-        return weight;
+        return penalty;
     }
 
     // Whether the task would still be running when the maintenance of the executor's VM is due.
@@ -291,7 +305,7 @@
     }
 
     // Places all members of the gang or none. Each attempt reserves capacity member by member and releases it afterwards.
-    void placeGang(ready_step &ready, const step_spec &stepSpec, std::vector<executor_record *> &executors)
+    void placeGang(ready_step &ready, const step_spec &stepSpec, placement_candidates &candidates)
     {
         step_record &record = ready.occurrence->steps[static_cast<std::size_t>(ready.step)];
         int run = 0;
@@ -302,36 +316,39 @@
             run = std::max(run, task.run);
         }
         if (stepSpec.sameRack) {
-            std::map<std::string, std::vector<executor_record *>> racks;
-            for (executor_record *executor : executors) {
-                racks[executor->entry.rack].push_back(executor);
+            std::map<std::string, placement_candidates> racks;
+            for (executor_record *executor : candidates.executors()) {
+                racks[executor->entry.rack].add(*executor);
             }
-            for (std::pair<const std::string, std::vector<executor_record *>> &rack : racks) {
+            for (std::pair<const std::string, placement_candidates> &rack : racks) {
+                rack.second.sort();
                 if (placeMembers(ready, stepSpec, rack.second, run + 1)) {
                     return;
                 }
             }
         }
-        placeMembers(ready, stepSpec, executors, run + 1);
+        placeMembers(ready, stepSpec, candidates, run + 1);
     }
 
-    bool placeMembers(ready_step &ready, const step_spec &stepSpec, std::vector<executor_record *> &executors, int run)
+    bool placeMembers(ready_step &ready, const step_spec &stepSpec, placement_candidates &candidates, int run)
     {
         step_record &record = ready.occurrence->steps[static_cast<std::size_t>(ready.step)];
         std::vector<executor_record *> chosen;
         std::map<std::string, int> here;
         const resources demand = stepSpec.countedDemand();
         for (const task_record &task : record.tasks) {
-            executor_record *candidate = choose(stepSpec, task, executors, here);
+            executor_record *candidate = choose(stepSpec, task, candidates, here);
             if (candidate == nullptr) {
                 break;
             }
             candidate->used += demand;
+            candidates.refresh(*candidate);
             ++here[candidate->entry.id];
             chosen.push_back(candidate);
         }
         for (executor_record *candidate : chosen) {
             candidate->used -= demand;
+            candidates.refresh(*candidate);
         }
         if (chosen.size() != record.tasks.size()) {
             return false;
@@ -354,6 +371,7 @@
         task.batch = 0;
         --record.waiting;
         owner.occupy(id, stepSpec, executor);
+        candidatesByPool[executor.entry.pool].refresh(executor);
         if (job.phase == job_phase::Pending) {
             job.phase = job_phase::Running;
             owner.logEvent("job_started",
--- a/tests/sched/load_model.cpp
+++ b/tests/sched/load_model.cpp
@@ -55,7 +55,11 @@
                     [this] {
                         return workUs();
                     })
-        , taskScheduler(boundsOf(settings), {})
+        , taskScheduler(boundsOf(settings),
+                        {},
+                        [this] {
+                            return processor.microseconds();
+                        })
         , executors(settings, demand, timeline, outcome, sink())
         , fleet(settings, executors, timeline, outcome, sink())
     {
