Bound the room that placements hold while they wait for the store

Cause: one transaction of 80 rows is under way at a time, so a holder whose loop is 110 ms late stores 730 rows a second, and placements were made without regard to it: each held room on an executor on which nothing ran. The row that was written next was the one with the lowest job id, so others waited the longer the more there were.

The test places 400 jobs while a batch is under way: 160 are placed, before it were 400.

--- a/src/sched/scheduler.cpp
+++ b/src/sched/scheduler.cpp
@@ -1,12 +1,16 @@
 #include "sched/scheduler.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace daisypass::sched {
 namespace {
 
 // A store transaction has at most 100 entries, conditions and deletes included; a dozen are kept for the lease and fleet rows.
 constexpr std::size_t maxRowsPerBatch = 80;
+// Placements wait with at most this many jobs for the store: those of the batch that is being stored and of the next one. Others would
+// hold capacity of executors without work for as long as the store takes for all batches before theirs.
+constexpr std::size_t maxJobsWaitingForStore = 2 * maxRowsPerBatch;
 // Keeps a transaction well below the store's limit of 1 MB after base64 encoding.
 constexpr std::size_t maxBytesPerBatch = 400'000;
 // Maximum number of rows deleted with one batch, so that the clean-up doesn't delay the storing of progress.
@@ -233,15 +237,20 @@
     markDirty(job);
 }
 
-void scheduler::markDirty(job_record &job)
+void scheduler::markDirty(job_record &job, row_wait waits)
 {
     job.dirty = true;
-    m_dirtyJobs.insert(job.spec.id);
+    m_storeQueue.add(job.spec.id, job.ended() ? row_wait::StartOrEnd : waits);
+}
+
+bool scheduler::mayQueuePlacements(const job_record &job) const
+{
+    return m_storeQueue.contains(job.spec.id) || m_storeQueue.startsAndEnds() + m_jobsInBatch.size() < maxJobsWaitingForStore;
 }
 
 bool scheduler::hasUnstoredChanges() const
 {
-    return !m_dirtyJobs.empty() || m_waveRowDirty || m_fleetOrders.isDirty() || !m_rowsToDelete.empty();
+    return !m_storeQueue.empty() || m_waveRowDirty || m_fleetOrders.isDirty() || !m_rowsToDelete.empty();
 }
 
 std::optional<commit_batch> scheduler::takeBatch(time_ms now)
@@ -253,9 +262,12 @@
     batch.number = ++m_lastBatch;
     m_jobsInBatch.clear();
     std::size_t bytes = 0;
-    while (!m_dirtyJobs.empty() && batch.rows.size() < maxRowsPerBatch && bytes < maxBytesPerBatch) {
-        const std::string id = *m_dirtyJobs.begin();
-        m_dirtyJobs.erase(m_dirtyJobs.begin());
+    while (batch.rows.size() < maxRowsPerBatch && bytes < maxBytesPerBatch) {
+        const std::optional<std::string> next = m_storeQueue.takeNext();
+        if (!next) {
+            break;
+        }
+        const std::string &id = *next;
         job_record &job = *m_jobs.at(id);
         job.dirty = false;
         job.batch = batch.number;
@@ -284,6 +296,7 @@
     m_lastCommittedBatch = what.batch;
     const std::vector<std::string> stored = std::move(m_jobsInBatch);
     m_jobsInBatch.clear();
+    m_placementPending = m_placementPending || std::exchange(m_placementsHeldBack, false);
     for (const std::string &id : stored) {
         const auto found = m_jobs.find(id);
         if (found != m_jobs.end()) {
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -32,6 +32,7 @@
 #include "sched/order_ledger.h"
 #include "sched/pass_pacer.h"
 #include "sched/run_pace.h"
+#include "sched/store_queue.h"
 
 #include <functional>
 #include <map>
@@ -140,7 +141,9 @@
     void on(const batch_committed &what, time_ms now);
     void on(const tick &what, time_ms now);
     void finishJob(job_record &job, job_phase phase, time_ms now);
-    void markDirty(job_record &job);
+    void markDirty(job_record &job, row_wait waits = row_wait::Acknowledgement);
+    /** Whether one more job may get placements, which hold capacity until the job's row is stored. */
+    bool mayQueuePlacements(const job_record &job) const;
     void addToBacklog(job_record &job);
     void deleteOldSubmissions(time_ms now);
     const queue_config *queueOf(const job_record &job) const;
@@ -268,8 +271,7 @@
     std::set<std::string> m_stoppingJobs;
     /** Ended jobs in the order in which they ended, for the clean-up. */
     std::vector<std::string> m_endedJobs;
-    /** Jobs whose rows must be stored. */
-    std::set<std::string> m_dirtyJobs;
+    store_queue m_storeQueue;
     /** State rows to delete, of jobs whose submissions are deleted. */
     std::vector<std::string> m_rowsToDelete;
     /** Jobs whose submissions were deleted recently, with the time of the deletion. */
@@ -293,6 +295,8 @@
     /** The last placement found no executor for a ready task. */
     bool m_capacityShort = false;
     bool m_placementPending = false;
+    /** The last placement left tasks waiting because enough placements wait for the store. */
+    bool m_placementsHeldBack = false;
     std::map<std::string, vm_entry> m_vms;
     fleet_planner m_fleetPlanner;
     fleet_orders m_fleetOrders;
--- a/src/sched/scheduler_place.cpp
+++ b/src/sched/scheduler_place.cpp
@@ -154,6 +154,10 @@
 
     void placeStep(ready_step &ready, placement_candidates &candidates, std::vector<resources> &refused)
     {
+        if (!owner.mayQueuePlacements(*ready.job)) {
+            owner.m_placementsHeldBack = true;
+            return;
+        }
         const step_spec &stepSpec = ready.job->spec.steps[static_cast<std::size_t>(ready.step)];
         const resources demand = stepSpec.countedDemand();
         const bool cannotFit = std::any_of(refused.begin(), refused.end(), [&](const resources &other) {
@@ -383,7 +387,7 @@
                             {"executor_heard_ms_ago", std::to_string(now - executor.clockAt)}});
         }
         ++owner.m_counts.placed;
-        owner.markDirty(job);
+        owner.markDirty(job, row_wait::StartOrEnd);
     }
 };
 
