Log which runs can have crashed an executor

The issue's second matter: a task that crashes executors is started again and again. The log named the runs that were lost with an executor and not which of them can be the reason, so the hypotheses could not be told apart.

executor_crashed now names the executor's runs whose starts it isn't known to have survived: those that were confirmed less than 250 ms before its last answer. No decision changes.

--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -21,6 +21,7 @@
 // - The end of a run is acknowledged only after the rows of the jobs that it changes are stored.
 
 #include "sched/arrival_rate.h"
+#include "sched/crash_suspects.h"
 #include "sched/entry_versions.h"
 #include "sched/events.h"
 #include "sched/executor_record.h"
@@ -171,6 +172,10 @@
     void markResponsive(executor_record &executor, time_ms now);
     /** Marks the executor dead and its runs lost, except runs whose start orders have no answer. `evidence` is added to the log line. */
     void markDead(executor_record &executor, time_ms now, std::string_view cause, const log_fields &evidence = {});
+    /** The runs on the executor whose start orders were sent. */
+    std::vector<run_start> startsOn(const executor_record &executor) const;
+    /** Records that the executor's incarnation has ended without an order to its VM: one of its runs may be the reason. */
+    void recordCrash(executor_record &executor, time_ms now);
     /** Makes the executor's next poll due at once; it will return without waiting for a run to end. */
     void requestPoll(executor_record &executor);
     /** Takes back that the executor was marked dead, because it is alive. */
