Show in the load model that a task crashes executor after executor

The load model gets jobs whose first task crashes the executor that starts it 10 ms later; the VM's next executor is there after 3.1 s.

--- a/tests/sched/load_demand.cpp
+++ b/tests/sched/load_demand.cpp
@@ -81,6 +81,9 @@
     job.meanWork = queue.stepsMean * queue.tasksMean * queue.taskCpuMean * queue.taskMsMean / workUnit;
     job.value = queue.value;
     job.objectiveMs = static_cast<time_ms>(loadObjectiveStretch * chainMs + static_cast<double>(loadObjectiveTargetMs));
+    if (queue.crashingShare > 0 && drawWithProbability(queue.crashingShare)) {
+        job.crashingTask = task_id{job.spec.id, 0, 0, 0}.text();
+    }
     const std::string id = job.spec.id;
     return m_jobs.emplace(id, std::move(job)).first->second;
 }
--- a/tests/sched/load_demand.h
+++ b/tests/sched/load_demand.h
@@ -34,6 +34,8 @@
     double meanWork = 1;
     double value = 1;
     bool alwaysFails = false;
+    /** The text of the id of the task that crashes every executor that starts it; empty for none. */
+    std::string crashingTask;
     /** Duration of an uninterrupted run of each task, by the text of the task's id. */
     std::map<std::string, time_ms> taskMs{};
 };
--- a/tests/sched/load_executors.cpp
+++ b/tests/sched/load_executors.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr time_ms checkpointRestoreMs = 100;
+constexpr time_ms crashDelayMs = 10;
+constexpr int crashesUntilCounted = 3;
 constexpr time_ms unboundedMs = 1'000'000'000;
 // After this time the scheduler is told that an executor was terminated, or that a poll got no answer.
 constexpr time_ms failureDetectionMs = 1'000;
@@ -44,6 +46,7 @@
     simulated_executor executor;
     executor.id = "e" + std::to_string(m_executors.size() + 1);
     executor.pool = pool;
+    executor.vm = vm;
     executor.capacity = m_settings.vmCapacity;
     executor.fault = faultOf(vm);
     executor_entry entry;
@@ -150,6 +153,11 @@
     executor->runs[task] = run;
     ++m_activeRunCounts[task];
     countViolations(*executor, task);
+    const auto job = m_demand.jobs().find(order.task.job);
+    if (job != m_demand.jobs().end() && job->second.crashingTask == task) {
+        crashLater(*executor, task);
+        return order_status::Ok;
+    }
     if (!run.stalls) {
         m_timeline.at(m_timeline.now() + run.durationMs, [this, id = executor->id, task, number = run.run] {
             finish(id, task, number, run_end::Done);
@@ -158,6 +166,27 @@
     return order_status::Ok;
 }
 
+void load_executors::setRestart(std::function<void(const std::string &vm, const std::string &executor)> restart)
+{
+    m_restart = std::move(restart);
+}
+
+void load_executors::crashLater(const simulated_executor &executor, const std::string &task)
+{
+    if (m_crashesOfTask[task] >= crashesUntilCounted) {
+        m_outcome.startsAfterThreeCrashes = std::max(m_outcome.startsAfterThreeCrashes, ++m_startsAfterThreeCrashes[task]);
+    }
+    m_timeline.at(m_timeline.now() + crashDelayMs, [this, task, id = executor.id, vm = executor.vm] {
+        if (findReachable(id) == nullptr) {
+            return;
+        }
+        ++m_crashesOfTask[task];
+        ++m_outcome.crashes;
+        terminateExecutor(id);
+        m_restart(vm, id);
+    });
+}
+
 void load_executors::countViolations(const simulated_executor &executor, const std::string &task)
 {
     if (m_activeRunCounts[task] > 1) {
--- a/tests/sched/load_executors.h
+++ b/tests/sched/load_executors.h
@@ -37,6 +37,9 @@
     /** Ends the runs of the executors whose fault is BecomesUnresponsive; from now on these executors answer no order. */
     void disconnectExecutors();
 
+    /** `restart(vm, executor)` is called when a run has crashed the VM's executor. */
+    void setRestart(std::function<void(const std::string &vm, const std::string &executor)> restart);
+
     void carryOut(const start_run &order);
     void carryOut(const stop_run &order);
     void carryOut(const poll_executor &order);
@@ -67,6 +70,7 @@
     {
         std::string id;
         std::string pool;
+        std::string vm;
         resources capacity;
         executor_fault fault = executor_fault::None;
         std::map<std::string, simulated_run> runs{};
@@ -82,6 +86,8 @@
     simulated_executor *findReachable(const std::string &id);
     simulated_run runOf(const start_run &order) const;
     order_status start(const start_run &order);
+    /** Crashes the executor shortly after the start of a run that does so. */
+    void crashLater(const simulated_executor &executor, const std::string &task);
     void countViolations(const simulated_executor &executor, const std::string &task);
     void finish(const std::string &id, const std::string &task, int number, run_end how);
     void dropRuns(simulated_executor &executor);
@@ -95,6 +101,10 @@
     load_timeline &m_timeline;
     load_outcome &m_outcome;
     event_sink m_sink;
+    std::function<void(const std::string &vm, const std::string &executor)> m_restart;
+    /** Executors that have crashed under a task, and its starts after the third crash. */
+    std::map<std::string, int> m_crashesOfTask;
+    std::map<std::string, int> m_startsAfterThreeCrashes;
     std::map<std::string, executor_fault> m_faults;
     std::map<std::string, simulated_executor> m_executors;
     /** Number of active runs of each task over all executors. */
--- a/tests/sched/load_fleet.cpp
+++ b/tests/sched/load_fleet.cpp
@@ -6,6 +6,8 @@
 namespace {
 
 constexpr time_ms moveMs = 1'500;
+// Time until a crashed executor's VM has its next one.
+constexpr time_ms restartMs = 3'100;
 
 } // namespace
 
@@ -16,6 +18,14 @@
     , m_outcome(outcome)
     , m_sink(std::move(sink))
 {
+    m_executors.setRestart([this](const std::string &vm, const std::string &executor) {
+        m_timeline.at(m_timeline.now() + restartMs, [this, vm, executor] {
+            const vm_entry &entry = m_vms.at(vm);
+            if (entry.executor == executor) {
+                startVm(vm, entry.pool);
+            }
+        });
+    });
 }
 
 void load_fleet::startVms()
--- a/tests/sched/load_outcome.cpp
+++ b/tests/sched/load_outcome.cpp
@@ -51,7 +51,7 @@
 {
     std::vector<const simulated_job *> sorted;
     for (const std::pair<const std::string, simulated_job> &job : jobs) {
-        if (!job.second.alwaysFails) {
+        if (!job.second.alwaysFails && job.second.crashingTask.empty()) {
             sorted.push_back(&job.second);
         }
     }
@@ -116,6 +116,10 @@
     const std::vector<const simulated_job *> sorted = sortByWork(jobs);
     evaluateValue(sorted, ended, outcome);
     countEnds(sorted, ended, outcome);
+    for (const std::pair<const std::string, simulated_job> &job : jobs) {
+        outcome.crashingJobs += job.second.crashingTask.empty() ? 0 : 1;
+        outcome.givenUp += !job.second.crashingTask.empty() && ended.failed.contains(job.first) ? 1 : 0;
+    }
 }
 
 } // namespace daisypass::sched
--- a/tests/sched/load_outcome.h
+++ b/tests/sched/load_outcome.h
@@ -11,7 +11,7 @@
 
 namespace daisypass::sched {
 
-/** Counts of jobs leave out those that always fail. */
+/** Counts of jobs leave out those that always fail or crash executors. */
 struct load_outcome
 {
     int jobs = 0;
@@ -30,6 +30,12 @@
     /** Starts that violated a guarantee: while another run of the task was active, or beyond the executor's capacity. */
     int duplicateRuns = 0;
     int capacityViolations = 0;
+    /** Jobs with a task that crashes executors, those of them that were given up, and the executors that crashed. */
+    int crashingJobs = 0;
+    int givenUp = 0;
+    int crashes = 0;
+    /** The most starts of one task after three executors have crashed under it. */
+    int startsAfterThreeCrashes = 0;
     scheduler_counts counts;
     /** The longest time that an event waited for the scheduler's processor. */
     time_ms longestWaitMs = 0;
--- a/tests/sched/load_settings.h
+++ b/tests/sched/load_settings.h
@@ -36,6 +36,8 @@
     int longRunningTasks = 0;
     /** Upper bound of the mean task duration that is drawn for a step. */
     double taskMsMax = 20'000;
+    /** Share of jobs whose first task crashes every executor that starts it. */
+    double crashingShare = 0;
 };
 
 /** Processor time that parts of the lease holder's work take, in microseconds. */
--- a/tests/sched/load_test.cpp
+++ b/tests/sched/load_test.cpp
@@ -80,3 +80,19 @@
     CHECK(slow.duplicateRuns == 0);
     CHECK(slow.capacityViolations == 0);
 }
+
+// Guards against tasks that crash executor after executor, and against giving up those that were lost with them.
+TEST_CASE("tasks that crash executors are given up, and the others on these executors are not")
+{
+    load_settings settings = referenceDay(7);
+    settings.queues[0].crashingShare = 0.05;
+    const load_outcome outcome = load_model(settings).run();
+    MESSAGE("given up " << outcome.givenUp << " of " << outcome.crashingJobs << " jobs, " << outcome.crashes << " crashes, in objective " << outcome.inObjective
+                        << " of " << outcome.jobs << ", runs lost " << outcome.counts.lostRuns);
+    CHECK(outcome.startsAfterThreeCrashes <= 2);
+    CHECK(outcome.givenUp == outcome.crashingJobs);
+    CHECK(outcome.failed == 0);
+    CHECK(outcome.unfinished == 0);
+    CHECK(outcome.duplicateRuns == 0);
+    CHECK(outcome.capacityViolations == 0);
+}
