Give up a task under which executors crash, and nobody else's

Cause: only ends that an executor lists as failed count against a task, and nothing lists the runs of an executor that has crashed. Lost runs were placed again in one pass by best fit, so the task and those that were lost with it met on the next executor, and a count of losses could not have told them apart. The class is evidence that is neither kept nor separated: a retry without a bound, in company that hides its cause.

When an executor has ended without an order to its VM and without draining, each run whose start it isn't known to have survived for 250 ms is a suspect. A suspect is started again only on an executor that has survived all of its starts, and that gets no other run before it has survived this one; at most half of a pool's executors are kept so. A task under which two executors have crashed as the only suspect is given up. A start that is survived clears it.

--- a/src/sched/executor_record.h
+++ b/src/sched/executor_record.h
@@ -101,6 +101,11 @@
     /** Runs that are no longer placed here but may still be here. */
     abandoned_runs abandoned;
 
+    /**
+     * The suspect for which the executor is kept, or that runs here and whose start the executor isn't known to have survived. It gets no
+     * other runs meanwhile, so that a crash has one suspect and takes no further runs along.
+     */
+    std::optional<task_id> probation;
     /** No new runs before this time. */
     time_ms backoffUntil = 0;
     int consecutiveFailures = 0;
@@ -144,6 +149,12 @@
     }
 
     bool takesNewRuns(time_ms now) const
+    {
+        return !probation && mayRunSuspect(now);
+    }
+
+    /** Whether it takes the run of the suspect for which it is kept. */
+    bool mayRunSuspect(time_ms now) const
     {
         return listed && isResponsive() && !entry.draining && !reserved && backoffUntil <= now;
     }
--- a/src/sched/job_record.cpp
+++ b/src/sched/job_record.cpp
@@ -16,6 +16,7 @@
 
 // A task in a row: [occurrence, step, index, kind, run, failed runs, executor, checkpoint].
 constexpr std::size_t taskRowSize = 8;
+constexpr std::size_t crashRowSize = 5;
 constexpr int kindWaiting = 0;
 constexpr int kindPlaced = 1;
 constexpr int kindDone = 2;
@@ -39,6 +40,16 @@
     row += ',';
 }
 
+void appendNumbers(std::string &row, const std::vector<int> &numbers)
+{
+    row += '[';
+    for (const int number : numbers) {
+        appendSeparator(row);
+        row += std::to_string(number);
+    }
+    row += ']';
+}
+
 void appendTask(std::string &row, int occurrence, std::size_t step, std::size_t index, const task_record &task)
 {
     row += '[';
@@ -47,18 +58,50 @@
     appendNumber(row, static_cast<int>(index));
     appendNumber(row, kindOf(task));
     appendNumber(row, task.run);
-    row += '[';
-    for (const int failedRun : task.failedRuns) {
-        appendSeparator(row);
-        row += std::to_string(failedRun);
-    }
-    row += "],";
+    appendNumbers(row, task.failedRuns);
+    row += ',';
     appendJsonString(row, task.executor);
     row += ',';
     appendJsonString(row, task.checkpoint);
     row += ']';
 }
 
+// [occurrence, step, index, runs under which the executor crashed with other suspects, runs under which it crashed as the only one]
+void appendCrashes(std::string &row, int occurrence, std::size_t step, std::size_t index, const task_record &task)
+{
+    appendSeparator(row);
+    row += '[';
+    appendNumber(row, occurrence);
+    appendNumber(row, static_cast<int>(step));
+    appendNumber(row, static_cast<int>(index));
+    appendNumbers(row, task.suspectRuns);
+    row += ',';
+    appendNumbers(row, task.crashRuns);
+    row += ']';
+}
+
+std::vector<int> readNumbers(const json &row)
+{
+    std::vector<int> numbers;
+    for (const json &number : row) {
+        if (number.is_number_integer()) {
+            numbers.push_back(number.get<int>());
+        }
+    }
+    return numbers;
+}
+
+void readCrashes(const json &row, job_record &job)
+{
+    const bool readable = row.is_array() && row.size() == crashRowSize && row[0].is_number_integer() && row[1].is_number_integer() && row[2].is_number_integer()
+        && row[3].is_array() && row[4].is_array();
+    task_record *task = readable ? job.find({job.spec.id, row[0].get<int>(), row[1].get<int>(), row[2].get<int>()}) : nullptr;
+    if (task != nullptr) {
+        task->suspectRuns = readNumbers(row[3]);
+        task->crashRuns = readNumbers(row[4]);
+    }
+}
+
 bool readTask(const json &row, job_record &job)
 {
     if (!row.is_array() || row.size() != taskRowSize) {
@@ -262,6 +305,7 @@
 std::string writeState(const job_record &job)
 {
     std::string tasks = "[";
+    std::string crashes = "[";
     // The row of an ended job has only the runs that may still be on an executor.
     for (const std::pair<const int, occurrence_record> &occurrence : job.occurrences) {
         for (std::size_t step = 0; step < occurrence.second.steps.size(); ++step) {
@@ -272,6 +316,9 @@
                     appendSeparator(tasks);
                     appendTask(tasks, occurrence.first, step, index, records[index]);
                 }
+                if (records[index].isSuspect() && !job.ended()) {
+                    appendCrashes(crashes, occurrence.first, step, index, records[index]);
+                }
             }
         }
     }
@@ -283,6 +330,9 @@
     if (tasks.size() > 1) {
         row += ",\"tasks\":" + tasks + ']';
     }
+    if (crashes.size() > 1) {
+        row += ",\"crashes\":" + crashes + ']';
+    }
     row += '}';
     return row;
 }
@@ -316,9 +366,13 @@
     }
     job.begun = job.firstOpen > 0;
     job.openDueOccurrences(job.spec.firstAtUnixMs + lastOccurrence * job.spec.intervalMs);
-    return std::all_of(tasks.begin(), tasks.end(), [&](const json &task) {
+    const bool readable = std::all_of(tasks.begin(), tasks.end(), [&](const json &task) {
         return readTask(task, job);
     });
+    for (const json &crash : value.value("crashes", json::array())) {
+        readCrashes(crash, job);
+    }
+    return readable;
 }
 
 } // namespace daisypass::sched
--- a/src/sched/job_record.h
+++ b/src/sched/job_record.h
@@ -44,6 +44,12 @@
     int run = 0;
     /** Numbers of the failed runs. An executor lists an end again after a takeover, and the failure must count once. */
     std::vector<int> failedRuns;
+    /**
+     * Numbers of the runs under which their executor crashed: with other suspects, and as the only one. Empty again once an executor has
+     * survived a start of the task.
+     */
+    std::vector<int> suspectRuns;
+    std::vector<int> crashRuns;
     /** Executor of the latest run; empty while waiting or done. */
     std::string executor;
     std::string checkpoint;
@@ -51,6 +57,8 @@
     std::string avoidedExecutor;
 
     // Not stored.
+    /** The executor that is kept for the next run of a suspect; see executor_record::probation. */
+    std::string probationExecutor;
     /** Number of the batch that stores the placement. */
     std::int64_t batch = 0;
     /** When the executor confirmed the run, or the run became Unconfirmed. Only lists requested later show that the run is missing. */
@@ -98,6 +106,12 @@
     /** The run's progress as of a list of this time. The percent is 0 for a run that was resumed from a checkpoint. */
     run_pace paceAt(time_ms listedAt) const;
 
+    /** Whether the task can be the reason why executors crashed. */
+    bool isSuspect() const
+    {
+        return !suspectRuns.empty() || !crashRuns.empty();
+    }
+
     /** Counts the failure of a run; false if it was counted before. */
     bool countFailure(int failedRun);
 
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -174,8 +174,17 @@
     void markDead(executor_record &executor, time_ms now, std::string_view cause, const log_fields &evidence = {});
     /** The runs on the executor whose start orders were sent. */
     std::vector<run_start> startsOn(const executor_record &executor) const;
-    /** Records that the executor's incarnation has ended without an order to its VM: one of its runs may be the reason. */
-    void recordCrash(executor_record &executor, time_ms now);
+    /**
+     * Counts the crash of the executor's incarnation against the runs that can be the reason, unless it ended as planned. Returns the
+     * tasks that are to be given up, because executors have crashed under them alone.
+     */
+    std::vector<task_id> recordCrash(executor_record &executor, time_ms now);
+    void giveUpCrashing(const std::vector<task_id> &tasks, time_ms now);
+    /** Whether the executor is known to have survived all starts of its runs. */
+    bool hasSurvivedItsStarts(const executor_record &executor) const;
+    /** Ends the probation if the executor has survived the suspect's start, or if the suspect doesn't need it any more. */
+    void settleProbation(executor_record &executor);
+    void endProbation(executor_record &executor);
     /** Makes the executor's next poll due at once; it will return without waiting for a run to end. */
     void requestPoll(executor_record &executor);
     /** Takes back that the executor was marked dead, because it is alive. */
--- a/src/sched/scheduler_executors.cpp
+++ b/src/sched/scheduler_executors.cpp
@@ -227,7 +227,7 @@
               {"next_born", std::to_string(incarnation.startedUnixMs)},
               {"list_age_ms", ageText(executor.listedAt, now)}});
     const std::int64_t formerStartUnixMs = executor.entry.startedUnixMs;
-    recordCrash(executor, now);
+    const std::vector<task_id> crashing = recordCrash(executor, now);
     executor.dead = false;
     requestPoll(executor);
     resetListedState(executor);
@@ -247,6 +247,7 @@
             task.confirmedAt = now;
         }
     }
+    giveUpCrashing(crashing, now);
 }
 
 // Sends stops for abandoned runs whose start orders had no answer: the new incarnation doesn't know the stops that the previous one
@@ -288,7 +289,7 @@
                       {"list_age_ms", ageText(executor.listedAt, now)}};
     fields.insert(fields.end(), evidence.begin(), evidence.end());
     logEvent("executor_dead", std::move(fields));
-    recordCrash(executor, now);
+    const std::vector<task_id> crashing = recordCrash(executor, now);
     executor.dead = true;
     executor.deadSince = now;
     resetListedState(executor);
@@ -308,34 +309,7 @@
             markRunLost(job, id, *task, now, cause);
         }
     }
-}
-
-std::vector<run_start> scheduler::startsOn(const executor_record &executor) const
-{
-    std::vector<run_start> starts;
-    for (const task_id &id : executor.runs) {
-        const task_record &task = *m_jobs.at(id.job)->find(id);
-        if (task.phase != task_phase::Placing) {
-            starts.push_back({id, task.confirmedAt});
-        }
-    }
-    return starts;
-}
-
-// An executor that drains or whose VM is reserved for an order has ended as planned. One that was marked dead before has no runs left.
-void scheduler::recordCrash(executor_record &executor, time_ms now)
-{
-    if (executor.dead || executor.entry.draining || executor.reserved || executor.runs.empty()) {
-        return;
-    }
-    const std::vector<run_start> starts = startsOn(executor);
-    const std::vector<task_id> suspects = crashSuspects(starts, executor.clockAt);
-    std::string names;
-    for (const task_id &suspect : suspects) {
-        names += (names.empty() ? "" : " ") + suspect.text();
-    }
-    logEvent("executor_crashed",
-             {{"executor", executor.entry.id}, {"runs", std::to_string(starts.size())}, {"suspects", names}, {"heard_ms_ago", ageText(executor.clockAt, now)}});
+    giveUpCrashing(crashing, now);
 }
 
 void scheduler::requestPoll(executor_record &executor)
@@ -407,6 +381,7 @@
             empty.push_back(item.first);
             continue;
         }
+        settleProbation(executor);
         if (executor.unresponsiveSince == 0 && !executor.dead) {
             continue;
         }
--- a/src/sched/scheduler_place.cpp
+++ b/src/sched/scheduler_place.cpp
@@ -18,6 +18,8 @@
 constexpr double maintenanceDueWeight = 1e8;
 constexpr double failedHereWeight = 1e10;
 constexpr double slowExecutorWeight = 1e7;
+// At most one executor of a pool in this many is kept for suspects.
+constexpr std::size_t maxProbationDivisor = 2;
 // Minimum remaining validity of a ticket, so that it is still valid when the start order arrives.
 constexpr time_ms minTicketValidityMs = 300;
 // Maximum number of executors in one request to the advice service; larger requests take longer.
@@ -72,7 +74,7 @@
         }
         owner.m_counts.executorsConsidered += static_cast<std::int64_t>(listed->second.size());
         for (executor_record *executor : listed->second) {
-            const bool usable = executor->takesNewRuns(now) && executor->freeCapacity().memoryMb > 0
+            const bool usable = executor->mayRunSuspect(now) && executor->freeCapacity().memoryMb > 0
                 && !owner.m_fleetOrders.mayEndExecutor(executor->entry.vm, executor->entry.pool, now);
             if (usable) {
                 candidates.add(*executor);
@@ -215,6 +217,10 @@
             if (task.phase != task_phase::Waiting || task.notBefore > now) {
                 continue;
             }
+            if (task.isSuspect()) {
+                placeSuspect(ready, stepSpec, static_cast<int>(index), candidates, here);
+                continue;
+            }
             executor_record *chosen = choose(stepSpec, task, candidates, here);
             if (chosen == nullptr) {
                 owner.m_capacityShort = true;
@@ -229,6 +235,60 @@
         }
     }
 
+    // Starts the suspect on the executor that is kept for it, once that has survived its other starts. Keeps one if there is none yet.
+    void placeSuspect(ready_step &ready, const step_spec &stepSpec, int index, const placement_candidates &candidates, std::map<std::string, int> &here)
+    {
+        const task_id id{ready.job->spec.id, ready.occurrence->number, ready.step, index};
+        task_record &task = ready.occurrence->steps[static_cast<std::size_t>(ready.step)].tasks[static_cast<std::size_t>(index)];
+        const auto kept = owner.m_executors.find(task.probationExecutor);
+        executor_record *executor = kept == owner.m_executors.end() ? keepForSuspect(id, task, stepSpec, candidates, here) : &kept->second;
+        if (executor == nullptr) {
+            return;
+        }
+        if (!executor->mayRunSuspect(now) || !allowed(stepSpec, stepSpec.countedDemand(), *executor, here)) {
+            owner.endProbation(*executor);
+            return;
+        }
+        if (!owner.hasSurvivedItsStarts(*executor)) {
+            return;
+        }
+        assign(ready, stepSpec, index, task.run + 1, *executor);
+        owner.requestPoll(*executor);
+        ++here[executor->entry.id];
+    }
+
+    // Prefers an executor without long-running tasks, and among those the one with the most free cpu: a crash takes the fewest runs along.
+    executor_record *keepForSuspect(
+        const task_id &id, task_record &task, const step_spec &stepSpec, const placement_candidates &candidates, const std::map<std::string, int> &here)
+    {
+        executor_record *best = nullptr;
+        std::tuple<bool, double, std::int64_t> bestRank;
+        std::size_t onProbation = 0;
+        std::size_t all = 0;
+        for (auto candidate = candidates.firstWith(0); candidate != candidates.end(); ++candidate) {
+            executor_record &executor = *candidate->executor;
+            ++all;
+            onProbation += executor.probation ? 1 : 0;
+            if (executor.probation || !allowed(stepSpec, stepSpec.countedDemand(), executor, here)) {
+                continue;
+            }
+            const std::tuple<bool, double, std::int64_t> rank{executor.longRunningRuns > 0, penaltyOf(stepSpec, task, executor), -candidate->freeCpu};
+            if (best == nullptr || rank < bestRank) {
+                best = &executor;
+                bestRank = rank;
+            }
+        }
+        owner.m_counts.executorsConsidered += static_cast<std::int64_t>(all);
+        owner.m_capacityShort = owner.m_capacityShort || best == nullptr;
+        if (best == nullptr || onProbation >= std::max<std::size_t>(1, all / maxProbationDivisor)) {
+            return nullptr;
+        }
+        best->probation = id;
+        task.probationExecutor = best->entry.id;
+        owner.requestPoll(*best);
+        return best;
+    }
+
     std::map<std::string, int> tasksByExecutor(const ready_step &ready, const step_spec &stepSpec) const
     {
         std::map<std::string, int> count;
@@ -253,7 +313,7 @@
         for (auto candidate = candidates.firstWith(demand.cpu); candidate != candidates.end(); ++candidate) {
             ++owner.m_counts.executorsConsidered;
             executor_record &executor = *candidate->executor;
-            if (!allowed(stepSpec, demand, executor, here)) {
+            if (executor.probation || !allowed(stepSpec, demand, executor, here)) {
                 continue;
             }
             const double penalty = penaltyOf(stepSpec, task, executor);
--- a/src/sched/scheduler_polls.cpp
+++ b/src/sched/scheduler_polls.cpp
@@ -85,6 +85,9 @@
 // delayed.
 std::int64_t scheduler::pollWaitMs(const executor_record &executor, time_ms now) const
 {
+    if (executor.probation) {
+        return startSurvivedMs;
+    }
     const std::int64_t wait = runsLatencyAndBestEffortTasks(executor) ? throttlingPollTimeoutMs : pollTimeoutMs;
     const time_ms stopsOverIn = std::max<time_ms>(0, executor.confirmedAt + m_bounds.stopMs - now);
     return executor.earlierStopsSettled ? wait : std::min(wait, stopsOverIn);
@@ -221,6 +224,7 @@
     if (!what.moreEnds) {
         resolveUnlistedRuns(executor, what, now);
     }
+    settleProbation(executor);
     throttleBestEffort(executor, what.runs, now);
 }
 
--- a/src/sched/scheduler_runs.cpp
+++ b/src/sched/scheduler_runs.cpp
@@ -33,6 +33,9 @@
         if (found->second.runs.empty()) {
             found->second.emptySince = now;
         }
+        if (found->second.probation == id) {
+            endProbation(found->second);
+        }
     }
     job_record &job = *m_jobs.at(id.job);
     step_record &record = job.occurrences.at(id.occurrence).steps[static_cast<std::size_t>(id.step)];
--- /dev/null
+++ b/tests/sched/crashing_task_test.cpp
@@ -0,0 +1,203 @@
+#include "sched/crash_suspects.h"
+#include "scheduler_fixture.h"
+
+#include <doctest/doctest.h>
+
+#include <array>
+
+using namespace daisypass::sched;
+
+namespace {
+
+/** Executors of which each can crash; its VM then gets the next one. */
+struct crashing_world
+{
+    scheduler_fixture world;
+    int incarnations = 1;
+
+    void addExecutor(const std::string &name)
+    {
+        world.addExecutor(name);
+    }
+
+    /** Ends the executor, and announces the next one on its VM, which answers its first poll. */
+    std::string crash(const std::string &executor)
+    {
+        executor_entry next = scheduler_fixture::entry(executor);
+        next.id = executor + "+";
+        next.vm = world.taskScheduler.executors().at(executor).entry.vm;
+        next.startedUnixMs += ++incarnations;
+        world.taskScheduler.handle(executor_entry_changed{next}, world.now);
+        world.planAndCommit();
+        world.answerPoll(next.id, {}, {}, order_status::Ok, next.startedUnixMs);
+        return next.id;
+    }
+
+    void submit(const std::string &job, int tasks = 1)
+    {
+        world.taskScheduler.handle(job_submitted{scheduler_fixture::job(job, {scheduler_fixture::step(tasks)})}, world.now);
+        world.planAndCommit();
+    }
+
+    /** The only start order that is due; the executor confirms it. */
+    start_run start()
+    {
+        const start_run order = world.takeStart();
+        world.answerStart(order);
+        return order;
+    }
+
+    void answerWithRun(const start_run &order)
+    {
+        world.answerPoll(order.executor, {scheduler_fixture::running(order)}, {}, order_status::Ok, order.startedUnixMs);
+    }
+};
+
+} // namespace
+
+TEST_CASE("a run is a suspect if its executor isn't known to have survived its start")
+{
+    const std::array<run_start, 3> starts{run_start{{"old", 0, 0, 0}, 1'000}, run_start{{"new", 0, 0, 0}, 1'900}, run_start{{"unconfirmed", 0, 0, 0}, 0}};
+    const std::vector<task_id> suspects = crashSuspects(starts, 2'000);
+    REQUIRE(suspects.size() == 2);
+    CHECK(suspects[0].job == "new");
+    CHECK(suspects[1].job == "unconfirmed");
+}
+
+// Guards against a task that crashes one executor after the other.
+TEST_CASE("a task under which executors crash")
+{
+    crashing_world story;
+    scheduler_fixture &world = story.world;
+    story.addExecutor("e1");
+    story.submit("deadly");
+    start_run order = story.start();
+
+    SUBCASE("is given up after the second crash of which it is the only suspect")
+    {
+        story.crash(order.executor);
+        order = story.start();
+        CHECK(world.phaseOf("deadly") == "running");
+        story.crash(order.executor);
+        CHECK(world.phaseOf("deadly") == "failed");
+        CHECK(world.take<start_run>().empty());
+    }
+    SUBCASE("is given up by the next lease holder, which knows of the first crash")
+    {
+        const std::string next = story.crash(order.executor);
+        crashing_world successor;
+        successor.world.takeOver(world, "deadly");
+        successor.addExecutor("e9");
+        successor.world.advance(100);
+        successor.world.answerPoll(next, {}, {}, order_status::Ok, 0);
+        order = successor.start();
+        successor.crash(order.executor);
+        CHECK(successor.world.phaseOf("deadly") == "failed");
+    }
+    SUBCASE("isn't the reason if the executor has answered some time after the start")
+    {
+        for (int crash = 0; crash < 4; ++crash) {
+            world.advance(2 * startSurvivedMs);
+            story.answerWithRun(order);
+            story.crash(order.executor);
+            order = story.start();
+        }
+        CHECK(world.phaseOf("deadly") == "running");
+    }
+    SUBCASE("isn't the reason if the executor leaves as planned")
+    {
+        for (int leave = 0; leave < 4; ++leave) {
+            executor_entry leaving = world.taskScheduler.executors().at(order.executor).entry;
+            leaving.draining = true;
+            world.taskScheduler.handle(executor_entry_changed{leaving}, world.now);
+            story.crash(order.executor);
+            order = story.start();
+        }
+        CHECK(world.phaseOf("deadly") == "running");
+    }
+    SUBCASE("is cleared once an executor has survived its start")
+    {
+        story.crash(order.executor);
+        order = story.start();
+        world.advance(2 * startSurvivedMs);
+        story.answerWithRun(order);
+        story.crash(order.executor);
+        order = story.start();
+        story.crash(order.executor);
+        CHECK(world.phaseOf("deadly") == "running");
+    }
+}
+
+// Guards against suspects that meet again on the next executor, so that none can be told from the others.
+TEST_CASE("a suspect is started where nothing else can be the reason of a crash")
+{
+    crashing_world story;
+    scheduler_fixture &world = story.world;
+    story.addExecutor("e1");
+    story.submit("deadly");
+    story.start();
+    story.submit("innocent");
+    story.start();
+    const std::string next = story.crash("e1");
+    const start_run first = story.start();
+    const std::string other = first.task.job == "deadly" ? "innocent" : "deadly";
+    CHECK(first.executor == next);
+
+    SUBCASE("the second suspect waits while the first one's start is not survived")
+    {
+        world.advance(100);
+        CHECK(world.take<start_run>().empty());
+        SUBCASE("and is started after it")
+        {
+            world.advance(2 * startSurvivedMs);
+            story.answerWithRun(first);
+            world.advance(2 * startSurvivedMs);
+            story.answerWithRun(first);
+            CHECK(world.takeStart().task.job == other);
+        }
+        SUBCASE("or at once on another executor, if at most half of them are kept for suspects")
+        {
+            story.addExecutor("e2");
+            CHECK(world.take<start_run>().empty());
+            story.addExecutor("e3");
+            story.addExecutor("e4");
+            CHECK(world.takeStart().task.job == other);
+        }
+    }
+    SUBCASE("other tasks wait as well, and go on when it is cleared")
+    {
+        story.submit("later");
+        CHECK(world.take<start_run>().empty());
+        world.advance(2 * startSurvivedMs);
+        story.answerWithRun(first);
+        CHECK_FALSE(world.take<start_run>().empty());
+    }
+    SUBCASE("further crashes have one suspect, and the other task isn't given up with it")
+    {
+        story.crash(next);
+        start_run order = story.start();
+        while (order.task.job != first.task.job) {
+            world.advance(2 * startSurvivedMs);
+            story.answerWithRun(order);
+            order = story.start();
+        }
+        story.crash(order.executor);
+        CHECK(world.phaseOf(first.task.job) == "failed");
+        CHECK(world.phaseOf(other) == "running");
+    }
+}
+
+TEST_CASE("a job's row keeps the crashes under its tasks")
+{
+    job_record job(scheduler_fixture::job("j", {scheduler_fixture::step(2)}));
+    job.openDueOccurrences(0);
+    task_record &task = *job.find({"j", 0, 0, 1});
+    task.run = 4;
+    task.suspectRuns = {1, 3};
+    task.crashRuns = {4};
+    job_record restored(job.spec);
+    REQUIRE(readState(writeState(job), restored));
+    CHECK(restored.find({"j", 0, 0, 1})->suspectRuns == std::vector<int>{1, 3});
+    CHECK(restored.find({"j", 0, 0, 1})->crashRuns == std::vector<int>{4});
+    CHECK_FALSE(restored.find({"j", 0, 0, 0})->isSuspect());
+}
