Send no start beyond a capacity that has shrunk since the placement

Placements follow the latest entry, but a task that was placed before the change and waited for its row was started all the same, beyond the new capacity (LIMIT).

The capacity is now checked again when the start is sent; the task goes back to the waiting ones if it has no room any more.

--- a/src/sched/model.cpp
+++ b/src/sched/model.cpp
@@ -28,6 +28,11 @@
     return cpuFits && memoryFits && gpuFits;
 }
 
+bool resources::isWithin(const resources &left) const
+{
+    return (left.cpu >= 0 || cpu == 0) && (left.memoryMb >= 0 || memoryMb == 0) && (left.gpu >= 0 || gpu == 0);
+}
+
 resources step_spec::countedDemand() const
 {
     resources counted = demand;
--- a/src/sched/model.h
+++ b/src/sched/model.h
@@ -34,6 +34,8 @@
     resources &operator-=(const resources &other);
     /** Whether the capacity covers each resource; a demand of 0 fits even if the capacity is negative. */
     bool fitsIn(const resources &capacity) const;
+    /** Whether `left`, which remains with this demand already taken off, is not negative in any resource that is demanded. */
+    bool isWithin(const resources &left) const;
 };
 
 /** A step of a job: identical tasks that may run in parallel. */
--- a/src/sched/scheduler.cpp
+++ b/src/sched/scheduler.cpp
@@ -326,6 +326,11 @@
             markRunLost(job, id, task, now, leaseMs == 0 ? "lease_not_renewed" : "executor_silent_before_start");
             return;
         }
+        if (!job.spec.steps[static_cast<std::size_t>(id.step)].countedDemand().isWithin(executor.freeCapacity())) {
+            // The executor's capacity has shrunk since the placement.
+            markRunLost(job, id, task, now, "capacity_shrunk_before_start");
+            return;
+        }
         task.phase = task_phase::Starting;
         task.startSentAt = now;
         task.resumed = !task.checkpoint.empty();
