--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -132,6 +132,7 @@
         execute(action);
     }
     commitIfNeeded();
+    recordLoad();
     if (m_termLost) {
         notifyTermLost(guard);
         return;
@@ -139,6 +140,15 @@
     schedulePlan();
 }
 
+void dispatcher::recordLoad()
+{
+    constexpr double usPerSecond = 1e6;
+    for (const sched::pass_time &pass : m_scheduler.takePassTimes()) {
+        m_dependencies.metrics.findHistogram("daisypass_holder_pass_seconds", {{"pass", std::string(pass.pass)}})
+            .record(static_cast<double>(pass.us) / usPerSecond);
+    }
+}
+
 // Schedules the next scheduling pass. The delay lets events that arrive close together share one pass.
 void dispatcher::schedulePlan()
 {
@@ -189,6 +199,7 @@
     const sched::time_ms now = steadyMillis();
     m_scheduler.handle(sched::tick{unixMillis()}, now);
     m_relays->setExecutors(m_scheduler.executors().size());
+    m_dependencies.metrics.findGauge("daisypass_holder_jobs_waiting_for_store").set(static_cast<double>(m_scheduler.jobsWaitingForStore()));
     if (!m_vmListInFlight && now - m_vmListFinishedAt >= vmListIntervalMs) {
         m_vmListInFlight = true;
         m_listedVms.clear();
--- a/src/node/dispatcher.h
+++ b/src/node/dispatcher.h
@@ -83,6 +83,7 @@
     void handleEvent(const sched::event &event);
     void runScheduler(std::unique_lock<std::mutex> &guard);
     void schedulePlan();
+    void recordLoad();
     void execute(const sched::action &action);
     void execute(const sched::start_run &order);
     void execute(const sched::stop_run &order);
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -336,10 +336,15 @@
             return;
         }
         ticker.expires_after(current ? holderTick : followerTick);
-        ticker.async_wait([this](const asio::error_code &error) {
-            if (!error) {
-                tick();
+        ticker.async_wait([this, holds = current != nullptr](const asio::error_code &error) {
+            if (error) {
+                return;
+            }
+            if (holds) {
+                const std::chrono::duration<double> delay = std::chrono::steady_clock::now() - ticker.expiry();
+                metrics.findHistogram("daisypass_holder_loop_delay_seconds").record(delay.count());
             }
+            tick();
         });
     }
 
--- a/src/sched/scheduler.cpp
+++ b/src/sched/scheduler.cpp
@@ -86,7 +86,7 @@
 {
     if (m_placementPending && m_placementPacer.isDue(now)) {
         m_placementPending = false;
-        makePass(m_placementPacer, now, [&] {
+        makePass("placement", m_placementPacer, now, [&] {
             place(now);
         });
     }
@@ -245,7 +245,7 @@
 
 bool scheduler::mayQueuePlacements(const job_record &job) const
 {
-    return m_storeQueue.contains(job.spec.id) || m_storeQueue.startsAndEnds() + m_jobsInBatch.size() < maxJobsWaitingForStore;
+    return m_storeQueue.contains(job.spec.id) || jobsWaitingForStore() < maxJobsWaitingForStore;
 }
 
 bool scheduler::hasUnstoredChanges() const
@@ -358,12 +358,12 @@
 {
     m_unixMs = std::max(m_unixMs, what.unixMs);
     if (!m_vms.empty() && m_fleetPacer.isDue(now)) {
-        makePass(m_fleetPacer, now, [&] {
+        makePass("fleet", m_fleetPacer, now, [&] {
             planFleet(now);
         });
     }
     if (m_sweepPacer.isDue(now)) {
-        makePass(m_sweepPacer, now, [&] {
+        makePass("sweep", m_sweepPacer, now, [&] {
             sweep(now, what.unixMs);
         });
     }
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -40,7 +40,9 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace daisypass::sched {
@@ -71,6 +73,14 @@
     std::int64_t vmsPlanned = 0;
 };
 
+/** How long one pass over all work took. */
+struct pass_time
+{
+    /** "placement", "sweep" or "fleet". */
+    std::string_view pass;
+    std::int64_t us = 0;
+};
+
 /** Keys of the rows in the scheduler's table that don't belong to a job. */
 inline constexpr const char *wavesRowKey = "~waves";
 inline constexpr const char *fleetOrdersRowKey = "~orders";
@@ -99,6 +109,16 @@
     std::optional<time_ms> nextPlanAt() const;
     std::vector<action> takeActions();
 
+    /** The passes since the last call. */
+    std::vector<pass_time> takePassTimes()
+    {
+        return std::exchange(m_passTimes, {});
+    }
+    /** Number of jobs with starts or an end that wait until their row is stored. */
+    std::size_t jobsWaitingForStore() const
+    {
+        return m_storeQueue.startsAndEnds() + m_jobsInBatch.size();
+    }
     bool hasUnstoredChanges() const;
     /** The next changes to store; empty if there are none. At most one batch may be outstanding. */
     std::optional<commit_batch> takeBatch(time_ms now);
@@ -264,7 +284,7 @@
 
     /** Makes the pass and records the time that it took. */
     template<typename Pass>
-    void makePass(pass_pacer &pacer, time_ms now, Pass pass);
+    void makePass(std::string_view name, pass_pacer &pacer, time_ms now, Pass pass);
     void sweep(time_ms now, std::int64_t unixMs);
     void logEvent(std::string event, log_fields fields);
 
@@ -326,15 +346,18 @@
     pass_pacer m_fleetPacer;
     pass_pacer m_sweepPacer;
     processing_clock m_clock;
+    std::vector<pass_time> m_passTimes;
     time_ms m_lastCleanup = 0;
 };
 
 template<typename Pass>
-void scheduler::makePass(pass_pacer &pacer, time_ms now, Pass pass)
+void scheduler::makePass(std::string_view name, pass_pacer &pacer, time_ms now, Pass pass)
 {
     const std::int64_t startedAtUs = m_clock ? m_clock() : 0;
     pass();
-    pacer.ran(now, m_clock ? m_clock() - startedAtUs : 0);
+    const std::int64_t tookUs = m_clock ? m_clock() - startedAtUs : 0;
+    pacer.ran(now, tookUs);
+    m_passTimes.push_back({name, tookUs});
 }
 
 } // namespace daisypass::sched
