Start a suspect only where its step may be placed now

Found by reading: an executor that is kept for a suspect was checked for being usable, but not for being among those on which the step may be placed when the suspect is started. The kept executor must now be among the pass's candidates; the test failed before (started on e2 in place of e9).

--- a/src/sched/placement_candidates.h
+++ b/src/sched/placement_candidates.h
@@ -49,6 +49,10 @@
     {
         return m_sorted.empty();
     }
+    bool contains(const executor_record &executor) const
+    {
+        return m_keys.contains(&executor);
+    }
     /** Puts the executor in its new place; does nothing if it isn't among the candidates. */
     void refresh(executor_record &executor);
     /** The executors in the order in which they were added. */
--- a/src/sched/scheduler_crashes.cpp
+++ b/src/sched/scheduler_crashes.cpp
@@ -93,6 +93,8 @@
     task_record *task = job == m_jobs.end() ? nullptr : job->second->find(id);
     const bool waits = task != nullptr && task->phase == task_phase::Waiting && task->probationExecutor == executor.entry.id;
     if (waits && !job->second->ended() && executor.isResponsive()) {
+        // The executor may have survived its other starts, for which the suspect waits.
+        m_placementPending = true;
         return;
     }
     const bool here = task != nullptr && task->occupies() && task->executor == executor.entry.id;
--- a/src/sched/scheduler_place.cpp
+++ b/src/sched/scheduler_place.cpp
@@ -245,7 +245,7 @@
         if (executor == nullptr) {
             return;
         }
-        if (!executor->mayRunSuspect(now) || !allowed(stepSpec, stepSpec.countedDemand(), *executor, here)) {
+        if (!candidates.contains(*executor) || !allowed(stepSpec, stepSpec.countedDemand(), *executor, here)) {
             owner.endProbation(*executor);
             return;
         }
--- a/tests/sched/crashing_task_test.cpp
+++ b/tests/sched/crashing_task_test.cpp
@@ -187,6 +187,50 @@
     }
 }
 
+// Guards against a start in a pool that the configuration has left while the executor was kept.
+TEST_CASE("a suspect isn't started on the executor kept for it when its queue leads to another pool")
+{
+    constexpr std::int64_t largeCpu = 8'000;
+    crashing_world story;
+    scheduler_fixture &world = story.world;
+    story.addExecutor("e1");
+    story.submit("deadly");
+    story.start();
+    world.addExecutor("e2", largeCpu);
+    const start_run busy = world.runTask("busy", largeCpu / 2 + 1'000);
+    REQUIRE(busy.executor == "e2");
+    executor_entry next = scheduler_fixture::entry("e1");
+    next.id = "e1+";
+    next.startedUnixMs += 1;
+    world.taskScheduler.handle(executor_entry_changed{next}, world.now);
+    world.planAndCommit();
+    REQUIRE(world.taskScheduler.executors().at("e2").probation.has_value());
+    CHECK(world.take<start_run>().empty());
+
+    SUBCASE("it is started there once the executor has survived its other starts")
+    {
+        world.advance(2 * startSurvivedMs);
+        story.answerWithRun(busy);
+        CHECK(world.takeStart().executor == "e2");
+    }
+    SUBCASE("unless the queue leads elsewhere by then")
+    {
+        configuration_view changed = scheduler_fixture::singleQueueConfiguration();
+        changed.version = 2;
+        changed.queues[0].pool = "elsewhere";
+        changed.pools[0].name = "elsewhere";
+        world.taskScheduler.handle(configuration_changed{changed}, world.now);
+        executor_entry there = scheduler_fixture::entry("e9");
+        there.pool = "elsewhere";
+        world.taskScheduler.handle(executor_entry_changed{there}, world.now);
+        world.answerPoll("e9");
+        world.advance(2 * startSurvivedMs);
+        story.answerWithRun(busy);
+        world.advance(2 * startSurvivedMs);
+        CHECK(world.takeStart().executor == "e9");
+    }
+}
+
 TEST_CASE("a job's row keeps the crashes under its tasks")
 {
     job_record job(scheduler_fixture::job("j", {scheduler_fixture::step(2)}));
