Hold a crash against a single task only when nothing else explains it

Cause: a third of the executors crashes every 4 s there behind a cut, and half of the orders are late. A start without an answer counted as not survived for as long as it had none, also when the executor had answered since; and with so many crashes two real coincidences met one task.

A start without a confirmation now counts from when its order was sent. A crash under runs of which none can be the reason shows that executors crash for other reasons too: crashes up to 5 s after it and 1.5 s before it count against nobody alone, so the job is given up 1.5 s after the second crash.

--- a/src/sched/crash_suspects.cpp
+++ b/src/sched/crash_suspects.cpp
@@ -4,7 +4,7 @@
 
 bool hasSurvived(const run_start &start, time_ms heardAt)
 {
-    return start.confirmedAt != 0 && heardAt - start.confirmedAt >= startSurvivedMs;
+    return heardAt - start.startedAt >= startSurvivedMs;
 }
 
 std::vector<task_id> crashSuspects(std::span<const run_start> starts, time_ms heardAt)
--- a/src/sched/crash_suspects.h
+++ b/src/sched/crash_suspects.h
@@ -3,7 +3,7 @@
 // Finds out which run can have crashed an executor.
 //
 //     std::vector<run_start> starts = ...;    // of the runs that were on the executor
-//     for (const task_id &suspect : crashSuspects(starts, executor.heardAt)) { ... }
+//     for (const task_id &suspect : crashSuspects(starts, executor.clockAt)) { ... }
 //
 // A task that crashes executors does so when it is started. An executor that has answered some time after a run's start has survived
 // the start, so the suspects are the runs that were started later than that.
@@ -21,8 +21,8 @@
 struct run_start
 {
     task_id task;
-    /** When the executor confirmed the start; 0 if it hasn't. */
-    time_ms confirmedAt = 0;
+    /** When the executor confirmed the start, or when the order was sent if it hasn't. */
+    time_ms startedAt = 0;
 };
 
 /** Whether an executor that last answered at `heardAt` has survived the start. */
--- a/src/sched/scheduler.cpp
+++ b/src/sched/scheduler.cpp
@@ -378,6 +378,7 @@
         addToBacklog(job);
     }
     expireUnresponsive(now);
+    giveUpCrashingTasks(now);
     resendStops(now);
     watchProgress(now);
     markAllPollsDue();
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -194,12 +194,14 @@
     void markDead(executor_record &executor, time_ms now, std::string_view cause, const log_fields &evidence = {});
     /** The runs on the executor whose start orders were sent. */
     std::vector<run_start> startsOn(const executor_record &executor) const;
-    /**
-     * Counts the crash of the executor's incarnation against the runs that can be the reason, unless it ended as planned. Returns the
-     * tasks that are to be given up, because executors have crashed under them alone.
-     */
-    std::vector<task_id> recordCrash(executor_record &executor, time_ms now);
-    void giveUpCrashing(const std::vector<task_id> &tasks, time_ms now);
+    /** Counts the crash of the executor's incarnation against the runs that can be the reason, unless it ended as planned. */
+    void recordCrash(executor_record &executor, time_ms now);
+    /** Takes back what was counted against single tasks just now: executors have crashed for another reason. */
+    void recordUnexplainedCrash(time_ms now);
+    /** Gives up the tasks under which executors have crashed, if nothing else has explained the crashes meanwhile. */
+    void giveUpCrashingTasks(time_ms now);
+    /** Whether the task is about to be given up, so that it must not be started. */
+    bool awaitsJudgement(const task_id &id, const task_record &task, time_ms now);
     /** Whether the executor is known to have survived all starts of its runs. */
     bool hasSurvivedItsStarts(const executor_record &executor) const;
     /** Ends the probation if the executor has survived the suspect's start, or if the suspect doesn't need it any more. */
@@ -317,6 +319,16 @@
     /** Executors by the VM that their entries name. */
     std::map<std::string, std::set<std::string>> m_executorsOfVm;
     entry_versions m_entryVersions;
+    /** A crash of which one task is the only suspect. */
+    struct counted_crash
+    {
+        task_id task;
+        int run = 0;
+        time_ms at = 0;
+    };
+    std::vector<counted_crash> m_recentCrashes;
+    /** When an executor last crashed under runs of which none can be the reason. */
+    std::optional<time_ms> m_unexplainedCrashAt;
     /** Executors whose next poll may be due. */
     std::set<std::string> m_pollDue;
     /** Executors with ends that can't be acknowledged until a job's row is stored. */
--- a/src/sched/scheduler_crashes.cpp
+++ b/src/sched/scheduler_crashes.cpp
@@ -2,7 +2,10 @@
 //
 // When an executor has crashed, each run whose start it isn't known to have survived is a suspect. A suspect is started again on an executor
 // that has survived all of its starts and that gets no other run before it has survived this one. If that executor crashes too, the suspect is
-// the only one, and an unrelated crash is unlikely to fall into this short time. A second crash of that kind ends the job.
+// the only one. A second crash of that kind ends the job.
+//
+// Executors also crash for other reasons, many at a time. A crash that none of the executor's runs can explain shows that, so the crashes
+// around it count for nobody alone.
 
 #include "sched/scheduler.h"
 
@@ -13,6 +16,10 @@
 
 // A task is given up when this many executors have crashed while it was the only suspect. One could be a coincidence.
 constexpr std::size_t crashesUntilGivenUp = 2;
+// A crash counts against a single task only if this long before it no executor has crashed for another reason.
+constexpr time_ms unexplainedCrashMs = 5'000;
+// Executors that crash together are noticed within this time of each other.
+constexpr time_ms crashesNoticedMs = 1'500;
 
 void addRun(std::vector<int> &runs, int run)
 {
@@ -28,10 +35,9 @@
     std::vector<run_start> starts;
     for (const task_id &id : executor.runs) {
         const task_record &task = *m_jobs.at(id.job)->find(id);
-        // The time of an unconfirmed run is that of its order's last change, not of its start.
         const bool confirmed = task.phase == task_phase::Running || (task.phase == task_phase::Stopping && task.reporterStartedUnixMs != 0);
         if (task.phase != task_phase::Placing) {
-            starts.push_back({id, confirmed ? task.confirmedAt : 0});
+            starts.push_back({id, confirmed ? task.confirmedAt : task.startSentAt});
         }
     }
     return starts;
@@ -44,22 +50,23 @@
 }
 
 // An executor that drains or whose VM is reserved for an order has ended as planned. One that was marked dead before was counted then.
-std::vector<task_id> scheduler::recordCrash(executor_record &executor, time_ms now)
+void scheduler::recordCrash(executor_record &executor, time_ms now)
 {
-    std::vector<task_id> crashing;
     if (executor.dead || executor.entry.draining || executor.reserved || executor.runs.empty()) {
-        return crashing;
+        return;
     }
     const std::vector<task_id> suspects = crashSuspects(startsOn(executor), executor.clockAt);
+    const bool othersCrash = m_unexplainedCrashAt && now - *m_unexplainedCrashAt < unexplainedCrashMs;
     std::string names;
     for (const task_id &suspect : suspects) {
         names += (names.empty() ? "" : " ") + suspect.text();
         job_record &job = *m_jobs.at(suspect.job);
         task_record &task = *job.find(suspect);
-        addRun(suspects.size() == 1 ? task.crashRuns : task.suspectRuns, task.run);
+        const bool alone = suspects.size() == 1 && !othersCrash;
+        addRun(alone ? task.crashRuns : task.suspectRuns, task.run);
         markDirty(job, row_wait::StartOrEnd);
-        if (task.crashRuns.size() >= crashesUntilGivenUp) {
-            crashing.push_back(suspect);
+        if (alone) {
+            m_recentCrashes.push_back({suspect, task.run, now});
         }
     }
     logEvent("executor_crashed",
@@ -67,20 +74,60 @@
               {"runs", std::to_string(executor.runs.size())},
               {"suspects", names},
               {"heard_ms_ago", std::to_string(now - executor.clockAt)}});
-    return crashing;
+    if (suspects.empty()) {
+        recordUnexplainedCrash(now);
+    }
+}
+
+void scheduler::recordUnexplainedCrash(time_ms now)
+{
+    m_unexplainedCrashAt = now;
+    for (const counted_crash &crash : m_recentCrashes) {
+        const auto job = m_jobs.find(crash.task.job);
+        task_record *task = job == m_jobs.end() ? nullptr : job->second->find(crash.task);
+        if (task != nullptr && std::erase(task->crashRuns, crash.run) > 0) {
+            addRun(task->suspectRuns, crash.run);
+            markDirty(*job->second);
+        }
+    }
+    m_recentCrashes.clear();
 }
 
-void scheduler::giveUpCrashing(const std::vector<task_id> &tasks, time_ms now)
+void scheduler::giveUpCrashingTasks(time_ms now)
 {
-    for (const task_id &id : tasks) {
-        job_record &job = *m_jobs.at(id.job);
-        if (job.ended()) {
+    std::vector<task_id> judged;
+    std::erase_if(m_recentCrashes, [&](const counted_crash &crash) {
+        const bool settled = now - crash.at >= crashesNoticedMs;
+        if (settled) {
+            judged.push_back(crash.task);
+        }
+        return settled;
+    });
+    for (const task_id &id : judged) {
+        const auto found = m_jobs.find(id.job);
+        const task_record *task = found == m_jobs.end() || found->second->ended() ? nullptr : found->second->find(id);
+        if (task == nullptr || task->crashRuns.size() < crashesUntilGivenUp) {
             continue;
         }
         ++m_counts.failedJobs;
         logEvent("job_failed", {{"request", id.job}, {"task", id.text()}, {"cause", "crashes_executors"}});
-        finishJob(job, job_phase::Failed, now);
+        finishJob(*found->second, job_phase::Failed, now);
+    }
+}
+
+// A holder that has taken over hasn't seen the crashes that its predecessor counted, so it waits for crashes that are noticed now as well.
+bool scheduler::awaitsJudgement(const task_id &id, const task_record &task, time_ms now)
+{
+    if (task.crashRuns.size() < crashesUntilGivenUp) {
+        return false;
+    }
+    const bool known = std::any_of(m_recentCrashes.begin(), m_recentCrashes.end(), [&id](const counted_crash &crash) {
+        return crash.task == id;
+    });
+    if (!known) {
+        m_recentCrashes.push_back({id, task.crashRuns.back(), now});
     }
+    return true;
 }
 
 void scheduler::settleProbation(executor_record &executor)
--- a/src/sched/scheduler_executors.cpp
+++ b/src/sched/scheduler_executors.cpp
@@ -227,7 +227,7 @@
               {"next_born", std::to_string(incarnation.startedUnixMs)},
               {"list_age_ms", ageText(executor.listedAt, now)}});
     const std::int64_t formerStartUnixMs = executor.entry.startedUnixMs;
-    const std::vector<task_id> crashing = recordCrash(executor, now);
+    recordCrash(executor, now);
     executor.dead = false;
     requestPoll(executor);
     resetListedState(executor);
@@ -247,7 +247,6 @@
             task.confirmedAt = now;
         }
     }
-    giveUpCrashing(crashing, now);
 }
 
 // Sends stops for abandoned runs whose start orders had no answer: the new incarnation doesn't know the stops that the previous one
@@ -289,7 +288,7 @@
                       {"list_age_ms", ageText(executor.listedAt, now)}};
     fields.insert(fields.end(), evidence.begin(), evidence.end());
     logEvent("executor_dead", std::move(fields));
-    const std::vector<task_id> crashing = recordCrash(executor, now);
+    recordCrash(executor, now);
     executor.dead = true;
     executor.deadSince = now;
     resetListedState(executor);
@@ -309,7 +308,6 @@
             markRunLost(job, id, *task, now, cause);
         }
     }
-    giveUpCrashing(crashing, now);
 }
 
 void scheduler::requestPoll(executor_record &executor)
--- a/src/sched/scheduler_place.cpp
+++ b/src/sched/scheduler_place.cpp
@@ -240,6 +240,9 @@
     {
         const task_id id{ready.job->spec.id, ready.occurrence->number, ready.step, index};
         task_record &task = ready.occurrence->steps[static_cast<std::size_t>(ready.step)].tasks[static_cast<std::size_t>(index)];
+        if (owner.awaitsJudgement(id, task, now)) {
+            return;
+        }
         const auto kept = owner.m_executors.find(task.probationExecutor);
         executor_record *executor = kept == owner.m_executors.end() ? keepForSuspect(id, task, stepSpec, candidates, here) : &kept->second;
         if (executor == nullptr) {
