Let a suspect wait while executors crash for other reasons

Crashes beside unexplained ones count against nobody alone, which is right for innocent tasks, but the task was started again all the while.

A suspect under which three executors have crashed, alone or with others, is now started only when no executor has crashed for another reason for 5 s, and one more crash as the only suspect ends its job: four starts at most where the rule allows five.

--- a/src/sched/scheduler_crashes.cpp
+++ b/src/sched/scheduler_crashes.cpp
@@ -5,7 +5,8 @@
 // the only one. A second crash of that kind ends the job.
 //
 // Executors also crash for other reasons, many at a time. A crash that none of the executor's runs can explain shows that, so the crashes
-// around it count for nobody alone.
+// around it count for nobody alone. A suspect under which some have crashed meanwhile is not started again before that is over; then one
+// further crash ends the job.
 
 #include "sched/scheduler.h"
 
@@ -16,6 +17,8 @@
 
 // A task is given up when this many executors have crashed while it was the only suspect. One could be a coincidence.
 constexpr std::size_t crashesUntilGivenUp = 2;
+// A suspect under which so many executors have crashed, alone or with others, is started only while no executors crash for other reasons.
+constexpr std::size_t crashesUntilQuietStart = 3;
 // A crash counts against a single task only if this long before it no executor has crashed for another reason.
 constexpr time_ms unexplainedCrashMs = 5'000;
 // Executors that crash together are noticed within this time of each other.
@@ -28,6 +31,17 @@
     }
 }
 
+std::size_t crashesUnder(const task_record &task)
+{
+    return task.suspectRuns.size() + task.crashRuns.size();
+}
+
+bool crashesExecutors(const task_record &task)
+{
+    const bool crashedInQuiet = !task.crashRuns.empty() && crashesUnder(task) > crashesUntilQuietStart;
+    return task.crashRuns.size() >= crashesUntilGivenUp || crashedInQuiet;
+}
+
 } // namespace
 
 std::vector<run_start> scheduler::startsOn(const executor_record &executor) const
@@ -106,7 +120,7 @@
     for (const task_id &id : judged) {
         const auto found = m_jobs.find(id.job);
         const task_record *task = found == m_jobs.end() || found->second->ended() ? nullptr : found->second->find(id);
-        if (task == nullptr || task->crashRuns.size() < crashesUntilGivenUp) {
+        if (task == nullptr || !crashesExecutors(*task)) {
             continue;
         }
         ++m_counts.failedJobs;
@@ -118,8 +132,9 @@
 // A holder that has taken over hasn't seen the crashes that its predecessor counted, so it waits for crashes that are noticed now as well.
 bool scheduler::awaitsJudgement(const task_id &id, const task_record &task, time_ms now)
 {
-    if (task.crashRuns.size() < crashesUntilGivenUp) {
-        return false;
+    if (!crashesExecutors(task)) {
+        const bool othersCrash = m_unexplainedCrashAt && now - *m_unexplainedCrashAt < unexplainedCrashMs;
+        return othersCrash && crashesUnder(task) >= crashesUntilQuietStart;
     }
     const bool known = std::any_of(m_recentCrashes.begin(), m_recentCrashes.end(), [&id](const counted_crash &crash) {
         return crash.task == id;
--- a/tests/sched/crashing_task_test.cpp
+++ b/tests/sched/crashing_task_test.cpp
@@ -177,6 +177,30 @@
         story.awaitJudgement();
         CHECK(world.phaseOf("deadly") == "running");
     }
+    SUBCASE("isn't started a fourth time while executors crash for other reasons, and is given up if it crashes one after that")
+    {
+        for (int crash = 0; crash < 3; ++crash) {
+            story.addExecutor("long" + std::to_string(crash));
+            const start_run longWork = world.runTask("work" + std::to_string(crash), 4'000);
+            world.advance(2 * startSurvivedMs);
+            story.answerWithRun(longWork);
+            story.crash(longWork.executor);
+            world.take<start_run>();
+            world.taskScheduler.handle(job_cancelled{"work" + std::to_string(crash)}, world.now);
+            story.crash(order.executor);
+            if (crash < 2) {
+                order = story.start();
+            }
+        }
+        CHECK(world.take<start_run>().empty());
+        world.advance(5'000);
+        world.advance(100);
+        order = story.start();
+        CHECK(world.phaseOf("deadly") == "running");
+        story.crash(order.executor);
+        story.awaitJudgement();
+        CHECK(world.phaseOf("deadly") == "failed");
+    }
 }
 
 // Guards against suspects that meet again on the next executor, so that none can be told from the others.
