--- a/review/standin/cases.cpp
+++ b/review/standin/cases.cpp
@@ -337,12 +337,75 @@
                        + (started.empty() ? std::string("nothing starts later") : started) + "; the job is shown as " + state);
 }
 
+// A call that acknowledges ends is carried out late, after its executor has started again under its id.
+int lateAcknowledgement(deployment &system, bool trouble)
+{
+    const json first = json::array({json{{"Count", 6}, {"Cpu", 2'000}, {"MemMb", 500}, {"EstimateMs", 800}, {"Requires", ownRack}}});
+    const json second = json::array({json{{"Count", 4}, {"Cpu", 2'000}, {"MemMb", 500}, {"EstimateMs", 2'500}, {"Requires", ownRack}}});
+    std::shared_ptr<executor> target;
+    for (const std::shared_ptr<executor> &one : system.machines().executors()) {
+        target = one->options().rack == ownRack ? one : target;
+    }
+    // Left unanswered: the first call that acknowledges ends, and later the call that waits while the runs end.
+    std::atomic<bool> acknowledged = false;
+    std::atomic<bool> waiting = false;
+    std::atomic<int> calls = 0;
+    const std::function<bool(const request &)> isLate = [&](const request &call) {
+        ++calls;
+        const json body = json::parse(call.body, nullptr, false);
+        const bool isHold = call.path == "/-/hold" && body.is_object();
+        return isHold && ((body.value("AckCursor", 0) >= 6 && !acknowledged.exchange(true)) || waiting);
+    };
+    if (trouble) {
+        target->setLate(isLate);
+    }
+    system.submit(firstQueue, first, "ms=800");
+    const bool ended = waitUntil(5'000, [&] {
+        const std::vector<run_span> runs = system.log().runs();
+        return runs.size() == 6 && runningTasks(system, "") == 0;
+    });
+    if (!ended) {
+        return notRun(system, "the first job didn't run");
+    }
+    sleepMs(2'500);
+    if (trouble) {
+        target->crash(500);
+    }
+    sleepMs(2'500);
+    const std::optional<std::string> job = system.submit(firstQueue, second, "ms=2500");
+    const bool running = job && waitUntil(5'000, [&] {
+                             return runningTasks(system, *job) == 4;
+                         });
+    if (!running) {
+        return notRun(system, "the second job didn't start");
+    }
+    sleepMs(1'800);
+    waiting = true;
+    waitUntil(3'000, [&] {
+        return runningTasks(system, *job) == 0;
+    });
+    if (trouble) {
+        target->carryOutLate();
+    }
+    waiting = false;
+    sleepMs(3'000);
+    while (trouble && target->carryOutLate()) {
+    }
+    sleepMs(4'000);
+    target->setLate({});
+    system.log().line("the executor got " + std::to_string(calls) + " calls");
+    system.stateOf(firstQueue, *job);
+    const std::string twice = findTwice(system);
+    return verdict(system, !twice.empty(), twice.empty() ? "no task ran twice" : twice);
+}
+
 } // namespace
 
 int play(const std::string &name, bool trouble, const deployment_options &options)
 {
     static const std::map<std::string, int (*)(deployment &, bool)> cases{{"foreign-entry", foreignEntry},
                                                                           {"large-job", largeJob},
+                                                                          {"late-acknowledgement", lateAcknowledgement},
                                                                           {"lasting-done", lastingDone},
                                                                           {"route-removed", routeRemoved},
                                                                           {"cancel-unanswered", cancelUnanswered}};
--- a/review/standin/deployment.cpp
+++ b/review/standin/deployment.cpp
@@ -66,7 +66,7 @@
 {
     configure(1);
     for (int i = 0; i < 2 * machinesPerPool; ++i) {
-        m_fleet.add(i < machinesPerPool ? firstPool : secondPool, "m-0a3f" + std::to_string(i), "r1-" + std::to_string(i % 2));
+        m_fleet.add(i < machinesPerPool ? firstPool : secondPool, "m-0a3f" + std::to_string(i), i == 0 ? ownRack : "r1-" + std::to_string(i % 4));
     }
 }
 
@@ -168,16 +168,6 @@
     }
 }
 
-void deployment::silenceConnections()
-{
-    m_log.line("all open connections to the store, the fleet service and the executors go silent");
-    m_storeServer.silence();
-    m_fleetServer.silence();
-    for (const std::shared_ptr<executor> &one : m_fleet.executors()) {
-        one->silenceConnections();
-    }
-}
-
 void deployment::end()
 {
     for (node_process &node : m_processes) {
--- a/review/standin/deployment.h
+++ b/review/standin/deployment.h
@@ -13,8 +13,10 @@
 inline constexpr const char *secondQueue = "/wuhu344/";
 inline constexpr const char *firstPool = "huvo11a";
 inline constexpr const char *secondPool = "kafi81c";
+/** The rack of the first machine of the first pool; no other machine is there. */
+inline constexpr const char *ownRack = "r1-9";
 inline constexpr int maxAttempts = 4;
-inline constexpr int machinesPerPool = 4;
+inline constexpr int machinesPerPool = 7;
 
 struct deployment_options
 {
@@ -37,8 +39,6 @@
     void signalNode(std::size_t node, int number);
     /** Kills all nodes. */
     void end();
-    /** Leaves all open connections to the store, the fleet service and the executors silent. */
-    void silenceConnections();
 
     record &log()
     {
--- a/review/standin/platform.cpp
+++ b/review/standin/platform.cpp
@@ -329,6 +329,58 @@
     m_ticker.join();
 }
 
+void executor::crash(std::int64_t downMs)
+{
+    {
+        const std::lock_guard<std::mutex> guard(m_lock);
+        m_log.line("executor " + m_options.id + " crashes");
+        m_crashed = true;
+        while (!m_runs.empty()) {
+            end(m_runs.begin()->first, "crashed");
+        }
+        m_ended.notify_all();
+    }
+    m_server->close();
+    sleepMs(downMs);
+    {
+        const std::lock_guard<std::mutex> guard(m_lock);
+        m_ends.clear();
+        m_refusedUpTo.clear();
+        m_fence = 0;
+        m_lastEnd = 0;
+        m_leaseEnd = 0;
+        m_sequence = 0;
+        m_startedAt = nowMs();
+        m_born = unixMs();
+        m_heartbeatAt = 0;
+        m_crashed = false;
+    }
+    m_server->open();
+    m_log.line("executor " + m_options.id + " has started again under its id");
+}
+
+void executor::setLate(std::function<bool(const request &call)> isLate)
+{
+    const std::lock_guard<std::mutex> guard(m_lock);
+    m_isLate = std::move(isLate);
+}
+
+bool executor::carryOutLate()
+{
+    request call;
+    {
+        const std::lock_guard<std::mutex> guard(m_lock);
+        if (m_late.empty()) {
+            return false;
+        }
+        call = m_late.front();
+        m_late.erase(m_late.begin());
+    }
+    m_log.line("executor " + m_options.id + " carries out a late call: " + call.path + ' ' + call.body);
+    carryOut(call);
+    return true;
+}
+
 std::int64_t executor::clockMs() const
 {
     return nowMs() - m_startedAt;
@@ -382,7 +434,7 @@
 void executor::tick()
 {
     const std::lock_guard<std::mutex> guard(m_lock);
-    if (!m_up) {
+    if (!m_up || m_crashed) {
         return;
     }
     const std::int64_t now = nowMs();
@@ -416,11 +468,24 @@
 }
 
 std::optional<response> executor::handle(const request &call)
+{
+    {
+        const std::lock_guard<std::mutex> guard(m_lock);
+        if (m_isLate && m_isLate(call)) {
+            m_log.line("executor " + m_options.id + " leaves a call unanswered: " + call.path + ' ' + call.body);
+            m_late.push_back(call);
+            return response{statusLost, ""};
+        }
+    }
+    return carryOut(call);
+}
+
+std::optional<response> executor::carryOut(const request &call)
 {
     const json body = json::parse(call.body, nullptr, false);
     const std::string expected = call.header("x-daisypass-expected-instance");
     std::unique_lock<std::mutex> guard(m_lock);
-    if (!m_up) {
+    if (!m_up || m_crashed) {
         return std::nullopt;
     }
     if (!expected.empty() && expected != m_options.id) {
@@ -500,9 +565,9 @@
         return one.number <= cursor;
     });
     m_ended.wait_for(guard, std::chrono::milliseconds(numberIn(body, "WaitMs")), [this] {
-        return !m_ends.empty() || !m_up;
+        return !m_ends.empty() || !m_up || m_crashed;
     });
-    if (!m_up) {
+    if (!m_up || m_crashed) {
         return std::nullopt;
     }
     json list = reply();
--- a/review/standin/platform.h
+++ b/review/standin/platform.h
@@ -147,10 +147,12 @@
     json entry();
     /** Ends everything that runs, and removes the entry. */
     void leave();
-    void silenceConnections()
-    {
-        m_server->silence();
-    }
+    /** Ends everything that runs without listing it, refuses connections, and starts again under the same id some time later. */
+    void crash(std::int64_t downMs);
+    /** Which calls are left unanswered. They are carried out only by carryOutLate(), by whichever life is up then. */
+    void setLate(std::function<bool(const request &call)> isLate);
+    /** Carries out the first call that was left unanswered and not carried out yet; false if there is none. */
+    bool carryOutLate();
 
 private:
     struct running
@@ -174,6 +176,7 @@
     json reply() const;
     response refusal(const std::string &reason) const;
     std::optional<response> handle(const request &call);
+    std::optional<response> carryOut(const request &call);
     response start(const json &body);
     response stop(const json &body);
     std::optional<response> hold(const json &body, std::unique_lock<std::mutex> &guard);
@@ -188,6 +191,9 @@
     std::mutex m_lock;
     std::condition_variable m_ended;
     std::atomic<bool> m_up{true};
+    std::atomic<bool> m_crashed{false};
+    std::function<bool(const request &)> m_isLate;
+    std::vector<request> m_late;
     std::int64_t m_startedAt = 0;
     std::int64_t m_born = 0;
     std::int64_t m_sequence = 0;
--- a/review/standin/wire.cpp
+++ b/review/standin/wire.cpp
@@ -296,12 +296,6 @@
     }
 }
 
-void server::silence()
-{
-    const std::lock_guard<std::mutex> guard(m_lock);
-    m_silent = m_sockets;
-}
-
 bool server::isSilent(int socket)
 {
     const std::lock_guard<std::mutex> guard(m_lock);
--- a/review/standin/wire.h
+++ b/review/standin/wire.h
@@ -67,8 +67,6 @@
     void close();
     /** Listens again on the same port. */
     bool open();
-    /** Leaves all open connections silent for good: they stay open, and nothing is answered on them. New ones work. */
-    void silence();
 
 private:
     void acceptAll(int listener);
