--- a/review/standin/cases.cpp
+++ b/review/standin/cases.cpp
@@ -399,6 +399,54 @@
     return verdict(system, !twice.empty(), twice.empty() ? "no task ran twice" : twice);
 }
 
+// A start is carried out late, after the task is done and its executor has started again under its id.
+int lateStart(deployment &system, bool trouble)
+{
+    const json steps = json::array({json{{"Count", 1}, {"Cpu", 2'000}, {"MemMb", 500}, {"EstimateMs", 1'500}, {"Affinity", ownRack}}});
+    std::shared_ptr<executor> target;
+    for (const std::shared_ptr<executor> &one : system.machines().executors()) {
+        target = one->options().rack == ownRack ? one : target;
+    }
+    // Left unanswered: the first start, and the first stop after the executor's restart.
+    std::atomic<bool> started = false;
+    std::atomic<bool> restarted = false;
+    std::atomic<bool> stopped = false;
+    std::atomic<int> calls = 0;
+    if (trouble) {
+        target->setLate([&](const request &call) {
+            ++calls;
+            const bool start = call.path == "/-/run-start" && !started.exchange(true);
+            const bool stop = call.path == "/-/run-stop" && restarted && !stopped.exchange(true);
+            return start || stop;
+        });
+    }
+    const std::optional<std::string> job = system.submit(firstQueue, steps, "ms=1500");
+    const bool done = job && waitUntil(8'000, [&] {
+                          const std::vector<run_span> runs = system.log().runsOf(*job);
+                          return !runs.empty() && runs.front().notedAt >= 0;
+                      });
+    if (!done) {
+        return notRun(system, "the job wasn't done");
+    }
+    sleepMs(1'000);
+    if (trouble) {
+        restarted = true;
+        target->crash(500);
+        // The holder knows of the restart by now.
+        sleepMs(600);
+        target->carryOutLate();
+    }
+    sleepMs(4'000);
+    while (trouble && target->carryOutLate()) {
+    }
+    sleepMs(2'000);
+    target->setLate({});
+    system.log().line("the executor got " + std::to_string(calls) + " calls");
+    system.stateOf(firstQueue, *job);
+    const std::string twice = findTwice(system);
+    return verdict(system, !twice.empty(), twice.empty() ? "no task ran twice" : twice);
+}
+
 } // namespace
 
 int play(const std::string &name, bool trouble, const deployment_options &options)
@@ -407,6 +455,7 @@
                                                                           {"large-job", largeJob},
                                                                           {"late-acknowledgement", lateAcknowledgement},
                                                                           {"lasting-done", lastingDone},
+                                                                          {"late-start", lateStart},
                                                                           {"route-removed", routeRemoved},
                                                                           {"cancel-unanswered", cancelUnanswered}};
     const auto found = cases.find(name);
