--- a/review/play.sh
+++ b/review/play.sh
@@ -11,9 +11,12 @@
     exit 2
 fi
 work=$(mktemp -d)
+review/bin/review-judge "$name" "${TROUBLE:-1}" "$folder/record.txt" "$work" "$command" &
+judge=$!
 # The nodes end with the judge, which ends them itself before it exits.
-trap 'rm -rf "$work"' EXIT
-review/bin/review-judge "$name" "${TROUBLE:-1}" "$folder/record.txt" "$work" "$command"
+trap 'kill "$judge" 2>/dev/null; rm -rf "$work"' EXIT
+trap 'exit 2' INT TERM
+wait "$judge"
 result=$?
 if [ -n "${KEEP_LOGS:-}" ]; then
     cp -r "$work" "$KEEP_LOGS"
