Log why a task has to wait for its next run

A task that was lost with its executor and isn't started again left no line between run_lost and its next start, so the log couldn't tell a task that the placement pass never came to from one for which no executor was kept. restart_waits names each task that has waited for 2 s and the reason that the last pass had, restart_delayed the whole wait when it ends. The logic is unchanged.

--- a/src/sched/job_record.cpp
+++ b/src/sched/job_record.cpp
@@ -164,6 +164,27 @@
 
 } // namespace
 
+std::string_view nameOf(wait_cause cause)
+{
+    switch (cause) {
+    case wait_cause::None:
+        break;
+    case wait_cause::NotConsidered:
+        return "not_considered";
+    case wait_cause::NoExecutor:
+        return "no_executor";
+    case wait_cause::OthersCrash:
+        return "others_crash";
+    case wait_cause::Judgement:
+        return "judgement";
+    case wait_cause::NoneToKeep:
+        return "none_to_keep";
+    case wait_cause::KeptBusy:
+        return "kept_busy";
+    }
+    return "none";
+}
+
 std::string_view nameOf(job_phase phase)
 {
     return phaseNames[static_cast<std::size_t>(phase)];
--- a/src/sched/job_record.h
+++ b/src/sched/job_record.h
@@ -37,6 +37,25 @@
     Done,
 };
 
+/** Why a waiting task wasn't placed by the last placement pass. */
+enum class wait_cause {
+    None,
+    /** The pass didn't come to the task: an earlier task with the same demand found no executor. */
+    NotConsidered,
+    /** No executor that may run it has enough free capacity. */
+    NoExecutor,
+    /** Executors crash for other reasons, so a suspect isn't started. */
+    OthersCrash,
+    /** The task is about to be given up. */
+    Judgement,
+    /** As many executors as allowed are kept for suspects, or none is suitable. */
+    NoneToKeep,
+    /** The executor that is kept for the task hasn't survived its other starts. */
+    KeptBusy,
+};
+
+std::string_view nameOf(wait_cause cause);
+
 struct task_record
 {
     task_phase phase = task_phase::Waiting;
@@ -73,6 +92,11 @@
     time_ms stopAckedAt = 0;
     /** The task isn't placed before this time. */
     time_ms notBefore = 0;
+    /** When its latest run ended or was lost; 0 if none was in this term. */
+    time_ms waitingSince = 0;
+    wait_cause waitCause = wait_cause::None;
+    /** The wait for the next run was logged as long. */
+    bool waitLogged = false;
     /** Progress of the run as last listed, in percent. */
     int percent = 0;
     /** `percent` at confirmedAt; above 0 if this lease holder hasn't observed the start of the run. */
--- a/src/sched/scheduler.cpp
+++ b/src/sched/scheduler.cpp
@@ -384,6 +384,7 @@
     markAllPollsDue();
     if (now - m_lastCleanup >= cleanupIntervalMs) {
         m_lastCleanup = now;
+        logLongWaits(now);
         deleteOldSubmissions(now);
         m_entryVersions.forgetGone(
             [this](const std::string &executor) {
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -201,7 +201,7 @@
     /** Gives up the tasks under which executors have crashed, if nothing else has explained the crashes meanwhile. */
     void giveUpCrashingTasks(time_ms now);
     /** Whether the task is about to be given up, so that it must not be started. */
-    bool awaitsJudgement(const task_id &id, const task_record &task, time_ms now);
+    bool awaitsJudgement(const task_id &id, task_record &task, time_ms now);
     /** Whether the executor is known to have survived all starts of its runs. */
     bool hasSurvivedItsStarts(const executor_record &executor) const;
     /** Ends the probation if the executor has survived the suspect's start, or if the suspect doesn't need it any more. */
@@ -262,6 +262,8 @@
 
     // Placement.
     void place(time_ms now);
+    /** Logs each task whose next run has had to wait for long, with the reason. */
+    void logLongWaits(time_ms now);
 
     // Fleet.
     void on(const vms_listed &what, time_ms now);
--- a/src/sched/scheduler_crashes.cpp
+++ b/src/sched/scheduler_crashes.cpp
@@ -130,12 +130,14 @@
 }
 
 // A holder that has taken over hasn't seen the crashes that its predecessor counted, so it waits for crashes that are noticed now as well.
-bool scheduler::awaitsJudgement(const task_id &id, const task_record &task, time_ms now)
+bool scheduler::awaitsJudgement(const task_id &id, task_record &task, time_ms now)
 {
     if (!crashesExecutors(task)) {
         const bool othersCrash = m_unexplainedCrashAt && now - *m_unexplainedCrashAt < unexplainedCrashMs;
+        task.waitCause = wait_cause::OthersCrash;
         return othersCrash && crashesUnder(task) >= crashesUntilQuietStart;
     }
+    task.waitCause = wait_cause::Judgement;
     const bool known = std::any_of(m_recentCrashes.begin(), m_recentCrashes.end(), [&id](const counted_crash &crash) {
         return crash.task == id;
     });
--- a/src/sched/scheduler_place.cpp
+++ b/src/sched/scheduler_place.cpp
@@ -22,6 +22,8 @@
 constexpr std::size_t maxProbationDivisor = 2;
 // Minimum remaining validity of a ticket, so that it is still valid when the start order arrives.
 constexpr time_ms minTicketValidityMs = 300;
+// A task that has waited this long for its next run is logged.
+constexpr time_ms longWaitMs = 2'000;
 // Maximum number of executors in one request to the advice service; larger requests take longer.
 constexpr std::size_t maxExecutorsPerAdvice = 30;
 
@@ -166,6 +168,7 @@
             return other.fitsIn(demand);
         });
         if (cannotFit) {
+            noteWait(ready, 0, wait_cause::NotConsidered);
             return;
         }
         const queue_config *queue = owner.queueOf(*ready.job);
@@ -227,6 +230,8 @@
                 if (!constrained) {
                     refused.push_back(demand);
                 }
+                task.waitCause = wait_cause::NoExecutor;
+                noteWait(ready, index + 1, wait_cause::NotConsidered);
                 return;
             }
             assign(ready, stepSpec, static_cast<int>(index), task.run + 1, *chosen);
@@ -235,6 +240,15 @@
         }
     }
 
+    // Records why the step's waiting tasks from this index on aren't placed by this pass.
+    static void noteWait(ready_step &ready, std::size_t first, wait_cause cause)
+    {
+        std::vector<task_record> &tasks = ready.occurrence->steps[static_cast<std::size_t>(ready.step)].tasks;
+        for (std::size_t index = first; index < tasks.size(); ++index) {
+            tasks[index].waitCause = cause;
+        }
+    }
+
     // Starts the suspect on the executor that is kept for it, once that has survived its other starts. Keeps one if there is none yet.
     void placeSuspect(ready_step &ready, const step_spec &stepSpec, int index, const placement_candidates &candidates, std::map<std::string, int> &here)
     {
@@ -243,6 +257,7 @@
         if (owner.awaitsJudgement(id, task, now)) {
             return;
         }
+        task.waitCause = wait_cause::NoneToKeep;
         const auto kept = owner.m_executors.find(task.probationExecutor);
         executor_record *executor = kept == owner.m_executors.end() ? keepForSuspect(id, task, stepSpec, candidates, here) : &kept->second;
         if (executor == nullptr) {
@@ -253,6 +268,7 @@
             return;
         }
         if (!owner.hasSurvivedItsStarts(*executor)) {
+            task.waitCause = wait_cause::KeptBusy;
             return;
         }
         assign(ready, stepSpec, index, task.run + 1, *executor);
@@ -436,6 +452,16 @@
         task.run = run;
         task.executor = executor.entry.id;
         task.batch = 0;
+        if (task.waitLogged) {
+            owner.logEvent("restart_delayed",
+                           {{"task", id.text()},
+                            {"run", std::to_string(run)},
+                            {"executor", task.executor},
+                            {"waited_ms", std::to_string(now - task.waitingSince)},
+                            {"cause", std::string(nameOf(task.waitCause))}});
+        }
+        task.waitCause = wait_cause::None;
+        task.waitLogged = false;
         --record.waiting;
         owner.occupy(id, stepSpec, executor);
         candidatesByPool[executor.entry.pool].refresh(executor);
@@ -467,6 +493,26 @@
     pass.placeAll();
 }
 
+void scheduler::logLongWaits(time_ms now)
+{
+    for (job_record *job : m_backlog) {
+        job->forEachIn(task_phase::Waiting, [&](const task_id &id, task_record &task) {
+            if (task.waitLogged || task.waitingSince == 0 || now - task.waitingSince < longWaitMs) {
+                return;
+            }
+            task.waitLogged = true;
+            logEvent("restart_waits",
+                     {{"task", id.text()},
+                      {"runs", std::to_string(task.run)},
+                      {"long_running", job->spec.steps[static_cast<std::size_t>(id.step)].longRunning ? "1" : "0"},
+                      {"suspect_runs", std::to_string(task.suspectRuns.size())},
+                      {"crash_runs", std::to_string(task.crashRuns.size())},
+                      {"kept", task.probationExecutor},
+                      {"cause", std::string(nameOf(task.waitCause))}});
+        });
+    }
+}
+
 void scheduler::on(const advice_answered &what, time_ms now)
 {
     const auto found = m_jobs.find(what.job);
--- a/src/sched/scheduler_runs.cpp
+++ b/src/sched/scheduler_runs.cpp
@@ -55,6 +55,9 @@
         task.availabilityChangedAt = now;
     }
     task.available = false;
+    task.waitingSince = now;
+    task.waitCause = wait_cause::None;
+    task.waitLogged = false;
     ++record.waiting;
     m_placementPending = true;
     if (!job.ended()) {
