Place suspects apart from the other tasks of their steps, and count executors that fell silent in a trial

What callers saw: LOST.

Cause, two parts. A pass over a step's waiting tasks ended at the first one that found no executor, and skipped whole steps whose demand had been refused before, so a suspect behind it wasn't looked at although an executor was kept for it: that executor stood idle, and the task in front could not have it either. And the limit of half a pool for trials counted only executors that answer. A trial of a task that crashes executors left it after some milliseconds, so the next trial took the next executor, until the pool was gone.

Change: suspects are collected and placed in a pass of their own, before the steps; src/sched/suspect_trials decides their order (long-running ones and those that shared each crash with others first, those that crashed an executor alone last) and how many executors may be kept. An executor that has fallen silent in a trial counts until it is known what has become of it. The executor with the fewest long-running tasks is kept.

--- a/src/sched/job_record.h
+++ b/src/sched/job_record.h
@@ -230,6 +230,9 @@
     /** The same for the tasks in this phase only. */
     template<typename Visit>
     void forEachIn(task_phase wanted, Visit visit);
+    /** The same for the tasks that can be the reason why executors crashed. */
+    template<typename Visit>
+    void forEachSuspect(Visit visit);
     bool anyOccupying() const;
     /** Drops finished occurrences from the front; true if all occurrences are finished. */
     bool dropFinished();
@@ -277,6 +280,16 @@
         visit);
 }
 
+template<typename Visit>
+void job_record::forEachSuspect(Visit visit)
+{
+    forEachTask(
+        [](const task_record &task) {
+            return task.isSuspect();
+        },
+        visit);
+}
+
 template<typename Visit>
 void job_record::forEachIn(task_phase wanted, Visit visit)
 {
--- a/src/sched/scheduler.cpp
+++ b/src/sched/scheduler.cpp
@@ -116,6 +116,9 @@
     restored.forEachOccupying([&](const task_id &id, task_record &task) {
         occupy(id, restored.spec.steps[static_cast<std::size_t>(id.step)], executorFor(task.executor, now));
     });
+    restored.forEachSuspect([&](const task_id &id, task_record &) {
+        m_suspects.insert(id);
+    });
     if (!restored.ended()) {
         m_activeJobs.insert(spec.id);
         if (spec.repeatCount > 0) {
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -329,6 +329,8 @@
         time_ms at = 0;
     };
     std::vector<counted_crash> m_recentCrashes;
+    /** The tasks that can be the reason why executors crashed; some may have been cleared since. */
+    std::set<task_id> m_suspects;
     /** When an executor last crashed under runs of which none can be the reason. */
     std::optional<time_ms> m_unexplainedCrashAt;
     /** Executors whose next poll may be due. */
--- a/src/sched/scheduler_crashes.cpp
+++ b/src/sched/scheduler_crashes.cpp
@@ -78,6 +78,7 @@
         task_record &task = *job.find(suspect);
         const bool alone = suspects.size() == 1 && !othersCrash;
         addRun(alone ? task.crashRuns : task.suspectRuns, task.run);
+        m_suspects.insert(suspect);
         markDirty(job, row_wait::StartOrEnd);
         if (alone) {
             m_recentCrashes.push_back({suspect, task.run, now});
--- a/src/sched/scheduler_place.cpp
+++ b/src/sched/scheduler_place.cpp
@@ -6,9 +6,11 @@
 
 #include "sched/placement_candidates.h"
 #include "sched/scheduler.h"
+#include "sched/suspect_trials.h"
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 namespace daisypass::sched {
 namespace {
@@ -18,8 +20,6 @@
 constexpr double maintenanceDueWeight = 1e8;
 constexpr double failedHereWeight = 1e10;
 constexpr double slowExecutorWeight = 1e7;
-// At most one executor of a pool in this many is kept for suspects.
-constexpr std::size_t maxProbationDivisor = 2;
 // Minimum remaining validity of a ticket, so that it is still valid when the start order arrives.
 constexpr time_ms minTicketValidityMs = 300;
 // A task that has waited this long for its next run is logged.
@@ -64,6 +64,9 @@
     time_ms now;
     std::map<std::string, placement_candidates> candidatesByPool{};
     std::map<std::string, std::vector<ready_step>> readyByPool{};
+    std::map<std::string, std::vector<waiting_suspect>> suspectsByPool{};
+    /** The previous pass found no executor for a ready task. */
+    bool roomWasScarce = false;
 
     // The pool's executors that take new runs. They are collected when the first job of the pool needs them.
     const placement_candidates &candidatesOf(const std::string &pool)
@@ -145,8 +148,73 @@
         return static_cast<double>(now - job.acceptedAt + job.remainingCriticalPathMs()) > objective;
     }
 
+    // The suspects that may be started now. A suspect has held an executor before, so it doesn't wait behind tasks that haven't.
+    void collectSuspects()
+    {
+        for (auto id = owner.m_suspects.begin(); id != owner.m_suspects.end();) {
+            const auto job = owner.m_jobs.find(id->job);
+            task_record *task = job == owner.m_jobs.end() || job->second->ended() ? nullptr : job->second->find(*id);
+            if (task == nullptr || !task->isSuspect()) {
+                id = owner.m_suspects.erase(id);
+                continue;
+            }
+            if (task->phase == task_phase::Waiting && task->notBefore <= now && mayBeTried(*job->second, *id)) {
+                const bool longRunning = job->second->spec.steps[static_cast<std::size_t>(id->step)].longRunning;
+                suspectsByPool[owner.poolOf(*job->second)].push_back({*id, suspicionOf(*task), longRunning, task->waitingSince});
+            }
+            ++id;
+        }
+    }
+
+    // Members of a gang start together, so they aren't tried one by one.
+    static bool mayBeTried(const job_record &job, const task_id &id)
+    {
+        return !job.spec.steps[static_cast<std::size_t>(id.step)].gang && job.isStepReady(job.occurrences.at(id.occurrence), id.step);
+    }
+
+    static suspicion suspicionOf(const task_record &task)
+    {
+        return task.crashRuns.empty() ? suspicion::Shared : suspicion::Sole;
+    }
+
+    void placeSuspects()
+    {
+        for (std::pair<const std::string, std::vector<waiting_suspect>> &item : suspectsByPool) {
+            const placement_candidates &candidates = candidatesOf(item.first);
+            std::sort(item.second.begin(), item.second.end(), isTriedBefore);
+            trial_quota quota = quotaOf(item.first);
+            for (const waiting_suspect &suspect : item.second) {
+                placeSuspect(suspect, candidates, quota);
+            }
+        }
+    }
+
+    // An executor that has fallen silent during a trial counts until it is known what has become of it: most of them have crashed.
+    trial_quota quotaOf(const std::string &pool) const
+    {
+        std::vector<suspicion> kept;
+        std::size_t executors = 0;
+        const auto listed = owner.m_poolExecutors.find(pool);
+        if (listed != owner.m_poolExecutors.end()) {
+            for (const executor_record *executor : listed->second) {
+                executors += executor->dead ? 0 : 1;
+                if (!executor->dead && executor->probation) {
+                    const auto job = owner.m_jobs.find(executor->probation->job);
+                    const task_record *task = job == owner.m_jobs.end() ? nullptr : job->second->find(*executor->probation);
+                    kept.push_back(task == nullptr ? suspicion::Shared : suspicionOf(*task));
+                }
+            }
+        }
+        trial_quota quota(executors, roomWasScarce);
+        for (suspicion kind : kept) {
+            quota.add(kind);
+        }
+        return quota;
+    }
+
     void placeAll()
     {
+        placeSuspects();
         for (std::pair<const std::string, std::vector<ready_step>> &item : readyByPool) {
             std::sort(item.second.begin(), item.second.end());
             std::vector<resources> refused;
@@ -221,7 +289,6 @@
                 continue;
             }
             if (task.isSuspect()) {
-                placeSuspect(ready, stepSpec, static_cast<int>(index), candidates, here);
                 continue;
             }
             executor_record *chosen = choose(stepSpec, task, candidates, here);
@@ -240,26 +307,51 @@
         }
     }
 
-    // Records why the step's waiting tasks from this index on aren't placed by this pass.
+    // Records why the step's waiting tasks from this index on aren't placed by this pass; suspects are placed apart from them.
     static void noteWait(ready_step &ready, std::size_t first, wait_cause cause)
     {
         std::vector<task_record> &tasks = ready.occurrence->steps[static_cast<std::size_t>(ready.step)].tasks;
         for (std::size_t index = first; index < tasks.size(); ++index) {
-            tasks[index].waitCause = cause;
+            tasks[index].waitCause = tasks[index].isSuspect() ? tasks[index].waitCause : cause;
         }
     }
 
     // Starts the suspect on the executor that is kept for it, once that has survived its other starts. Keeps one if there is none yet.
-    void placeSuspect(ready_step &ready, const step_spec &stepSpec, int index, const placement_candidates &candidates, std::map<std::string, int> &here)
+    void placeSuspect(const waiting_suspect &suspect, const placement_candidates &candidates, trial_quota &quota)
     {
-        const task_id id{ready.job->spec.id, ready.occurrence->number, ready.step, index};
-        task_record &task = ready.occurrence->steps[static_cast<std::size_t>(ready.step)].tasks[static_cast<std::size_t>(index)];
+        const task_id &id = suspect.task;
+        ready_step ready;
+        ready.job = owner.m_jobs.at(id.job).get();
+        ready.occurrence = &ready.job->occurrences.at(id.occurrence);
+        ready.step = id.step;
+        const step_spec &stepSpec = ready.job->spec.steps[static_cast<std::size_t>(id.step)];
+        task_record &task = *ready.job->find(id);
         if (owner.awaitsJudgement(id, task, now)) {
             return;
         }
+        if (!owner.mayQueuePlacements(*ready.job)) {
+            owner.m_placementsHeldBack = true;
+            return;
+        }
+        const queue_config *queue = owner.queueOf(*ready.job);
+        if (queue != nullptr && queue->requiresAdvice) {
+            tryOn(ready, stepSpec, task, suspect, candidatesWithTicket(ready, candidates), quota);
+        } else {
+            tryOn(ready, stepSpec, task, suspect, candidates, quota);
+        }
+    }
+
+    void tryOn(ready_step &ready,
+               const step_spec &stepSpec,
+               task_record &task,
+               const waiting_suspect &suspect,
+               const placement_candidates &candidates,
+               trial_quota &quota)
+    {
+        std::map<std::string, int> here = tasksByExecutor(ready, stepSpec);
         task.waitCause = wait_cause::NoneToKeep;
         const auto kept = owner.m_executors.find(task.probationExecutor);
-        executor_record *executor = kept == owner.m_executors.end() ? keepForSuspect(id, task, stepSpec, candidates, here) : &kept->second;
+        executor_record *executor = kept == owner.m_executors.end() ? keepForSuspect(suspect, task, stepSpec, candidates, here, quota) : &kept->second;
         if (executor == nullptr) {
             return;
         }
@@ -271,38 +363,38 @@
             task.waitCause = wait_cause::KeptBusy;
             return;
         }
-        assign(ready, stepSpec, index, task.run + 1, *executor);
+        assign(ready, stepSpec, suspect.task.index, task.run + 1, *executor);
         owner.requestPoll(*executor);
-        ++here[executor->entry.id];
     }
 
-    // Prefers an executor without long-running tasks, and among those the one with the most free cpu: a crash takes the fewest runs along.
-    executor_record *keepForSuspect(
-        const task_id &id, task_record &task, const step_spec &stepSpec, const placement_candidates &candidates, const std::map<std::string, int> &here)
+    // Prefers the executor with the fewest long-running tasks, and among those the one with the most free cpu: a crash takes the fewest
+    // runs along.
+    executor_record *keepForSuspect(const waiting_suspect &suspect,
+                                    task_record &task,
+                                    const step_spec &stepSpec,
+                                    const placement_candidates &candidates,
+                                    const std::map<std::string, int> &here,
+                                    trial_quota &quota)
     {
         executor_record *best = nullptr;
-        std::tuple<bool, double, std::int64_t> bestRank;
-        std::size_t onProbation = 0;
-        std::size_t all = 0;
+        std::tuple<int, double, std::int64_t> bestRank;
         for (auto candidate = candidates.firstWith(0); candidate != candidates.end(); ++candidate) {
             executor_record &executor = *candidate->executor;
-            ++all;
-            onProbation += executor.probation ? 1 : 0;
+            ++owner.m_counts.executorsConsidered;
             if (executor.probation || !allowed(stepSpec, stepSpec.countedDemand(), executor, here)) {
                 continue;
             }
-            const std::tuple<bool, double, std::int64_t> rank{executor.longRunningRuns > 0, penaltyOf(stepSpec, task, executor), -candidate->freeCpu};
+            const std::tuple<int, double, std::int64_t> rank{executor.longRunningRuns, penaltyOf(stepSpec, task, executor), -candidate->freeCpu};
             if (best == nullptr || rank < bestRank) {
                 best = &executor;
                 bestRank = rank;
             }
         }
-        owner.m_counts.executorsConsidered += static_cast<std::int64_t>(all);
         owner.m_capacityShort = owner.m_capacityShort || best == nullptr;
-        if (best == nullptr || onProbation >= std::max<std::size_t>(1, all / maxProbationDivisor)) {
+        if (best == nullptr || !quota.take(suspect.kind)) {
             return nullptr;
         }
-        best->probation = id;
+        best->probation = suspect.task;
         task.probationExecutor = best->entry.id;
         owner.requestPoll(*best);
         return best;
@@ -485,11 +577,13 @@
     if (m_backlog.empty()) {
         return;
     }
-    m_capacityShort = false;
+    const bool roomWasScarce = std::exchange(m_capacityShort, false);
     ++m_counts.placementPasses;
     indexExecutors();
     placement_pass pass{*this, now};
+    pass.roomWasScarce = roomWasScarce;
     pass.collectReady();
+    pass.collectSuspects();
     pass.placeAll();
 }
 
