Start one task of a step first while tasks of its queue crash executors

What callers saw: each new job with a crashing task took up to 20 other runs along before it was a suspect at all, and each of those runs had to be tried alone; trials were asked for several times as fast as a pool can give them.

Cause: the system learned about tasks, never about their queue: the fortieth crashing job of a queue was started like the first.

Change: src/sched/crash_watch counts the jobs of a queue under which an executor has crashed as the only suspect. While there are three within 10 s, a step of the queue of which no task has survived a start yet begins with one task alone, on an executor kept for it. A poll of a kept executor now waits just until the start is survived; it took two polls of 250 ms before. A quarter of a pool is kept for trials that will probably end in a crash while other tasks wait for room.

--- a/src/sched/job_record.h
+++ b/src/sched/job_record.h
@@ -159,6 +159,8 @@
     int done = 0;
     int waiting = 0;
 
+    /** An executor has survived the start of one of its tasks in this term. Not stored. */
+    bool proven = false;
     // Not stored: the advice service's answers for the step.
     /** Tickets by executor. */
     std::map<std::string, advice_ticket> tickets;
--- a/src/sched/scheduler.cpp
+++ b/src/sched/scheduler.cpp
@@ -388,6 +388,7 @@
     if (now - m_lastCleanup >= cleanupIntervalMs) {
         m_lastCleanup = now;
         logLongWaits(now);
+        m_crashWatch.forgetOld(now);
         deleteOldSubmissions(now);
         m_entryVersions.forgetGone(
             [this](const std::string &executor) {
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -22,6 +22,7 @@
 
 #include "sched/arrival_rate.h"
 #include "sched/crash_suspects.h"
+#include "sched/crash_watch.h"
 #include "sched/entry_versions.h"
 #include "sched/events.h"
 #include "sched/executor_record.h"
@@ -226,6 +227,8 @@
     /** The longest lease that may be granted now; 0 if none may be granted. */
     time_ms grantableLeaseMs(time_ms now) const;
     bool runsLatencyAndBestEffortTasks(const executor_record &executor) const;
+    /** The same for an executor that is kept for this suspect. */
+    std::int64_t trialPollWaitMs(const task_id &id, time_ms now) const;
     /** How long the executor may delay its answer to the next poll while no run ends. */
     std::int64_t pollWaitMs(const executor_record &executor, time_ms now) const;
     void acknowledgeStored();
@@ -329,6 +332,7 @@
         time_ms at = 0;
     };
     std::vector<counted_crash> m_recentCrashes;
+    crash_watch m_crashWatch;
     /** The tasks that can be the reason why executors crashed; some may have been cleared since. */
     std::set<task_id> m_suspects;
     /** When an executor last crashed under runs of which none can be the reason. */
@@ -344,6 +348,8 @@
     std::map<std::string, arrival_rate> m_arrivals;
     /** The last placement found no executor for a ready task. */
     bool m_capacityShort = false;
+    /** The pools for whose ready tasks it found none. */
+    std::set<std::string> m_poolsShortOfRoom;
     bool m_placementPending = false;
     /** The last placement left tasks waiting because enough placements wait for the store. */
     bool m_placementsHeldBack = false;
--- a/src/sched/scheduler_crashes.cpp
+++ b/src/sched/scheduler_crashes.cpp
@@ -82,6 +82,7 @@
         markDirty(job, row_wait::StartOrEnd);
         if (alone) {
             m_recentCrashes.push_back({suspect, task.run, now});
+            m_crashWatch.crashed(job.spec.queue, job.spec.id, now);
         }
     }
     logEvent("executor_crashed",
@@ -102,6 +103,7 @@
         task_record *task = job == m_jobs.end() ? nullptr : job->second->find(crash.task);
         if (task != nullptr && std::erase(task->crashRuns, crash.run) > 0) {
             addRun(task->suspectRuns, crash.run);
+            m_crashWatch.retract(job->second->spec.queue, job->first);
             markDirty(*job->second);
         }
     }
@@ -168,10 +170,13 @@
         return;
     }
     if (task->phase == task_phase::Running && hasSurvived({id, task->confirmedAt}, executor.clockAt)) {
-        logEvent("suspect_cleared", {{"task", id.text()}, {"run", std::to_string(task->run)}, {"executor", executor.entry.id}});
-        task->suspectRuns.clear();
-        task->crashRuns.clear();
-        markDirty(*job->second);
+        if (task->isSuspect()) {
+            logEvent("suspect_cleared", {{"task", id.text()}, {"run", std::to_string(task->run)}, {"executor", executor.entry.id}});
+            task->suspectRuns.clear();
+            task->crashRuns.clear();
+            markDirty(*job->second);
+        }
+        job->second->occurrences.at(id.occurrence).steps[static_cast<std::size_t>(id.step)].proven = true;
         endProbation(executor);
     }
 }
--- a/src/sched/scheduler_place.cpp
+++ b/src/sched/scheduler_place.cpp
@@ -65,8 +65,9 @@
     std::map<std::string, placement_candidates> candidatesByPool{};
     std::map<std::string, std::vector<ready_step>> readyByPool{};
     std::map<std::string, std::vector<waiting_suspect>> suspectsByPool{};
-    /** The previous pass found no executor for a ready task. */
-    bool roomWasScarce = false;
+    /** The pools for whose ready tasks the previous pass found no executor. */
+    std::set<std::string> scarcePools{};
+    std::map<queue_key, bool> expectsCrashes{};
 
     // The pool's executors that take new runs. They are collected when the first job of the pool needs them.
     const placement_candidates &candidatesOf(const std::string &pool)
@@ -107,15 +108,13 @@
             // The pool has no usable executor, and the job stays in the backlog.
             return true;
         }
-        std::vector<ready_step> &ready = readyByPool[pool];
-        const std::size_t before = ready.size();
-        collectReady(job, ready);
-        return ready.size() > before;
+        return collectReady(job, pool);
     }
 
-    void collectReady(job_record &job, std::vector<ready_step> &ready)
+    bool collectReady(job_record &job, const std::string &pool)
     {
         const queue_config *queue = owner.queueOf(job);
+        bool any = false;
         bool measured = false;
         ready_step entry;
         entry.job = &job;
@@ -124,6 +123,10 @@
                 if (occurrence.second.steps[step].waiting == 0 || !job.isStepReady(occurrence.second, static_cast<int>(step))) {
                     continue;
                 }
+                any = true;
+                if (isHeldForTrial(job, occurrence.second, static_cast<int>(step), pool)) {
+                    continue;
+                }
                 if (!measured) {
                     measured = true;
                     entry.priority = queue == nullptr ? std::numeric_limits<int>::max() : queue->priority;
@@ -134,9 +137,40 @@
                 entry.occurrence = &occurrence.second;
                 entry.step = static_cast<int>(step);
                 entry.longRunning = job.spec.steps[step].longRunning;
-                ready.push_back(entry);
+                readyByPool[pool].push_back(entry);
             }
         }
+        return any;
+    }
+
+    // While tasks of the queue crash executors, a step starts with one task alone, and the others follow when that has survived its start.
+    bool isHeldForTrial(job_record &job, occurrence_record &occurrence, int number, const std::string &pool)
+    {
+        const step_record &step = occurrence.steps[static_cast<std::size_t>(number)];
+        const step_spec &spec = job.spec.steps[static_cast<std::size_t>(number)];
+        if (step.proven || step.done > 0 || spec.gang || !crashesExpected(job.spec.queue)) {
+            return false;
+        }
+        const bool tried = std::any_of(step.tasks.begin(), step.tasks.end(), [](const task_record &task) {
+            return task.occupies() || task.isSuspect();
+        });
+        const auto first = std::find_if(step.tasks.begin(), step.tasks.end(), [this](const task_record &task) {
+            return task.phase == task_phase::Waiting && task.notBefore <= now;
+        });
+        if (!tried && first != step.tasks.end()) {
+            const int index = static_cast<int>(first - step.tasks.begin());
+            suspectsByPool[pool].push_back({{job.spec.id, occurrence.number, number, index}, suspicion::Untried, spec.longRunning, job.acceptedAt});
+        }
+        return true;
+    }
+
+    bool crashesExpected(const queue_key &queue)
+    {
+        const auto known = expectsCrashes.find(queue);
+        if (known != expectsCrashes.end()) {
+            return known->second;
+        }
+        return expectsCrashes.emplace(queue, owner.m_crashWatch.expectsCrashes(queue, now)).first->second;
     }
 
     bool isLate(job_record &job, const queue_config *queue) const
@@ -174,6 +208,9 @@
 
     static suspicion suspicionOf(const task_record &task)
     {
+        if (!task.isSuspect()) {
+            return suspicion::Untried;
+        }
         return task.crashRuns.empty() ? suspicion::Shared : suspicion::Sole;
     }
 
@@ -201,11 +238,11 @@
                 if (!executor->dead && executor->probation) {
                     const auto job = owner.m_jobs.find(executor->probation->job);
                     const task_record *task = job == owner.m_jobs.end() ? nullptr : job->second->find(*executor->probation);
-                    kept.push_back(task == nullptr ? suspicion::Shared : suspicionOf(*task));
+                    kept.push_back(task == nullptr ? suspicion::Untried : suspicionOf(*task));
                 }
             }
         }
-        trial_quota quota(executors, roomWasScarce);
+        trial_quota quota(executors, scarcePools.contains(pool));
         for (suspicion kind : kept) {
             quota.add(kind);
         }
@@ -291,9 +328,15 @@
             if (task.isSuspect()) {
                 continue;
             }
+            const auto kept = owner.m_executors.find(task.probationExecutor);
+            if (kept != owner.m_executors.end()) {
+                // The step needs no trial any more.
+                owner.endProbation(kept->second);
+            }
             executor_record *chosen = choose(stepSpec, task, candidates, here);
             if (chosen == nullptr) {
                 owner.m_capacityShort = true;
+                owner.m_poolsShortOfRoom.insert(owner.poolOf(*ready.job));
                 if (!constrained) {
                     refused.push_back(demand);
                 }
@@ -577,11 +620,11 @@
     if (m_backlog.empty()) {
         return;
     }
-    const bool roomWasScarce = std::exchange(m_capacityShort, false);
+    m_capacityShort = false;
     ++m_counts.placementPasses;
     indexExecutors();
     placement_pass pass{*this, now};
-    pass.roomWasScarce = roomWasScarce;
+    pass.scarcePools = std::exchange(m_poolsShortOfRoom, {});
     pass.collectReady();
     pass.collectSuspects();
     pass.placeAll();
--- a/src/sched/scheduler_polls.cpp
+++ b/src/sched/scheduler_polls.cpp
@@ -23,6 +23,8 @@
 constexpr time_ms unthrottleIntervalMs = 1'500;
 constexpr int unthrottleStep = 15;
 constexpr int minBestEffortPercent = 13;
+// Poll wait of an executor on which a suspect is being started. The next poll can then wait just until the start is survived.
+constexpr time_ms unconfirmedTrialPollMs = 25;
 // Shorter poll wait, for executors that run both best-effort tasks and tasks with a latency target.
 constexpr std::int64_t throttlingPollTimeoutMs = 500;
 
@@ -81,12 +83,24 @@
     return std::clamp<time_ms>(latestEnd - now, 0, m_bounds.maxLeaseMs);
 }
 
+// The answer to a poll shows that a start has been survived only if it comes late enough after the start's confirmation.
+std::int64_t scheduler::trialPollWaitMs(const task_id &id, time_ms now) const
+{
+    const auto job = m_jobs.find(id.job);
+    const task_record *task = job == m_jobs.end() ? nullptr : job->second->find(id);
+    if (task != nullptr && task->phase == task_phase::Running) {
+        return std::max(unconfirmedTrialPollMs, task->confirmedAt + startSurvivedMs - now);
+    }
+    const bool starts = task != nullptr && (task->phase == task_phase::Placing || task->phase == task_phase::Starting);
+    return starts ? unconfirmedTrialPollMs : startSurvivedMs;
+}
+
 // Drains wait for the first list requested after the stops of earlier lease holders have taken effect, so that poll must not be
 // delayed.
 std::int64_t scheduler::pollWaitMs(const executor_record &executor, time_ms now) const
 {
     if (executor.probation) {
-        return startSurvivedMs;
+        return trialPollWaitMs(*executor.probation, now);
     }
     const std::int64_t wait = runsLatencyAndBestEffortTasks(executor) ? throttlingPollTimeoutMs : pollTimeoutMs;
     const time_ms stopsOverIn = std::max<time_ms>(0, executor.confirmedAt + m_bounds.stopMs - now);
@@ -208,6 +222,9 @@
             task->progressAt = now;
         }
         task->percent = run.percent;
+        if (task->phase == task_phase::Running && hasSurvived({run.task, task->confirmedAt}, executor.clockAt)) {
+            found->second->occurrences.at(run.task.occurrence).steps[static_cast<std::size_t>(run.task.step)].proven = true;
+        }
         const bool works = run.percent >= 100;
         if (works != task->available) {
             task->available = works;
