Measure in the load model how long tasks wait after crashes

Queues can share a pool.

The outcome has the longest waits between a run that was lost in a crash and the task's next start (at all, while no executor has crashed for 7 s, and on end while the pool has room), separately for long-running tasks and for jobs without a crashing task; the jobs that are unfinished 14 s after the last arrival; the earned share of each queue; and the crashes per crashing job.

--- a/tests/sched/load_demand.cpp
+++ b/tests/sched/load_demand.cpp
@@ -10,8 +10,6 @@
 constexpr double longShare = 0.03;
 constexpr double longFactor = 7.0;
 constexpr int longRunningJobsPerQueue = 2;
-// Share of its mean rate that a queue gets outside its peak.
-constexpr double offPeakFactor = 0.05;
 constexpr int maxTasksPerStep = 32;
 constexpr time_ms minTaskMs = 20;
 // Milli-core milliseconds per core second.
@@ -41,7 +39,7 @@
 {
     const std::size_t count = m_settings.queues.size();
     const std::size_t peakQueue = static_cast<std::size_t>((when - loadStartMs) / m_settings.peakMs) % count;
-    return m_settings.queues[queue].jobsPerSecond * (peakQueue == queue ? m_settings.peakFactor : offPeakFactor);
+    return m_settings.queues[queue].jobsPerSecond * (peakQueue == queue ? m_settings.peakFactor : m_settings.offPeakFactor);
 }
 
 std::optional<time_ms> load_demand::nextCandidateArrival(std::size_t queue, time_ms from)
@@ -65,7 +63,8 @@
     const load_queue &queue = m_settings.queues[queueIndex];
     simulated_job job;
     job.spec.id = "j" + std::to_string(m_jobs.size() + 1);
-    job.spec.queue = {"host", "/" + queue.pool + "/"};
+    job.spec.queue = {"host", "/" + queue.name() + "/"};
+    job.queue = queue.name();
     job.spec.pool = queue.pool;
     job.spec.acceptedUnixMs = now;
     job.submittedAt = now;
@@ -81,7 +80,9 @@
     job.meanWork = queue.stepsMean * queue.tasksMean * queue.taskCpuMean * queue.taskMsMean / workUnit;
     job.value = queue.value;
     job.objectiveMs = static_cast<time_ms>(loadObjectiveStretch * chainMs + static_cast<double>(loadObjectiveTargetMs));
-    if (queue.crashingShare > 0 && drawWithProbability(queue.crashingShare)) {
+    // Drawn outside the window too, so that the window doesn't change the jobs.
+    const bool crashing = queue.crashingShare > 0 && drawWithProbability(queue.crashingShare);
+    if (crashing && now - loadStartMs >= queue.crashingFrom && now - loadStartMs < queue.crashingUntil) {
         job.crashingTask = task_id{job.spec.id, 0, 0, 0}.text();
     }
     const std::string id = job.spec.id;
@@ -125,8 +126,8 @@
     std::vector<job_spec> jobs;
     for (int i = 0; queue.longRunningTasks > 0 && i < longRunningJobsPerQueue; ++i) {
         job_spec spec;
-        spec.id = "long-" + queue.pool + std::to_string(i);
-        spec.queue = {"host", "/" + queue.pool + "/"};
+        spec.id = "long-" + queue.name() + std::to_string(i);
+        spec.queue = {"host", "/" + queue.name() + "/"};
         spec.pool = queue.pool;
         step_spec step;
         step.taskCount = queue.longRunningTasks;
--- a/tests/sched/load_demand.h
+++ b/tests/sched/load_demand.h
@@ -27,6 +27,7 @@
 struct simulated_job
 {
     job_spec spec;
+    std::string queue;
     time_ms submittedAt = 0;
     time_ms objectiveMs = 0;
     /** Core seconds of all tasks, and the mean of the queue's jobs. */
--- a/tests/sched/load_executors.cpp
+++ b/tests/sched/load_executors.cpp
@@ -14,6 +14,8 @@
 constexpr time_ms unboundedMs = 1'000'000'000;
 // After this time the scheduler is told that an executor was terminated, or that a poll got no answer.
 constexpr time_ms failureDetectionMs = 1'000;
+// A pool has room for a task when its capacity suffices for so many.
+constexpr int roomsNeeded = 2;
 
 } // namespace
 
@@ -23,6 +25,7 @@
     , m_timeline(timeline)
     , m_outcome(outcome)
     , m_sink(std::move(sink))
+    , m_waits(outcome)
 {
     int vm = 0;
     const std::function<void(int, executor_fault)> assignFault = [&](int count, executor_fault fault) {
@@ -65,19 +68,107 @@
 void load_executors::terminateExecutor(const std::string &id)
 {
     const auto found = m_executors.find(id);
-    if (found == m_executors.end()) {
-        return;
+    if (found != m_executors.end()) {
+        terminate(found->second, failureDetectionMs);
     }
-    dropRuns(found->second);
-    found->second.terminated = true;
-    if (found->second.pendingPoll) {
-        std::exchange(found->second.pendingPoll, nullptr)();
+}
+
+void load_executors::terminate(simulated_executor &executor, time_ms detectionMs)
+{
+    dropRuns(executor);
+    executor.terminated = true;
+    if (executor.pendingPoll) {
+        std::exchange(executor.pendingPoll, nullptr)();
     }
-    m_timeline.at(m_timeline.now() + failureDetectionMs, [this, id] {
+    m_timeline.at(m_timeline.now() + detectionMs, [this, id = executor.id] {
         m_sink(executor_entry_removed{id});
     });
 }
 
+void load_executors::crash(const std::string &id)
+{
+    simulated_executor &executor = m_executors.at(id);
+    m_waits.executorCrashed(m_timeline.now());
+    for (const std::pair<const std::string, simulated_run> &run : executor.runs) {
+        const auto job = m_demand.jobs().find(run.second.task.job);
+        const bool longRunning = job == m_demand.jobs().end();
+        if (longRunning || (!job->second.alwaysFails && job->second.crashingTask.empty())) {
+            m_waits.runLost({run.second.task, executor.pool, run.second.demand, longRunning, m_timeline.now(), m_timeline.now()});
+        }
+    }
+    executor.connectionsBroken = m_settings.crashBreaksConnections;
+    terminate(executor, executor.connectionsBroken ? m_settings.restartMs : failureDetectionMs);
+}
+
+void load_executors::measureWaits()
+{
+    m_waits.measure(m_timeline.now(), [this](const lost_run &run) {
+        if (roomFor(run) < roomsNeeded) {
+            return false;
+        }
+        return run.longRunning || (!isHalfInUse(run.pool) && !isRunning(run.task.job));
+    });
+}
+
+void load_executors::jobEnded(const std::string &job)
+{
+    m_waits.jobEnded(job, m_timeline.now());
+}
+
+void load_executors::settleWaits()
+{
+    m_waits.settle(m_timeline.now());
+}
+
+int load_executors::roomFor(const lost_run &run) const
+{
+    int room = 0;
+    for (const std::pair<const std::string, simulated_executor> &item : m_executors) {
+        const simulated_executor &executor = item.second;
+        if (executor.terminated || executor.unresponsive || executor.pool != run.pool) {
+            continue;
+        }
+        resources used;
+        bool runsStep = false;
+        for (const std::pair<const std::string, simulated_run> &other : executor.runs) {
+            used += other.second.demand;
+            runsStep = runsStep || other.second.task.job == run.task.job;
+        }
+        // An executor takes one task of a long-running step.
+        const int limit = run.longRunning ? (runsStep ? 0 : 1) : roomsNeeded;
+        for (int i = 0; i < limit && (used += run.demand).fitsIn(executor.capacity); ++i) {
+            ++room;
+        }
+    }
+    return room;
+}
+
+bool load_executors::isHalfInUse(const std::string &pool) const
+{
+    std::int64_t used = 0;
+    std::int64_t all = 0;
+    for (const std::pair<const std::string, simulated_executor> &item : m_executors) {
+        const simulated_executor &executor = item.second;
+        if (executor.terminated || executor.unresponsive || executor.pool != pool) {
+            continue;
+        }
+        all += executor.capacity.cpu;
+        for (const std::pair<const std::string, simulated_run> &run : executor.runs) {
+            used += run.second.demand.cpu;
+        }
+    }
+    return 2 * used >= all;
+}
+
+bool load_executors::isRunning(const std::string &job) const
+{
+    return std::any_of(m_executors.begin(), m_executors.end(), [&job](const std::pair<const std::string, simulated_executor> &executor) {
+        return std::any_of(executor.second.runs.begin(), executor.second.runs.end(), [&job](const std::pair<const std::string, simulated_run> &run) {
+            return run.second.task.job == job;
+        });
+    });
+}
+
 void load_executors::disconnectExecutors()
 {
     for (std::pair<const std::string, simulated_executor> &executor : m_executors) {
@@ -153,6 +244,7 @@
     executor->runs[task] = run;
     ++m_activeRunCounts[task];
     countViolations(*executor, task);
+    m_waits.started(task, m_timeline.now());
     const auto job = m_demand.jobs().find(order.task.job);
     if (job != m_demand.jobs().end() && job->second.crashingTask == task) {
         crashLater(*executor, task);
@@ -182,7 +274,7 @@
         }
         ++m_crashesOfTask[task];
         ++m_outcome.crashes;
-        terminateExecutor(id);
+        crash(id);
         m_restart(vm, id);
     });
 }
@@ -294,7 +386,9 @@
 
 void load_executors::timeOutPoll(const std::string &id, time_ms sentAt)
 {
-    m_timeline.at(m_timeline.now() + failureDetectionMs, [this, id, sentAt] {
+    const auto executor = m_executors.find(id);
+    const bool atOnce = executor != m_executors.end() && executor->second.connectionsBroken;
+    m_timeline.at(m_timeline.now() + (atOnce ? loadNetworkMs : failureDetectionMs), [this, id, sentAt] {
         m_sink(poll_answered{id, order_status::Unknown, sentAt, {}, {}, {}, {}});
     });
 }
--- a/tests/sched/load_executors.h
+++ b/tests/sched/load_executors.h
@@ -37,6 +37,13 @@
     /** Ends the runs of the executors whose fault is BecomesUnresponsive; from now on these executors answer no order. */
     void disconnectExecutors();
 
+    /** Measures the waits for the next starts of tasks whose runs were lost in crashes; called at short intervals. */
+    void measureWaits();
+    /** Ends the waits of a job that has ended. */
+    void jobEnded(const std::string &job);
+    /** Ends the measuring. */
+    void settleWaits();
+
     /** `restart(vm, executor)` is called when a run has crashed the VM's executor. */
     void setRestart(std::function<void(const std::string &vm, const std::string &executor)> restart);
 
@@ -78,6 +85,7 @@
         std::int64_t lastEndNumber = 0;
         bool unresponsive = false;
         bool terminated = false;
+        bool connectionsBroken = false;
         /** Answers the long poll that waits for an end; empty if there is none. */
         std::function<void()> pendingPoll{};
     };
@@ -88,6 +96,13 @@
     order_status start(const start_run &order);
     /** Crashes the executor shortly after the start of a run that does so. */
     void crashLater(const simulated_executor &executor, const std::string &task);
+    void crash(const std::string &id);
+    /** `detectionMs` later the scheduler is told. */
+    void terminate(simulated_executor &executor, time_ms detectionMs);
+    /** Number of runs of the task that the free capacity of its pool has room for. */
+    int roomFor(const lost_run &run) const;
+    bool isHalfInUse(const std::string &pool) const;
+    bool isRunning(const std::string &job) const;
     void countViolations(const simulated_executor &executor, const std::string &task);
     void finish(const std::string &id, const std::string &task, int number, run_end how);
     void dropRuns(simulated_executor &executor);
@@ -107,6 +122,7 @@
     std::map<std::string, int> m_startsAfterThreeCrashes;
     std::map<std::string, executor_fault> m_faults;
     std::map<std::string, simulated_executor> m_executors;
+    lost_run_waits m_waits;
     /** Number of active runs of each task over all executors. */
     std::map<std::string, int> m_activeRunCounts;
 };
--- a/tests/sched/load_fleet.cpp
+++ b/tests/sched/load_fleet.cpp
@@ -1,13 +1,12 @@
 #include "load_fleet.h"
 
+#include <set>
 #include <utility>
 
 namespace daisypass::sched {
 namespace {
 
 constexpr time_ms moveMs = 1'500;
-// Time until a crashed executor's VM has its next one.
-constexpr time_ms restartMs = 3'100;
 
 } // namespace
 
@@ -19,7 +18,7 @@
     , m_sink(std::move(sink))
 {
     m_executors.setRestart([this](const std::string &vm, const std::string &executor) {
-        m_timeline.at(m_timeline.now() + restartMs, [this, vm, executor] {
+        m_timeline.at(m_timeline.now() + m_settings.restartMs, [this, vm, executor] {
             const vm_entry &entry = m_vms.at(vm);
             if (entry.executor == executor) {
                 startVm(vm, entry.pool);
@@ -31,8 +30,10 @@
 void load_fleet::startVms()
 {
     int vm = 0;
+    std::set<std::string> pools;
     for (const load_queue &queue : m_settings.queues) {
-        for (int i = 0; i < m_settings.vmsPerPool; ++i) {
+        const bool shared = !pools.insert(queue.pool).second;
+        for (int i = 0; !shared && i < m_settings.vmsPerPool; ++i) {
             startVm("vm" + std::to_string(vm++), queue.pool);
         }
     }
--- a/tests/sched/load_model.cpp
+++ b/tests/sched/load_model.cpp
@@ -6,6 +6,7 @@
 #include "load_timeline.h"
 
 #include <optional>
+#include <set>
 #include <utility>
 
 namespace daisypass::sched {
@@ -22,16 +23,20 @@
 {
     configuration_view view;
     view.version = 1;
+    std::set<std::string> pools;
     for (const load_queue &queue : settings.queues) {
         queue_config config;
-        config.key = {"host", "/" + queue.pool + "/"};
+        config.key = {"host", "/" + queue.name() + "/"};
         config.pool = queue.pool;
         config.priority = queue.priority;
         config.maxAttempts = queue.maxAttempts;
         config.stretch = loadObjectiveStretch;
         config.targetDurationMs = loadObjectiveTargetMs;
         view.queues.push_back(config);
-        view.pools.push_back({queue.pool, "/health", false, false});
+        pools.insert(queue.pool);
+    }
+    for (const std::string &pool : pools) {
+        view.pools.push_back({pool, "/health", false, false});
     }
     view.pools.push_back({sparePool, "/health", false, true});
     return view;
@@ -136,6 +141,7 @@
         });
         timeline.repeat(2, tickEveryMs, [this] {
             accumulatePoolTime();
+            executors.measureWaits();
             postOnce(tickPosted, [this] {
                 taskScheduler.handle(lease_renewed{timeline.now()}, timeline.now());
                 taskScheduler.handle(tick{timeline.now()}, timeline.now());
@@ -215,7 +221,10 @@
             ended.completedAt.emplace(job, timeline.now());
         } else if (phase == "failed") {
             ended.failed.insert(job);
+        } else {
+            return;
         }
+        executors.jobEnded(job);
     }
 
     void carryOutActions()
@@ -283,6 +292,7 @@
     {
         build();
         timeline.runUntil(loadStartMs + settings.lengthMs + tailMs);
+        executors.settleWaits();
         evaluateJobs(demand.jobs(), ended, outcome);
         outcome.counts = taskScheduler.counts();
         outcome.longestWaitMs = processor.longestWaitMs();
--- a/tests/sched/load_outcome.cpp
+++ b/tests/sched/load_outcome.cpp
@@ -17,6 +17,9 @@
 constexpr double maxValueFactor = 4.0;
 constexpr time_ms windowMs = 2'000;
 constexpr int largestJobsDivisor = 10;
+// LOST in the platform's rules: 3 s of the wait and the 4 s before them are calm, and it counts from 6 s after the task's last run.
+constexpr time_ms calmMs = 7'000;
+constexpr time_ms roomCountsAfterMs = 6'000;
 
 struct value_sum
 {
@@ -74,13 +77,18 @@
 void evaluateValue(std::span<const simulated_job *const> jobs, const ended_jobs &ended, load_outcome &outcome)
 {
     std::map<time_ms, value_sum> windows;
+    std::map<std::string, value_sum> queues;
     value_sum day;
     for (const simulated_job *job : jobs) {
         const value_sum value = valueOf(*job, ended);
         windows[job->submittedAt / windowMs] += value;
+        queues[job->queue] += value;
         day += value;
     }
     outcome.earnedShare = day.earned / std::max(day.possible, 1e-9);
+    for (const std::pair<const std::string, value_sum> &queue : queues) {
+        outcome.earnedShareByQueue[queue.first] = queue.second.earned / queue.second.possible;
+    }
     std::vector<double> shares;
     shares.reserve(windows.size());
     for (const std::pair<const time_ms, value_sum> &window : windows) {
@@ -90,6 +98,23 @@
     outcome.worstWindowsShare = shares.size() < 2 ? 0 : (shares[0] + shares[1]) / 2;
 }
 
+void countUnfinishedInTime(const std::map<std::string, simulated_job> &all,
+                           std::span<const simulated_job *const> counted,
+                           const ended_jobs &ended,
+                           load_outcome &outcome)
+{
+    time_ms lastArrival = 0;
+    for (const std::pair<const std::string, simulated_job> &job : all) {
+        lastArrival = std::max(lastArrival, job.second.submittedAt);
+    }
+    for (const simulated_job *job : counted) {
+        const auto done = ended.completedAt.find(job->spec.id);
+        const bool inTime = done != ended.completedAt.end() && done->second <= lastArrival + loadFinishMs;
+        const bool due = job->submittedAt + job->objectiveMs <= lastArrival + loadFinishMs;
+        outcome.unfinishedInTime += inTime || !due || ended.failed.contains(job->spec.id) ? 0 : 1;
+    }
+}
+
 void countEnds(std::span<const simulated_job *const> jobs, const ended_jobs &ended, load_outcome &outcome)
 {
     outcome.jobs = static_cast<int>(jobs.size());
@@ -111,15 +136,84 @@
 
 } // namespace
 
+lost_run_waits::lost_run_waits(load_outcome &outcome)
+    : m_outcome(outcome)
+{
+}
+
+void lost_run_waits::executorCrashed(time_ms now)
+{
+    for (const std::pair<const std::string, lost_run> &waiting : m_waiting) {
+        note(waiting.second, now);
+    }
+    m_lastCrashAt = now;
+}
+
+void lost_run_waits::runLost(const lost_run &run)
+{
+    m_waiting[run.task.text()] = run;
+}
+
+void lost_run_waits::started(const std::string &task, time_ms now)
+{
+    const auto found = m_waiting.find(task);
+    if (found != m_waiting.end()) {
+        note(found->second, now);
+        m_waiting.erase(found);
+    }
+}
+
+void lost_run_waits::jobEnded(const std::string &job, time_ms now)
+{
+    std::erase_if(m_waiting, [&](const std::pair<const std::string, lost_run> &waiting) {
+        const bool ended = waiting.second.task.job == job;
+        if (ended) {
+            note(waiting.second, now);
+        }
+        return ended;
+    });
+}
+
+void lost_run_waits::measure(time_ms now, const std::function<bool(const lost_run &)> &hasRoom)
+{
+    for (std::pair<const std::string, lost_run> &waiting : m_waiting) {
+        lost_run &run = waiting.second;
+        if (now - run.lostAt < roomCountsAfterMs || !hasRoom(run)) {
+            run.noRoomAt = now;
+        }
+        longest_waits &longest = run.longRunning ? m_outcome.longRunningWaits : m_outcome.otherWaits;
+        longest.withRoomMs = std::max(longest.withRoomMs, now - run.noRoomAt);
+    }
+}
+
+void lost_run_waits::settle(time_ms now)
+{
+    for (const std::pair<const std::string, lost_run> &waiting : m_waiting) {
+        note(waiting.second, now);
+    }
+    m_waiting.clear();
+}
+
+void lost_run_waits::note(const lost_run &run, time_ms now)
+{
+    longest_waits &longest = run.longRunning ? m_outcome.longRunningWaits : m_outcome.otherWaits;
+    longest.anyMs = std::max(longest.anyMs, now - run.lostAt);
+    if (now - m_lastCrashAt >= calmMs) {
+        longest.calmMs = std::max(longest.calmMs, now - run.lostAt);
+    }
+}
+
 void evaluateJobs(const std::map<std::string, simulated_job> &jobs, const ended_jobs &ended, load_outcome &outcome)
 {
     const std::vector<const simulated_job *> sorted = sortByWork(jobs);
     evaluateValue(sorted, ended, outcome);
     countEnds(sorted, ended, outcome);
+    countUnfinishedInTime(jobs, sorted, ended, outcome);
     for (const std::pair<const std::string, simulated_job> &job : jobs) {
         outcome.crashingJobs += job.second.crashingTask.empty() ? 0 : 1;
         outcome.givenUp += !job.second.crashingTask.empty() && ended.failed.contains(job.first) ? 1 : 0;
     }
+    outcome.crashesPerCrashingJob = static_cast<double>(outcome.crashes) / std::max(1, outcome.crashingJobs);
 }
 
 } // namespace daisypass::sched
--- a/tests/sched/load_settings.cpp
+++ b/tests/sched/load_settings.cpp
@@ -2,6 +2,11 @@
 
 namespace daisypass::sched {
 
+const std::string &load_queue::name() const
+{
+    return ownName.empty() ? pool : ownName;
+}
+
 processor_costs processor_costs::slowedBy(double factor) const
 {
     return {factor * message, factor * jobConsidered, factor * executorConsidered, factor * runChecked, factor * vmPlanned};
@@ -19,6 +24,25 @@
     return settings;
 }
 
+load_settings steadyDay(std::uint64_t seed)
+{
+    load_settings settings = referenceDay(seed);
+    settings.peakFactor = 1;
+    settings.offPeakFactor = 1;
+    settings.restartMs = 3'300;
+    settings.crashBreaksConnections = true;
+    return settings;
+}
+
+load_settings withoutCrashingTasks(load_settings settings)
+{
+    // The share stays, so that the other draws do too.
+    for (load_queue &queue : settings.queues) {
+        queue.crashingUntil = queue.crashingFrom;
+    }
+    return settings;
+}
+
 load_settings largeFleetDay(std::uint64_t seed)
 {
     load_settings settings;
--- a/tests/sched/load_settings.h
+++ b/tests/sched/load_settings.h
@@ -8,6 +8,7 @@
 #include "sched/model.h"
 
 #include <cstdint>
+#include <limits>
 #include <string>
 #include <vector>
 
@@ -38,6 +39,13 @@
     double taskMsMax = 20'000;
     /** Share of jobs whose first task crashes every executor that starts it. */
     double crashingShare = 0;
+    /** When such jobs arrive, from the first arrival on. */
+    time_ms crashingFrom = 0;
+    time_ms crashingUntil = std::numeric_limits<time_ms>::max();
+    /** The queue's name if it isn't the pool's; queues can share a pool. */
+    std::string ownName{};
+
+    const std::string &name() const;
 };
 
 /** Processor time that parts of the lease holder's work take, in microseconds. */
@@ -67,8 +75,9 @@
     time_ms lengthMs = 34'000;
     /** Rate limit of the fleet service. */
     double fleetOrdersPerSecond = 64;
-    /** The queues peak in turn, each for `peakMs` at this multiple of its mean rate. Outside its peak a queue gets a twentieth of it. */
+    /** The queues peak in turn, each for `peakMs` at this multiple of its mean rate. Outside its peak a queue gets `offPeakFactor` of it. */
     double peakFactor = 4.0;
+    double offPeakFactor = 0.05;
     time_ms peakMs = 8'000;
     /** Executors that fail every run, and executors whose runs make no progress. */
     int failingExecutors = 0;
@@ -78,12 +87,20 @@
     /** The store answers no call of the lease holder from this time after the first arrival, for `storeOutageMs`. */
     time_ms storeOutageAt = 0;
     time_ms storeOutageMs = 0;
+    /** Time until the VM of an executor that crashed has its next one. */
+    time_ms restartMs = 3'100;
+    /** Polls of an executor that crashed fail at once and not after a timeout, and its entry remains until the VM has its next executor. */
+    bool crashBreaksConnections = false;
     /** All zero for a processor that takes no time. */
     processor_costs costs;
 };
 
 /** The first user's day: four queues of short and longer work, each with its pool, and the spare pool. */
 load_settings referenceDay(std::uint64_t seed);
+/** The reference day with arrivals at the mean rates, on executors that crash and start again as on the platform. */
+load_settings steadyDay(std::uint64_t seed);
+/** The same day, job for job, without tasks that crash executors. */
+load_settings withoutCrashingTasks(load_settings settings);
 /** A day of a fleet of 1,097 VMs with the same kinds of queues, on a real processor. */
 load_settings largeFleetDay(std::uint64_t seed);
 
