Try suspects that crashed an executor alone together while more crashes of their queue are expected

Cause: each trial of such a task takes an executor away for 3.4 s, and each task needed one of its own.

Change: suspects of that kind whose queues are watched share an executor, six at most. Its crash counts for each of them that certainly ran; one whose start wasn't confirmed may have come too late. Each has then crashed one executor alone and one in company of its like. An executor that survives clears all of them. Outside of a series a task is still judged by two crashes as the only suspect.

--- a/src/sched/executor_record.h
+++ b/src/sched/executor_record.h
@@ -102,10 +102,10 @@
     abandoned_runs abandoned;
 
     /**
-     * The suspect for which the executor is kept, or that runs here and whose start the executor isn't known to have survived. It gets no
-     * other runs meanwhile, so that a crash has one suspect and takes no further runs along.
+     * The suspects for which the executor is kept, or that run here and whose starts the executor isn't known to have survived. It gets no
+     * other runs meanwhile, so that a crash has no other suspects and takes no further runs along.
      */
-    std::optional<task_id> probation;
+    std::set<task_id> probation;
     /** No new runs before this time. */
     time_ms backoffUntil = 0;
     int consecutiveFailures = 0;
@@ -150,10 +150,10 @@
 
     bool takesNewRuns(time_ms now) const
     {
-        return !probation && mayRunSuspect(now);
+        return probation.empty() && mayRunSuspect(now);
     }
 
-    /** Whether it takes the run of the suspect for which it is kept. */
+    /** Whether it takes the runs of the suspects for which it is kept. */
     bool mayRunSuspect(time_ms now) const
     {
         return listed && isResponsive() && !entry.draining && !reserved && backoffUntil <= now;
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -197,6 +197,8 @@
     std::vector<run_start> startsOn(const executor_record &executor) const;
     /** Counts the crash of the executor's incarnation against the runs that can be the reason, unless it ended as planned. */
     void recordCrash(executor_record &executor, time_ms now);
+    /** Whether an executor has crashed under each of them alone, in queues whose tasks crash executors. */
+    bool wereAllSole(const std::vector<task_id> &suspects, time_ms now) const;
     /** Takes back what was counted against single tasks just now: executors have crashed for another reason. */
     void recordUnexplainedCrash(time_ms now);
     /** Gives up the tasks under which executors have crashed, if nothing else has explained the crashes meanwhile. */
@@ -205,9 +207,12 @@
     bool awaitsJudgement(const task_id &id, task_record &task, time_ms now);
     /** Whether the executor is known to have survived all starts of its runs. */
     bool hasSurvivedItsStarts(const executor_record &executor) const;
-    /** Ends the probation if the executor has survived the suspect's start, or if the suspect doesn't need it any more. */
+    /** Ends the probation of the suspects whose starts the executor has survived, and of those that don't need it any more. */
     void settleProbation(executor_record &executor);
-    void endProbation(executor_record &executor);
+    void settleProbation(executor_record &executor, const task_id &id);
+    void endProbation(executor_record &executor, const task_id &id);
+    /** The task's record; null if its job is not known any more. */
+    const task_record *taskOf(const task_id &id) const;
     /** Makes the executor's next poll due at once; it will return without waiting for a run to end. */
     void requestPoll(executor_record &executor);
     /** Takes back that the executor was marked dead, because it is alive. */
@@ -227,8 +232,8 @@
     /** The longest lease that may be granted now; 0 if none may be granted. */
     time_ms grantableLeaseMs(time_ms now) const;
     bool runsLatencyAndBestEffortTasks(const executor_record &executor) const;
-    /** The same for an executor that is kept for this suspect. */
-    std::int64_t trialPollWaitMs(const task_id &id, time_ms now) const;
+    /** The same for an executor that is kept for suspects. */
+    std::int64_t trialPollWaitMs(const executor_record &executor, time_ms now) const;
     /** How long the executor may delay its answer to the next poll while no run ends. */
     std::int64_t pollWaitMs(const executor_record &executor, time_ms now) const;
     void acknowledgeStored();
--- a/src/sched/scheduler_crashes.cpp
+++ b/src/sched/scheduler_crashes.cpp
@@ -63,6 +63,15 @@
     return starts.size() == executor.runs.size() && crashSuspects(starts, executor.clockAt).empty();
 }
 
+// Suspects that are tried together: an executor has crashed under each of them alone, and their queues' tasks crash executors.
+bool scheduler::wereAllSole(const std::vector<task_id> &suspects, time_ms now) const
+{
+    return !suspects.empty() && std::all_of(suspects.begin(), suspects.end(), [this, now](const task_id &id) {
+        const task_record *task = taskOf(id);
+        return task != nullptr && !task->crashRuns.empty() && m_crashWatch.expectsCrashes(m_jobs.at(id.job)->spec.queue, now);
+    });
+}
+
 // An executor that drains or whose VM is reserved for an order has ended as planned. One that was marked dead before was counted then.
 void scheduler::recordCrash(executor_record &executor, time_ms now)
 {
@@ -71,16 +80,18 @@
     }
     const std::vector<task_id> suspects = crashSuspects(startsOn(executor), executor.clockAt);
     const bool othersCrash = m_unexplainedCrashAt && now - *m_unexplainedCrashAt < unexplainedCrashMs;
+    const bool noOtherReason = !othersCrash && (suspects.size() == 1 || wereAllSole(suspects, now));
     std::string names;
     for (const task_id &suspect : suspects) {
         names += (names.empty() ? "" : " ") + suspect.text();
         job_record &job = *m_jobs.at(suspect.job);
         task_record &task = *job.find(suspect);
-        const bool alone = suspects.size() == 1 && !othersCrash;
-        addRun(alone ? task.crashRuns : task.suspectRuns, task.run);
+        // A task that was started together with others can have come too late to run before the crash.
+        const bool counts = noOtherReason && (suspects.size() == 1 || task.phase == task_phase::Running);
+        addRun(counts ? task.crashRuns : task.suspectRuns, task.run);
         m_suspects.insert(suspect);
         markDirty(job, row_wait::StartOrEnd);
-        if (alone) {
+        if (counts) {
             m_recentCrashes.push_back({suspect, task.run, now});
             m_crashWatch.crashed(job.spec.queue, job.spec.id, now);
         }
@@ -150,12 +161,22 @@
     return true;
 }
 
+const task_record *scheduler::taskOf(const task_id &id) const
+{
+    const auto job = m_jobs.find(id.job);
+    return job == m_jobs.end() ? nullptr : job->second->find(id);
+}
+
 void scheduler::settleProbation(executor_record &executor)
 {
-    if (!executor.probation) {
-        return;
+    const std::set<task_id> suspects = executor.probation;
+    for (const task_id &id : suspects) {
+        settleProbation(executor, id);
     }
-    const task_id id = *executor.probation;
+}
+
+void scheduler::settleProbation(executor_record &executor, const task_id &id)
+{
     const auto job = m_jobs.find(id.job);
     task_record *task = job == m_jobs.end() ? nullptr : job->second->find(id);
     const bool waits = task != nullptr && task->phase == task_phase::Waiting && task->probationExecutor == executor.entry.id;
@@ -166,7 +187,7 @@
     }
     const bool here = task != nullptr && task->occupies() && task->executor == executor.entry.id;
     if (!here) {
-        endProbation(executor);
+        endProbation(executor, id);
         return;
     }
     if (task->phase == task_phase::Running && hasSurvived({id, task->confirmedAt}, executor.clockAt)) {
@@ -177,18 +198,18 @@
             markDirty(*job->second);
         }
         job->second->occurrences.at(id.occurrence).steps[static_cast<std::size_t>(id.step)].proven = true;
-        endProbation(executor);
+        endProbation(executor, id);
     }
 }
 
-void scheduler::endProbation(executor_record &executor)
+void scheduler::endProbation(executor_record &executor, const task_id &id)
 {
-    const auto job = m_jobs.find(executor.probation->job);
-    task_record *task = job == m_jobs.end() ? nullptr : job->second->find(*executor.probation);
+    const auto job = m_jobs.find(id.job);
+    task_record *task = job == m_jobs.end() ? nullptr : job->second->find(id);
     if (task != nullptr && task->probationExecutor == executor.entry.id) {
         task->probationExecutor.clear();
     }
-    executor.probation.reset();
+    executor.probation.erase(id);
     m_placementPending = true;
 }
 
--- a/src/sched/scheduler_place.cpp
+++ b/src/sched/scheduler_place.cpp
@@ -20,6 +20,8 @@
 constexpr double maintenanceDueWeight = 1e8;
 constexpr double failedHereWeight = 1e10;
 constexpr double slowExecutorWeight = 1e7;
+// At most so many suspects are tried on one executor together.
+constexpr std::size_t maxSuspectsPerTrial = 6;
 // Minimum remaining validity of a ticket, so that it is still valid when the start order arrives.
 constexpr time_ms minTicketValidityMs = 300;
 // A task that has waited this long for its next run is logged.
@@ -68,6 +70,8 @@
     /** The pools for whose ready tasks the previous pass found no executor. */
     std::set<std::string> scarcePools{};
     std::map<queue_key, bool> expectsCrashes{};
+    /** The executors on which this pass has placed suspects that others may join. */
+    std::map<std::string, std::vector<executor_record *>> startedTogether{};
 
     // The pool's executors that take new runs. They are collected when the first job of the pool needs them.
     const placement_candidates &candidatesOf(const std::string &pool)
@@ -235,9 +239,8 @@
         if (listed != owner.m_poolExecutors.end()) {
             for (const executor_record *executor : listed->second) {
                 executors += executor->dead ? 0 : 1;
-                if (!executor->dead && executor->probation) {
-                    const auto job = owner.m_jobs.find(executor->probation->job);
-                    const task_record *task = job == owner.m_jobs.end() ? nullptr : job->second->find(*executor->probation);
+                if (!executor->dead && !executor->probation.empty()) {
+                    const task_record *task = owner.taskOf(*executor->probation.begin());
                     kept.push_back(task == nullptr ? suspicion::Untried : suspicionOf(*task));
                 }
             }
@@ -331,7 +334,7 @@
             const auto kept = owner.m_executors.find(task.probationExecutor);
             if (kept != owner.m_executors.end()) {
                 // The step needs no trial any more.
-                owner.endProbation(kept->second);
+                owner.endProbation(kept->second, {ready.job->spec.id, ready.occurrence->number, ready.step, static_cast<int>(index)});
             }
             executor_record *chosen = choose(stepSpec, task, candidates, here);
             if (chosen == nullptr) {
@@ -399,15 +402,39 @@
             return;
         }
         if (!candidates.contains(*executor) || !allowed(stepSpec, stepSpec.countedDemand(), *executor, here)) {
-            owner.endProbation(*executor);
+            owner.endProbation(*executor, suspect.task);
             return;
         }
-        if (!owner.hasSurvivedItsStarts(*executor)) {
+        std::vector<executor_record *> &started = startedTogether[executor->entry.pool];
+        const bool joins = std::find(started.begin(), started.end(), executor) != started.end();
+        if (!joins && !owner.hasSurvivedItsStarts(*executor)) {
             task.waitCause = wait_cause::KeptBusy;
             return;
         }
         assign(ready, stepSpec, suspect.task.index, task.run + 1, *executor);
         owner.requestPoll(*executor);
+        if (!joins && mayShareTrial(suspect)) {
+            started.push_back(executor);
+        }
+    }
+
+    // Suspects that have crashed an executor alone are tried together where crashes are expected: one more crash then judges all of them.
+    bool mayShareTrial(const waiting_suspect &suspect)
+    {
+        return suspect.kind == suspicion::Sole && crashesExpected(owner.m_jobs.at(suspect.task.job)->spec.queue);
+    }
+
+    executor_record *joinTrial(const waiting_suspect &suspect, const step_spec &stepSpec, const std::string &pool, const std::map<std::string, int> &here)
+    {
+        if (!mayShareTrial(suspect)) {
+            return nullptr;
+        }
+        for (executor_record *executor : startedTogether[pool]) {
+            if (executor->probation.size() < maxSuspectsPerTrial && allowed(stepSpec, stepSpec.countedDemand(), *executor, here)) {
+                return executor;
+            }
+        }
+        return nullptr;
     }
 
     // Prefers the executor with the fewest long-running tasks, and among those the one with the most free cpu: a crash takes the fewest
@@ -419,12 +446,17 @@
                                     const std::map<std::string, int> &here,
                                     trial_quota &quota)
     {
-        executor_record *best = nullptr;
+        executor_record *best = joinTrial(suspect, stepSpec, owner.poolOf(*owner.m_jobs.at(suspect.task.job)), here);
+        if (best != nullptr) {
+            best->probation.insert(suspect.task);
+            task.probationExecutor = best->entry.id;
+            return best;
+        }
         std::tuple<int, double, std::int64_t> bestRank;
         for (auto candidate = candidates.firstWith(0); candidate != candidates.end(); ++candidate) {
             executor_record &executor = *candidate->executor;
             ++owner.m_counts.executorsConsidered;
-            if (executor.probation || !allowed(stepSpec, stepSpec.countedDemand(), executor, here)) {
+            if (!executor.probation.empty() || !allowed(stepSpec, stepSpec.countedDemand(), executor, here)) {
                 continue;
             }
             const std::tuple<int, double, std::int64_t> rank{executor.longRunningRuns, penaltyOf(stepSpec, task, executor), -candidate->freeCpu};
@@ -437,7 +469,7 @@
         if (best == nullptr || !quota.take(suspect.kind)) {
             return nullptr;
         }
-        best->probation = suspect.task;
+        best->probation.insert(suspect.task);
         task.probationExecutor = best->entry.id;
         owner.requestPoll(*best);
         return best;
@@ -467,7 +499,7 @@
         for (auto candidate = candidates.firstWith(demand.cpu); candidate != candidates.end(); ++candidate) {
             ++owner.m_counts.executorsConsidered;
             executor_record &executor = *candidate->executor;
-            if (executor.probation || !allowed(stepSpec, demand, executor, here)) {
+            if (!executor.probation.empty() || !allowed(stepSpec, demand, executor, here)) {
                 continue;
             }
             const double penalty = penaltyOf(stepSpec, task, executor);
--- a/src/sched/scheduler_polls.cpp
+++ b/src/sched/scheduler_polls.cpp
@@ -84,23 +84,26 @@
 }
 
 // The answer to a poll shows that a start has been survived only if it comes late enough after the start's confirmation.
-std::int64_t scheduler::trialPollWaitMs(const task_id &id, time_ms now) const
+std::int64_t scheduler::trialPollWaitMs(const executor_record &executor, time_ms now) const
 {
-    const auto job = m_jobs.find(id.job);
-    const task_record *task = job == m_jobs.end() ? nullptr : job->second->find(id);
-    if (task != nullptr && task->phase == task_phase::Running) {
-        return std::max(unconfirmedTrialPollMs, task->confirmedAt + startSurvivedMs - now);
+    std::int64_t wait = startSurvivedMs;
+    for (const task_id &id : executor.probation) {
+        const task_record *task = taskOf(id);
+        if (task != nullptr && task->phase == task_phase::Running) {
+            wait = std::min(wait, std::max(unconfirmedTrialPollMs, task->confirmedAt + startSurvivedMs - now));
+        } else if (task != nullptr && (task->phase == task_phase::Placing || task->phase == task_phase::Starting)) {
+            wait = unconfirmedTrialPollMs;
+        }
     }
-    const bool starts = task != nullptr && (task->phase == task_phase::Placing || task->phase == task_phase::Starting);
-    return starts ? unconfirmedTrialPollMs : startSurvivedMs;
+    return wait;
 }
 
 // Drains wait for the first list requested after the stops of earlier lease holders have taken effect, so that poll must not be
 // delayed.
 std::int64_t scheduler::pollWaitMs(const executor_record &executor, time_ms now) const
 {
-    if (executor.probation) {
-        return trialPollWaitMs(*executor.probation, now);
+    if (!executor.probation.empty()) {
+        return trialPollWaitMs(executor, now);
     }
     const std::int64_t wait = runsLatencyAndBestEffortTasks(executor) ? throttlingPollTimeoutMs : pollTimeoutMs;
     const time_ms stopsOverIn = std::max<time_ms>(0, executor.confirmedAt + m_bounds.stopMs - now);
--- a/src/sched/scheduler_runs.cpp
+++ b/src/sched/scheduler_runs.cpp
@@ -33,8 +33,8 @@
         if (found->second.runs.empty()) {
             found->second.emptySince = now;
         }
-        if (found->second.probation == id) {
-            endProbation(found->second);
+        if (found->second.probation.contains(id)) {
+            endProbation(found->second, id);
         }
     }
     job_record &job = *m_jobs.at(id.job);
