Start long-running tasks again after runs that ended as done

Callers saw a long-running task stay away for good once one of its runs had ended as done, although such tasks run until their job is cancelled. A job whose tasks had all ended so was shown as completed.

The cause: scheduler::applyEnd() passed each end "done" to completeTask(), without a look at step_spec::longRunning. An end "done" of an earlier run also stopped the run that was at work.

Such an end now only returns the task to its waiting state, and the next run starts from the beginning. An end of an earlier run changes nothing. The members of a gang wait until all of them have ended, as after a failure. Runs that end at once are started at most once a second. A takeover starts long-running tasks again that a former version stored as done. Rows of jobs that a former version stored as completed, and occurrences that it dropped, stay as they are, because they no longer have the run numbers.

Without the change, the new tests fail: no further start after the end, with and without a gang, and none after a takeover from such a row.

--- a/src/sched/job_record.cpp
+++ b/src/sched/job_record.cpp
@@ -132,7 +132,9 @@
     task->executor = row[6].get<std::string>();
     task->checkpoint = row[7].get<std::string>();
     step_record &step = job.occurrences.at(row[0].get<int>()).steps[static_cast<std::size_t>(row[1].get<int>())];
-    if (kind == kindDone) {
+    // Former versions stored a long-running task as done when a run had ended so. It is still to be run.
+    const bool lasts = job.spec.steps[static_cast<std::size_t>(row[1].get<int>())].longRunning;
+    if (kind == kindDone && !lasts) {
         task->phase = task_phase::Done;
         ++step.done;
         --step.waiting;
--- a/src/sched/scheduler_runs.cpp
+++ b/src/sched/scheduler_runs.cpp
@@ -11,6 +11,8 @@
 constexpr int failuresBeforeBackoff = 2;
 constexpr time_ms firstFailureBackoffMs = 1'000;
 constexpr time_ms maxFailureBackoffMs = 8'000;
+// Minimum time between two starts of a long-running task whose runs end as done. Each start costs a transaction of the store.
+constexpr time_ms minRestartIntervalMs = 1'000;
 
 } // namespace
 
@@ -92,22 +94,23 @@
     if (task == nullptr || task->phase == task_phase::Done) {
         return;
     }
+    const step_spec &stepSpec = job.spec.steps[static_cast<std::size_t>(end.task.step)];
     const bool current = task->occupies() && task->run == end.run && task->executor == executor.entry.id;
-    if (end.how == run_end::Done) {
+    if (end.how == run_end::Done && !stepSpec.longRunning) {
         // A completed run completes the task, even if it isn't the task's current run.
         if (task->occupies() && !current) {
-            abandonRun(end.task, *task, job.spec.steps[static_cast<std::size_t>(end.task.step)], now);
+            abandonRun(end.task, *task, stepSpec, now);
         }
         ++m_counts.doneRuns;
         if (current) {
-            updateSlowness(executor, job.spec.steps[static_cast<std::size_t>(end.task.step)], *task, now);
+            updateSlowness(executor, stepSpec, *task, now);
         }
         completeTask(job, end.task, *task, now);
         return;
     }
     if (current) {
         endRun(job, end.task, *task, end.how, end.checkpoint, now);
-    } else if (end.how == run_end::Failed && !job.spec.steps[static_cast<std::size_t>(end.task.step)].longRunning && task->countFailure(end.run)) {
+    } else if (end.how == run_end::Failed && !stepSpec.longRunning && task->countFailure(end.run)) {
         markDirty(job);
         failIfOutOfAttempts(job, end.task, *task, now);
     }
@@ -138,7 +141,14 @@
         failTask(job, id, task, now);
         return;
     }
-    ++m_counts.otherEnds;
+    if (how == run_end::Done) {
+        // Only the end of a long-running task's run comes here. The next run starts from the beginning.
+        ++m_counts.doneRuns;
+        task.checkpoint.clear();
+        task.notBefore = task.startSentAt + minRestartIntervalMs;
+    } else {
+        ++m_counts.otherEnds;
+    }
     logEvent("run_ended", {{"task", id.text()}, {"run", std::to_string(task.run)}, {"how", std::string(nameOf(how))}, {"executor", task.executor}});
     release(id, job.spec.steps[static_cast<std::size_t>(id.step)], task, now);
     markDirty(job);
