Keep a queue's attempts and advice with each job

Callers saw a job given up after one failed run while its queue was missing from the configuration, although MaxAttempts was 4 in every configuration that had the queue. The same happened at a lease holder that had recovered the jobs before it could read a configuration.

The cause: scheduler::failIfOutOfAttempts() took MaxAttempts as 1 without the queue. Likewise, the steps of a queue with advice were started without a ticket.

MaxAttempts and the queue's advice are now stored with the submission, as the pool already was, and used while the configuration doesn't have the queue. For a submission that a former version stored, the lease holder takes them from the configuration and keeps them in the job's state row. If neither has them, a failed task waits until a configuration has the queue, which then decides. Former versions ignore the new keys of both rows.

With the former scheduler_runs.cpp and scheduler_place.cpp, three of the four new test cases fail: the job is failed after the first failed run, and the step is started without a ticket. The fourth covers the rows.

--- a/src/platform/records.cpp
+++ b/src/platform/records.cpp
@@ -391,6 +391,12 @@
     putNonZero(body, "IntervalMs", job.intervalMs);
     body["accepted_unix_ms"] = job.acceptedUnixMs;
     body["pool"] = job.pool;
+    if (job.terms) {
+        body["attempts"] = job.terms->maxAttempts;
+        if (job.terms->requiresAdvice) {
+            body["advice_ms"] = job.terms->adviceValidMs;
+        }
+    }
     return wire::dump(body);
 }
 
@@ -404,6 +410,10 @@
     job->queue = {wire::stringIn(*body, "host").value_or(""), wire::stringIn(*body, "prefix").value_or("")};
     job->acceptedUnixMs = wire::integerIn(*body, "accepted_unix_ms").value_or(0);
     job->pool = wire::stringIn(*body, "pool").value_or("");
+    if (const std::optional<std::int64_t> attempts = wire::integerIn(*body, "attempts")) {
+        const std::optional<std::int64_t> adviceMs = wire::integerIn(*body, "advice_ms");
+        job->terms = sched::queue_terms{static_cast<int>(*attempts), adviceMs.has_value(), adviceMs.value_or(0)};
+    }
     return job;
 }
 
--- a/src/platform/records.h
+++ b/src/platform/records.h
@@ -33,7 +33,7 @@
 std::optional<sched::executor_entry> readExecutor(std::string_view id, std::string_view text, failure &reason);
 std::optional<sched::vm_entry> readVm(const wire::json &item);
 
-/** Reads a submission's body. The caller must set the job's id, queue, pool and time of acceptance. */
+/** Reads a submission's body. The caller must set the job's id, queue, pool, terms and time of acceptance. */
 std::optional<sched::job_spec> readSubmission(std::string_view body, failure &reason);
 /** The body of an answer with a job's state. */
 std::string encodeJobState(std::string_view state);
--- a/src/sched/job_record.cpp
+++ b/src/sched/job_record.cpp
@@ -80,6 +80,22 @@
     row += ']';
 }
 
+std::optional<queue_terms> readTerms(const json &row)
+{
+    const auto attempts = row.find("attempts");
+    if (attempts == row.end() || !attempts->is_number_integer()) {
+        return std::nullopt;
+    }
+    queue_terms terms;
+    terms.maxAttempts = attempts->get<int>();
+    const auto adviceMs = row.find("advice_ms");
+    terms.requiresAdvice = adviceMs != row.end() && adviceMs->is_number_integer();
+    if (terms.requiresAdvice) {
+        terms.adviceValidMs = adviceMs->get<std::int64_t>();
+    }
+    return terms;
+}
+
 std::vector<int> readNumbers(const json &row)
 {
     std::vector<int> numbers;
@@ -183,6 +199,8 @@
         return "none_to_keep";
     case wait_cause::KeptBusy:
         return "kept_busy";
+    case wait_cause::AttemptsUnknown:
+        return "attempts_unknown";
     }
     return "none";
 }
@@ -220,6 +238,7 @@
 
 job_record::job_record(job_spec jobSpec)
     : spec(std::move(jobSpec))
+    , terms(spec.terms)
 {
     criticalPathMs = criticalPathOf(spec.steps, nullptr);
 }
@@ -350,6 +369,13 @@
     if (job.firstOpen > 0) {
         row += ",\"first_open\":" + std::to_string(job.firstOpen);
     }
+    if (job.terms && !job.spec.terms && !job.ended()) {
+        // Only jobs of former versions need their terms here.
+        row += ",\"attempts\":" + std::to_string(job.terms->maxAttempts);
+        if (job.terms->requiresAdvice) {
+            row += ",\"advice_ms\":" + std::to_string(job.terms->adviceValidMs);
+        }
+    }
     if (tasks.size() > 1) {
         row += ",\"tasks\":" + tasks + ']';
     }
@@ -379,6 +405,7 @@
     }
     job.phase = static_cast<job_phase>(found - phaseNames.begin());
     job.firstOpen = value.value("first_open", 0);
+    job.terms = job.spec.terms ? job.spec.terms : readTerms(value);
     job.occurrences.clear();
     const json tasks = value.value("tasks", json::array());
     int lastOccurrence = job.spec.repeatCount > 0 ? job.firstOpen - 1 : 0;
--- a/src/sched/job_record.h
+++ b/src/sched/job_record.h
@@ -52,6 +52,8 @@
     NoneToKeep,
     /** The executor that is kept for the task hasn't survived its other starts. */
     KeptBusy,
+    /** The task has failed, and it isn't known how often it may. */
+    AttemptsUnknown,
 };
 
 std::string_view nameOf(wait_cause cause);
@@ -193,6 +195,8 @@
     explicit job_record(job_spec jobSpec);
 
     job_spec spec;
+    /** The terms of the submission, or for a job of a former version those that the configuration had; empty if neither is known. */
+    std::optional<queue_terms> terms;
     job_phase phase = job_phase::Pending;
     std::map<int, occurrence_record> occurrences;
     /** Occurrences below this number are finished and were dropped. */
--- a/src/sched/model.h
+++ b/src/sched/model.h
@@ -89,6 +89,15 @@
     }
 };
 
+/** What a queue decides about the fate of its jobs. */
+struct queue_terms
+{
+    int maxAttempts = 1;
+    /** A step may run only on executors for which the queue's advice service has issued a ticket. */
+    bool requiresAdvice = false;
+    std::int64_t adviceValidMs = 0;
+};
+
 struct job_spec
 {
     std::string id;
@@ -105,6 +114,8 @@
     std::int64_t acceptedUnixMs = 0;
     /** The queue's pool when the submission was stored; used if the configuration no longer has the queue. */
     std::string pool;
+    /** The same for the queue's terms; empty if a former version stored the submission. */
+    std::optional<queue_terms> terms;
 };
 
 /** Identifies a task by job, occurrence, step and index in the step. */
@@ -183,21 +194,17 @@
     std::int64_t warmupLeftMs = 0;
 };
 
-struct queue_config
+struct queue_config : queue_terms
 {
     queue_key key;
     std::string name;
     std::string pool;
     /** 0 is the highest priority. */
     int priority = 0;
-    int maxAttempts = 1;
     /** A job meets its objective if it ends within `stretch` times its longest chain of estimates plus targetDurationMs. */
     double stretch = 1.0;
     std::int64_t targetDurationMs = 0;
     std::int64_t timeoutMs = 0;
-    /** A step may run only on executors for which the queue's advice service has issued a ticket. */
-    bool requiresAdvice = false;
-    std::int64_t adviceValidMs = 0;
 };
 
 struct pool_config
--- a/src/sched/scheduler.cpp
+++ b/src/sched/scheduler.cpp
@@ -125,6 +125,7 @@
             m_repeatingJobs.insert(spec.id);
         }
         addToBacklog(restored);
+        keepTerms(restored, now);
     } else {
         restored.endedAt = now;
         m_endedJobs.push_back(spec.id);
@@ -157,6 +158,40 @@
     return found == m_queues.end() ? nullptr : &found->second;
 }
 
+const queue_terms *scheduler::termsOf(const job_record &job) const
+{
+    const queue_config *queue = queueOf(job);
+    if (queue != nullptr) {
+        return queue;
+    }
+    return job.terms ? &*job.terms : nullptr;
+}
+
+void scheduler::keepTerms(job_record &job, time_ms now)
+{
+    const queue_config *queue = queueOf(job);
+    if (job.terms || job.ended() || queue == nullptr) {
+        return;
+    }
+    job.terms = static_cast<const queue_terms &>(*queue);
+    std::vector<task_id> failed;
+    const auto collect = [&failed](const task_id &id, const task_record &task) {
+        if (task.failures() > 0) {
+            failed.push_back(id);
+        }
+    };
+    job.forEachIn(task_phase::Waiting, collect);
+    job.forEachOccupying(collect);
+    for (const task_id &id : failed) {
+        failIfOutOfAttempts(job, id, *job.find(id), now);
+    }
+}
+
+bool scheduler::mayRetry(const job_record &job, const task_record &task) const
+{
+    return task.failures() == 0 || termsOf(job) != nullptr;
+}
+
 const std::string &scheduler::poolOf(const job_record &job) const
 {
     const queue_config *queue = queueOf(job);
@@ -177,6 +212,11 @@
     for (const pool_config &pool : what.view.pools) {
         m_pools[pool.name] = pool;
     }
+    const std::vector<std::string> jobs(m_activeJobs.begin(), m_activeJobs.end());
+    for (const std::string &id : jobs) {
+        keepTerms(*m_jobs.at(id), now);
+    }
+    m_placementPending = true;
 }
 
 void scheduler::on(const job_submitted &what, time_ms now)
@@ -197,6 +237,7 @@
     }
     job_record &added = *m_jobs.emplace(what.job.id, std::move(job)).first->second;
     addToBacklog(added);
+    keepTerms(added, now);
 }
 
 void scheduler::addToBacklog(job_record &job)
--- a/src/sched/scheduler_place.cpp
+++ b/src/sched/scheduler_place.cpp
@@ -279,8 +279,8 @@
             noteWait(ready, 0, wait_cause::NotConsidered);
             return;
         }
-        const queue_config *queue = owner.queueOf(*ready.job);
-        if (queue != nullptr && queue->requiresAdvice) {
+        const queue_terms *terms = owner.termsOf(*ready.job);
+        if (terms != nullptr && terms->requiresAdvice) {
             placement_candidates withTicket = candidatesWithTicket(ready, candidates);
             placeAmong(ready, stepSpec, withTicket, refused, true);
             return;
@@ -328,6 +328,10 @@
             if (task.phase != task_phase::Waiting || task.notBefore > now) {
                 continue;
             }
+            if (!owner.mayRetry(*ready.job, task)) {
+                task.waitCause = wait_cause::AttemptsUnknown;
+                continue;
+            }
             if (task.isSuspect()) {
                 continue;
             }
@@ -560,7 +564,7 @@
         step_record &record = ready.occurrence->steps[static_cast<std::size_t>(ready.step)];
         int run = 0;
         for (const task_record &task : record.tasks) {
-            if (task.phase != task_phase::Waiting || task.notBefore > now) {
+            if (task.phase != task_phase::Waiting || task.notBefore > now || !owner.mayRetry(*ready.job, task)) {
                 return;
             }
             run = std::max(run, task.run);
@@ -698,8 +702,8 @@
         logEvent("advice_refused", {{"request", what.job}, {"step", std::to_string(what.step)}, {"reason", std::string(nameOf(what.status))}});
         return;
     }
-    const queue_config *queue = queueOf(*found->second);
-    const std::int64_t validMs = what.validMs > 0 ? what.validMs : (queue == nullptr ? 0 : queue->adviceValidMs);
+    const queue_terms *terms = termsOf(*found->second);
+    const std::int64_t validMs = what.validMs > 0 ? what.validMs : (terms == nullptr ? 0 : terms->adviceValidMs);
     record.advisedAgainst.insert(what.asked.begin(), what.asked.end());
     for (const std::pair<std::string, std::string> &ticket : what.tickets) {
         record.advisedAgainst.erase(ticket.first);
--- a/src/sched/scheduler_runs.cpp
+++ b/src/sched/scheduler_runs.cpp
@@ -208,8 +208,12 @@
     if (job.ended() || job.spec.steps[static_cast<std::size_t>(id.step)].longRunning) {
         return;
     }
-    const queue_config *queue = queueOf(job);
-    const int attempts = queue == nullptr ? 1 : std::max(1, queue->maxAttempts);
+    const queue_terms *terms = termsOf(job);
+    if (terms == nullptr) {
+        // The task waits until it is known how often it may fail.
+        return;
+    }
+    const int attempts = std::max(1, terms->maxAttempts);
     if (task.failures() < attempts) {
         return;
     }
