Check registry entries against the executors that they claim to replace

Cause: every entry that could be read counted as evidence. The one with the latest start time on a VM ended the VM's other executors for the holder, with all their runs, without a question to them. A field of another type was read as absent or 0, also in the capacity.

An entry now counts only if the fields that it has are of the protocol's types, its capacity can be read, and the configuration names its service. Entries of other services are kept and used once a configuration names them, so a service that is added later loses none. A holder that hasn't read the configuration yet polls the executors of the runs that it has restored, so that their leases don't lapse, and concludes nothing from entries. In a live executor's own row, an entry that doesn't count is handled as its removal, as unreadable rows were before.

An executor whose entry says that it was replaced is asked at once and gets no new runs meanwhile. An answer to a poll sent after the successor's entry was read refutes it (executor_not_replaced); a refused poll or another executor at the address confirms it; so do 1.5 s without an answer since unresponsiveSince, which a crashed executor has behind it when its VM's next one is up. Polls that time out end with that bound.

Three tests of successions and crashes took the entry alone as the proof. They now let the former executor refuse the poll that follows, and check that nothing is started before.

--- a/src/platform/records.cpp
+++ b/src/platform/records.cpp
@@ -2,6 +2,7 @@
 
 #include "base/settings_reader.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace daisypass {
@@ -28,6 +29,46 @@
     return body;
 }
 
+/** Whether the member is absent or has a type that `matches` accepts. */
+template<typename Predicate>
+bool isAbsentOr(const json &object, const char *name, Predicate matches)
+{
+    const json *member = wire::memberOf(object, name);
+    return member == nullptr || matches(*member);
+}
+
+// Members that the protocol gives but that aren't required here: an entry with one of another type comes from another writer.
+bool hasOptionalMembersOfProtocol(const json &entry)
+{
+    constexpr auto isText = [](const json &member) {
+        return member.is_string();
+    };
+    constexpr auto isListOfTexts = [](const json &member) {
+        return member.is_array() && std::all_of(member.begin(), member.end(), [](const json &item) {
+                   return item.is_string();
+               });
+    };
+    const auto isInteger = [&entry](const char *name) {
+        return isAbsentOr(entry, name, [&](const json &) {
+            return wire::integerIn(entry, name).has_value();
+        });
+    };
+    return isInteger("born") && isInteger("ColdLeftMs") && isInteger("Slots") && isAbsentOr(entry, "Machine", isText) && isAbsentOr(entry, "Version", isText)
+        && isAbsentOr(entry, "Labels", isListOfTexts);
+}
+
+// An executor without a GPU needn't name one. A capacity that can't be read isn't 0.
+std::optional<sched::resources> readCapacity(const json &item)
+{
+    const std::optional<std::int64_t> cpu = wire::integerIn(item, "Cpu");
+    const std::optional<std::int64_t> memoryMb = wire::integerIn(item, "MemMb");
+    const std::optional<std::int64_t> gpu = wire::memberOf(item, "Gpu") == nullptr ? 0 : wire::integerIn(item, "Gpu");
+    if (!cpu || !memoryMb || !gpu || *cpu < 0 || *memoryMb < 0 || *gpu < 0) {
+        return std::nullopt;
+    }
+    return sched::resources{*cpu, *memoryMb, *gpu};
+}
+
 sched::resources readResources(const json &item)
 {
     return {wire::integerIn(item, "Cpu").value_or(0), wire::integerIn(item, "MemMb").value_or(0), wire::integerIn(item, "Gpu").value_or(0)};
@@ -316,11 +357,16 @@
     const std::optional<std::string> zone = wire::stringIn(*body, "Zone");
     const std::optional<std::int64_t> sequence = wire::integerIn(*body, "Sequence");
     const std::optional<std::int64_t> clock = wire::integerIn(*body, "ClockMs");
-    const json *capacity = wire::memberOf(*body, "Capacity");
-    if (!pool || !address || !state || !zone || !sequence || !clock || capacity == nullptr || !capacity->is_object()) {
+    const json *capacityItem = wire::memberOf(*body, "Capacity");
+    const std::optional<sched::resources> capacity = capacityItem == nullptr ? std::nullopt : readCapacity(*capacityItem);
+    if (!pool || !address || !state || !zone || !sequence || !clock || !capacity) {
         reason = wrongFieldType("executor", "Service, Address, Zone, State, Sequence, ClockMs and Capacity");
         return std::nullopt;
     }
+    if (!hasOptionalMembersOfProtocol(*body)) {
+        reason = wrongFieldType("executor", "born, ColdLeftMs, Slots, Machine, Version and Labels of the protocol's types");
+        return std::nullopt;
+    }
     if (*state != "ready" && *state != "draining") {
         reason = wrongFieldType("State", "ready or draining");
         return std::nullopt;
@@ -336,7 +382,7 @@
     entry.address = *address;
     entry.availabilityZone = *zone;
     entry.draining = *state == "draining";
-    entry.capacity = readResources(*capacity);
+    entry.capacity = *capacity;
     entry.labels = readStrings(*body, "Labels");
     entry.rack = findRack(entry.labels);
     entry.vm = wire::stringIn(*body, "Machine").value_or("");
--- a/src/sched/executor_record.h
+++ b/src/sched/executor_record.h
@@ -32,6 +32,15 @@
     time_ms at = 0;
 };
 
+/** What a registry entry says of another executor of the same VM: that it has been replaced. */
+struct replacement_claim
+{
+    std::string successor;
+    std::int64_t successorStartedUnixMs = 0;
+    /** When the successor's entry was read. */
+    time_ms readAt = 0;
+};
+
 struct executor_record
 {
     executor_entry entry;
@@ -54,6 +63,8 @@
      * whose start orders have no answer.
      */
     bool dead = false;
+    /** The claim that it was replaced, until its own answer refutes it or its silence confirms it. It gets no new runs meanwhile. */
+    std::optional<replacement_claim> replacement;
     /** When it was last marked dead. */
     time_ms deadSince = 0;
     /** The order ledger reserves it: a move or maintenance of its VM is planned, or may still end the executor. */
@@ -156,7 +167,7 @@
     /** Whether it takes the runs of the suspects for which it is kept. */
     bool mayRunSuspect(time_ms now) const
     {
-        return listed && isResponsive() && !entry.draining && !reserved && backoffUntil <= now;
+        return listed && isResponsive() && !replacement && !entry.draining && !reserved && backoffUntil <= now;
     }
 };
 
--- a/src/sched/scheduler.cpp
+++ b/src/sched/scheduler.cpp
@@ -205,18 +205,22 @@
     }
     m_configuration = what.view;
     m_queues.clear();
+    m_namedPools.clear();
     for (const queue_config &queue : what.view.queues) {
         m_queues[queue.key] = queue;
+        m_namedPools.insert(queue.pool);
     }
     m_pools.clear();
     for (const pool_config &pool : what.view.pools) {
         m_pools[pool.name] = pool;
+        m_namedPools.insert(pool.name);
     }
     const std::vector<std::string> jobs(m_activeJobs.begin(), m_activeJobs.end());
     for (const std::string &id : jobs) {
         keepTerms(*m_jobs.at(id), now);
     }
     m_placementPending = true;
+    useKeptEntries(now);
 }
 
 void scheduler::on(const job_submitted &what, time_ms now)
@@ -433,7 +437,7 @@
         deleteOldSubmissions(now);
         m_entryVersions.forgetGone(
             [this](const std::string &executor) {
-                return m_executors.contains(executor);
+                return m_executors.contains(executor) || m_unusedEntries.contains(executor);
             },
             now);
     }
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -188,8 +188,22 @@
     /** Replaces the executor's entry and updates the index by VM. */
     void setEntry(executor_record &executor, const executor_entry &entry);
     void removeFromVm(const executor_record &executor);
-    /** Marks those executors of the VM dead that are known to have started before its latest one. */
+    /** Whether the entry comes from an executor of the deployment, or is needed to extend the leases of restored runs. */
+    bool mayUse(const executor_entry &entry) const;
+    /** Keeps the entry of a service that isn't configured until a configuration names it. */
+    void keepUnused(const executor_entry_changed &what, time_ms now);
+    /** Uses the entries that were read before a configuration that names their services. */
+    void useKeptEntries(time_ms now);
+    void unlist(executor_record &executor, time_ms now);
+    /** Checks those executors of the VM that are known to have started before its latest one. */
     void endEarlierExecutorsOf(const std::string &vm, time_ms now);
+    /** Marks the executor dead if it has long been silent, and otherwise asks it whether it is alive. */
+    void checkReplacement(executor_record &executor, const executor_record &successor, time_ms now);
+    /** Marks the executor dead if the failed poll or its silence confirms that it was replaced. */
+    void confirmReplacement(executor_record &executor, const poll_answered &what, time_ms now);
+    void endReplaced(executor_record &executor, time_ms now);
+    /** Drops the claim that the executor was replaced if the answered poll was sent after the claim was read. */
+    void refuteReplacement(executor_record &executor, time_ms pollSentAt);
     /** Marks the VM's previous executor dead if the later list shows that it can't be running any more. */
     void markReplacedDead(const vm_entry &before, const vm_entry &after, time_ms askedAt, time_ms now);
     /** Revives the VM's executor if it was marked dead before the list that names it was requested. */
@@ -314,6 +328,8 @@
     configuration_view m_configuration;
     std::map<queue_key, queue_config> m_queues;
     std::map<std::string, pool_config> m_pools;
+    /** The pools that the configuration names, itself or in a queue. */
+    std::set<std::string> m_namedPools;
     std::unordered_map<std::string, std::unique_ptr<job_record>> m_jobs;
     /** Jobs that have not ended. */
     std::set<std::string> m_activeJobs;
@@ -335,6 +351,8 @@
     /** Executors by the VM that their entries name. */
     std::map<std::string, std::set<std::string>> m_executorsOfVm;
     entry_versions m_entryVersions;
+    /** The latest registry entries of pools that the configuration doesn't name. */
+    std::map<std::string, executor_entry_changed> m_unusedEntries;
     /** A crash of which one task is the only suspect. */
     struct counted_crash
     {
--- a/src/sched/scheduler_executors.cpp
+++ b/src/sched/scheduler_executors.cpp
@@ -18,6 +18,9 @@
 // An executor that answers remains listed for this long after its registry entry was removed: entries that expired while the store was
 // down are written again about two seconds after its recovery.
 constexpr time_ms removedEntryGraceMs = 2'000;
+// An executor that hasn't answered for this long, in which several polls have failed, has been replaced if a later executor's entry names
+// its VM. A VM's next executor takes longer to start.
+constexpr time_ms replacedSilenceMs = 1'500;
 
 void forgetExpiredStarts(executor_record &executor, time_ms now)
 {
@@ -67,6 +70,11 @@
     if (m_entryVersions.isOutdated(what.entry.id, what.version, now)) {
         return;
     }
+    if (!mayUse(what.entry)) {
+        keepUnused(what, now);
+        return;
+    }
+    m_unusedEntries.erase(what.entry.id);
     executor_record &executor = executorFor(what.entry.id, now);
     const bool earlierIncarnation = what.entry.startedUnixMs != 0 && what.entry.startedUnixMs < executor.entry.startedUnixMs;
     if (earlierIncarnation) {
@@ -108,6 +116,45 @@
     }
 }
 
+// Entries of other writers look like those of executors, but name a pool that isn't configured. An executor that has runs of an earlier
+// term is polled all the same: without a configuration, or after its pool was removed, these runs would lose their leases.
+bool scheduler::mayUse(const executor_entry &entry) const
+{
+    if (m_namedPools.contains(entry.pool)) {
+        return true;
+    }
+    const auto found = m_executors.find(entry.id);
+    return found != m_executors.end() && found->second.entry.address.empty() && !found->second.runs.empty();
+}
+
+void scheduler::keepUnused(const executor_entry_changed &what, time_ms now)
+{
+    m_unusedEntries[what.entry.id] = what;
+    const auto found = m_executors.find(what.entry.id);
+    if (found != m_executors.end()) {
+        unlist(found->second, now);
+    }
+}
+
+void scheduler::useKeptEntries(time_ms now)
+{
+    std::vector<executor_entry_changed> named;
+    std::erase_if(m_unusedEntries, [&](const std::pair<const std::string, executor_entry_changed> &kept) {
+        const bool use = m_namedPools.contains(kept.second.entry.pool);
+        if (use) {
+            named.push_back(kept.second);
+        }
+        return use;
+    });
+    for (const executor_entry_changed &entry : named) {
+        on(entry, now);
+    }
+    // Executors that were polled for their restored runs before their pools were configured are compared only now.
+    for (const std::pair<const std::string, std::set<std::string>> &vm : m_executorsOfVm) {
+        endEarlierExecutorsOf(vm.first, now);
+    }
+}
+
 void scheduler::setEntry(executor_record &executor, const executor_entry &entry)
 {
     if (executor.entry.vm != entry.vm) {
@@ -132,7 +179,7 @@
 }
 
 // A VM has one executor at a time, so only the one that started last can be alive. Executors whose start time is not known can't be
-// compared and are left out.
+// compared, and entries of pools that aren't configured prove nothing; both are left out.
 void scheduler::endEarlierExecutorsOf(const std::string &vm, time_ms now)
 {
     const auto executors = m_executorsOfVm.find(vm);
@@ -142,7 +189,7 @@
     std::vector<executor_record *> candidates;
     for (const std::string &id : executors->second) {
         executor_record &executor = m_executors.at(id);
-        const bool comparable = executor.entry.startedUnixMs != 0 && !executor.dead;
+        const bool comparable = executor.entry.startedUnixMs != 0 && !executor.dead && m_namedPools.contains(executor.entry.pool);
         if (comparable) {
             candidates.push_back(&executor);
         }
@@ -152,23 +199,77 @@
     });
     for (executor_record *incarnation : candidates) {
         if (incarnation->entry.startedUnixMs < (*latest)->entry.startedUnixMs) {
-            markDead(*incarnation,
-                     now,
-                     "vm_has_new_executor",
-                     {{"vm", vm}, {"successor", (*latest)->entry.id}, {"successor_born", std::to_string((*latest)->entry.startedUnixMs)}});
+            checkReplacement(*incarnation, **latest, now);
         }
     }
 }
 
+// The successor's entry may come from another writer, so an executor that answered until now is asked first. If it has ended, the poll is
+// refused at once.
+void scheduler::checkReplacement(executor_record &executor, const executor_record &successor, time_ms now)
+{
+    const bool asked = executor.replacement && executor.replacement->successor == successor.entry.id
+        && executor.replacement->successorStartedUnixMs == successor.entry.startedUnixMs;
+    if (asked) {
+        return;
+    }
+    executor.replacement = replacement_claim{successor.entry.id, successor.entry.startedUnixMs, now};
+    if (executor.unresponsiveSince != 0 && now - executor.unresponsiveSince >= replacedSilenceMs) {
+        endReplaced(executor, now);
+        return;
+    }
+    executor.pollRetryAt = now;
+    requestPoll(executor);
+}
+
+// A poll that timed out may have reached a live executor, so it only adds to the executor's silence.
+void scheduler::confirmReplacement(executor_record &executor, const poll_answered &what, time_ms now)
+{
+    if (!executor.replacement) {
+        return;
+    }
+    const bool refused = what.status == order_status::Unreachable && what.sentAt >= executor.replacement->readAt;
+    if (refused || now - executor.unresponsiveSince >= replacedSilenceMs) {
+        endReplaced(executor, now);
+    }
+}
+
+void scheduler::refuteReplacement(executor_record &executor, time_ms pollSentAt)
+{
+    if (!executor.replacement || pollSentAt < executor.replacement->readAt) {
+        return;
+    }
+    logEvent("executor_not_replaced", {{"executor", executor.entry.id}, {"vm", executor.entry.vm}, {"claimed_successor", executor.replacement->successor}});
+    executor.replacement.reset();
+    m_placementPending = true;
+}
+
+void scheduler::endReplaced(executor_record &executor, time_ms now)
+{
+    const replacement_claim claim = *executor.replacement;
+    markDead(executor,
+             now,
+             "vm_has_new_executor",
+             {{"vm", executor.entry.vm}, {"successor", claim.successor}, {"successor_born", std::to_string(claim.successorStartedUnixMs)}});
+}
+
 void scheduler::on(const executor_entry_removed &what, time_ms now)
 {
-    const auto found = m_executors.find(what.executor);
-    if (m_entryVersions.isOutdated(what.executor, what.version, now) || found == m_executors.end()) {
+    if (m_entryVersions.isOutdated(what.executor, what.version, now)) {
         return;
     }
-    executor_record &executor = found->second;
-    executor.unlistedAt = now;
-    if (!executor.isResponsive() || executor.entry.draining) {
+    m_unusedEntries.erase(what.executor);
+    const auto found = m_executors.find(what.executor);
+    if (found != m_executors.end()) {
+        unlist(found->second, now);
+    }
+}
+
+void scheduler::unlist(executor_record &executor, time_ms now)
+{
+    // Repeated rows don't prolong the grace period.
+    executor.unlistedAt = executor.unlistedAt == 0 ? now : executor.unlistedAt;
+    if (executor.listed && (!executor.isResponsive() || executor.entry.draining)) {
         removeFromListed(executor);
     }
 }
@@ -272,6 +373,7 @@
 void scheduler::resetListedState(executor_record &executor)
 {
     executor.confirmed = false;
+    executor.replacement.reset();
     executor.processedEnds = 0;
     executor.endsListed = false;
     executor.unstoredJobs.clear();
@@ -335,6 +437,11 @@
         requestPoll(executor);
         return;
     }
+    if (!m_namedPools.contains(executor.entry.pool)) {
+        // The address may be another writer's, so the answer proves nothing of the executor.
+        markUnresponsive(executor, now, nameOf(order_status::WrongExecutor));
+        return;
+    }
     markDead(executor, now, "another_executor_at_address", {{"address", sentTo.address}});
 }
 
--- a/src/sched/scheduler_fleet.cpp
+++ b/src/sched/scheduler_fleet.cpp
@@ -81,7 +81,8 @@
 {
     return std::any_of(m_vms.begin(), m_vms.end(), [this](const std::pair<const std::string, vm_entry> &vm) {
         const auto executor = m_executors.find(vm.second.executor);
-        const bool announced = executor != m_executors.end() && executor->second.entryReadAt != 0;
+        const bool used = executor != m_executors.end() && executor->second.entryReadAt != 0;
+        const bool announced = used || m_unusedEntries.contains(vm.second.executor);
         return vm.second.state == vm_state::Up && !vm.second.executor.empty() && !announced;
     });
 }
--- a/src/sched/scheduler_polls.cpp
+++ b/src/sched/scheduler_polls.cpp
@@ -155,6 +155,7 @@
         return;
     default:
         markUnresponsive(executor, now, nameOf(what.status));
+        confirmReplacement(executor, what, now);
     }
 }
 
@@ -167,6 +168,7 @@
     }
     adoptIncarnation(executor, {executor.entry.address, what.startedUnixMs.value_or(0)}, now);
     markResponsive(executor, now);
+    refuteReplacement(executor, what.sentAt);
     executor.listedAt = now;
     ++executor.listNumber;
     executor.listAskedAt = what.sentAt;
--- a/tests/sched/suspect_trials_test.cpp
+++ b/tests/sched/suspect_trials_test.cpp
@@ -53,7 +53,7 @@
         executor_entry next = successorOf(executor);
         next.pool = "spare";
         world.taskScheduler.handle(executor_entry_changed{next}, world.now);
-        world.planAndCommit();
+        fallSilent(executor);
     }
 
     /** Ends the executor; its VM's next one answers its first poll. */
@@ -61,7 +61,7 @@
     {
         const executor_entry next = successorOf(executor);
         world.taskScheduler.handle(executor_entry_changed{next}, world.now);
-        world.planAndCommit();
+        fallSilent(executor);
         world.answerPoll(next.id, {}, {}, order_status::Ok, next.startedUnixMs);
     }
 
