Divide the state of a job with many tasks into rows

Callers saw later jobs of all queues stay pending after one job of 3,000 small tasks: all tasks of a job were in one state row, which the store refuses above platform.RowBytes, together with everything else in the transaction.

A state that would be longer than 16 KB in one row is now divided: a first row with the phase, and a row for each 64 consecutive tasks, cut further if entries are long. Only rows that have changed are written, in as many transactions as it takes, in an order that never has a done task as waiting. Equal consecutive tasks share an entry. platform.RowBytes is read. A job with a task that alone is above the limit is ended as failed instead of being written.

Smaller jobs keep their row, byte for byte. Long undivided rows of former versions are read. A former version can't read the first row of a divided state, so it leaves the job to a later holder instead of running its tasks again.

--- a/src/node/dispatcher.h
+++ b/src/node/dispatcher.h
@@ -61,6 +61,8 @@
     {
         std::map<std::string, sched::job_spec> jobs{};
         std::map<std::string, std::string> stateRows{};
+        /** Further rows of divided states, by job and key. */
+        std::map<std::string, std::map<std::string, std::string>> taskRows{};
         std::vector<std::string> cancelledJobs{};
         int pendingReads = 0;
         /** Lowest version of the answers read so far. */
--- a/src/node/dispatcher_recovery.cpp
+++ b/src/node/dispatcher_recovery.cpp
@@ -69,6 +69,8 @@
         m_scheduler.restoreWave(row.value);
     } else if (row.key.key == sched::fleetOrdersRowKey) {
         restoreFleetOrders(row);
+    } else if (const std::string job(sched::jobOfRow(row.key.key)); job != row.key.key) {
+        m_recovery->taskRows[job][row.key.key] = row.value;
     } else {
         m_recovery->stateRows[row.key.key] = row.value;
     }
@@ -100,7 +102,7 @@
     const sched::time_ms now = steadyMillis();
     for (const std::pair<const std::string, sched::job_spec> &job : m_recovery->jobs) {
         const auto state = m_recovery->stateRows.find(job.first);
-        m_scheduler.restore(job.second, state == m_recovery->stateRows.end() ? std::string() : state->second, now);
+        m_scheduler.restore(job.second, state == m_recovery->stateRows.end() ? std::string() : state->second, now, m_recovery->taskRows[job.first]);
     }
     m_recovered = true;
     for (const std::string &job : m_recovery->cancelledJobs) {
--- a/src/platform/node_settings.cpp
+++ b/src/platform/node_settings.cpp
@@ -173,6 +173,7 @@
     bounds.harmMs = reader.millisOr("Bounds.HarmMs", bounds.harmMs);
     bounds.checkpointMs = reader.secondsAsMillisOr("Bounds.CheckpointS", bounds.checkpointMs);
     bounds.farFactor = reader.numberOr("Bounds.FarFactor", bounds.farFactor);
+    bounds.rowBytes = static_cast<std::size_t>(reader.millisOr("platform.RowBytes", static_cast<std::int64_t>(bounds.rowBytes)));
     bounds.fleetOrdersPerSecond = reader.numberOr("Cloud.DutyPerS", bounds.fleetOrdersPerSecond);
     return bounds;
 }
--- a/src/sched/events.h
+++ b/src/sched/events.h
@@ -133,10 +133,11 @@
     time_ms sentAt = 0;
 };
 
-/** The rows of a batch have been stored. */
+/** The rows of a batch have been stored, but for those that the store refuses for good. */
 struct batch_committed
 {
     std::int64_t batch = 0;
+    std::vector<std::string> refusedKeys{};
 };
 
 struct start_answered
--- a/src/sched/job_record.cpp
+++ b/src/sched/job_record.cpp
@@ -14,8 +14,11 @@
 
 constexpr std::array<std::string_view, 5> phaseNames{"pending", "running", "completed", "failed", "cancelled"};
 
-// A task in a row: [occurrence, step, index, kind, run, failed runs, executor, checkpoint].
+// A task in a row: [occurrence, step, index, kind, run, failed runs, executor, checkpoint]. In the rows of a divided state, a ninth element
+// is the number of consecutive tasks to which the others apply.
 constexpr std::size_t taskRowSize = 8;
+// The key in the first row of a divided state.
+constexpr const char *dividedKey = "divided";
 constexpr std::size_t crashRowSize = 5;
 constexpr int kindWaiting = 0;
 constexpr int kindPlaced = 1;
@@ -50,8 +53,16 @@
     row += ']';
 }
 
-void appendTask(std::string &row, int occurrence, std::size_t step, std::size_t index, const task_record &task)
+// Whether the tasks' entries differ in their indices only.
+bool haveEqualEntries(const task_record &one, const task_record &other)
 {
+    return kindOf(one) == kindOf(other) && one.run == other.run && one.failedRuns == other.failedRuns && one.executor == other.executor
+        && one.checkpoint == other.checkpoint;
+}
+
+void appendTask(std::string &row, int occurrence, std::size_t step, std::size_t index, const task_record &task, std::size_t count = 1)
+{
+    appendSeparator(row);
     row += '[';
     appendNumber(row, occurrence);
     appendNumber(row, static_cast<int>(step));
@@ -63,6 +74,9 @@
     appendJsonString(row, task.executor);
     row += ',';
     appendJsonString(row, task.checkpoint);
+    if (count > 1) {
+        row += ',' + std::to_string(count);
+    }
     row += ']';
 }
 
@@ -118,11 +132,20 @@
     }
 }
 
-bool readTask(const json &row, job_record &job)
+// Takes back what an older row of the same job had about the task.
+void forget(step_record &step, task_record &task)
 {
-    if (!row.is_array() || row.size() != taskRowSize) {
-        return false;
+    if (task.phase == task_phase::Done) {
+        --step.done;
+        ++step.waiting;
+    } else if (task.occupies()) {
+        ++step.waiting;
     }
+    task = {};
+}
+
+bool readTask(const json &row, job_record &job, int offset)
+{
     for (std::size_t i = 0; i < 5; ++i) {
         if (!row[i].is_number_integer()) {
             return false;
@@ -131,11 +154,13 @@
     if (!row[5].is_array() || !row[6].is_string() || !row[7].is_string()) {
         return false;
     }
-    task_record *task = job.find({job.spec.id, row[0].get<int>(), row[1].get<int>(), row[2].get<int>()});
+    task_record *task = job.find({job.spec.id, row[0].get<int>(), row[1].get<int>(), row[2].get<int>() + offset});
     if (task == nullptr) {
         // The occurrence is finished and was dropped.
         return true;
     }
+    step_record &step = job.occurrences.at(row[0].get<int>()).steps[static_cast<std::size_t>(row[1].get<int>())];
+    forget(step, *task);
     const int kind = row[3].get<int>();
     // A placement alone doesn't show that the start order reached the executor.
     job.begun = job.begun || kind == kindDone || !row[5].empty() || !row[7].get_ref<const std::string &>().empty();
@@ -147,7 +172,6 @@
     }
     task->executor = row[6].get<std::string>();
     task->checkpoint = row[7].get<std::string>();
-    step_record &step = job.occurrences.at(row[0].get<int>()).steps[static_cast<std::size_t>(row[1].get<int>())];
     // Former versions stored a long-running task as done when a run had ended so. It is still to be run.
     const bool lasts = job.spec.steps[static_cast<std::size_t>(row[1].get<int>())].longRunning;
     if (kind == kindDone && !lasts) {
@@ -163,6 +187,103 @@
     return true;
 }
 
+bool readTasks(const json &row, job_record &job)
+{
+    const bool counted = row.is_array() && row.size() == taskRowSize + 1 && row[taskRowSize].is_number_integer();
+    if (!counted && (!row.is_array() || row.size() != taskRowSize)) {
+        return false;
+    }
+    const std::int64_t count = counted ? row[taskRowSize].get<std::int64_t>() : 1;
+    if (count < 1 || count > static_cast<std::int64_t>(maxTasksPerRow)) {
+        return false;
+    }
+    for (int offset = 0; offset < count; ++offset) {
+        if (!readTask(row, job, offset)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+// What a row has about tasks, as JSON lists that aren't closed yet.
+struct task_lists
+{
+    std::string tasks = "[";
+    std::string crashes = "[";
+
+    bool haveTasks() const
+    {
+        return tasks.size() > 1;
+    }
+};
+
+// The row of an ended job has only the runs that may still be on an executor.
+bool isNeeded(const job_record &job, const task_record &task)
+{
+    return job.ended() ? task.occupies() : !isUntouched(task);
+}
+
+void appendCrashesIfAny(task_lists &lists, const job_record &job, int occurrence, std::size_t step, std::size_t index)
+{
+    const task_record &task = job.occurrences.at(occurrence).steps[step].tasks[index];
+    if (task.isSuspect() && !job.ended()) {
+        appendCrashes(lists.crashes, occurrence, step, index, task);
+    }
+}
+
+// Appends the lists as members of a JSON object that isn't closed yet.
+void appendLists(std::string &row, const task_lists &lists)
+{
+    if (lists.haveTasks()) {
+        appendSeparator(row);
+        row += "\"tasks\":" + lists.tasks + ']';
+    }
+    if (lists.crashes.size() > 1) {
+        appendSeparator(row);
+        row += "\"crashes\":" + lists.crashes + ']';
+    }
+}
+
+// A row with the job's phase; the JSON object isn't closed yet.
+std::string beginState(const job_record &job)
+{
+    std::string row = "{\"phase\":";
+    appendJsonString(row, nameOf(job.phase));
+    if (job.firstOpen > 0) {
+        row += ",\"first_open\":" + std::to_string(job.firstOpen);
+    }
+    if (job.terms && !job.spec.terms && !job.ended()) {
+        // Only jobs of former versions need their terms here.
+        row += ",\"attempts\":" + std::to_string(job.terms->maxAttempts);
+        if (job.terms->requiresAdvice) {
+            row += ",\"advice_ms\":" + std::to_string(job.terms->adviceValidMs);
+        }
+    }
+    return row;
+}
+
+int lastOccurrenceIn(const json &tasks)
+{
+    int last = -1;
+    for (const json &task : tasks) {
+        if (task.is_array() && !task.empty() && task[0].is_number_integer()) {
+            last = std::max(last, task[0].get<int>());
+        }
+    }
+    return last;
+}
+
+bool readLists(const json &tasks, const json &crashes, job_record &job)
+{
+    const bool readable = std::all_of(tasks.begin(), tasks.end(), [&](const json &task) {
+        return readTasks(task, job);
+    });
+    for (const json &crash : crashes) {
+        readCrashes(crash, job);
+    }
+    return readable;
+}
+
 // Length of the critical path through the steps; with an occurrence, finished steps count as 0.
 std::int64_t criticalPathOf(const std::vector<step_spec> &steps, const occurrence_record *occurrence)
 {
@@ -346,42 +467,59 @@
 
 std::string writeState(const job_record &job)
 {
-    std::string tasks = "[";
-    std::string crashes = "[";
-    // The row of an ended job has only the runs that may still be on an executor.
+    task_lists lists;
     for (const std::pair<const int, occurrence_record> &occurrence : job.occurrences) {
         for (std::size_t step = 0; step < occurrence.second.steps.size(); ++step) {
             const std::vector<task_record> &records = occurrence.second.steps[step].tasks;
             for (std::size_t index = 0; index < records.size(); ++index) {
-                const bool needed = job.ended() ? records[index].occupies() : !isUntouched(records[index]);
-                if (needed) {
-                    appendSeparator(tasks);
-                    appendTask(tasks, occurrence.first, step, index, records[index]);
-                }
-                if (records[index].isSuspect() && !job.ended()) {
-                    appendCrashes(crashes, occurrence.first, step, index, records[index]);
+                if (isNeeded(job, records[index])) {
+                    appendTask(lists.tasks, occurrence.first, step, index, records[index]);
                 }
+                appendCrashesIfAny(lists, job, occurrence.first, step, index);
             }
         }
     }
-    std::string row = "{\"phase\":";
-    appendJsonString(row, nameOf(job.phase));
-    if (job.firstOpen > 0) {
-        row += ",\"first_open\":" + std::to_string(job.firstOpen);
-    }
-    if (job.terms && !job.spec.terms && !job.ended()) {
-        // Only jobs of former versions need their terms here.
-        row += ",\"attempts\":" + std::to_string(job.terms->maxAttempts);
-        if (job.terms->requiresAdvice) {
-            row += ",\"advice_ms\":" + std::to_string(job.terms->adviceValidMs);
+    std::string row = beginState(job);
+    appendLists(row, lists);
+    row += '}';
+    return row;
+}
+
+// Versions that don't know a divided state can't read the empty task, and leave the job to a later lease holder. Without it they would run
+// all its tasks again.
+std::string writeFirstRow(const job_record &job)
+{
+    return beginState(job) + ",\"" + dividedKey + "\":true,\"tasks\":[[]]}";
+}
+
+std::string writeTasks(const job_record &job, int occurrence, std::size_t first, std::size_t end)
+{
+    task_lists lists;
+    const std::vector<step_record> &steps = job.occurrences.at(occurrence).steps;
+    std::size_t before = 0;
+    for (std::size_t step = 0; step < steps.size() && before < end; ++step) {
+        const std::vector<task_record> &records = steps[step].tasks;
+        const std::size_t stop = std::min(records.size(), end - before);
+        std::size_t index = first > before ? first - before : 0;
+        while (index < stop) {
+            std::size_t next = index + 1;
+            while (next < stop && haveEqualEntries(records[index], records[next])) {
+                ++next;
+            }
+            if (isNeeded(job, records[index])) {
+                appendTask(lists.tasks, occurrence, step, index, records[index], next - index);
+            }
+            for (; index < next; ++index) {
+                appendCrashesIfAny(lists, job, occurrence, step, index);
+            }
         }
+        before += records.size();
     }
-    if (tasks.size() > 1) {
-        row += ",\"tasks\":" + tasks + ']';
-    }
-    if (crashes.size() > 1) {
-        row += ",\"crashes\":" + crashes + ']';
+    if (!lists.haveTasks()) {
+        return {};
     }
+    std::string row = "{";
+    appendLists(row, lists);
     row += '}';
     return row;
 }
@@ -395,32 +533,49 @@
     return value["phase"].get<std::string>();
 }
 
-bool readState(std::string_view row, job_record &job)
+bool isDivided(std::string_view row)
 {
     const json value = json::parse(row, nullptr, false);
+    return value.is_object() && value.value(dividedKey, json(false)) == json(true);
+}
+
+bool readState(std::string_view row, job_record &job)
+{
+    return readState(row, {}, job);
+}
+
+bool readState(std::string_view row, const std::map<std::string, std::string> &taskRows, job_record &job)
+{
     const std::string phase = phaseIn(row);
     const auto found = std::find(phaseNames.begin(), phaseNames.end(), phase);
     if (found == phaseNames.end()) {
         return false;
     }
+    const json value = json::parse(row, nullptr, false);
     job.phase = static_cast<job_phase>(found - phaseNames.begin());
     job.firstOpen = value.value("first_open", 0);
     job.terms = job.spec.terms ? job.spec.terms : readTerms(value);
     job.occurrences.clear();
-    const json tasks = value.value("tasks", json::array());
-    int lastOccurrence = job.spec.repeatCount > 0 ? job.firstOpen - 1 : 0;
-    for (const json &task : tasks) {
-        if (task.is_array() && !task.empty() && task[0].is_number_integer()) {
-            lastOccurrence = std::max(lastOccurrence, task[0].get<int>());
+    // The rows with tasks are stored before the first row leaves its own out, so what they have is newer.
+    std::vector<json> rows;
+    if (!value.contains(dividedKey)) {
+        rows.push_back(value);
+    }
+    for (const std::pair<const std::string, std::string> &taskRow : taskRows) {
+        rows.push_back(json::parse(taskRow.second, nullptr, false));
+        if (!rows.back().is_object()) {
+            return false;
         }
     }
+    int lastOccurrence = job.spec.repeatCount > 0 ? job.firstOpen - 1 : 0;
+    for (const json &one : rows) {
+        lastOccurrence = std::max(lastOccurrence, lastOccurrenceIn(one.value("tasks", json::array())));
+    }
     job.begun = job.firstOpen > 0;
     job.openDueOccurrences(job.spec.firstAtUnixMs + lastOccurrence * job.spec.intervalMs);
-    const bool readable = std::all_of(tasks.begin(), tasks.end(), [&](const json &task) {
-        return readTask(task, job);
-    });
-    for (const json &crash : value.value("crashes", json::array())) {
-        readCrashes(crash, job);
+    bool readable = true;
+    for (const json &one : rows) {
+        readable = readLists(one.value("tasks", json::array()), one.value("crashes", json::array()), job) && readable;
     }
     return readable;
 }
--- a/src/sched/model.h
+++ b/src/sched/model.h
@@ -10,6 +10,7 @@
 // Times are in milliseconds. Unless a comment says otherwise, they come from this process's monotonic clock, which also counts
 // the time for which the machine is suspended.
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -270,6 +271,8 @@
     double farFactor = 2.0;
     /** Orders to move or maintain VMs that the fleet service accepts in a second, from all nodes together. */
     double fleetOrdersPerSecond = 64;
+    /** Largest row that the store takes. */
+    std::size_t rowBytes = 65'536;
 };
 
 } // namespace daisypass::sched
--- a/src/sched/scheduler.cpp
+++ b/src/sched/scheduler.cpp
@@ -13,6 +13,7 @@
 constexpr std::size_t maxJobsWaitingForStore = 2 * maxRowsPerBatch;
 // Keeps a transaction well below the store's limit of 1 MB after base64 encoding.
 constexpr std::size_t maxBytesPerBatch = 400'000;
+constexpr row_room batchRoom{maxRowsPerBatch, maxBytesPerBatch};
 // Maximum number of rows deleted with one batch, so that the clean-up doesn't delay the storing of progress.
 constexpr std::size_t maxDeletesPerBatch = 8;
 // Interval of the clean-up of ended jobs and old registry versions.
@@ -101,18 +102,23 @@
     return m_placementPacer.dueAt();
 }
 
-bool scheduler::restore(const job_spec &spec, const std::string &row, time_ms now)
+bool scheduler::restore(const job_spec &spec, const std::string &row, time_ms now, const std::map<std::string, std::string> &taskRows)
 {
     std::unique_ptr<job_record> job = std::make_unique<job_record>(spec);
     job->acceptedAt = now;
-    if (row.empty()) {
+    if (row.empty() && taskRows.empty()) {
         job->openDueOccurrences(spec.repeatCount > 0 ? 0 : spec.acceptedUnixMs);
-    } else if (!readState(row, *job)) {
+    } else if (!readState(row, taskRows, *job)) {
         logEvent("state_row_unreadable", {{"request", spec.id}});
         return false;
     }
     job_record &restored = *job;
     m_jobs[spec.id] = std::move(job);
+    job_rows rows;
+    rows.restore(row, taskRows);
+    if (rows.isInUse()) {
+        m_jobRows[spec.id] = std::move(rows);
+    }
     restored.forEachOccupying([&](const task_id &id, task_record &task) {
         occupy(id, restored.spec.steps[static_cast<std::size_t>(id.step)], executorFor(task.executor, now));
     });
@@ -309,23 +315,22 @@
     commit_batch batch;
     batch.number = ++m_lastBatch;
     m_jobsInBatch.clear();
-    std::size_t bytes = 0;
-    while (batch.rows.size() < maxRowsPerBatch && bytes < maxBytesPerBatch) {
+    row_changes changes;
+    while (changes.entries() < batchRoom.entries && changes.bytes < batchRoom.bytes) {
         const std::optional<std::string> next = m_storeQueue.takeNext();
         if (!next) {
             break;
         }
-        const std::string &id = *next;
-        job_record &job = *m_jobs.at(id);
-        job.dirty = false;
+        job_record &job = *m_jobs.at(*next);
         job.batch = batch.number;
-        job.forEachIn(task_phase::Placing, [&](const task_id &, task_record &task) {
-            task.batch = task.batch == 0 ? batch.number : task.batch;
-        });
-        batch.rows.emplace_back(id, writeState(job));
-        bytes += batch.rows.back().second.size();
-        m_jobsInBatch.push_back(id);
+        m_jobsInBatch.push_back(*next);
+        if (!takeRows(job, batch.number, changes, now)) {
+            m_storeQueue.add(*next, row_wait::StartOrEnd);
+            break;
+        }
     }
+    batch.rows = std::move(changes.rows);
+    batch.deletedKeys = std::move(changes.deletedKeys);
     if (m_waveRowDirty) {
         batch.rows.emplace_back(wavesRowKey, m_fleetPlanner.writeRow());
         m_waveRowDirty = false;
@@ -334,14 +339,52 @@
         batch.rows.emplace_back(fleetOrdersRowKey, m_fleetOrders.writeRow());
     }
     const std::size_t deletes = std::min(m_rowsToDelete.size(), maxDeletesPerBatch);
-    batch.deletedKeys.assign(m_rowsToDelete.end() - static_cast<std::ptrdiff_t>(deletes), m_rowsToDelete.end());
+    batch.deletedKeys.insert(batch.deletedKeys.end(), m_rowsToDelete.end() - static_cast<std::ptrdiff_t>(deletes), m_rowsToDelete.end());
     m_rowsToDelete.resize(m_rowsToDelete.size() - deletes);
     return batch;
 }
 
+bool scheduler::takeRows(job_record &job, std::int64_t batch, row_changes &changes, time_ms now)
+{
+    job_rows &rows = m_jobRows[job.spec.id];
+    rows_taken taken = rows.takeChanges(job, batch, m_bounds.rowBytes, batchRoom, changes);
+    if (taken == rows_taken::TooLong) {
+        setAside(job, now, "state_too_long");
+        taken = rows_taken::Part;
+    }
+    job.dirty = taken != rows_taken::All;
+    if (!rows.isInUse()) {
+        m_jobRows.erase(job.spec.id);
+    }
+    return taken == rows_taken::All;
+}
+
+void scheduler::setAside(job_record &job, time_ms now, std::string_view cause)
+{
+    job_rows &rows = m_jobRows[job.spec.id];
+    if (rows.isSetAside()) {
+        return;
+    }
+    rows.setAside();
+    ++m_counts.jobsSetAside;
+    logEvent("job_set_aside", {{"request", job.spec.id}, {"reason", std::string(cause)}, {"phase", std::string(nameOf(job.phase))}});
+    if (job.ended()) {
+        markDirty(job);
+    } else {
+        ++m_counts.failedJobs;
+        finishJob(job, job_phase::Failed, now);
+    }
+}
+
 void scheduler::on(const batch_committed &what, time_ms now)
 {
     m_lastCommittedBatch = what.batch;
+    for (const std::string &key : what.refusedKeys) {
+        const auto job = m_jobs.find(std::string(jobOfRow(key)));
+        if (job != m_jobs.end()) {
+            setAside(*job->second, now, "refused_by_store");
+        }
+    }
     const std::vector<std::string> stored = std::move(m_jobsInBatch);
     m_jobsInBatch.clear();
     m_placementPending = m_placementPending || std::exchange(m_placementsHeldBack, false);
@@ -352,8 +395,11 @@
         }
     }
     acknowledgeStored();
-    m_fleetOrders.rowStored();
-    sendFleetOrders();
+    // Refused fleet orders stay unsent; they go into the next row, which is due when one of them expires or is added.
+    if (std::find(what.refusedKeys.begin(), what.refusedKeys.end(), fleetOrdersRowKey) == what.refusedKeys.end()) {
+        m_fleetOrders.rowStored();
+        sendFleetOrders();
+    }
 }
 
 void scheduler::on(const lease_renewed &what, time_ms)
@@ -480,7 +526,9 @@
             continue;
         }
         m_deletedJobs[id] = now;
-        m_rowsToDelete.push_back(id);
+        const std::vector<std::string> keys = m_jobRows[id].keys(id);
+        m_rowsToDelete.insert(m_rowsToDelete.end(), keys.begin(), keys.end());
+        m_jobRows.erase(id);
         std::erase(m_backlog, found->second.get());
         m_jobs.erase(found);
     }
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -29,6 +29,7 @@
 #include "sched/fleet_orders.h"
 #include "sched/fleet_planner.h"
 #include "sched/job_record.h"
+#include "sched/job_rows.h"
 #include "sched/lease_rules.h"
 #include "sched/model.h"
 #include "sched/order_ledger.h"
@@ -62,6 +63,8 @@
     std::int64_t completedJobs = 0;
     std::int64_t failedJobs = 0;
     std::int64_t cancelledJobs = 0;
+    /** Jobs that were ended because the store can't take their state. */
+    std::int64_t jobsSetAside = 0;
     std::int64_t polls = 0;
     std::int64_t moves = 0;
     std::int64_t maintenanceOrders = 0;
@@ -96,8 +99,11 @@
     scheduler(bounds limits, const term_times &term, processing_clock clock = {});
     ~scheduler();
 
-    /** Adds a stored job with its state row; an empty row means that the job has not started. False if the row is malformed. */
-    bool restore(const job_spec &job, const std::string &row, time_ms now);
+    /**
+     * Adds a stored job with its state row; an empty row means that the job has not started. A divided state has further rows, by their keys.
+     * False if a row is malformed.
+     */
+    bool restore(const job_spec &job, const std::string &row, time_ms now, const std::map<std::string, std::string> &taskRows = {});
     /** Adds the stored progress of the maintenance waves. */
     void restoreWave(std::string_view row);
     /** Adds the fleet orders that earlier lease holders may have sent; false if the row is malformed. */
@@ -163,6 +169,10 @@
     void on(const batch_committed &what, time_ms now);
     void on(const tick &what, time_ms now);
     void finishJob(job_record &job, job_phase phase, time_ms now);
+    /** Adds the job's changed rows; false if the batch is full and some of them must wait. */
+    bool takeRows(job_record &job, std::int64_t batch, row_changes &changes, time_ms now);
+    /** Ends a job whose state can't be stored. */
+    void setAside(job_record &job, time_ms now, std::string_view cause);
     void markDirty(job_record &job, row_wait waits = row_wait::Acknowledgement);
     /** Whether one more job may get placements, which hold capacity until the job's row is stored. */
     bool mayQueuePlacements(const job_record &job) const;
@@ -340,6 +350,8 @@
     /** Ended jobs in the order in which they ended, for the clean-up. */
     std::vector<std::string> m_endedJobs;
     store_queue m_storeQueue;
+    /** The rows of jobs whose state is divided. */
+    std::unordered_map<std::string, job_rows> m_jobRows;
     /** State rows to delete, of jobs whose submissions are deleted. */
     std::vector<std::string> m_rowsToDelete;
     /** Jobs whose submissions were deleted recently, with the time of the deletion. */
--- a/tests/sched/scheduler_fixture.h
+++ b/tests/sched/scheduler_fixture.h
@@ -205,6 +205,18 @@
         return end;
     }
 
+    /** The stored rows with tasks of a job whose state is divided. */
+    std::map<std::string, std::string> taskRowsOf(const std::string &job) const
+    {
+        std::map<std::string, std::string> found;
+        for (const std::pair<const std::string, std::string> &row : rows) {
+            if (row.first != job && jobOfRow(row.first) == job) {
+                found.insert(row);
+            }
+        }
+        return found;
+    }
+
     std::string phaseOf(const std::string &job) const
     {
         const auto row = rows.find(job);
--- a/tests/sched/takeover_holders.cpp
+++ b/tests/sched/takeover_holders.cpp
@@ -52,7 +52,8 @@
     owner->taskScheduler.handle(wave_requested{m_wave, m_now}, m_now);
     for (const std::pair<const std::string, job_spec> &job : m_jobs) {
         const auto row = m_rows.find(job.first);
-        owner->taskScheduler.restore(job.second, row == m_rows.end() ? std::string() : row->second, m_now);
+        const std::map<std::string, std::string> taskRows(m_rows.lower_bound(job.first + '/'), m_rows.lower_bound(job.first + '0'));
+        owner->taskScheduler.restore(job.second, row == m_rows.end() ? std::string() : row->second, m_now, taskRows);
     }
     owner->recovered = true;
     const std::map<std::string, registry_change> snapshot = m_registry;
@@ -161,6 +162,12 @@
             for (const std::pair<std::string, std::string> &row : batch.rows) {
                 m_rows[row.first] = row.second;
             }
+            for (const std::string &key : batch.deletedKeys) {
+                // The model keeps the rows of jobs whose submissions are deleted, for the outcome.
+                if (!m_jobs.contains(key)) {
+                    m_rows.erase(key);
+                }
+            }
         }
         at(m_now + storeMs(), [this, owner, accepted, number = batch.number] {
             owner->committing = false;
