Set rows aside that the store refuses for good

When the store refused a transaction with 400, the lease holder sent the same transaction again every 60 ms without an end. The lease's renewal shares it, so the term ended after two seconds, and the next holder got no further; accepted jobs stayed pending.

An answer of 400 or 413 is now told apart from one that asks for a later attempt. The batch is then stored in parts: a refused part is divided by jobs until the rows of one job are left. These are set aside with a log line (row_set_aside) and a metric (daisypass_store_rows_set_aside_total). While a batch is stored in parts, a renewal that is due goes first, in a transaction of its own.

--- a/src/node/dispatcher.h
+++ b/src/node/dispatcher.h
@@ -14,6 +14,7 @@
 #include "node/leadership.h"
 #include "node/relay_pool.h"
 #include "node/table_feed.h"
+#include "node/transaction_parts.h"
 #include "platform/executor_client.h"
 #include "platform/fleet_client.h"
 #include "platform/node_settings.h"
@@ -101,6 +102,12 @@
 
     std::string encodeLease(bool released, bool stopping) const;
     void commitIfNeeded();
+    /** Takes the scheduler's changes for the next batch. */
+    void beginBatch(sched::time_ms now);
+    /** Sets the rows at fault in the outstanding transaction aside, or sends the others without them. */
+    void onTransactionInvalid(std::unique_lock<std::mutex> &guard);
+    /** Passes the outcome of the batch to the scheduler once its last part is stored. */
+    void finishBatch(sched::time_ms now);
     void sendCommit();
     void onCommitResult(const transact_result &result);
     void stopFeedsAndRelays();
@@ -114,7 +121,7 @@
     bool onRegistryPage(const rows_result &page, bool last);
     void listVms(const std::string &page);
     void onVmPage(const vm_page &page);
-    void publishQueueCounts(row_transaction &transaction);
+    void publishQueueCounts(transaction_part &rows);
 
     dispatcher_dependencies m_dependencies;
     node_settings m_settings;
@@ -142,6 +149,10 @@
     // The outstanding transaction, which is retried until its outcome is known.
     std::optional<row_transaction> m_transaction;
     std::int64_t m_transactionBatch = 0;
+    /** The rows of the current batch. */
+    transaction_parts m_parts;
+    bool m_transactionHasPart = false;
+    bool m_batchRefused = false;
     bool m_commitInFlight = false;
     sched::time_ms m_commitSentAt = 0;
     sched::renewal_attempts m_renewalAttempts;
--- a/src/node/dispatcher_store.cpp
+++ b/src/node/dispatcher_store.cpp
@@ -44,46 +44,65 @@
         return;
     }
     const bool renewAlone = now - m_renewedAt >= renewAloneMs;
-    const bool hasChanges = m_recovered && m_scheduler.hasUnstoredChanges();
-    if (!hasChanges && !renewAlone) {
-        return;
+    if (!m_parts.hasNext()) {
+        const bool hasChanges = m_recovered && m_scheduler.hasUnstoredChanges();
+        if (!hasChanges && !renewAlone) {
+            return;
+        }
+        beginBatch(now);
     }
     row_transaction transaction;
     transaction.preconditions = {{tables::termRow(), m_term.termVersion}};
-    m_transactionBatch = 0;
     if (m_recovered) {
         transaction.preconditions.push_back({{tables::state, tables::holderPart, tables::sequenceKey}, m_sequenceVersion});
         ++m_sequence;
         transaction.puts.push_back({{tables::state, tables::holderPart, tables::sequenceKey}, std::to_string(m_term.term) + '.' + std::to_string(m_sequence)});
-        if (std::optional<sched::commit_batch> batch = m_scheduler.takeBatch(now)) {
-            m_transactionBatch = batch->number;
-            for (std::pair<std::string, std::string> &row : batch->rows) {
-                transaction.puts.push_back({tables::stateRow(row.first), std::move(row.second)});
-            }
-            for (const std::string &key : batch->deletedKeys) {
-                transaction.deletes.push_back(tables::stateRow(key));
-            }
-        }
-        publishQueueCounts(transaction);
     }
     m_transactionRenewsLease = now - m_renewedAt >= renewWithBatchMs;
     if (m_transactionRenewsLease) {
         transaction.puts.push_back({tables::holderRow(), encodeLease(false, false)});
     }
+    // Once something in the batch was refused, the lease is renewed in transactions of their own, which no row at fault can delay.
+    m_transactionHasPart = !(m_batchRefused && m_transactionRenewsLease) && m_parts.takeNext();
+    if (m_transactionHasPart) {
+        const transaction_part &part = m_parts.current();
+        transaction.puts.insert(transaction.puts.end(), part.puts.begin(), part.puts.end());
+        transaction.deletes = part.deletes;
+    }
     m_transaction = std::move(transaction);
     m_renewalAttempts = {};
     sendCommit();
 }
 
+void dispatcher::beginBatch(sched::time_ms now)
+{
+    m_transactionBatch = 0;
+    m_batchRefused = false;
+    transaction_part rows;
+    if (m_recovered) {
+        if (std::optional<sched::commit_batch> batch = m_scheduler.takeBatch(now)) {
+            m_transactionBatch = batch->number;
+            for (std::pair<std::string, std::string> &row : batch->rows) {
+                rows.puts.push_back({tables::stateRow(row.first), std::move(row.second)});
+            }
+            for (const std::string &key : batch->deletedKeys) {
+                rows.deletes.push_back(tables::stateRow(key));
+            }
+        }
+        publishQueueCounts(rows);
+    }
+    m_parts.begin(std::move(rows));
+}
+
 // Nothing is published before the job feed has caught up once: until then the former holder's counts hold, or none.
-void dispatcher::publishQueueCounts(row_transaction &transaction)
+void dispatcher::publishQueueCounts(transaction_part &rows)
 {
     const sched::time_ms now = steadyMillis();
     if (m_jobsCompleteUntil == 0 || now - m_queuesPublishedAt < queuePublishIntervalMs) {
         return;
     }
     m_queuesPublishedAt = now;
-    transaction.puts.push_back({tables::countsRow(), writeQueueCounts({m_jobsCompleteUntil, m_scheduler.waitingJobs()})});
+    rows.puts.push_back({tables::countsRow(), writeQueueCounts({m_jobsCompleteUntil, m_scheduler.waitingJobs()})});
 }
 
 void dispatcher::sendCommit()
@@ -124,6 +143,10 @@
             return;
         }
     }
+    if (result.status == store_status::Invalid && m_transactionHasPart && !m_parts.current().empty()) {
+        onTransactionInvalid(guard);
+        return;
+    }
     if (!stored) {
         m_dependencies.metrics.findCounter("daisypass_store_commit_failures_total").add();
         m_commitRetryAt = now + commitRetryDelayMs;
@@ -137,10 +160,34 @@
         m_scheduler.handle(sched::lease_renewed{m_renewedAt}, now);
     }
     m_transaction.reset();
-    if (m_transactionBatch != 0) {
-        m_scheduler.handle(sched::batch_committed{m_transactionBatch}, now);
+    finishBatch(now);
+    runScheduler(guard);
+}
+
+void dispatcher::onTransactionInvalid(std::unique_lock<std::mutex> &guard)
+{
+    m_batchRefused = true;
+    m_transaction.reset();
+    for (const row_key &key : m_parts.refuse()) {
+        m_dependencies.metrics.findCounter("daisypass_store_rows_set_aside_total", {{"table", key.table}}).add();
+        logEvent("row_set_aside", {{"term", m_term.term}, {"table", key.table}, {"key", key.key}, {"reason", "refused_by_store"}});
     }
+    finishBatch(steadyMillis());
     runScheduler(guard);
 }
 
+void dispatcher::finishBatch(sched::time_ms now)
+{
+    if (m_parts.hasNext() || m_transactionBatch == 0) {
+        return;
+    }
+    sched::batch_committed committed{std::exchange(m_transactionBatch, 0)};
+    for (const row_key &key : m_parts.refusedKeys()) {
+        if (key.table == tables::state) {
+            committed.refusedKeys.push_back(key.key);
+        }
+    }
+    m_scheduler.handle(committed, now);
+}
+
 } // namespace daisypass
--- a/src/platform/store_client.cpp
+++ b/src/platform/store_client.cpp
@@ -88,6 +88,9 @@
         return store_status::Conflict;
     case statusGone:
         return store_status::HistoryGone;
+    case statusBadRequest:
+    case statusTooLarge:
+        return store_status::Invalid;
     case statusTooMany:
     case statusUnavailable:
         return store_status::Refused;
@@ -166,6 +169,8 @@
         return "conflict";
     case store_status::Refused:
         return "refused";
+    case store_status::Invalid:
+        return "invalid";
     case store_status::Unknown:
         return "unknown";
     case store_status::HistoryGone:
--- a/src/platform/store_client.h
+++ b/src/platform/store_client.h
@@ -75,6 +75,8 @@
     Conflict,
     /** The store answered that it did nothing, or was not reached. */
     Refused,
+    /** The store did nothing and will never carry out this call: a row or the transaction is above a limit, or malformed. */
+    Invalid,
     /** The call may have taken effect, or may still take effect later. */
     Unknown,
     /** The store no longer has the changes after the version that a feed asked for. */
