Refuse a job whose row is above the store's limit

A body of up to MaxBodyBytes is taken, but its row may be above platform.RowBytes. The store refuses it for good, together with the other submissions of its transaction; nodes tried it again and passed it on to each other, and answered 503 in the end.

The first node now refuses such a job before it is stored, with 503, which the protocol gives for a job that never runs, with the reason in the body and in the log. It isn't passed on to another node.

--- a/src/node/front_service.cpp
+++ b/src/node/front_service.cpp
@@ -252,6 +252,13 @@
     job->acceptedUnixMs = unixMillis();
     const row_key key = tables::jobRow(job->id);
     const std::string row = writeJob(*job);
+    if (row.size() > m_maxRowBytes) {
+        // The platform's statuses for a job that never runs are 429 and 503. Another node or a later attempt would refuse it too.
+        logEvent("job_refused",
+                 {{"request", job->id}, {"reason", "row_too_long"}, {"row_bytes", std::to_string(row.size())}, {"limit", std::to_string(m_maxRowBytes)}});
+        respond(finalAnswer(jsonTextResponse(statusUnavailable, R"({"Reason":"job_too_long"})")));
+        return;
+    }
     m_writer->add(key, row, writeDeadline(request, mayForward), [this, key, row, id = job->id, respond = std::move(respond)](submission_result result) {
         switch (result) {
         case submission_result::Stored:
--- a/src/node/front_service.h
+++ b/src/node/front_service.h
@@ -70,6 +70,11 @@
     front_service(
         store_client &store, std::shared_ptr<submission_writer> writer, metrics_registry &metrics, request_forwarder forward, stored_row_listener onRowStored);
 
+    /** Sets the largest row that the store takes; a job with a longer one is refused. Called before the first request. */
+    void limitRows(std::size_t bytes)
+    {
+        m_maxRowBytes = bytes;
+    }
     void configure(std::shared_ptr<const sched::configuration_view> view);
     void handle(http_request request, http_responder respond);
     /** Serves a request that another node has forwarded; it isn't forwarded again. */
@@ -100,6 +105,7 @@
     metrics_registry &m_metrics;
     request_forwarder m_forward;
     stored_row_listener m_onRowStored;
+    std::size_t m_maxRowBytes = sched::bounds{}.rowBytes;
     std::atomic<sched::time_ms> m_storeFailedAt{0};
     std::mutex m_lock;
     std::shared_ptr<const sched::configuration_view> m_view;
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -93,6 +93,7 @@
             return makeDispatcher(term);
         })
     {
+        front.limitRows(settings.bounds.rowBytes);
     }
 
     node_settings settings;
