Repeat the stop of a late start in its executor's next incarnation

Callers saw the work of a done task done a second time after its job was shown as completed. A start without an answer was carried out seconds late by an executor that had crashed and started again under its id. The scheduler sent one stop for it to the next incarnation; if that had no answer it wasn't repeated, because stops are repeated only for abandoned runs, and the run of a finished job, which has no record of the task, wasn't added to them.

There were two more gaps of the kind: a start whose missing answer came after its run had been given up wasn't recorded as unanswered at all, and an executor without runs was polled every 2.5 s, so its restart was noticed late.

Unanswered starts are now recorded whether or not their task needs the run. The next incarnation's stops are repeated until it confirms them, 0.1 s after a stop without an answer. While a late start is possible the executor is polled without a break, and every 0.1 s while it is silent. Nothing is stored for it: the orders of the next lease holder have a higher fencing token.

--- a/src/sched/abandoned_runs.cpp
+++ b/src/sched/abandoned_runs.cpp
@@ -15,6 +15,15 @@
     const auto found = m_runs.find(run);
     if (found != m_runs.end()) {
         found->second.stopSentAt = now;
+        found->second.stopUnanswered = false;
+    }
+}
+
+void abandoned_runs::stopUnanswered(const run_id &run)
+{
+    const auto found = m_runs.find(run);
+    if (found != m_runs.end()) {
+        found->second.stopUnanswered = true;
     }
 }
 
@@ -22,9 +31,11 @@
 {
     std::vector<run_id> due;
     for (std::pair<const run_id, state> &run : m_runs) {
-        const bool sentRecently = run.second.stopSentAt != 0 && now - run.second.stopSentAt < stopRetryMs;
+        const time_ms retryMs = run.second.stopUnanswered ? unansweredStopRetryMs : stopRetryMs;
+        const bool sentRecently = run.second.stopSentAt != 0 && now - run.second.stopSentAt < retryMs;
         if (run.second.confirmedAt == 0 && !sentRecently) {
             run.second.stopSentAt = now;
+            run.second.stopUnanswered = false;
             due.push_back(run.first);
         }
     }
--- a/src/sched/abandoned_runs.h
+++ b/src/sched/abandoned_runs.h
@@ -6,6 +6,7 @@
 //     abandoned_runs runs;
 //     runs.add({task, run}, demand, startSentAt);
 //     for (const run_id &due : runs.takeDueStops(now)) { ... send a stop ... }
+//     runs.stopUnanswered({task, run});
 //     runs.stopConfirmed({task, run}, now);
 //     runs.applyList(listed, askedAt);
 //
@@ -24,8 +25,10 @@
 /** An order without an answer is carried out within this time or not at all. */
 inline constexpr time_ms maxOrderDelayMs = 12'000;
 
-/** An unanswered stop is repeated after this time. */
+/** A stop is repeated after this time unless it is confirmed. */
 inline constexpr time_ms stopRetryMs = 1'300;
+/** A stop that is known to have had no answer is repeated after this time: the start may be carried out meanwhile. */
+inline constexpr time_ms unansweredStopRetryMs = 100;
 
 /** A task's run, by its number. */
 using run_id = std::pair<task_id, int>;
@@ -37,6 +40,8 @@
     void add(const run_id &run, const resources &demand, time_ms startSentAt);
     /** Records that a stop has just been sent, so that the next one is due after the retry interval. */
     void stopSent(const run_id &run, time_ms now);
+    /** The latest stop of the run had no answer. */
+    void stopUnanswered(const run_id &run);
     /** The runs whose stop must be sent now; each is due again after the retry interval until it is confirmed. */
     std::vector<run_id> takeDueStops(time_ms now);
     /** The executor has confirmed a stop of the run. */
@@ -69,6 +74,8 @@
         time_ms startSentAt = 0;
         /** When the latest stop was sent; 0 before the first. */
         time_ms stopSentAt = 0;
+        /** That stop had no answer. */
+        bool stopUnanswered = false;
         /** When the executor confirmed a stop; 0 if it hasn't. */
         time_ms confirmedAt = 0;
     };
--- a/src/sched/executor_record.h
+++ b/src/sched/executor_record.h
@@ -135,6 +135,12 @@
         return clockMs + (now - clockAt);
     }
 
+    /** Whether a run that is no longer placed here may still start here, in this incarnation or the next one. */
+    bool mayStartLate() const
+    {
+        return !unansweredStarts.empty() || !abandoned.empty();
+    }
+
     bool isSlow() const
     {
         return slownessSamples >= minSlownessSamples && slowness > slownessThreshold;
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -250,6 +250,8 @@
     /** Handles a restart of the executor under the same id. */
     void handleRestart(executor_record &executor, const order_target &incarnation, time_ms now);
     void stopUnansweredStarts(executor_record &executor, const order_target &incarnation, time_ms now);
+    /** Sends the stops of abandoned runs that are due. */
+    void sendDueStops(executor_record &executor, const order_target &incarnation, time_ms now);
     void resetListedState(executor_record &executor);
     /** Handles the answer to an order that reached a different executor. */
     void handleWrongExecutor(executor_record &executor, const order_target &sentTo, time_ms now);
--- a/src/sched/scheduler_executors.cpp
+++ b/src/sched/scheduler_executors.cpp
@@ -15,6 +15,8 @@
 constexpr time_ms firstPollRetryMs = 10;
 // Interval of further polls of an unresponsive executor.
 constexpr time_ms pollRetryIntervalMs = 400;
+// The same if a start order without an answer may reach its next incarnation, which carries it out unless it gets the stop before.
+constexpr time_ms lateStartPollRetryIntervalMs = 100;
 // An executor that answers remains listed for this long after its registry entry was removed: entries that expired while the store was
 // down are written again about two seconds after its recovery.
 constexpr time_ms removedEntryGraceMs = 2'000;
@@ -289,7 +291,8 @@
         logEvent("executor_silent", {{"executor", executor.entry.id}, {"cause", std::string(cause)}, {"runs", std::to_string(executor.runs.size())}});
     }
     const bool first = executor.unresponsiveSince == now;
-    executor.pollRetryAt = now + (first ? firstPollRetryMs : pollRetryIntervalMs);
+    const time_ms intervalMs = executor.mayStartLate() ? lateStartPollRetryIntervalMs : pollRetryIntervalMs;
+    executor.pollRetryAt = now + (first ? firstPollRetryMs : intervalMs);
 }
 
 void scheduler::markResponsive(executor_record &executor, time_ms now)
@@ -350,8 +353,9 @@
     }
 }
 
-// Sends stops for abandoned runs whose start orders had no answer: the new incarnation doesn't know the stops that the previous one
-// acknowledged, and would carry out a delayed start order. Runs that are still tracked are resolved by polls.
+// Sends stops for runs whose start orders had no answer: the new incarnation doesn't know the stops that the previous one acknowledged, and
+// would carry out a delayed start order. A finished job has no record of the task, but its run is stopped all the same. Runs that are still
+// tracked are resolved by polls.
 void scheduler::stopUnansweredStarts(executor_record &executor, const order_target &incarnation, time_ms now)
 {
     forgetExpiredStarts(executor, now);
@@ -360,13 +364,13 @@
         const task_record *task = job == m_jobs.end() ? nullptr : job->second->find(start.task);
         const bool current = task != nullptr && task->occupies() && task->run == start.run;
         if (!current) {
-            if (task != nullptr) {
-                executor.abandoned.add({start.task, start.run}, job->second->spec.steps[static_cast<std::size_t>(start.task.step)].countedDemand(), start.at);
-            }
-            executor.abandoned.stopSent({start.task, start.run}, now);
-            m_actions.push_back(stop_run{start.task, start.run, executor.entry.id, incarnation.address, incarnation.startedUnixMs});
+            const resources demand = job == m_jobs.end() ? resources{} : job->second->spec.steps[static_cast<std::size_t>(start.task.step)].countedDemand();
+            executor.abandoned.add({start.task, start.run}, demand, start.at);
         }
     }
+    if (!incarnation.address.empty()) {
+        sendDueStops(executor, incarnation, now);
+    }
 }
 
 // Resets what is known from the executor's lists, because it doesn't apply to the next incarnation.
--- a/src/sched/scheduler_orders.cpp
+++ b/src/sched/scheduler_orders.cpp
@@ -41,6 +41,10 @@
         m_actions.push_back(step_down{"start on " + what.executor});
         return;
     }
+    if (what.status == order_status::Unknown) {
+        // The order may still be carried out, in the executor's next incarnation too, also if the task doesn't need the run any more.
+        executor.unansweredStarts.push_back({what.task, what.run, now});
+    }
     if (!current) {
         return;
     }
@@ -65,7 +69,6 @@
             task->phase = task_phase::Unconfirmed;
         }
         task->confirmedAt = now;
-        executor.unansweredStarts.push_back({what.task, what.run, now});
         requestPoll(executor);
         executor.backoffUntil = std::max(executor.backoffUntil, now + rejectionBackoffMs);
         return;
@@ -116,6 +119,9 @@
         = foundExecutor != m_executors.end() && answeredByStartUnixMs != 0 && answeredByStartUnixMs < foundExecutor->second.entry.startedUnixMs;
     const bool confirmed = !earlierIncarnation && (what.status == order_status::Ok || what.status == order_status::StaleRun);
     if (!confirmed) {
+        if (foundExecutor != m_executors.end() && what.status == order_status::Unknown) {
+            foundExecutor->second.abandoned.stopUnanswered({what.task, what.run});
+        }
         return;
     }
     if (foundExecutor != m_executors.end() && foundExecutor->second.abandoned.contains({what.task, what.run})) {
--- a/src/sched/scheduler_polls.cpp
+++ b/src/sched/scheduler_polls.cpp
@@ -57,7 +57,8 @@
             continue;
         }
         const bool idlePollDue = now - executor.pollSentAt >= idlePollIntervalMs;
-        if (executor.pollImmediately || !executor.confirmed || !executor.runs.empty() || acknowledgementDue || executor.unresponsiveSince != 0 || idlePollDue) {
+        const bool watched = !executor.confirmed || !executor.runs.empty() || executor.mayStartLate() || executor.unresponsiveSince != 0;
+        if (executor.pollImmediately || watched || acknowledgementDue || idlePollDue) {
             sendPoll(executor, now);
         }
     }
@@ -126,7 +127,8 @@
         order.leaseEndMs = executor.clockAtTime(now) + leaseMs;
         executor.lastLeaseGrantAt = now;
     }
-    order.waitMs = works && !executor.pollImmediately ? pollWaitMs(executor, now) : 0;
+    const bool mayWait = executor.isResponsive() && (works || executor.mayStartLate()) && !executor.pollImmediately;
+    order.waitMs = mayWait ? pollWaitMs(executor, now) : 0;
     executor.pollImmediately = false;
     executor.pollInFlight = true;
     executor.pollSentAt = now;
--- a/src/sched/scheduler_runs.cpp
+++ b/src/sched/scheduler_runs.cpp
@@ -286,9 +286,14 @@
         if (item.second.dead || item.second.entry.address.empty()) {
             continue;
         }
-        for (const run_id &run : item.second.abandoned.takeDueStops(now)) {
-            m_actions.push_back(stop_run{run.first, run.second, item.first, item.second.entry.address, item.second.entry.startedUnixMs});
-        }
+        sendDueStops(item.second, {item.second.entry.address, item.second.entry.startedUnixMs}, now);
+    }
+}
+
+void scheduler::sendDueStops(executor_record &executor, const order_target &incarnation, time_ms now)
+{
+    for (const run_id &run : executor.abandoned.takeDueStops(now)) {
+        m_actions.push_back(stop_run{run.first, run.second, executor.entry.id, incarnation.address, incarnation.startedUnixMs});
     }
 }
 
