--- a/tests/sched/large_job_test.cpp
+++ b/tests/sched/large_job_test.cpp
@@ -301,7 +301,9 @@
 {
     scheduler_fixture world;
     world.addExecutor("e1", 100'000);
-    world.taskScheduler.handle(job_submitted{scheduler_fixture::job("usual", {scheduler_fixture::step(32)})}, world.now);
+    job_spec spec = scheduler_fixture::job("usual", {scheduler_fixture::step(32)});
+    spec.terms = queue_terms{};
+    world.taskScheduler.handle(job_submitted{spec}, world.now);
     world.planAndCommit();
     CHECK(world.take<start_run>().size() == 32);
     REQUIRE(world.rows.size() == 1);
