Keep an executor only for a suspect that it is about to get

A long-running task under which an executor had crashed alone waited behind every first task of a new step. And advice was asked for executors without room only, when those with tickets were full or kept (also on the untouched code: no start in 18 s with three free executors).

Change: each pass lets go of the executors kept for suspects that it didn't leave waiting for the executor's other starts alone. Long-running suspects are tried first of all, and not together with others. Only executors with room count as having a ticket, and only they are asked about; a suspect joins a trial only where it has a ticket.

--- a/src/sched/scheduler_place.cpp
+++ b/src/sched/scheduler_place.cpp
@@ -72,6 +72,8 @@
     std::map<queue_key, bool> expectsCrashes{};
     /** The executors on which this pass has placed suspects that others may join. */
     std::map<std::string, std::vector<executor_record *>> startedTogether{};
+    /** The suspects for which an executor remains kept that has other starts to survive. */
+    std::set<task_id> waitForKept{};
 
     // The pool's executors that take new runs. They are collected when the first job of the pool needs them.
     const placement_candidates &candidatesOf(const std::string &pool)
@@ -252,9 +254,26 @@
         return quota;
     }
 
+    // An executor stays kept only for a suspect that this pass would have started on it but for its other starts, so that it doesn't stand
+    // idle while the suspect waits for another reason.
+    void releaseUnneeded()
+    {
+        for (std::pair<const std::string, executor_record> &item : owner.m_executors) {
+            const std::set<task_id> suspects = item.second.probation;
+            for (const task_id &id : suspects) {
+                const task_record *task = owner.taskOf(id);
+                const bool waits = task != nullptr && task->phase == task_phase::Waiting && task->probationExecutor == item.first;
+                if (waits && !waitForKept.contains(id)) {
+                    owner.endProbation(item.second, id);
+                }
+            }
+        }
+    }
+
     void placeAll()
     {
         placeSuspects();
+        releaseUnneeded();
         for (std::pair<const std::string, std::vector<ready_step>> &item : readyByPool) {
             std::sort(item.second.begin(), item.second.end());
             std::vector<resources> refused;
@@ -292,15 +311,18 @@
     placement_candidates candidatesWithTicket(ready_step &ready, const placement_candidates &candidates)
     {
         step_record &record = ready.occurrence->steps[static_cast<std::size_t>(ready.step)];
+        const step_spec &stepSpec = ready.job->spec.steps[static_cast<std::size_t>(ready.step)];
+        const std::map<std::string, int> here = tasksByExecutor(ready, stepSpec);
         placement_candidates withTicket;
         int tickets = 0;
         std::vector<std::string> unknown;
         for (executor_record *executor : candidates.executors()) {
+            const bool hasRoom = executor->probation.empty() && allowed(stepSpec, stepSpec.countedDemand(), *executor, here);
             const auto ticket = record.tickets.find(executor->entry.id);
             if (ticket != record.tickets.end() && ticket->second.validUntil > now + minTicketValidityMs) {
                 withTicket.add(*executor);
-                ++tickets;
-            } else if (!record.advisedAgainst.contains(executor->entry.id) && unknown.size() < maxExecutorsPerAdvice) {
+                tickets += hasRoom ? 1 : 0;
+            } else if (hasRoom && !record.advisedAgainst.contains(executor->entry.id) && unknown.size() < maxExecutorsPerAdvice) {
                 unknown.push_back(executor->entry.id);
             }
         }
@@ -381,6 +403,7 @@
         }
         if (!owner.mayQueuePlacements(*ready.job)) {
             owner.m_placementsHeldBack = true;
+            waitForKept.insert(id);
             return;
         }
         const queue_config *queue = owner.queueOf(*ready.job);
@@ -413,6 +436,7 @@
         const bool joins = std::find(started.begin(), started.end(), executor) != started.end();
         if (!joins && !owner.hasSurvivedItsStarts(*executor)) {
             task.waitCause = wait_cause::KeptBusy;
+            waitForKept.insert(suspect.task);
             return;
         }
         assign(ready, stepSpec, suspect.task.index, task.run + 1, *executor);
@@ -425,16 +449,18 @@
     // Suspects that have crashed an executor alone are tried together where crashes are expected: one more crash then judges all of them.
     bool mayShareTrial(const waiting_suspect &suspect)
     {
-        return suspect.kind == suspicion::Sole && crashesExpected(owner.m_jobs.at(suspect.task.job)->spec.queue);
+        return suspect.kind == suspicion::Sole && !suspect.longRunning && crashesExpected(owner.m_jobs.at(suspect.task.job)->spec.queue);
     }
 
-    executor_record *joinTrial(const waiting_suspect &suspect, const step_spec &stepSpec, const std::string &pool, const std::map<std::string, int> &here)
+    executor_record *
+    joinTrial(const waiting_suspect &suspect, const step_spec &stepSpec, const placement_candidates &candidates, const std::map<std::string, int> &here)
     {
         if (!mayShareTrial(suspect)) {
             return nullptr;
         }
-        for (executor_record *executor : startedTogether[pool]) {
-            if (executor->probation.size() < maxSuspectsPerTrial && allowed(stepSpec, stepSpec.countedDemand(), *executor, here)) {
+        for (executor_record *executor : startedTogether[owner.poolOf(*owner.m_jobs.at(suspect.task.job))]) {
+            const bool hasPlace = candidates.contains(*executor) && executor->probation.size() < maxSuspectsPerTrial;
+            if (hasPlace && allowed(stepSpec, stepSpec.countedDemand(), *executor, here)) {
                 return executor;
             }
         }
@@ -450,14 +476,17 @@
                                     const std::map<std::string, int> &here,
                                     trial_quota &quota)
     {
-        executor_record *best = joinTrial(suspect, stepSpec, owner.poolOf(*owner.m_jobs.at(suspect.task.job)), here);
+        executor_record *best = joinTrial(suspect, stepSpec, candidates, here);
         if (best != nullptr) {
             best->probation.insert(suspect.task);
             task.probationExecutor = best->entry.id;
             return best;
         }
+        if (!quota.has(suspect.kind)) {
+            return nullptr;
+        }
         std::tuple<int, double, std::int64_t> bestRank;
-        for (auto candidate = candidates.firstWith(0); candidate != candidates.end(); ++candidate) {
+        for (auto candidate = candidates.firstWith(stepSpec.countedDemand().cpu); candidate != candidates.end(); ++candidate) {
             executor_record &executor = *candidate->executor;
             ++owner.m_counts.executorsConsidered;
             if (!executor.probation.empty() || !allowed(stepSpec, stepSpec.countedDemand(), executor, here)) {
--- a/src/sched/suspect_trials.cpp
+++ b/src/sched/suspect_trials.cpp
@@ -24,7 +24,7 @@
 
 bool isTriedBefore(const waiting_suspect &a, const waiting_suspect &b)
 {
-    return std::tie(a.kind, b.longRunning, a.waitingSince, a.task) < std::tie(b.kind, a.longRunning, b.waitingSince, b.task);
+    return std::tie(b.longRunning, a.kind, a.waitingSince, a.task) < std::tie(a.longRunning, b.kind, b.waitingSince, b.task);
 }
 
 trial_quota::trial_quota(std::size_t executors, bool roomIsScarce)
@@ -41,9 +41,14 @@
     }
 }
 
+bool trial_quota::has(suspicion kind) const
+{
+    return m_left > 0 && (!probablyCrashes(kind) || m_leftForCrashes > 0);
+}
+
 bool trial_quota::take(suspicion kind)
 {
-    if (m_left == 0 || (probablyCrashes(kind) && m_leftForCrashes == 0)) {
+    if (!has(kind)) {
         return false;
     }
     add(kind);
--- a/src/sched/suspect_trials.h
+++ b/src/sched/suspect_trials.h
@@ -34,7 +34,7 @@
     time_ms waitingSince = 0;
 };
 
-/** Strict order: those that are probably innocent first, among these long-running tasks, and then those that have waited longest. */
+/** Strict order: long-running tasks first, then those that are probably innocent, then those that have waited longest. */
 bool isTriedBefore(const waiting_suspect &a, const waiting_suspect &b);
 
 /** The executors of one pool that may be kept for trials at the same time. */
@@ -49,6 +49,8 @@
 
     /** Counts an executor that is kept already. */
     void add(suspicion kind);
+    /** Whether one more executor may be kept. */
+    bool has(suspicion kind) const;
     /** Counts one more executor; false if it would be one too many. */
     bool take(suspicion kind);
 
--- a/tests/sched/suspect_trials_test.cpp
+++ b/tests/sched/suspect_trials_test.cpp
@@ -315,3 +315,353 @@
         CHECK(world.taskScheduler.executors().at("large").probation.empty());
     }
 }
+
+namespace {
+
+/** A pool without executors; three jobs of the queue /book/ have crashed one each a moment ago. */
+struct watched_world : trial_world
+{
+    watched_world()
+    {
+        const std::vector<std::string> executors{"c1", "c2", "c3"};
+        for (const std::string &executor : executors) {
+            world.addExecutor(executor);
+            REQUIRE(world.runTask("deadly-" + executor, 3'000).executor == executor);
+        }
+        for (const std::string &executor : executors) {
+            crashAndLeavePool(executor);
+        }
+        for (const std::string &executor : executors) {
+            world.taskScheduler.handle(job_cancelled{"deadly-" + executor}, world.now);
+        }
+        world.planAndCommit();
+        REQUIRE(world.take<start_run>().empty());
+    }
+
+    start_run runOfOtherQueue(const std::string &id, std::int64_t cpu)
+    {
+        job_spec spec = jobOfOtherQueue(id);
+        spec.steps[0].demand.cpu = cpu;
+        world.taskScheduler.handle(job_submitted{spec}, world.now);
+        world.planAndCommit();
+        const start_run order = world.takeStart();
+        world.answerStart(order);
+        return order;
+    }
+
+    void submit(const job_spec &spec)
+    {
+        world.taskScheduler.handle(job_submitted{spec}, world.now);
+        world.planAndCommit();
+    }
+
+    /** Lets the executor answer with these runs for so long; returns the starts that the scheduler orders meanwhile. */
+    std::vector<start_run> startsWithin(time_ms ms, const std::string &executor, const std::vector<start_run> &runs)
+    {
+        std::vector<start_run> found;
+        for (time_ms passed = 0; passed < ms && found.empty(); passed += 300) {
+            survive(executor, runs);
+            found = world.take<start_run>();
+        }
+        return found;
+    }
+};
+
+} // namespace
+
+// Guards against an executor that stays kept, idle, for a first task of a step that no longer needs a trial (LOST).
+TEST_CASE("an executor kept for the first task of a step is free again when no more crashes are expected")
+{
+    watched_world story;
+    scheduler_fixture &world = story.world;
+    world.addExecutor("busy");
+    constexpr time_ms almostMemory = 9'700;
+    world.advance(almostMemory);
+    const start_run other = story.runOfOtherQueue("other", 1'000);
+    story.submit(scheduler_fixture::job("first", {scheduler_fixture::step(1, 2'000)}));
+    REQUIRE(world.take<start_run>().empty());
+    REQUIRE_FALSE(world.taskScheduler.executors().at("busy").probation.empty());
+
+    // A task that is placed before it has the same demand.
+    job_spec lasts = story.jobOfOtherQueue("lasts");
+    lasts.steps[0].demand.cpu = 2'000;
+    lasts.steps[0].longRunning = true;
+    story.submit(lasts);
+    REQUIRE(world.take<start_run>().empty());
+    world.advance(400);
+    std::size_t starts = world.take<start_run>().size();
+    starts += starts == 0 ? story.startsWithin(20'000, "busy", {other}).size() : 0;
+    CHECK(starts > 0);
+}
+
+// Guards against an executor that stays kept for a task whose queue has left the pool (LOST).
+TEST_CASE("an executor kept for the first task of a step is free again when the queue leaves the pool")
+{
+    watched_world story;
+    scheduler_fixture &world = story.world;
+    world.addExecutor("busy");
+    const start_run other = story.runOfOtherQueue("other", 1'000);
+    story.submit(scheduler_fixture::job("first", {scheduler_fixture::step(1, 2'000)}));
+    REQUIRE_FALSE(world.taskScheduler.executors().at("busy").probation.empty());
+
+    configuration_view view = scheduler_fixture::singleQueueConfiguration();
+    view.version = 3;
+    view.queues.push_back(view.queues[0]);
+    view.queues[1].key.prefix = "/other/";
+    view.queues[0].pool = "elsewhere";
+    world.taskScheduler.handle(configuration_changed{view}, world.now);
+    story.submit(story.jobOfOtherQueue("next"));
+    CHECK_FALSE(story.startsWithin(20'000, "busy", {other}).empty());
+}
+
+// Guards against an executor that stays kept for a suspect that isn't started while executors crash for other reasons (LOST).
+TEST_CASE("an executor kept for a suspect is free again while executors crash for other reasons")
+{
+    trial_world story;
+    scheduler_fixture &world = story.world;
+    constexpr int sound = 12;
+    for (int number = 1; number <= sound; ++number) {
+        const std::string executor = "x" + std::to_string(number);
+        world.addExecutor(executor);
+        const start_run run = world.runTask("on-" + executor, 4'000);
+        REQUIRE(run.executor == executor);
+        story.survive(executor, {run});
+    }
+    int crashed = 0;
+    const auto crashUnexplained = [&] {
+        const std::string executor = "x" + std::to_string(++crashed);
+        world.taskScheduler.handle(job_cancelled{"on-" + executor}, world.now);
+        story.crashAndLeavePool(executor);
+    };
+    world.taskScheduler.handle(job_submitted{scheduler_fixture::job("suspect", {scheduler_fixture::step(1, 2'000)})}, world.now);
+    for (int crash = 1; crash <= 3; ++crash) {
+        const std::string executor = "s" + std::to_string(crash);
+        world.addExecutor(executor);
+        const start_run trial = world.takeStart();
+        REQUIRE(trial.executor == executor);
+        world.answerStart(trial);
+        story.crashAndLeavePool(executor);
+        if (crash < 3) {
+            crashUnexplained();
+        }
+    }
+    crashUnexplained();
+    world.addExecutor("busy");
+    REQUIRE(world.take<start_run>().empty());
+    // The quiet begins while a start on the only executor isn't survived yet.
+    world.advance(4'900);
+    REQUIRE(world.take<start_run>().empty());
+    job_spec otherSpec = story.jobOfOtherQueue("other");
+    otherSpec.steps[0].demand.cpu = 1'000;
+    world.taskScheduler.handle(job_submitted{otherSpec}, world.now);
+    world.planAndCommit();
+    const start_run other = world.takeStart();
+    world.answerStart(other);
+    world.advance(150);
+    REQUIRE(world.take<start_run>().empty());
+    REQUIRE_FALSE(world.taskScheduler.executors().at("busy").probation.empty());
+    crashUnexplained();
+    REQUIRE(world.take<start_run>().empty());
+
+    job_spec innocent = story.jobOfOtherQueue("innocent");
+    innocent.steps[0].demand.cpu = 2'000;
+    innocent.steps[0].longRunning = true;
+    world.taskScheduler.handle(job_submitted{innocent}, world.now);
+    SUBCASE("within a second")
+    {
+        story.survive("busy", {other});
+        story.survive("busy", {other});
+        story.survive("busy", {other});
+        CHECK(world.take<start_run>().size() == 1);
+    }
+    SUBCASE("however long they go on crashing")
+    {
+        std::size_t starts = 0;
+        for (int crash = 0; crash < 8 && starts == 0; ++crash) {
+            world.advance(2'500);
+            story.survive("busy", {other});
+            starts += world.take<start_run>().size();
+            crashUnexplained();
+        }
+        CHECK(starts == 1);
+    }
+}
+
+// Guards against advice that is asked for executors without room only, while others have room (LOST).
+TEST_CASE("advice is asked for executors with room when those with tickets have none")
+{
+    scheduler_fixture world;
+    configuration_view view = scheduler_fixture::singleQueueConfiguration();
+    view.version = 2;
+    view.queues.push_back(view.queues[0]);
+    view.queues[1].key.prefix = "/advised/";
+    view.queues[1].requiresAdvice = true;
+    view.queues[1].adviceValidMs = 4'000;
+    world.taskScheduler.handle(configuration_changed{view}, world.now);
+    constexpr int fullExecutors = 40;
+    for (int number = 10; number < 10 + fullExecutors; ++number) {
+        const std::string executor = "e" + std::to_string(number);
+        world.addExecutor(executor);
+        REQUIRE(world.runTask("on-" + executor, 4'000).executor == executor);
+    }
+    for (const std::string free : {"f1", "f2", "f3"}) {
+        world.addExecutor(free);
+    }
+    job_spec spec = scheduler_fixture::job("lasts", {scheduler_fixture::step(1)});
+    spec.queue.prefix = "/advised/";
+    spec.steps[0].longRunning = true;
+    world.taskScheduler.handle(job_submitted{spec}, world.now);
+    world.planAndCommit();
+    std::size_t starts = 0;
+    int requests = 0;
+    for (int round = 0; round < 60 && starts == 0; ++round) {
+        for (const request_advice &request : world.take<request_advice>()) {
+            ++requests;
+            advice_answered answer;
+            answer.job = request.job;
+            answer.occurrence = request.occurrence;
+            answer.step = request.step;
+            answer.status = order_status::Ok;
+            answer.asked = request.executors;
+            answer.validMs = 4'000;
+            for (const std::string &executor : request.executors) {
+                answer.tickets.emplace_back(executor, "ticket");
+            }
+            world.taskScheduler.handle(answer, world.now);
+        }
+        world.advance(300);
+        starts += world.take<start_run>().size();
+    }
+    CHECK(starts == 1);
+    MESSAGE("requests for advice: " << requests);
+}
+
+// Guards against trials that keep the only executor of a pool from the tasks that need none (LOST).
+TEST_CASE("trials leave room for other tasks in a pool of one executor")
+{
+    watched_world story;
+    scheduler_fixture &world = story.world;
+    world.addExecutor("only", 64'000);
+    constexpr int steps = 20;
+    for (int number = 0; number < steps; ++number) {
+        world.taskScheduler.handle(job_submitted{scheduler_fixture::job("first-" + std::to_string(number), {scheduler_fixture::step(1)})}, world.now);
+    }
+    job_spec lasts = story.jobOfOtherQueue("lasts");
+    lasts.steps[0].demand.cpu = 1'000;
+    lasts.steps[0].longRunning = true;
+    story.submit(lasts);
+    std::vector<start_run> running;
+    const time_ms since = world.now;
+    bool started = false;
+    while (!started && world.now - since < 30'000) {
+        for (const start_run &start : world.take<start_run>()) {
+            world.answerStart(start);
+            started = started || start.task.job == "lasts";
+            running.push_back(start);
+        }
+        story.survive("only", running);
+    }
+    MESSAGE("the long-running task waited " << world.now - since << " ms for " << running.size() - 1 << " trials");
+    CHECK(world.now - since < 3'000);
+}
+
+// Guards against a job that is given up because an executor crashed under it once for another reason and once under a task it was tried with.
+TEST_CASE("a job isn't given up with those it was tried with after one crash of its own")
+{
+    trial_world story;
+    scheduler_fixture &world = story.world;
+    const std::vector<std::string> executors{"e1", "e2", "e3", "e4"};
+    for (const std::string &executor : executors) {
+        world.addExecutor(executor);
+        REQUIRE(world.runTask("job-" + executor, 3'000).executor == executor);
+    }
+    // The fourth executor ends for another reason.
+    for (const std::string &executor : executors) {
+        story.crashAndLeavePool(executor);
+    }
+    constexpr std::int64_t largeCpu = 32'000;
+    world.addExecutor("large", largeCpu);
+    std::vector<start_run> trials = world.take<start_run>();
+    for (const start_run &trial : trials) {
+        world.answerStart(trial);
+    }
+    story.crash("large");
+    world.advance(1'600);
+    world.advance(100);
+    CHECK(world.phaseOf("job-e4") == "running");
+}
+
+// Guards against a long-running task that waits while first tasks of new steps are tried one after the other (LOST).
+TEST_CASE("a long-running task under which an executor has crashed alone is tried while new steps keep arriving")
+{
+    watched_world story;
+    scheduler_fixture &world = story.world;
+    world.addExecutor("c4");
+    job_spec lasts = scheduler_fixture::job("lasts", {scheduler_fixture::step(1)});
+    lasts.steps[0].longRunning = true;
+    story.submit(lasts);
+    world.answerStart(world.takeStart());
+    const std::vector<std::string> executors{"e1", "e2", "e3", "e4"};
+    for (const std::string &executor : executors) {
+        world.addExecutor(executor, 640'000);
+    }
+    std::map<std::string, std::vector<start_run>> running;
+    bool started = false;
+    int jobs = 0;
+    time_ms since = world.now;
+    bool crashed = false;
+    while (!started && world.now - since < 9'000) {
+        if (jobs >= 24 && !crashed) {
+            crashed = true;
+            story.crashAndLeavePool("c4");
+            since = world.now;
+        }
+        // Eight steps in 0.3 s.
+        for (int job = 0; job < 8; ++job) {
+            world.taskScheduler.handle(job_submitted{scheduler_fixture::job("new-" + std::to_string(++jobs), {scheduler_fixture::step(1)})}, world.now);
+        }
+        world.planAndCommit();
+        for (int round = 0; round < 2; ++round) {
+            for (const start_run &start : world.take<start_run>()) {
+                world.answerStart(start);
+                started = started || start.task.job == "lasts";
+                running[start.executor].push_back(start);
+            }
+        }
+        world.advance(300);
+        for (const std::string &executor : executors) {
+            std::vector<listed_run> listed;
+            for (const start_run &run : running[executor]) {
+                listed.push_back(scheduler_fixture::running(run, 100));
+            }
+            world.answerPoll(executor, listed);
+        }
+    }
+    MESSAGE("started " << started << " after " << world.now - since << " ms");
+    CHECK(world.now - since < 3'000);
+}
+
+// Guards against a task that crashes executor after executor and isn't a suspect, because their VMs take longer to restart than leases last.
+TEST_CASE("a task that crashes executors is given up although their VMs restart slowly")
+{
+    trial_world story;
+    scheduler_fixture &world = story.world;
+    world.taskScheduler.handle(job_submitted{scheduler_fixture::job("deadly", {scheduler_fixture::step(1)})}, world.now);
+    int starts = 0;
+    for (int executor = 1; executor <= 8; ++executor) {
+        const std::string id = "e" + std::to_string(executor);
+        world.addExecutor(id);
+        for (const start_run &start : world.take<start_run>()) {
+            ++starts;
+            world.answerStart(start);
+        }
+        story.fallSilent(id);
+        for (int second = 0; second < 8; ++second) {
+            world.advance(1'000);
+        }
+        story.crashAndLeavePool(id);
+        world.advance(1'600);
+        world.advance(100);
+    }
+    CHECK(starts <= 5);
+}
