--- a/tests/sched/absent_queue_test.cpp
+++ b/tests/sched/absent_queue_test.cpp
@@ -127,7 +127,9 @@
     world.addExecutor("e1");
     story.removeQueue();
     step_spec kind = world.step(1);
-    SUBCASE("as a single task") { }
+    SUBCASE("as a single task")
+    {
+    }
     SUBCASE("as a gang")
     {
         kind.gang = true;
--- a/tests/sched/foreign_entry_test.cpp
+++ b/tests/sched/foreign_entry_test.cpp
@@ -271,7 +271,7 @@
         const int changes = *rc::gen::inRange(0, 3);
         for (int change = 0; change < changes; ++change) {
             std::vector<std::string> members;
-            for (const auto &member : entry.items()) {
+            for (auto member = entry.begin(); member != entry.end(); ++member) {
                 members.push_back(member.key());
             }
             const std::string member = *rc::gen::elementOf(members);
