--- a/src/sched/scheduler_place.cpp
+++ b/src/sched/scheduler_place.cpp
@@ -20,8 +20,6 @@
 constexpr double maintenanceDueWeight = 1e8;
 constexpr double failedHereWeight = 1e10;
 constexpr double slowExecutorWeight = 1e7;
-// At most so many suspects are tried on one executor together.
-constexpr std::size_t maxSuspectsPerTrial = 6;
 // Minimum remaining validity of a ticket, so that it is still valid when the start order arrives.
 constexpr time_ms minTicketValidityMs = 300;
 // A task that has waited this long for its next run is logged.
@@ -165,7 +163,7 @@
         });
         if (!tried && first != step.tasks.end()) {
             const int index = static_cast<int>(first - step.tasks.begin());
-            suspectsByPool[pool].push_back({{job.spec.id, occurrence.number, number, index}, suspicion::Untried, spec.longRunning, job.acceptedAt});
+            suspectsByPool[pool].push_back({{job.spec.id, occurrence.number, number, index}, suspicion::Untried, spec.longRunning, false, job.acceptedAt});
         }
         return true;
     }
@@ -200,7 +198,7 @@
             }
             if (task->phase == task_phase::Waiting && task->notBefore <= now && mayBeTried(*job->second, *id)) {
                 const bool longRunning = job->second->spec.steps[static_cast<std::size_t>(id->step)].longRunning;
-                suspectsByPool[owner.poolOf(*job->second)].push_back({*id, suspicionOf(*task), longRunning, task->waitingSince});
+                suspectsByPool[owner.poolOf(*job->second)].push_back({*id, suspicionOf(*task), longRunning, false, task->waitingSince});
             }
             ++id;
         }
@@ -224,7 +222,10 @@
     {
         for (std::pair<const std::string, std::vector<waiting_suspect>> &item : suspectsByPool) {
             const placement_candidates &candidates = candidatesOf(item.first);
-            std::sort(item.second.begin(), item.second.end(), isTriedBefore);
+            for (waiting_suspect &suspect : item.second) {
+                suspect.mayShare = mayShareTrial(suspect);
+            }
+            sortForTrials(item.second);
             trial_quota quota = quotaOf(item.first);
             for (const waiting_suspect &suspect : item.second) {
                 placeSuspect(suspect, candidates, quota);
@@ -441,7 +442,7 @@
         }
         assign(ready, stepSpec, suspect.task.index, task.run + 1, *executor);
         owner.requestPoll(*executor);
-        if (!joins && mayShareTrial(suspect)) {
+        if (!joins && suspect.mayShare) {
             started.push_back(executor);
         }
     }
@@ -455,7 +456,7 @@
     executor_record *
     joinTrial(const waiting_suspect &suspect, const step_spec &stepSpec, const placement_candidates &candidates, const std::map<std::string, int> &here)
     {
-        if (!mayShareTrial(suspect)) {
+        if (!suspect.mayShare) {
             return nullptr;
         }
         for (executor_record *executor : startedTogether[owner.poolOf(*owner.m_jobs.at(suspect.task.job))]) {
--- a/src/sched/suspect_trials.h
+++ b/src/sched/suspect_trials.h
@@ -5,13 +5,14 @@
 // A trial is a start on an executor that gets no other run before it has survived this one. The trial of an innocent task takes well under
 // a second. The trial of a task that crashes executors takes its executor away until the executor's VM has the next one.
 //
-//     std::sort(waiting.begin(), waiting.end(), isTriedBefore);
+//     sortForTrials(waiting);
 //     trial_quota quota(executorsOfPool, roomIsScarce);
 //     if (quota.take(suspect.kind)) { ... keep an executor for the suspect ... }
 
 #include "sched/model.h"
 
 #include <cstddef>
+#include <vector>
 
 namespace daisypass::sched {
 
@@ -30,12 +31,17 @@
     task_id task;
     suspicion kind = suspicion::Shared;
     bool longRunning = false;
+    /** It may be tried on one executor together with others of its kind. */
+    bool mayShare = false;
     /** When its latest run was lost, or its job was accepted. */
     time_ms waitingSince = 0;
 };
 
-/** Strict order: long-running tasks first, then those that are probably innocent, then those that have waited longest. */
-bool isTriedBefore(const waiting_suspect &a, const waiting_suspect &b);
+/** At most so many suspects are tried on one executor together. */
+inline constexpr std::size_t maxSuspectsPerTrial = 6;
+
+/** Puts long-running tasks first, then those that are probably innocent; among equals those that have waited longest. */
+void sortForTrials(std::vector<waiting_suspect> &waiting);
 
 /** The executors of one pool that may be kept for trials at the same time. */
 class trial_quota
