Apply a job's kept terms to its suspects as well

What callers would see: a task that was lost with a crashed executor, of a queue that needs advice, is started without a ticket while the configuration doesn't have the queue; one whose attempts aren't known is started again after a failed run. Found by reading the change once more.

Steps ask the job's terms (termsOf, mayRetry); the suspects' pass still asked the configuration's queue and didn't ask about attempts at all.

Change: both ways of placing a task ask the same functions. Both cases of the new test fail without the change (a start without a ticket, a start before the attempts are known).

--- a/src/sched/scheduler_place.cpp
+++ b/src/sched/scheduler_place.cpp
@@ -299,8 +299,7 @@
             noteWait(ready, 0, wait_cause::NotConsidered);
             return;
         }
-        const queue_terms *terms = owner.termsOf(*ready.job);
-        if (terms != nullptr && terms->requiresAdvice) {
+        if (requiresAdvice(*ready.job)) {
             placement_candidates withTicket = candidatesWithTicket(ready, candidates);
             placeAmong(ready, stepSpec, withTicket, refused, true);
             return;
@@ -308,6 +307,12 @@
         placeAmong(ready, stepSpec, candidates, refused, false);
     }
 
+    bool requiresAdvice(const job_record &job) const
+    {
+        const queue_terms *terms = owner.termsOf(job);
+        return terms != nullptr && terms->requiresAdvice;
+    }
+
     // Executors with a valid ticket for the step; requests more advice if there are too few.
     placement_candidates candidatesWithTicket(ready_step &ready, const placement_candidates &candidates)
     {
@@ -399,6 +404,10 @@
         ready.step = id.step;
         const step_spec &stepSpec = ready.job->spec.steps[static_cast<std::size_t>(id.step)];
         task_record &task = *ready.job->find(id);
+        if (!owner.mayRetry(*ready.job, task)) {
+            task.waitCause = wait_cause::AttemptsUnknown;
+            return;
+        }
         if (owner.awaitsJudgement(id, task, now)) {
             return;
         }
@@ -407,8 +416,7 @@
             waitForKept.insert(id);
             return;
         }
-        const queue_config *queue = owner.queueOf(*ready.job);
-        if (queue != nullptr && queue->requiresAdvice) {
+        if (requiresAdvice(*ready.job)) {
             tryOn(ready, stepSpec, task, suspect, candidatesWithTicket(ready, candidates), quota);
         } else {
             tryOn(ready, stepSpec, task, suspect, candidates, quota);
--- a/tests/sched/absent_queue_test.cpp
+++ b/tests/sched/absent_queue_test.cpp
@@ -214,3 +214,54 @@
         CHECK_FALSE(withoutTerms.terms.has_value());
     }
 }
+
+// Guards against a second set of rules for tasks that were lost with a crashed executor.
+TEST_CASE("a suspect keeps its job's terms while the configuration doesn't have its queue")
+{
+    configured_world story;
+    scheduler_fixture &world = story.world;
+    world.addExecutor("e1");
+    const auto crash = [&world](const std::string &executor) {
+        executor_entry next = world.taskScheduler.executors().at(executor).entry;
+        next.id = executor + "+";
+        next.startedUnixMs += 1;
+        world.taskScheduler.handle(executor_entry_changed{next}, world.now);
+        world.answerPoll(executor, {}, {}, order_status::Unreachable);
+        world.answerPoll(next.id, {}, {}, order_status::Ok, next.startedUnixMs);
+        return next.id;
+    };
+
+    SUBCASE("it needs a ticket")
+    {
+        story.removeQueue();
+        job_spec job = acceptedJob(true);
+        job.terms->adviceValidMs = 5'000;
+        world.taskScheduler.handle(job_submitted{job}, world.now);
+        world.planAndCommit();
+        world.taskScheduler.handle(advice_answered{"j1", 0, 0, order_status::Ok, {"e1"}, {{"e1", "ticket-1"}}, 0}, world.now);
+        world.planAndCommit();
+        story.start();
+        world.take<request_advice>();
+        const std::string next = crash("e1");
+        CHECK(world.take<start_run>().empty());
+        REQUIRE(world.take<request_advice>().size() == 1);
+        world.taskScheduler.handle(advice_answered{"j1", 0, 0, order_status::Ok, {next}, {{next, "ticket-2"}}, 0}, world.now);
+        world.planAndCommit();
+        CHECK(world.takeStart().ticket == "ticket-2");
+    }
+    SUBCASE("it waits for the configuration after a failed run if its attempts aren't known")
+    {
+        story.removeQueue();
+        story.submit(scheduler_fixture::job("j1", {scheduler_fixture::step(1)}));
+        const std::string next = crash("e1");
+        const start_run trial = story.start();
+        world.answerPoll(next, {}, {world.ended(trial, 1, run_end::Failed)}, order_status::Ok, trial.startedUnixMs);
+        world.advance(5'000);
+        world.answerPoll(next, {}, {}, order_status::Ok, trial.startedUnixMs);
+        world.advance(100);
+        CHECK(world.phaseOf("j1") == "running");
+        CHECK(world.take<start_run>().empty());
+        story.restoreQueue();
+        CHECK(story.start().run == 3);
+    }
+}
