Make the placement of suspects simpler, and note once why a step's tasks wait

- A waiting suspect is made in one place (addSuspect) in place of two and a loop that completed it.
- The executors that may be joined are a list; the candidates already tell the pool.
- Keeping an executor has one end for joining a trial and for a trial of its own (findForTrial only searches).
- Why a suspect must not be started is the answer of reasonToHoldBack, not a side effect of a question with a bool; a suspect that only waits for the store is no longer logged with the cause others_crash.
- A step notes from which task on the pass didn't come to its tasks.
- Whether others crash is asked in one function; taskOf serves where its search stood again.

--- a/src/sched/job_record.h
+++ b/src/sched/job_record.h
@@ -16,6 +16,7 @@
 #include "sched/run_pace.h"
 
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <optional>
 #include <set>
@@ -98,6 +99,7 @@
     time_ms notBefore = 0;
     /** When its latest run ended or was lost; 0 if none was in this term. */
     time_ms waitingSince = 0;
+    /** See also step_record::waitCauseOf. */
     wait_cause waitCause = wait_cause::None;
     /** The wait for the next run was logged as long. */
     bool waitLogged = false;
@@ -162,6 +164,8 @@
     std::vector<task_record> tasks;
     int done = 0;
     int waiting = 0;
+    /** The last placement pass didn't come to the tasks from this index on. Not stored. */
+    std::size_t notConsideredFrom = std::numeric_limits<std::size_t>::max();
 
     /** An executor has survived the start of one of its tasks in this term. Not stored. */
     bool proven = false;
@@ -177,6 +181,13 @@
     {
         return done == static_cast<int>(tasks.size());
     }
+
+    /** Why the last placement pass didn't place the waiting task. Suspects are placed apart from the step's other tasks. */
+    wait_cause waitCauseOf(std::size_t index) const
+    {
+        const task_record &task = tasks[index];
+        return index >= notConsideredFrom && !task.isSuspect() ? wait_cause::NotConsidered : task.waitCause;
+    }
 };
 
 struct occurrence_record
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -233,8 +233,10 @@
     void recordUnexplainedCrash(time_ms now);
     /** Gives up the tasks under which executors have crashed, if nothing else has explained the crashes meanwhile. */
     void giveUpCrashingTasks(time_ms now);
-    /** Whether the task is about to be given up, so that it must not be started. */
-    bool awaitsJudgement(const task_id &id, task_record &task, time_ms now);
+    /** Why the suspect must not be started now: it is about to be given up, or others crash. None if it may be. */
+    wait_cause reasonToHoldBack(const task_id &id, const task_record &task, time_ms now);
+    /** Whether executors have crashed lately for reasons other than their runs. */
+    bool othersCrash(time_ms now) const;
     /** Whether the executor is known to have survived all starts of its runs. */
     bool hasSurvivedItsStarts(const executor_record &executor) const;
     /** Ends the probation of the suspects whose starts the executor has survived, and of those that don't need it any more. */
@@ -242,7 +244,7 @@
     void settleProbation(executor_record &executor, const task_id &id);
     void endProbation(executor_record &executor, const task_id &id);
     /** The task's record; null if its job is not known any more. */
-    const task_record *taskOf(const task_id &id) const;
+    task_record *taskOf(const task_id &id) const;
     /** Makes the executor's next poll due at once; it will return without waiting for a run to end. */
     void requestPoll(executor_record &executor);
     /** Takes back that the executor was marked dead, because it is alive. */
--- a/src/sched/scheduler_crashes.cpp
+++ b/src/sched/scheduler_crashes.cpp
@@ -63,6 +63,11 @@
     return starts.size() == executor.runs.size() && crashSuspects(starts, executor.clockAt).empty();
 }
 
+bool scheduler::othersCrash(time_ms now) const
+{
+    return m_unexplainedCrashAt && now - *m_unexplainedCrashAt < unexplainedCrashMs;
+}
+
 // Suspects that are tried together: an executor has crashed under each of them alone, and their queues' tasks crash executors.
 bool scheduler::wereAllSole(const std::vector<task_id> &suspects, time_ms now) const
 {
@@ -79,8 +84,7 @@
         return;
     }
     const std::vector<task_id> suspects = crashSuspects(startsOn(executor), executor.clockAt);
-    const bool othersCrash = m_unexplainedCrashAt && now - *m_unexplainedCrashAt < unexplainedCrashMs;
-    const bool noOtherReason = !othersCrash && (suspects.size() == 1 || wereAllSole(suspects, now));
+    const bool noOtherReason = !othersCrash(now) && (suspects.size() == 1 || wereAllSole(suspects, now));
     std::string names;
     for (const task_id &suspect : suspects) {
         names += (names.empty() ? "" : " ") + suspect.text();
@@ -144,24 +148,21 @@
 }
 
 // A holder that has taken over hasn't seen the crashes that its predecessor counted, so it waits for crashes that are noticed now as well.
-bool scheduler::awaitsJudgement(const task_id &id, task_record &task, time_ms now)
+wait_cause scheduler::reasonToHoldBack(const task_id &id, const task_record &task, time_ms now)
 {
     if (!crashesExecutors(task)) {
-        const bool othersCrash = m_unexplainedCrashAt && now - *m_unexplainedCrashAt < unexplainedCrashMs;
-        task.waitCause = wait_cause::OthersCrash;
-        return othersCrash && crashesUnder(task) >= crashesUntilQuietStart;
+        return othersCrash(now) && crashesUnder(task) >= crashesUntilQuietStart ? wait_cause::OthersCrash : wait_cause::None;
     }
-    task.waitCause = wait_cause::Judgement;
     const bool known = std::any_of(m_recentCrashes.begin(), m_recentCrashes.end(), [&id](const counted_crash &crash) {
         return crash.task == id;
     });
     if (!known) {
         m_recentCrashes.push_back({id, task.crashRuns.back(), now});
     }
-    return true;
+    return wait_cause::Judgement;
 }
 
-const task_record *scheduler::taskOf(const task_id &id) const
+task_record *scheduler::taskOf(const task_id &id) const
 {
     const auto job = m_jobs.find(id.job);
     return job == m_jobs.end() ? nullptr : job->second->find(id);
@@ -204,8 +205,7 @@
 
 void scheduler::endProbation(executor_record &executor, const task_id &id)
 {
-    const auto job = m_jobs.find(id.job);
-    task_record *task = job == m_jobs.end() ? nullptr : job->second->find(id);
+    task_record *task = taskOf(id);
     if (task != nullptr && task->probationExecutor == executor.entry.id) {
         task->probationExecutor.clear();
     }
--- a/src/sched/scheduler_place.cpp
+++ b/src/sched/scheduler_place.cpp
@@ -69,7 +69,7 @@
     std::set<std::string> scarcePools{};
     std::map<queue_key, bool> expectsCrashes{};
     /** The executors on which this pass has placed suspects that others may join. */
-    std::map<std::string, std::vector<executor_record *>> startedTogether{};
+    std::vector<executor_record *> startedTogether{};
     /** The suspects for which an executor remains kept that has other starts to survive. */
     std::set<task_id> waitForKept{};
 
@@ -128,7 +128,7 @@
                     continue;
                 }
                 any = true;
-                if (isHeldForTrial(job, occurrence.second, static_cast<int>(step), pool)) {
+                if (isHeldForTrial(job, occurrence.second, static_cast<int>(step))) {
                     continue;
                 }
                 if (!measured) {
@@ -148,7 +148,7 @@
     }
 
     // While tasks of the queue crash executors, a step starts with one task alone, and the others follow when that has survived its start.
-    bool isHeldForTrial(job_record &job, occurrence_record &occurrence, int number, const std::string &pool)
+    bool isHeldForTrial(job_record &job, occurrence_record &occurrence, int number)
     {
         const step_record &step = occurrence.steps[static_cast<std::size_t>(number)];
         const step_spec &spec = job.spec.steps[static_cast<std::size_t>(number)];
@@ -163,7 +163,7 @@
         });
         if (!tried && first != step.tasks.end()) {
             const int index = static_cast<int>(first - step.tasks.begin());
-            suspectsByPool[pool].push_back({{job.spec.id, occurrence.number, number, index}, suspicion::Untried, spec.longRunning, false, job.acceptedAt});
+            addSuspect(job, {job.spec.id, occurrence.number, number, index}, suspicion::Untried, job.acceptedAt);
         }
         return true;
     }
@@ -197,13 +197,20 @@
                 continue;
             }
             if (task->phase == task_phase::Waiting && task->notBefore <= now && mayBeTried(*job->second, *id)) {
-                const bool longRunning = job->second->spec.steps[static_cast<std::size_t>(id->step)].longRunning;
-                suspectsByPool[owner.poolOf(*job->second)].push_back({*id, suspicionOf(*task), longRunning, false, task->waitingSince});
+                addSuspect(*job->second, *id, suspicionOf(*task), task->waitingSince);
             }
             ++id;
         }
     }
 
+    // Suspects that have crashed an executor alone are tried together where crashes are expected: one more crash then judges all of them.
+    void addSuspect(const job_record &job, const task_id &id, suspicion kind, time_ms waitingSince)
+    {
+        const bool longRunning = job.spec.steps[static_cast<std::size_t>(id.step)].longRunning;
+        const bool mayShare = kind == suspicion::Sole && !longRunning && crashesExpected(job.spec.queue);
+        suspectsByPool[owner.poolOf(job)].push_back({id, kind, longRunning, mayShare, waitingSince});
+    }
+
     // Members of a gang start together, so they aren't tried one by one.
     static bool mayBeTried(const job_record &job, const task_id &id)
     {
@@ -222,9 +229,6 @@
     {
         for (std::pair<const std::string, std::vector<waiting_suspect>> &item : suspectsByPool) {
             const placement_candidates &candidates = candidatesOf(item.first);
-            for (waiting_suspect &suspect : item.second) {
-                suspect.mayShare = mayShareTrial(suspect);
-            }
             sortForTrials(item.second);
             trial_quota quota = quotaOf(item.first);
             for (const waiting_suspect &suspect : item.second) {
@@ -296,7 +300,7 @@
             return other.fitsIn(demand);
         });
         if (cannotFit) {
-            noteWait(ready, 0, wait_cause::NotConsidered);
+            ready.occurrence->steps[static_cast<std::size_t>(ready.step)].notConsideredFrom = 0;
             return;
         }
         if (requiresAdvice(*ready.job)) {
@@ -376,22 +380,14 @@
                     refused.push_back(demand);
                 }
                 task.waitCause = wait_cause::NoExecutor;
-                noteWait(ready, index + 1, wait_cause::NotConsidered);
+                record.notConsideredFrom = index + 1;
                 return;
             }
             assign(ready, stepSpec, static_cast<int>(index), task.run + 1, *chosen);
             candidates.refresh(*chosen);
             ++here[chosen->entry.id];
         }
-    }
-
-    // Records why the step's waiting tasks from this index on aren't placed by this pass; suspects are placed apart from them.
-    static void noteWait(ready_step &ready, std::size_t first, wait_cause cause)
-    {
-        std::vector<task_record> &tasks = ready.occurrence->steps[static_cast<std::size_t>(ready.step)].tasks;
-        for (std::size_t index = first; index < tasks.size(); ++index) {
-            tasks[index].waitCause = tasks[index].isSuspect() ? tasks[index].waitCause : cause;
-        }
+        record.notConsideredFrom = record.tasks.size();
     }
 
     // Starts the suspect on the executor that is kept for it, once that has survived its other starts. Keeps one if there is none yet.
@@ -408,7 +404,8 @@
             task.waitCause = wait_cause::AttemptsUnknown;
             return;
         }
-        if (owner.awaitsJudgement(id, task, now)) {
+        task.waitCause = owner.reasonToHoldBack(id, task, now);
+        if (task.waitCause != wait_cause::None) {
             return;
         }
         if (!owner.mayQueuePlacements(*ready.job)) {
@@ -441,8 +438,7 @@
             owner.endProbation(*executor, suspect.task);
             return;
         }
-        std::vector<executor_record *> &started = startedTogether[executor->entry.pool];
-        const bool joins = std::find(started.begin(), started.end(), executor) != started.end();
+        const bool joins = std::find(startedTogether.begin(), startedTogether.end(), executor) != startedTogether.end();
         if (!joins && !owner.hasSurvivedItsStarts(*executor)) {
             task.waitCause = wait_cause::KeptBusy;
             waitForKept.insert(suspect.task);
@@ -451,23 +447,17 @@
         assign(ready, stepSpec, suspect.task.index, task.run + 1, *executor);
         owner.requestPoll(*executor);
         if (!joins && suspect.mayShare) {
-            started.push_back(executor);
+            startedTogether.push_back(executor);
         }
     }
 
-    // Suspects that have crashed an executor alone are tried together where crashes are expected: one more crash then judges all of them.
-    bool mayShareTrial(const waiting_suspect &suspect)
-    {
-        return suspect.kind == suspicion::Sole && !suspect.longRunning && crashesExpected(owner.m_jobs.at(suspect.task.job)->spec.queue);
-    }
-
     executor_record *
     joinTrial(const waiting_suspect &suspect, const step_spec &stepSpec, const placement_candidates &candidates, const std::map<std::string, int> &here)
     {
         if (!suspect.mayShare) {
             return nullptr;
         }
-        for (executor_record *executor : startedTogether[owner.poolOf(*owner.m_jobs.at(suspect.task.job))]) {
+        for (executor_record *executor : startedTogether) {
             const bool hasPlace = candidates.contains(*executor) && executor->probation.size() < maxSuspectsPerTrial;
             if (hasPlace && allowed(stepSpec, stepSpec.countedDemand(), *executor, here)) {
                 return executor;
@@ -476,8 +466,6 @@
         return nullptr;
     }
 
-    // Prefers the executor with the fewest long-running tasks, and among those the one with the most free cpu: a crash takes the fewest
-    // runs along.
     executor_record *keepForSuspect(const waiting_suspect &suspect,
                                     task_record &task,
                                     const step_spec &stepSpec,
@@ -485,20 +473,35 @@
                                     const std::map<std::string, int> &here,
                                     trial_quota &quota)
     {
-        executor_record *best = joinTrial(suspect, stepSpec, candidates, here);
-        if (best != nullptr) {
-            best->probation.insert(suspect.task);
-            task.probationExecutor = best->entry.id;
-            return best;
+        executor_record *kept = joinTrial(suspect, stepSpec, candidates, here);
+        if (kept == nullptr && quota.has(suspect.kind)) {
+            kept = findForTrial(task, stepSpec, candidates, here);
+            owner.m_capacityShort = owner.m_capacityShort || kept == nullptr;
+            if (kept != nullptr) {
+                quota.take(suspect.kind);
+            }
         }
-        if (!quota.has(suspect.kind)) {
+        if (kept == nullptr) {
             return nullptr;
         }
+        kept->probation.insert(suspect.task);
+        task.probationExecutor = kept->entry.id;
+        owner.requestPoll(*kept);
+        return kept;
+    }
+
+    // Prefers the executor with the fewest long-running tasks, and among those the one with the most free cpu: a crash takes the fewest
+    // runs along.
+    executor_record *
+    findForTrial(const task_record &task, const step_spec &stepSpec, const placement_candidates &candidates, const std::map<std::string, int> &here)
+    {
+        const resources demand = stepSpec.countedDemand();
+        executor_record *best = nullptr;
         std::tuple<int, double, std::int64_t> bestRank;
-        for (auto candidate = candidates.firstWith(stepSpec.countedDemand().cpu); candidate != candidates.end(); ++candidate) {
+        for (auto candidate = candidates.firstWith(demand.cpu); candidate != candidates.end(); ++candidate) {
             executor_record &executor = *candidate->executor;
             ++owner.m_counts.executorsConsidered;
-            if (!executor.probation.empty() || !allowed(stepSpec, stepSpec.countedDemand(), executor, here)) {
+            if (!executor.probation.empty() || !allowed(stepSpec, demand, executor, here)) {
                 continue;
             }
             const std::tuple<int, double, std::int64_t> rank{executor.longRunningRuns, penaltyOf(stepSpec, task, executor), -candidate->freeCpu};
@@ -507,13 +510,6 @@
                 bestRank = rank;
             }
         }
-        owner.m_capacityShort = owner.m_capacityShort || best == nullptr;
-        if (best == nullptr || !quota.take(suspect.kind)) {
-            return nullptr;
-        }
-        best->probation.insert(suspect.task);
-        task.probationExecutor = best->entry.id;
-        owner.requestPoll(*best);
         return best;
     }
 
@@ -667,7 +663,7 @@
                             {"run", std::to_string(run)},
                             {"executor", task.executor},
                             {"waited_ms", std::to_string(now - task.waitingSince)},
-                            {"cause", std::string(nameOf(task.waitCause))}});
+                            {"cause", std::string(nameOf(record.waitCauseOf(static_cast<std::size_t>(index))))}});
         }
         task.waitCause = wait_cause::None;
         task.waitLogged = false;
@@ -712,6 +708,7 @@
                 return;
             }
             task.waitLogged = true;
+            const step_record &step = job->occurrences.at(id.occurrence).steps[static_cast<std::size_t>(id.step)];
             logEvent("restart_waits",
                      {{"task", id.text()},
                       {"runs", std::to_string(task.run)},
@@ -719,7 +716,7 @@
                       {"suspect_runs", std::to_string(task.suspectRuns.size())},
                       {"crash_runs", std::to_string(task.crashRuns.size())},
                       {"kept", task.probationExecutor},
-                      {"cause", std::string(nameOf(task.waitCause))}});
+                      {"cause", std::string(nameOf(step.waitCauseOf(static_cast<std::size_t>(id.index))))}});
         });
     }
 }
