--- a/src/sched/job_record.cpp
+++ b/src/sched/job_record.cpp
@@ -284,6 +284,15 @@
     return readable;
 }
 
+// The name of the phase in a row; empty if the row can't be parsed or has none.
+std::string phaseOf(const json &row)
+{
+    if (!row.is_object() || !row.contains("phase") || !row["phase"].is_string()) {
+        return {};
+    }
+    return row["phase"].get<std::string>();
+}
+
 // Length of the critical path through the steps; with an occurrence, finished steps count as 0.
 std::int64_t criticalPathOf(const std::vector<step_spec> &steps, const occurrence_record *occurrence)
 {
@@ -526,15 +535,15 @@
 
 std::string phaseIn(std::string_view row)
 {
-    const json value = json::parse(row, nullptr, false);
-    if (!value.is_object() || !value.contains("phase") || !value["phase"].is_string()) {
-        return {};
-    }
-    return value["phase"].get<std::string>();
+    return phaseOf(json::parse(row, nullptr, false));
 }
 
 bool isDivided(std::string_view row)
 {
+    // Few rows are divided, so the others aren't parsed.
+    if (row.find(dividedKey) == std::string_view::npos) {
+        return false;
+    }
     const json value = json::parse(row, nullptr, false);
     return value.is_object() && value.value(dividedKey, json(false)) == json(true);
 }
@@ -546,12 +555,11 @@
 
 bool readState(std::string_view row, const std::map<std::string, std::string> &taskRows, job_record &job)
 {
-    const std::string phase = phaseIn(row);
-    const auto found = std::find(phaseNames.begin(), phaseNames.end(), phase);
+    const json value = json::parse(row, nullptr, false);
+    const auto found = std::find(phaseNames.begin(), phaseNames.end(), phaseOf(value));
     if (found == phaseNames.end()) {
         return false;
     }
-    const json value = json::parse(row, nullptr, false);
     job.phase = static_cast<job_phase>(found - phaseNames.begin());
     job.firstOpen = value.value("first_open", 0);
     job.terms = job.spec.terms ? job.spec.terms : readTerms(value);
