--- a/src/standins/store_standin.cpp
+++ b/src/standins/store_standin.cpp
@@ -16,7 +16,10 @@
 
 using wire::json;
 
+// The store's limits: rows in an answer, entries in a transaction, and bytes of a table, part or key.
 constexpr std::size_t maxRowsPerAnswer = 500;
+constexpr std::size_t maxEntriesPerTransaction = 100;
+constexpr std::size_t maxNameBytes = 200;
 
 row_key keyIn(const json &item)
 {
@@ -39,6 +42,12 @@
     return key.table == "op" || key.table == "servers";
 }
 
+bool hasValidKey(const json &item)
+{
+    const row_key key = keyIn(item);
+    return std::max({key.table.size(), key.part.size(), key.key.size()}) <= maxNameBytes;
+}
+
 } // namespace
 
 store_standin::store_standin(asio::io_context &context, std::uint64_t seed)
@@ -156,6 +165,17 @@
     }
 }
 
+bool store_standin::isWithinLimits(const json &conditions, const json &puts, const json &deletes) const
+{
+    const bool keysAreValid = std::all_of(conditions.begin(), conditions.end(), hasValidKey) && std::all_of(puts.begin(), puts.end(), hasValidKey)
+        && std::all_of(deletes.begin(), deletes.end(), hasValidKey);
+    const bool valuesAreValid = std::all_of(puts.begin(), puts.end(), [this](const json &item) {
+        const std::optional<std::string> value = wire::decodeBase64(wire::stringIn(item, "Value").value_or(""));
+        return value && value->size() <= m_maxValueBytes;
+    });
+    return keysAreValid && valuesAreValid && conditions.size() + puts.size() + deletes.size() <= maxEntriesPerTransaction;
+}
+
 void store_standin::transact(const http_request &request, const http_responder &respond)
 {
     const std::optional<json> body = wire::parseObject(request.body);
@@ -168,6 +188,10 @@
     const json &conditions = wire::arrayIn(*body, "ExpectedRev") == nullptr ? none : *wire::arrayIn(*body, "ExpectedRev");
     const json &puts = wire::arrayIn(*body, "Puts") == nullptr ? none : *wire::arrayIn(*body, "Puts");
     const json &deletes = wire::arrayIn(*body, "Deletes") == nullptr ? none : *wire::arrayIn(*body, "Deletes");
+    if (!isWithinLimits(conditions, puts, deletes)) {
+        respond(emptyResponse(statusBadRequest));
+        return;
+    }
     bool conditionsHold = true;
     json current = json::array();
     for (const json &item : conditions) {
--- a/src/standins/store_standin.h
+++ b/src/standins/store_standin.h
@@ -1,6 +1,7 @@
 #pragma once
 
-// Stand-in of the platform's metadata store: rows, conditional transactions and change feeds, in memory, with injected faults.
+// Stand-in of the platform's metadata store: rows, conditional transactions and change feeds, in memory, with injected faults. A transaction
+// that breaks one of the store's limits is refused with 400.
 //
 //     store_standin store(context);
 //     store.put({"op", "", "config"}, text);
@@ -12,7 +13,9 @@
 
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
+#include <nlohmann/json.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -56,6 +59,11 @@
     /** Sets a function that is called with each row that a transaction puts. */
     void watchPuts(std::function<void(const store_row &)> watcher);
     void setFault(store_fault fault);
+    /** Sets the largest value of a row that a transaction may put. */
+    void limitValues(std::size_t bytes)
+    {
+        m_maxValueBytes = bytes;
+    }
     /** Drops the history: feeds that start from an earlier version are answered with 410. */
     void forgetHistory();
     std::int64_t writes() const
@@ -72,6 +80,8 @@
         std::shared_ptr<asio::steady_timer> timer;
     };
 
+    /** Whether the store takes the transaction at all. */
+    bool isWithinLimits(const nlohmann::json &conditions, const nlohmann::json &puts, const nlohmann::json &deletes) const;
     void transact(const http_request &request, const http_responder &respond);
     void get(const http_request &request, const http_responder &respond);
     void feed(const http_request &request, const http_responder &respond);
@@ -90,6 +100,7 @@
     std::int64_t m_historyFrom = 0;
     std::int64_t m_writes = 0;
     store_fault m_fault;
+    std::size_t m_maxValueBytes = 65'536;
     std::vector<std::shared_ptr<waiting_feed>> m_feeds;
     std::function<void(const store_row &)> m_watcher;
 };
--- a/tests/integration/platform_scenarios.cpp
+++ b/tests/integration/platform_scenarios.cpp
@@ -152,6 +152,43 @@
     }
 }
 
+// Guards against a job whose state the store refuses for good, so that no later job of any queue is started (LOST).
+TEST_CASE("a job of thousands of tasks holds up no other job")
+{
+    platform_deployment platform({.nodes = 3});
+    const std::string large = platform.submit(0, taskMs, 3'000);
+    REQUIRE_FALSE(large.empty());
+    std::vector<std::string> jobs = submitMany(platform, 5, 4);
+    CHECK(jobs.size() == 5);
+    jobs.push_back(large);
+
+    SUBCASE("under one lease holder")
+    {
+    }
+    SUBCASE("nor when its lease holder is killed")
+    {
+        const std::size_t leaseHolder = platform.leaseHolder();
+        platform.node(leaseHolder).kill();
+        platform.restart(leaseHolder);
+    }
+    checkAllCompleted(platform, 1, jobs);
+}
+
+// Guards against a transaction that the store refuses for good and that is sent again and again, so that the lease is lost (LOST).
+TEST_CASE("a job whose state the store refuses is failed, and holds up no other job")
+{
+    platform_deployment platform({.nodes = 2});
+    platform.leaseHolder();
+    constexpr int tasksAboveLimit = 60;
+    platform.admin("/admin/limit?value_bytes=1000");
+    const std::string refused = platform.submit(0, taskMs, tasksAboveLimit);
+    REQUIRE_FALSE(refused.empty());
+    const std::vector<std::string> jobs = submitMany(platform, 5, 2);
+    CHECK(jobs.size() == 5);
+    CHECK(platform.waitForPhase(1, refused, "failed"));
+    checkAllCompleted(platform, 1, jobs);
+}
+
 TEST_CASE("a maintenance wave takes each VM down once and ends")
 {
     platform_deployment platform({.nodes = 2, .waveVms = 3});
