Read a large job of which only rows with tasks are stored

What callers would see: a job of thousands of tasks is accepted, some of its tasks run, the lease holder ends, and no later holder ever runs the job: it stays pending for good (LOST).

A holder that took over in between found rows with tasks and no first row; readState() asked for a phase, found none, and restore() left the job out as unreadable.

Such a job is now read as running, with what the rows with tasks have. Tasks without an entry weren't started: starts are sent only after their row is stored. The first row follows as for any divided state that isn't complete.

--- a/src/sched/job_record.cpp
+++ b/src/sched/job_record.cpp
@@ -555,7 +555,11 @@
 
 bool readState(std::string_view row, const std::map<std::string, std::string> &taskRows, job_record &job)
 {
-    const json value = json::parse(row, nullptr, false);
+    json value = json::parse(row, nullptr, false);
+    if (row.empty() && !taskRows.empty()) {
+        // The rows with tasks of a new job are stored before its first row.
+        value = json{{"phase", nameOf(job_phase::Running)}, {dividedKey, true}};
+    }
     const auto found = std::find(phaseNames.begin(), phaseNames.end(), phaseOf(value));
     if (found == phaseNames.end()) {
         return false;
--- a/src/sched/job_record.h
+++ b/src/sched/job_record.h
@@ -334,7 +334,7 @@
 bool isDivided(std::string_view row);
 /** Restores the job from its row; false if the row can't be parsed. The job is unchanged if the row has no valid phase. */
 bool readState(std::string_view row, job_record &job);
-/** The same for a job with further rows, by their keys, that have tasks. */
+/** The same for a job with further rows, by their keys, that have tasks. The first row may be empty: it is stored after them. */
 bool readState(std::string_view row, const std::map<std::string, std::string> &taskRows, job_record &job);
 
 } // namespace daisypass::sched
