Leave checkpoints out of a row that would be too long with them

What callers would see: a job is shown as failed, its other runs are stopped, though no task of it has failed (LOST: shown as failed without cause). It takes one checkpoint above RowBytes, or 64 neighbouring tasks with checkpoints of about 4,700 bytes and more each.

A group that was longer, or an entry that was above RowBytes, ended its job as one that can't be stored.

A group that is too long with its checkpoints is now stored without those above 4,096 bytes, which always fits. The holder keeps them in memory and starts tasks with them; after a takeover those tasks start from the beginning, which is less than the job. checkpoints_not_stored says so, once a job.

--- a/src/sched/job_record.cpp
+++ b/src/sched/job_record.cpp
@@ -60,7 +60,24 @@
         && one.checkpoint == other.checkpoint;
 }
 
-void appendTask(std::string &row, int occurrence, std::size_t step, std::size_t index, const task_record &task, std::size_t count = 1)
+// A checkpoint that takes more bytes than `maxBytes` is left out.
+void appendCheckpoint(std::string &row, const std::string &checkpoint, std::size_t maxBytes)
+{
+    const std::size_t before = row.size();
+    appendJsonString(row, checkpoint);
+    if (row.size() - before > maxBytes) {
+        row.resize(before);
+        appendJsonString(row, "");
+    }
+}
+
+void appendTask(std::string &row,
+                int occurrence,
+                std::size_t step,
+                std::size_t index,
+                const task_record &task,
+                std::size_t count = 1,
+                std::size_t maxCheckpointBytes = std::numeric_limits<std::size_t>::max())
 {
     appendSeparator(row);
     row += '[';
@@ -73,7 +90,7 @@
     row += ',';
     appendJsonString(row, task.executor);
     row += ',';
-    appendJsonString(row, task.checkpoint);
+    appendCheckpoint(row, task.checkpoint, maxCheckpointBytes);
     if (count > 1) {
         row += ',' + std::to_string(count);
     }
@@ -501,7 +518,7 @@
     return beginState(job) + ",\"" + dividedKey + "\":true,\"tasks\":[[]]}";
 }
 
-std::string writeTasks(const job_record &job, int occurrence, std::size_t first, std::size_t end)
+std::string writeTasks(const job_record &job, int occurrence, std::size_t first, std::size_t end, std::size_t maxCheckpointBytes)
 {
     task_lists lists;
     const std::vector<step_record> &steps = job.occurrences.at(occurrence).steps;
@@ -516,7 +533,7 @@
                 ++next;
             }
             if (isNeeded(job, records[index])) {
-                appendTask(lists.tasks, occurrence, step, index, records[index], next - index);
+                appendTask(lists.tasks, occurrence, step, index, records[index], next - index, maxCheckpointBytes);
             }
             for (; index < next; ++index) {
                 appendCrashesIfAny(lists, job, occurrence, step, index);
--- a/src/sched/job_record.h
+++ b/src/sched/job_record.h
@@ -326,8 +326,12 @@
 std::string writeState(const job_record &job);
 /** The first row of a divided state: it has no tasks. */
 std::string writeFirstRow(const job_record &job);
-/** A row with some tasks of the occurrence, which are counted through all its steps; empty if none of them needs an entry. */
-std::string writeTasks(const job_record &job, int occurrence, std::size_t first, std::size_t end);
+/**
+ * A row with some tasks of the occurrence, which are counted through all its steps; empty if none of them needs an entry. Checkpoints that take
+ * more bytes than given are left out.
+ */
+std::string
+writeTasks(const job_record &job, int occurrence, std::size_t first, std::size_t end, std::size_t maxCheckpointBytes = std::numeric_limits<std::size_t>::max());
 /** The name of the job phase in a row, as callers get it; empty if the row can't be parsed. */
 std::string phaseIn(std::string_view row);
 /** Whether the row is the first one of a divided state. */
--- a/src/sched/job_rows.cpp
+++ b/src/sched/job_rows.cpp
@@ -14,6 +14,8 @@
 constexpr std::size_t maxSingleRowBytes = 16'384;
 // A group is stored in one transaction, which must keep below the store's limit of 1 MB after base64 encoding.
 constexpr std::size_t maxGroupBytes = 300'000;
+// A checkpoint of this length always fits into its group, whatever the others have.
+constexpr std::size_t maxSharedCheckpointBytes = 4'096;
 
 std::string taskRowKey(const std::string &job, int occurrence, std::size_t first)
 {
@@ -152,8 +154,7 @@
                                row_changes &changes)
 {
     const std::size_t end = std::min(first + maxTasksPerRow, taskCount(occurrence));
-    group_rows group;
-    addRows(job, occurrence.number, first, end, maxRowBytes, group);
+    group_rows group = rowsOf(job, occurrence.number, first, end, maxRowBytes);
     if (group.tooLong) {
         return rows_taken::TooLong;
     }
@@ -188,13 +189,25 @@
     return rows_taken::All;
 }
 
-void job_rows::addRows(const job_record &job, int occurrence, std::size_t first, std::size_t end, std::size_t maxRowBytes, group_rows &group)
+job_rows::group_rows job_rows::rowsOf(const job_record &job, int occurrence, std::size_t first, std::size_t end, std::size_t maxRowBytes)
+{
+    group_rows group;
+    addRows(job, occurrence, first, end, {maxRowBytes, maxRowBytes}, group);
+    if (group.tooLong) {
+        m_leavesCheckpointsOut = true;
+        group = {};
+        addRows(job, occurrence, first, end, {maxRowBytes, std::min(maxSharedCheckpointBytes, maxRowBytes / 2)}, group);
+    }
+    return group;
+}
+
+void job_rows::addRows(const job_record &job, int occurrence, std::size_t first, std::size_t end, const group_limits &limits, group_rows &group)
 {
-    std::string row = writeTasks(job, occurrence, first, end);
+    std::string row = writeTasks(job, occurrence, first, end, limits.checkpointBytes);
     if (row.empty()) {
         return;
     }
-    if (row.size() <= maxRowBytes) {
+    if (row.size() <= limits.rowBytes) {
         std::size_t bytes = row.size();
         for (const std::pair<const std::string, std::string> &other : group.rows) {
             bytes += other.second.size();
@@ -208,8 +221,8 @@
         return;
     }
     const std::size_t middle = first + (end - first) / 2;
-    addRows(job, occurrence, first, middle, maxRowBytes, group);
-    addRows(job, occurrence, middle, end, maxRowBytes, group);
+    addRows(job, occurrence, first, middle, limits, group);
+    addRows(job, occurrence, middle, end, limits, group);
 }
 
 void job_rows::replace(const keyed_rows &before, const keyed_rows &after, row_changes &changes)
--- a/src/sched/job_rows.h
+++ b/src/sched/job_rows.h
@@ -49,7 +49,7 @@
     All,
     /** The room is used up; the other changes must be taken for a later transaction. */
     Part,
-    /** A task's part of the state is above the limit, so it can't be stored. */
+    /** A task's part of the state is above the limit even without its checkpoint, so it can't be stored. */
     TooLong,
 };
 
@@ -68,6 +68,11 @@
     {
         return m_setAside;
     }
+    /** Whether some checkpoints were too long to be stored. After a takeover their tasks start from the beginning. */
+    bool leavesCheckpointsOut() const
+    {
+        return m_leavesCheckpointsOut;
+    }
     /** Whether the rows of this job have a history, so that the object must be kept. */
     bool isInUse() const
     {
@@ -86,11 +91,20 @@
     struct group_rows
     {
         keyed_rows rows;
-        /** A task's entry is above the limit. */
+        /** A task's entry, or all rows together, are above the limit. */
         bool tooLong = false;
     };
 
-    static void addRows(const job_record &job, int occurrence, std::size_t first, std::size_t end, std::size_t maxRowBytes, group_rows &group);
+    /** Limits of the rows of one group, in bytes. */
+    struct group_limits
+    {
+        std::size_t rowBytes = 0;
+        std::size_t checkpointBytes = 0;
+    };
+
+    /** The rows of these tasks, without long checkpoints if they would be too long with them. */
+    group_rows rowsOf(const job_record &job, int occurrence, std::size_t first, std::size_t end, std::size_t maxRowBytes);
+    static void addRows(const job_record &job, int occurrence, std::size_t first, std::size_t end, const group_limits &limits, group_rows &group);
     rows_taken takeFirstRow(const job_record &job, const row_room &room, row_changes &changes);
     /** Takes the changes of one group; the group's tasks are counted through all steps of the occurrence. */
     rows_taken takeGroup(occurrence_record &occurrence,
@@ -106,6 +120,7 @@
 
     bool m_divided = false;
     bool m_setAside = false;
+    bool m_leavesCheckpointsOut = false;
     /** The first row of the divided state as last taken; empty before that. */
     std::string m_firstRow;
     std::map<task_group, keyed_rows> m_groups;
--- a/src/sched/scheduler.cpp
+++ b/src/sched/scheduler.cpp
@@ -347,7 +347,11 @@
 bool scheduler::takeRows(job_record &job, std::int64_t batch, row_changes &changes, time_ms now)
 {
     job_rows &rows = m_jobRows[job.spec.id];
+    const bool leftCheckpointsOut = rows.leavesCheckpointsOut();
     rows_taken taken = rows.takeChanges(job, batch, m_bounds.rowBytes, batchRoom, changes);
+    if (rows.leavesCheckpointsOut() && !leftCheckpointsOut) {
+        logEvent("checkpoints_not_stored", {{"request", job.spec.id}, {"reason", "too_long"}});
+    }
     if (taken == rows_taken::TooLong) {
         setAside(job, now, "state_too_long");
         taken = rows_taken::Part;
