Give each wave's progress a row of its own

What operators would see: on a large fleet, from the third or fourth wave on, each step of a wave costs the holder a series of refused transactions, and after a takeover the progress of all waves is forgotten: VMs are ordered down again, and VMs that were being emptied get new runs.

Each wave now has a row that names its VMs at most once, as the operator's own row does, so it fits if that one did. Of a completed wave only that is kept; its successor still publishes the completion again, as before. Rows that change are written, four at most with a batch. The former row is read; rows of waves go before it. A holder of a former version doesn't read the new rows and starts from the former one's progress; upkeep that is ordered again is answered as done.

--- a/src/node/dispatcher_recovery.cpp
+++ b/src/node/dispatcher_recovery.cpp
@@ -65,8 +65,8 @@
 {
     if (row.key.key == tables::sequenceKey) {
         m_sequenceVersion = row.version;
-    } else if (row.key.key == sched::wavesRowKey) {
-        m_scheduler.restoreWave(row.value);
+    } else if (sched::jobOfRow(row.key.key) == sched::wavesRowKey) {
+        m_scheduler.restoreWave(row.key.key, row.value);
     } else if (row.key.key == sched::fleetOrdersRowKey) {
         restoreFleetOrders(row);
     } else if (const std::string job(sched::jobOfRow(row.key.key)); job != row.key.key) {
--- a/src/sched/fleet_planner.cpp
+++ b/src/sched/fleet_planner.cpp
@@ -3,7 +3,9 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <charconv>
 #include <cmath>
+#include <system_error>
 
 namespace daisypass::sched {
 namespace {
@@ -53,6 +55,20 @@
     }
 }
 
+std::string rowKeyOf(std::int64_t wave)
+{
+    return std::string(wavesRowKey) + '/' + std::to_string(wave);
+}
+
+std::optional<std::int64_t> waveOfRowKey(std::string_view key)
+{
+    const std::size_t mark = key.rfind('/');
+    std::int64_t wave = 0;
+    const char *end = key.data() + key.size();
+    const std::from_chars_result read = std::from_chars(key.data() + mark + 1, end, wave);
+    return mark != std::string_view::npos && read.ec == std::errc() && read.ptr == end ? std::optional<std::int64_t>(wave) : std::nullopt;
+}
+
 int vmsFor(double amount, std::int64_t capacityPerVm)
 {
     return static_cast<int>(std::ceil(amount / static_cast<double>(std::max<std::int64_t>(1, capacityPerVm))));
@@ -87,6 +103,12 @@
         if (stored->second.dueUnixMs != 0) {
             found->second.dueUnixMs = stored->second.dueUnixMs;
         }
+        if (stored->second.completed) {
+            // The status that the operator reads may not have been written.
+            found->second.done = found->second.vms;
+        }
+    } else {
+        m_changedWaves.insert(wave.wave);
     }
     found->second.dueAt = now + (found->second.dueUnixMs - unixMs);
 }
@@ -98,6 +120,7 @@
         found->second.done.insert(vm);
         found->second.draining.erase(vm);
         found->second.down[vm] = now;
+        m_changedWaves.insert(wave);
     }
 }
 
@@ -116,6 +139,7 @@
     if (permanent) {
         found->second.done.insert(vm);
         found->second.draining.erase(vm);
+        m_changedWaves.insert(wave);
     }
 }
 
@@ -208,6 +232,7 @@
     }
     if (allStarted && !listedVms.empty()) {
         wave.completed = true;
+        m_changedWaves.insert(wave.request.wave);
         decisions.push_back(wave_decision{wave.request.wave, true});
         return;
     }
@@ -254,6 +279,7 @@
             ++draining;
             m_plannedVms.insert(vm->vm);
             wave.draining.insert(vm->vm);
+            m_changedWaves.insert(wave.request.wave);
             decisions.push_back(drain_decision{vm->vm, wave.request.wave});
         }
     }
@@ -408,16 +434,46 @@
     }
 }
 
-std::string fleet_planner::writeRow() const
+std::optional<std::pair<std::string, std::string>> fleet_planner::takeChangedRow()
 {
-    json waves = json::object();
-    for (const std::pair<const std::int64_t, wave_state> &wave : m_waves) {
-        waves[std::to_string(wave.first)] = json{{"done", wave.second.done}, {"draining", wave.second.draining}, {"due_unix_ms", wave.second.dueUnixMs}};
+    if (m_changedWaves.empty()) {
+        return std::nullopt;
+    }
+    const std::int64_t wave = *m_changedWaves.begin();
+    m_changedWaves.erase(m_changedWaves.begin());
+    return std::make_pair(rowKeyOf(wave), writeRow(m_waves.at(wave)));
+}
+
+// No longer than the operator's own row, which names each VM of the wave once.
+std::string fleet_planner::writeRow(const wave_state &wave)
+{
+    if (wave.completed) {
+        return json{{"completed", true}}.dump();
+    }
+    return json{{"done", wave.done}, {"drain", wave.draining}, {"due", wave.dueUnixMs}}.dump();
+}
+
+void fleet_planner::readRow(std::string_view key, std::string_view row)
+{
+    if (key == wavesRowKey) {
+        readFormerRow(row);
+        return;
+    }
+    const std::optional<std::int64_t> wave = waveOfRowKey(key);
+    const json value = json::parse(row, nullptr, false);
+    if (!wave || !value.is_object()) {
+        return;
     }
-    return json{{"waves", waves}}.dump();
+    stored_wave &stored = m_stored[*wave];
+    stored.done.clear();
+    stored.draining.clear();
+    stored.completed = value.value("completed", false);
+    stored.dueUnixMs = value.value("due", std::int64_t{0});
+    insertNames(value, "done", stored.done);
+    insertNames(value, "drain", stored.draining);
 }
 
-void fleet_planner::readRow(std::string_view row)
+void fleet_planner::readFormerRow(std::string_view row)
 {
     const json value = json::parse(row, nullptr, false);
     if (!value.is_object() || !value.contains("waves") || !value["waves"].is_object()) {
--- a/src/sched/fleet_planner.h
+++ b/src/sched/fleet_planner.h
@@ -19,11 +19,15 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <variant>
 #include <vector>
 
 namespace daisypass::sched {
 
+/** The key of a wave's row is this with a slash and the wave's number. Former versions had one row of this key for all waves. */
+inline constexpr const char *wavesRowKey = "~waves";
+
 /** State of a VM, as input of the planner. */
 struct fleet_vm
 {
@@ -132,10 +136,14 @@
     /** Earliest due time of the waves that have not started the VM's maintenance yet; nothing if there is none. */
     std::optional<time_ms> maintenanceDueAt(const std::string &vm) const;
 
-    /** The progress of all waves as a row for the store. */
-    std::string writeRow() const;
-    /** Restores the progress of waves from their row; a row that can't be parsed is ignored. */
-    void readRow(std::string_view row);
+    bool hasChangedWaves() const
+    {
+        return !m_changedWaves.empty();
+    }
+    /** Key and row of a wave whose progress has changed since its row was taken last; empty if there is none. */
+    std::optional<std::pair<std::string, std::string>> takeChangedRow();
+    /** Restores the progress of a wave from its row; a row that can't be parsed is ignored. */
+    void readRow(std::string_view key, std::string_view row);
 
 private:
     struct wave_state
@@ -173,9 +181,16 @@
         std::set<std::string> draining;
         std::map<std::string, time_ms> down;
         std::int64_t dueUnixMs = 0;
+        bool completed = false;
     };
 
+    static std::string writeRow(const wave_state &wave);
+    /** Restores all waves from the only row that former versions wrote for them. */
+    void readFormerRow(std::string_view row);
+
     std::map<std::int64_t, stored_wave> m_stored;
+    /** The waves whose rows must be stored. */
+    std::set<std::int64_t> m_changedWaves;
     /** VMs for which the current call of plan has made a decision. */
     std::set<std::string> m_plannedVms;
     std::map<std::string, time_ms> m_lastMove;
--- a/src/sched/scheduler.cpp
+++ b/src/sched/scheduler.cpp
@@ -14,6 +14,8 @@
 // Keeps a transaction well below the store's limit of 1 MB after base64 encoding.
 constexpr std::size_t maxBytesPerBatch = 400'000;
 constexpr row_room batchRoom{maxRowsPerBatch, maxBytesPerBatch};
+// Maximum number of waves whose rows go with one batch; the others follow with the next ones.
+constexpr std::size_t maxWaveRowsPerBatch = 4;
 // Maximum number of rows deleted with one batch, so that the clean-up doesn't delay the storing of progress.
 constexpr std::size_t maxDeletesPerBatch = 8;
 // Interval of the clean-up of ended jobs and old registry versions.
@@ -142,9 +144,9 @@
     return true;
 }
 
-void scheduler::restoreWave(std::string_view row)
+void scheduler::restoreWave(std::string_view key, std::string_view row)
 {
-    m_fleetPlanner.readRow(row);
+    m_fleetPlanner.readRow(key, row);
 }
 
 bool scheduler::restoreFleetOrders(std::string_view row, time_ms now)
@@ -304,7 +306,7 @@
 
 bool scheduler::hasUnstoredChanges() const
 {
-    return !m_storeQueue.empty() || m_waveRowDirty || m_fleetOrders.isDirty() || !m_rowsToDelete.empty();
+    return !m_storeQueue.empty() || m_fleetPlanner.hasChangedWaves() || m_fleetOrders.isDirty() || !m_rowsToDelete.empty();
 }
 
 std::optional<commit_batch> scheduler::takeBatch(time_ms now)
@@ -329,12 +331,9 @@
             break;
         }
     }
+    takeWaveRows(changes);
     batch.rows = std::move(changes.rows);
     batch.deletedKeys = std::move(changes.deletedKeys);
-    if (m_waveRowDirty) {
-        batch.rows.emplace_back(wavesRowKey, m_fleetPlanner.writeRow());
-        m_waveRowDirty = false;
-    }
     if (m_fleetOrders.isDirty()) {
         batch.rows.emplace_back(fleetOrdersRowKey, m_fleetOrders.writeRow());
     }
@@ -344,6 +343,18 @@
     return batch;
 }
 
+void scheduler::takeWaveRows(row_changes &changes)
+{
+    for (std::size_t taken = 0; taken < maxWaveRowsPerBatch && changes.bytes < batchRoom.bytes; ++taken) {
+        std::optional<std::pair<std::string, std::string>> row = m_fleetPlanner.takeChangedRow();
+        if (!row) {
+            return;
+        }
+        changes.bytes += row->second.size();
+        changes.rows.push_back(std::move(*row));
+    }
+}
+
 bool scheduler::takeRows(job_record &job, std::int64_t batch, row_changes &changes, time_ms now)
 {
     job_rows &rows = m_jobRows[job.spec.id];
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -85,8 +85,7 @@
     std::int64_t us = 0;
 };
 
-/** Keys of the rows in the scheduler's table that don't belong to a job. */
-inline constexpr const char *wavesRowKey = "~waves";
+/** Key of the row in the scheduler's table that has the fleet orders. */
 inline constexpr const char *fleetOrdersRowKey = "~orders";
 
 /** Returns the time in microseconds on any monotonic clock. */
@@ -104,8 +103,8 @@
      * False if a row is malformed.
      */
     bool restore(const job_spec &job, const std::string &row, time_ms now, const std::map<std::string, std::string> &taskRows = {});
-    /** Adds the stored progress of the maintenance waves. */
-    void restoreWave(std::string_view row);
+    /** Adds the stored progress of a maintenance wave. */
+    void restoreWave(std::string_view key, std::string_view row);
     /** Adds the fleet orders that earlier lease holders may have sent; false if the row is malformed. */
     bool restoreFleetOrders(std::string_view row, time_ms now);
 
@@ -169,6 +168,8 @@
     void on(const batch_committed &what, time_ms now);
     void on(const tick &what, time_ms now);
     void finishJob(job_record &job, job_phase phase, time_ms now);
+    /** Adds the rows of waves that have changed, as far as there is room. */
+    void takeWaveRows(row_changes &changes);
     /** Adds the job's changed rows; false if the batch is full and some of them must wait. */
     bool takeRows(job_record &job, std::int64_t batch, row_changes &changes, time_ms now);
     /** Ends a job whose state can't be stored. */
@@ -407,7 +408,6 @@
     std::int64_t m_lastCommittedBatch = 0;
     /** Jobs whose rows are in the outstanding batch. */
     std::vector<std::string> m_jobsInBatch;
-    bool m_waveRowDirty = false;
     scheduler_counts m_counts;
     pass_pacer m_placementPacer;
     pass_pacer m_fleetPacer;
--- a/src/sched/scheduler_fleet.cpp
+++ b/src/sched/scheduler_fleet.cpp
@@ -90,7 +90,6 @@
 void scheduler::on(const wave_requested &what, time_ms now)
 {
     m_fleetPlanner.addWave(what.wave, now, what.unixMs);
-    m_waveRowDirty = true;
 }
 
 fleet_view scheduler::viewOfFleet(time_ms now) const
@@ -200,7 +199,6 @@
         const vm_entry &vm = m_vms.at(drain->vm);
         if (!vm.executor.empty()) {
             reserveForMaintenance(drain->vm, currentOccupant(vm), now);
-            m_waveRowDirty = true;
             logEvent("vm_draining", {{"vm", drain->vm}, {"wave", std::to_string(drain->wave)}, {"executor", vm.executor}});
         }
     } else if (const wave_decision *wave = std::get_if<wave_decision>(&decision)) {
@@ -296,7 +294,6 @@
     updateReservation(what.occupant.executor, now);
     if (what.status == fleet_status::Ok) {
         m_fleetPlanner.maintenanceStarted(what.wave, what.vm, now);
-        m_waveRowDirty = true;
         const auto vm = m_vms.find(what.vm);
         if (vm != m_vms.end() && vm->second.executor == what.occupant.executor) {
             vm->second.state = vm_state::Maintenance;
--- a/tests/sched/batch_drain_test.cpp
+++ b/tests/sched/batch_drain_test.cpp
@@ -143,9 +143,10 @@
     batch_drain former(true);
     former.beginWave();
     former.continueRun(10'000, 4 * stepMs);
-    REQUIRE(former.rows.contains(wavesRowKey));
+    const std::string waveRow = std::string(wavesRowKey) + "/1";
+    REQUIRE(former.rows.contains(waveRow));
     scheduler_fixture world;
-    world.taskScheduler.restoreWave(former.rows.at(wavesRowKey));
+    world.taskScheduler.restoreWave(waveRow, former.rows.at(waveRow));
 
     SUBCASE("the draining VM gets no runs before the first fleet plan")
     {
@@ -166,7 +167,7 @@
         former.taskScheduler.handle(maintenance_answered{"vm-e1", 1, fleet_status::Ok, {"e1", 1'000}}, former.now);
         former.planAndCommit();
         scheduler_fixture later;
-        later.taskScheduler.restoreWave(former.rows.at(wavesRowKey));
+        later.taskScheduler.restoreWave(waveRow, former.rows.at(waveRow));
         later.addExecutor("e1");
         CHECK(later.placeTask("j2").executor == "e1");
     }
--- a/tests/sched/takeover_holders.cpp
+++ b/tests/sched/takeover_holders.cpp
@@ -44,9 +44,9 @@
     if (orders != m_rows.end()) {
         owner->taskScheduler.restoreFleetOrders(orders->second, m_now);
     }
-    const auto waves = m_rows.find(wavesRowKey);
-    if (waves != m_rows.end()) {
-        owner->taskScheduler.restoreWave(waves->second);
+    const std::string waves(wavesRowKey);
+    for (auto wave = m_rows.lower_bound(waves); wave != m_rows.end() && jobOfRow(wave->first) == waves; ++wave) {
+        owner->taskScheduler.restoreWave(wave->first, wave->second);
     }
     owner->taskScheduler.handle(configuration_changed{m_configuration}, m_now);
     owner->taskScheduler.handle(wave_requested{m_wave, m_now}, m_now);
