Bound the row of fleet orders by its bytes

What operators would see: where names of VMs and pools are long, the holder's moves and upkeep stop, and each of its transactions is refused and divided.

Names come from the platform, and platform.RowBytes wasn't asked. A refused row of orders leaves its maintenance unsent.

The room for moves now follows from RowBytes and the longest entry that has been added, by this holder or read from its predecessor.

With the usual names there is room for 1,000 moves and more, as before.

--- a/src/sched/fleet_orders.cpp
+++ b/src/sched/fleet_orders.cpp
@@ -13,8 +13,10 @@
 
 using json = nlohmann::json;
 
-// The row must stay below the store's limit of 64 KiB, with names of 20 characters each for VM and pool.
-constexpr std::size_t maxOrdersInRow = 1'200;
+// The longest entry, as long as none is known: names of 20 characters each for VM and pool, quotes, brackets, commas and the remaining time.
+constexpr std::size_t usualEntryBytes = 54;
+// The row's own brackets, and entries of maintenance, for which no room is asked.
+constexpr std::size_t reservedRowBytes = 2'048;
 
 // Appends a move as the name of its pool and maintenance as the number of its wave.
 struct order_appender
@@ -80,8 +82,10 @@
         order);
 }
 
-fleet_orders::fleet_orders(time_ms ttlMs)
+fleet_orders::fleet_orders(time_ms ttlMs, std::size_t maxRowBytes)
     : m_ttlMs(ttlMs)
+    , m_maxRowBytes(maxRowBytes)
+    , m_entryBytes(usualEntryBytes)
 {
 }
 
@@ -94,6 +98,7 @@
 {
     m_now = now;
     m_recent[vmOf(order)] = {order, now};
+    m_entryBytes = std::max(m_entryBytes, entryOf(m_recent.at(vmOf(order))).size());
     const bool waitsForRow = std::holds_alternative<maintain_vm>(order);
     (waitsForRow ? m_unstored : m_due).push_back(std::move(order));
     m_dirty = true;
@@ -101,7 +106,8 @@
 
 std::size_t fleet_orders::roomForMoves() const
 {
-    return maxOrdersInRow - std::min(maxOrdersInRow, m_recent.size());
+    const std::size_t maxOrders = (m_maxRowBytes - std::min(m_maxRowBytes, reservedRowBytes)) / m_entryBytes;
+    return maxOrders - std::min(maxOrders, m_recent.size());
 }
 
 void fleet_orders::expire(time_ms now)
@@ -122,15 +128,21 @@
     std::string row = "{";
     for (const std::pair<const std::string, recent_order> &order : m_recent) {
         appendSeparator(row);
-        appendJsonString(row, order.first);
-        row += ":[";
-        std::visit(order_appender{row}, order.second.order);
-        row += ',' + std::to_string(remainingMs(order.second)) + ']';
+        row += entryOf(order.second);
     }
     row += '}';
     return row;
 }
 
+std::string fleet_orders::entryOf(const recent_order &order) const
+{
+    std::string entry;
+    appendJsonString(entry, vmOf(order.order));
+    entry += ":[";
+    std::visit(order_appender{entry}, order.order);
+    return entry + ',' + std::to_string(remainingMs(order)) + ']';
+}
+
 // Maintenance is sent only when its row is stored, so its time to live doesn't count from the decision.
 void fleet_orders::restartTtl(std::span<const fleet_order> orders)
 {
@@ -171,6 +183,9 @@
     }
     // The next lease holder has to know them too.
     m_recent.insert(m_predecessor.begin(), m_predecessor.end());
+    for (const std::pair<const std::string, recent_order> &order : m_predecessor) {
+        m_entryBytes = std::max(m_entryBytes, entryOf(order.second).size());
+    }
     return true;
 }
 
--- a/src/sched/fleet_orders.h
+++ b/src/sched/fleet_orders.h
@@ -38,8 +38,8 @@
 class fleet_orders
 {
 public:
-    /** An order may still be carried out for `ttlMs` after it was sent. */
-    explicit fleet_orders(time_ms ttlMs);
+    /** An order may still be carried out for `ttlMs` after it was sent. The row has `maxRowBytes` at most. */
+    explicit fleet_orders(time_ms ttlMs, std::size_t maxRowBytes = bounds{}.rowBytes);
 
     void add(fleet_order order, time_ms now);
     /** True if the orders have changed since the last writeRow. */
@@ -74,12 +74,17 @@
         time_ms at = 0;
     };
 
+    /** The order as a member of the row's object. */
+    std::string entryOf(const recent_order &order) const;
     /** Time until the order expires; 0 if it has. */
     time_ms remainingMs(const recent_order &order) const;
     /** Restarts the time to live of the orders. */
     void restartTtl(std::span<const fleet_order> orders);
 
     time_ms m_ttlMs;
+    std::size_t m_maxRowBytes;
+    /** Length of the longest entry that has been added, in the row. */
+    std::size_t m_entryBytes;
     /** Time of the latest call that passed one. */
     time_ms m_now = 0;
     bool m_dirty = false;
--- a/src/sched/scheduler.cpp
+++ b/src/sched/scheduler.cpp
@@ -54,7 +54,7 @@
     , m_term(term)
     , m_renewedAt(term.acquiredAt)
     , m_fleetPlanner(limits)
-    , m_fleetOrders(limits.leaseMs + fleetOrderMarginMs)
+    , m_fleetOrders(limits.leaseMs + fleetOrderMarginMs, limits.rowBytes)
     , m_placementPacer(placementLimits)
     , m_fleetPacer(fleetLimits)
     , m_sweepPacer(sweepLimits)
