Store the counts of waiting jobs in as many rows as they take

What callers would see: GET of a queue is answered with 503 on all nodes and for all queues once some thousand queues have waiting jobs at the same time; and the holder's transactions are refused and divided twice a second.

Counts that don't fit into one row are now written into several. The first then has only their number, so that a node of a former version, which reads one row, says that it has no counts instead of 0. A node reads all rows with the call it makes anyway; a missing row means no counts. With few queues the row is the same as before.

--- a/src/node/dispatcher_store.cpp
+++ b/src/node/dispatcher_store.cpp
@@ -102,7 +102,10 @@
         return;
     }
     m_queuesPublishedAt = now;
-    rows.puts.push_back({tables::countsRow(), writeQueueCounts({m_jobsCompleteUntil, m_scheduler.waitingJobs()})});
+    std::vector<std::string> counts = writeQueueCounts({m_jobsCompleteUntil, m_scheduler.waitingJobs()}, m_settings.bounds.rowBytes);
+    for (std::size_t number = 0; number < counts.size(); ++number) {
+        rows.puts.push_back({tables::countsRow(number), std::move(counts[number])});
+    }
 }
 
 void dispatcher::sendCommit()
--- a/src/node/front_service.cpp
+++ b/src/node/front_service.cpp
@@ -9,6 +9,8 @@
 #include "sched/job_record.h"
 
 #include <algorithm>
+#include <map>
+#include <span>
 
 namespace daisypass {
 namespace {
@@ -63,6 +65,20 @@
     return steadyMillis() + (waitMs > 0 ? waitMs : defaultDeadlineMs) - answerMarginMs;
 }
 
+// The rows with counts in the order of their numbers, up to the first one that is missing.
+std::vector<std::string> countRowsIn(std::span<const store_row> rows)
+{
+    std::map<row_key, std::string> byKey;
+    for (const store_row &row : rows) {
+        byKey[row.key] = row.value;
+    }
+    std::vector<std::string> ordered;
+    for (auto row = byKey.find(tables::countsRow()); row != byKey.end(); row = byKey.find(tables::countsRow(ordered.size()))) {
+        ordered.push_back(row->second);
+    }
+    return ordered;
+}
+
 // If the request may be forwarded, the write's deadline is early enough to leave time for it.
 sched::time_ms writeDeadline(const http_request &request, bool mayForward)
 {
@@ -348,13 +364,14 @@
 // the clocks of the machines differ.
 void front_service::answerWaitingCount(const sched::queue_key &queue, front_responder respond)
 {
+    // The range ends right after the keys that begin with the first row's key and a slash.
     const row_key row = tables::countsRow();
-    m_store.get({row.table, row.part, row.key, row.key + '!'}, readTimeout, [this, queue, respond = std::move(respond)](const rows_result &result) {
+    m_store.get({row.table, row.part, row.key, row.key + '0'}, readTimeout, [this, queue, respond = std::move(respond)](const rows_result &result) {
         if (result.status != store_status::Ok) {
             respond(storeUnavailable());
             return;
         }
-        const std::optional<queue_counts> counts = result.rows.empty() ? std::nullopt : readQueueCounts(result.rows.front().value);
+        const std::optional<queue_counts> counts = readQueueCounts(countRowsIn(result.rows));
         const std::variant<std::int64_t, count_error> waiting = countAt(counts, queue, result.storeMs);
         if (const count_error *error = std::get_if<count_error>(&waiting)) {
             m_metrics.findCounter("daisypass_counts_refused_total", {{"reason", std::string(nameOf(*error))}}).add();
--- a/src/node/tables.h
+++ b/src/node/tables.h
@@ -4,6 +4,7 @@
 
 #include "platform/store_client.h"
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 
@@ -21,7 +22,7 @@
 inline constexpr int jobParts = 16;
 /** The row with the sequence number of the holder's latest batch. Like the scheduler's own rows it sorts after all job ids. */
 inline constexpr const char *sequenceKey = "~sequence";
-/** The row with the counts of waiting jobs of all queues. */
+/** The first row with the counts of waiting jobs; the keys of further ones have a slash and their number behind it. */
 inline constexpr const char *countsKey = "~waiting";
 /** A row whose key is a job's id with this suffix requests the job's cancellation. */
 inline constexpr std::string_view cancelSuffix = ".x";
@@ -47,9 +48,9 @@
     return {state, holderPart, id};
 }
 
-inline row_key countsRow()
+inline row_key countsRow(std::size_t number = 0)
 {
-    return {queues, holderPart, countsKey};
+    return {queues, holderPart, number == 0 ? std::string(countsKey) : countsKey + ('/' + std::to_string(number))};
 }
 
 inline row_key holderRow()
--- a/tests/node/waiting_count_test.cpp
+++ b/tests/node/waiting_count_test.cpp
@@ -10,6 +10,7 @@
 
 namespace {
 
+constexpr std::size_t maxRowBytes = 65'536;
 const sched::queue_key bookingQueue{"shop.example", "/book/"};
 const sched::queue_key grinderQueue{"shop.example", "/grind/"};
 
@@ -30,10 +31,20 @@
         m_front.configure(view);
         if (countsAgeMs) {
             const queue_counts counts{steadyMillis() - *countsAgeMs, {{bookingQueue, 7}}};
-            REQUIRE(transact({{}, {{tables::countsRow(), writeQueueCounts(counts)}}, {}}) == store_status::Ok);
+            storeCounts(counts);
         }
     }
 
+    void storeCounts(const queue_counts &counts)
+    {
+        row_transaction transaction;
+        const std::vector<std::string> rows = writeQueueCounts(counts, maxRowBytes);
+        for (std::size_t number = 0; number < rows.size(); ++number) {
+            transaction.puts.push_back({tables::countsRow(number), rows[number]});
+        }
+        REQUIRE(transact(transaction) == store_status::Ok);
+    }
+
     http_response request(const std::string &method, const std::string &path, const std::string &body = {})
     {
         http_request request;
@@ -108,13 +119,55 @@
 TEST_CASE("counts of waiting jobs are read back as they were written")
 {
     const queue_counts written{1'234, {{bookingQueue, 3}, {grinderQueue, 0}}};
-    const std::optional<queue_counts> read = readQueueCounts(writeQueueCounts(written));
+    const std::vector<std::string> rows = writeQueueCounts(written, maxRowBytes);
+    REQUIRE(rows.size() == 1);
+    const std::optional<queue_counts> read = readQueueCounts(rows);
     REQUIRE(read);
     CHECK(read->completeUntil == 1'234);
     CHECK(read->waiting == std::map<sched::queue_key, std::int64_t>{{bookingQueue, 3}});
 
     for (const char *damaged : {"", "[]", R"({"complete_until":1})", R"({"complete_until":1,"waiting":[["a","b"]]})", "3 1700000000000"}) {
         CAPTURE(damaged);
-        CHECK_FALSE(readQueueCounts(damaged));
+        CHECK_FALSE(readQueueCounts(std::vector<std::string>{damaged}));
+    }
+}
+
+// Guards against counts that the store refuses for good, so that no queue's count is given any more.
+TEST_CASE("counts of more queues than fit into one row")
+{
+    constexpr std::int64_t queues = 3'000;
+    front_fixture front(std::nullopt);
+    queue_counts written{steadyMillis(), {{bookingQueue, 7}}};
+    for (std::int64_t number = 1; number < queues; ++number) {
+        written.waiting[{"queue-" + std::to_string(number) + ".shop.example", "/a-prefix/"}] = number;
+    }
+    std::vector<std::string> rows = writeQueueCounts(written, maxRowBytes);
+    for (const std::string &row : rows) {
+        CHECK(row.size() <= maxRowBytes);
+    }
+
+    SUBCASE("are read back as they were written")
+    {
+        const std::optional<queue_counts> read = readQueueCounts(rows);
+        REQUIRE(read);
+        CHECK(read->completeUntil == written.completeUntil);
+        CHECK(read->waiting == written.waiting);
+    }
+    SUBCASE("are given by a node, also while rows of earlier counts are left over")
+    {
+        front.storeCounts(written);
+        CHECK(front.request("GET", "/book/").body == R"({"Waiting":7})");
+        front.storeCounts({steadyMillis(), {{grinderQueue, 2}}});
+        CHECK(front.request("GET", "/book/").body == R"({"Waiting":0})");
+        CHECK(front.request("GET", "/grind/").body == R"({"Waiting":2})");
+    }
+    SUBCASE("aren't given while one of the rows is missing")
+    {
+        rows.pop_back();
+        CHECK_FALSE(readQueueCounts(rows));
+    }
+    SUBCASE("aren't taken for complete by a version that reads the first row only")
+    {
+        CHECK(rows.front().find("waiting") == std::string::npos);
     }
 }
