Refuse jobs that no lease holder could carry, and bound open occurrences

What callers would see: one accepted submission of some kilobytes ends every lease holder that reads it, one after the other, and no job of any queue is started any more (LOST for all).

Likewise a repeating job: all occurrences that are due are open at once, however many, and a negative IntervalMs or a RepeatCount beyond an int were taken as they came.

A submission with more than 50,000 tasks in its steps, or with times that can't be, is refused with 400 like one with a step that is too large, before it is stored. Occurrences that are due are opened as far as a job's open tasks stay within the same number; the next follows when the first has finished. After a takeover all occurrences that the rows name are open again.

Open: the sum over many accepted jobs has no bound.

--- a/src/platform/records.cpp
+++ b/src/platform/records.cpp
@@ -1,9 +1,11 @@
 #include "platform/records.h"
 
 #include "base/settings_reader.h"
+#include "sched/job_record.h"
 
 #include <algorithm>
 #include <charconv>
+#include <limits>
 
 namespace daisypass {
 namespace {
@@ -194,6 +196,33 @@
     return true;
 }
 
+// A lease holder keeps a record of each task in memory.
+bool sizeIsValid(const std::vector<step_spec> &steps, failure &reason)
+{
+    std::size_t tasks = 0;
+    for (const step_spec &step : steps) {
+        tasks += static_cast<std::size_t>(step.taskCount);
+    }
+    if (tasks > sched::maxTasksPerJob) {
+        reason = wrongFieldType("Steps", "at most " + std::to_string(sched::maxTasksPerJob) + " tasks");
+        return false;
+    }
+    return true;
+}
+
+bool timesAreValid(std::int64_t repeatCount, std::int64_t intervalMs, failure &reason)
+{
+    if (repeatCount < 0 || repeatCount > std::numeric_limits<int>::max()) {
+        reason = wrongFieldType("RepeatCount", "0 to " + std::to_string(std::numeric_limits<int>::max()));
+        return false;
+    }
+    if (intervalMs < 0) {
+        reason = wrongFieldType("IntervalMs", "0 or more");
+        return false;
+    }
+    return true;
+}
+
 void putNonZero(json &item, const char *name, std::int64_t value)
 {
     if (value != 0) {
@@ -256,9 +285,13 @@
         }
         job.steps.push_back(std::move(step));
     }
-    job.repeatCount = static_cast<int>(wire::integerIn(body, "RepeatCount").value_or(0));
+    const std::int64_t repeatCount = wire::integerIn(body, "RepeatCount").value_or(0);
     job.firstAtUnixMs = wire::integerIn(body, "FirstMs").value_or(0);
     job.intervalMs = wire::integerIn(body, "IntervalMs").value_or(0);
+    if (!sizeIsValid(job.steps, reason) || !timesAreValid(repeatCount, job.intervalMs, reason)) {
+        return std::nullopt;
+    }
+    job.repeatCount = static_cast<int>(repeatCount);
     return job;
 }
 
--- a/src/sched/job_record.cpp
+++ b/src/sched/job_record.cpp
@@ -397,24 +397,50 @@
 
 void job_record::openDueOccurrences(time_ms unixMs)
 {
+    const std::size_t maxOpen = std::max<std::size_t>(1, maxTasksPerJob / tasksPerOccurrence());
     const int next = occurrences.empty() ? firstOpen : occurrences.rbegin()->first + 1;
-    for (int number = next; number < occurrenceCount(); ++number) {
-        const time_ms due = spec.firstAtUnixMs + number * spec.intervalMs;
-        if (spec.repeatCount > 0 && due > unixMs) {
+    for (int number = next; number < occurrenceCount() && occurrences.size() < maxOpen; ++number) {
+        if (spec.repeatCount > 0 && dueUnixMs(number) > unixMs) {
             return;
         }
-        occurrence_record occurrence;
-        occurrence.number = number;
-        occurrence.dueUnixMs = spec.repeatCount > 0 ? due : spec.acceptedUnixMs;
-        for (const step_spec &step : spec.steps) {
-            step_record record;
-            record.tasks.resize(static_cast<std::size_t>(step.taskCount));
-            record.waiting = step.taskCount;
-            occurrence.steps.push_back(std::move(record));
-        }
-        occurrences.emplace(number, std::move(occurrence));
-        m_remainingPathMs.reset();
+        openNextOccurrence(number);
+    }
+}
+
+void job_record::openOccurrencesUpTo(int last)
+{
+    for (int number = firstOpen; number <= std::min(last, occurrenceCount() - 1); ++number) {
+        openNextOccurrence(number);
+    }
+}
+
+void job_record::openNextOccurrence(int number)
+{
+    occurrence_record occurrence;
+    occurrence.number = number;
+    occurrence.dueUnixMs = spec.repeatCount > 0 ? dueUnixMs(number) : spec.acceptedUnixMs;
+    for (const step_spec &step : spec.steps) {
+        step_record record;
+        record.tasks.resize(static_cast<std::size_t>(step.taskCount));
+        record.waiting = step.taskCount;
+        occurrence.steps.push_back(std::move(record));
+    }
+    occurrences.emplace(number, std::move(occurrence));
+    m_remainingPathMs.reset();
+}
+
+time_ms job_record::dueUnixMs(int number) const
+{
+    return spec.firstAtUnixMs + number * spec.intervalMs;
+}
+
+std::size_t job_record::tasksPerOccurrence() const
+{
+    std::size_t tasks = 0;
+    for (const step_spec &step : spec.steps) {
+        tasks += static_cast<std::size_t>(step.taskCount);
     }
+    return std::max<std::size_t>(1, tasks);
 }
 
 bool job_record::isStepReady(const occurrence_record &occurrence, int step) const
@@ -601,7 +627,7 @@
         lastOccurrence = std::max(lastOccurrence, lastOccurrenceIn(one.value("tasks", json::array())));
     }
     job.begun = job.firstOpen > 0;
-    job.openDueOccurrences(job.spec.firstAtUnixMs + lastOccurrence * job.spec.intervalMs);
+    job.openOccurrencesUpTo(lastOccurrence);
     bool readable = true;
     for (const json &one : rows) {
         readable = readLists(one.value("tasks", json::array()), one.value("crashes", json::array()), job) && readable;
--- a/src/sched/job_record.h
+++ b/src/sched/job_record.h
@@ -199,6 +199,9 @@
     bool finished() const;
 };
 
+/** Largest number of tasks that a job may have in its steps, and in its open occurrences. */
+inline constexpr std::size_t maxTasksPerJob = 50'000;
+
 enum class job_phase { Pending, Running, Completed, Failed, Cancelled };
 
 std::string_view nameOf(job_phase phase);
@@ -235,8 +238,10 @@
         return phase == job_phase::Completed || phase == job_phase::Failed || phase == job_phase::Cancelled;
     }
 
-    /** Creates the occurrences that are due at this time. */
+    /** Creates the occurrences that are due at this time, as far as the open ones leave room for more tasks. */
     void openDueOccurrences(time_ms unixMs);
+    /** Creates all occurrences up to this number that aren't finished: a former lease holder had them open. */
+    void openOccurrencesUpTo(int last);
     /** Total number of occurrences; 1 for a job that isn't repeated. */
     int occurrenceCount() const;
     /** True if all steps that must be done before this one are finished. */
@@ -267,6 +272,10 @@
     bool hasLongRunning() const;
 
 private:
+    void openNextOccurrence(int number);
+    time_ms dueUnixMs(int number) const;
+    /** Number of tasks in one occurrence. */
+    std::size_t tasksPerOccurrence() const;
     template<typename Wanted, typename Visit>
     void forEachTask(Wanted wanted, Visit visit);
 
