Don't take a job that fails again and again for a fault of its executors

What callers see: while one job's tasks fail by their own fault, all executors that they have touched get no runs for up to 8 s: the failing long-running task isn't started again soon, and jobs of other callers wait on idle executors (LOST).

Where runs are long there is no done run in between to reset the count, and a long-running task fails without limit.

An executor is now left alone only when runs of several jobs have failed on it since one was done: one after the other as before, 1 s for two jobs and up to 8 s for more. That the task avoids the executor where it has failed stays.

--- a/src/sched/executor_record.h
+++ b/src/sched/executor_record.h
@@ -119,7 +119,8 @@
     std::set<task_id> probation;
     /** No new runs before this time. */
     time_ms backoffUntil = 0;
-    int consecutiveFailures = 0;
+    /** The jobs that have failed runs here since a run was last done. One job that fails again and again is no sign of the executor's fault. */
+    std::set<std::string> failedJobs;
     /** Moving average of the ratio of run durations on this executor to their estimates; 1 if they match. */
     double slowness = 1.0;
     int slownessSamples = 0;
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -279,6 +279,8 @@
     void release(const task_id &id, const step_spec &step, task_record &task, time_ms now);
     void applyPoll(executor_record &executor, const poll_answered &what, time_ms now);
     void applyEnd(executor_record &executor, const listed_end &end, time_ms now);
+    /** Gives the executor no new runs for a while if runs of several jobs have failed there. */
+    void backOffIfFailing(executor_record &executor, const std::string &failedJob, time_ms now);
     /** Gives up the task's current run, because another run has done the task, and sends a stop for it. */
     void abandonRun(const task_id &id, const task_record &task, const step_spec &step, time_ms now);
     void endRun(job_record &job, const task_id &id, task_record &task, run_end how, const std::string &checkpoint, time_ms now);
--- a/src/sched/scheduler_runs.cpp
+++ b/src/sched/scheduler_runs.cpp
@@ -7,10 +7,10 @@
 namespace daisypass::sched {
 namespace {
 
-// Exponential backoff of an executor after this many consecutive failed runs; it doubles with each further failure up to the maximum.
-constexpr int failuresBeforeBackoff = 2;
+// Exponential backoff of an executor after failed runs of this many jobs without a done one; it doubles with each further job up to the maximum.
+constexpr std::size_t failedJobsBeforeBackoff = 2;
 constexpr time_ms firstFailureBackoffMs = 1'000;
-constexpr time_ms maxFailureBackoffMs = 8'000;
+constexpr std::size_t maxFailureBackoffDoublings = 3;
 // Minimum time between two starts of a long-running task whose runs end as done. Each start costs a transaction of the store.
 constexpr time_ms minRestartIntervalMs = 1'000;
 
@@ -82,14 +82,9 @@
     m_executorsToAcknowledge.insert(executor.entry.id);
     task_record *task = job.find(end.task);
     if (end.how == run_end::Done) {
-        executor.consecutiveFailures = 0;
+        executor.failedJobs.clear();
     } else if (end.how == run_end::Failed) {
-        ++executor.consecutiveFailures;
-        if (executor.consecutiveFailures >= failuresBeforeBackoff) {
-            const time_ms pause = std::min(maxFailureBackoffMs, firstFailureBackoffMs << std::min(4, executor.consecutiveFailures - failuresBeforeBackoff));
-            executor.backoffUntil = std::max(executor.backoffUntil, now + pause);
-            logEvent("executor_failing", {{"executor", executor.entry.id}, {"failures", std::to_string(executor.consecutiveFailures)}});
-        }
+        backOffIfFailing(executor, job.spec.id, now);
     }
     if (task == nullptr || task->phase == task_phase::Done) {
         return;
@@ -116,6 +111,17 @@
     }
 }
 
+void scheduler::backOffIfFailing(executor_record &executor, const std::string &failedJob, time_ms now)
+{
+    executor.failedJobs.insert(failedJob);
+    if (executor.failedJobs.size() < failedJobsBeforeBackoff) {
+        return;
+    }
+    const std::size_t doublings = std::min(maxFailureBackoffDoublings, executor.failedJobs.size() - failedJobsBeforeBackoff);
+    executor.backoffUntil = std::max(executor.backoffUntil, now + (firstFailureBackoffMs << doublings));
+    logEvent("executor_failing", {{"executor", executor.entry.id}, {"failed_jobs", std::to_string(executor.failedJobs.size())}});
+}
+
 // The run's start may have no answer yet, so it can begin after this. It uses capacity until it has certainly ended.
 void scheduler::abandonRun(const task_id &id, const task_record &task, const step_spec &step, time_ms now)
 {
