Keep a queue's priority and objective with each job

What callers would see: a job whose route is removed and added again waits behind all other jobs of its pool, whatever its priority, for as long as the route is away and others keep coming (LOST after the traffic has ended).

Attempts and advice are kept with the job since; priority, Stretch and TargetDurationMs weren't.

They are now stored with the submission, and used while the configuration doesn't have the queue. For a submission that a former version stored, the holder takes them from the configuration and keeps them in the job's state row. Only where neither has them the job still goes last.

Evidence: in the new case of absent_queue_test.cpp an urgent job whose queue was removed was passed by a bulk job; now it is next. The case about the usual row has the objective that a submission has now, so the row stays byte for byte.

--- a/src/node/front_service.cpp
+++ b/src/node/front_service.cpp
@@ -265,6 +265,7 @@
     job->queue = match.queue.key;
     job->pool = match.queue.pool;
     job->terms = static_cast<const sched::queue_terms &>(match.queue);
+    job->objective = static_cast<const sched::queue_objective &>(match.queue);
     job->acceptedUnixMs = unixMillis();
     const row_key key = tables::jobRow(job->id);
     const std::string row = writeJob(*job);
--- a/src/platform/records.cpp
+++ b/src/platform/records.cpp
@@ -476,6 +476,11 @@
             body["advice_ms"] = job.terms->adviceValidMs;
         }
     }
+    if (job.objective) {
+        body["priority"] = job.objective->priority;
+        body["stretch"] = job.objective->stretch;
+        body["target_ms"] = job.objective->targetDurationMs;
+    }
     return wire::dump(body);
 }
 
@@ -493,6 +498,12 @@
         const std::optional<std::int64_t> adviceMs = wire::integerIn(*body, "advice_ms");
         job->terms = sched::queue_terms{static_cast<int>(*attempts), adviceMs.has_value(), adviceMs.value_or(0)};
     }
+    const std::optional<std::int64_t> priority = wire::integerIn(*body, "priority");
+    const std::optional<double> stretch = wire::numberIn(*body, "stretch");
+    const std::optional<std::int64_t> targetMs = wire::integerIn(*body, "target_ms");
+    if (priority && stretch && targetMs) {
+        job->objective = sched::queue_objective{static_cast<int>(*priority), *stretch, *targetMs};
+    }
     return job;
 }
 
--- a/src/sched/job_record.cpp
+++ b/src/sched/job_record.cpp
@@ -127,6 +127,19 @@
     return terms;
 }
 
+std::optional<queue_objective> readObjective(const json &row)
+{
+    const auto priority = row.find("priority");
+    const auto stretch = row.find("stretch");
+    const auto target = row.find("target_ms");
+    const bool readable = priority != row.end() && priority->is_number_integer() && stretch != row.end() && stretch->is_number() && target != row.end()
+        && target->is_number_integer();
+    if (!readable) {
+        return std::nullopt;
+    }
+    return queue_objective{priority->get<int>(), stretch->get<double>(), target->get<std::int64_t>()};
+}
+
 std::vector<int> readNumbers(const json &row)
 {
     std::vector<int> numbers;
@@ -270,12 +283,17 @@
         row += ",\"first_open\":" + std::to_string(job.firstOpen);
     }
     if (job.terms && !job.spec.terms && !job.ended()) {
-        // Only jobs of former versions need their terms here.
+        // Only jobs of former versions need their terms and objective here.
         row += ",\"attempts\":" + std::to_string(job.terms->maxAttempts);
         if (job.terms->requiresAdvice) {
             row += ",\"advice_ms\":" + std::to_string(job.terms->adviceValidMs);
         }
     }
+    if (job.objective && !job.spec.objective && !job.ended()) {
+        row += ",\"priority\":" + std::to_string(job.objective->priority);
+        row += ",\"stretch\":" + json(job.objective->stretch).dump();
+        row += ",\"target_ms\":" + std::to_string(job.objective->targetDurationMs);
+    }
     return row;
 }
 
@@ -386,6 +404,7 @@
 job_record::job_record(job_spec jobSpec)
     : spec(std::move(jobSpec))
     , terms(spec.terms)
+    , objective(spec.objective)
 {
     criticalPathMs = criticalPathOf(spec.steps, nullptr);
 }
@@ -610,6 +629,7 @@
     job.phase = static_cast<job_phase>(found - phaseNames.begin());
     job.firstOpen = value.value("first_open", 0);
     job.terms = job.spec.terms ? job.spec.terms : readTerms(value);
+    job.objective = job.spec.objective ? job.spec.objective : readObjective(value);
     job.occurrences.clear();
     // The rows with tasks are stored before the first row leaves its own out, so what they have is newer.
     std::vector<json> rows;
--- a/src/sched/job_record.h
+++ b/src/sched/job_record.h
@@ -213,6 +213,8 @@
     job_spec spec;
     /** The terms of the submission, or for a job of a former version those that the configuration had; empty if neither is known. */
     std::optional<queue_terms> terms;
+    /** The same for the queue's objective. */
+    std::optional<queue_objective> objective;
     job_phase phase = job_phase::Pending;
     std::map<int, occurrence_record> occurrences;
     /** Occurrences below this number are finished and were dropped. */
--- a/src/sched/model.h
+++ b/src/sched/model.h
@@ -99,6 +99,16 @@
     std::int64_t adviceValidMs = 0;
 };
 
+/** Where a queue's jobs stand among those of others, and when they are late. */
+struct queue_objective
+{
+    /** 0 is the highest priority. */
+    int priority = 0;
+    /** A job meets its objective if it ends within `stretch` times its longest chain of estimates plus targetDurationMs. */
+    double stretch = 1.0;
+    std::int64_t targetDurationMs = 0;
+};
+
 struct job_spec
 {
     std::string id;
@@ -115,8 +125,9 @@
     std::int64_t acceptedUnixMs = 0;
     /** The queue's pool when the submission was stored; used if the configuration no longer has the queue. */
     std::string pool;
-    /** The same for the queue's terms; empty if a former version stored the submission. */
+    /** The same for the queue's terms and its objective; empty if a former version stored the submission. */
     std::optional<queue_terms> terms;
+    std::optional<queue_objective> objective;
 };
 
 /** Identifies a task by job, occurrence, step and index in the step. */
@@ -195,16 +206,13 @@
     std::int64_t warmupLeftMs = 0;
 };
 
-struct queue_config : queue_terms
+struct queue_config
+    : queue_terms
+    , queue_objective
 {
     queue_key key;
     std::string name;
     std::string pool;
-    /** 0 is the highest priority. */
-    int priority = 0;
-    /** A job meets its objective if it ends within `stretch` times its longest chain of estimates plus targetDurationMs. */
-    double stretch = 1.0;
-    std::int64_t targetDurationMs = 0;
     std::int64_t timeoutMs = 0;
 };
 
--- a/src/sched/scheduler.cpp
+++ b/src/sched/scheduler.cpp
@@ -175,10 +175,25 @@
     return job.terms ? &*job.terms : nullptr;
 }
 
+const queue_objective *scheduler::objectiveOf(const job_record &job) const
+{
+    const queue_config *queue = queueOf(job);
+    if (queue != nullptr) {
+        return queue;
+    }
+    return job.objective ? &*job.objective : nullptr;
+}
+
 void scheduler::keepTerms(job_record &job, time_ms now)
 {
     const queue_config *queue = queueOf(job);
-    if (job.terms || job.ended() || queue == nullptr) {
+    if (job.ended() || queue == nullptr) {
+        return;
+    }
+    if (!job.objective) {
+        job.objective = static_cast<const queue_objective &>(*queue);
+    }
+    if (job.terms) {
         return;
     }
     job.terms = static_cast<const queue_terms &>(*queue);
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -182,7 +182,9 @@
     const queue_config *queueOf(const job_record &job) const;
     /** The terms of the job's queue, or those kept with the job if the configuration doesn't have the queue; null if none are known. */
     const queue_terms *termsOf(const job_record &job) const;
-    /** Keeps the terms of the job's queue with the job if it has none, and decides what had to wait for them. */
+    /** The same for the objective of the job's queue. */
+    const queue_objective *objectiveOf(const job_record &job) const;
+    /** Keeps the terms and the objective of the job's queue with the job if it has none, and decides what had to wait for the terms. */
     void keepTerms(job_record &job, time_ms now);
     /** Whether the task may have another run, as far as its failures are concerned. */
     bool mayRetry(const job_record &job, const task_record &task) const;
--- a/src/sched/scheduler_place.cpp
+++ b/src/sched/scheduler_place.cpp
@@ -117,7 +117,7 @@
 
     bool collectReady(job_record &job, const std::string &pool)
     {
-        const queue_config *queue = owner.queueOf(job);
+        const queue_objective *objective = owner.objectiveOf(job);
         bool any = false;
         bool measured = false;
         ready_step entry;
@@ -133,9 +133,9 @@
                 }
                 if (!measured) {
                     measured = true;
-                    entry.priority = queue == nullptr ? std::numeric_limits<int>::max() : queue->priority;
+                    entry.priority = objective == nullptr ? std::numeric_limits<int>::max() : objective->priority;
                     entry.work = job.waitingWork();
-                    entry.late = isLate(job, queue);
+                    entry.late = isLate(job, objective);
                     entry.notStarted = job.phase == job_phase::Pending;
                 }
                 entry.occurrence = &occurrence.second;
@@ -177,13 +177,13 @@
         return expectsCrashes.emplace(queue, owner.m_crashWatch.expectsCrashes(queue, now)).first->second;
     }
 
-    bool isLate(job_record &job, const queue_config *queue) const
+    bool isLate(job_record &job, const queue_objective *objective) const
     {
-        if (queue == nullptr) {
+        if (objective == nullptr) {
             return false;
         }
-        const double objective = queue->stretch * static_cast<double>(job.criticalPathMs) + static_cast<double>(queue->targetDurationMs);
-        return static_cast<double>(now - job.acceptedAt + job.remainingCriticalPathMs()) > objective;
+        const double latestMs = objective->stretch * static_cast<double>(job.criticalPathMs) + static_cast<double>(objective->targetDurationMs);
+        return static_cast<double>(now - job.acceptedAt + job.remainingCriticalPathMs()) > latestMs;
     }
 
     // The suspects that may be started now. A suspect has held an executor before, so it doesn't wait behind tasks that haven't.
--- a/tests/sched/absent_queue_test.cpp
+++ b/tests/sched/absent_queue_test.cpp
@@ -265,3 +265,61 @@
         CHECK(story.start().run == 3);
     }
 }
+
+namespace {
+
+/** Two queues of one pool, whose only executor has room for one task; one queue's jobs go before the other's. */
+struct busy_world : configured_world
+{
+    static std::vector<queue_config> twoQueues()
+    {
+        std::vector<queue_config> queues(2, scheduler_fixture::singleQueueConfiguration().queues[0]);
+        queues[1].key.prefix = "/bulk/";
+        queues[1].priority = 1;
+        return queues;
+    }
+
+    static job_spec bulkJob(const std::string &id)
+    {
+        job_spec spec = scheduler_fixture::job(id, {scheduler_fixture::step(1)});
+        spec.queue.prefix = "/bulk/";
+        return spec;
+    }
+
+    busy_world()
+    {
+        world.addExecutor("e1", 1'000);
+        setQueues(twoQueues());
+        busy = submit(bulkJob("busy"));
+    }
+
+    void removeUrgentQueue()
+    {
+        setQueues({twoQueues()[1]});
+    }
+
+    /** Ends the run that is at work and returns the next one. */
+    start_run next()
+    {
+        world.answerPoll("e1", {}, {world.ended(busy, ++listedEnds, run_end::Done)});
+        busy = start();
+        return busy;
+    }
+
+    start_run busy;
+};
+
+} // namespace
+
+// Guards against jobs that wait behind all others of their pool while their route is away (LOST).
+TEST_CASE("a job keeps its place among others while the configuration doesn't have its queue")
+{
+    busy_world story;
+    scheduler_fixture &world = story.world;
+    world.taskScheduler.handle(job_submitted{world.job("urgent", {world.step(1)})}, world.now);
+    story.removeUrgentQueue();
+    for (const char *id : {"bulk-1", "bulk-2"}) {
+        world.taskScheduler.handle(job_submitted{story.bulkJob(id)}, world.now);
+    }
+    CHECK(story.next().task.job == "urgent");
+}
--- a/tests/sched/large_job_test.cpp
+++ b/tests/sched/large_job_test.cpp
@@ -185,6 +185,7 @@
     world.addExecutor("e1", 100'000);
     job_spec spec = scheduler_fixture::job("usual", {scheduler_fixture::step(32)});
     spec.terms = queue_terms{};
+    spec.objective = queue_objective{};
     world.taskScheduler.handle(job_submitted{spec}, world.now);
     world.planAndCommit();
     CHECK(world.take<start_run>().size() == 32);
