Don't start a job anew whose state can't be read

What callers would see: tasks that are done, or that run, are started again after a takeover (TWICE).

The holder now remembers which jobs it couldn't read, and leaves their submissions out too. A later holder that can read the row goes on with the job.

--- a/src/sched/scheduler.cpp
+++ b/src/sched/scheduler.cpp
@@ -112,6 +112,7 @@
         job->openDueOccurrences(spec.repeatCount > 0 ? 0 : spec.acceptedUnixMs);
     } else if (!readState(row, taskRows, *job)) {
         logEvent("state_row_unreadable", {{"request", spec.id}});
+        m_unreadableJobs.insert(spec.id);
         return false;
     }
     job_record &restored = *job;
@@ -249,7 +250,7 @@
 void scheduler::on(const job_submitted &what, time_ms now)
 {
     // A page of the table that was read before the deletion may still contain a deleted job.
-    if (m_jobs.contains(what.job.id) || m_deletedJobs.contains(what.job.id)) {
+    if (m_jobs.contains(what.job.id) || m_deletedJobs.contains(what.job.id) || m_unreadableJobs.contains(what.job.id)) {
         return;
     }
     std::unique_ptr<job_record> job = std::make_unique<job_record>(what.job);
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -100,7 +100,7 @@
 
     /**
      * Adds a stored job with its state row; an empty row means that the job has not started. A divided state has further rows, by their keys.
-     * False if a row is malformed.
+     * False if a row is malformed: the job is left to a later lease holder, as it isn't known which of its tasks have run.
      */
     bool restore(const job_spec &job, const std::string &row, time_ms now, const std::map<std::string, std::string> &taskRows = {});
     /** Adds the stored progress of a maintenance wave. */
@@ -363,6 +363,8 @@
     std::unordered_map<std::string, job_rows> m_jobRows;
     /** State rows to delete, of jobs whose submissions are deleted. */
     std::vector<std::string> m_rowsToDelete;
+    /** The jobs whose state rows couldn't be read. */
+    std::set<std::string> m_unreadableJobs;
     /** Jobs whose submissions were deleted recently, with the time of the deletion. */
     std::map<std::string, time_ms> m_deletedJobs;
     std::map<std::string, executor_record> m_executors;
