List VMs whose state this version doesn't know

What operators would see: a wave is shown as completed although a VM of it hasn't had its upkeep (MIXED), once the platform lists a VM in a state that isn't among the four we know.

Such a VM is now listed as down: it gets no run and no order, and its wave isn't completed without it. The protocol names four states today, so nobody has seen this.

--- a/src/platform/records.cpp
+++ b/src/platform/records.cpp
@@ -429,14 +429,14 @@
 {
     const std::optional<std::string> name = wire::stringIn(item, "Machine");
     const std::optional<std::string> pool = wire::stringIn(item, "Pool");
-    const std::optional<sched::vm_state> state = parseVmState(wire::stringIn(item, "State").value_or(""));
-    if (!name || !pool || !state) {
+    if (!name || !pool) {
         return std::nullopt;
     }
     sched::vm_entry vm;
     vm.vm = *name;
     vm.pool = *pool;
-    vm.state = *state;
+    // A VM in a state that isn't known here must not be used, but it isn't gone either.
+    vm.state = parseVmState(wire::stringIn(item, "State").value_or("")).value_or(sched::vm_state::Down);
     vm.availabilityZone = wire::stringIn(item, "Zone").value_or("");
     vm.labels = readStrings(item, "Labels");
     vm.executor = wire::stringIn(item, "Id").value_or("");
