Forget a deleted job in the queue of rows to store

What callers would see: the lease holder's process ends by itself, and a takeover follows.

Evidence: the new case of job_clean_up_test.cpp threw "unordered_map::at" before. Now the id is taken out with the record, and the row is deleted and not written again.

--- a/src/sched/scheduler.cpp
+++ b/src/sched/scheduler.cpp
@@ -560,6 +560,7 @@
         const std::vector<std::string> keys = m_jobRows[id].keys(id);
         m_rowsToDelete.insert(m_rowsToDelete.end(), keys.begin(), keys.end());
         m_jobRows.erase(id);
+        m_storeQueue.remove(id);
         std::erase(m_backlog, found->second.get());
         m_jobs.erase(found);
     }
--- a/src/sched/store_queue.cpp
+++ b/src/sched/store_queue.cpp
@@ -21,6 +21,14 @@
     (waits == row_wait::StartOrEnd ? m_startsAndEnds : m_acknowledgements).push_back(job);
 }
 
+void store_queue::remove(const std::string &job)
+{
+    if (m_queued.erase(job) > 0) {
+        std::erase(m_startsAndEnds, job);
+        std::erase(m_acknowledgements, job);
+    }
+}
+
 std::optional<std::string> store_queue::takeNext()
 {
     if (m_startsAndEnds.empty() || m_startsAndEndsInTurn >= startsAndEndsPerTurn) {
--- a/src/sched/store_queue.h
+++ b/src/sched/store_queue.h
@@ -29,6 +29,8 @@
 public:
     /** Adds the job, or moves it to the group that goes first if it is queued in the other one. */
     void add(const std::string &job, row_wait waits);
+    /** Removes the job if it is queued. */
+    void remove(const std::string &job);
     /** Removes the job whose row is written next; empty if there is none. */
     std::optional<std::string> takeNext();
 
--- a/tests/sched/job_clean_up_test.cpp
+++ b/tests/sched/job_clean_up_test.cpp
@@ -75,3 +75,22 @@
         }
     }
 }
+
+// Guards against a lease holder that ends because a job changed between the order to delete it and the answer.
+TEST_CASE("a job that changes while its submission is deleted isn't stored any more")
+{
+    scheduler_fixture world;
+    world.addExecutor("e1");
+    const start_run lost = world.runTask("j1");
+    world.taskScheduler.handle(job_cancelled{"j1"}, world.now);
+    world.planAndCommit();
+    world.answerPoll("e1", {}, {scheduler_fixture::ended(lost, 1, run_end::Stopped)});
+    world.advance(2 * bounds{}.statusKeepMs + 1'000);
+    REQUIRE(world.take<delete_submissions>().size() == 1);
+    world.storeReachable = false;
+    world.answerPoll("e1", {}, {scheduler_fixture::ended(lost, 2, run_end::Failed)});
+    world.taskScheduler.handle(submissions_deleted{{"j1"}}, world.now);
+    world.storeReachable = true;
+    CHECK_NOTHROW(world.planAndCommit());
+    CHECK_FALSE(world.rows.contains("j1"));
+}
