Keep the submission of a cancelled job from taking effect late

What callers saw: a submission got no answer, its cancelling was answered with 410, and then the job ran to its end (UNASKED).

Cause: front_service::cancel() looked for the submission, found none and answered. Nothing kept a write that was still under way from being done by the store seconds later.

A cancel that finds no submission now stores a mark in the submission's place, on the condition that there still is none, and answers 410 when the mark is stored. Each submission already expects that its row doesn't exist, so it pays nothing and fails on the mark; it is then refused with 503, since the job never runs. A cancel that meets a submission on the way goes on as one of a known job. GET doesn't show a mark. The lease holder deletes marks with the submissions of that age. A cancel of an unknown job costs one write more.

--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -51,6 +51,10 @@
         }
         return;
     }
+    if (row.value == tables::barredSubmission) {
+        m_scheduler.handle(sched::submission_barred{key}, steadyMillis());
+        return;
+    }
     failure reason;
     std::optional<sched::job_spec> job = readJob(row.value, reason);
     if (!job) {
--- a/src/node/front_service.cpp
+++ b/src/node/front_service.cpp
@@ -276,23 +276,36 @@
         respond(finalAnswer(jsonTextResponse(statusUnavailable, R"({"Reason":"job_too_long"})")));
         return;
     }
-    m_writer->add(key, row, writeDeadline(request, mayForward), [this, key, row, id = job->id, respond = std::move(respond)](submission_result result) {
-        switch (result) {
-        case submission_result::Stored:
-            m_onRowStored(key, row);
-            logEvent("job_accepted", {{"request", id}});
-            respond(finalAnswer(emptyResponse(statusOk)));
-            return;
-        case submission_result::NotStored:
-            logEvent("job_refused", {{"request", id}, {"reason", "store_refused"}});
-            respond(storeUnavailable());
-            return;
-        case submission_result::Unknown:
-            logEvent("job_outcome_unknown", {{"request", id}});
-            respond(outcomeUnknown());
+    m_writer->add(key, row, writeDeadline(request, mayForward), [this, row, id = job->id, respond = std::move(respond)](const submission_outcome &written) {
+        finishSubmission(id, row, written, respond);
+    });
+}
+
+void front_service::finishSubmission(const std::string &job, const std::string &row, const submission_outcome &written, const front_responder &respond)
+{
+    switch (written.result) {
+    case submission_result::Stored:
+        m_onRowStored(tables::jobRow(job), row);
+        break;
+    case submission_result::Exists:
+        if (written.existingValue == tables::barredSubmission) {
+            logEvent("job_refused", {{"request", job}, {"reason", "cancelled_before"}});
+            respond(finalAnswer(jsonTextResponse(statusUnavailable, R"({"Reason":"cancelled"})")));
             return;
         }
-    });
+        m_onRowStored(tables::jobRow(job), written.existingValue);
+        break;
+    case submission_result::NotStored:
+        logEvent("job_refused", {{"request", job}, {"reason", "store_refused"}});
+        respond(storeUnavailable());
+        return;
+    case submission_result::Unknown:
+        logEvent("job_outcome_unknown", {{"request", job}});
+        respond(outcomeUnknown());
+        return;
+    }
+    logEvent("job_accepted", {{"request", job}});
+    respond(finalAnswer(emptyResponse(statusOk)));
 }
 
 void front_service::answerJobState(const std::string &job, front_responder respond)
@@ -324,7 +337,7 @@
         bool submitted = false;
         bool cancelled = false;
         for (const store_row &row : result.rows) {
-            submitted = submitted || row.key.key == job;
+            submitted = submitted || (row.key.key == job && row.value != tables::barredSubmission);
             cancelled = cancelled || row.key.key.ends_with(tables::cancelSuffix);
         }
         if (!submitted) {
@@ -343,24 +356,52 @@
         {submissionKey.table, submissionKey.part, job, job + '!'}, readTimeout, [this, job, deadline, respond = std::move(respond)](const rows_result &result) {
             if (result.status != store_status::Ok) {
                 respond(storeUnavailable());
-                return;
-            }
-            if (result.rows.empty()) {
+            } else if (result.rows.empty()) {
+                barSubmission(job, deadline, respond);
+            } else if (result.rows.front().value == tables::barredSubmission) {
                 respond(finalAnswer(emptyResponse(statusGone)));
-                return;
+            } else {
+                cancelStored(job, deadline, respond);
             }
-            m_writer->add(tables::cancelRow(job), "{}", deadline, [this, job, respond](submission_result written) {
-                if (written != submission_result::Stored) {
-                    respond(written == submission_result::Unknown ? outcomeUnknown() : storeUnavailable());
-                    return;
-                }
-                m_onRowStored(tables::cancelRow(job), {});
-                logEvent("cancel_accepted", {{"request", job}});
-                respond(finalAnswer(emptyResponse(statusOk)));
-            });
         });
 }
 
+void front_service::cancelStored(const std::string &job, sched::time_ms deadline, front_responder respond)
+{
+    m_writer->add(tables::cancelRow(job), "{}", deadline, [this, job, respond = std::move(respond)](const submission_outcome &written) {
+        if (written.result != submission_result::Stored) {
+            respond(written.result == submission_result::Unknown ? outcomeUnknown() : storeUnavailable());
+            return;
+        }
+        m_onRowStored(tables::cancelRow(job), {});
+        logEvent("cancel_accepted", {{"request", job}});
+        respond(finalAnswer(emptyResponse(statusOk)));
+    });
+}
+
+// After 410 the caller takes the job for gone, but its submission may still reach the store.
+void front_service::barSubmission(const std::string &job, sched::time_ms deadline, front_responder respond)
+{
+    const std::string mark(tables::barredSubmission);
+    m_writer->add(tables::jobRow(job), mark, deadline, [this, job, deadline, respond = std::move(respond)](const submission_outcome &written) {
+        switch (written.result) {
+        case submission_result::Stored:
+            logEvent("submission_barred", {{"request", job}});
+            respond(finalAnswer(emptyResponse(statusGone)));
+            return;
+        case submission_result::Exists:
+            cancelStored(job, deadline, respond);
+            return;
+        case submission_result::NotStored:
+            respond(storeUnavailable());
+            return;
+        case submission_result::Unknown:
+            respond(outcomeUnknown());
+            return;
+        }
+    });
+}
+
 // The count can be given only if it includes all jobs that were accepted some seconds ago. Its age is taken from the store's clock, because
 // the clocks of the machines differ.
 void front_service::answerWaitingCount(const sched::queue_key &queue, front_responder respond)
--- a/src/node/front_service.h
+++ b/src/node/front_service.h
@@ -97,7 +97,12 @@
     void submit(const http_request &request, const queue_match &match, bool mayForward, front_responder respond);
     void answerJobState(const std::string &job, front_responder respond);
     void answerUnplacedJobState(const std::string &job, front_responder respond);
+    void finishSubmission(const std::string &job, const std::string &row, const submission_outcome &written, const front_responder &respond);
     void cancel(const std::string &job, sched::time_ms deadline, front_responder respond);
+    /** Cancels a job whose submission is stored. */
+    void cancelStored(const std::string &job, sched::time_ms deadline, front_responder respond);
+    /** Keeps a submission of the unknown job that may be under way from being stored. */
+    void barSubmission(const std::string &job, sched::time_ms deadline, front_responder respond);
     void answerWaitingCount(const sched::queue_key &queue, front_responder respond);
 
     store_client &m_store;
--- a/src/node/submission_writer.cpp
+++ b/src/node/submission_writer.cpp
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 
 #include <algorithm>
+#include <map>
 #include <set>
 
 namespace daisypass {
@@ -24,7 +25,7 @@
 {
 }
 
-void submission_writer::add(const row_key &key, std::string value, sched::time_ms deadline, std::function<void(submission_result)> done)
+void submission_writer::add(const row_key &key, std::string value, sched::time_ms deadline, submission_handler done)
 {
     const std::lock_guard<std::mutex> guard(m_lock);
     m_parts[key.part].pending.push_back({{key, std::move(value)}, deadline, false, std::move(done)});
@@ -70,18 +71,19 @@
         const std::lock_guard<std::mutex> guard(m_lock);
         part_queue &queue = m_parts[part];
         queue.busy = false;
-        std::set<row_key> existing;
+        std::map<row_key, std::string> existing;
         for (const store_row &row : result.rows) {
             if (row.version != 0 && !row.deleted) {
-                existing.insert(row.key);
+                existing[row.key] = row.value;
             }
         }
         std::vector<pending_row> rows = std::move(queue.inFlight);
         queue.inFlight.clear();
         for (pending_row &row : rows) {
-            const bool stored = result.status == store_status::Ok || (result.status == store_status::Conflict && existing.contains(row.put.key));
-            if (stored) {
-                finished.emplace_back(std::move(row.done), submission_result::Stored);
+            const auto found = existing.find(row.put.key);
+            const bool exists = result.status == store_status::Conflict && found != existing.end();
+            if (result.status == store_status::Ok || exists) {
+                finished.emplace_back(std::move(row.done), outcomeOf(row.put, exists ? &found->second : nullptr));
             } else {
                 retryOrFinish(queue, std::move(row), result.status, finished);
             }
@@ -100,11 +102,20 @@
             });
         }
     }
-    for (const std::pair<std::function<void(submission_result)>, submission_result> &finishedRow : finished) {
+    for (const std::pair<submission_handler, submission_outcome> &finishedRow : finished) {
         finishedRow.first(finishedRow.second);
     }
 }
 
+// A row with the value that was to be stored comes from an earlier attempt whose answer was lost.
+submission_outcome submission_writer::outcomeOf(const row_update &put, const std::string *existing)
+{
+    if (existing == nullptr || *existing == put.value) {
+        return {submission_result::Stored, {}};
+    }
+    return {submission_result::Exists, *existing};
+}
+
 void submission_writer::retryOrFinish(part_queue &queue, pending_row row, store_status status, finished_rows &finished)
 {
     const sched::time_ms now = steadyMillis();
@@ -116,7 +127,7 @@
         row.deadline = std::min(row.deadline, now + refusedRetryMs);
     }
     if (now + retryDelay.count() >= row.deadline) {
-        finished.emplace_back(std::move(row.done), row.outcomeUnknown ? submission_result::Unknown : submission_result::NotStored);
+        finished.emplace_back(std::move(row.done), submission_outcome{row.outcomeUnknown ? submission_result::Unknown : submission_result::NotStored, {}});
         return;
     }
     queue.pending.push_back(std::move(row));
--- a/src/node/tables.h
+++ b/src/node/tables.h
@@ -27,6 +27,12 @@
 /** A row whose key is a job's id with this suffix requests the job's cancellation. */
 inline constexpr std::string_view cancelSuffix = ".x";
 
+/**
+ * The value of a job's row after its cancelling was answered with 410 before the job was known. A submission that is still under way finds the row
+ * and isn't stored.
+ */
+inline constexpr std::string_view barredSubmission = R"({"barred":true})";
+
 inline std::string partOfJob(std::string_view id)
 {
     const int digit = id.empty() ? 0 : static_cast<unsigned char>(id.back());
--- a/src/sched/events.h
+++ b/src/sched/events.h
@@ -94,6 +94,12 @@
     std::string job;
 };
 
+/** The job was cancelled before it was known: its submission can't be stored any more. */
+struct submission_barred
+{
+    std::string job;
+};
+
 struct executor_entry_changed
 {
     executor_entry entry;
@@ -218,6 +224,7 @@
 using event = std::variant<configuration_changed,
                            job_submitted,
                            job_cancelled,
+                           submission_barred,
                            submissions_deleted,
                            executor_entry_changed,
                            executor_entry_removed,
--- a/src/sched/scheduler.cpp
+++ b/src/sched/scheduler.cpp
@@ -288,6 +288,11 @@
     finishJob(*found->second, job_phase::Cancelled, now);
 }
 
+void scheduler::on(const submission_barred &what, time_ms now)
+{
+    m_barredSubmissions.try_emplace(what.job, barred_submission{now});
+}
+
 void scheduler::finishJob(job_record &job, job_phase phase, time_ms now)
 {
     job.phase = phase;
@@ -540,6 +545,13 @@
             order.jobs.push_back(id);
         }
     }
+    for (std::pair<const std::string, barred_submission> &barred : m_barredSubmissions) {
+        const bool due = barred.second.since + keep < now && order.jobs.size() < maxSubmissionsPerDelete;
+        if (due && (barred.second.deletionRequestedAt == 0 || barred.second.deletionRequestedAt + deleteRetryMs < now)) {
+            barred.second.deletionRequestedAt = now;
+            order.jobs.push_back(barred.first);
+        }
+    }
     if (!order.jobs.empty()) {
         m_actions.push_back(std::move(order));
     }
@@ -552,6 +564,7 @@
         return dropped.contains(id);
     });
     for (const std::string &id : dropped) {
+        m_barredSubmissions.erase(id);
         const auto found = m_jobs.find(id);
         if (found == m_jobs.end()) {
             continue;
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -163,6 +163,7 @@
     void on(const configuration_changed &what, time_ms now);
     void on(const job_submitted &what, time_ms now);
     void on(const job_cancelled &what, time_ms now);
+    void on(const submission_barred &what, time_ms now);
     void on(const submissions_deleted &what, time_ms now);
     void on(const lease_renewed &what, time_ms now);
     void on(const batch_committed &what, time_ms now);
@@ -363,6 +364,15 @@
     std::unordered_map<std::string, job_rows> m_jobRows;
     /** State rows to delete, of jobs whose submissions are deleted. */
     std::vector<std::string> m_rowsToDelete;
+    struct barred_submission
+    {
+        time_ms since = 0;
+        /** When the deletion of its row was last requested; 0 if it wasn't. */
+        time_ms deletionRequestedAt = 0;
+    };
+
+    /** The jobs that were cancelled before they were known, whose rows must be deleted some time. */
+    std::map<std::string, barred_submission> m_barredSubmissions;
     /** The jobs whose state rows couldn't be read. */
     std::set<std::string> m_unreadableJobs;
     /** Jobs whose submissions were deleted recently, with the time of the deletion. */
--- a/tests/sched/job_clean_up_test.cpp
+++ b/tests/sched/job_clean_up_test.cpp
@@ -94,3 +94,27 @@
     CHECK_NOTHROW(world.planAndCommit());
     CHECK_FALSE(world.rows.contains("j1"));
 }
+
+TEST_CASE("the row of a submission that was barred is deleted when its status isn't asked for any more")
+{
+    scheduler_fixture world;
+    world.taskScheduler.handle(submission_barred{"never"}, world.now);
+    world.advance(bounds{}.statusKeepMs);
+    CHECK(world.take<delete_submissions>().empty());
+    world.advance(bounds{}.statusKeepMs + 1'000);
+    const std::vector<delete_submissions> drops = world.take<delete_submissions>();
+    REQUIRE(drops.size() == 1);
+    CHECK(drops[0].jobs == std::vector<std::string>{"never"});
+
+    SUBCASE("again if the deletion gets no answer")
+    {
+        world.advance(6'000);
+        CHECK(world.take<delete_submissions>().size() == 1);
+    }
+    SUBCASE("once if it is deleted")
+    {
+        world.taskScheduler.handle(submissions_deleted{{"never"}}, world.now);
+        world.advance(6'000);
+        CHECK(world.take<delete_submissions>().empty());
+    }
+}
