Raise an executor's fencing token when it restarts under its id

The token of an order is now the term plus the number of restarts that the holder has seen under this id in its term; terms are 1,000 apart, so the next term is above all of them. The next life has ends of the holder's only after starts with the raised token, and refuses a late call from then on; it refuses late starts and stops of the former life likewise. If such a refusal comes back, it was met by a token of this holder, so the holder doesn't step down. Orders to the fleet carry the term as before.

The takeover model's executors check these tokens.

--- a/src/node/dispatcher.h
+++ b/src/node/dispatcher.h
@@ -88,6 +88,12 @@
     void schedulePlan();
     void recordLoad();
     void execute(const sched::action &action);
+    /** The fencing token of an order to an executor. */
+    template<typename Order>
+    std::int64_t tokenOf(const Order &order) const
+    {
+        return sched::fencingToken(m_term.term, order.restarts);
+    }
     void execute(const sched::start_run &order);
     void execute(const sched::stop_run &order);
     void execute(const sched::throttle_run &order);
--- a/src/node/dispatcher_orders.cpp
+++ b/src/node/dispatcher_orders.cpp
@@ -25,7 +25,7 @@
 
 void dispatcher::execute(const sched::start_run &order)
 {
-    const start_order call{order.task, order.run, order.payload, order.leaseEndMs, m_term.term, order.checkpoint, order.ticket};
+    const start_order call{order.task, order.run, order.payload, order.leaseEndMs, tokenOf(order), order.checkpoint, order.ticket};
     const sched::order_target sentTo{order.address, order.startedUnixMs};
     m_relays->send({{order.executor, order.address}, call},
                    [weak = weak_from_this(), task = order.task, run = order.run, executor = order.executor, sentTo](const executor_answer &answer) {
@@ -39,7 +39,7 @@
 void dispatcher::execute(const sched::stop_run &order)
 {
     const sched::order_target sentTo{order.address, order.startedUnixMs};
-    m_relays->send({{order.executor, order.address}, stop_order{order.task, order.run, m_term.term}},
+    m_relays->send({{order.executor, order.address}, stop_order{order.task, order.run, tokenOf(order)}},
                    [weak = weak_from_this(), task = order.task, run = order.run, executor = order.executor, sentTo](const executor_answer &answer) {
                        if (const std::shared_ptr<dispatcher> self = weak.lock()) {
                            const order_result &result = std::get<order_result>(answer);
@@ -50,14 +50,14 @@
 
 void dispatcher::execute(const sched::throttle_run &order)
 {
-    m_relays->send({{order.executor, order.address}, throttle_order{order.task, order.run, order.percent, m_term.term}}, [](const executor_answer &) {
+    m_relays->send({{order.executor, order.address}, throttle_order{order.task, order.run, order.percent, tokenOf(order)}}, [](const executor_answer &) {
         // The answer isn't needed: the executor's next list of runs shows the effect, and the scheduler repeats a lost order.
     });
 }
 
 void dispatcher::execute(const sched::poll_executor &order)
 {
-    const poll_order call{m_term.term, order.acknowledged, order.leaseEndMs, std::chrono::milliseconds(order.waitMs)};
+    const poll_order call{tokenOf(order), order.acknowledged, order.leaseEndMs, std::chrono::milliseconds(order.waitMs)};
     const sched::order_target sentTo{order.address, order.startedUnixMs};
     m_relays->send({{order.executor, order.address}, call},
                    [weak = weak_from_this(), executor = order.executor, sentAt = steadyMillis(), sentTo](executor_answer answer) {
--- a/src/node/leadership.cpp
+++ b/src/node/leadership.cpp
@@ -159,7 +159,7 @@
     m_acquiring = true;
     const sched::time_ms now = steadyMillis();
     const sched::term_times times{now, m_rules.earlierGrantsUntil(now)};
-    const sched::lease_row requested{m_self.node, m_self.incarnation, m_highestTerm + 1, false, false, times.earlierGrantsLeft(now)};
+    const sched::lease_row requested{m_self.node, m_self.incarnation, sched::nextTerm(m_highestTerm), false, false, times.earlierGrantsLeft(now)};
     row_transaction transaction;
     transaction.preconditions = {{tables::holderRow(), std::max<std::int64_t>(0, m_rules.version())}, {tables::termRow(), m_termVersion}};
     transaction.puts = {{tables::holderRow(), sched::writeLease(requested)}, {tables::termRow(), std::to_string(requested.term)}};
--- a/src/sched/events.h
+++ b/src/sched/events.h
@@ -255,6 +255,8 @@
     std::int64_t leaseEndMs = 0;
     /** Start time of the intended incarnation; 0 if unknown. */
     std::int64_t startedUnixMs = 0;
+    /** See executor_record::restarts. */
+    int restarts = 0;
 };
 
 struct stop_run
@@ -264,6 +266,7 @@
     std::string executor;
     std::string address;
     std::int64_t startedUnixMs = 0;
+    int restarts = 0;
 };
 
 /** Limits a best-effort run to a share of its usual speed. */
@@ -274,6 +277,7 @@
     std::string executor;
     std::string address;
     int percent = 100;
+    int restarts = 0;
 };
 
 /** A long poll: lists an executor's runs and ends, acknowledges earlier ends, and extends the leases of its runs. */
@@ -288,6 +292,7 @@
     /** How long the executor may delay its answer while no run ends. */
     std::int64_t waitMs = 0;
     std::int64_t startedUnixMs = 0;
+    int restarts = 0;
 };
 
 /** Asks the advice service which of the executors may run the step. */
--- a/src/sched/executor_record.h
+++ b/src/sched/executor_record.h
@@ -74,6 +74,12 @@
     std::int64_t clockMs = 0;
     time_ms clockAt = 0;
 
+    /**
+     * How often it has restarted under its id in this term. Its orders carry the term plus this number as their fencing token, so that it refuses
+     * orders to a former incarnation that are carried out late, once one to the current incarnation has reached it.
+     */
+    int restarts = 0;
+
     bool pollInFlight = false;
     time_ms pollSentAt = 0;
     time_ms pollRetryAt = 0;
--- a/src/sched/lease_rules.h
+++ b/src/sched/lease_rules.h
@@ -29,6 +29,21 @@
  */
 inline constexpr time_ms grantsWithoutRenewalMs = 2'500;
 
+/** Distance between two terms: each restart of an executor takes one more fencing token of its term. */
+inline constexpr std::int64_t fencingTokensPerTerm = 1'000;
+
+/** The term after this one; its fencing tokens are higher than those of all former terms. */
+constexpr std::int64_t nextTerm(std::int64_t term)
+{
+    return (term / fencingTokensPerTerm + 1) * fencingTokensPerTerm;
+}
+
+/** The fencing token of an order to an executor that has restarted so often in this term. */
+constexpr std::int64_t fencingToken(std::int64_t term, int restarts)
+{
+    return term + std::min<std::int64_t>(restarts, fencingTokensPerTerm - 1);
+}
+
 /** Times of a takeover, as the new lease holder knows them. */
 struct term_times
 {
--- a/src/sched/scheduler.cpp
+++ b/src/sched/scheduler.cpp
@@ -472,6 +472,7 @@
         order.executor = task.executor;
         order.address = executor.entry.address;
         order.startedUnixMs = executor.entry.startedUnixMs;
+        order.restarts = executor.restarts;
         order.payload = job.spec.payload;
         order.checkpoint = task.checkpoint;
         const std::map<std::string, advice_ticket> &tickets = job.occurrences.at(id.occurrence).steps[static_cast<std::size_t>(id.step)].tickets;
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -256,6 +256,10 @@
     /** Handles a restart of the executor under the same id. */
     void handleRestart(executor_record &executor, const order_target &incarnation, time_ms now);
     void stopUnansweredStarts(executor_record &executor, const order_target &incarnation, time_ms now);
+    /** Sends a stop of the run to the incarnation that is known. */
+    void sendStop(const task_id &id, int run, const executor_record &executor);
+    /** Whether a later lease holder has used a higher fencing token; false if only a later incarnation has got one from this holder. */
+    static bool isFenced(order_status status, const executor_record *executor, const order_target &sentTo);
     /** Sends the stops of abandoned runs that are due. */
     void sendDueStops(executor_record &executor, const order_target &incarnation, time_ms now);
     void resetListedState(executor_record &executor);
--- a/src/sched/scheduler_executors.cpp
+++ b/src/sched/scheduler_executors.cpp
@@ -308,10 +308,11 @@
     if (incarnation.startedUnixMs <= executor.entry.startedUnixMs) {
         return false;
     }
+    const bool restarted = executor.entry.startedUnixMs != 0;
+    executor.restarts += restarted ? 1 : 0;
     // Even the first known incarnation may be a restart of the one to which the starts were sent.
     executor.abandoned.executorRestarted();
     stopUnansweredStarts(executor, incarnation, now);
-    const bool restarted = executor.entry.startedUnixMs != 0;
     if (restarted) {
         handleRestart(executor, incarnation, now);
     }
--- a/src/sched/scheduler_orders.cpp
+++ b/src/sched/scheduler_orders.cpp
@@ -14,6 +14,13 @@
 
 } // namespace
 
+// An order to a former incarnation that the current one refuses has met a token that this holder gave.
+bool scheduler::isFenced(order_status status, const executor_record *executor, const order_target &sentTo)
+{
+    const bool toFormerIncarnation = executor != nullptr && sentTo.startedUnixMs != 0 && sentTo.startedUnixMs < executor->entry.startedUnixMs;
+    return status == order_status::Fenced && !toFormerIncarnation;
+}
+
 void scheduler::on(const start_answered &what, time_ms now)
 {
     const auto found = m_jobs.find(what.task.job);
@@ -37,7 +44,7 @@
     }
     const bool current = task != nullptr && task->run == what.run && task->executor == what.executor
         && (task->phase == task_phase::Starting || task->phase == task_phase::Unconfirmed || task->phase == task_phase::Stopping);
-    if (what.status == order_status::Fenced) {
+    if (isFenced(what.status, &executor, what.sentTo)) {
         m_actions.push_back(step_down{"start on " + what.executor});
         return;
     }
@@ -108,7 +115,7 @@
         handleWrongExecutor(foundExecutor->second, what.sentTo, now);
         return;
     }
-    if (what.status == order_status::Fenced) {
+    if (isFenced(what.status, foundExecutor == m_executors.end() ? nullptr : &foundExecutor->second, what.sentTo)) {
         m_actions.push_back(step_down{"stop on " + what.executor});
         return;
     }
--- a/src/sched/scheduler_polls.cpp
+++ b/src/sched/scheduler_polls.cpp
@@ -117,6 +117,7 @@
     order.executor = executor.entry.id;
     order.address = executor.entry.address;
     order.startedUnixMs = executor.entry.startedUnixMs;
+    order.restarts = executor.restarts;
     // The cursor counts the ends of one incarnation. Only a poll that follows a list with ends carries it: any other may reach the next
     // incarnation, which would then discard ends that have not been read.
     const bool followsEnds = std::exchange(executor.endsListed, false);
@@ -150,7 +151,11 @@
         applyPoll(executor, what, now);
         return;
     case order_status::Fenced:
-        m_actions.push_back(step_down{"hold on " + what.executor});
+        if (isFenced(what.status, &executor, what.sentTo)) {
+            m_actions.push_back(step_down{"hold on " + what.executor});
+        } else {
+            executor.pollImmediately = true;
+        }
         return;
     case order_status::WrongExecutor:
         handleWrongExecutor(executor, what.sentTo, now);
@@ -213,7 +218,7 @@
             } else if (found != m_jobs.end() && run.task.step >= 0 && run.task.step < static_cast<int>(found->second->spec.steps.size())) {
                 executor.untracked += found->second->spec.steps[static_cast<std::size_t>(run.task.step)].countedDemand();
             }
-            m_actions.push_back(stop_run{run.task, run.run, executor.entry.id, executor.entry.address, executor.entry.startedUnixMs});
+            sendStop(run.task, run.run, executor);
             continue;
         }
         task->listNumber = executor.listNumber;
@@ -293,7 +298,7 @@
                       {"percent", std::to_string(executor.bestEffortPercent)},
                       {"worst_of_target", std::to_string(worst)}});
             task.throttlePercent = executor.bestEffortPercent;
-            m_actions.push_back(throttle_run{run->task, run->run, executor.entry.id, executor.entry.address, executor.bestEffortPercent});
+            m_actions.push_back(throttle_run{run->task, run->run, executor.entry.id, executor.entry.address, executor.bestEffortPercent, executor.restarts});
         }
     }
 }
--- a/src/sched/scheduler_runs.cpp
+++ b/src/sched/scheduler_runs.cpp
@@ -133,7 +133,7 @@
     const run_id run{id, task.run};
     executor.abandoned.add(run, step.countedDemand(), task.startSentAt == 0 ? now : task.startSentAt);
     executor.abandoned.stopSent(run, now);
-    m_actions.push_back(stop_run{id, task.run, task.executor, executor.entry.address, executor.entry.startedUnixMs});
+    sendStop(id, task.run, executor);
     requestPoll(executor);
 }
 
@@ -255,7 +255,7 @@
     ++m_counts.stops;
     const executor_record &executor = executorFor(task.executor, now);
     if (!executor.entry.address.empty()) {
-        m_actions.push_back(stop_run{id, task.run, task.executor, executor.entry.address, executor.entry.startedUnixMs});
+        sendStop(id, task.run, executor);
     }
 }
 
@@ -284,7 +284,7 @@
         const bool due = task->stopSentAt == 0 || task->stopSentAt + stopRetryMs < now;
         if (reachable && due && mayResendStop(*job->second, *task, executor->second)) {
             task->stopSentAt = now;
-            m_actions.push_back(stop_run{*id, task->run, task->executor, executor->second.entry.address, executor->second.entry.startedUnixMs});
+            sendStop(*id, task->run, executor->second);
         }
         ++id;
     }
@@ -296,10 +296,15 @@
     }
 }
 
+void scheduler::sendStop(const task_id &id, int run, const executor_record &executor)
+{
+    m_actions.push_back(stop_run{id, run, executor.entry.id, executor.entry.address, executor.entry.startedUnixMs, executor.restarts});
+}
+
 void scheduler::sendDueStops(executor_record &executor, const order_target &incarnation, time_ms now)
 {
     for (const run_id &run : executor.abandoned.takeDueStops(now)) {
-        m_actions.push_back(stop_run{run.first, run.second, executor.entry.id, incarnation.address, incarnation.startedUnixMs});
+        m_actions.push_back(stop_run{run.first, run.second, executor.entry.id, incarnation.address, incarnation.startedUnixMs, executor.restarts});
     }
 }
 
--- a/tests/sched/takeover_orders.cpp
+++ b/tests/sched/takeover_orders.cpp
@@ -72,7 +72,8 @@
             return *failed;
         }
         const resources demand = m_jobs.at(order.task.job).steps[static_cast<std::size_t>(order.task.step)].demand;
-        const order_status status = std::get<leased_executor *>(target)->start(order, owner->term, m_taskMs.at(order.task.text()), demand, m_now);
+        const order_status status = std::get<leased_executor *>(target)->start(
+            order, fencingToken(owner->term * fencingTokensPerTerm, order.restarts), m_taskMs.at(order.task.text()), demand, m_now);
         trace("start of " + order.task.text() + " run " + std::to_string(order.run) + " on " + order.executor + ": " + std::string(nameOf(status)));
         return status;
     };
@@ -88,7 +89,7 @@
         if (const order_status *failed = std::get_if<order_status>(&target)) {
             return *failed;
         }
-        return std::get<leased_executor *>(target)->stop(order, owner->term, m_now);
+        return std::get<leased_executor *>(target)->stop(order, fencingToken(owner->term * fencingTokensPerTerm, order.restarts), m_now);
     };
     send(orderTimeoutMs, execute, [this, owner, order](order_status status) {
         feed(owner, answerTo<stop_answered>(order, status));
@@ -101,10 +102,11 @@
     at(m_now + between(1, 5), [this, owner, order, sentAt] {
         const std::variant<leased_executor *, order_status> target = resolveExecutor(order.executor, order.address, owner->term);
         if (leased_executor *const *executor = std::get_if<leased_executor *>(&target)) {
-            if (!(*executor)->poll(order, owner->term, m_now)) {
+            if (!(*executor)->poll(order, fencingToken(owner->term * fencingTokensPerTerm, order.restarts), m_now)) {
                 poll_answered answer;
                 answer.executor = order.executor;
                 answer.sentAt = sentAt;
+                answer.sentTo = {order.address, order.startedUnixMs};
                 answer.status = order_status::Fenced;
                 feed(owner, answer);
                 return;
