Write the row of a wave of which only an order is known

Found by reading the change of the waves' rows: a wave for which a new lease holder knew an unexpired order of its predecessor, but no row, didn't count as changed. Its due time was then not stored before the next step of the wave, and a further takeover would have counted it from anew. The new section of wave_rows_test.cpp failed before (nothing to store).

--- a/src/sched/fleet_planner.cpp
+++ b/src/sched/fleet_planner.cpp
@@ -96,6 +96,10 @@
     found->second.vms.insert(wave.vms.begin(), wave.vms.end());
     found->second.dueUnixMs = unixMs + wave.durationMs;
     const auto stored = m_stored.find(wave.wave);
+    const bool rowIsStored = stored != m_stored.end() && (stored->second.completed || stored->second.dueUnixMs != 0);
+    if (!rowIsStored) {
+        m_changedWaves.insert(wave.wave);
+    }
     if (stored != m_stored.end()) {
         found->second.done = stored->second.done;
         found->second.draining = stored->second.draining;
@@ -107,8 +111,6 @@
             // The status that the operator reads may not have been written.
             found->second.done = found->second.vms;
         }
-    } else {
-        m_changedWaves.insert(wave.wave);
     }
     found->second.dueAt = now + (found->second.dueUnixMs - unixMs);
 }
--- a/tests/sched/wave_rows_test.cpp
+++ b/tests/sched/wave_rows_test.cpp
@@ -121,6 +121,12 @@
         CHECK(published);
         CHECK_FALSE(successor.awaitsMaintenance(wave.vms[2]));
     }
+    SUBCASE("which is written anew if only an order of the former lease holder is known")
+    {
+        successor.predecessorMaintenance(7, wave.vms[1], now);
+        successor.addWave(wave, now, unixMs);
+        CHECK(successor.hasChangedWaves());
+    }
     SUBCASE("unless the row can't be read")
     {
         for (const char *key : {"~waves/", "~waves/x", "~waves/7x"}) {
