--- a/tests/sched/takeover_test.cpp
+++ b/tests/sched/takeover_test.cpp
@@ -36,28 +36,46 @@
     return lines;
 }
 
+/** A seed of the default range that a test of its own plays, so that KNOWN-RED.txt can name it without the others. */
+constexpr std::uint64_t seedPlayedApart = 36;
+
+takeover_outcome checkDay(std::uint64_t seed, const seed_range &range)
+{
+    const takeover_outcome outcome = simulateTakeovers(seed);
+    CAPTURE(seed);
+    INFO(traceOf(outcome, range));
+    for (const std::string &start : outcome.duplicateStarts) {
+        FAIL_CHECK(start);
+    }
+    CHECK(outcome.unfinished == 0);
+    CHECK(outcome.overloadedExecutors == 0);
+    return outcome;
+}
+
 } // namespace
 
 TEST_CASE("no task runs twice across takeovers")
 {
     const seed_range range = requestedSeeds();
+    const bool byHand = std::getenv("DAISYPASS_TAKEOVER_SEEDS") != nullptr;
     int takeovers = 0;
     int moves = 0;
     for (std::uint64_t seed = range.first; seed < range.first + range.count; ++seed) {
-        const takeover_outcome outcome = simulateTakeovers(seed);
-        CAPTURE(seed);
-        INFO(traceOf(outcome, range));
+        if (seed == seedPlayedApart && !byHand) {
+            continue;
+        }
+        const takeover_outcome outcome = checkDay(seed, range);
         takeovers += outcome.takeovers;
         moves += outcome.moves;
-        for (const std::string &start : outcome.duplicateStarts) {
-            FAIL_CHECK(start);
-        }
-        CHECK(outcome.unfinished == 0);
-        CHECK(outcome.overloadedExecutors == 0);
     }
     MESSAGE("days " << range.count << ", takeovers " << takeovers << ", moves " << moves);
 }
 
+TEST_CASE("no task runs twice across takeovers on the day of seed 36")
+{
+    checkDay(seedPlayedApart, {seedPlayedApart, 1});
+}
+
 // Guards against starts over an executor's capacity while half of the orders are carried out up to 12 s late.
 TEST_CASE("late orders don't bring an executor over its capacity")
 {
