Hold back any refusal after a submission whose write has an unknown outcome

What callers would see: a submission is answered with 404 or 429, and its job runs (REFUSED).

A node with a newer configuration may say 404.

After such a write every answer that says that nothing was done is held back, and the caller gets 504. An answer 410 to a forwarded cancel is still passed on.

Before, 400, 404, 413 and 429 were passed on.

--- a/src/node/front_service.cpp
+++ b/src/node/front_service.cpp
@@ -54,6 +54,12 @@
     return {emptyResponse(statusGatewayTimeout), answer_scope::StoreUnavailable};
 }
 
+// Whether the answer says that nothing was done. A caller must not get it after a write of this node with unknown outcome.
+bool isRefusal(int status)
+{
+    return status / 100 != 2 && status != statusGone;
+}
+
 std::string_view withoutPort(std::string_view host)
 {
     return host.substr(0, host.rfind(':'));
@@ -151,10 +157,9 @@
         }
         m_forward(request, [this, respond, localAnswer = std::move(answer.response)](const http_response &forwardedAnswer) {
             recordConfigurationVersion(forwardedAnswer);
-            // After a local write with unknown outcome, a refusal by the other node must not tell the caller that nothing was written.
-            const bool forwardRefused = forwardedAnswer.status == 0 || forwardedAnswer.status == statusUnavailable;
             const bool localOutcomeUnknown = localAnswer.status == statusGatewayTimeout;
-            respond(forwardRefused && localOutcomeUnknown ? localAnswer : (forwardedAnswer.status == 0 ? localAnswer : forwardedAnswer));
+            const bool keepsLocal = forwardedAnswer.status == 0 || (localOutcomeUnknown && isRefusal(forwardedAnswer.status));
+            respond(keepsLocal ? localAnswer : forwardedAnswer);
         });
     };
 }
--- a/tests/node/store_fixture.h
+++ b/tests/node/store_fixture.h
@@ -6,6 +6,7 @@
 #include "standins/standin_server.h"
 #include "standins/store_standin.h"
 
+#include <asio/post.hpp>
 #include <doctest/doctest.h>
 
 #include <future>
@@ -45,6 +46,16 @@
         return *m_store;
     }
 
+    void setFault(store_fault fault)
+    {
+        std::promise<void> done;
+        asio::post(m_context, [this, fault, &done] {
+            m_rows.setFault(fault);
+            done.set_value();
+        });
+        done.get_future().get();
+    }
+
     store_status transact(const row_transaction &transaction)
     {
         std::promise<store_status> answered;
