Start all members of a gang from the same checkpoint

What callers would see: a gang that has failed is started with a checkpoint of its own for each member, which PROTOCOL.md forbids: "the value from any member of a gang is valid for that gang, and all must carry the same value".

When a gang is placed, all members get the first checkpoint that one of them has.

--- a/src/sched/scheduler_place.cpp
+++ b/src/sched/scheduler_place.cpp
@@ -641,12 +641,28 @@
         if (chosen.size() != record.tasks.size()) {
             return false;
         }
+        shareCheckpoint(record.tasks);
         for (std::size_t index = 0; index < chosen.size(); ++index) {
             assign(ready, stepSpec, static_cast<int>(index), run, *chosen[index]);
         }
         return true;
     }
 
+    // The checkpoint of any member is valid for the gang, and all must start from the same one.
+    static void shareCheckpoint(std::vector<task_record> &members)
+    {
+        const auto known = std::find_if(members.begin(), members.end(), [](const task_record &member) {
+            return !member.checkpoint.empty();
+        });
+        if (known == members.end()) {
+            return;
+        }
+        const std::string checkpoint = known->checkpoint;
+        for (task_record &member : members) {
+            member.checkpoint = checkpoint;
+        }
+    }
+
     void assign(ready_step &ready, const step_spec &stepSpec, int index, int run, executor_record &executor)
     {
         job_record &job = *ready.job;
