--- a/tests/node/waiting_count_test.cpp
+++ b/tests/node/waiting_count_test.cpp
@@ -1,8 +1,8 @@
+#include "front_fixture.h"
+
 #include "base/clock.h"
-#include "node/front_service.h"
 #include "node/queue_counts.h"
 #include "node/tables.h"
-#include "store_fixture.h"
 
 #include <doctest/doctest.h>
 
@@ -11,27 +11,15 @@
 namespace {
 
 constexpr std::size_t maxRowBytes = 65'536;
-const sched::queue_key bookingQueue{"shop.example", "/book/"};
-const sched::queue_key grinderQueue{"shop.example", "/grind/"};
 
-/** A front on a store whose counts were complete some time ago; no counts if the time isn't given. */
-class front_fixture : public store_fixture
+/** A node's front on a store whose counts were complete some time ago; no counts if the time isn't given. */
+class counting_front : public front_fixture
 {
 public:
-    explicit front_fixture(std::optional<std::int64_t> countsAgeMs)
+    explicit counting_front(std::optional<std::int64_t> countsAgeMs)
     {
-        std::shared_ptr<sched::configuration_view> view = std::make_shared<sched::configuration_view>();
-        view->version = 1;
-        for (const sched::queue_key &key : {bookingQueue, grinderQueue}) {
-            sched::queue_config queue;
-            queue.key = key;
-            queue.pool = "booking";
-            view->queues.push_back(queue);
-        }
-        m_front.configure(view);
         if (countsAgeMs) {
-            const queue_counts counts{steadyMillis() - *countsAgeMs, {{bookingQueue, 7}}};
-            storeCounts(counts);
+            storeCounts({steadyMillis() - *countsAgeMs, {{bookingQueue, 7}}});
         }
     }
 
@@ -44,40 +32,6 @@
         }
         REQUIRE(transact(transaction) == store_status::Ok);
     }
-
-    http_response request(const std::string &method, const std::string &path, const std::string &body = {})
-    {
-        http_request request;
-        request.method = method;
-        request.path = path;
-        request.headers = {{"Host", "shop.example"}};
-        request.body = body;
-        std::promise<http_response> answered;
-        m_front.handle(request, [&answered](http_response response) {
-            answered.set_value(std::move(response));
-        });
-        return answered.get_future().get();
-    }
-
-    int forwardedRequests() const
-    {
-        return m_forwarded;
-    }
-
-private:
-    metrics_registry m_metrics;
-    int m_forwarded = 0;
-    front_service m_front{store(),
-                          std::make_shared<submission_writer>(store(),
-                                                              [](std::chrono::milliseconds, const std::function<void()> &) {
-                                                              }),
-                          m_metrics,
-                          [this](const http_request &, const http_responder &respond) {
-                              ++m_forwarded;
-                              respond(http_response{});
-                          },
-                          [](const row_key &, const std::string &) {
-                          }};
 };
 
 } // namespace
@@ -86,20 +40,20 @@
 {
     SUBCASE("recent counts are given, and a queue that they don't name has no waiting jobs")
     {
-        front_fixture front(1'000);
+        counting_front front(1'000);
         CHECK(front.request("GET", "/book/").body == R"({"Waiting":7})");
         CHECK(front.request("GET", "/grind/").body == R"({"Waiting":0})");
     }
     // Guards against the count 0 that was given for a queue whose jobs the lease holder hadn't read yet.
     SUBCASE("without counts the node says that it can't give one")
     {
-        front_fixture front(std::nullopt);
+        counting_front front(std::nullopt);
         CHECK(front.request("GET", "/book/").status == 503);
     }
     // Guards against counts of a lease holder that is seconds behind with the jobs, or that was replaced.
     SUBCASE("counts that lack the jobs of the last seconds aren't given")
     {
-        front_fixture front(4'500);
+        counting_front front(4'500);
         const http_response answer = front.request("GET", "/book/");
         CHECK(answer.status == 503);
         CHECK(findHeader(answer.headers, "Retry-After") == "1");
@@ -110,7 +64,7 @@
 // Guards against a refusal that is taken for a failure of the store: all further requests of the node were sent to other nodes for a second.
 TEST_CASE("a refused count doesn't send other requests of the node elsewhere")
 {
-    front_fixture front(4'500);
+    counting_front front(4'500);
     CHECK(front.request("GET", "/book/").status == 503);
     CHECK(front.request("POST", "/book/0123456789abcdef", R"({"Steps":[{"Count":1}]})").status == 200);
     CHECK(front.forwardedRequests() == 0);
@@ -136,7 +90,7 @@
 TEST_CASE("counts of more queues than fit into one row")
 {
     constexpr std::int64_t queues = 3'000;
-    front_fixture front(std::nullopt);
+    counting_front front(std::nullopt);
     queue_counts written{steadyMillis(), {{bookingQueue, 7}}};
     for (std::int64_t number = 1; number < queues; ++number) {
         written.waiting[{"queue-" + std::to_string(number) + ".shop.example", "/a-prefix/"}] = number;
