Write and read what a job keeps of its queue in one place

Found by reading the change again. Attempts, advice, priority and objective are members of two rows, that of the submission and, for jobs of former versions, that of the state. Each row had its own writer and reader of the same keys, in src/platform and in src/sched, and termsOf() and objectiveOf() were the same function twice.

src/sched/kept_terms now writes and reads the members for both rows, and one template decides between the configuration and what was kept. The members of a state row stand in another order than before; both are read by name. Nothing else changes: tests are as they were.

--- a/src/platform/records.cpp
+++ b/src/platform/records.cpp
@@ -2,6 +2,7 @@
 
 #include "base/settings_reader.h"
 #include "sched/job_record.h"
+#include "sched/kept_terms.h"
 
 #include <algorithm>
 #include <charconv>
@@ -470,17 +471,7 @@
     putNonZero(body, "IntervalMs", job.intervalMs);
     body["accepted_unix_ms"] = job.acceptedUnixMs;
     body["pool"] = job.pool;
-    if (job.terms) {
-        body["attempts"] = job.terms->maxAttempts;
-        if (job.terms->requiresAdvice) {
-            body["advice_ms"] = job.terms->adviceValidMs;
-        }
-    }
-    if (job.objective) {
-        body["priority"] = job.objective->priority;
-        body["stretch"] = job.objective->stretch;
-        body["target_ms"] = job.objective->targetDurationMs;
-    }
+    sched::writeKeptTerms(body, job.terms, job.objective);
     return wire::dump(body);
 }
 
@@ -494,16 +485,8 @@
     job->queue = {wire::stringIn(*body, "host").value_or(""), wire::stringIn(*body, "prefix").value_or("")};
     job->acceptedUnixMs = wire::integerIn(*body, "accepted_unix_ms").value_or(0);
     job->pool = wire::stringIn(*body, "pool").value_or("");
-    if (const std::optional<std::int64_t> attempts = wire::integerIn(*body, "attempts")) {
-        const std::optional<std::int64_t> adviceMs = wire::integerIn(*body, "advice_ms");
-        job->terms = sched::queue_terms{static_cast<int>(*attempts), adviceMs.has_value(), adviceMs.value_or(0)};
-    }
-    const std::optional<std::int64_t> priority = wire::integerIn(*body, "priority");
-    const std::optional<double> stretch = wire::numberIn(*body, "stretch");
-    const std::optional<std::int64_t> targetMs = wire::integerIn(*body, "target_ms");
-    if (priority && stretch && targetMs) {
-        job->objective = sched::queue_objective{static_cast<int>(*priority), *stretch, *targetMs};
-    }
+    job->terms = sched::readTerms(*body);
+    job->objective = sched::readObjective(*body);
     return job;
 }
 
--- a/src/sched/job_record.cpp
+++ b/src/sched/job_record.cpp
@@ -1,6 +1,7 @@
 #include "sched/job_record.h"
 
 #include "base/json_text.h"
+#include "sched/kept_terms.h"
 
 #include <nlohmann/json.hpp>
 
@@ -111,35 +112,6 @@
     row += ']';
 }
 
-std::optional<queue_terms> readTerms(const json &row)
-{
-    const auto attempts = row.find("attempts");
-    if (attempts == row.end() || !attempts->is_number_integer()) {
-        return std::nullopt;
-    }
-    queue_terms terms;
-    terms.maxAttempts = attempts->get<int>();
-    const auto adviceMs = row.find("advice_ms");
-    terms.requiresAdvice = adviceMs != row.end() && adviceMs->is_number_integer();
-    if (terms.requiresAdvice) {
-        terms.adviceValidMs = adviceMs->get<std::int64_t>();
-    }
-    return terms;
-}
-
-std::optional<queue_objective> readObjective(const json &row)
-{
-    const auto priority = row.find("priority");
-    const auto stretch = row.find("stretch");
-    const auto target = row.find("target_ms");
-    const bool readable = priority != row.end() && priority->is_number_integer() && stretch != row.end() && stretch->is_number() && target != row.end()
-        && target->is_number_integer();
-    if (!readable) {
-        return std::nullopt;
-    }
-    return queue_objective{priority->get<int>(), stretch->get<double>(), target->get<std::int64_t>()};
-}
-
 std::vector<int> readNumbers(const json &row)
 {
     std::vector<int> numbers;
@@ -274,6 +246,21 @@
     }
 }
 
+// Only jobs of former versions have terms or an objective that their submission doesn't have.
+void appendKeptTerms(std::string &row, const job_record &job)
+{
+    const bool keepsTerms = job.terms && !job.spec.terms;
+    const bool keepsObjective = job.objective && !job.spec.objective;
+    if (!keepsTerms && !keepsObjective) {
+        return;
+    }
+    json kept = json::object();
+    writeKeptTerms(kept, keepsTerms ? job.terms : std::nullopt, keepsObjective ? job.objective : std::nullopt);
+    for (auto member = kept.begin(); member != kept.end(); ++member) {
+        row += ",\"" + member.key() + "\":" + member.value().dump();
+    }
+}
+
 // A row with the job's phase; the JSON object isn't closed yet.
 std::string beginState(const job_record &job)
 {
@@ -282,17 +269,8 @@
     if (job.firstOpen > 0) {
         row += ",\"first_open\":" + std::to_string(job.firstOpen);
     }
-    if (job.terms && !job.spec.terms && !job.ended()) {
-        // Only jobs of former versions need their terms and objective here.
-        row += ",\"attempts\":" + std::to_string(job.terms->maxAttempts);
-        if (job.terms->requiresAdvice) {
-            row += ",\"advice_ms\":" + std::to_string(job.terms->adviceValidMs);
-        }
-    }
-    if (job.objective && !job.spec.objective && !job.ended()) {
-        row += ",\"priority\":" + std::to_string(job.objective->priority);
-        row += ",\"stretch\":" + json(job.objective->stretch).dump();
-        row += ",\"target_ms\":" + std::to_string(job.objective->targetDurationMs);
+    if (!job.ended()) {
+        appendKeptTerms(row, job);
     }
     return row;
 }
--- a/src/sched/scheduler.cpp
+++ b/src/sched/scheduler.cpp
@@ -41,6 +41,16 @@
 // holders that are both alive.
 constexpr time_ms fleetOrderMarginMs = 200;
 
+// What the configuration says of the queue goes before what the job has kept of it; null if neither is known.
+template<typename Part>
+const Part *configuredOrKept(const queue_config *queue, const std::optional<Part> &kept)
+{
+    if (queue != nullptr) {
+        return queue;
+    }
+    return kept ? &*kept : nullptr;
+}
+
 bounds withCappedLease(bounds limits)
 {
     limits.maxLeaseMs = std::min<std::int64_t>(limits.maxLeaseMs, maxGrantedLeaseMs);
@@ -169,20 +179,12 @@
 
 const queue_terms *scheduler::termsOf(const job_record &job) const
 {
-    const queue_config *queue = queueOf(job);
-    if (queue != nullptr) {
-        return queue;
-    }
-    return job.terms ? &*job.terms : nullptr;
+    return configuredOrKept(queueOf(job), job.terms);
 }
 
 const queue_objective *scheduler::objectiveOf(const job_record &job) const
 {
-    const queue_config *queue = queueOf(job);
-    if (queue != nullptr) {
-        return queue;
-    }
-    return job.objective ? &*job.objective : nullptr;
+    return configuredOrKept(queueOf(job), job.objective);
 }
 
 void scheduler::keepTerms(job_record &job, time_ms now)
