Take out small repeats that the change had made

Found by reading the change again: - the tasks of a job's steps were counted by two loops: taskCountOf() serves both; - the rule when a deletion may be asked for again stood twice in deleteOldSubmissions(); - onStateRow() derived the owner of a row's key twice, fleet_orders::add() looked its own entry up again, readQueueCounts() kept its result in an optional that was never empty, and the answer to a stop looked a task up by hand where taskOf() does it.

No behaviour changes, and no test.

--- a/src/node/dispatcher_recovery.cpp
+++ b/src/node/dispatcher_recovery.cpp
@@ -63,16 +63,18 @@
 
 void dispatcher::onStateRow(const store_row &row)
 {
-    if (row.key.key == tables::sequenceKey) {
+    const std::string &key = row.key.key;
+    const std::string owner(sched::jobOfRow(key));
+    if (key == tables::sequenceKey) {
         m_sequenceVersion = row.version;
-    } else if (sched::jobOfRow(row.key.key) == sched::wavesRowKey) {
-        m_scheduler.restoreWave(row.key.key, row.value);
-    } else if (row.key.key == sched::fleetOrdersRowKey) {
+    } else if (owner == sched::wavesRowKey) {
+        m_scheduler.restoreWave(key, row.value);
+    } else if (key == sched::fleetOrdersRowKey) {
         restoreFleetOrders(row);
-    } else if (const std::string job(sched::jobOfRow(row.key.key)); job != row.key.key) {
-        m_recovery->taskRows[job][row.key.key] = row.value;
+    } else if (owner != key) {
+        m_recovery->taskRows[owner][key] = row.value;
     } else {
-        m_recovery->stateRows[row.key.key] = row.value;
+        m_recovery->stateRows[key] = row.value;
     }
 }
 
--- a/src/node/queue_counts.cpp
+++ b/src/node/queue_counts.cpp
@@ -99,14 +99,14 @@
         return readRow(first);
     }
     const std::size_t count = first["rows"].get<std::size_t>();
-    std::optional<queue_counts> all = queue_counts{std::numeric_limits<std::int64_t>::max(), {}};
+    queue_counts all{std::numeric_limits<std::int64_t>::max(), {}};
     for (std::size_t number = 1; number <= count; ++number) {
         std::optional<queue_counts> part = number < rows.size() ? readRow(json::parse(rows[number], nullptr, false)) : std::nullopt;
         if (!part) {
             return std::nullopt;
         }
-        all->completeUntil = std::min(all->completeUntil, part->completeUntil);
-        all->waiting.merge(part->waiting);
+        all.completeUntil = std::min(all.completeUntil, part->completeUntil);
+        all.waiting.merge(part->waiting);
     }
     return all;
 }
--- a/src/platform/records.cpp
+++ b/src/platform/records.cpp
@@ -200,11 +200,7 @@
 // A lease holder keeps a record of each task in memory.
 bool sizeIsValid(const std::vector<step_spec> &steps, failure &reason)
 {
-    std::size_t tasks = 0;
-    for (const step_spec &step : steps) {
-        tasks += static_cast<std::size_t>(step.taskCount);
-    }
-    if (tasks > sched::maxTasksPerJob) {
+    if (sched::taskCountOf(steps) > sched::maxTasksPerJob) {
         reason = wrongFieldType("Steps", "at most " + std::to_string(sched::maxTasksPerJob) + " tasks");
         return false;
     }
--- a/src/sched/fleet_orders.cpp
+++ b/src/sched/fleet_orders.cpp
@@ -97,8 +97,9 @@
 void fleet_orders::add(fleet_order order, time_ms now)
 {
     m_now = now;
-    m_recent[vmOf(order)] = {order, now};
-    m_entryBytes = std::max(m_entryBytes, entryOf(m_recent.at(vmOf(order))).size());
+    recent_order &recent = m_recent[vmOf(order)];
+    recent = {order, now};
+    m_entryBytes = std::max(m_entryBytes, entryOf(recent).size());
     const bool waitsForRow = std::holds_alternative<maintain_vm>(order);
     (waitsForRow ? m_unstored : m_due).push_back(std::move(order));
     m_dirty = true;
--- a/src/sched/job_record.cpp
+++ b/src/sched/job_record.cpp
@@ -394,7 +394,7 @@
 
 void job_record::openDueOccurrences(time_ms unixMs)
 {
-    const std::size_t maxOpen = std::max<std::size_t>(1, maxTasksPerJob / tasksPerOccurrence());
+    const std::size_t maxOpen = std::max<std::size_t>(1, maxTasksPerJob / std::max<std::size_t>(1, taskCountOf(spec.steps)));
     const int next = occurrences.empty() ? firstOpen : occurrences.rbegin()->first + 1;
     for (int number = next; number < occurrenceCount() && occurrences.size() < maxOpen; ++number) {
         if (spec.repeatCount > 0 && dueUnixMs(number) > unixMs) {
@@ -431,15 +431,6 @@
     return spec.firstAtUnixMs + number * spec.intervalMs;
 }
 
-std::size_t job_record::tasksPerOccurrence() const
-{
-    std::size_t tasks = 0;
-    for (const step_spec &step : spec.steps) {
-        tasks += static_cast<std::size_t>(step.taskCount);
-    }
-    return std::max<std::size_t>(1, tasks);
-}
-
 bool job_record::isStepReady(const occurrence_record &occurrence, int step) const
 {
     const std::vector<int> &after = spec.steps[static_cast<std::size_t>(step)].after;
--- a/src/sched/job_record.h
+++ b/src/sched/job_record.h
@@ -276,8 +276,6 @@
 private:
     void openNextOccurrence(int number);
     time_ms dueUnixMs(int number) const;
-    /** Number of tasks in one occurrence. */
-    std::size_t tasksPerOccurrence() const;
     template<typename Wanted, typename Visit>
     void forEachTask(Wanted wanted, Visit visit);
 
--- a/src/sched/model.cpp
+++ b/src/sched/model.cpp
@@ -42,6 +42,15 @@
     return counted;
 }
 
+std::size_t taskCountOf(std::span<const step_spec> steps)
+{
+    std::size_t tasks = 0;
+    for (const step_spec &step : steps) {
+        tasks += static_cast<std::size_t>(step.taskCount);
+    }
+    return tasks;
+}
+
 std::string task_id::text() const
 {
     return job + '.' + std::to_string(occurrence) + '.' + std::to_string(step) + '.' + std::to_string(index);
--- a/src/sched/model.h
+++ b/src/sched/model.h
@@ -14,6 +14,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <tuple>
@@ -74,6 +75,9 @@
     resources countedDemand() const;
 };
 
+/** Number of tasks of all steps. */
+std::size_t taskCountOf(std::span<const step_spec> steps);
+
 /** Identifies a queue by its host and path prefix. */
 struct queue_key
 {
--- a/src/sched/scheduler.cpp
+++ b/src/sched/scheduler.cpp
@@ -536,6 +536,9 @@
     });
     // Twice the time for which callers may query a job, so that a takeover in between doesn't shorten it.
     const time_ms keep = 2 * m_bounds.statusKeepMs;
+    const auto mayRequest = [now](time_ms requestedAt) {
+        return requestedAt == 0 || requestedAt + deleteRetryMs < now;
+    };
     delete_submissions order;
     for (const std::string &id : m_endedJobs) {
         job_record &job = *m_jobs.at(id);
@@ -543,14 +546,14 @@
             break;
         }
         const bool settled = !job.dirty && job.batch <= m_lastCommittedBatch && !m_stoppingJobs.contains(id);
-        if (settled && (job.deletionRequestedAt == 0 || job.deletionRequestedAt + deleteRetryMs < now)) {
+        if (settled && mayRequest(job.deletionRequestedAt)) {
             job.deletionRequestedAt = now;
             order.jobs.push_back(id);
         }
     }
     for (std::pair<const std::string, barred_submission> &barred : m_barredSubmissions) {
         const bool due = barred.second.since + keep < now && order.jobs.size() < maxSubmissionsPerDelete;
-        if (due && (barred.second.deletionRequestedAt == 0 || barred.second.deletionRequestedAt + deleteRetryMs < now)) {
+        if (due && mayRequest(barred.second.deletionRequestedAt)) {
             barred.second.deletionRequestedAt = now;
             order.jobs.push_back(barred.first);
         }
--- a/src/sched/scheduler_orders.cpp
+++ b/src/sched/scheduler_orders.cpp
@@ -135,8 +135,7 @@
         foundExecutor->second.abandoned.stopConfirmed({what.task, what.run}, now);
         requestPoll(foundExecutor->second);
     }
-    const auto found = m_jobs.find(what.task.job);
-    task_record *task = found == m_jobs.end() ? nullptr : found->second->find(what.task);
+    task_record *task = taskOf(what.task);
     if (task == nullptr || task->phase != task_phase::Stopping || task->run != what.run || task->executor != what.executor) {
         return;
     }
