Move the rows of a job's state out of the job's record

The functions moved as they were; the name of a phase is read by parsePhase(), next to nameOf(), which readState() did by hand.

No behaviour changes, and no test.

--- a/src/node/front_service.cpp
+++ b/src/node/front_service.cpp
@@ -6,7 +6,7 @@
 #include "node/queue_counts.h"
 #include "node/tables.h"
 #include "platform/records.h"
-#include "sched/job_record.h"
+#include "sched/job_state.h"
 
 #include <algorithm>
 #include <map>
--- a/src/sched/job_record.h
+++ b/src/sched/job_record.h
@@ -1,16 +1,10 @@
 #pragma once
 
-// The scheduler's record of a job, with the phase of each task, and the row that persists it.
+// The scheduler's record of a job, with the phase of each task. job_state.h has the rows that persist it.
 //
 //     job_record job(spec);
 //     job.openDueOccurrences(unixMs);
-//     std::string row = writeState(job);
-//     readState(row, job);                       // after a takeover
-//
-// The state of a job with many tasks is divided into rows (job_rows.h).
-//
-// For each task that may have a run on an executor, the row has the run's number and the executor, so that a new lease holder knows
-// where a run may be. The row is stored before the run's start order is sent.
+//     if (task_record *task = job.find(id)) { ... }
 
 #include "sched/model.h"
 #include "sched/run_pace.h"
@@ -205,6 +199,8 @@
 enum class job_phase { Pending, Running, Completed, Failed, Cancelled };
 
 std::string_view nameOf(job_phase phase);
+/** The phase with this name; empty if there is none. */
+std::optional<job_phase> parsePhase(std::string_view name);
 
 struct job_record
 {
@@ -328,26 +324,4 @@
         visit);
 }
 
-/** Largest number of tasks in one row of a divided state. */
-inline constexpr std::size_t maxTasksPerRow = 64;
-
-/** The job's state as a row for the store. */
-std::string writeState(const job_record &job);
-/** The first row of a divided state: it has no tasks. */
-std::string writeFirstRow(const job_record &job);
-/**
- * A row with some tasks of the occurrence, which are counted through all its steps; empty if none of them needs an entry. Checkpoints that take
- * more bytes than given are left out.
- */
-std::string
-writeTasks(const job_record &job, int occurrence, std::size_t first, std::size_t end, std::size_t maxCheckpointBytes = std::numeric_limits<std::size_t>::max());
-/** The name of the job phase in a row, as callers get it; empty if the row can't be parsed. */
-std::string phaseIn(std::string_view row);
-/** Whether the row is the first one of a divided state. */
-bool isDivided(std::string_view row);
-/** Restores the job from its row; false if the row can't be parsed. The job is unchanged if the row has no valid phase. */
-bool readState(std::string_view row, job_record &job);
-/** The same for a job with further rows, by their keys, that have tasks. The first row may be empty: it is stored after them. */
-bool readState(std::string_view row, const std::map<std::string, std::string> &taskRows, job_record &job);
-
 } // namespace daisypass::sched
--- a/src/sched/job_rows.h
+++ b/src/sched/job_rows.h
@@ -11,7 +11,7 @@
 // row has the job's phase, and each further one up to maxTasksPerRow consecutive tasks, so that a change of a task writes a short row and no
 // row is above the store's limit. A divided state stays divided.
 
-#include "sched/job_record.h"
+#include "sched/job_state.h"
 
 #include <cstddef>
 #include <map>
