--- /dev/null
+++ b/review/stand-in-2/cases.h
@@ -0,0 +1,25 @@
+#pragma once
+
+// The cases of the review that are shown by scripts.
+
+#include "deployment.h"
+
+namespace review {
+
+/** A case: the services that it needs, and what it does with them. Its deployment must outlive it, as the threads of the stand-ins do. */
+struct case_definition
+{
+    std::vector<service_definition> services;
+    verdict (*run)(deployment &world, bool trouble) = nullptr;
+};
+
+/** An executor that is cut off from the store starts again as a smaller kind. */
+case_definition smallerKindCase();
+/** Two executors crash, each soon after the same task has started there. */
+case_definition twoCrashesCase();
+/** A wave takes the machines of one service out of use long before their upkeep, and a task that lasts finds no executor. */
+case_definition drainedServiceCase();
+/** Many jobs come at once to a queue with advice. */
+case_definition adviceBurstCase();
+
+} // namespace review
