--- a/review/stand-in-2/cases.h
+++ b/review/stand-in-2/cases.h
@@ -13,10 +13,10 @@
     verdict (*run)(deployment &world, bool trouble) = nullptr;
 };
 
+/** Tasks that last fail now and then, on one executor. */
+case_definition failingTasksCase();
 /** An executor that is cut off from the store starts again as a smaller kind. */
 case_definition smallerKindCase();
-/** Two executors crash, each soon after the same task has started there. */
-case_definition twoCrashesCase();
 /** A wave takes the machines of one service out of use long before their upkeep, and a task that lasts finds no executor. */
 case_definition drainedServiceCase();
 /** Many jobs come at once to a queue with advice. */
--- a/review/stand-in-2/executor.cpp
+++ b/review/stand-in-2/executor.cpp
@@ -51,7 +51,10 @@
     if (!m_server.start(m_server.port())) {
         return false;
     }
-    writeEntry();
+    {
+        const std::lock_guard<std::mutex> guard(m_lock);
+        writeEntry();
+    }
     std::thread([this, life = m_bornUnixMs] {
         while (true) {
             sleepMs(stepMs);
@@ -116,6 +119,17 @@
     return m_failedEnds;
 }
 
+void executor::failRun(const std::string &task)
+{
+    const std::lock_guard<std::mutex> guard(m_lock);
+    for (std::size_t i = 0; i < m_runs.size(); ++i) {
+        if (m_runs[i].task == task) {
+            endRun(i, "failed");
+            return;
+        }
+    }
+}
+
 std::vector<std::string> executor::tasks()
 {
     const std::lock_guard<std::mutex> guard(m_lock);
--- a/review/stand-in-2/executor.h
+++ b/review/stand-in-2/executor.h
@@ -62,6 +62,8 @@
     {
         return m_id;
     }
+    /** Ends the task's run as failed, by its own fault. */
+    void failRun(const std::string &task);
     /** The tasks that run here. */
     std::vector<std::string> tasks();
     /** The same without the tasks that fill. */
--- a/review/stand-in-2/main.cpp
+++ b/review/stand-in-2/main.cpp
@@ -8,8 +8,8 @@
 int main(int argc, char **argv)
 {
     constexpr int argumentCount = 5;
-    const std::map<std::string, review::case_definition> cases{{"smaller-kind", review::smallerKindCase()},
-                                                               {"two-crashes", review::twoCrashesCase()},
+    const std::map<std::string, review::case_definition> cases{{"failing-tasks", review::failingTasksCase()},
+                                                               {"smaller-kind", review::smallerKindCase()},
                                                                {"drained-service", review::drainedServiceCase()},
                                                                {"advice-burst", review::adviceBurstCase()}};
     const auto found = argc == argumentCount ? cases.find(argv[1]) : cases.end();
--- a/review/stand-in-2/run-case.sh
+++ b/review/stand-in-2/run-case.sh
@@ -9,10 +9,12 @@
 directory=$(mktemp -d)
 processes=()
 finish() {
-    for process in "${processes[@]}"; do
-        kill -KILL "$process" 2>/dev/null
-    done
-    wait 2>/dev/null
+    {
+        for process in "${processes[@]}"; do
+            kill -KILL "$process"
+        done
+        wait
+    } 2>/dev/null
     rm -rf "$directory"
 }
 trap finish EXIT
