Limit the calls for advice that are under way to what the service answers

Cause: the holder asked for advice for each waiting step at once. The HTTP client gave each call up after 4 s, the answer was thrown away, and the step asked again 400 ms later, behind 31 others; the service goes on with calls that are given up.

Change: src/sched/advice_calls decides how many calls are under way (as many as keep the service busy for half a second by its measured time for a call; halved by refusals and by calls without an answer in time), how many executors a call names while other steps wait, and when a call is overdue. A start whose ticket ended while its row was stored isn't sent. DecideMs and EachMs of the configuration, which were not read so far, are the first estimate. Tests that answer calls for advice pass the call's number now.

Why it works: a call is sent only when the calls before it fit into the time for which its answer is awaited, so no call waits behind its own copy.

--- a/src/node/dispatcher_orders.cpp
+++ b/src/node/dispatcher_orders.cpp
@@ -82,10 +82,11 @@
         return;
     }
     const std::string step = order.job + '.' + std::to_string(order.occurrence) + '.' + std::to_string(order.step);
-    m_executors.requestAdvice(*m_settings.advice, step, order.executors, [weak = weak_from_this(), order](advice_result result) {
+    const std::chrono::milliseconds wait(order.waitMs);
+    m_executors.requestAdvice(*m_settings.advice, step, order.executors, wait, [weak = weak_from_this(), order](advice_result answer) {
         if (const std::shared_ptr<dispatcher> self = weak.lock()) {
-            self->handleEvent(
-                sched::advice_answered{order.job, order.occurrence, order.step, result.status, order.executors, std::move(result.tickets), result.validMs});
+            self->handleEvent(sched::advice_answered{
+                order.job, order.occurrence, order.step, answer.status, order.executors, std::move(answer.tickets), answer.validMs, order.call});
         }
     });
 }
--- a/src/platform/executor_client.cpp
+++ b/src/platform/executor_client.cpp
@@ -278,12 +278,11 @@
 void executor_client::requestAdvice(const endpoint &service,
                                     const std::string &step,
                                     const std::vector<std::string> &executors,
+                                    std::chrono::milliseconds wait,
                                     std::function<void(advice_result)> done)
 {
-    // The advice service handles one call at a time, and its time for a call grows with the number of executors named.
-    constexpr std::chrono::milliseconds adviceTimeout{4'000};
     const json body{{"Step", step}, {"Workers", executors}};
-    post({"", toString(service)}, "/-/advise", wire::dump(body), adviceTimeout, [done = std::move(done)](const http_result &result) {
+    post({"", toString(service)}, "/-/advise", wire::dump(body), wait, [done = std::move(done)](const http_result &result) {
         done(readAdvice(result));
     });
 }
--- a/src/platform/executor_client.h
+++ b/src/platform/executor_client.h
@@ -39,7 +39,11 @@
 
     void send(const executor_order &order, std::function<void(executor_answer)> done);
     /** Asks the advice service which of the executors (at most 100) may run the step. */
-    void requestAdvice(const endpoint &service, const std::string &step, const std::vector<std::string> &executors, std::function<void(advice_result)> done);
+    void requestAdvice(const endpoint &service,
+                       const std::string &step,
+                       const std::vector<std::string> &executors,
+                       std::chrono::milliseconds wait,
+                       std::function<void(advice_result)> done);
 
 private:
     void
--- a/src/platform/records.cpp
+++ b/src/platform/records.cpp
@@ -124,6 +124,8 @@
     queue.requiresAdvice = advice != nullptr && advice->is_object();
     if (queue.requiresAdvice) {
         queue.adviceValidMs = wire::integerIn(*advice, "ValidityMs").value_or(0);
+        queue.adviceCost.decideMs = std::max<std::int64_t>(0, wire::integerIn(*advice, "DecideMs").value_or(0));
+        queue.adviceCost.eachMs = std::max<std::int64_t>(0, wire::integerIn(*advice, "EachMs").value_or(0));
     }
     return queue;
 }
--- a/src/sched/events.h
+++ b/src/sched/events.h
@@ -196,6 +196,8 @@
     std::vector<std::pair<std::string, std::string>> tickets;
     /** How long the tickets are valid; 0 if the service doesn't say. */
     std::int64_t validMs = 0;
+    /** The number of the request. */
+    std::int64_t call = 0;
 };
 
 struct move_answered
@@ -302,6 +304,10 @@
     int occurrence = 0;
     int step = 0;
     std::vector<std::string> executors;
+    /** Identifies the request in the scheduler's term. */
+    std::int64_t call = 0;
+    /** How long to wait for the answer. */
+    std::int64_t waitMs = 0;
 };
 
 struct move_vm
--- a/src/sched/job_record.h
+++ b/src/sched/job_record.h
@@ -168,7 +168,8 @@
     std::map<std::string, advice_ticket> tickets;
     /** Executors that got no ticket. */
     std::set<std::string> advisedAgainst;
-    bool adviceAsked = false;
+    /** The number of the call whose answer is awaited; 0 if there is none. */
+    std::int64_t adviceCall = 0;
     time_ms adviceRetryAt = 0;
 
     bool finished() const
--- a/src/sched/model.h
+++ b/src/sched/model.h
@@ -103,6 +103,14 @@
     std::int64_t adviceValidMs = 0;
 };
 
+/** The time that the advice service takes for a call, as the configuration states it; 0 where it doesn't. */
+struct advice_cost
+{
+    std::int64_t decideMs = 0;
+    /** For each executor that the call names. */
+    std::int64_t eachMs = 0;
+};
+
 /** Where a queue's jobs stand among those of others, and when they are late. */
 struct queue_objective
 {
@@ -218,6 +226,7 @@
     std::string name;
     std::string pool;
     std::int64_t timeoutMs = 0;
+    advice_cost adviceCost;
 };
 
 struct pool_config
--- a/src/sched/scheduler.cpp
+++ b/src/sched/scheduler.cpp
@@ -463,6 +463,13 @@
             markRunLost(job, id, task, now, "capacity_shrunk_before_start");
             return;
         }
+        const step_record &step = job.occurrences.at(id.occurrence).steps[static_cast<std::size_t>(id.step)];
+        const auto ticket = step.tickets.find(task.executor);
+        if (ticket != step.tickets.end() && ticket->second.validUntil <= now) {
+            // The executor would refuse the start. The next placement asks for a new ticket.
+            markRunLost(job, id, task, now, "ticket_expired_before_start");
+            return;
+        }
         task.phase = task_phase::Starting;
         task.startSentAt = now;
         task.resumed = !task.checkpoint.empty();
@@ -477,9 +484,7 @@
         order.restarts = executor.restarts;
         order.payload = job.spec.payload;
         order.checkpoint = task.checkpoint;
-        const std::map<std::string, advice_ticket> &tickets = job.occurrences.at(id.occurrence).steps[static_cast<std::size_t>(id.step)].tickets;
-        const auto ticket = tickets.find(task.executor);
-        if (ticket != tickets.end()) {
+        if (ticket != step.tickets.end()) {
             order.ticket = ticket->second.ticket;
         }
         order.leaseEndMs = executor.clockAtTime(now) + leaseMs;
@@ -513,6 +518,7 @@
     expireUnresponsive(now);
     giveUpCrashingTasks(now);
     resendStops(now);
+    handleOverdueAdvice(now);
     watchProgress(now);
     markAllPollsDue();
     if (now - m_lastCleanup >= cleanupIntervalMs) {
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -20,6 +20,7 @@
 // - Leases are extended only up to a time that the next lease holder can compute from the last stored renewal (lease_rules.h).
 // - The end of a run is acknowledged only after the rows of the jobs that it changes are stored.
 
+#include "sched/advice_calls.h"
 #include "sched/arrival_rate.h"
 #include "sched/crash_suspects.h"
 #include "sched/crash_watch.h"
@@ -55,6 +56,9 @@
     std::int64_t placed = 0;
     std::int64_t started = 0;
     std::int64_t refusedStarts = 0;
+    std::int64_t adviceCalls = 0;
+    /** Calls for advice without an answer in time. */
+    std::int64_t adviceOverdue = 0;
     std::int64_t doneRuns = 0;
     std::int64_t failedRuns = 0;
     std::int64_t otherEnds = 0;
@@ -129,6 +133,11 @@
     /** The next changes to store; empty if there are none. At most one batch may be outstanding. */
     std::optional<commit_batch> takeBatch(time_ms now);
 
+    /** The calls for advice that are under way, and how many may be. */
+    const advice_calls &adviceCalls() const
+    {
+        return m_adviceCalls;
+    }
     const scheduler_counts &counts() const
     {
         return m_counts;
@@ -314,6 +323,7 @@
 
     // Placement.
     void place(time_ms now);
+    void handleOverdueAdvice(time_ms now);
     /** Logs each task whose next run has had to wait for long, with the reason. */
     void logLongWaits(time_ms now);
 
@@ -417,6 +427,9 @@
     /** The pools for whose ready tasks it found none. */
     std::set<std::string> m_poolsShortOfRoom;
     bool m_placementPending = false;
+    advice_calls m_adviceCalls;
+    /** The last placement left a step without a call for advice because enough calls are under way. */
+    bool m_adviceWaits = false;
     /** The last placement left tasks waiting because enough placements wait for the store. */
     bool m_placementsHeldBack = false;
     std::map<std::string, vm_entry> m_vms;
--- a/src/sched/scheduler_place.cpp
+++ b/src/sched/scheduler_place.cpp
@@ -24,8 +24,19 @@
 constexpr time_ms minTicketValidityMs = 300;
 // A task that has waited this long for its next run is logged.
 constexpr time_ms longWaitMs = 2'000;
-// Maximum number of executors in one request to the advice service; larger requests take longer.
-constexpr std::size_t maxExecutorsPerAdvice = 30;
+
+advice_outcome outcomeOf(order_status answer)
+{
+    switch (answer) {
+    case order_status::Ok:
+        return advice_outcome::Answered;
+    case order_status::Unreachable:
+    case order_status::Unknown:
+        return advice_outcome::Lost;
+    default:
+        return advice_outcome::Refused;
+    }
+}
 
 } // namespace
 
@@ -67,6 +78,8 @@
     std::map<std::string, std::vector<waiting_suspect>> suspectsByPool{};
     /** The pools for whose ready tasks the previous pass found no executor. */
     std::set<std::string> scarcePools{};
+    /** In the previous pass, steps had to wait until others had their answers from the advice service. */
+    bool adviceWaited = false;
     std::map<queue_key, bool> expectsCrashes{};
     /** The executors on which this pass has placed suspects that others may join. */
     std::vector<executor_record *> startedTogether{};
@@ -332,19 +345,40 @@
             if (ticket != record.tickets.end() && ticket->second.validUntil > now + minTicketValidityMs) {
                 withTicket.add(*executor);
                 tickets += hasRoom ? 1 : 0;
-            } else if (hasRoom && !record.advisedAgainst.contains(executor->entry.id) && unknown.size() < maxExecutorsPerAdvice) {
+            } else if (hasRoom && !record.advisedAgainst.contains(executor->entry.id)) {
                 unknown.push_back(executor->entry.id);
             }
         }
         withTicket.sort();
-        const bool enough = tickets >= record.waiting;
-        if (!enough && !unknown.empty() && !record.adviceAsked && record.adviceRetryAt <= now) {
-            record.adviceAsked = true;
-            owner.m_actions.push_back(request_advice{ready.job->spec.id, ready.occurrence->number, ready.step, std::move(unknown)});
+        if (tickets < record.waiting && !unknown.empty()) {
+            requestAdvice(ready, record, std::move(unknown));
         }
         return withTicket;
     }
 
+    // The steps come in the order in which they are placed, so those that are nearest their turn ask first.
+    void requestAdvice(const ready_step &ready, step_record &record, std::vector<std::string> executors)
+    {
+        if (record.adviceCall != 0 || record.adviceRetryAt > now) {
+            return;
+        }
+        if (!owner.m_adviceCalls.mayAsk()) {
+            owner.m_adviceWaits = true;
+            return;
+        }
+        const queue_config *queue = owner.queueOf(*ready.job);
+        const advice_cost cost = queue == nullptr ? advice_cost{} : queue->adviceCost;
+        const std::size_t most = advice_calls::executorsPerCall(cost, adviceWaited);
+        if (executors.size() > most) {
+            executors.resize(most);
+        }
+        const task_id firstTask{ready.job->spec.id, ready.occurrence->number, ready.step, 0};
+        record.adviceCall = owner.m_adviceCalls.add(firstTask, cost, executors.size(), now);
+        ++owner.m_counts.adviceCalls;
+        owner.m_actions.push_back(
+            request_advice{firstTask.job, firstTask.occurrence, firstTask.step, std::move(executors), record.adviceCall, adviceAnswerLimitMs});
+    }
+
     void placeAmong(ready_step &ready, const step_spec &stepSpec, placement_candidates &candidates, std::vector<resources> &refused, bool requiresAdvice)
     {
         const resources demand = stepSpec.countedDemand();
@@ -709,7 +743,9 @@
     m_capacityShort = false;
     ++m_counts.placementPasses;
     indexExecutors();
+    const bool adviceWaited = std::exchange(m_adviceWaits, false);
     placement_pass pass{*this, now};
+    pass.adviceWaited = adviceWaited;
     pass.scarcePools = std::exchange(m_poolsShortOfRoom, {});
     pass.collectReady();
     pass.collectSuspects();
@@ -737,16 +773,41 @@
     }
 }
 
+// A step whose call is overdue may ask again; the answer is still used if it comes.
+void scheduler::handleOverdueAdvice(time_ms now)
+{
+    for (const overdue_advice &call : m_adviceCalls.takeOverdue(now)) {
+        ++m_counts.adviceOverdue;
+        logEvent("advice_overdue",
+                 {{"request", call.step.job},
+                  {"step", std::to_string(call.step.step)},
+                  {"call", std::to_string(call.number)},
+                  {"window", std::to_string(m_adviceCalls.window())}});
+        if (taskOf(call.step) == nullptr) {
+            continue;
+        }
+        step_record &record = m_jobs.at(call.step.job)->occurrences.at(call.step.occurrence).steps[static_cast<std::size_t>(call.step.step)];
+        if (record.adviceCall == call.number) {
+            record.adviceCall = 0;
+        }
+        m_placementPending = true;
+    }
+}
+
 void scheduler::on(const advice_answered &what, time_ms now)
 {
+    m_adviceCalls.settle(what.call, outcomeOf(what.status), now);
+    m_placementPending = true;
     const auto found = m_jobs.find(what.job);
     task_record *task = found == m_jobs.end() ? nullptr : found->second->find({what.job, what.occurrence, what.step, 0});
     if (task == nullptr) {
         return;
     }
     step_record &record = found->second->occurrences.at(what.occurrence).steps[static_cast<std::size_t>(what.step)];
-    record.adviceAsked = false;
-    m_placementPending = true;
+    // The answer to an overdue call counts, but the step may have a later call under way.
+    if (record.adviceCall == what.call) {
+        record.adviceCall = 0;
+    }
     if (what.status != order_status::Ok) {
         constexpr time_ms adviceRetryMs = 400;
         record.adviceRetryAt = now + adviceRetryMs;
--- a/tests/sched/absent_queue_test.cpp
+++ b/tests/sched/absent_queue_test.cpp
@@ -167,8 +167,9 @@
     world.taskScheduler.handle(job_submitted{job}, world.now);
     world.planAndCommit();
     CHECK(world.take<start_run>().empty());
-    REQUIRE(world.take<request_advice>().size() == 1);
-    world.taskScheduler.handle(advice_answered{"j1", 0, 0, order_status::Ok, {"e1"}, {{"e1", "ticket-1"}}, 0}, world.now);
+    const std::vector<request_advice> asked = world.take<request_advice>();
+    REQUIRE(asked.size() == 1);
+    world.taskScheduler.handle(advice_answered{"j1", 0, 0, order_status::Ok, {"e1"}, {{"e1", "ticket-1"}}, 0, asked[0].call}, world.now);
     world.planAndCommit();
     CHECK(world.takeStart().ticket == "ticket-1");
 }
@@ -238,14 +239,17 @@
         job.terms->adviceValidMs = 5'000;
         world.taskScheduler.handle(job_submitted{job}, world.now);
         world.planAndCommit();
-        world.taskScheduler.handle(advice_answered{"j1", 0, 0, order_status::Ok, {"e1"}, {{"e1", "ticket-1"}}, 0}, world.now);
+        const std::vector<request_advice> first = world.take<request_advice>();
+        REQUIRE(first.size() == 1);
+        world.taskScheduler.handle(advice_answered{"j1", 0, 0, order_status::Ok, {"e1"}, {{"e1", "ticket-1"}}, 0, first[0].call}, world.now);
         world.planAndCommit();
         story.start();
         world.take<request_advice>();
         const std::string next = crash("e1");
         CHECK(world.take<start_run>().empty());
-        REQUIRE(world.take<request_advice>().size() == 1);
-        world.taskScheduler.handle(advice_answered{"j1", 0, 0, order_status::Ok, {next}, {{next, "ticket-2"}}, 0}, world.now);
+        const std::vector<request_advice> second = world.take<request_advice>();
+        REQUIRE(second.size() == 1);
+        world.taskScheduler.handle(advice_answered{"j1", 0, 0, order_status::Ok, {next}, {{next, "ticket-2"}}, 0, second[0].call}, world.now);
         world.planAndCommit();
         CHECK(world.takeStart().ticket == "ticket-2");
     }
--- a/tests/sched/kept_executors_test.cpp
+++ b/tests/sched/kept_executors_test.cpp
@@ -163,6 +163,7 @@
             answer.status = order_status::Ok;
             answer.asked = request.executors;
             answer.validMs = 4'000;
+            answer.call = request.call;
             for (const std::string &executor : request.executors) {
                 answer.tickets.emplace_back(executor, "ticket");
             }
