--- a/src/sched/model.h
+++ b/src/sched/model.h
@@ -135,6 +135,8 @@
     std::int64_t intervalMs = 0;
     /** When the submission was stored, in Unix milliseconds by the clock of the machine that accepted it. */
     std::int64_t acceptedUnixMs = 0;
+    /** The tenant whose key the submission carried; empty for none. It stays the job's tenant if the configuration changes. */
+    std::string tenant;
     /** The queue's pool when the submission was stored; used if the configuration no longer has the queue. */
     std::string pool;
     /** The same for the queue's terms and its objective; empty if a former version stored the submission. */
@@ -227,6 +229,20 @@
     std::string pool;
     std::int64_t timeoutMs = 0;
     advice_cost adviceCost;
+    /** Calls of the queue need no key. */
+    bool isPublic = false;
+};
+
+/** An organisation that hands in jobs, and what it may use. */
+struct tenant_config
+{
+    std::string name;
+    /** Each call of the tenant carries one of them. */
+    std::vector<std::string> keys;
+    /** The tenant's share where room is short, against the shares of others, and the number of jobs a second that it is entitled to. Above 0. */
+    double weight = 1.0;
+    /** What the tenant's tasks may use at the same time on all executors; 0 for no limit. */
+    resources cap;
 };
 
 struct pool_config
@@ -244,6 +260,7 @@
     std::int64_t version = 0;
     std::vector<queue_config> queues;
     std::vector<pool_config> pools;
+    std::vector<tenant_config> tenants;
     std::int64_t maxBodyBytes = 0;
 };
 
