Check the keys of tenants on every call, and revoke them in time

Deployments with tenants name their keys in the configuration. Calls carried no key before, any call was served, and a job had no tenant.

- Tenants, their weights and caps, and public queues are read from op/config.
Values that can't be used are replaced and told (configuration_warning).
- A call of a queue that isn't public needs a tenant's key, on any method; else it gets 401.
Keys are looked up by a digest with a secret of the process.
Forwarded calls carry the key and are checked again.
- The tenant is stored with the submission.
Another tenant can't cancel the job.
- Where the settings demand strict revocation, a node decides on keys only under a lease that runs from the sending of the last read of the operator's table.
Otherwise the call is forwarded, else refused with 503.

Deployments without tenants need no keys, as before.

--- a/src/http/http_answers.cpp
+++ b/src/http/http_answers.cpp
@@ -11,6 +11,13 @@
     return response;
 }
 
+http_response unauthorizedResponse()
+{
+    http_response response = emptyResponse(statusUnauthorized);
+    response.headers.push_back({"WWW-Authenticate", "Bearer"});
+    return response;
+}
+
 http_response jsonTextResponse(int status, std::string json)
 {
     http_response response = emptyResponse(status);
--- a/src/node/front_service.cpp
+++ b/src/node/front_service.cpp
@@ -166,8 +166,17 @@
 
 void front_service::configure(std::shared_ptr<const sched::configuration_view> view)
 {
+    tenant_keys keys(view->tenants);
+    const std::shared_ptr<const served_configuration> served
+        = std::make_shared<const served_configuration>(served_configuration{std::move(view), std::move(keys)});
     const std::lock_guard<std::mutex> guard(m_lock);
-    m_view = std::move(view);
+    m_configuration = served;
+}
+
+void front_service::useKeys(const key_rules &rules, std::shared_ptr<const key_lease> lease)
+{
+    m_keysAlwaysRequired = rules.alwaysRequired;
+    m_keyLease = std::move(lease);
 }
 
 void front_service::beginDrain()
@@ -197,12 +206,15 @@
         respond(std::move(response));
         --m_inFlight;
     };
-    std::shared_ptr<const sched::configuration_view> view;
+    // Before the configuration is taken: it is then at least as new as the one that the lease confirms.
+    const sched::time_ms checkedAt = steadyMillis();
+    const key_knowledge knowledge{m_keyLease->mayAdmit(checkedAt), m_keyLease->mayRefuse(checkedAt)};
+    std::shared_ptr<const served_configuration> configuration;
     {
         const std::lock_guard<std::mutex> guard(m_lock);
-        view = m_view;
+        configuration = m_configuration;
     }
-    const std::int64_t version = view ? view->version : 0;
+    const std::int64_t version = configuration ? configuration->view->version : 0;
     front_responder answer;
     std::int64_t requiredVersion = 0;
     if (mayForward) {
@@ -222,43 +234,85 @@
         answer(nodeUnavailable());
         return;
     }
-    if (!view) {
+    if (!configuration) {
         logEvent("request_refused", {{"path", request.path}, {"reason", "no_configuration"}});
         answer(nodeUnavailable());
         return;
     }
-    const std::optional<queue_match> match = matchQueue(*view, findHeader(request.headers, "Host"), request.path);
+    admit(request, std::move(configuration), knowledge, mayForward, answer);
+}
+
+void front_service::admit(const http_request &request,
+                          std::shared_ptr<const served_configuration> configuration,
+                          const key_knowledge &knowledge,
+                          bool mayForward,
+                          const front_responder &respond)
+{
+    const sched::configuration_view &view = *configuration->view;
+    std::optional<queue_match> match = matchQueue(view, findHeader(request.headers, "Host"), request.path);
     if (!match) {
-        logEvent("request_refused", {{"path", request.path}, {"reason", "no_such_queue"}, {"configuration_version", view->version}});
-        answer(finalAnswer(emptyResponse(statusNotFound)));
+        logEvent("request_refused", {{"path", request.path}, {"reason", "no_such_queue"}, {"configuration_version", view.version}});
+        respond(finalAnswer(emptyResponse(statusNotFound)));
         return;
     }
-    if (match->pathSuffix.empty() && request.method == "GET") {
-        answerWaitingCount(match->queue.key, std::move(answer));
+    key_decision decision = decideOnCall(request, *configuration, match->queue, knowledge);
+    if (decision.verdict != key_verdict::Admitted) {
+        respond(refuseForKey(request, decision.verdict));
         return;
     }
-    if (!isJobId(match->pathSuffix)) {
-        answer(finalAnswer(emptyResponse(statusBadRequest)));
+    serveAdmitted(request, {std::move(configuration), std::move(*match), std::move(decision.tenant), mayForward}, respond);
+}
+
+key_decision front_service::decideOnCall(const http_request &request,
+                                         const served_configuration &configuration,
+                                         const sched::queue_config &queue,
+                                         const key_knowledge &knowledge) const
+{
+    const bool keysRequired = m_keysAlwaysRequired || !configuration.view->tenants.empty();
+    return decideOnKey(queue, keysRequired, configuration.keys, readKey(findHeader(request.headers, keyHeader)), knowledge);
+}
+
+// The key itself must not be logged.
+front_answer front_service::refuseForKey(const http_request &request, key_verdict verdict)
+{
+    const std::string_view reason = reasonOf(verdict);
+    m_metrics.findCounter("daisypass_keys_refused_total", {{"reason", std::string(reason)}}).add();
+    const std::optional<sched::time_ms> ageMs = m_keyLease->age(steadyMillis());
+    logEvent("request_refused", {{"path", request.path}, {"reason", reason}, {"configuration_age_ms", ageMs.value_or(-1)}});
+    return verdict == key_verdict::NotFresh ? nodeUnavailable() : finalAnswer(unauthorizedResponse());
+}
+
+void front_service::serveAdmitted(const http_request &request, const admitted_call &call, front_responder respond)
+{
+    const std::string &job = call.match.pathSuffix;
+    if (job.empty() && request.method == "GET") {
+        answerWaitingCount(call.match.queue.key, std::move(respond));
+        return;
+    }
+    if (!isJobId(job)) {
+        respond(finalAnswer(emptyResponse(statusBadRequest)));
         return;
     }
     if (request.method == "POST") {
-        const bool tooLarge = view->maxBodyBytes > 0 && static_cast<std::int64_t>(request.body.size()) > view->maxBodyBytes;
+        const std::int64_t maxBodyBytes = call.configuration->view->maxBodyBytes;
+        const bool tooLarge = maxBodyBytes > 0 && static_cast<std::int64_t>(request.body.size()) > maxBodyBytes;
         if (tooLarge) {
-            answer(finalAnswer(emptyResponse(statusTooLarge)));
+            respond(finalAnswer(emptyResponse(statusTooLarge)));
             return;
         }
-        submit(request, *match, mayForward, std::move(answer));
+        submit(request, call, std::move(respond));
     } else if (request.method == "GET") {
-        answerJobState(match->pathSuffix, std::move(answer));
+        answerJobState(job, std::move(respond));
     } else if (request.method == "DELETE") {
-        cancel(match->pathSuffix, writeDeadline(request, mayForward), std::move(answer));
+        cancel(call, writeDeadline(request, call.mayForward), std::move(respond));
     } else {
-        answer(finalAnswer(emptyResponse(statusMethodNotAllowed)));
+        respond(finalAnswer(emptyResponse(statusMethodNotAllowed)));
     }
 }
 
-void front_service::submit(const http_request &request, const queue_match &match, bool mayForward, front_responder respond)
+void front_service::submit(const http_request &request, const admitted_call &call, front_responder respond)
 {
+    const queue_match &match = call.match;
     failure reason;
     std::optional<sched::job_spec> job = readSubmission(request.body, reason);
     if (!job) {
@@ -269,6 +323,7 @@
     job->id = match.pathSuffix;
     job->queue = match.queue.key;
     job->pool = match.queue.pool;
+    job->tenant = call.tenant;
     job->terms = static_cast<const sched::queue_terms &>(match.queue);
     job->objective = static_cast<const sched::queue_objective &>(match.queue);
     job->acceptedUnixMs = unixMillis();
@@ -281,9 +336,10 @@
         respond(finalAnswer(jsonTextResponse(statusUnavailable, R"({"Reason":"job_too_long"})")));
         return;
     }
-    m_writer->add(key, row, writeDeadline(request, mayForward), [this, row, id = job->id, respond = std::move(respond)](const submission_outcome &written) {
-        finishSubmission(id, row, written, respond);
-    });
+    m_writer->add(
+        key, row, writeDeadline(request, call.mayForward), [this, row, id = job->id, respond = std::move(respond)](const submission_outcome &written) {
+            finishSubmission(id, row, written, respond);
+        });
 }
 
 void front_service::finishSubmission(const std::string &job, const std::string &row, const submission_outcome &written, const front_responder &respond)
@@ -354,21 +410,36 @@
     });
 }
 
-void front_service::cancel(const std::string &job, sched::time_ms deadline, front_responder respond)
+void front_service::cancel(const admitted_call &call, sched::time_ms deadline, front_responder respond)
 {
+    const std::string &job = call.match.pathSuffix;
     const row_key submissionKey = tables::jobRow(job);
-    m_store.get(
-        {submissionKey.table, submissionKey.part, job, job + '!'}, readTimeout, [this, job, deadline, respond = std::move(respond)](const rows_result &result) {
-            if (result.status != store_status::Ok) {
-                respond(storeUnavailable());
-            } else if (result.rows.empty()) {
-                barSubmission(job, deadline, respond);
-            } else if (result.rows.front().value == tables::barredSubmission) {
-                respond(finalAnswer(emptyResponse(statusGone)));
-            } else {
-                cancelStored(job, deadline, respond);
-            }
-        });
+    m_store.get({submissionKey.table, submissionKey.part, job, job + '!'},
+                readTimeout,
+                [this, call, deadline, respond = std::move(respond)](const rows_result &result) {
+                    if (result.status != store_status::Ok) {
+                        respond(storeUnavailable());
+                    } else if (result.rows.empty()) {
+                        barSubmission(call, deadline, respond);
+                    } else if (result.rows.front().value == tables::barredSubmission) {
+                        respond(finalAnswer(emptyResponse(statusGone)));
+                    } else {
+                        cancelIfAllowed(call, result.rows.front().value, deadline, respond);
+                    }
+                });
+}
+
+void front_service::cancelIfAllowed(const admitted_call &call, const std::string &row, sched::time_ms deadline, const front_responder &respond)
+{
+    failure reason;
+    const std::optional<sched::job_spec> job = readJob(row, reason);
+    const std::string &id = call.match.pathSuffix;
+    if (job && !mayCancel(*job, {call.match.queue.key, call.tenant}, *call.configuration->view)) {
+        logEvent("cancel_refused", {{"request", id}, {"reason", "job_of_another_tenant"}, {"tenant", call.tenant}});
+        respond(finalAnswer(emptyResponse(statusForbidden)));
+        return;
+    }
+    cancelStored(id, deadline, respond);
 }
 
 void front_service::cancelStored(const std::string &job, sched::time_ms deadline, front_responder respond)
@@ -385,17 +456,18 @@
 }
 
 // After 410 the caller takes the job for gone, but its submission may still reach the store.
-void front_service::barSubmission(const std::string &job, sched::time_ms deadline, front_responder respond)
+void front_service::barSubmission(const admitted_call &call, sched::time_ms deadline, front_responder respond)
 {
+    const std::string &job = call.match.pathSuffix;
     const std::string mark(tables::barredSubmission);
-    m_writer->add(tables::jobRow(job), mark, deadline, [this, job, deadline, respond = std::move(respond)](const submission_outcome &written) {
+    m_writer->add(tables::jobRow(job), mark, deadline, [this, call, job, deadline, respond = std::move(respond)](const submission_outcome &written) {
         switch (written.result) {
         case submission_result::Stored:
             logEvent("submission_barred", {{"request", job}});
             respond(finalAnswer(emptyResponse(statusGone)));
             return;
         case submission_result::Exists:
-            cancelStored(job, deadline, respond);
+            cancelIfAllowed(call, written.existingValue, deadline, respond);
             return;
         case submission_result::NotStored:
             respond(storeUnavailable());
--- a/src/node/front_service.h
+++ b/src/node/front_service.h
@@ -9,6 +9,9 @@
 
 #include "base/metrics.h"
 #include "http/http_server.h"
+#include "node/job_access.h"
+#include "node/key_check.h"
+#include "node/key_lease.h"
 #include "node/submission_writer.h"
 #include "platform/store_client.h"
 #include "sched/model.h"
@@ -75,6 +78,8 @@
     {
         m_maxRowBytes = bytes;
     }
+    /** Sets the rules of keys, and the lease by which the node's knowledge of them is judged. Called before the first request. */
+    void useKeys(const key_rules &rules, std::shared_ptr<const key_lease> lease);
     void configure(std::shared_ptr<const sched::configuration_view> view);
     void handle(http_request request, http_responder respond);
     /** Serves a request that another node has forwarded; it isn't forwarded again. */
@@ -89,20 +94,50 @@
     }
 
 private:
+    /** The configuration in force, with the index of its keys. */
+    struct served_configuration
+    {
+        std::shared_ptr<const sched::configuration_view> view;
+        tenant_keys keys;
+    };
+
+    /** A call whose queue is known and whose key, if it needs one, was accepted. */
+    struct admitted_call
+    {
+        std::shared_ptr<const served_configuration> configuration;
+        queue_match match;
+        std::string tenant;
+        bool mayForward = false;
+    };
+
     void serve(http_request request, http_responder respond, bool mayForward);
     /** Returns a responder that forwards the request to another node if this node's answer isn't final. */
     front_responder withForwarding(http_request request, http_responder respond);
     bool storeRecentlyFailed() const;
     void recordConfigurationVersion(const http_response &forwardedAnswer);
-    void submit(const http_request &request, const queue_match &match, bool mayForward, front_responder respond);
+    /** Serves the call if it passes the checks of queue and key. */
+    void admit(const http_request &request,
+               std::shared_ptr<const served_configuration> configuration,
+               const key_knowledge &knowledge,
+               bool mayForward,
+               const front_responder &respond);
+    key_decision decideOnCall(const http_request &request,
+                              const served_configuration &configuration,
+                              const sched::queue_config &queue,
+                              const key_knowledge &knowledge) const;
+    front_answer refuseForKey(const http_request &request, key_verdict verdict);
+    void serveAdmitted(const http_request &request, const admitted_call &call, front_responder respond);
+    void submit(const http_request &request, const admitted_call &call, front_responder respond);
     void answerJobState(const std::string &job, front_responder respond);
     void answerUnplacedJobState(const std::string &job, front_responder respond);
     void finishSubmission(const std::string &job, const std::string &row, const submission_outcome &written, const front_responder &respond);
-    void cancel(const std::string &job, sched::time_ms deadline, front_responder respond);
+    void cancel(const admitted_call &call, sched::time_ms deadline, front_responder respond);
+    /** Cancels the job of a stored submission if the caller may cancel it. */
+    void cancelIfAllowed(const admitted_call &call, const std::string &row, sched::time_ms deadline, const front_responder &respond);
     /** Cancels a job whose submission is stored. */
     void cancelStored(const std::string &job, sched::time_ms deadline, front_responder respond);
     /** Keeps a submission of the unknown job that may be under way from being stored. */
-    void barSubmission(const std::string &job, sched::time_ms deadline, front_responder respond);
+    void barSubmission(const admitted_call &call, sched::time_ms deadline, front_responder respond);
     void answerWaitingCount(const sched::queue_key &queue, front_responder respond);
 
     store_client &m_store;
@@ -113,7 +148,9 @@
     std::size_t m_maxRowBytes = sched::bounds{}.rowBytes;
     std::atomic<sched::time_ms> m_storeFailedAt{0};
     std::mutex m_lock;
-    std::shared_ptr<const sched::configuration_view> m_view;
+    std::shared_ptr<const served_configuration> m_configuration;
+    bool m_keysAlwaysRequired = false;
+    std::shared_ptr<const key_lease> m_keyLease = std::make_shared<const key_lease>(key_rules{});
     /** Highest configuration version used in an answer to a caller of this node. Later answers must not use an older one. */
     std::atomic<std::int64_t> m_highestAnsweredVersion{0};
     std::atomic<int> m_inFlight{0};
--- a/src/node/node_peers.cpp
+++ b/src/node/node_peers.cpp
@@ -30,6 +30,8 @@
     response.headers.push_back({std::string(configurationHeader), version});
     if (!response.body.empty()) {
         response.headers.push_back({"Content-Type", "application/json"});
+    } else if (response.status == statusUnauthorized) {
+        response.headers.push_back({"WWW-Authenticate", "Bearer"});
     } else if (response.status == statusUnavailable) {
         response.headers.push_back({"Retry-After", "1"});
     }
@@ -156,6 +158,10 @@
     if (!deadline.empty()) {
         call.headers.push_back({std::string(deadlineHeader), std::string(deadline)});
     }
+    const std::string_view key = findHeader(request.headers, keyHeader);
+    if (!key.empty()) {
+        call.headers.push_back({std::string(keyHeader), std::string(key)});
+    }
     call.headers.push_back({std::string(configurationHeader), std::string(findHeader(request.headers, configurationHeader))});
     call.body = request.body;
     call.connectTimeout = forwardConnectTimeout;
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -6,6 +6,7 @@
 #include "http/http_client.h"
 #include "node/dispatcher_owner.h"
 #include "node/front_service.h"
+#include "node/key_lease.h"
 #include "node/leadership.h"
 #include "node/node_peers.h"
 #include "node/node_servers.h"
@@ -13,6 +14,7 @@
 #include "node/submission_writer.h"
 #include "node/table_feed.h"
 #include "node/tables.h"
+#include "node/tenant_rules.h"
 #include "platform/fleet_client.h"
 #include "platform/records.h"
 #include "platform/store_client.h"
@@ -53,6 +55,27 @@
     return static_cast<std::int64_t>(((static_cast<std::uint64_t>(device()) << 32U) | device()) & mask);
 }
 
+key_rules keyRulesOf(const node_settings &settings)
+{
+    key_rules rules;
+    rules.alwaysRequired = settings.requiresKeys;
+    rules.strictRevocation = settings.strictRevocation;
+    rules.revocationMs = settings.revocationMs;
+    rules.applyMs = settings.configurationApplyMs;
+    return rules;
+}
+
+// A poll's answer confirms what was known when the poll was sent, and the next one comes a poll later. So the knowledge is up to two polls
+// old, which must stay well below the bound on keys that were taken away.
+std::chrono::milliseconds pollWaitFor(const node_settings &settings)
+{
+    if (!settings.strictRevocation) {
+        return configurationPollWait;
+    }
+    constexpr int pollsPerBound = 4;
+    return std::min(configurationPollWait, std::chrono::milliseconds(settings.revocationMs / pollsPerBound));
+}
+
 http_client_options clientOptions()
 {
     http_client_options options;
@@ -89,11 +112,13 @@
         , signals(context)
         , servers(settings, handlers(), context)
         , relay(std::make_shared<relay_server>(executor_client(directSender(client)), makeRunAfter()))
+        , keyLease(std::make_shared<key_lease>(keyRulesOf(settings)))
         , owner([this](const held_term &term) {
             return makeDispatcher(term);
         })
     {
         front.limitRows(settings.bounds.rowBytes);
+        front.useKeys(keyRulesOf(settings), keyLease);
     }
 
     node_settings settings;
@@ -112,6 +137,11 @@
     std::shared_ptr<relay_server> relay;
     std::unique_ptr<table_feed> operatorFeed;
     std::shared_ptr<leadership> lease;
+    std::shared_ptr<key_lease> keyLease;
+    /** As last logged. */
+    bool keysFresh = true;
+    /** The operator's configuration was changed to one that can't be read; an earlier one is in force. */
+    bool configurationUnreadable = false;
 
     dispatcher_owner owner;
 
@@ -136,7 +166,8 @@
 
     bool isReady() const
     {
-        return configured && !terminating && steadyMillis() - storeReachedAt < maxStoreSilenceMs;
+        const sched::time_ms now = steadyMillis();
+        return configured && !terminating && now - storeReachedAt < maxStoreSilenceMs && keyLease->mayAdmit(now);
     }
 
     // Passes a stored row to the lease holder at once. If the message is lost, the holder gets the row from its feed a little later.
@@ -185,6 +216,7 @@
         }
         if (row.key.key == configurationKey) {
             std::optional<sched::configuration_view> read = readConfiguration(row.value, reason);
+            configurationUnreadable = !read;
             if (!read) {
                 logEvent("configuration_unreadable", {{"row_version", row.version}, {"reason", describe(reason)}});
                 return;
@@ -203,16 +235,35 @@
         }
     }
 
+    // A configuration that can't be read may have taken keys away, so what is in force isn't confirmed any more.
+    void onOperatorTableCurrent(sched::time_ms asOf)
+    {
+        if (!configurationUnreadable) {
+            keyLease->confirm(asOf);
+        }
+    }
+
+    static void logWarnings(std::int64_t version, const std::vector<tenant_warning> &warnings)
+    {
+        for (const tenant_warning &warning : warnings) {
+            logEvent("configuration_warning",
+                     {{"version", version}, {"problem", nameOf(warning.problem)}, {"tenant", warning.tenant}, {"used_tenant", warning.usedTenant}});
+        }
+    }
+
     void applyConfiguration(sched::configuration_view read)
     {
+        const std::vector<tenant_warning> warnings = correctTenants(read.tenants);
         const std::optional<configuration_update> update = owner.updateConfiguration(std::move(read));
         if (!update) {
             return;
         }
         const sched::configuration_view &view = *update->view;
+        logWarnings(view.version, warnings);
         front.configure(update->view);
         configured = true;
-        logEvent("configuration_applied", {{"version", view.version}, {"queues", view.queues.size()}, {"pools", view.pools.size()}});
+        logEvent("configuration_applied",
+                 {{"version", view.version}, {"queues", view.queues.size()}, {"pools", view.pools.size()}, {"tenants", view.tenants.size()}});
         if (update->current) {
             update->current->configure(view);
         }
@@ -284,8 +335,14 @@
         handlers.storeReached = [this](bool reached) {
             recordStoreResult(reached);
         };
+        handlers.currentAsOf = [this](sched::time_ms asOf) {
+            onOperatorTableCurrent(asOf);
+        };
         operatorFeed
-            = std::make_unique<table_feed>(store, makeRunAfter(), operatorTable, std::vector<std::string>{""}, configurationPollWait, std::move(handlers));
+            = std::make_unique<table_feed>(store, makeRunAfter(), operatorTable, std::vector<std::string>{""}, pollWaitFor(settings), std::move(handlers));
+        if (settings.strictRevocation) {
+            operatorFeed->confirmSoonAfterFaults();
+        }
         operatorFeed->start();
         // The directory hasn't been read yet, so the candidate's delay is based on an assumed largest share.
         sched::lease_identity self{settings.node, randomIncarnation(), sched::candidateDelay(settings.node, settings.cpuShare, assumedLargestShare)};
@@ -325,8 +382,29 @@
         });
     }
 
+    void measureKeyLease()
+    {
+        const std::optional<sched::time_ms> ageMs = keyLease->age(steadyMillis());
+        if (ageMs) {
+            constexpr double millisPerSecond = 1'000.0;
+            metrics.findGauge("daisypass_configuration_age_seconds").set(static_cast<double>(*ageMs) / millisPerSecond);
+        }
+    }
+
+    // Tells when keys can't be decided on any more, and when they can again.
+    void logKeyLease()
+    {
+        const bool fresh = keyLease->mayAdmit(steadyMillis());
+        if (configured && fresh != keysFresh) {
+            keysFresh = fresh;
+            logEvent(fresh ? "keys_fresh" : "keys_not_fresh", {{"bound_ms", settings.revocationMs}});
+        }
+    }
+
     void tick()
     {
+        measureKeyLease();
+        logKeyLease();
         const std::shared_ptr<dispatcher> current = owner.current();
         if (current) {
             current->tick();
--- a/src/node/table_feed.cpp
+++ b/src/node/table_feed.cpp
@@ -1,5 +1,6 @@
 #include "node/table_feed.h"
 
+#include "base/clock.h"
 #include "base/log.h"
 
 #include <algorithm>
@@ -43,6 +44,10 @@
     row_range pageRange;
     std::int64_t snapshotVersion = 0;
     std::set<row_key> snapshotKeys;
+    // When the snapshot's first page was asked for.
+    std::int64_t snapshotSentAt = 0;
+    bool confirmsSoonAfterFaults = false;
+    bool lastPollFaulty = false;
 
     void beginSnapshot()
     {
@@ -55,6 +60,10 @@
 
     void readPage()
     {
+        const bool isFirstPage = partIndex == 0 && pageRange.from.empty();
+        if (isFirstPage) {
+            snapshotSentAt = steadyMillis();
+        }
         store.get(pageRange, readTimeout, [self = shared_from_this()](const rows_result &result) {
             const std::lock_guard<std::mutex> guard(self->lock);
             self->onPage(result);
@@ -110,18 +119,43 @@
         version = snapshotVersion;
         logEvent("table_read", {{"table", table}, {"rows", knownKeys.size()}, {"version", version}});
         handlers.snapshotComplete();
+        confirmCurrent(snapshotSentAt);
         poll();
     }
 
+    // The time is that of the call and not of the answer, which may have been under way for long.
+    void confirmCurrent(std::int64_t sentAt)
+    {
+        if (handlers.currentAsOf) {
+            handlers.currentAsOf(sentAt);
+        }
+    }
+
     void poll()
     {
-        store.feed(table, version, pollWait, [self = shared_from_this()](const rows_result &result) {
-            const std::lock_guard<std::mutex> guard(self->lock);
-            self->onFeed(result);
-        });
+        const bool returnsAtOnce = confirmsSoonAfterFaults && lastPollFaulty;
+        const std::chrono::milliseconds wait = returnsAtOnce ? std::chrono::milliseconds(0) : pollWait;
+        // As long as for other polls in all.
+        const std::chrono::milliseconds answerTime = store_client::defaultAnswerTime + pollWait - wait;
+        store.feed(
+            table,
+            version,
+            wait,
+            [self = shared_from_this(), sentAt = steadyMillis()](const rows_result &result) {
+                const std::lock_guard<std::mutex> guard(self->lock);
+                self->lastPollFaulty = self->isFaulty(result, sentAt);
+                self->onFeed(result, sentAt);
+            },
+            answerTime);
     }
 
-    void onFeed(const rows_result &result)
+    // Late answers come from a slow store, or are read late because the machine was suspended.
+    bool isFaulty(const rows_result &result, std::int64_t sentAt) const
+    {
+        return result.status != store_status::Ok || steadyMillis() - sentAt > (pollWait + store_client::defaultAnswerTime).count();
+    }
+
+    void onFeed(const rows_result &result, std::int64_t sentAt)
     {
         if (stopped) {
             return;
@@ -152,6 +186,9 @@
         if (!result.rows.empty()) {
             handlers.batchApplied();
         }
+        if (!result.atLimit) {
+            confirmCurrent(sentAt);
+        }
         poll();
     }
 
@@ -191,6 +228,11 @@
     m_state->handlers = std::move(handlers);
 }
 
+void table_feed::confirmSoonAfterFaults()
+{
+    m_state->confirmsSoonAfterFaults = true;
+}
+
 void table_feed::start()
 {
     const std::lock_guard<std::mutex> guard(m_state->lock);
--- a/src/node/table_feed.h
+++ b/src/node/table_feed.h
@@ -32,6 +32,8 @@
     std::function<void()> batchApplied;
     /** May be empty. Called when every change up to this time on the store's clock was passed to `rowChanged`. */
     std::function<void(std::int64_t storeMs)> caughtUp{};
+    /** May be empty. Called when every change that the store had made by this time on this machine's steady clock was passed on. */
+    std::function<void(std::int64_t steadyMs)> currentAsOf{};
     /** Called after each call to the store; `reached` is false if the store did not serve it. */
     std::function<void(bool reached)> storeReached;
 };
@@ -49,6 +51,11 @@
 
     /** Must be called before `start`. */
     void setHandlers(table_feed_handlers handlers);
+    /**
+     * Makes the first poll after a failed or late one return at once, so that `currentAsOf` is called early after a fault, and also while
+     * the store answers slowly. Costs a read for each such fault. Must be called before `start`.
+     */
+    void confirmSoonAfterFaults();
     void start();
     /** Like start(), but reads no snapshot: the caller has read the table, with answers of this version or a later one. */
     void startAfter(std::int64_t version);
--- a/src/platform/node_settings.cpp
+++ b/src/platform/node_settings.cpp
@@ -88,6 +88,26 @@
         return static_cast<std::int64_t>(std::llround(numberOr(key, static_cast<double>(fallbackMs) / millisPerSecond) * millisPerSecond));
     }
 
+    bool flagOr(std::string_view key, bool fallback)
+    {
+        const line_value *value = find(key);
+        if (value == nullptr || value->text.empty()) {
+            return fallback;
+        }
+        if (value->text != "true" && value->text != "false") {
+            fail(failure_code::WrongType, key, value->line, "true or false");
+            return fallback;
+        }
+        return value->text == "true";
+    }
+
+    /** Whether the value, a list with commas, contains the item. */
+    bool listContains(std::string_view key, std::string_view item) const
+    {
+        const std::string list = ',' + textOr(key, "") + ',';
+        return list.find(',' + std::string(item) + ',') != std::string::npos;
+    }
+
     endpoint address(std::string_view key)
     {
         const std::string value = text(key);
@@ -210,6 +230,10 @@
     settings.storePartWritesPerSecond = reader.numberOr("platform.PartWritesS", 100);
     settings.executorHeartbeatMs = reader.millisOr("HeartbeatMs", settings.executorHeartbeatMs);
     settings.shutdownGraceMs = reader.secondsAsMillisOr("Bounds.GraceS", settings.shutdownGraceMs);
+    settings.requiresKeys = reader.listContains("Contracts", "tenants");
+    settings.strictRevocation = reader.flagOr("Bounds.StrictRevoke", settings.strictRevocation);
+    settings.revocationMs = reader.millisOr("Bounds.RevokeMs", settings.revocationMs);
+    settings.configurationApplyMs = reader.millisOr("Bounds.ConfigApplyMs", settings.configurationApplyMs);
     settings.bounds = readBounds(reader);
     if (!reader.ok()) {
         return std::nullopt;
--- a/src/platform/node_settings.h
+++ b/src/platform/node_settings.h
@@ -37,6 +37,13 @@
     double storePartWritesPerSecond = 0;
     std::int64_t executorHeartbeatMs = 1'500;
     std::int64_t shutdownGraceMs = 6'000;
+    /** The deployment has tenants: calls of queues that aren't public need a key. */
+    bool requiresKeys = false;
+    /** A key that a configuration takes away must not be let through later than `revocationMs` after its acknowledgement, by any node. */
+    bool strictRevocation = false;
+    std::int64_t revocationMs = 5'000;
+    /** How long after its acknowledgement a configuration may not be in force yet. */
+    std::int64_t configurationApplyMs = 3'000;
     sched::bounds bounds;
 };
 
--- a/src/platform/records.cpp
+++ b/src/platform/records.cpp
@@ -1,6 +1,7 @@
 #include "platform/records.h"
 
 #include "base/settings_reader.h"
+#include "http/http_server.h"
 #include "sched/job_record.h"
 #include "sched/kept_terms.h"
 
@@ -127,9 +128,42 @@
         queue.adviceCost.decideMs = std::max<std::int64_t>(0, wire::integerIn(*advice, "DecideMs").value_or(0));
         queue.adviceCost.eachMs = std::max<std::int64_t>(0, wire::integerIn(*advice, "EachMs").value_or(0));
     }
+    queue.isPublic = wire::boolIn(item, "Public");
     return queue;
 }
 
+std::optional<sched::tenant_config> readTenant(const json &item)
+{
+    const std::optional<std::string> name = wire::stringIn(item, "Name");
+    if (!name || name->empty()) {
+        return std::nullopt;
+    }
+    sched::tenant_config tenant;
+    tenant.name = *name;
+    tenant.keys = readStrings(item, "ApiKeys");
+    tenant.weight = wire::numberIn(item, "Weight").value_or(tenant.weight);
+    if (const json *cap = wire::memberOf(item, "Cap")) {
+        tenant.cap = readResources(*cap);
+    }
+    return tenant;
+}
+
+// Configurations of deployments without tenants have no such list.
+std::vector<sched::tenant_config> readTenants(const json &body)
+{
+    std::vector<sched::tenant_config> tenants;
+    const json *list = wire::arrayIn(body, "Tenants");
+    if (list == nullptr) {
+        return tenants;
+    }
+    for (const json &item : *list) {
+        if (std::optional<sched::tenant_config> tenant = readTenant(item)) {
+            tenants.push_back(std::move(*tenant));
+        }
+    }
+    return tenants;
+}
+
 std::optional<sched::pool_config> readPool(const json &item)
 {
     const std::optional<std::string> name = wire::stringIn(item, "Name");
@@ -338,6 +372,7 @@
             view.pools.push_back(std::move(*pool));
         }
     }
+    view.tenants = readTenants(*body);
     if (const json *limits = wire::memberOf(*body, "Limits")) {
         view.maxBodyBytes = wire::integerIn(*limits, "MaxBodyBytes").value_or(0);
     }
@@ -448,6 +483,22 @@
     return body ? readSubmission(*body, reason) : std::nullopt;
 }
 
+// The name of the scheme ignores letter case (RFC 9110, section 11.1).
+std::optional<std::string_view> readKey(std::string_view value)
+{
+    constexpr std::string_view scheme = "Bearer";
+    if (!equalIgnoringCase(value.substr(0, scheme.size()), scheme)) {
+        return std::nullopt;
+    }
+    value.remove_prefix(scheme.size());
+    const std::size_t first = value.find_first_not_of(' ');
+    if (first == 0 || first == std::string_view::npos) {
+        return std::nullopt;
+    }
+    const std::size_t last = value.find_last_not_of(' ');
+    return value.substr(first, last - first + 1);
+}
+
 std::string encodeJobState(std::string_view state)
 {
     return wire::dump(json{{"State", state}});
@@ -469,6 +520,7 @@
     putNonZero(body, "IntervalMs", job.intervalMs);
     body["accepted_unix_ms"] = job.acceptedUnixMs;
     body["pool"] = job.pool;
+    putNonEmpty(body, "tenant", job.tenant);
     sched::writeKeptTerms(body, job.terms, job.objective);
     return wire::dump(body);
 }
@@ -483,6 +535,7 @@
     job->queue = {wire::stringIn(*body, "host").value_or(""), wire::stringIn(*body, "prefix").value_or("")};
     job->acceptedUnixMs = wire::integerIn(*body, "accepted_unix_ms").value_or(0);
     job->pool = wire::stringIn(*body, "pool").value_or("");
+    job->tenant = wire::stringIn(*body, "tenant").value_or("");
     job->terms = sched::readTerms(*body);
     job->objective = sched::readObjective(*body);
     return job;
--- a/src/platform/records.h
+++ b/src/platform/records.h
@@ -1,7 +1,7 @@
 #pragma once
 
 // Converts records with the platform's field names: reads the operator's configuration and waves, the executors' registry entries, the
-// fleet's VMs, and callers' submissions; encodes wave statuses and answers to callers.
+// fleet's VMs, and callers' submissions and keys; encodes wave statuses and answers to callers.
 //
 // Each read function returns nothing for a record that it can't use, and sets `reason`.
 
@@ -40,6 +40,10 @@
 std::string encodeWaitingCount(std::int64_t waiting);
 /** Request header with the time for which the caller waits for an answer, in ms. */
 inline constexpr std::string_view deadlineHeader = "X-Daisypass-Deadline-Ms";
+/** Request header with the caller's key. */
+inline constexpr std::string_view keyHeader = "Authorization";
+/** The key in the header's value, "Bearer KEY"; nothing if the value has another form. The result refers to `value`. */
+std::optional<std::string_view> readKey(std::string_view value);
 
 /** Encodes a job for its stored row. readJob also accepts rows that earlier versions wrote. */
 std::string writeJob(const sched::job_spec &job);
--- a/src/platform/store_client.cpp
+++ b/src/platform/store_client.cpp
@@ -9,8 +9,6 @@
 
 using wire::json;
 
-// Added to a long poll's wait time, so that the answer can arrive.
-constexpr std::chrono::milliseconds pollMargin{600};
 constexpr std::chrono::milliseconds connectTimeout{700};
 // The store's limits for one answer. The limit of bytes is 1 MB; a row that doesn't fit any more ends the answer below it.
 constexpr std::size_t maxRowsPerAnswer = 500;
@@ -216,13 +214,14 @@
     });
 }
 
-void store_client::feed(const std::string &table, std::int64_t version, std::chrono::milliseconds wait, std::function<void(rows_result)> done)
+void store_client::feed(
+    const std::string &table, std::int64_t version, std::chrono::milliseconds wait, std::function<void(rows_result)> done, std::chrono::milliseconds answerTime)
 {
     http_call call;
     call.url = m_url + "/-/rows-feed?Table=" + wire::escapeQuery(table) + parameter("After", std::to_string(version))
         + parameter("WaitMs", std::to_string(wait.count()));
     call.connectTimeout = connectTimeout;
-    call.totalTimeout = wait + pollMargin;
+    call.totalTimeout = wait + answerTime;
     m_http.send(std::move(call), [done = std::move(done)](const http_result &result) {
         done(readRowsResult(result));
     });
--- a/src/platform/store_client.h
+++ b/src/platform/store_client.h
@@ -129,8 +129,16 @@
 
     void transact(const row_transaction &transaction, std::chrono::milliseconds timeout, std::function<void(transact_result)> done);
     void get(const row_range &range, std::chrono::milliseconds timeout, std::function<void(rows_result)> done);
-    /** Long poll for rows that changed after `version`. The store answers at once if there are any, else after `wait` at the latest. */
-    void feed(const std::string &table, std::int64_t version, std::chrono::milliseconds wait, std::function<void(rows_result)> done);
+    /**
+     * Long poll for rows that changed after `version`. The store answers at once if there are any, else after `wait` at the latest. The call
+     * is given up if the answer takes `answerTime` longer than that.
+     */
+    void feed(const std::string &table,
+              std::int64_t version,
+              std::chrono::milliseconds wait,
+              std::function<void(rows_result)> done,
+              std::chrono::milliseconds answerTime = defaultAnswerTime);
+    static constexpr std::chrono::milliseconds defaultAnswerTime{600};
 
 private:
     http_client &m_http;
