Learn durations where callers' estimates are wrong

What callers saw: on deployments whose estimates are off by a factor of two and more, short jobs waited behind long ones that claim to be short, and jobs that could still meet their objective were taken for late.

Cause: the order of jobs, the speed of executors and the size of pools rest on the callers' estimates alone.

Change: src/sched/duration_model keeps a regression of durations on estimates for each queue; where the estimates are off by a factor of 1.7 in the mean, new jobs get the expected durations, and the first task that is done gives its step the measured one. Better estimates are used as they are.

--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -204,6 +204,7 @@
     m_scheduler.handle(sched::tick{unixMillis()}, now);
     m_relays->setExecutors(m_scheduler.executors().size());
     m_dependencies.metrics.findGauge("daisypass_holder_jobs_waiting_for_store").set(static_cast<double>(m_scheduler.jobsWaitingForStore()));
+    m_dependencies.metrics.findGauge("daisypass_holder_corrected_queues").set(static_cast<double>(m_scheduler.correctedQueues()));
     m_dependencies.metrics.findGauge("daisypass_holder_advice_calls").set(static_cast<double>(m_scheduler.adviceCalls().underWay()));
     m_dependencies.metrics.findGauge("daisypass_holder_advice_window").set(static_cast<double>(m_scheduler.adviceCalls().window()));
     if (!m_vmListInFlight && now - m_vmListFinishedAt >= vmListIntervalMs) {
--- a/src/sched/job_record.cpp
+++ b/src/sched/job_record.cpp
@@ -93,6 +93,19 @@
     , objective(spec.objective)
 {
     criticalPathMs = criticalPathOf(spec.steps, nullptr);
+    for (const step_spec &step : spec.steps) {
+        callerEstimatesMs.push_back(step.estimateMs);
+    }
+}
+
+void job_record::setEstimate(std::size_t step, std::int64_t estimateMs)
+{
+    if (spec.steps[step].estimateMs == estimateMs) {
+        return;
+    }
+    spec.steps[step].estimateMs = estimateMs;
+    criticalPathMs = criticalPathOf(spec.steps, nullptr);
+    m_remainingPathMs.reset();
 }
 
 int job_record::occurrenceCount() const
--- a/src/sched/job_record.h
+++ b/src/sched/job_record.h
@@ -229,6 +229,8 @@
     bool inBacklog = false;
     /** Length of the critical path through all steps, by their estimates. */
     std::int64_t criticalPathMs = 0;
+    /** The estimates of the steps as the caller gave them; those in `spec` may have been replaced. */
+    std::vector<std::int64_t> callerEstimatesMs;
     /** Number of the batch that stores the job's latest change. */
     std::int64_t batch = 0;
 
@@ -263,6 +265,8 @@
     double waitingWork() const;
     /** Length of the longest critical path through the unfinished steps of an occurrence, by their estimates. */
     std::int64_t remainingCriticalPathMs();
+    /** Replaces the estimate of the step's tasks. */
+    void setEstimate(std::size_t step, std::int64_t estimateMs);
     /** Must be called when a step has finished. */
     void stepFinished()
     {
--- a/src/sched/scheduler.cpp
+++ b/src/sched/scheduler.cpp
@@ -256,6 +256,9 @@
         return;
     }
     std::unique_ptr<job_record> job = std::make_unique<job_record>(what.job);
+    for (std::size_t step = 0; step < job->spec.steps.size(); ++step) {
+        job->setEstimate(step, m_durations.expectedMs(job->spec.queue, job->callerEstimatesMs[step]));
+    }
     job->acceptedAt = now;
     job->openDueOccurrences(what.job.repeatCount > 0 ? m_unixMs : what.job.acceptedUnixMs);
     m_activeJobs.insert(what.job.id);
@@ -263,7 +266,7 @@
         m_repeatingJobs.insert(what.job.id);
     }
     if (what.job.repeatCount == 0) {
-        m_arrivals[poolOf(*job)].add(workOf(what.job), now);
+        m_arrivals[poolOf(*job)].add(workOf(job->spec), now);
     }
     job_record &added = *m_jobs.emplace(what.job.id, std::move(job)).first->second;
     addToBacklog(added);
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -24,6 +24,7 @@
 #include "sched/arrival_rate.h"
 #include "sched/crash_suspects.h"
 #include "sched/crash_watch.h"
+#include "sched/duration_model.h"
 #include "sched/entry_versions.h"
 #include "sched/events.h"
 #include "sched/executor_record.h"
@@ -138,6 +139,11 @@
     {
         return m_adviceCalls;
     }
+    /** Number of queues whose callers' estimates are wrong and corrected. */
+    std::size_t correctedQueues() const
+    {
+        return m_durations.correctedQueues();
+    }
     const scheduler_counts &counts() const
     {
         return m_counts;
@@ -319,6 +325,8 @@
     /** Durations, measured or projected, of the step's tasks on other executors. */
     std::vector<double> siblingDurations(const step_record &step, const std::string &executor) const;
     void updateSlowness(executor_record &executor, const step_spec &step, task_record &task, time_ms now);
+    /** Takes the duration of a task that is done as a sample for its queue, and for the other tasks of its step. */
+    void learnDuration(job_record &job, const task_id &id, const task_record &task, const executor_record &executor);
     void emitStarts(job_record &job, std::int64_t batch, time_ms now);
 
     // Placement.
@@ -422,6 +430,7 @@
     std::set<std::string> m_repeatingJobs;
     /** Rate of arriving work by pool. */
     std::map<std::string, arrival_rate> m_arrivals;
+    duration_model m_durations;
     /** The last placement found no executor for a ready task. */
     bool m_capacityShort = false;
     /** The pools for whose ready tasks it found none. */
--- a/src/sched/scheduler_progress.cpp
+++ b/src/sched/scheduler_progress.cpp
@@ -40,6 +40,23 @@
     addSlownessSample(executor, static_cast<double>(task.runDurationMs) / static_cast<double>(step.estimateMs));
 }
 
+// The first task of a step that is done tells most about the others, which do the same work. A slow executor, or one far from the step's data,
+// tells nothing about the queue.
+void scheduler::learnDuration(job_record &job, const task_id &id, const task_record &task, const executor_record &executor)
+{
+    const std::size_t step = static_cast<std::size_t>(id.step);
+    const step_spec &stepSpec = job.spec.steps[step];
+    const bool measured = task.runDurationMs > 0 && task.completedOn == executor.entry.id;
+    const bool far = !stepSpec.dataRack.empty() && stepSpec.dataRack != executor.entry.rack;
+    if (!measured || far || executor.isSlow() || job.occurrences.at(id.occurrence).steps[step].done > 0) {
+        return;
+    }
+    m_durations.add(job.spec.queue, job.callerEstimatesMs[step], task.runDurationMs);
+    if (m_durations.corrects(job.spec.queue)) {
+        job.setEstimate(step, task.runDurationMs);
+    }
+}
+
 // Compares the projected durations of all runs on the executor with their estimates.
 void scheduler::collectPaceEvidence(const executor_record &executor, pace_evidence &evidence) const
 {
--- a/src/sched/scheduler_runs.cpp
+++ b/src/sched/scheduler_runs.cpp
@@ -99,6 +99,7 @@
         ++m_counts.doneRuns;
         if (current) {
             updateSlowness(executor, stepSpec, *task, now);
+            learnDuration(job, end.task, *task, executor);
         }
         completeTask(job, end.task, *task, now);
         return;
