Learn which images lengthen the tail latency of serving tasks, and place them apart

Best-effort tasks were placed by best fit alone, so a task that disturbs a serving image was put beside it while other executors had room, and pacing then held it back. An interference model now compares the tails that executors list with those of other executors with the same serving image at the same time. Placement adds a penalty for known pairs, below all others and above the difference in free capacity; it does so only while no task of the pool waits for room. Pairs are logged and counted.

--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -206,6 +206,8 @@
     m_dependencies.metrics.findGauge("daisypass_holder_jobs_waiting_for_store").set(static_cast<double>(m_scheduler.jobsWaitingForStore()));
     m_dependencies.metrics.findGauge("daisypass_holder_advice_calls").set(static_cast<double>(m_scheduler.adviceCalls().underWay()));
     m_dependencies.metrics.findGauge("daisypass_holder_advice_window").set(static_cast<double>(m_scheduler.adviceCalls().window()));
+    m_dependencies.metrics.findGauge("daisypass_holder_interfering_pairs").set(static_cast<double>(m_scheduler.interference().knownPairs()));
+    m_dependencies.metrics.findGauge("daisypass_holder_placements_kept_apart").set(static_cast<double>(m_scheduler.counts().placementsKeptApart));
     if (!m_vmListInFlight && now - m_vmListFinishedAt >= vmListIntervalMs) {
         m_vmListInFlight = true;
         m_listedVms.clear();
--- a/src/sched/executor_record.h
+++ b/src/sched/executor_record.h
@@ -113,6 +113,8 @@
     std::set<task_id> runs;
     /** Number of long-running tasks among them. */
     int longRunningRuns = 0;
+    /** The images of those among them that may interfere with others, with the number of runs. */
+    std::map<std::string, int> images;
     /** Resources used by listed runs that are neither placed here nor abandoned. */
     resources untracked;
     /** Runs that are no longer placed here but may still be here. */
--- a/src/sched/scheduler.cpp
+++ b/src/sched/scheduler.cpp
@@ -520,6 +520,7 @@
     resendStops(now);
     handleOverdueAdvice(now);
     watchProgress(now);
+    reviewInterference(now);
     markAllPollsDue();
     if (now - m_lastCleanup >= cleanupIntervalMs) {
         m_lastCleanup = now;
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -29,6 +29,7 @@
 #include "sched/executor_record.h"
 #include "sched/fleet_orders.h"
 #include "sched/fleet_planner.h"
+#include "sched/interference.h"
 #include "sched/job_record.h"
 #include "sched/job_rows.h"
 #include "sched/lease_rules.h"
@@ -54,6 +55,8 @@
 struct scheduler_counts
 {
     std::int64_t placed = 0;
+    /** Placements on another executor than without the known interference between images. */
+    std::int64_t placementsKeptApart = 0;
     std::int64_t started = 0;
     std::int64_t refusedStarts = 0;
     std::int64_t adviceCalls = 0;
@@ -138,6 +141,10 @@
     {
         return m_adviceCalls;
     }
+    const interference_model &interference() const
+    {
+        return m_interference;
+    }
     const scheduler_counts &counts() const
     {
         return m_counts;
@@ -315,6 +322,9 @@
     void resendStops(time_ms now);
     void watchProgress(time_ms now);
     void throttleBestEffort(executor_record &executor, const std::vector<listed_run> &runs, time_ms now);
+    /** Learns from an executor's list which images lengthen the tail latency of others. */
+    void observeInterference(const executor_record &executor, const std::vector<listed_run> &runs, time_ms now);
+    void reviewInterference(time_ms now);
     void collectPaceEvidence(const executor_record &executor, pace_evidence &evidence) const;
     /** Durations, measured or projected, of the step's tasks on other executors. */
     std::vector<double> siblingDurations(const step_record &step, const std::string &executor) const;
@@ -427,6 +437,7 @@
     /** The pools for whose ready tasks it found none. */
     std::set<std::string> m_poolsShortOfRoom;
     bool m_placementPending = false;
+    interference_model m_interference;
     advice_calls m_adviceCalls;
     /** The last placement left a step without a call for advice because enough calls are under way. */
     bool m_adviceWaits = false;
--- a/src/sched/scheduler_place.cpp
+++ b/src/sched/scheduler_place.cpp
@@ -20,6 +20,8 @@
 constexpr double maintenanceDueWeight = 1e8;
 constexpr double failedHereWeight = 1e10;
 constexpr double slowExecutorWeight = 1e7;
+// For a known lengthening of a tail latency by a factor of e. Below the other penalties and above any difference in free capacity.
+constexpr double interferenceWeight = 1e6;
 // Minimum remaining validity of a ticket, so that it is still valid when the start order arrives.
 constexpr time_ms minTicketValidityMs = 300;
 // A task that has waited this long for its next run is logged.
@@ -567,6 +569,9 @@
     {
         executor_record *best = nullptr;
         double bestWeight = 0;
+        // The choice without interference.
+        const executor_record *bestPlain = nullptr;
+        double bestPlainWeight = 0;
         const resources demand = stepSpec.countedDemand();
         for (auto candidate = candidates.firstWith(demand.cpu); candidate != candidates.end(); ++candidate) {
             ++owner.m_counts.executorsConsidered;
@@ -575,18 +580,34 @@
                 continue;
             }
             const double penalty = penaltyOf(stepSpec, task, executor);
-            const double weight = static_cast<double>(candidate->freeCpu) + penalty;
-            if (best == nullptr || weight < bestWeight) {
+            const double interference = interferencePenalty(stepSpec, executor);
+            const double plain = static_cast<double>(candidate->freeCpu) + penalty;
+            if (bestPlain == nullptr || plain < bestPlainWeight) {
+                bestPlain = &executor;
+                bestPlainWeight = plain;
+            }
+            if (best == nullptr || plain + interference < bestWeight) {
                 best = &executor;
-                bestWeight = weight;
+                bestWeight = plain + interference;
             }
-            if (penalty == 0) {
+            if (penalty + interference == 0) {
                 break;
             }
         }
+        owner.m_counts.placementsKeptApart += bestPlain != best ? 1 : 0;
         return best;
     }
 
+    // While tasks of the pool wait for room, tasks are packed as closely as without it: keeping images apart must not cost another task its
+    // place.
+    double interferencePenalty(const step_spec &stepSpec, const executor_record &executor) const
+    {
+        if (!mayInterfere(stepSpec) || scarcePools.contains(executor.entry.pool)) {
+            return 0;
+        }
+        return interferenceWeight * owner.m_interference.harmBeside(stepSpec.image, executor.images);
+    }
+
     bool allowed(const step_spec &stepSpec, const resources &demand, const executor_record &executor, const std::map<std::string, int> &here) const
     {
         if (!demand.fitsIn(executor.freeCapacity())) {
--- a/src/sched/scheduler_polls.cpp
+++ b/src/sched/scheduler_polls.cpp
@@ -254,6 +254,7 @@
         resolveUnlistedRuns(executor, what, now);
     }
     settleProbation(executor);
+    observeInterference(executor, what.runs, now);
     throttleBestEffort(executor, what.runs, now);
 }
 
--- a/src/sched/scheduler_runs.cpp
+++ b/src/sched/scheduler_runs.cpp
@@ -21,6 +21,9 @@
     executor.longRunningRuns += step.longRunning ? 1 : 0;
     executor.used += step.countedDemand();
     executor.runs.insert(id);
+    if (mayInterfere(step)) {
+        ++executor.images[step.image];
+    }
     executor.emptySince = 0;
     m_pollDue.insert(executor.entry.id);
 }
@@ -32,6 +35,9 @@
     if (found != m_executors.end() && found->second.runs.erase(id) > 0) {
         found->second.used -= step.countedDemand();
         found->second.longRunningRuns -= step.longRunning ? 1 : 0;
+        if (mayInterfere(step) && --found->second.images[step.image] == 0) {
+            found->second.images.erase(step.image);
+        }
         if (found->second.runs.empty()) {
             found->second.emptySince = now;
         }
