Send an order for the speed of best-effort runs that an earlier holder may have limited

A new lease holder took every restored best-effort run for one at full speed and sent no order, so a run that the former holder had limited stayed limited, at 0 percent for good, until it was stopped as stalled. The first list of such a run now brings an order. The test fails without the change (no order in 0 of 1 expected) and passes with it.

--- a/src/sched/job_record.h
+++ b/src/sched/job_record.h
@@ -121,6 +121,8 @@
     bool available = false;
     /** Share of its usual speed, in percent, to which the latest throttle order limits the run of a best-effort task; 100 without one. */
     int throttlePercent = 100;
+    /** An earlier lease holder may have limited the run, and this one hasn't sent a throttle order. */
+    bool throttleUnknown = false;
 
     int failures() const
     {
--- a/src/sched/job_state.cpp
+++ b/src/sched/job_state.cpp
@@ -182,6 +182,7 @@
     } else if (kind == kindPlaced) {
         task->phase = task_phase::Unconfirmed;
         task->inherited = true;
+        task->throttleUnknown = true;
         --step.waiting;
     }
     return true;
--- a/src/sched/scheduler_polls.cpp
+++ b/src/sched/scheduler_polls.cpp
@@ -292,13 +292,14 @@
     for (const listed_run *run : bestEffortRuns) {
         task_record &task = *m_jobs.at(run->task.job)->find(run->task);
         const bool current = task.phase == task_phase::Running && task.run == run->run && task.executor == executor.entry.id;
-        if (current && task.throttlePercent != executor.bestEffortPercent) {
+        if (current && (task.throttleUnknown || task.throttlePercent != executor.bestEffortPercent)) {
             logEvent("run_paced",
                      {{"task", run->task.text()},
                       {"executor", executor.entry.id},
                       {"percent", std::to_string(executor.bestEffortPercent)},
                       {"worst_of_target", std::to_string(worst)}});
             task.throttlePercent = executor.bestEffortPercent;
+            task.throttleUnknown = false;
             m_actions.push_back(throttle_run{run->task, run->run, executor.entry.id, executor.entry.address, executor.bestEffortPercent, executor.restarts});
         }
     }
--- a/src/sched/scheduler_runs.cpp
+++ b/src/sched/scheduler_runs.cpp
@@ -58,6 +58,7 @@
     task.percent = 0;
     task.confirmedPercent = 0;
     task.throttlePercent = 100;
+    task.throttleUnknown = false;
     task.listNumber = 0;
     if (task.available || task.availabilityChangedAt == 0) {
         task.availabilityChangedAt = now;
