Remember a known pair of images until its confidence has aged

A known pair was forgotten as soon as the weight of its evidence fell below the least weight for a conclusion, about 10 s after the images were kept apart, and had to be learned again. The least weight now holds for becoming known only; a pair is forgotten when its confidence falls below 1.5 or its effect ends.

The takeover test counts pairs learned before and after the takeover instead of all log lines, four of which had come from pairs that were forgotten too early.

--- a/src/sched/interference.cpp
+++ b/src/sched/interference.cpp
@@ -23,7 +23,9 @@
 constexpr double knownEffect = 0.22;
 constexpr double forgottenEffect = 0.1;
 constexpr double knownConfidence = 4.0;
-constexpr double forgottenConfidence = 2.0;
+constexpr double forgottenConfidence = 1.5;
+// Sum of squared activities from which on a pair may become known.
+constexpr double minKnownWeight = 1.0;
 // A pair that shows on one executor only may be due to that executor.
 constexpr int minGroupsBeside = 2;
 // Evidence below this weight is dropped.
@@ -35,7 +37,8 @@
     if (known) {
         return evidence.effect() >= forgottenEffect && evidence.confidence(now) >= forgottenConfidence;
     }
-    return evidence.effect() >= knownEffect && evidence.confidence(now) >= knownConfidence && evidence.groupsBeside() >= minGroupsBeside;
+    const bool enough = evidence.weight(now) >= minKnownWeight && evidence.groupsBeside() >= minGroupsBeside;
+    return enough && evidence.effect() >= knownEffect && evidence.confidence(now) >= knownConfidence;
 }
 
 } // namespace
--- a/src/sched/pair_evidence.cpp
+++ b/src/sched/pair_evidence.cpp
@@ -11,8 +11,6 @@
 constexpr double samplesPerIndependentOne = 4.0;
 // Executors report rough figures; a scatter below this one (standard deviation of the logarithm) is taken for chance.
 constexpr double minScatter = 0.15;
-// Decayed sum of squared activities below which nothing is concluded.
-constexpr double minWeight = 2.0;
 // A group counts as having had the neighbour beside a serving task from this decayed number of samples on.
 constexpr double minSamplesBeside = 1.5;
 
@@ -63,7 +61,7 @@
 
 double pair_evidence::confidence(time_ms now) const
 {
-    if (weight(now) < minWeight) {
+    if (m_total.squaredActivity <= 0) {
         return 0;
     }
     return effect() / std::sqrt(std::max(independentVariance(now), groupedVariance()));
--- a/src/sched/pair_evidence.h
+++ b/src/sched/pair_evidence.h
@@ -40,7 +40,7 @@
 
     /** Estimated effect of a neighbour at full speed on the natural logarithm of the tail latency. */
     double effect() const;
-    /** The effect in standard errors; 0 without enough evidence. */
+    /** The effect in standard errors; 0 without evidence. It falls as the evidence ages. */
     double confidence(time_ms now) const;
     /** Number of groups with an executor beside whose task the neighbour has worked. */
     int groupsBeside() const;
--- a/tests/sched/interference_world.cpp
+++ b/tests/sched/interference_world.cpp
@@ -94,6 +94,7 @@
         REQUIRE(next->taskScheduler.restore(job.second, row == next->rows.end() ? "" : row->second, next->now));
     }
     m_holder = std::move(next);
+    m_outcome.eventsBeforeTakeover = m_outcome.events.size();
     for (std::pair<const std::string, played_executor> &executor : m_executors) {
         executor.second.answerAt = 0;
     }
--- a/tests/sched/interference_world.h
+++ b/tests/sched/interference_world.h
@@ -44,6 +44,8 @@
     /** Sum over all holders. */
     std::int64_t keptApart = 0;
     std::vector<log_event> events{};
+    /** How many of the events came before the takeover. */
+    std::size_t eventsBeforeTakeover = 0;
 
     double shareOverTarget() const
     {
