Compare observations of an image without copying them; limit the penalty for interference

A list of an executor copied up to eight observations for each serving image. The penalty's sum over many tasks could have exceeded that of a slow executor.

--- a/src/sched/interference.cpp
+++ b/src/sched/interference.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <optional>
 #include <set>
 
 namespace daisypass::sched {
@@ -86,7 +85,7 @@
         });
         state.latest.push_back(observationOf(executor, image, loads, now));
         if (state.latest.size() > 1) {
-            learn(image, state, state.latest.back());
+            learn(image, state);
         }
         if (state.latest.size() > maxOthers) {
             state.latest.pop_front();
@@ -94,15 +93,14 @@
     }
 }
 
-// `others` has at least one observation.
-std::pair<double, interference_model::activities> interference_model::differenceFromOthers(const observation &own, std::span<const observation> others)
+std::pair<double, interference_model::activities> interference_model::differenceFromOthers(const std::deque<observation> &latest)
 {
-    const double share = 1.0 / static_cast<double>(others.size());
-    double tailLog = own.tailLog;
-    activities difference = own.neighbours;
-    for (const observation &other : others) {
-        tailLog -= share * other.tailLog;
-        for (const std::pair<const std::string, double> &neighbour : other.neighbours) {
+    const double share = 1.0 / static_cast<double>(latest.size() - 1);
+    double tailLog = latest.back().tailLog;
+    activities difference = latest.back().neighbours;
+    for (auto other = latest.begin(); other != std::prev(latest.end()); ++other) {
+        tailLog -= share * other->tailLog;
+        for (const std::pair<const std::string, double> &neighbour : other->neighbours) {
             difference[neighbour.first] -= share * neighbour.second;
         }
     }
@@ -110,10 +108,10 @@
 }
 
 // What known neighbours explain is taken off, so that an image isn't blamed for another that often runs beside it.
-void interference_model::learn(const std::string &serving, serving_image &state, const observation &own)
+void interference_model::learn(const std::string &serving, serving_image &state)
 {
-    const std::vector<observation> others(state.latest.begin(), std::prev(state.latest.end()));
-    const std::pair<double, activities> difference = differenceFromOthers(own, others);
+    const observation &own = state.latest.back();
+    const std::pair<double, activities> difference = differenceFromOthers(state.latest);
     double unexplained = difference.first;
     activities explained;
     for (const std::pair<const std::string, double> &neighbour : difference.second) {
--- a/src/sched/interference.h
+++ b/src/sched/interference.h
@@ -95,10 +95,12 @@
     };
 
     static observation observationOf(const std::string &executor, const std::string &image, std::span<const neighbour_load> loads, time_ms now);
-    static std::pair<double, activities> differenceFromOthers(const observation &own, std::span<const observation> others);
+    /** The latest observation less the mean of the others, of which there is at least one. */
+    static std::pair<double, activities> differenceFromOthers(const std::deque<observation> &latest);
     serving_image &imageFor(const std::string &image, time_ms now);
     pair_evidence &evidenceFor(const std::string &serving, serving_image &state, const std::string &neighbour);
-    void learn(const std::string &serving, serving_image &state, const observation &own);
+    /** Learns from the latest observation of the image. */
+    void learn(const std::string &serving, serving_image &state);
     void setKnown(const std::string &serving, const std::string &neighbour, pair_state &pair, bool known, time_ms now);
     void rebuildKnown();
 
--- a/src/sched/scheduler_place.cpp
+++ b/src/sched/scheduler_place.cpp
@@ -22,6 +22,8 @@
 constexpr double slowExecutorWeight = 1e7;
 // For a known lengthening of a tail latency by a factor of e. Below the other penalties and above any difference in free capacity.
 constexpr double interferenceWeight = 1e6;
+// Limit of that sum, so that it stays below the other penalties.
+constexpr double maxInterference = 10.0;
 // Minimum remaining validity of a ticket, so that it is still valid when the start order arrives.
 constexpr time_ms minTicketValidityMs = 300;
 // A task that has waited this long for its next run is logged.
@@ -605,7 +607,7 @@
         if (!mayInterfere(stepSpec) || scarcePools.contains(executor.entry.pool)) {
             return 0;
         }
-        return interferenceWeight * owner.m_interference.harmBeside(stepSpec.image, executor.images);
+        return interferenceWeight * std::min(maxInterference, owner.m_interference.harmBeside(stepSpec.image, executor.images));
     }
 
     bool allowed(const step_spec &stepSpec, const resources &demand, const executor_record &executor, const std::map<std::string, int> &here) const
