Test the time as of which a feed confirms its table

A confirmation must carry the time of the call, not of its answer, and must come also while the store is too slow for a long poll.

--- a/tests/node/store_fixture.h
+++ b/tests/node/store_fixture.h
@@ -3,10 +3,12 @@
 // Runs a stand-in of the store on the loopback interface, with a client and blocking calls to it.
 
 #include "http/http_client.h"
+#include "node/table_feed.h"
 #include "standins/standin_server.h"
 #include "standins/store_standin.h"
 
 #include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
 #include <doctest/doctest.h>
 
 #include <future>
@@ -46,6 +48,19 @@
         return *m_store;
     }
 
+    /** Runs functions after their delay on the stand-in's thread, until the fixture ends. */
+    run_after_function runAfter()
+    {
+        return [this](std::chrono::milliseconds delay, std::function<void()> call) {
+            const std::shared_ptr<asio::steady_timer> timer = std::make_shared<asio::steady_timer>(m_context, delay);
+            timer->async_wait([timer, call = std::move(call)](const asio::error_code &error) {
+                if (!error) {
+                    call();
+                }
+            });
+        };
+    }
+
     void setFault(store_fault fault)
     {
         std::promise<void> done;
--- a/tests/node/table_feed_test.cpp
+++ b/tests/node/table_feed_test.cpp
@@ -1,3 +1,4 @@
+#include "base/clock.h"
 #include "node/table_feed.h"
 #include "store_fixture.h"
 
@@ -94,3 +95,95 @@
     table.add(400);
     CHECK(table.catchesUpAfter(403));
 }
+
+namespace {
+
+/** Follows a table of a store with a fault, and records for each confirmation how old it was. */
+class confirmed_table : public store_fixture
+{
+public:
+    explicit confirmed_table(bool confirmSoon)
+    {
+        table_feed_handlers handlers;
+        handlers.rowChanged = [](const store_row &) {
+        };
+        handlers.snapshotComplete = [] {
+        };
+        handlers.batchApplied = [] {
+        };
+        handlers.storeReached = [](bool) {
+        };
+        handlers.currentAsOf = [this](std::int64_t steadyMs) {
+            const std::lock_guard<std::mutex> guard(m_lock);
+            m_ages.push_back(steadyMillis() - steadyMs);
+            m_changed.notify_all();
+        };
+        m_feed = std::make_unique<table_feed>(store(), runAfter(), "op", std::vector<std::string>{""}, pollWait, handlers);
+        if (confirmSoon) {
+            m_feed->confirmSoonAfterFaults();
+        }
+    }
+
+    ~confirmed_table()
+    {
+        m_feed->stop();
+        setFault({});
+        // A handler may still run; see followed_table.
+        value({"op", "", "none"});
+    }
+
+    void start()
+    {
+        m_feed->start();
+    }
+
+    /** The ages of the first confirmations; fewer if the others don't come. */
+    std::vector<std::int64_t> ages(std::size_t count)
+    {
+        std::unique_lock<std::mutex> guard(m_lock);
+        m_changed.wait_for(guard, timeout, [&] {
+            return m_ages.size() >= count;
+        });
+        return m_ages;
+    }
+
+    static constexpr std::chrono::milliseconds pollWait{300};
+
+private:
+    std::mutex m_lock;
+    std::condition_variable m_changed;
+    std::vector<std::int64_t> m_ages;
+    std::unique_ptr<table_feed> m_feed;
+};
+
+} // namespace
+
+// Guards against knowledge of revoked keys that is taken for newer than the call which it came with.
+TEST_CASE("a feed confirms the table as of the time at which it asked, however late the answer comes")
+{
+    constexpr std::chrono::milliseconds delay{400};
+    confirmed_table table(false);
+    table.setFault({store_fault_kind::Slow, 1.0, delay});
+    table.start();
+    const std::vector<std::int64_t> ages = table.ages(3);
+    REQUIRE(ages.size() >= 3);
+    // The snapshot, and then polls that the store holds for the wait.
+    CHECK(ages[0] >= delay.count());
+    CHECK(ages[1] >= (delay + confirmed_table::pollWait).count());
+    CHECK(ages[2] >= (delay + confirmed_table::pollWait).count());
+}
+
+// Guards against a node that refuses all keyed calls because its polls are given up while the store is slow.
+TEST_CASE("a feed that confirms soon after faults does so while the store is too slow for a long poll")
+{
+    constexpr std::chrono::milliseconds delay{750};
+    confirmed_table table(true);
+    table.start();
+    REQUIRE(table.ages(1).size() >= 1);
+    table.setFault({store_fault_kind::Slow, 1.0, delay});
+    const std::size_t before = table.ages(1).size();
+    const std::vector<std::int64_t> ages = table.ages(before + 2);
+    REQUIRE(ages.size() >= before + 2);
+    CHECK(ages.back() >= delay.count());
+    CHECK(ages.back() < (store_client::defaultAnswerTime + confirmed_table::pollWait).count());
+}
