Test revoked keys with processes that are cut off or frozen

Two daisypass-node processes with strict revocation, each behind a proxy to the store. A key that is taken away is refused within the bound by nodes in touch, by one that is cut off from the store and by one that was frozen; the kept key is served by the other node meanwhile.

--- a/src/standins/deployment_standin.cpp
+++ b/src/standins/deployment_standin.cpp
@@ -157,6 +157,9 @@
         fault.share = share.empty() ? 1.0 : std::strtod(share.c_str(), nullptr);
         fault.delay = std::chrono::milliseconds(findNumber(request.query, "delay_ms"));
         m_store.setFault(fault);
+    } else if (request.path == "/admin/row") {
+        // A row of the operator's, whose body is the value.
+        m_store.put({"op", "", std::string(findHeader(request.query, "key"))}, request.body);
     } else if (request.path == "/admin/limit") {
         m_store.limitValues(static_cast<std::size_t>(findNumber(request.query, "value_bytes")));
     } else if (request.path == "/admin/forget") {
--- a/tests/integration/platform_deployment.cpp
+++ b/tests/integration/platform_deployment.cpp
@@ -43,6 +43,13 @@
     for (int i = 0; i < options.nodes; ++i) {
         constexpr int portsOfNode = 4;
         const std::uint16_t ports = freePorts(portsOfNode);
+        if (options.storeProxies) {
+            failure reason;
+            m_storeProxies.push_back(std::make_unique<fault_proxy>(endpoint{"127.0.0.1", 0}, endpoint{"127.0.0.1", m_standinPort}));
+            if (!m_storeProxies.back()->start(reason)) {
+                throw std::runtime_error("no proxy: " + describe(reason));
+            }
+        }
         m_ports.push_back({ports, static_cast<std::uint16_t>(ports + 1), static_cast<std::uint16_t>(ports + 2)});
         writeSettings(m_ports.size() - 1);
         m_nodes.push_back(nullptr);
@@ -79,12 +86,14 @@
 {
     const node_ports &ports = m_ports.at(index);
     const std::string standin = "127.0.0.1:" + std::to_string(m_standinPort);
+    const std::string store = m_storeProxies.empty() ? standin : "127.0.0.1:" + std::to_string(m_storeProxies.at(index)->port());
     std::ofstream file(settingsPath(index));
     file << "Node=node-" << index << "\nZone=zone-a\n"
          << "Listen.Front=127.0.0.1:" << ports.front << "\nListen.Ready=127.0.0.1:" << ports.ready << '\n'
          << "InternalPorts=" << ports.internal << ',' << ports.internal + 10 << '\n'
-         << "platform.Address=" << standin << "\nCloud.Address=" << standin << '\n'
-         << "Limits.CpuShare=0.25\nBounds.MaxHoldMs=6000\nBounds.LeaseMs=3000\nBounds.MoveS=0.5\nBounds.MaintenanceS=0.5\n";
+         << "platform.Address=" << store << "\nCloud.Address=" << standin << '\n'
+         << "Limits.CpuShare=0.25\nBounds.MaxHoldMs=6000\nBounds.LeaseMs=3000\nBounds.MoveS=0.5\nBounds.MaintenanceS=0.5\n"
+         << m_options.settings;
 }
 
 void platform_deployment::restart(std::size_t index)
@@ -122,6 +131,9 @@
     call.method = method;
     call.url = url;
     call.headers = {{"Host", host}, {"Content-Type", "application/json"}, {"X-Daisypass-Deadline-Ms", "3000"}};
+    if (!m_key.empty()) {
+        call.headers.push_back({"Authorization", "Bearer " + m_key});
+    }
     call.body = body;
     call.totalTimeout = std::chrono::seconds(4);
     return m_client.fetch(call);
@@ -177,9 +189,21 @@
     });
 }
 
-void platform_deployment::admin(const std::string &path)
+void platform_deployment::admin(const std::string &path, const std::string &body)
+{
+    call("POST", "http://127.0.0.1:" + std::to_string(m_standinPort) + path, body);
+}
+
+void platform_deployment::putConfiguration(const nlohmann::json &configuration)
+{
+    admin("/admin/row?key=config", configuration.dump());
+}
+
+void platform_deployment::cutFromStore(std::size_t node, bool cut)
 {
-    call("POST", "http://127.0.0.1:" + std::to_string(m_standinPort) + path, "");
+    proxy_faults faults;
+    faults.cut = cut;
+    m_storeProxies.at(node)->set(faults);
 }
 
 nlohmann::json platform_deployment::report()
--- a/tests/integration/platform_deployment.h
+++ b/tests/integration/platform_deployment.h
@@ -9,6 +9,7 @@
 
 #include "http/http_client.h"
 #include "integration/child_process.h"
+#include "standins/fault_proxy.h"
 
 #include <nlohmann/json.hpp>
 
@@ -27,6 +28,10 @@
     int spareVms = 2;
     int waveVms = 0;
     std::uint64_t seed = 1;
+    /** Lines that are added to the settings of all nodes. */
+    std::string settings;
+    /** Whether each node reaches the store through a proxy of its own, so that it can be cut off. */
+    bool storeProxies = false;
 };
 
 class platform_deployment
@@ -57,8 +62,18 @@
     /** Sends a request without a body and returns the HTTP status, or 0 without a response. */
     int status(const std::string &method, std::size_t node, const std::string &path);
 
+    /** Further requests to nodes carry this key; none if it is empty. */
+    void setKey(std::string key)
+    {
+        m_key = std::move(key);
+    }
+    /** Writes the configuration of the operator as JSON. It is acknowledged when this returns. */
+    void putConfiguration(const nlohmann::json &configuration);
+    /** Cuts the node's link to the store, or restores it. The deployment must have proxies. */
+    void cutFromStore(std::size_t node, bool cut);
+
     /** Posts to a path of the stand-in's admin API, for example "/admin/fault?kind=busy". */
-    void admin(const std::string &path);
+    void admin(const std::string &path, const std::string &body = {});
     nlohmann::json report();
 
 private:
@@ -81,6 +96,8 @@
     std::mt19937_64 m_random;
     std::unique_ptr<child_process> m_standin;
     std::uint16_t m_standinPort = 0;
+    std::vector<std::unique_ptr<fault_proxy>> m_storeProxies;
+    std::string m_key;
     std::vector<node_ports> m_ports;
     std::vector<std::unique_ptr<child_process>> m_nodes;
     int m_starts = 0;
