--- a/tests/integration/child_process.h
+++ b/tests/integration/child_process.h
@@ -44,6 +44,10 @@
     /** Returns the exit status, or nothing if a signal killed the process or it did not end within the timeout. */
     std::optional<int> waitForExit(std::chrono::milliseconds bound = waitBound);
     bool running();
+    pid_t id() const
+    {
+        return m_id;
+    }
 
     /** Returns the `count`th log line with this event. Throws std::runtime_error if the process ends or the timeout passes before it is written. */
     nlohmann::json waitForLine(const std::string &event, int count = 1, std::chrono::milliseconds bound = waitBound);
--- a/tests/integration/platform_deployment.cpp
+++ b/tests/integration/platform_deployment.cpp
@@ -84,7 +84,14 @@
          << "Listen.Front=127.0.0.1:" << ports.front << "\nListen.Ready=127.0.0.1:" << ports.ready << '\n'
          << "InternalPorts=" << ports.internal << ',' << ports.internal + 10 << '\n'
          << "platform.Address=" << standin << "\nCloud.Address=" << standin << '\n'
-         << "Limits.CpuShare=0.25\nBounds.MaxHoldMs=6000\nBounds.LeaseMs=3000\nBounds.MoveS=0.5\nBounds.MaintenanceS=0.5\n";
+         << "Limits.CpuShare=0.25\n";
+    if (m_options.memoryMb > 0) {
+        file << "Limits.MemoryMb=" << m_options.memoryMb << '\n';
+    }
+    if (m_options.maxDescriptors > 0) {
+        file << "Limits.MaxFds=" << m_options.maxDescriptors << '\n';
+    }
+    file << "Bounds.MaxHoldMs=6000\nBounds.LeaseMs=3000\nBounds.MoveS=0.5\nBounds.MaintenanceS=0.5\n";
 }
 
 void platform_deployment::restart(std::size_t index)
--- a/tests/integration/platform_deployment.h
+++ b/tests/integration/platform_deployment.h
@@ -27,6 +27,16 @@
     int spareVms = 2;
     int waveVms = 0;
     std::uint64_t seed = 1;
+    /** Memory and descriptors of a node's machine in the settings; 0 leaves the line out. */
+    int memoryMb = 0;
+    int maxDescriptors = 0;
+};
+
+struct node_ports
+{
+    std::uint16_t front = 0;
+    std::uint16_t ready = 0;
+    std::uint16_t internal = 0;
 };
 
 class platform_deployment
@@ -40,6 +50,10 @@
     {
         return *m_nodes.at(index);
     }
+    const node_ports &ports(std::size_t index) const
+    {
+        return m_ports.at(index);
+    }
     /** Starts a node whose process has ended. */
     void restart(std::size_t index);
     /** Waits until a running node holds the lease and returns its index. Throws std::runtime_error on timeout. */
@@ -62,13 +76,6 @@
     nlohmann::json report();
 
 private:
-    struct node_ports
-    {
-        std::uint16_t front = 0;
-        std::uint16_t ready = 0;
-        std::uint16_t internal = 0;
-    };
-
     std::string settingsPath(std::size_t index) const;
     void writeSettings(std::size_t index);
     std::string body(int taskMs, int tasks, const std::string &kind) const;
