Charge clients' connections and requests to one account of the process

A crowd of clients that stop short of the end of their bodies, or make no progress, took a node's memory and descriptors without a limit: RESTinio reads each body whole before the handler runs, and each of the four servers accepted 2,000 connections.

connection_account decides, without sockets, which connection may read on, waits, or is closed; metered_socket is the stream of RESTinio's connections and asks it before each read. All servers of a node share the account, which gets a quarter of Limits.MemoryMb and half of Limits.MaxFds (without those for files). The stalled and the largest are closed first; a request that is being handled is never given up, and bytes that arrive after a refusal aren't parsed, so a refused request doesn't run. Refusals are counted, and logged once a second at most. Servers without an account behave as before.

--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -1,6 +1,8 @@
 #include "http/http_server.h"
 
 #include "base/thread_time.h"
+#include "http/http_answers.h"
+#include "http/metered_socket.h"
 
 #include <restinio/all.hpp>
 
@@ -19,8 +21,12 @@
 {
     // RESTinio requires this name.
     static constexpr bool use_connection_count_limiter = true; // NOLINT(readability-identifier-naming)
+    using stream_socket_t = metered_socket;
 };
 
+// Copies of a body while its request is handled: the handler's, a forwarded one, what is parsed from it, the stored row and its message.
+constexpr std::size_t handlingCopies = 5;
+
 using native_server = restinio::http_server_t<server_traits>;
 
 http_request toRequest(const restinio::request_t &native)
@@ -113,15 +119,42 @@
     }
 };
 
+// The charge of a request that is being handled, taken back with the object.
+class admitted_bytes
+{
+public:
+    admitted_bytes(std::shared_ptr<connection_account> account, std::size_t bytes)
+        : m_account(std::move(account))
+        , m_bytes(bytes)
+    {
+    }
+    admitted_bytes(const admitted_bytes &) = delete;
+    admitted_bytes &operator=(const admitted_bytes &) = delete;
+    ~admitted_bytes()
+    {
+        m_account->release(m_bytes);
+    }
+
+private:
+    std::shared_ptr<connection_account> m_account;
+    std::size_t m_bytes;
+};
+
+struct pending_request
+{
+    restinio::request_handle_t native;
+    std::unique_ptr<admitted_bytes> charge;
+};
+
 // Requests that have no response yet. A responder can outlive the server, but a RESTinio request must not: it refers to its
 // connection, and the connection to the server. So a responder keeps only the request's number, and stopping the server drops the requests.
 class pending_requests
 {
 public:
-    std::uint64_t add(restinio::request_handle_t native)
+    std::uint64_t add(pending_request request)
     {
         const std::lock_guard<std::mutex> guard(m_lock);
-        m_requests.emplace(++m_lastNumber, std::move(native));
+        m_requests.emplace(++m_lastNumber, std::move(request));
         return m_lastNumber;
     }
 
@@ -129,17 +162,17 @@
     {
         // Held while the response is passed to RESTinio, so that close() waits for it.
         const std::shared_lock<std::shared_mutex> sharedGuard(m_closeLock);
-        restinio::request_handle_t native;
+        pending_request request;
         {
             const std::lock_guard<std::mutex> guard(m_lock);
             const auto found = m_requests.find(number);
             if (found == m_requests.end()) {
                 return;
             }
-            native = std::move(found->second);
+            request = std::move(found->second);
             m_requests.erase(found);
         }
-        sendResponse(*native, std::move(response));
+        sendResponse(*request.native, std::move(response));
     }
 
     void close()
@@ -153,7 +186,7 @@
     std::shared_mutex m_closeLock;
     std::mutex m_lock;
     std::uint64_t m_lastNumber = 0;
-    std::unordered_map<std::uint64_t, restinio::request_handle_t> m_requests;
+    std::unordered_map<std::uint64_t, pending_request> m_requests;
 };
 
 } // namespace
@@ -193,10 +226,21 @@
     std::vector<std::thread> threads;
     std::uint16_t port = 0;
     bool running = false;
+    /** Null if the context has none. */
+    std::shared_ptr<connection_account> account;
 
     restinio::request_handling_status_t handle(const restinio::request_handle_t &native)
     {
-        http_responder respond = [pending = pending, number = pending->add(native)](http_response response) {
+        pending_request request{native, nullptr};
+        const std::size_t bytes = native->body().size() * handlingCopies;
+        if (account && bytes > 0) {
+            if (!account->admit(bytes, awakeMillis())) {
+                sendResponse(*native, {statusUnavailable, {{"Retry-After", "1"}}, {}});
+                return restinio::request_accepted();
+            }
+            request.charge = std::make_unique<admitted_bytes>(account, bytes);
+        }
+        http_responder respond = [pending = pending, number = pending->add(std::move(request))](http_response response) {
             pending->answer(number, std::move(response));
         };
         handler(toRequest(*native), std::move(respond));
@@ -254,6 +298,7 @@
         .request_handler([&self](const restinio::request_handle_t &native) {
             return self.handle(native);
         });
+    self.account = accountOf(*self.context);
     try {
         self.server = std::make_unique<native_server>(restinio::external_io_context(*self.context), std::move(settings));
         self.server->open_sync();
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -88,6 +88,14 @@
     std::chrono::milliseconds handleTimeout{3'600'000};
 };
 
+class connection_account;
+
+/**
+ * Charges the connections of all servers that are started on the context from now on, and the requests that they handle, to one account. One
+ * thread must run the context.
+ */
+void chargeConnections(asio::io_context &context, std::shared_ptr<connection_account> account);
+
 class http_server
 {
 public:
--- /dev/null
+++ b/src/node/client_limits.cpp
@@ -0,0 +1,58 @@
+#include "node/client_limits.h"
+
+#include "base/log.h"
+
+#include <algorithm>
+#include <string>
+
+namespace daisypass {
+namespace {
+
+constexpr std::int64_t bytesPerMegabyte = 1 << 20;
+// Part of the machine's memory for clients. The rest is for the program, the jobs that the scheduler holds, and buffers of the operating system.
+constexpr std::int64_t memoryDivisor = 4;
+// The platform reserves this many of a machine's descriptors for files.
+constexpr std::int64_t fileDescriptors = 200;
+// Half of the other descriptors are kept for connections to executors, the store and other nodes.
+constexpr std::int64_t descriptorDivisor = 2;
+// Half of the clients' memory is kept for requests; connections without one are charged for the other half at most.
+constexpr std::int64_t idleDivisor = 2;
+constexpr std::int64_t requestDivisor = 2;
+constexpr std::int64_t minConnections = 16;
+constexpr std::int64_t logIntervalMs = 1'000;
+
+} // namespace
+
+account_limits clientLimits(const node_settings &settings)
+{
+    const std::int64_t bytes = settings.memoryMb * bytesPerMegabyte / memoryDivisor;
+    const std::int64_t byDescriptors = (settings.maxDescriptors - fileDescriptors) / descriptorDivisor;
+    const std::int64_t byMemory = bytes / idleDivisor / static_cast<std::int64_t>(connectionBytes);
+    account_limits limits;
+    limits.bytes = static_cast<std::size_t>(bytes);
+    limits.connections = static_cast<int>(std::max(minConnections, std::min(byDescriptors, byMemory)));
+    limits.requestBytes = static_cast<std::size_t>(bytes / requestDivisor);
+    return limits;
+}
+
+refusal_report::refusal_report(metrics_registry &metrics)
+{
+    for (std::size_t i = 0; i < reasonCount; ++i) {
+        const std::string reason(nameOf(static_cast<client_refusal>(i)));
+        m_counters.at(i) = &metrics.findCounter("daisypass_clients_refused_total", {{"reason", reason}});
+    }
+}
+
+void refusal_report::add(client_refusal reason, std::int64_t nowMs)
+{
+    m_counters.at(static_cast<std::size_t>(reason))->add();
+    ++m_sinceLogged;
+    if (m_loggedAt != 0 && nowMs - m_loggedAt < logIntervalMs) {
+        return;
+    }
+    logEvent("clients_refused", {{"reason", nameOf(reason)}, {"clients", m_sinceLogged}});
+    m_loggedAt = nowMs;
+    m_sinceLogged = 0;
+}
+
+} // namespace daisypass
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -3,7 +3,9 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "base/metrics.h"
+#include "http/connection_account.h"
 #include "http/http_client.h"
+#include "node/client_limits.h"
 #include "node/dispatcher_owner.h"
 #include "node/front_service.h"
 #include "node/leadership.h"
@@ -94,12 +96,17 @@
         })
     {
         front.limitRows(settings.bounds.rowBytes);
+        chargeConnections(context, clients);
     }
 
     node_settings settings;
     std::string settingsPath;
     asio::io_context context;
     metrics_registry metrics;
+    refusal_report refusals{metrics};
+    std::shared_ptr<connection_account> clients = std::make_shared<connection_account>(clientLimits(settings), [this](client_refusal reason) {
+        refusals.add(reason, steadyMillis());
+    });
     http_client client;
     store_client store;
     fleet_client fleet;
@@ -250,6 +257,8 @@
             return isReady();
         };
         result.renderMetrics = [this] {
+            metrics.findGauge("daisypass_client_bytes").set(static_cast<double>(clients->bytesInUse()));
+            metrics.findGauge("daisypass_client_connections").set(static_cast<double>(clients->connectionsInUse()));
             return metrics.render();
         };
         result.internal = [this](http_request request, http_responder respond) {
--- a/src/node/node_servers.cpp
+++ b/src/node/node_servers.cpp
@@ -1,6 +1,7 @@
 #include "node/node_servers.h"
 
 #include "http/http_answers.h"
+#include "node/client_limits.h"
 
 #include <cstddef>
 
@@ -10,33 +11,37 @@
 constexpr std::chrono::milliseconds callerReadTimeout{20'000};
 // A relay exchange can contain some hundred orders of a few kilobytes each.
 constexpr std::size_t maxExchangeBytes = 8 << 20;
+// Connections of one server above the limit for all servers, so that a new one is accepted before an old one is closed for it.
+constexpr int spareConnections = 16;
 
-http_server_options frontOptions(const node_settings &settings)
+http_server_options optionsAt(endpoint listen, const node_settings &settings)
 {
     http_server_options options;
-    options.listen = settings.front;
+    options.listen = std::move(listen);
+    options.maxConnections = clientLimits(settings).connections + spareConnections;
+    return options;
+}
+
+http_server_options frontOptions(const node_settings &settings)
+{
+    http_server_options options = optionsAt(settings.front, settings);
     options.readTimeout = callerReadTimeout;
     return options;
 }
 
 http_server_options readyOptions(const node_settings &settings)
 {
-    http_server_options options;
-    options.listen = settings.ready;
-    return options;
+    return optionsAt(settings.ready, settings);
 }
 
 http_server_options metricsOptions(const node_settings &settings)
 {
-    http_server_options options;
-    options.listen = {settings.front.address, settings.internalPort};
-    return options;
+    return optionsAt({settings.front.address, settings.internalPort}, settings);
 }
 
 http_server_options internalOptions(const node_settings &settings)
 {
-    http_server_options options;
-    options.listen = internalAddress(settings);
+    http_server_options options = optionsAt(internalAddress(settings), settings);
     options.maxBodyBytes = maxExchangeBytes;
     return options;
 }
--- a/src/platform/node_settings.cpp
+++ b/src/platform/node_settings.cpp
@@ -205,6 +205,7 @@
     settings.advice = reader.optionalAddress("Advice");
     settings.cpuShare = reader.numberOr("Limits.CpuShare", 1.0);
     settings.memoryMb = reader.millisOr("Limits.MemoryMb", 256);
+    settings.maxDescriptors = reader.millisOr("Limits.MaxFds", 1'024);
     settings.storeWritesPerSecond = reader.numberOr("platform.WritesPerS", 300);
     settings.storeReadsPerSecond = reader.numberOr("platform.ReadsPerS", 1'000);
     settings.storePartWritesPerSecond = reader.numberOr("platform.PartWritesS", 100);
--- a/src/platform/node_settings.h
+++ b/src/platform/node_settings.h
@@ -32,6 +32,7 @@
     std::optional<endpoint> advice;
     double cpuShare = 1.0;
     std::int64_t memoryMb = 0;
+    std::int64_t maxDescriptors = 0;
     double storeWritesPerSecond = 0;
     double storeReadsPerSecond = 0;
     double storePartWritesPerSecond = 0;
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -1,5 +1,6 @@
 // Tests of the HTTP client and server over loopback.
 
+#include "http/connection_account.h"
 #include "http/http_client.h"
 #include "http/http_server.h"
 
@@ -115,8 +116,123 @@
     std::thread m_thread;
 };
 
+// A server whose connections are charged to an account, on a context with one thread.
+class charged_server
+{
+public:
+    explicit charged_server(account_limits limits)
+        : m_account(std::make_shared<connection_account>(limits))
+    {
+        chargeConnections(m_context, m_account);
+        m_server = std::make_unique<http_server>(
+            http_server_options{.listen = {"127.0.0.1", 0}},
+            [this](const http_request &, const http_responder &respond) {
+                ++m_handled;
+                respond(http_response{});
+            },
+            m_context);
+        failure reason;
+        REQUIRE(m_server->start(reason));
+        m_thread = std::thread([this] {
+            m_context.run();
+        });
+    }
+
+    ~charged_server()
+    {
+        m_context.stop();
+        m_thread.join();
+        m_server->stop();
+    }
+
+    std::uint16_t port() const
+    {
+        return m_server->port();
+    }
+
+    int handled() const
+    {
+        return m_handled;
+    }
+
+    http_result post(std::size_t bodyBytes) const
+    {
+        http_client client({});
+        http_call call;
+        call.method = "POST";
+        call.url = urlOf(port(), "/");
+        call.body = std::string(bodyBytes, 'x');
+        return client.fetch(call);
+    }
+
+private:
+    asio::io_context m_context;
+    std::shared_ptr<connection_account> m_account;
+    std::unique_ptr<http_server> m_server;
+    std::thread m_thread;
+    std::atomic<int> m_handled{0};
+};
+
+// Sends the bytes on a new connection and returns what arrives until the server closes it.
+std::string exchange(std::uint16_t port, const std::string &bytes)
+{
+    asio::io_context context;
+    asio::ip::tcp::socket socket(context);
+    socket.connect({asio::ip::address_v4::loopback(), port});
+    asio::write(socket, asio::buffer(bytes));
+    std::string answer;
+    asio::error_code ended;
+    asio::read(socket, asio::dynamic_buffer(answer), ended);
+    return answer;
+}
+
 } // namespace
 
+TEST_CASE("an HTTP server with a connection account refuses what doesn't fit, and doesn't run it")
+{
+    constexpr std::size_t kilobyte = 1'024;
+    constexpr std::size_t longBody = 40'000;
+    constexpr std::size_t shortBody = 100;
+
+    // Guards against half-read bodies that are kept however large they are together.
+    SUBCASE("a request that alone takes more than one may, while it arrives")
+    {
+        const charged_server server({.bytes = 1'024 * kilobyte, .requestBytes = 100 * kilobyte});
+        // Just above the charge, so that the server has read all when it refuses and the answer isn't lost by a reset.
+        constexpr std::size_t sentBytes = 39'000;
+        const std::string head = "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 80000\r\n\r\n";
+        const std::string answer = exchange(server.port(), head + std::string(sentBytes - head.size(), 'x'));
+        CHECK(answer.starts_with("HTTP/1.1 413 "));
+        CHECK(server.handled() == 0);
+        CHECK(server.post(shortBody).response.status == 200);
+    }
+    // Guards against complete requests whose copies take more memory than there is.
+    SUBCASE("a complete request whose handling doesn't fit, with a time to retry")
+    {
+        const charged_server server({.bytes = 200 * kilobyte, .requestBytes = 150 * kilobyte});
+        const http_result refused = server.post(longBody);
+        CHECK(refused.response.status == 503);
+        CHECK(findHeader(refused.response.headers, "Retry-After") == "1");
+        CHECK(server.handled() == 0);
+        CHECK(server.post(shortBody).response.status == 200);
+    }
+    // Guards against connections without requests that keep others out.
+    SUBCASE("a connection that waits is closed for a new one")
+    {
+        const charged_server server({.bytes = 1'024 * kilobyte, .connections = 2, .requestBytes = 512 * kilobyte});
+        asio::io_context context;
+        std::vector<asio::ip::tcp::socket> idle;
+        for (int i = 0; i < 4; ++i) {
+            idle.emplace_back(context).connect({asio::ip::address_v4::loopback(), server.port()});
+        }
+        CHECK(server.post(shortBody).response.status == 200);
+        char byte = 0;
+        asio::error_code ended;
+        idle.front().read_some(asio::buffer(&byte, 1), ended);
+        CHECK(ended);
+    }
+}
+
 TEST_CASE("the HTTP client reports how far a request got")
 {
     http_client client({});
