Check the number of fields of a submission before it is parsed

A field, object or list takes about a hundred bytes once parsed, and as little as one byte of the text. A body of 262,144 bytes could cost a node tens of times its size. Submissions with more than 32,768 of them or nested deeper than 16 are now refused as malformed; the largest job that the reader accepts has about 20,000, nested 4 deep.

--- a/src/platform/records.cpp
+++ b/src/platform/records.cpp
@@ -1,6 +1,7 @@
 #include "platform/records.h"
 
 #include "base/settings_reader.h"
+#include "platform/json_cost.h"
 #include "sched/job_record.h"
 #include "sched/kept_terms.h"
 
@@ -444,6 +445,14 @@
 
 std::optional<sched::job_spec> readSubmission(std::string_view text, failure &reason)
 {
+    if (!wire::isCheapToParse(text)) {
+        reason
+            = failure{failure_code::OutOfRange,
+                      "submission",
+                      {},
+                      "at most " + std::to_string(wire::maxJsonParts) + " fields, objects and lists, nested " + std::to_string(wire::maxJsonDepth) + " deep"};
+        return std::nullopt;
+    }
     const std::optional<json> body = parse(text, reason);
     return body ? readSubmission(*body, reason) : std::nullopt;
 }
