--- a/src/http/metered_socket.cpp
+++ b/src/http/metered_socket.cpp
@@ -68,7 +68,7 @@
 
 metered_socket::metered_socket(metered_socket &&other) noexcept
     : asio::ip::tcp::socket(std::move(static_cast<asio::ip::tcp::socket &>(other)))
-    , m_account(other.m_account)
+    , m_account(other.m_account) // NOLINT(performance-move-constructor-init): the acceptor uses the moved-from socket for the next connection.
 {
 }
 
