--- a/src/platform/records.cpp
+++ b/src/platform/records.cpp
@@ -2,6 +2,7 @@
 
 #include "base/settings_reader.h"
 #include "http/http_server.h"
+#include "platform/json_cost.h"
 #include "sched/job_record.h"
 #include "sched/kept_terms.h"
 
@@ -479,6 +480,14 @@
 
 std::optional<sched::job_spec> readSubmission(std::string_view text, failure &reason)
 {
+    if (!wire::isCheapToParse(text)) {
+        reason
+            = failure{failure_code::OutOfRange,
+                      "submission",
+                      {},
+                      "at most " + std::to_string(wire::maxJsonParts) + " fields, objects and lists, nested " + std::to_string(wire::maxJsonDepth) + " deep"};
+        return std::nullopt;
+    }
     const std::optional<json> body = parse(text, reason);
     return body ? readSubmission(*body, reason) : std::nullopt;
 }
