Scheduler: keep tenants to their caps and share pools by their weights

The scheduler placed tasks without regard to whose they are, so a tenant could run more than its cap, and one with many small jobs held a pool against all others.

A ledger counts what each tenant has running over all pools, with abandoned and unexpected runs, until the end of each run is certain. No placement, gang or trial brings a tenant above its cap; what the cap forbids is left out of the demand that moves VMs. Where a pool is short of room, tenants below their weighted max-min share are placed first, and jobs sent beyond weight a second after the others of the priority. Without tenants in the configuration nothing is counted and the order is as before.

--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -206,6 +206,12 @@
     m_dependencies.metrics.findGauge("daisypass_holder_jobs_waiting_for_store").set(static_cast<double>(m_scheduler.jobsWaitingForStore()));
     m_dependencies.metrics.findGauge("daisypass_holder_advice_calls").set(static_cast<double>(m_scheduler.adviceCalls().underWay()));
     m_dependencies.metrics.findGauge("daisypass_holder_advice_window").set(static_cast<double>(m_scheduler.adviceCalls().window()));
+    const sched::tenant_gauges &tenants = m_scheduler.tenantGauges();
+    m_dependencies.metrics.findGauge("daisypass_holder_tenant_top_use_over_share").set(tenants.topUseOverShare);
+    m_dependencies.metrics.findGauge("daisypass_holder_tenant_tasks_waiting_for_cap").set(static_cast<double>(tenants.tasksWaitingForCap));
+    m_dependencies.metrics.findGauge("daisypass_holder_tenants_held_by_cap").set(static_cast<double>(tenants.heldByCap));
+    m_dependencies.metrics.findGauge("daisypass_holder_tenants_held_by_share").set(static_cast<double>(tenants.heldByShare));
+    m_dependencies.metrics.findGauge("daisypass_holder_jobs_over_rate").set(static_cast<double>(m_scheduler.counts().jobsOverRate));
     if (!m_vmListInFlight && now - m_vmListFinishedAt >= vmListIntervalMs) {
         m_vmListInFlight = true;
         m_listedVms.clear();
--- a/src/sched/abandoned_runs.cpp
+++ b/src/sched/abandoned_runs.cpp
@@ -42,6 +42,16 @@
     return due;
 }
 
+std::vector<run_id> abandoned_runs::runs() const
+{
+    std::vector<run_id> all;
+    all.reserve(m_runs.size());
+    for (const std::pair<const run_id, state> &run : m_runs) {
+        all.push_back(run.first);
+    }
+    return all;
+}
+
 void abandoned_runs::stopConfirmed(const run_id &run, time_ms now)
 {
     const auto found = m_runs.find(run);
--- a/src/sched/abandoned_runs.h
+++ b/src/sched/abandoned_runs.h
@@ -61,6 +61,7 @@
     {
         return m_runs.empty();
     }
+    std::vector<run_id> runs() const;
     /** Capacity that the runs use or may use. */
     const resources &demand() const
     {
--- a/src/sched/executor_record.h
+++ b/src/sched/executor_record.h
@@ -113,7 +113,8 @@
     std::set<task_id> runs;
     /** Number of long-running tasks among them. */
     int longRunningRuns = 0;
-    /** Resources used by listed runs that are neither placed here nor abandoned. */
+    /** Listed runs that are neither placed here nor abandoned, and the resources that they use. */
+    std::vector<task_id> untrackedRuns;
     resources untracked;
     /** Runs that are no longer placed here but may still be here. */
     abandoned_runs abandoned;
--- a/src/sched/job_record.cpp
+++ b/src/sched/job_record.cpp
@@ -46,6 +46,8 @@
         return "kept_busy";
     case wait_cause::AttemptsUnknown:
         return "attempts_unknown";
+    case wait_cause::TenantCap:
+        return "tenant_cap";
     }
     return "none";
 }
--- a/src/sched/job_record.h
+++ b/src/sched/job_record.h
@@ -51,6 +51,8 @@
     KeptBusy,
     /** The task has failed, and it isn't known how often it may. */
     AttemptsUnknown,
+    /** The cap of the job's tenant leaves no room for it. */
+    TenantCap,
 };
 
 std::string_view nameOf(wait_cause cause);
@@ -160,6 +162,10 @@
     int waiting = 0;
     /** The last placement pass didn't come to the tasks from this index on. Not stored. */
     std::size_t notConsideredFrom = std::numeric_limits<std::size_t>::max();
+    /** Why it didn't. Not stored. */
+    wait_cause notConsideredCause = wait_cause::NotConsidered;
+    /** A task of the step uses more than the tenant's cap, which was logged. Not stored. */
+    bool aboveCapLogged = false;
 
     /** An executor has survived the start of one of its tasks in this term. Not stored. */
     bool proven = false;
@@ -177,11 +183,17 @@
         return done == static_cast<int>(tasks.size());
     }
 
+    void leaveOutFrom(std::size_t index, wait_cause cause = wait_cause::NotConsidered)
+    {
+        notConsideredFrom = index;
+        notConsideredCause = cause;
+    }
+
     /** Why the last placement pass didn't place the waiting task. Suspects are placed apart from the step's other tasks. */
     wait_cause waitCauseOf(std::size_t index) const
     {
         const task_record &task = tasks[index];
-        return index >= notConsideredFrom && !task.isSuspect() ? wait_cause::NotConsidered : task.waitCause;
+        return index >= notConsideredFrom && !task.isSuspect() ? notConsideredCause : task.waitCause;
     }
 };
 
@@ -212,6 +224,10 @@
     std::optional<queue_terms> terms;
     /** The same for the queue's objective. */
     std::optional<queue_objective> objective;
+    /** Index of the job's tenant in the tenant ledger. Not stored. */
+    std::size_t tenant = 0;
+    /** The tenant had sent more jobs than it is entitled to when this one was accepted. Not stored: it follows from the times of acceptance. */
+    bool overRate = false;
     job_phase phase = job_phase::Pending;
     std::map<int, occurrence_record> occurrences;
     /** Occurrences below this number are finished and were dropped. */
--- a/src/sched/scheduler.cpp
+++ b/src/sched/scheduler.cpp
@@ -40,6 +40,8 @@
 // A fleet order may still be carried out for this long in addition to bounds::leaseMs, the platform's bound on the time between two lease
 // holders that are both alive.
 constexpr time_ms fleetOrderMarginMs = 200;
+// A tenant that a placement pass has held back by its cap within this time is at its cap. Passes follow each other more closely than this.
+constexpr time_ms capHoldMs = 500;
 
 // What the configuration says of the queue goes before what the job has kept of it; null if neither is known.
 template<typename Part>
@@ -127,6 +129,7 @@
     }
     job_record &restored = *job;
     m_jobs[spec.id] = std::move(job);
+    addToTenant(restored);
     job_rows rows;
     rows.restore(row, taskRows);
     if (rows.isInUse()) {
@@ -241,6 +244,7 @@
         m_pools[pool.name] = pool;
         m_namedPools.insert(pool.name);
     }
+    configureTenants();
     const std::vector<std::string> jobs(m_activeJobs.begin(), m_activeJobs.end());
     for (const std::string &id : jobs) {
         keepTerms(*m_jobs.at(id), now);
@@ -262,10 +266,12 @@
     if (what.job.repeatCount > 0) {
         m_repeatingJobs.insert(what.job.id);
     }
-    if (what.job.repeatCount == 0) {
-        m_arrivals[poolOf(*job)].add(workOf(what.job), now);
-    }
     job_record &added = *m_jobs.emplace(what.job.id, std::move(job)).first->second;
+    addToTenant(added);
+    // The work of a tenant that is at its cap needs no executors when it arrives.
+    if (what.job.repeatCount == 0 && !m_capHolds.wasHeld(added.tenant, now, capHoldMs)) {
+        m_arrivals[poolOf(added)].add(workOf(what.job), now);
+    }
     addToBacklog(added);
     keepTerms(added, now);
 }
@@ -463,6 +469,12 @@
             markRunLost(job, id, task, now, "capacity_shrunk_before_start");
             return;
         }
+        const step_spec &stepSpec = job.spec.steps[static_cast<std::size_t>(id.step)];
+        if (m_tenants.isInUse() && !stepSpec.gang && m_tenants.isAboveCap(job.tenant, stepSpec.demand)) {
+            // The tenant's cap was lowered after the placement. Members of a gang start all the same: part of a gang does no work.
+            markRunLost(job, id, task, now, "tenant_cap_lowered_before_start");
+            return;
+        }
         const step_record &step = job.occurrences.at(id.occurrence).steps[static_cast<std::size_t>(id.step)];
         const auto ticket = step.tickets.find(task.executor);
         if (ticket != step.tickets.end() && ticket->second.validUntil <= now) {
@@ -524,6 +536,7 @@
     if (now - m_lastCleanup >= cleanupIntervalMs) {
         m_lastCleanup = now;
         logLongWaits(now);
+        logEndedHolds(now);
         m_crashWatch.forgetOld(now);
         deleteOldSubmissions(now);
         m_entryVersions.forgetGone(
@@ -586,6 +599,7 @@
         m_rowsToDelete.insert(m_rowsToDelete.end(), keys.begin(), keys.end());
         m_jobRows.erase(id);
         m_storeQueue.remove(id);
+        m_unratedJobs.erase({found->second->spec.acceptedUnixMs, id});
         std::erase(m_backlog, found->second.get());
         m_jobs.erase(found);
     }
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -29,6 +29,7 @@
 #include "sched/executor_record.h"
 #include "sched/fleet_orders.h"
 #include "sched/fleet_planner.h"
+#include "sched/job_rate.h"
 #include "sched/job_record.h"
 #include "sched/job_rows.h"
 #include "sched/lease_rules.h"
@@ -37,6 +38,8 @@
 #include "sched/pass_pacer.h"
 #include "sched/run_pace.h"
 #include "sched/store_queue.h"
+#include "sched/tenant_holds.h"
+#include "sched/tenant_ledger.h"
 
 #include <functional>
 #include <map>
@@ -79,6 +82,20 @@
     /** Runs that sweeps have checked, and VMs that fleet plans have looked at. */
     std::int64_t runsChecked = 0;
     std::int64_t vmsPlanned = 0;
+    /** Jobs that tenants sent beyond the number a second that they are entitled to. */
+    std::int64_t jobsOverRate = 0;
+};
+
+/** How tenants stand in the last placement pass. */
+struct tenant_gauges
+{
+    /** Largest ratio of what a tenant uses of a pool to its fair share there, among the pools that are short of room. */
+    double topUseOverShare = 0;
+    /** Ready tasks that wait for their tenant's cap. */
+    std::int64_t tasksWaitingForCap = 0;
+    /** Tenants that were held back lately, by their cap and by their share. */
+    std::int64_t heldByCap = 0;
+    std::int64_t heldByShare = 0;
 };
 
 /** How long one pass over all work took. */
@@ -142,6 +159,14 @@
     {
         return m_counts;
     }
+    const tenant_gauges &tenantGauges() const
+    {
+        return m_tenantGauges;
+    }
+    const tenant_ledger &tenants() const
+    {
+        return m_tenants;
+    }
 
     /** Number of accepted jobs in each queue of which no executor has confirmed a start; repeating jobs are not counted. */
     std::map<queue_key, std::int64_t> waitingJobs() const;
@@ -321,6 +346,24 @@
     void updateSlowness(executor_record &executor, const step_spec &step, task_record &task, time_ms now);
     void emitStarts(job_record &job, std::int64_t batch, time_ms now);
 
+    // Tenants.
+    void configureTenants();
+    void addToTenant(job_record &job);
+    /** Counts the placed task for the job's tenant. */
+    void chargeTenant(const job_record &job, const task_id &id);
+    /** Counts all tasks that occupy executors. */
+    void chargeAllRuns();
+    /** Counts the runs that aren't the current one of their task but may not have ended. */
+    void countUncertainRuns();
+    void addUncertainRun(const task_id &id);
+    /** Finds the jobs among the new ones that their tenants have sent beyond their rate. */
+    void rateNewJobs();
+    void holdByCap(job_record &job, time_ms now);
+    void holdByShare(std::size_t tenant, const std::string &pool, double use, double share, time_ms now);
+    void logEndedHolds(time_ms now);
+    /** How many of the step's waiting tasks the caps allow to start, as far as `room`, which they are taken off, goes. */
+    int admittedByCap(const job_record &job, int step, int waiting, std::vector<resources> &room) const;
+
     // Placement.
     void place(time_ms now);
     void handleOverdueAdvice(time_ms now);
@@ -427,6 +470,14 @@
     /** The pools for whose ready tasks it found none. */
     std::set<std::string> m_poolsShortOfRoom;
     bool m_placementPending = false;
+    tenant_ledger m_tenants;
+    tenant_gauges m_tenantGauges;
+    /** The rates of jobs by tenant. */
+    std::map<std::size_t, job_rate> m_jobRates;
+    /** Jobs that haven't been compared with their tenant's rate yet, by their times of acceptance. */
+    std::set<std::pair<std::int64_t, std::string>> m_unratedJobs;
+    tenant_holds m_capHolds;
+    tenant_holds m_shareHolds;
     advice_calls m_adviceCalls;
     /** The last placement left a step without a call for advice because enough calls are under way. */
     bool m_adviceWaits = false;
--- a/src/sched/scheduler_executors.cpp
+++ b/src/sched/scheduler_executors.cpp
@@ -383,6 +383,7 @@
     executor.endsListed = false;
     executor.unstoredJobs.clear();
     executor.untracked = {};
+    executor.untrackedRuns.clear();
 }
 
 void scheduler::markDead(executor_record &executor, time_ms now, std::string_view cause, const log_fields &evidence)
--- a/src/sched/scheduler_fleet.cpp
+++ b/src/sched/scheduler_fleet.cpp
@@ -131,6 +131,10 @@
         }
         view.vms.push_back(std::move(vm));
     }
+    std::vector<resources> capRoom;
+    for (std::size_t tenant = 0; tenant < m_tenants.count(); ++tenant) {
+        capRoom.push_back(m_tenants.roomOf(tenant));
+    }
     for (const std::string &id : m_activeJobs) {
         const job_record &job = *m_jobs.at(id);
         const auto pool = pools.find(poolOf(job));
@@ -144,12 +148,15 @@
                 const int running = static_cast<int>(record.tasks.size()) - record.waiting - record.done;
                 pool->second.runningCpu += running * demand.cpu;
                 pool->second.runningMemoryMb += running * demand.memoryMb;
+                // Tasks that wait for their tenant's cap need no VMs.
+                int admitted = record.waiting;
                 if (record.waiting > 0 && job.isStepReady(occurrence.second, static_cast<int>(step))) {
-                    pool->second.waitingCpu += record.waiting * demand.cpu;
-                    pool->second.waitingMemoryMb += record.waiting * demand.memoryMb;
+                    admitted = admittedByCap(job, static_cast<int>(step), record.waiting, capRoom);
+                    pool->second.waitingCpu += admitted * demand.cpu;
+                    pool->second.waitingMemoryMb += admitted * demand.memoryMb;
                 }
                 const int perExecutor = job.spec.steps[step].maxTasksPerExecutor;
-                const int left = static_cast<int>(record.tasks.size()) - record.done;
+                const int left = running + admitted;
                 if (perExecutor > 0 && left > 0) {
                     pool->second.minVms = std::max(pool->second.minVms, (left + perExecutor - 1) / perExecutor);
                 }
--- a/src/sched/scheduler_place.cpp
+++ b/src/sched/scheduler_place.cpp
@@ -6,10 +6,13 @@
 
 #include "sched/placement_candidates.h"
 #include "sched/scheduler.h"
+#include "sched/share_round.h"
 #include "sched/suspect_trials.h"
 
 #include <algorithm>
 #include <limits>
+#include <optional>
+#include <span>
 #include <utility>
 
 namespace daisypass::sched {
@@ -48,6 +51,7 @@
     // The sort order.
     int priority = 0;
     bool longRunning = false;
+    bool overRate = false;
     bool late = false;
     /** No task of the job has started. */
     bool notStarted = true;
@@ -55,9 +59,10 @@
 
     bool operator<(const ready_step &other) const
     {
-        return std::tie(priority, other.longRunning, late, notStarted, work, job->acceptedAt, job->spec.id, occurrence->number, step)
+        return std::tie(priority, other.longRunning, overRate, late, notStarted, work, job->acceptedAt, job->spec.id, occurrence->number, step)
             < std::tie(other.priority,
                        longRunning,
+                       other.overRate,
                        other.late,
                        other.notStarted,
                        other.work,
@@ -85,6 +90,8 @@
     std::vector<executor_record *> startedTogether{};
     /** The suspects for which an executor remains kept that has other starts to survive. */
     std::set<task_id> waitForKept{};
+    /** While it is set, only tasks of the tenant whose turn it is are placed, as far as the turn goes. */
+    const share_round *shareLimit = nullptr;
 
     // The pool's executors that take new runs. They are collected when the first job of the pool needs them.
     const placement_candidates &candidatesOf(const std::string &pool)
@@ -150,6 +157,7 @@
                     entry.work = job.waitingWork();
                     entry.late = isLate(job, objective);
                     entry.notStarted = job.phase == job_phase::Pending;
+                    entry.overRate = owner.m_tenants.isInUse() && job.overRate;
                 }
                 entry.occurrence = &occurrence.second;
                 entry.step = static_cast<int>(step);
@@ -295,8 +303,90 @@
         for (std::pair<const std::string, std::vector<ready_step>> &item : readyByPool) {
             std::sort(item.second.begin(), item.second.end());
             std::vector<resources> refused;
-            for (ready_step &ready : item.second) {
-                placeStep(ready, candidatesByPool[item.first], refused);
+            placement_candidates &candidates = candidatesByPool[item.first];
+            if (owner.m_tenants.isInUse()) {
+                placeByShares(item.first, item.second, candidates, refused);
+            } else {
+                placeInOrder(item.second, candidates, refused);
+            }
+        }
+    }
+
+    void placeInOrder(std::span<ready_step> steps, placement_candidates &candidates, std::vector<resources> &refused)
+    {
+        for (ready_step &ready : steps) {
+            placeStep(ready, candidates, refused);
+        }
+    }
+
+    // Long-running steps come first in each priority. The others are placed in groups that share the pool by the tenants' weights; jobs
+    // that a tenant has sent beyond its rate are a group of their own, after the others of the priority.
+    void placeByShares(const std::string &pool, std::vector<ready_step> &steps, placement_candidates &candidates, std::vector<resources> &refused)
+    {
+        for (auto first = steps.begin(); first != steps.end();) {
+            const auto last = std::find_if(first, steps.end(), [&first](const ready_step &other) {
+                return other.priority != first->priority || other.longRunning != first->longRunning || other.overRate != first->overRate;
+            });
+            const std::span<ready_step> group(first, last);
+            if (first->longRunning) {
+                placeInOrder(group, candidates, refused);
+            } else {
+                placeGroup(pool, group, candidates, refused);
+            }
+            first = last;
+        }
+    }
+
+    // Where the pool is short of room, tenants below their share go first, the one that uses least for its weight before the others, each
+    // up to its share. What they leave is placed in the usual order.
+    void placeGroup(const std::string &pool, std::span<ready_step> group, placement_candidates &candidates, std::vector<resources> &refused)
+    {
+        share_round round(owner.m_tenants, pool, sharedRoomOf(pool, candidates));
+        for (const ready_step &ready : group) {
+            const step_spec &stepSpec = ready.job->spec.steps[static_cast<std::size_t>(ready.step)];
+            const int waiting = ready.occurrence->steps[static_cast<std::size_t>(ready.step)].waiting;
+            round.add(ready.job->tenant, times(stepSpec.countedDemand(), waiting));
+        }
+        round.divide();
+        if (!round.isShort() && !scarcePools.contains(pool)) {
+            placeInOrder(group, candidates, refused);
+            return;
+        }
+        shareLimit = &round;
+        for (std::optional<std::size_t> next = round.next(); next; next = round.next()) {
+            placeStep(group[*next], candidates, refused);
+            round.placed(*next);
+        }
+        shareLimit = nullptr;
+        noteShares(pool, round);
+        for (std::size_t index : round.left()) {
+            placeStep(group[index], candidates, refused);
+        }
+    }
+
+    // What the pool's executors have free, and what tasks use of them that are subject to shares.
+    resources sharedRoomOf(const std::string &pool, const placement_candidates &candidates) const
+    {
+        resources room = owner.m_tenants.sharedUse(pool);
+        for (const executor_record *executor : candidates.executors()) {
+            room += executor->freeCapacity();
+        }
+        return room;
+    }
+
+    bool isAtShareLimit(const job_record &job) const
+    {
+        return shareLimit != nullptr && !shareLimit->mayStart(job.tenant);
+    }
+
+    void noteShares(const std::string &pool, const share_round &round)
+    {
+        for (const share_round::standing &one : round.standings()) {
+            if (one.share > 0) {
+                owner.m_tenantGauges.topUseOverShare = std::max(owner.m_tenantGauges.topUseOverShare, one.use / one.share);
+            }
+            if (one.isHeld()) {
+                owner.holdByShare(one.tenant, pool, one.use, one.share, now);
             }
         }
     }
@@ -308,12 +398,15 @@
             return;
         }
         const step_spec &stepSpec = ready.job->spec.steps[static_cast<std::size_t>(ready.step)];
+        if (isHeldByCap(ready, stepSpec)) {
+            return;
+        }
         const resources demand = stepSpec.countedDemand();
         const bool cannotFit = std::any_of(refused.begin(), refused.end(), [&](const resources &other) {
             return other.fitsIn(demand);
         });
         if (cannotFit) {
-            ready.occurrence->steps[static_cast<std::size_t>(ready.step)].notConsideredFrom = 0;
+            ready.occurrence->steps[static_cast<std::size_t>(ready.step)].leaveOutFrom(0);
             return;
         }
         if (requiresAdvice(*ready.job)) {
@@ -324,6 +417,30 @@
         placeAmong(ready, stepSpec, candidates, refused, false);
     }
 
+    // Whether the cap of the job's tenant forbids the step's next task, or all tasks of a gang. A task that waits for the cap is left out
+    // before executors are compared or advice is asked for, and doesn't count as short of room.
+    bool isHeldByCap(const ready_step &ready, const step_spec &stepSpec)
+    {
+        if (!owner.m_tenants.isInUse()) {
+            return false;
+        }
+        const std::size_t tenant = ready.job->tenant;
+        const resources demand = times(stepSpec.demand, stepSpec.gang ? stepSpec.taskCount : 1);
+        if (owner.m_tenants.mayAdd(tenant, demand)) {
+            return false;
+        }
+        step_record &record = ready.occurrence->steps[static_cast<std::size_t>(ready.step)];
+        if (!owner.m_tenants.mayEverAdd(tenant, demand) && !record.aboveCapLogged) {
+            record.aboveCapLogged = true;
+            owner.logEvent("task_above_cap",
+                           {{"request", ready.job->spec.id}, {"step", std::to_string(ready.step)}, {"tenant", owner.m_tenants.nameOf(tenant)}});
+        }
+        record.leaveOutFrom(0, wait_cause::TenantCap);
+        owner.holdByCap(*ready.job, now);
+        owner.m_tenantGauges.tasksWaitingForCap += record.waiting;
+        return true;
+    }
+
     bool requiresAdvice(const job_record &job) const
     {
         const queue_terms *terms = owner.termsOf(job);
@@ -406,6 +523,12 @@
                 // The step needs no trial any more.
                 owner.endProbation(kept->second, {ready.job->spec.id, ready.occurrence->number, ready.step, static_cast<int>(index)});
             }
+            if (isHeldByCap(ready, stepSpec)) {
+                return;
+            }
+            if (isAtShareLimit(*ready.job)) {
+                return;
+            }
             executor_record *chosen = choose(stepSpec, task, candidates, here);
             if (chosen == nullptr) {
                 owner.m_capacityShort = true;
@@ -414,14 +537,14 @@
                     refused.push_back(demand);
                 }
                 task.waitCause = wait_cause::NoExecutor;
-                record.notConsideredFrom = index + 1;
+                record.leaveOutFrom(index + 1);
                 return;
             }
             assign(ready, stepSpec, static_cast<int>(index), task.run + 1, *chosen);
             candidates.refresh(*chosen);
             ++here[chosen->entry.id];
         }
-        record.notConsideredFrom = record.tasks.size();
+        record.leaveOutFrom(record.tasks.size());
     }
 
     // Starts the suspect on the executor that is kept for it, once that has survived its other starts. Keeps one if there is none yet.
@@ -442,6 +565,12 @@
         if (task.waitCause != wait_cause::None) {
             return;
         }
+        if (owner.m_tenants.isInUse() && !owner.m_tenants.mayAdd(ready.job->tenant, stepSpec.demand)) {
+            task.waitCause = wait_cause::TenantCap;
+            owner.holdByCap(*ready.job, now);
+            ++owner.m_tenantGauges.tasksWaitingForCap;
+            return;
+        }
         if (!owner.mayQueuePlacements(*ready.job)) {
             owner.m_placementsHeldBack = true;
             waitForKept.insert(id);
@@ -745,6 +874,12 @@
     indexExecutors();
     const bool adviceWaited = std::exchange(m_adviceWaits, false);
     placement_pass pass{*this, now};
+    m_tenantGauges.topUseOverShare = 0;
+    m_tenantGauges.tasksWaitingForCap = 0;
+    if (m_tenants.isInUse()) {
+        countUncertainRuns();
+        rateNewJobs();
+    }
     pass.adviceWaited = adviceWaited;
     pass.scarcePools = std::exchange(m_poolsShortOfRoom, {});
     pass.collectReady();
--- a/src/sched/scheduler_polls.cpp
+++ b/src/sched/scheduler_polls.cpp
@@ -203,6 +203,7 @@
     }
     std::set<run_id> listedAbandoned;
     executor.untracked = {};
+    executor.untrackedRuns.clear();
     for (const listed_run &run : what.runs) {
         const auto found = m_jobs.find(run.task.job);
         task_record *task = found == m_jobs.end() ? nullptr : found->second->find(run.task);
@@ -217,6 +218,7 @@
                 listedAbandoned.insert({run.task, run.run});
             } else if (found != m_jobs.end() && run.task.step >= 0 && run.task.step < static_cast<int>(found->second->spec.steps.size())) {
                 executor.untracked += found->second->spec.steps[static_cast<std::size_t>(run.task.step)].countedDemand();
+                executor.untrackedRuns.push_back(run.task);
             }
             sendStop(run.task, run.run, executor);
             continue;
--- a/src/sched/scheduler_runs.cpp
+++ b/src/sched/scheduler_runs.cpp
@@ -23,6 +23,7 @@
     executor.runs.insert(id);
     executor.emptySince = 0;
     m_pollDue.insert(executor.entry.id);
+    chargeTenant(*m_jobs.at(id.job), id);
 }
 
 // Frees the executor's capacity and returns the task to its waiting state.
@@ -39,6 +40,7 @@
             endProbation(found->second, id);
         }
     }
+    m_tenants.remove(id);
     job_record &job = *m_jobs.at(id.job);
     step_record &record = job.occurrences.at(id.occurrence).steps[static_cast<std::size_t>(id.step)];
     task.phase = task_phase::Waiting;
