--- a/src/sched/executor_record.h
+++ b/src/sched/executor_record.h
@@ -115,7 +115,8 @@
     int longRunningRuns = 0;
     /** The images of those among them that may interfere with others, with the number of runs. */
     std::map<std::string, int> images;
-    /** Resources used by listed runs that are neither placed here nor abandoned. */
+    /** Listed runs that are neither placed here nor abandoned, and the resources that they use. */
+    std::vector<task_id> untrackedRuns;
     resources untracked;
     /** Runs that are no longer placed here but may still be here. */
     abandoned_runs abandoned;
