Keep idle connections when answers exceed the clients' memory

Answers are charged above the limit, and a connection that needed nothing more was then refused at its next read. It now reads on; only a larger charge is weighed against the limit.

--- a/src/http/connection_account.cpp
+++ b/src/http/connection_account.cpp
@@ -99,7 +99,8 @@
         return read_decision::Refuse;
     }
     const std::size_t more = charge > entry.charge ? charge - entry.charge : 0;
-    if (!closeStalledFor(more, number, now)) {
+    // Answers may be charged above the limit; a connection that needs no more than it has isn't refused for them.
+    if (more > 0 && !closeStalledFor(more, number, now)) {
         const bool mayBegin = charge > smallChargeBytes && m_paused < maxPaused;
         const bool mayWait = entry.pausedSince ? now - *entry.pausedSince < maxPauseMs : mayBegin;
         if (mayWait) {
--- a/tests/connection_account_test.cpp
+++ b/tests/connection_account_test.cpp
@@ -135,6 +135,15 @@
         story.account.release(900 * kilobyte);
         CHECK(story.account.admit(900 * kilobyte, story.now));
     }
+    SUBCASE("an answer is charged above the limit, and connections without a request stay")
+    {
+        const connection_account::number idle = story.open();
+        const connection_account::number client = story.open();
+        story.account.beforeWrite(client, 2'000 * kilobyte, story.now);
+        CHECK(story.account.bytesInUse() > 1'024 * kilobyte);
+        CHECK(story.account.beforeRead(idle, story.now) == read_decision::Read);
+        CHECK(story.closed.empty());
+    }
     SUBCASE("one request may not take more than its share, whether in bytes or in chunks")
     {
         CHECK(story.read(story.open(), 300 * kilobyte) == read_decision::Refuse);
