--- a/src/sched/share_round.cpp
+++ b/src/sched/share_round.cpp
@@ -8,9 +8,21 @@
 namespace daisypass::sched {
 namespace {
 
-resources smallerOf(const resources &one, const resources &other)
+// The part of the waiting demand that the room admits. A task that can't get one resource needs none of the others.
+double admittedPart(const resources &waiting, const resources &room)
 {
-    return {std::min(one.cpu, other.cpu), std::min(one.memoryMb, other.memoryMb), std::min(one.gpu, other.gpu)};
+    const auto part = [](std::int64_t wanted, std::int64_t left) {
+        return wanted <= left ? 1.0 : static_cast<double>(left) / static_cast<double>(wanted);
+    };
+    return std::min({part(waiting.cpu, room.cpu), part(waiting.memoryMb, room.memoryMb), part(waiting.gpu, room.gpu)});
+}
+
+resources scaled(const resources &one, double factor)
+{
+    const auto scale = [factor](std::int64_t amount) {
+        return static_cast<std::int64_t>(static_cast<double>(amount) * factor);
+    };
+    return {scale(one.cpu), scale(one.memoryMb), scale(one.gpu)};
 }
 
 } // namespace
@@ -41,7 +53,7 @@
     std::vector<share_claim> claims;
     m_wanted = 0;
     for (standing &one : m_standings) {
-        resources wanted = smallerOf(one.waiting, m_ledger.roomOf(one.tenant));
+        resources wanted = scaled(one.waiting, admittedPart(one.waiting, m_ledger.roomOf(one.tenant)));
         wanted += m_ledger.sharedUse(m_pool, one.tenant);
         one.wanted = dominantShare(wanted, m_room);
         claims.push_back({m_ledger.weightOf(one.tenant), one.wanted});
