--- a/src/http/connection_account.cpp
+++ b/src/http/connection_account.cpp
@@ -273,6 +273,7 @@
     if (entry.requestBytes == 0) {
         return idle;
     }
+    // Here a request counts as stalled once it has been arriving for so long, even if bytes still come: a byte now and then must not keep a connection.
     return now - entry.waitingSince >= stallMs ? stalled : arriving;
 }
 
--- a/src/http/metered_socket.cpp
+++ b/src/http/metered_socket.cpp
@@ -79,6 +79,11 @@
 
 void metered_socket::close()
 {
+    // A paused read must not go on: it would open a new entry for a closed socket.
+    m_refused = true;
+    if (m_pause) {
+        m_pause->cancel();
+    }
     asio::ip::tcp::socket::close();
     leaveAccount();
 }
--- a/src/node/client_limits.cpp
+++ b/src/node/client_limits.cpp
@@ -50,6 +50,7 @@
     if (m_loggedAt != 0 && nowMs - m_loggedAt < logIntervalMs) {
         return;
     }
+    // The number is that of all reasons; the counters tell them apart.
     logEvent("clients_refused", {{"reason", nameOf(reason)}, {"clients", m_sinceLogged}});
     m_loggedAt = nowMs;
     m_sinceLogged = 0;
--- a/src/node/front_service.cpp
+++ b/src/node/front_service.cpp
@@ -434,6 +434,7 @@
     failure reason;
     const std::optional<sched::job_spec> job = readJob(row, reason);
     const std::string &id = call.match.pathSuffix;
+    // A job whose row can't be read never runs, so anybody may cancel it.
     if (job && !mayCancel(*job, {call.match.queue.key, call.tenant}, *call.configuration->view)) {
         logEvent("cancel_refused", {{"request", id}, {"reason", "job_of_another_tenant"}, {"tenant", call.tenant}});
         respond(finalAnswer(emptyResponse(statusForbidden)));
--- a/src/sched/advice_calls.cpp
+++ b/src/sched/advice_calls.cpp
@@ -6,7 +6,7 @@
 namespace daisypass::sched {
 namespace {
 
-// More calls than these wait in the service's queue, which refuses further ones when 32 wait.
+// The service refuses calls when 32 wait; the rest is left to calls that an earlier lease holder on this machine has sent.
 constexpr std::size_t maxWindow = 24;
 // With two calls under way the service has the next one when it has answered the first.
 constexpr std::size_t minWindow = 2;
--- a/src/sched/job_record.cpp
+++ b/src/sched/job_record.cpp
@@ -106,6 +106,11 @@
         return;
     }
     spec.steps[step].estimateMs = estimateMs;
+    estimatesChanged();
+}
+
+void job_record::estimatesChanged()
+{
     criticalPathMs = criticalPathOf(spec.steps, nullptr);
     m_remainingPathMs.reset();
 }
--- a/src/sched/job_record.h
+++ b/src/sched/job_record.h
@@ -285,6 +285,8 @@
     std::int64_t remainingCriticalPathMs();
     /** Replaces the estimate of the step's tasks. */
     void setEstimate(std::size_t step, std::int64_t estimateMs);
+    /** Must be called when estimates in `spec` were replaced directly. */
+    void estimatesChanged();
     /** Must be called when a step has finished. */
     void stepFinished()
     {
--- a/src/sched/scheduler.cpp
+++ b/src/sched/scheduler.cpp
@@ -260,8 +260,11 @@
         return;
     }
     std::unique_ptr<job_record> job = std::make_unique<job_record>(what.job);
-    for (std::size_t step = 0; step < job->spec.steps.size(); ++step) {
-        job->setEstimate(step, m_durations.expectedMs(job->spec.queue, job->callerEstimatesMs[step]));
+    if (m_durations.corrects(job->spec.queue)) {
+        for (step_spec &step : job->spec.steps) {
+            step.estimateMs = m_durations.expectedMs(job->spec.queue, step.estimateMs);
+        }
+        job->estimatesChanged();
     }
     job->acceptedAt = now;
     job->openDueOccurrences(what.job.repeatCount > 0 ? m_unixMs : what.job.acceptedUnixMs);
@@ -474,8 +477,9 @@
         }
         const step_spec &stepSpec = job.spec.steps[static_cast<std::size_t>(id.step)];
         if (m_tenants.isInUse() && !stepSpec.gang && m_tenants.isAboveCap(job.tenant, stepSpec.demand)) {
-            // The tenant's cap was lowered after the placement. Members of a gang start all the same: part of a gang does no work.
-            markRunLost(job, id, task, now, "tenant_cap_lowered_before_start");
+            // After the placement the tenant's cap was lowered, or a run was found that its executor lists unexpectedly. Members of a gang start
+            // all the same: part of a gang does no work.
+            markRunLost(job, id, task, now, "tenant_above_cap_before_start");
             return;
         }
         const step_record &step = job.occurrences.at(id.occurrence).steps[static_cast<std::size_t>(id.step)];
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -59,7 +59,7 @@
 struct scheduler_counts
 {
     std::int64_t placed = 0;
-    /** Placements on another executor than without the known interference between images. */
+    /** Choices, also of attempts to place a gang, of another executor than without the known interference between images. */
     std::int64_t placementsKeptApart = 0;
     std::int64_t started = 0;
     std::int64_t refusedStarts = 0;
@@ -90,7 +90,7 @@
     std::int64_t jobsOverRate = 0;
 };
 
-/** How tenants stand in the last placement pass. */
+/** How tenants stand: in the last placement pass, and for those that are held back at the last cleanup. */
 struct tenant_gauges
 {
     /** Largest ratio of what a tenant uses of a pool to its fair share there, among the pools that are short of room. */
--- a/src/sched/scheduler_place.cpp
+++ b/src/sched/scheduler_place.cpp
@@ -25,7 +25,7 @@
 constexpr double slowExecutorWeight = 1e7;
 // For a known lengthening of a tail latency by a factor of e. Below the other penalties and above any difference in free capacity.
 constexpr double interferenceWeight = 1e6;
-// Limit of that sum, so that it stays below the other penalties.
+// Limit of that sum, so that it stays below the other penalties. That of a slow executor is above slowExecutorWeight, as its slowness is above 1.
 constexpr double maxInterference = 10.0;
 // Minimum remaining validity of a ticket, so that it is still valid when the start order arrives.
 constexpr time_ms minTicketValidityMs = 300;
@@ -96,6 +96,8 @@
     std::set<task_id> waitForKept{};
     /** While it is set, only tasks of the tenant whose turn it is are placed, as far as the turn goes. */
     const share_round *shareLimit = nullptr;
+    /** The steps that wait for their tenants' caps. */
+    std::set<const step_record *> heldByCap{};
 
     // The pool's executors that take new runs. They are collected when the first job of the pool needs them.
     const placement_candidates &candidatesOf(const std::string &pool)
@@ -423,7 +425,8 @@
 
     // Whether the cap of the job's tenant forbids the step's next task, or all tasks of a gang. A task that waits for the cap is left out
     // before executors are compared or advice is asked for, and doesn't count as short of room.
-    bool isHeldByCap(const ready_step &ready, const step_spec &stepSpec)
+    // `first` is the step's first task that the cap may hold.
+    bool isHeldByCap(const ready_step &ready, const step_spec &stepSpec, std::size_t first = 0)
     {
         if (!owner.m_tenants.isInUse()) {
             return false;
@@ -439,9 +442,12 @@
             owner.logEvent("task_above_cap",
                            {{"request", ready.job->spec.id}, {"step", std::to_string(ready.step)}, {"tenant", owner.m_tenants.nameOf(tenant)}});
         }
-        record.leaveOutFrom(0, wait_cause::TenantCap);
+        record.leaveOutFrom(first, wait_cause::TenantCap);
         owner.holdByCap(*ready.job, now);
-        owner.m_tenantGauges.tasksWaitingForCap += record.waiting;
+        // A step that waits for its tenant's share is visited again at the end of the round.
+        if (heldByCap.insert(&record).second) {
+            owner.m_tenantGauges.tasksWaitingForCap += record.waiting;
+        }
         return true;
     }
 
@@ -527,7 +533,7 @@
                 // The step needs no trial any more.
                 owner.endProbation(kept->second, {ready.job->spec.id, ready.occurrence->number, ready.step, static_cast<int>(index)});
             }
-            if (isHeldByCap(ready, stepSpec)) {
+            if (isHeldByCap(ready, stepSpec, index)) {
                 return;
             }
             if (isAtShareLimit(*ready.job)) {
--- a/src/sched/scheduler_tenants.cpp
+++ b/src/sched/scheduler_tenants.cpp
@@ -113,6 +113,7 @@
     }
 }
 
+// Also sets the gauges of tenants that are held back, which change once for each cleanup.
 void scheduler::logEndedHolds(time_ms now)
 {
     for (std::size_t tenant : m_capHolds.takeEnded(now)) {
