Sample the same task of each step for learned durations

Cause, by reading: the sample was the task of a step that ended first, which is the shortest of its step. Where tasks of a step differ, that looks like estimates that are too high, corrects queues whose estimates are good, and sizes their pools too small.

Change: the sample is the step's first task.

--- a/src/sched/scheduler_progress.cpp
+++ b/src/sched/scheduler_progress.cpp
@@ -40,15 +40,15 @@
     addSlownessSample(executor, static_cast<double>(task.runDurationMs) / static_cast<double>(step.estimateMs));
 }
 
-// The first task of a step that is done tells most about the others, which do the same work. A slow executor, or one far from the step's data,
-// tells nothing about the queue.
+// The sample is always the same task of a step: the one that ends first would be the shortest. It tells most about the others, which do the same
+// work. A slow executor, or one far from the step's data, tells nothing about the queue.
 void scheduler::learnDuration(job_record &job, const task_id &id, const task_record &task, const executor_record &executor)
 {
     const std::size_t step = static_cast<std::size_t>(id.step);
     const step_spec &stepSpec = job.spec.steps[step];
     const bool measured = task.runDurationMs > 0 && task.completedOn == executor.entry.id;
     const bool far = !stepSpec.dataRack.empty() && stepSpec.dataRack != executor.entry.rack;
-    if (!measured || far || executor.isSlow() || job.occurrences.at(id.occurrence).steps[step].done > 0) {
+    if (id.index != 0 || !measured || far || executor.isSlow()) {
         return;
     }
     m_durations.add(job.spec.queue, job.callerEstimatesMs[step], task.runDurationMs);
