Correct estimates only where they are off by a factor of two

Change: estimates count as wrong from a mean factor of 2.1 instead of 1.7. Estimates within that order the jobs well enough. Not measured when this was committed.

--- a/src/sched/duration_model.cpp
+++ b/src/sched/duration_model.cpp
@@ -10,8 +10,8 @@
 constexpr double decay = 0.99;
 // Fewer steps say too little about a queue.
 constexpr double minWeight = 20;
-// Mean error of the estimates, as the logarithm of duration over estimate, from which they count as wrong: a factor of 1.7 either way.
-constexpr double wrongError = 0.55;
+// Mean error of the estimates, as the logarithm of duration over estimate, from which they count as wrong: a factor of 2.1 either way.
+constexpr double wrongError = 0.75;
 // Variance that is added to that of the estimates, so that few different ones don't give a steep slope.
 constexpr double minVariance = 0.01;
 // An estimate counts at most as this many standard deviations from the queue's mean.
