Take the handlers of metered_socket by forwarding reference

Cause: async_write_some() took its handler by value. Asio's composed write calls it with buffers.prepare(n) and std::move(operation), and the buffers live in the operation. The order of evaluation of arguments is unspecified: g++ on x86-64 moves the operation into the parameter before prepare() runs, so the list of buffers is empty and the write has 0 bytes. On arm64 the order happens to be the other one.

Change: async_write_some() and async_read_some() take Handler && and keep std::decay_t<Handler>, as Asio's own sockets do. Nothing is moved before the call.

--- a/src/http/metered_socket.h
+++ b/src/http/metered_socket.h
@@ -11,6 +11,7 @@
 #include <cstddef>
 #include <memory>
 #include <optional>
+#include <type_traits>
 #include <utility>
 
 namespace daisypass {
@@ -30,41 +31,44 @@
     metered_socket &operator=(metered_socket &&) = delete;
     ~metered_socket();
 
-    // Asio and RESTinio require the names of the two operations.
+    // Asio and RESTinio require the names of the two operations. Like those of Asio's sockets, they move nothing out of a handler before the call:
+    // the buffers that a caller passes may live in the handler, and the order in which the arguments are evaluated is unspecified.
     template<typename Handler>
-    void async_read_some(const asio::mutable_buffer &buffer, Handler handler) // NOLINT(readability-identifier-naming)
+    void async_read_some(const asio::mutable_buffer &buffer, Handler &&handler) // NOLINT(readability-identifier-naming)
     {
         if (!m_account) {
-            asio::ip::tcp::socket::async_read_some(buffer, std::move(handler));
+            asio::ip::tcp::socket::async_read_some(buffer, std::forward<Handler>(handler));
             return;
         }
         switch (decideRead()) {
         case read_decision::Read:
-            readNow(buffer, std::move(handler));
+            readNow(buffer, std::forward<Handler>(handler));
             return;
         case read_decision::Pause:
-            readLater(buffer, std::move(handler));
+            readLater(buffer, std::forward<Handler>(handler));
             return;
         case read_decision::Refuse:
-            failLater(std::move(handler));
+            failLater(std::forward<Handler>(handler));
             return;
         }
     }
 
     template<typename Buffers, typename Handler>
-    void async_write_some(const Buffers &buffers, Handler handler) // NOLINT(readability-identifier-naming)
+    void async_write_some(const Buffers &buffers, Handler &&handler) // NOLINT(readability-identifier-naming)
     {
         if (!m_account) {
-            asio::ip::tcp::socket::async_write_some(buffers, std::move(handler));
+            asio::ip::tcp::socket::async_write_some(buffers, std::forward<Handler>(handler));
             return;
         }
         beforeWrite(asio::buffer_size(buffers));
-        const executor_of<Handler> executor = asio::get_associated_executor(handler, get_executor());
+        const executor_of<std::decay_t<Handler>> executor = asio::get_associated_executor(handler, get_executor());
         asio::ip::tcp::socket::async_write_some(
-            buffers, asio::bind_executor(executor, [this, handler = std::move(handler)](const asio::error_code &error, std::size_t written) mutable {
-                afterWrite();
-                handler(error, written);
-            }));
+            buffers,
+            asio::bind_executor(
+                executor, [this, handler = std::decay_t<Handler>(std::forward<Handler>(handler))](const asio::error_code &error, std::size_t written) mutable {
+                    afterWrite();
+                    handler(error, written);
+                }));
     }
 
     /** Closes the socket and ends its entry in the account. */
