--- a/review/standin-3/platform_standin.py
+++ b/review/standin-3/platform_standin.py
@@ -218,8 +218,9 @@
         self.server = Server(self._handle)
         self.up, self.draining, self.silent = False, False, False
         self.beat = None
-        # None, or a function(request) that returns None (serve) or 'late' (no answer, carried out 2 to 12 s later) or 'lost'.
-        self.fault = None
+        # None, or a function(request) that returns None (serve), 'late' (no answer, carried out 2 to 12 s later), 'lost' (carried out, no answer) or
+        # 'held' (no answer, kept in `held` until the script has it carried out).
+        self.fault, self.held = None, []
 
     async def start(self):
         await self.server.start()
@@ -259,10 +260,13 @@
         if self.platform.store.down:
             return
         self.sequence += 1
-        self.platform.store.put('servers', self.id, {
+        self.platform.store.put('servers', self.id, self.entry())
+
+    def entry(self):
+        return {
             'Service': self.pool, 'Address': '127.0.0.1:%d' % self.server.port, 'Zone': 'zone-a', 'Version': 'v1', 'Slots': 8,
             'State': 'draining' if self.draining else 'ready', 'ColdLeftMs': 0, 'Capacity': {'Cpu': self.cpu, 'MemMb': self.mem, 'Gpu': 0},
-            'Labels': [self.kind, self.rack], 'Machine': self.machine, 'ClockMs': self.clock(), 'born': self.born, 'Sequence': self.sequence})
+            'Labels': [self.kind, self.rack], 'Machine': self.machine, 'ClockMs': self.clock(), 'born': self.born, 'Sequence': self.sequence}
 
     async def _heartbeats(self):
         silent = 0
@@ -284,9 +288,19 @@
             self.platform.note('order_held', executor=self.id, path=request.path, body=request.json())
             asyncio.get_event_loop().call_later(random.uniform(2, 12), self._late, request)
             return None
+        if what == 'held':
+            self.platform.note('order_held', executor=self.id, path=request.path, body=request.json())
+            self.held.append(request)
+            return None
         answer = await self._serve(request)
         return None if what == 'lost' else answer
 
+    def carry_out_held(self):
+        """The held calls arrive."""
+        held, self.held = self.held, []
+        for request in held:
+            self._late(request)
+
     def _late(self, request):
         if self.up:
             self.platform.note('order_late', executor=self.id, path=request.path)
