Fleet planner: a backlog of very many VMs no longer depends on the machine

What callers would see: a pool whose waiting tasks ask for more VMs than an int holds (one caller's task with a Cpu near 2^63 is enough) gets no VM at all on x86-64, and on arm64 so many that it would take all of the fleet.

Cause: vmsFor() converted a double out of int's range. That is undefined; x86-64 gives the least int, arm64 the greatest one.

Evidence: the new section of "the planner moves VMs to pools with a burst of demand" gave 0 moves of 2 on x86-64 (g++ 12). With the greatest int in its place it gave 3 of 2, because desired + reserveVms overflowed and the pool gave a VM away.

Change: saturatingCast() (src/base), which gives the nearest value on every machine and 0 for what isn't a number, and a bound on the number of VMs, so that such numbers can be added. arm64's result is by its manual; arm64 was not at hand.

--- a/src/sched/fleet_planner.cpp
+++ b/src/sched/fleet_planner.cpp
@@ -1,5 +1,7 @@
 #include "sched/fleet_planner.h"
 
+#include "base/saturating_cast.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -30,6 +32,8 @@
 // Plans in a second, and the share of the rate limit that they use for moves; the rest is for maintenance and repeated orders.
 constexpr double plansPerSecond = 10;
 constexpr double moveShareOfRateLimit = 0.8;
+// More VMs than any fleet has, so that a few such numbers can be added.
+constexpr double maxVms = 1e6;
 // If a VM is listed as up this long after its maintenance should have ended, the maintenance is over or its order was never carried out.
 constexpr time_ms maintenanceSlackMs = 2'500;
 // Time that the order, and the wait for the list that shows the VM as up, add to the maintenance of each VM.
@@ -71,14 +75,14 @@
 
 int vmsFor(double amount, std::int64_t capacityPerVm)
 {
-    return static_cast<int>(std::ceil(amount / static_cast<double>(std::max<std::int64_t>(1, capacityPerVm))));
+    return saturatingCast<int>(std::min(maxVms, std::ceil(amount / static_cast<double>(std::max<std::int64_t>(1, capacityPerVm)))));
 }
 
 } // namespace
 
 int fleet_planner::maxMovesPerPlan(double fleetOrdersPerSecond)
 {
-    return std::max(minMovesPerPlan, static_cast<int>(fleetOrdersPerSecond * moveShareOfRateLimit / plansPerSecond));
+    return std::max(minMovesPerPlan, saturatingCast<int>(fleetOrdersPerSecond * moveShareOfRateLimit / plansPerSecond));
 }
 
 fleet_planner::fleet_planner(bounds limits)
@@ -304,7 +308,7 @@
     }
     const double msPerVm = static_cast<double>(m_bounds.maintenanceMs + maintenanceOverheadMs);
     const double remaining = std::max(msPerVm, static_cast<double>(wave.dueAt - now - waveMarginMs));
-    const int needed = static_cast<int>(std::ceil(pendingVms * msPerVm / remaining)) + 1;
+    const int needed = saturatingCast<int>(std::ceil(pendingVms * msPerVm / remaining) + 1);
     return std::min(wave.request.cap, needed);
 }
 
--- a/tests/sched/fleet_planner_test.cpp
+++ b/tests/sched/fleet_planner_test.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <limits>
+
 using namespace daisypass::sched;
 
 namespace {
@@ -93,6 +95,14 @@
             CHECK(only<move_decision>(planner.plan(view, start + 100)).empty());
         }
     }
+    // A conversion out of range gave the least number on x86-64 and the greatest on arm64: the pool got no VM on one of them.
+    SUBCASE("a pool with a backlog of more VMs than can be counted gets VMs like one with a large backlog")
+    {
+        fleet_view view;
+        view.pools = {poolWith("booking", std::numeric_limits<std::int64_t>::max()), sparePool()};
+        view.vms = {emptyVm("a", "booking"), spareVm("b", "spare"), spareVm("c", "spare")};
+        CHECK(only<move_decision>(planner.plan(view, start)).size() == 2);
+    }
     SUBCASE("as many at once as the fleet service's rate limit allows")
     {
         CHECK(fleet_planner::maxMovesPerPlan(16) == 12);
