Arrival rate: work that can't be counted is the greatest rate, not the least

What callers would see: a pool to which jobs with very large demands and estimates come counts as having far less than no work, so that it gets no VMs ahead of its backlog.

--- a/src/sched/arrival_rate.cpp
+++ b/src/sched/arrival_rate.cpp
@@ -1,5 +1,7 @@
 #include "sched/arrival_rate.h"
 
+#include "base/saturating_cast.h"
+
 #include <algorithm>
 
 namespace daisypass::sched {
@@ -53,7 +55,7 @@
         sum.memoryMb += one->work.memoryMb;
     }
     const double window = static_cast<double>(std::max(minWindowMs, now - first->at));
-    return {static_cast<std::int64_t>(sum.cpu / window), static_cast<std::int64_t>(sum.memoryMb / window), 0};
+    return {saturatingCast<std::int64_t>(sum.cpu / window), saturatingCast<std::int64_t>(sum.memoryMb / window), 0};
 }
 
 } // namespace daisypass::sched
--- a/tests/sched/arrival_rate_test.cpp
+++ b/tests/sched/arrival_rate_test.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <limits>
+
 using namespace daisypass::sched;
 
 namespace {
@@ -50,6 +52,17 @@
     }
 }
 
+// A conversion out of range gave a rate far below zero on x86-64, so that the pool got no VMs for the work that arrived.
+TEST_CASE("a rate of arriving work that can't be counted is the greatest one")
+{
+    constexpr resource_time endlessWork{1e38, 1e38};
+    arrival_rate rate;
+    rate.add(endlessWork, 1'000);
+    rate.add(endlessWork, 1'100);
+    CHECK(rate.at(1'100).cpu == std::numeric_limits<std::int64_t>::max());
+    CHECK(rate.at(1'100).memoryMb == std::numeric_limits<std::int64_t>::max());
+}
+
 TEST_CASE("the work of a job is the sum over its tasks, without long-running ones")
 {
     job_spec job;
