Stalled runs: the longest estimate is no limit below zero

What callers would see: a task with an estimate near 2^63 ms is stopped as stalled after 2.5 s without progress on x86-64, and after its first list on arm64, again and again, until its attempts are used up.

Cause: the limit was a double converted to an integer out of range (the least value on x86-64, so that the minimum of 2.5 s held), and with arm64's greatest value progressAt + limit overflows.

Change: the time without progress is compared with the limit as floating-point numbers; nothing is converted or added.

Result: no stop in the new test; "a lost list is no standstill" passes as before.

--- a/src/sched/scheduler_progress.cpp
+++ b/src/sched/scheduler_progress.cpp
@@ -117,8 +117,8 @@
             if (!isWatched(task, stepSpec)) {
                 continue;
             }
-            const time_ms stallLimitMs = std::max(minStallMs, static_cast<time_ms>(stallShareOfEstimate * static_cast<double>(stepSpec.estimateMs)));
-            if (task.progressAt + stallLimitMs < executor.listedAt) {
+            const double stallLimitMs = std::max<double>(minStallMs, stallShareOfEstimate * static_cast<double>(stepSpec.estimateMs));
+            if (static_cast<double>(executor.listedAt - task.progressAt) > stallLimitMs) {
                 executor.backoffUntil = std::max(executor.backoffUntil, now + stallBackoffMs);
                 task.avoidedExecutor = item.first;
                 requestStop(id, task, now, "no_progress");
--- a/tests/sched/scheduler_test.cpp
+++ b/tests/sched/scheduler_test.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <limits>
+
 using namespace daisypass::sched;
 
 TEST_CASE("a job runs from its submission to its stored end")
@@ -262,6 +264,26 @@
     }
 }
 
+TEST_CASE("a run of a task with the longest possible estimate isn't stopped as stalled")
+{
+    // The limit of the time without progress was out of range: such runs were stopped at once, or after 2.5 s, depending on the machine.
+    scheduler_fixture world;
+    world.addExecutor("e1");
+    step_spec step = scheduler_fixture::step(1);
+    step.estimateMs = std::numeric_limits<std::int64_t>::max();
+    world.taskScheduler.handle(job_submitted{scheduler_fixture::job("j1", {step})}, world.now);
+    world.planAndCommit();
+    const start_run start = world.takeStart();
+    world.answerStart(start);
+    world.answerPoll("e1", {scheduler_fixture::running(start, 10)});
+    for (int poll = 0; poll < 4; ++poll) {
+        world.now += 1'000;
+        world.answerPoll("e1", {scheduler_fixture::running(start, 10)});
+        world.advance(200);
+    }
+    CHECK(world.take<stop_run>().empty());
+}
+
 TEST_CASE("a move without an answer is ordered again")
 {
     // A VM whose move order was lost stayed reserved for the rest of the term, until its pool had no usable VM left.
