Advice: the longest times of a service are waited for

What callers would see: with a DecideMs or EachMs near 2^63 in the operator's configuration each call for advice counts as overdue at once, so that the window shrinks and jobs of the queue hardly start.

Cause: decideMs + eachMs * executors overflowed 64 bits, and the patience was converted from a double out of range, which gives the least number on x86-64. Its sum and shift were below zero.

Change: the expected time is computed in floating point, and limited before it is converted. Patience is the same for all other times: it was limited to the same maximum after the shift.

--- a/src/sched/advice_calls.cpp
+++ b/src/sched/advice_calls.cpp
@@ -1,5 +1,7 @@
 #include "sched/advice_calls.h"
 
+#include "base/saturating_cast.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -37,7 +39,7 @@
         return std::min(m_limit, firstWindow);
     }
     const double enough = busyMs / std::max(1.0, *m_serviceTimeMs);
-    const std::size_t fitting = static_cast<std::size_t>(std::min(std::ceil(enough), static_cast<double>(maxWindow)));
+    const std::size_t fitting = saturatingCast<std::size_t>(std::min(std::ceil(enough), static_cast<double>(maxWindow)));
     return std::min(m_limit, std::max(fitting, minWindow));
 }
 
@@ -64,7 +66,7 @@
 
 double advice_calls::expectedMs(const advice_cost &cost, std::size_t executors) const
 {
-    const double configured = static_cast<double>(cost.decideMs + cost.eachMs * static_cast<std::int64_t>(executors));
+    const double configured = static_cast<double>(cost.decideMs) + static_cast<double>(cost.eachMs) * static_cast<double>(executors);
     return std::max(configured, m_serviceTimeMs.value_or(0));
 }
 
@@ -76,7 +78,8 @@
     call.sentAt = now;
     call.ahead = m_open.size();
     const double expected = expectedMs(cost, executors) * static_cast<double>(call.ahead + 1);
-    const time_ms patience = (minPatienceMs + static_cast<time_ms>(patienceFactor * expected)) << std::min(m_overdueInRow, maxPatienceDoublings);
+    const time_ms patience = (minPatienceMs + saturatingCast<time_ms>(std::min<double>(patienceFactor * expected, maxPatienceMs)))
+        << std::min(m_overdueInRow, maxPatienceDoublings);
     call.overdueAt = now + std::min(patience, maxPatienceMs);
     m_open.push_back(call);
     return call.number;
--- a/tests/sched/advice_calls_test.cpp
+++ b/tests/sched/advice_calls_test.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <limits>
 #include <map>
 #include <optional>
 #include <set>
@@ -343,6 +344,18 @@
 }
 
 // Guards against starts that the executor refuses because their ticket ended while their row was stored.
+// A patience out of range was below zero: each call to such a service was given up at once.
+TEST_CASE("a call to an advice service with the longest possible times is waited for")
+{
+    constexpr std::int64_t longest = std::numeric_limits<std::int64_t>::max();
+    for (const advice_cost &cost : {advice_cost{longest, 0}, advice_cost{0, longest}, advice_cost{longest, longest}}) {
+        CAPTURE(cost.decideMs);
+        advice_calls calls;
+        calls.add(anyStep, cost, 8, 0);
+        CHECK(calls.takeOverdue(1'000).empty());
+    }
+}
+
 TEST_CASE("a ticket that ends before the start is asked for again")
 {
     scheduler_fixture world;
