Histogram: leave out what isn't a number

What would be seen: a process that records NaN ends with a segmentation fault on x86-64, and counts it in the first bucket on arm64. All present callers record differences of clocks, so no process is known to have ended so.

Cause: bucketIndex() converted NaN to an int. x86-64 gives the least int, which is used as an index.

Evidence: the new test ended with SIGSEGV on x86-64 (g++ 12).

Infinity counts in the last bucket as before.

Result: the new test passes.

--- a/src/base/metrics.cpp
+++ b/src/base/metrics.cpp
@@ -1,5 +1,7 @@
 #include "base/metrics.h"
 
+#include "base/saturating_cast.h"
+
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/count.hpp>
 #include <boost/accumulators/statistics/max.hpp>
@@ -32,7 +34,7 @@
         return 0;
     }
     const double position = std::ceil(std::log2(value / minBound) * bucketsPerDoubling);
-    return static_cast<int>(std::min<double>(position, bucketCount));
+    return saturatingCast<int>(std::min<double>(position, bucketCount));
 }
 
 std::string escape(std::string_view text)
@@ -90,6 +92,10 @@
 
 void histogram::record(double value)
 {
+    // It has no bucket, and would make the sum and the maximum unusable from then on.
+    if (std::isnan(value)) {
+        return;
+    }
     const std::lock_guard<std::mutex> guard(m_lock);
     m_statistics->totals(value);
     ++m_statistics->buckets[bucketIndex(value)];
--- a/tests/metrics_test.cpp
+++ b/tests/metrics_test.cpp
@@ -4,6 +4,7 @@
 
 #include <doctest/doctest.h>
 
+#include <cmath>
 #include <thread>
 #include <vector>
 
@@ -27,6 +28,17 @@
     CHECK(values.cumulativeBuckets().back().second == 1'000);
 }
 
+// Its bucket was computed by a conversion out of range, which gives an index far below zero on x86-64.
+TEST_CASE("a histogram leaves out what isn't a number")
+{
+    histogram values;
+    values.record(std::nan(""));
+    CHECK(values.count() == 0);
+    values.record(0.5);
+    CHECK(values.count() == 1);
+    CHECK(values.sum() == 0.5);
+}
+
 TEST_CASE("metrics render in a fixed order with escaped labels")
 {
     metrics_registry metrics;
