Settings: refuse NaN, infinity and times beyond the range of milliseconds

What operators would see: a node that starts with Bounds.LeaseMs=nan has a lease of 0 ms on arm64 and of -2^63 ms on x86-64; with 1e19 it has the greatest and the least time. It starts without a word on both.

Cause: std::from_chars reads "nan" and "inf", NaN passed the check number < 0, and llround() of a value out of range is undefined.

Evidence: the six checks of the new test that expect a refusal failed on x86-64 (g++ 12).

Change: numbers above 1e12 and what isn't a number are refused with the line's number, like negative ones.

Result: the new test passes.

--- a/src/platform/node_settings.cpp
+++ b/src/platform/node_settings.cpp
@@ -1,5 +1,7 @@
 #include "platform/node_settings.h"
 
+#include "base/saturating_cast.h"
+
 #include <charconv>
 #include <cmath>
 #include <fstream>
@@ -18,6 +20,8 @@
 using line_map = std::map<std::string, line_value, std::less<>>;
 
 constexpr double millisPerSecond = 1'000.0;
+// Sums and products of a few settings fit in 64 bits below this.
+constexpr double maxNumber = 1e12;
 
 std::string_view trimmed(std::string_view text)
 {
@@ -71,8 +75,10 @@
         double number = 0;
         const char *end = value->text.data() + value->text.size();
         const std::from_chars_result read = std::from_chars(value->text.data(), end, number);
-        if (read.ec != std::errc() || read.ptr != end || number < 0) {
-            fail(failure_code::WrongType, key, value->line, "a number of at least 0");
+        // What isn't a number compares false with everything.
+        const bool inRange = number >= 0 && number <= maxNumber;
+        if (read.ec != std::errc() || read.ptr != end || !inRange) {
+            fail(failure_code::WrongType, key, value->line, "a number from 0 to 1e12");
             return fallback;
         }
         return number;
@@ -80,12 +86,12 @@
 
     std::int64_t millisOr(std::string_view key, std::int64_t fallback)
     {
-        return static_cast<std::int64_t>(std::llround(numberOr(key, static_cast<double>(fallback))));
+        return saturatingCast<std::int64_t>(std::round(numberOr(key, static_cast<double>(fallback))));
     }
 
     std::int64_t secondsAsMillisOr(std::string_view key, std::int64_t fallbackMs)
     {
-        return static_cast<std::int64_t>(std::llround(numberOr(key, static_cast<double>(fallbackMs) / millisPerSecond) * millisPerSecond));
+        return saturatingCast<std::int64_t>(std::round(numberOr(key, static_cast<double>(fallbackMs) / millisPerSecond) * millisPerSecond));
     }
 
     bool flagOr(std::string_view key, bool fallback)
