Submissions: refuse numbers that can't be counted with, and cut none off

A negative Cpu adds room to an executor, and a Cpu or an estimate near 2^63 overflows the sums over waiting tasks by which pools get VMs, so that one caller's job costs the others.

Cause: the numbers of a submission had no bounds and were narrowed to int by a cast that keeps the lower 32 bits. Unsigned integers above 2^63 became negative.

Change: demands above 1e9, times above 1e12 ms and anything below zero are answered with 400 at once, which the log explains; they can't be served. intIn() gives the nearest int. Jobs that a former version has accepted are read with the nearest numbers.

--- a/src/platform/records.cpp
+++ b/src/platform/records.cpp
@@ -19,6 +19,10 @@
 constexpr std::string_view wavePrefix = "wave/";
 constexpr int maxTasksPerStep = 10'000;
 constexpr int maxSteps = 1'000;
+// Greater demands and times are refused, so that sums over all tasks of many jobs fit in 64 bits.
+constexpr std::int64_t maxDemand = 1'000'000'000;
+constexpr std::int64_t maxTimeMs = 1'000'000'000'000;
+constexpr std::int64_t maxDateUnixMs = 1'000'000'000'000'000;
 
 failure wrongFieldType(std::string_view name, std::string expected)
 {
@@ -79,6 +83,16 @@
     return {wire::integerIn(item, "Cpu").value_or(0), wire::integerIn(item, "MemMb").value_or(0), wire::integerIn(item, "Gpu").value_or(0)};
 }
 
+std::int64_t readWithin(const json &item, const char *name, std::int64_t greatest)
+{
+    return std::clamp<std::int64_t>(wire::integerIn(item, name).value_or(0), 0, greatest);
+}
+
+sched::resources readDemand(const json &item)
+{
+    return {readWithin(item, "Cpu", maxDemand), readWithin(item, "MemMb", maxDemand), readWithin(item, "Gpu", maxDemand)};
+}
+
 std::vector<std::string> readStrings(const json &object, const char *name)
 {
     std::vector<std::string> texts;
@@ -117,8 +131,8 @@
     queue.key = {*host, *prefix};
     queue.name = wire::stringIn(item, "Name").value_or(*prefix);
     queue.pool = *pool;
-    queue.priority = static_cast<int>(wire::integerIn(item, "Priority").value_or(0));
-    queue.maxAttempts = static_cast<int>(wire::integerIn(item, "MaxAttempts").value_or(1));
+    queue.priority = wire::intIn(item, "Priority").value_or(0);
+    queue.maxAttempts = wire::intIn(item, "MaxAttempts").value_or(1);
     queue.stretch = wire::numberIn(item, "Stretch").value_or(1.0);
     queue.targetDurationMs = wire::integerIn(item, "TargetDurationMs").value_or(0);
     queue.timeoutMs = wire::integerIn(item, "TimeoutMs").value_or(0);
@@ -188,7 +202,7 @@
     }
     for (const json &index : *list) {
         if (index.is_number_integer()) {
-            after.push_back(index.get<int>());
+            after.push_back(wire::toInt(index));
         }
     }
     return after;
@@ -197,15 +211,15 @@
 step_spec readStep(const json &item)
 {
     step_spec step;
-    step.taskCount = static_cast<int>(wire::integerIn(item, "Count").value_or(1));
-    step.demand = readResources(item);
-    step.estimateMs = wire::integerIn(item, "EstimateMs").value_or(0);
+    step.taskCount = wire::intIn(item, "Count").value_or(1);
+    step.demand = readDemand(item);
+    step.estimateMs = readWithin(item, "EstimateMs", maxTimeMs);
     step.after = readAfter(item);
     step.requiredLabel = wire::stringIn(item, "Requires").value_or("");
     // The platform's "Affinity" is the rack that holds the step's data.
     step.dataRack = wire::stringIn(item, "Affinity").value_or("");
     // The platform's "AntiAffinity" is the maximum number of the step's tasks on one executor.
-    step.maxTasksPerExecutor = static_cast<int>(wire::integerIn(item, "AntiAffinity").value_or(0));
+    step.maxTasksPerExecutor = wire::intIn(item, "AntiAffinity").value_or(0);
     step.gang = wire::boolIn(item, "Gang");
     step.sameRack = wire::boolIn(item, "SameRack");
     step.checkpointing = wire::boolIn(item, "Checkpointing");
@@ -213,9 +227,9 @@
     step.longRunning = wire::boolIn(item, "LongRunning");
     step.bestEffortCpu = wire::boolIn(item, "Fills");
     step.image = wire::stringIn(item, "Image").value_or("");
-    step.latencyTargetMs = wire::integerIn(item, "TargetMs").value_or(0);
+    step.latencyTargetMs = readWithin(item, "TargetMs", maxTimeMs);
     // "AllowMiss" is the maximum number of tasks that the system may make unavailable at a time.
-    step.allowedUnavailable = static_cast<int>(wire::integerIn(item, "AllowMiss").value_or(0));
+    step.allowedUnavailable = wire::intIn(item, "AllowMiss").value_or(0);
     return step;
 }
 
@@ -244,6 +258,37 @@
     return true;
 }
 
+// Whether the member is absent, no number, or from 0 to `greatest`.
+bool isWithin(const json &item, const char *name, std::int64_t greatest, failure &reason)
+{
+    const std::optional<double> number = wire::numberIn(item, name);
+    if (number && (*number < 0 || *number > static_cast<double>(greatest))) {
+        reason = failure{failure_code::OutOfRange, name, {}, "0 to " + std::to_string(greatest)};
+        return false;
+    }
+    return true;
+}
+
+bool amountsAreValid(const json &step, failure &reason)
+{
+    for (const char *name : {"Cpu", "MemMb", "Gpu"}) {
+        if (!isWithin(step, name, maxDemand, reason)) {
+            return false;
+        }
+    }
+    return isWithin(step, "EstimateMs", maxTimeMs, reason) && isWithin(step, "TargetMs", maxTimeMs, reason);
+}
+
+// Whether a submission's numbers can be counted with. Jobs that have been accepted are read with the nearest numbers that can.
+bool numbersAreValid(const json &body, failure &reason)
+{
+    const json *steps = wire::arrayIn(body, "Steps");
+    const bool amountsValid = steps == nullptr || std::all_of(steps->begin(), steps->end(), [&reason](const json &step) {
+                                  return amountsAreValid(step, reason);
+                              });
+    return amountsValid && isWithin(body, "FirstMs", maxDateUnixMs, reason) && isWithin(body, "IntervalMs", maxTimeMs, reason);
+}
+
 bool timesAreValid(std::int64_t repeatCount, std::int64_t intervalMs, failure &reason)
 {
     if (repeatCount < 0 || repeatCount > std::numeric_limits<int>::max()) {
@@ -320,8 +365,8 @@
         job.steps.push_back(std::move(step));
     }
     const std::int64_t repeatCount = wire::integerIn(body, "RepeatCount").value_or(0);
-    job.firstAtUnixMs = wire::integerIn(body, "FirstMs").value_or(0);
-    job.intervalMs = wire::integerIn(body, "IntervalMs").value_or(0);
+    job.firstAtUnixMs = std::min(wire::integerIn(body, "FirstMs").value_or(0), maxDateUnixMs);
+    job.intervalMs = std::min(wire::integerIn(body, "IntervalMs").value_or(0), maxTimeMs);
     if (!sizeIsValid(job.steps, reason) || !timesAreValid(repeatCount, job.intervalMs, reason)) {
         return std::nullopt;
     }
@@ -489,7 +534,7 @@
         return std::nullopt;
     }
     const std::optional<json> body = parse(text, reason);
-    return body ? readSubmission(*body, reason) : std::nullopt;
+    return body && numbersAreValid(*body, reason) ? readSubmission(*body, reason) : std::nullopt;
 }
 
 // The name of the scheme ignores letter case (RFC 9110, section 11.1).
--- a/src/platform/wire_json.cpp
+++ b/src/platform/wire_json.cpp
@@ -1,7 +1,11 @@
 #include "platform/wire_json.h"
 
+#include "base/saturating_cast.h"
+
+#include <algorithm>
 #include <array>
 #include <cmath>
+#include <limits>
 
 namespace daisypass::wire {
 namespace {
@@ -18,6 +22,21 @@
     return table;
 }
 
+// Integers above the greatest one with a sign are held without a sign, and would become negative.
+std::int64_t toInt64(const json &value)
+{
+    constexpr std::uint64_t greatest = std::numeric_limits<std::int64_t>::max();
+    if (value.is_number_unsigned()) {
+        return static_cast<std::int64_t>(std::min(value.get<std::uint64_t>(), greatest));
+    }
+    return value.get<std::int64_t>();
+}
+
+int clampToInt(std::int64_t value)
+{
+    return static_cast<int>(std::clamp<std::int64_t>(value, std::numeric_limits<int>::min(), std::numeric_limits<int>::max()));
+}
+
 } // namespace
 
 std::optional<json> parseObject(std::string_view text)
@@ -45,15 +64,26 @@
         return std::nullopt;
     }
     if (member->is_number_integer()) {
-        return member->get<std::int64_t>();
+        return toInt64(*member);
     }
     constexpr double maxExactInteger = 9e15;
     if (member->is_number_float() && std::floor(member->get<double>()) == member->get<double>() && std::abs(member->get<double>()) < maxExactInteger) {
-        return static_cast<std::int64_t>(member->get<double>());
+        return saturatingCast<std::int64_t>(member->get<double>());
     }
     return std::nullopt;
 }
 
+std::optional<int> intIn(const json &object, const char *name)
+{
+    const std::optional<std::int64_t> value = integerIn(object, name);
+    return value ? std::optional<int>(clampToInt(*value)) : std::nullopt;
+}
+
+int toInt(const json &value)
+{
+    return clampToInt(toInt64(value));
+}
+
 std::optional<double> numberIn(const json &object, const char *name)
 {
     const json *member = memberOf(object, name);
--- a/src/platform/wire_json.h
+++ b/src/platform/wire_json.h
@@ -21,11 +21,15 @@
 
 /** Returns null if there is no such member. */
 const json *memberOf(const json &object, const char *name);
-/** Integers, and floating-point numbers with an integral value such as 2.0. */
+/** Integers, and floating-point numbers with an integral value such as 2.0. An integer that 64 bits with a sign can't hold reads as the greatest. */
 std::optional<std::int64_t> integerIn(const json &object, const char *name);
+/** Like integerIn(); a greater or lesser number reads as the limit of the type. */
+std::optional<int> intIn(const json &object, const char *name);
 std::optional<double> numberIn(const json &object, const char *name);
 std::optional<std::string> stringIn(const json &object, const char *name);
 bool boolIn(const json &object, const char *name);
+/** The integer, or the limit of the type that is nearest to it. `value` must be an integer. */
+int toInt(const json &value);
 /** Returns the member if it is an array, else null. */
 const json *arrayIn(const json &object, const char *name);
 
