Maintenance waves: a very long duration is no due time in the past

What operators would see: a wave with a DurationS of 1e300 is overdue at once on x86-64, so that its VMs are taken down as fast as the cap allows while work waits; on arm64 it has time without end, and its due time overflows. A Cap of 2^32 was one of 0, which takes no VM down at all.

Cause: a double out of range converted to 64 bits, and a cap that lost its upper bits.

Change: a duration is limited to 1e12 ms, more than 30 years, and the cap to what an int holds.

--- a/src/platform/records.cpp
+++ b/src/platform/records.cpp
@@ -1,5 +1,6 @@
 #include "platform/records.h"
 
+#include "base/saturating_cast.h"
 #include "base/settings_reader.h"
 #include "http/http_server.h"
 #include "platform/json_cost.h"
@@ -23,6 +24,8 @@
 constexpr std::int64_t maxDemand = 1'000'000'000;
 constexpr std::int64_t maxTimeMs = 1'000'000'000'000;
 constexpr std::int64_t maxDateUnixMs = 1'000'000'000'000'000;
+// More than 30 years, so that a wave's due time is a date.
+constexpr double maxWaveMs = 1e12;
 
 failure wrongFieldType(std::string_view name, std::string expected)
 {
@@ -443,8 +446,8 @@
     sched::wave_request wave;
     wave.wave = *number;
     wave.vms = readStrings(*body, "Machines");
-    wave.durationMs = static_cast<std::int64_t>(wire::numberIn(*body, "DurationS").value_or(0) * millisPerSecond);
-    wave.cap = static_cast<int>(std::max<std::int64_t>(1, wire::integerIn(*body, "Cap").value_or(1)));
+    wave.durationMs = saturatingCast<std::int64_t>(std::clamp(wire::numberIn(*body, "DurationS").value_or(0) * millisPerSecond, 0.0, maxWaveMs));
+    wave.cap = std::max(1, wire::intIn(*body, "Cap").value_or(1));
     return wave;
 }
 
