Tests: draw random numbers in statements of their own

Cause: the soak drew the work and the number of tasks of a job as two arguments of one call, and foreign_entry_test.cpp three parts of an entry.

Looked for with a script that lists calls with two or more draws, reads or moves in their arguments: these two were all that draw, and no call in src/ moves an object in one argument and uses it in another, but for members or map keys that stay valid.

--- a/tests/integration/platform_soak.cpp
+++ b/tests/integration/platform_soak.cpp
@@ -91,7 +91,10 @@
             if (m_frozen.contains(node) || !m_platform.node(node).running()) {
                 continue;
             }
-            const std::string job = m_platform.submit(node, draw(20, 900), draw(1, 6));
+            // Drawn in an order of their own: that of a call's arguments differs between machines, and with it the days of a seed.
+            const int workMs = draw(20, 900);
+            const int tasks = draw(1, 6);
+            const std::string job = m_platform.submit(node, workMs, tasks);
             if (!job.empty()) {
                 m_jobs.push_back(job);
             }
--- a/tests/sched/foreign_entry_test.cpp
+++ b/tests/sched/foreign_entry_test.cpp
@@ -265,7 +265,11 @@
     void putForeignEntry()
     {
         const std::vector<std::string> pools{"booking", "spare", "node-agent", "", "other"};
-        json entry = entryOf(*rc::gen::elementOf(pools), "vm-" + *rc::gen::elementOf(liveIds()), *rc::gen::inRange<std::int64_t>(1, 2 * liveStartUnixMs));
+        // Drawn in an order of their own: that of a call's arguments differs between machines.
+        const std::string pool = *rc::gen::elementOf(pools);
+        const std::string vm = "vm-" + *rc::gen::elementOf(liveIds());
+        const std::int64_t startedUnixMs = *rc::gen::inRange<std::int64_t>(1, 2 * liveStartUnixMs);
+        json entry = entryOf(pool, vm, startedUnixMs);
         entry["State"] = *rc::gen::element<std::string>("ready", "ready", "draining", "gone");
         const std::vector<json> values{absent(), json(nullptr), json(0), json(-1), json("text"), json(1e300), json::array({1}), json::object()};
         const int changes = *rc::gen::inRange(0, 3);
