Estimates: no sum of times overflows for the longest one

Cause: UndefinedBehaviorSanitizer stopped the new test of stalled runs at scheduler_place.cpp:213: now - acceptedAt + remaining path overflows for an estimate of 2^63 - 1 ms, so that such a job never counts as late. outlastsWave() added now in the same way, and the learned duration could be any number that its exponential gives.

Change: the first sum is made in floating point, in which it is compared; the second is a difference; a learned duration is at most 1e12 ms, as are callers' estimates since they are checked.

--- a/src/sched/duration_model.cpp
+++ b/src/sched/duration_model.cpp
@@ -1,5 +1,7 @@
 #include "sched/duration_model.h"
 
+#include "base/saturating_cast.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -16,6 +18,8 @@
 constexpr double minVariance = 0.01;
 // An estimate counts at most as this many standard deviations from the queue's mean.
 constexpr double maxDeviations = 3;
+// About 30 years, so that times can be added to it.
+constexpr double maxExpectedMs = 1e12;
 constexpr std::size_t maxQueues = 1'000;
 
 } // namespace
@@ -60,7 +64,7 @@
     const double deviation = std::clamp(std::log(static_cast<double>(estimateMs)) - meanX, -limit, limit);
     // The mean of durations whose logarithms scatter is above the exponential of their mean.
     const double scatter = std::max(0.0, varianceY - slope * covariance);
-    return std::max<std::int64_t>(1, std::llround(std::exp(meanY + slope * deviation + scatter / 2)));
+    return saturatingCast<std::int64_t>(std::clamp(std::round(std::exp(meanY + slope * deviation + scatter / 2)), 1.0, maxExpectedMs));
 }
 
 bool duration_model::corrects(const queue_key &queue) const
--- a/src/sched/scheduler_place.cpp
+++ b/src/sched/scheduler_place.cpp
@@ -210,7 +210,7 @@
             return false;
         }
         const double latestMs = objective->stretch * static_cast<double>(job.criticalPathMs) + static_cast<double>(objective->targetDurationMs);
-        return static_cast<double>(now - job.acceptedAt + job.remainingCriticalPathMs()) > latestMs;
+        return static_cast<double>(now - job.acceptedAt) + static_cast<double>(job.remainingCriticalPathMs()) > latestMs;
     }
 
     // The suspects that may be started now. A suspect has held an executor before, so it doesn't wait behind tasks that haven't.
@@ -781,7 +781,7 @@
     bool outlastsWave(const step_spec &stepSpec, const executor_record &executor) const
     {
         const std::optional<time_ms> dueAt = executor.entry.vm.empty() ? std::nullopt : owner.m_fleetPlanner.maintenanceDueAt(executor.entry.vm);
-        return dueAt && (stepSpec.longRunning || now + stepSpec.estimateMs > *dueAt);
+        return dueAt && (stepSpec.longRunning || stepSpec.estimateMs > *dueAt - now);
     }
 
     // Places all members of the gang or none. Each attempt reserves capacity member by member and releases it afterwards.
