--- a/bench/balancing_bench.cpp
+++ b/bench/balancing_bench.cpp
@@ -6,6 +6,7 @@
 // the mean for 6 s, after 24 s at a twentieth of the mean. Work is modelled as a fluid measured in slot seconds: each second a pool
 // serves at most as much as its serving VMs have slots, and the rest stays in its backlog.
 
+#include "base/saturating_cast.h"
 #include "kernel/pool_balancer.h"
 
 #include <CLI/CLI.hpp>
@@ -154,7 +155,7 @@
                 window = 0;
             }
         }
-        sizes.push_back(std::max(shape.minAvailable, static_cast<int>(std::ceil(highest / (slotsPerVm * utilization)))) + 1);
+        sizes.push_back(std::max(shape.minAvailable, saturatingCast<int>(std::ceil(highest / (slotsPerVm * utilization)))) + 1);
     }
     return sizes;
 }
--- a/bench/entry_path_bench.cpp
+++ b/bench/entry_path_bench.cpp
@@ -5,6 +5,7 @@
 // The load is a closed loop with a fixed number of outstanding requests. Rounds alternate between the two paths, so that other load on
 // the machine slows both. The medians of the rounds are printed.
 
+#include "base/saturating_cast.h"
 #include "base/settings_reader.h"
 #include "base/time.h"
 #include "http/http_client.h"
@@ -56,7 +57,7 @@
     round_result run(int outstanding, double seconds)
     {
         const timestamp startedAt = steadyNow();
-        m_endAt = startedAt + duration(static_cast<std::int64_t>(seconds * 1e6));
+        m_endAt = startedAt + duration(saturatingCast<std::int64_t>(seconds * 1e6));
         m_outstanding = outstanding;
         for (int i = 0; i < outstanding; ++i) {
             sendOne();
@@ -105,7 +106,7 @@
         constexpr double perSecond = 1e6;
         const double count = static_cast<double>(m_times.size());
         const duration median = m_times[m_times.size() / 2];
-        const duration p99 = m_times[static_cast<std::size_t>(count * 0.99)];
+        const duration p99 = m_times[saturatingCast<std::size_t>(count * 0.99)];
         return {count * perSecond / static_cast<double>(elapsed.count()),
                 static_cast<double>(median.count()) / perMs,
                 static_cast<double>(p99.count()) / perMs,
@@ -141,8 +142,8 @@
 
 void print(std::string_view name, const round_result &result)
 {
-    std::cout << name << ": " << static_cast<int>(result.perSecond) << " requests/s, p50 " << result.medianMs << " ms, p99 " << result.p99Ms << " ms, failed "
-              << result.failed << '\n';
+    std::cout << name << ": " << saturatingCast<int>(result.perSecond) << " requests/s, p50 " << result.medianMs << " ms, p99 " << result.p99Ms
+              << " ms, failed " << result.failed << '\n';
 }
 
 void measure(const bench_options &options)
--- a/src/base/saturating_cast.h
+++ b/src/base/saturating_cast.h
@@ -19,7 +19,8 @@
     constexpr Integer least = std::numeric_limits<Integer>::min();
     constexpr Integer greatest = std::numeric_limits<Integer>::max();
     // One above the greatest value. Unlike that, a power of two is exact in floating point.
-    constexpr double bound = static_cast<double>(greatest / 2 + 1) * 2;
+    constexpr Integer halfOfBound = greatest / 2 + 1;
+    constexpr double bound = static_cast<double>(halfOfBound) * 2;
     if (value >= bound) {
         return greatest;
     }
--- a/src/kernel/band_queues.cpp
+++ b/src/kernel/band_queues.cpp
@@ -1,5 +1,7 @@
 #include "kernel/band_queues.h"
 
+#include "base/saturating_cast.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -16,7 +18,7 @@
 int longLimit(const slot_use &use)
 {
     const double left = use.longShareBase - use.shorterDemand - demandMargin * std::sqrt(use.shorterDemand / use.entries);
-    return std::max(1, static_cast<int>(std::min(use.longShare * use.longShareBase, left)));
+    return std::max(1, saturatingCast<int>(std::min(use.longShare * use.longShareBase, left)));
 }
 
 /** With fewer usable slots than this, a guaranteed slot would be more than a quarter of them. Longer work then gets every `guaranteedStartPeriod`-th start
@@ -30,7 +32,7 @@
     if (use.usable < minSlotsForGuarantee) {
         return starts % guaranteedStartPeriod == 0 ? 1 : 0;
     }
-    return std::max(1, static_cast<int>(order.guaranteedShare * use.usable));
+    return std::max(1, saturatingCast<int>(order.guaranteedShare * use.usable));
 }
 
 } // namespace
--- a/src/kernel/configuration.cpp
+++ b/src/kernel/configuration.cpp
@@ -1,5 +1,6 @@
 #include "kernel/configuration.h"
 
+#include "base/saturating_cast.h"
 #include "kernel/configuration_keys.h"
 #include "kernel/maintenance_wave.h"
 #include "kernel/policy_registry.h"
@@ -38,7 +39,7 @@
         if (!key.fallback.empty()) {
             fallback = std::atoll(std::string(key.fallback).c_str());
         }
-        return m_reader.integer(name, {static_cast<std::int64_t>(key.minimum), static_cast<std::int64_t>(key.maximum)}, fallback);
+        return m_reader.integer(name, {saturatingCast<std::int64_t>(key.minimum), saturatingCast<std::int64_t>(key.maximum)}, fallback);
     }
 
     int smallInteger(std::string_view name)
--- a/src/kernel/loan_reserves.cpp
+++ b/src/kernel/loan_reserves.cpp
@@ -1,5 +1,7 @@
 #include "kernel/loan_reserves.h"
 
+#include "base/saturating_cast.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -39,7 +41,7 @@
     }
     const double ownSurplus = owned[m_self] - equalPart;
     const double deficit = equalPart - owned[peer];
-    return ownSurplus > 0 && deficit > 0 ? static_cast<int>(std::lround(deficit * ownSurplus / surplus)) : 0;
+    return ownSurplus > 0 && deficit > 0 ? saturatingCast<int>(std::round(deficit * ownSurplus / surplus)) : 0;
 }
 
 void loan_reserves::reserve(std::string_view peer, int missing, const slot_ledger &ledger, timestamp now)
--- a/src/kernel/maintenance_wave.cpp
+++ b/src/kernel/maintenance_wave.cpp
@@ -1,4 +1,5 @@
 #include "kernel/maintenance_wave.h"
+#include "base/saturating_cast.h"
 #include "kernel/fleet_controller.h"
 
 #include <algorithm>
@@ -32,7 +33,7 @@
 {
     const int rounds = (vms + concurrent - 1) / std::max(1, concurrent);
     const double minutes = rounds * minutesPerVm / windowShare(wave);
-    return duration(static_cast<std::int64_t>(minutes * 60e6));
+    return duration(saturatingCast<std::int64_t>(minutes * 60e6));
 }
 
 duration leadTime(const wave_config &wave, int vms)
--- a/src/kernel/pool_scheduler.cpp
+++ b/src/kernel/pool_scheduler.cpp
@@ -1,5 +1,6 @@
 #include "kernel/pool_scheduler.h"
 
+#include "base/saturating_cast.h"
 #include "kernel/policy_registry.h"
 #include "kernel/pool_state.h"
 
@@ -183,7 +184,7 @@
     borrower.setOwners(owners);
     ownerCount = std::max({1, static_cast<int>(owners.size()) + 1, static_cast<int>(event.entries.size())});
     reserves.setView(self, ownerCount);
-    health.setLimit(static_cast<int>(config.maxEjectedShare * static_cast<double>(event.targets.size())));
+    health.setLimit(saturatingCast<int>(config.maxEjectedShare * static_cast<double>(event.targets.size())));
     for (target_index index = 0; index < ledger.size(); ++index) {
         if (!ledger[index].inView) {
             health.reset(index);
--- a/src/node/key_lease.cpp
+++ b/src/node/key_lease.cpp
@@ -1,5 +1,7 @@
 #include "node/key_lease.h"
 
+#include "base/saturating_cast.h"
+
 #include <algorithm>
 
 namespace daisypass {
@@ -14,7 +16,7 @@
 // The longest age on this machine's clock at which less than the bound has certainly passed.
 sched::time_ms maxAgeFor(sched::time_ms boundMs)
 {
-    const sched::time_ms onSlowClock = static_cast<sched::time_ms>(static_cast<double>(boundMs) * (1.0 - clockError));
+    const sched::time_ms onSlowClock = saturatingCast<sched::time_ms>(static_cast<double>(boundMs) * (1.0 - clockError));
     return std::max<sched::time_ms>(0, onSlowClock - checkMarginMs);
 }
 
--- a/src/policies/sizing_policies.cpp
+++ b/src/policies/sizing_policies.cpp
@@ -1,3 +1,4 @@
+#include "base/saturating_cast.h"
 #include "kernel/policy_registry.h"
 #include "kernel/pool_balancer.h"
 
@@ -29,7 +30,7 @@
 int bucketOf(timestamp now, int bucketCount)
 {
     const double inWeek = std::fmod(seconds(now), weekSeconds);
-    return std::min(bucketCount - 1, static_cast<int>(inWeek / bucketSeconds));
+    return std::min(bucketCount - 1, saturatingCast<int>(inWeek / bucketSeconds));
 }
 
 // Dead band in VMs; it widens with the weight of moves relative to the weights of waiting and buffer.
@@ -72,7 +73,7 @@
     // A short peak looks like a steep rise for some minutes, so the extrapolation is limited to half of the level.
     double highest = m_shortMean + std::min(rise * (levelSeconds + forecastSeconds), m_shortMean / 2);
     for (double ahead = 0; ahead <= forecastSeconds; ahead += bucketSeconds / 2) {
-        const week_bucket &bucket = m_weeklyProfile[bucketOf(now + duration(static_cast<std::int64_t>(ahead * 1e6)), bucketsPerWeek)];
+        const week_bucket &bucket = m_weeklyProfile[bucketOf(now + duration(saturatingCast<std::int64_t>(ahead * 1e6)), bucketsPerWeek)];
         highest = bucket.known ? std::max(highest, bucket.mean) : highest;
     }
     return highest;
--- a/src/sched/pass_pacer.cpp
+++ b/src/sched/pass_pacer.cpp
@@ -1,5 +1,7 @@
 #include "sched/pass_pacer.h"
 
+#include "base/saturating_cast.h"
+
 #include <algorithm>
 
 namespace daisypass::sched {
@@ -16,7 +18,7 @@
 
 void pass_pacer::ran(time_ms startedAt, std::int64_t tookUs)
 {
-    const time_ms interval = static_cast<time_ms>(static_cast<double>(tookUs) / usPerMs / m_limits.maxShare);
+    const time_ms interval = saturatingCast<time_ms>(static_cast<double>(tookUs) / usPerMs / m_limits.maxShare);
     m_dueAt = startedAt + std::clamp(interval, m_limits.minIntervalMs, m_limits.maxIntervalMs);
 }
 
--- a/src/sched/scheduler_executors.cpp
+++ b/src/sched/scheduler_executors.cpp
@@ -2,6 +2,8 @@
 
 #include "sched/scheduler.h"
 
+#include "base/saturating_cast.h"
+
 #include <algorithm>
 
 namespace daisypass::sched {
@@ -476,7 +478,7 @@
 
 void scheduler::expireUnresponsive(time_ms now)
 {
-    const time_ms longestLeaseMs = static_cast<time_ms>(static_cast<double>(m_bounds.maxLeaseMs) * maxClockStretch) + leaseExpiryMarginMs;
+    const time_ms longestLeaseMs = saturatingCast<time_ms>(static_cast<double>(m_bounds.maxLeaseMs) * maxClockStretch) + leaseExpiryMarginMs;
     std::vector<std::string> empty;
     for (std::pair<const std::string, executor_record> &item : m_executors) {
         executor_record &executor = item.second;
--- a/src/sched/share_round.cpp
+++ b/src/sched/share_round.cpp
@@ -1,5 +1,6 @@
 #include "sched/share_round.h"
 
+#include "base/saturating_cast.h"
 #include "sched/fair_shares.h"
 
 #include <algorithm>
@@ -20,7 +21,7 @@
 resources scaled(const resources &one, double factor)
 {
     const auto scale = [factor](std::int64_t amount) {
-        return static_cast<std::int64_t>(static_cast<double>(amount) * factor);
+        return saturatingCast<std::int64_t>(static_cast<double>(amount) * factor);
     };
     return {scale(one.cpu), scale(one.memoryMb), scale(one.gpu)};
 }
--- a/src/standins/load_report.cpp
+++ b/src/standins/load_report.cpp
@@ -1,6 +1,7 @@
 #include "standins/load_report.h"
 
 #include "base/metrics.h"
+#include "base/saturating_cast.h"
 
 #include <algorithm>
 #include <fstream>
@@ -23,7 +24,7 @@
     if (latencies.empty()) {
         return 0;
     }
-    const std::size_t rank = std::min(latencies.size() - 1, static_cast<std::size_t>(share * static_cast<double>(latencies.size())));
+    const std::size_t rank = std::min(latencies.size() - 1, saturatingCast<std::size_t>(share * static_cast<double>(latencies.size())));
     std::nth_element(latencies.begin(), latencies.begin() + static_cast<std::ptrdiff_t>(rank), latencies.end());
     return static_cast<double>(latencies[rank].count()) / microsecondsPerMillisecond;
 }
--- a/tests/claim_logic_test.cpp
+++ b/tests/claim_logic_test.cpp
@@ -224,7 +224,7 @@
                 break;
             default:
                 entry.callStore(now);
-                entry.handle(claim_tick{}, now, step * 977);
+                entry.handle(claim_tick{}, now, std::uint64_t{977} * static_cast<std::uint64_t>(step));
                 break;
             }
         }
--- a/tests/fleet_world_test.cpp
+++ b/tests/fleet_world_test.cpp
@@ -21,7 +21,7 @@
     append("operator", {1, nextWriteId(), now, {first}}, {});
     for (int index = 1; index <= entryCount; ++index) {
         const std::string name = "entry-" + std::to_string(index);
-        entries[name].incarnation = static_cast<incarnation_number>(100 + index);
+        entries[name].incarnation = 100 + static_cast<incarnation_number>(index);
         failure reason;
         const log_head head = *log.readHead(reason);
         append(name, {head.revision + 1, nextWriteId(), now, {joined(name, entries[name].incarnation)}}, head);
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -37,7 +37,8 @@
             m_connecting.back().native_non_blocking(true);
             // Called directly because asio's connect would wait for the result.
             const asio::ip::tcp::endpoint full = m_acceptor.local_endpoint();
-            ::connect(m_connecting.back().native_handle(), full.data(), static_cast<socklen_t>(full.size()));
+            // Its result isn't used: it reports that the connection is being made, or why it isn't.
+            static_cast<void>(::connect(m_connecting.back().native_handle(), full.data(), static_cast<socklen_t>(full.size())));
         }
     }
 
--- a/tests/sched/entry_versions_test.cpp
+++ b/tests/sched/entry_versions_test.cpp
@@ -58,7 +58,7 @@
     std::size_t most = 0;
     for (int number = 1; number <= executorCount; ++number) {
         const std::string id = "e" + std::to_string(number);
-        world.taskScheduler.handle(executor_entry_changed{scheduler_fixture::entry(id), 2 * number}, world.now);
+        world.taskScheduler.handle(executor_entry_changed{scheduler_fixture::entry(id), std::int64_t{2} * number}, world.now);
         world.advance(lifetimeMs);
         world.taskScheduler.handle(executor_entry_removed{id, 2 * number + 1}, world.now);
         world.advance(lifetimeMs);
--- a/tests/sched/fleet_planner_test.cpp
+++ b/tests/sched/fleet_planner_test.cpp
@@ -146,7 +146,7 @@
     {
         fleet_view view;
         view.pools = {poolWith("booking", 0), sparePool()};
-        view.pools[0].arriving = {10 * 32'000, 1'000, 0};
+        view.pools[0].arriving = {10 * vmCapacity.cpu, 1'000, 0};
         for (int i = 0; i < 10; ++i) {
             view.vms.push_back(emptyVm("b" + std::to_string(i), "booking"));
         }
--- a/tests/sched/store_queue_test.cpp
+++ b/tests/sched/store_queue_test.cpp
@@ -63,7 +63,7 @@
     constexpr int jobs = 400;
     constexpr std::size_t rowsPerBatch = 80;
     scheduler_fixture world;
-    world.addExecutor("e1", 1'000 * jobs);
+    world.addExecutor("e1", std::int64_t{1'000} * jobs);
     world.storeReachable = false;
     for (int number = 0; number < jobs; ++number) {
         world.taskScheduler.handle(job_submitted{scheduler_fixture::job("j" + std::to_string(number), {scheduler_fixture::step(1)})}, world.now);
