--- a/tests/integration/child_process.cpp
+++ b/tests/integration/child_process.cpp
@@ -21,9 +21,17 @@
 
 constexpr std::chrono::milliseconds pollInterval{10};
 
+// Programs of another build can be tested: one that stands in the directory DAISYPASS_PROGRAMS goes before that of this build.
+std::string pathOf(const std::string &program)
+{
+    const char *directory = std::getenv("DAISYPASS_PROGRAMS");
+    const std::string other = directory == nullptr ? std::string() : std::string(directory) + '/' + program;
+    return !other.empty() && std::filesystem::exists(other) ? other : std::string(DAISYPASS_BIN_DIR) + '/' + program;
+}
+
 pid_t spawn(const std::string &program, const std::vector<std::string> &arguments, const std::string &logPath)
 {
-    const std::string path = std::string(DAISYPASS_BIN_DIR) + '/' + program;
+    const std::string path = pathOf(program);
     std::vector<std::string> texts{path};
     texts.insert(texts.end(), arguments.begin(), arguments.end());
     std::vector<char *> pointers;
