Registry: refuse an executor's entry with a capacity that can't be added

What operators would see: two entries of another writer with a Cpu near 2^63 overflow the capacity of the fleet, which then counts as below zero, so that a wave takes no account of waiting work.

Cause: capacities had no upper bound; the sum over all VMs is one of 64 bits. Looked for beside the sums of callers' numbers.

Change: a capacity above 1e12 is refused like one below zero, with the reason in the log, and the entry's executor gets no work.

--- a/src/platform/records.cpp
+++ b/src/platform/records.cpp
@@ -14,6 +14,8 @@
 using wire::json;
 
 constexpr std::string_view wavePrefix = "wave/";
+// Of an executor, in thousandths of a core, MB or GPUs. Sums over all executors fit in 64 bits.
+constexpr std::int64_t maxCapacity = 1'000'000'000'000;
 // More than 30 years, so that a wave's due time is a date.
 constexpr double maxWaveMs = 1e12;
 
@@ -45,13 +47,18 @@
         && isAbsentOr(entry, "Labels", isListOfTexts);
 }
 
+bool isCapacity(std::optional<std::int64_t> amount)
+{
+    return amount && *amount >= 0 && *amount <= maxCapacity;
+}
+
 // An executor without a GPU needn't name one. A capacity that can't be read isn't 0.
 std::optional<sched::resources> readCapacity(const json &item)
 {
     const std::optional<std::int64_t> cpu = wire::integerIn(item, "Cpu");
     const std::optional<std::int64_t> memoryMb = wire::integerIn(item, "MemMb");
     const std::optional<std::int64_t> gpu = wire::memberOf(item, "Gpu") == nullptr ? 0 : wire::integerIn(item, "Gpu");
-    if (!cpu || !memoryMb || !gpu || *cpu < 0 || *memoryMb < 0 || *gpu < 0) {
+    if (!isCapacity(cpu) || !isCapacity(memoryMb) || !isCapacity(gpu)) {
         return std::nullopt;
     }
     return sched::resources{*cpu, *memoryMb, *gpu};
--- a/src/platform/records.h
+++ b/src/platform/records.h
@@ -33,7 +33,10 @@
 std::optional<sched::executor_entry> readExecutor(std::string_view id, std::string_view text, failure &reason);
 std::optional<sched::vm_entry> readVm(const wire::json &item);
 
-/** Reads a submission's body. The caller must set the job's id, queue, pool, terms and time of acceptance. */
+/**
+ * Reads a submission's body. The caller must set the job's id, queue, pool, terms and time of acceptance. Demands and times outside the limits
+ * that docs/OPERATIONS.md names fail with OutOfRange.
+ */
 std::optional<sched::job_spec> readSubmission(std::string_view body, failure &reason);
 /** The body of an answer with a job's state. */
 std::string encodeJobState(std::string_view state);
