--- a/src/node/table_feed.cpp
+++ b/src/node/table_feed.cpp
@@ -233,15 +233,14 @@
     m_state->confirmsSoonAfterFaults = true;
 }
 
+// The state isn't locked here: its first other user is the answer to the call that is sent last. Callers may hold a lock that the handlers take.
 void table_feed::start()
 {
-    const std::lock_guard<std::mutex> guard(m_state->lock);
     m_state->beginSnapshot();
 }
 
 void table_feed::startAfter(std::int64_t version)
 {
-    const std::lock_guard<std::mutex> guard(m_state->lock);
     m_state->version = version;
     m_state->poll();
 }
