Acknowledgements: a done run's end waits while a start without an answer may come

Cause: the holder took the start as settled once a stop was confirmed, which holds for one incarnation. The next one knows neither the stop nor the fencing token, and its clock begins anew. The end of the run that did the task was acknowledged all the same, which makes its result final while a second run can still begin.

The caller's answer doesn't wait.

--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -209,6 +209,8 @@
     m_dependencies.metrics.findGauge("daisypass_holder_advice_window").set(static_cast<double>(m_scheduler.adviceCalls().window()));
     m_dependencies.metrics.findGauge("daisypass_holder_interfering_pairs").set(static_cast<double>(m_scheduler.interference().knownPairs()));
     m_dependencies.metrics.findGauge("daisypass_holder_placements_kept_apart").set(static_cast<double>(m_scheduler.counts().placementsKeptApart));
+    m_dependencies.metrics.findGauge("daisypass_holder_ends_deferred").set(static_cast<double>(m_scheduler.counts().deferredEnds));
+    m_dependencies.metrics.findGauge("daisypass_holder_ends_not_deferred").set(static_cast<double>(m_scheduler.counts().endsNotDeferred));
     const sched::tenant_gauges &tenants = m_scheduler.tenantGauges();
     m_dependencies.metrics.findGauge("daisypass_holder_tenant_top_use_over_share").set(tenants.topUseOverShare);
     m_dependencies.metrics.findGauge("daisypass_holder_tenant_tasks_waiting_for_cap").set(static_cast<double>(tenants.tasksWaitingForCap));
--- a/src/sched/executor_record.h
+++ b/src/sched/executor_record.h
@@ -5,6 +5,7 @@
 //     if (executor.takesNewRuns(now) && demand.fitsIn(executor.freeCapacity())) { ... place a task on it ... }
 
 #include "sched/abandoned_runs.h"
+#include "sched/deferred_ends.h"
 #include "sched/events.h"
 #include "sched/model.h"
 
@@ -105,6 +106,8 @@
     /** Jobs whose rows must be stored before processedEnds may be acknowledged. */
     std::set<std::string> unstoredJobs;
 
+    deferred_ends deferredEnds;
+
     /** Recent start orders without an answer, oldest first. */
     std::deque<unanswered_start> unansweredStarts;
 
@@ -183,7 +186,7 @@
     /** Whether it takes the runs of the suspects for which it is kept. */
     bool mayRunSuspect(time_ms now) const
     {
-        return listed && isResponsive() && !replacement && !entry.draining && !reserved && backoffUntil <= now;
+        return listed && isResponsive() && !replacement && !entry.draining && !reserved && !deferredEnds.awaitsLeaseEnd() && backoffUntil <= now;
     }
 };
 
--- a/src/sched/scheduler.cpp
+++ b/src/sched/scheduler.cpp
@@ -535,6 +535,7 @@
         addToBacklog(job);
     }
     expireUnresponsive(now);
+    settleDeferredEnds(now);
     giveUpCrashingTasks(now);
     resendStops(now);
     handleOverdueAdvice(now);
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -34,6 +34,7 @@
 #include "sched/job_rate.h"
 #include "sched/job_record.h"
 #include "sched/job_rows.h"
+#include "sched/late_starts.h"
 #include "sched/lease_rules.h"
 #include "sched/model.h"
 #include "sched/order_ledger.h"
@@ -71,6 +72,9 @@
     std::int64_t otherEnds = 0;
     std::int64_t lostRuns = 0;
     std::int64_t stops = 0;
+    /** Ends whose acknowledgement was deferred as a late start might begin another run, and those that were left out of it. */
+    std::int64_t deferredEnds = 0;
+    std::int64_t endsNotDeferred = 0;
     std::int64_t completedJobs = 0;
     std::int64_t failedJobs = 0;
     std::int64_t cancelledJobs = 0;
@@ -325,8 +329,21 @@
     std::int64_t trialPollWaitMs(const executor_record &executor, time_ms now) const;
     /** How long the executor may delay its answer to the next poll while no run ends. */
     std::int64_t pollWaitMs(const executor_record &executor, time_ms now) const;
-    void acknowledgeStored();
     void expireUnresponsive(time_ms now);
+    /** For how long an executor may extend its runs after an order that grants a lease, by this process's clock. */
+    time_ms longestLeaseMs() const;
+
+    // Acknowledgements of ends.
+    void acknowledgeStored();
+    /** Keeps a start order without an answer, which may still be carried out. */
+    void addUnansweredStart(executor_record &executor, const run_id &run, time_ms now);
+    /** Defers the acknowledgement of a done run's end while a start order without an answer may begin another run of the task. */
+    void deferIfStartMayCome(executor_record &executor, const listed_end &end, const step_spec &step, time_ms now);
+    bool mayDeferOn(const executor_record &executor) const;
+    /** A run has begun. If its start had no answer, and another run of the task was done, that run's end stays unacknowledged. */
+    void applyLateStart(const run_id &run);
+    /** Ends the deferral of ends for which no start can come any more. */
+    void settleDeferredEnds(time_ms now);
 
     // Runs.
     void occupy(const task_id &id, const step_spec &step, executor_record &executor);
@@ -476,6 +493,9 @@
     std::optional<time_ms> m_unexplainedCrashAt;
     /** Executors whose next poll may be due. */
     std::set<std::string> m_pollDue;
+    late_starts m_lateStarts;
+    /** Executors with ends whose acknowledgement is deferred. */
+    std::set<std::string> m_deferringExecutors;
     /** Executors with ends that can't be acknowledged until a job's row is stored. */
     std::set<std::string> m_executorsToAcknowledge;
     /** Jobs that may have tasks to place. */
--- a/src/sched/scheduler_executors.cpp
+++ b/src/sched/scheduler_executors.cpp
@@ -383,6 +383,7 @@
     executor.replacement.reset();
     executor.processedEnds = 0;
     executor.endsListed = false;
+    executor.deferredEnds.clear();
     executor.unstoredJobs.clear();
     executor.untracked = {};
     executor.untrackedRuns.clear();
@@ -453,32 +454,13 @@
     markDead(executor, now, "another_executor_at_address", {{"address", sentTo.address}});
 }
 
-void scheduler::acknowledgeStored()
+time_ms scheduler::longestLeaseMs() const
 {
-    for (auto executor = m_executorsToAcknowledge.begin(); executor != m_executorsToAcknowledge.end();) {
-        const auto foundExecutor = m_executors.find(*executor);
-        if (foundExecutor == m_executors.end()) {
-            executor = m_executorsToAcknowledge.erase(executor);
-            continue;
-        }
-        std::set<std::string> &unstored = foundExecutor->second.unstoredJobs;
-        for (auto id = unstored.begin(); id != unstored.end();) {
-            const auto found = m_jobs.find(*id);
-            const bool stored = found == m_jobs.end() || (!found->second->dirty && found->second->batch <= m_lastCommittedBatch);
-            id = stored ? unstored.erase(id) : std::next(id);
-        }
-        if (unstored.empty()) {
-            m_pollDue.insert(*executor);
-            executor = m_executorsToAcknowledge.erase(executor);
-        } else {
-            ++executor;
-        }
-    }
+    return saturatingCast<time_ms>(static_cast<double>(m_bounds.maxLeaseMs) * maxClockStretch) + leaseExpiryMarginMs;
 }
 
 void scheduler::expireUnresponsive(time_ms now)
 {
-    const time_ms longestLeaseMs = saturatingCast<time_ms>(static_cast<double>(m_bounds.maxLeaseMs) * maxClockStretch) + leaseExpiryMarginMs;
     std::vector<std::string> empty;
     for (std::pair<const std::string, executor_record> &item : m_executors) {
         executor_record &executor = item.second;
@@ -498,7 +480,7 @@
         if (executor.unresponsiveSince == 0 && !executor.dead) {
             continue;
         }
-        if (executor.lastLeaseGrantAt + longestLeaseMs < now) {
+        if (executor.lastLeaseGrantAt + longestLeaseMs() < now) {
             const std::set<task_id> runs = executor.runs;
             for (const task_id &id : runs) {
                 job_record &job = *m_jobs.at(id.job);
--- a/src/sched/scheduler_orders.cpp
+++ b/src/sched/scheduler_orders.cpp
@@ -50,7 +50,7 @@
     }
     if (what.status == order_status::Unknown) {
         // The order may still be carried out, in the executor's next incarnation too, also if the task doesn't need the run any more.
-        executor.unansweredStarts.push_back({what.task, what.run, now});
+        addUnansweredStart(executor, {what.task, what.run}, now);
     }
     if (!current) {
         return;
--- a/src/sched/scheduler_polls.cpp
+++ b/src/sched/scheduler_polls.cpp
@@ -14,6 +14,8 @@
 constexpr time_ms idlePollIntervalMs = 2'500;
 // Interval of polls, which extend the leases, while the listed ends can't be stored.
 constexpr time_ms unstoredPollIntervalMs = 1'000;
+// The same while the acknowledgement of ends is deferred. Polls return at once then, and the ends of other runs wait for the next one.
+constexpr time_ms deferredPollIntervalMs = 200;
 // Best-effort tasks are throttled while a response time is above the first share of its target, which leaves a margin before the
 // target is missed, and their share is raised while all are below the second. The executors report figures over half a second, so the
 // intervals let the effect of a change show before the next one.
@@ -56,6 +58,11 @@
             // A poll would return at once with the same ends. The next one is sent when they are stored, and acknowledges them.
             continue;
         }
+        const bool repeatsDeferredEnds = acknowledgementDue && !executor.deferredEnds.empty() && executor.unresponsiveSince == 0;
+        if (repeatsDeferredEnds && !executor.pollImmediately && now - executor.pollSentAt < deferredPollIntervalMs) {
+            m_pollDue.insert(id);
+            continue;
+        }
         const bool idlePollDue = now - executor.pollSentAt >= idlePollIntervalMs;
         const bool watched = !executor.confirmed || !executor.runs.empty() || executor.mayStartLate() || executor.unresponsiveSince != 0;
         if (executor.pollImmediately || watched || acknowledgementDue || idlePollDue) {
@@ -121,7 +128,7 @@
     // The cursor counts the ends of one incarnation. Only a poll that follows a list with ends carries it: any other may reach the next
     // incarnation, which would then discard ends that have not been read.
     const bool followsEnds = std::exchange(executor.endsListed, false);
-    order.acknowledged = followsEnds && executor.unstoredJobs.empty() ? executor.processedEnds : 0;
+    order.acknowledged = followsEnds && executor.unstoredJobs.empty() ? executor.deferredEnds.acknowledgeable(executor.processedEnds) : 0;
     const bool works = executor.isResponsive() && !executor.runs.empty();
     const time_ms leaseMs = grantableLeaseMs(now);
     if (works && leaseMs > 0) {
@@ -198,6 +205,7 @@
         if (end.number > executor.processedEnds) {
             executor.processedEnds = end.number;
             executor.abandoned.ended({end.task, end.run});
+            applyLateStart({end.task, end.run});
             applyEnd(executor, end, now);
         }
     }
@@ -205,6 +213,7 @@
     executor.untracked = {};
     executor.untrackedRuns.clear();
     for (const listed_run &run : what.runs) {
+        applyLateStart({run.task, run.run});
         const auto found = m_jobs.find(run.task.job);
         task_record *task = found == m_jobs.end() ? nullptr : found->second->find(run.task);
         if (found != m_jobs.end()) {
--- a/src/sched/scheduler_runs.cpp
+++ b/src/sched/scheduler_runs.cpp
@@ -90,6 +90,9 @@
     executor.unstoredJobs.insert(job.spec.id);
     m_executorsToAcknowledge.insert(executor.entry.id);
     task_record *task = job.find(end.task);
+    if (task != nullptr) {
+        deferIfStartMayCome(executor, end, job.spec.steps[static_cast<std::size_t>(end.task.step)], now);
+    }
     if (end.how == run_end::Done) {
         executor.failedJobs.clear();
     } else if (end.how == run_end::Failed) {
@@ -141,6 +144,9 @@
     }
     executor_record &executor = executorFor(task.executor, now);
     const run_id run{id, task.run};
+    if (task.phase == task_phase::Starting || task.phase == task_phase::Unconfirmed) {
+        m_lateStarts.add(run, now);
+    }
     executor.abandoned.add(run, step.countedDemand(), task.startSentAt == 0 ? now : task.startSentAt);
     executor.abandoned.stopSent(run, now);
     sendStop(id, task.run, executor);
@@ -245,7 +251,7 @@
     logEvent("run_lost", {{"task", id.text()}, {"run", std::to_string(task.run)}, {"executor", task.executor}, {"cause", std::string(cause)}});
     if (task.inherited) {
         // The stored row doesn't say whether the start order of the earlier lease holder was answered, so the order may still arrive.
-        executorFor(task.executor, now).unansweredStarts.push_back({id, task.run, now});
+        addUnansweredStart(executorFor(task.executor, now), {id, task.run}, now);
     }
     release(id, job.spec.steps[static_cast<std::size_t>(id.step)], task, now);
     markDirty(job);
