Jobs: a step keeps records of the tasks that are at work or retried only

Change: task_table keeps a record for a task from its first placement until it is done; the others share one, and done tasks are a bit each. Occurrences of a repeated job are opened while fewer than 512 of their tasks wait in steps whose turn has come, instead of up to 50,000 tasks. A step keeps the durations of its last 128 done tasks, for the comparison with running ones.

Tests: task_table_test.cpp. many_occurrences_test.cpp asked for more than 25,000 open tasks of a job; it now asks for a full window, and that occurrences are opened when earlier ones have begun. large_job_test.cpp read the run number of a done task, which isn't kept any more: its case asks for the phase instead, and a second one for the run number of a task that is to run again.

--- a/src/sched/job_record.cpp
+++ b/src/sched/job_record.cpp
@@ -27,31 +27,6 @@
 
 } // namespace
 
-std::string_view nameOf(wait_cause cause)
-{
-    switch (cause) {
-    case wait_cause::None:
-        break;
-    case wait_cause::NotConsidered:
-        return "not_considered";
-    case wait_cause::NoExecutor:
-        return "no_executor";
-    case wait_cause::OthersCrash:
-        return "others_crash";
-    case wait_cause::Judgement:
-        return "judgement";
-    case wait_cause::NoneToKeep:
-        return "none_to_keep";
-    case wait_cause::KeptBusy:
-        return "kept_busy";
-    case wait_cause::AttemptsUnknown:
-        return "attempts_unknown";
-    case wait_cause::TenantCap:
-        return "tenant_cap";
-    }
-    return "none";
-}
-
 std::string_view nameOf(job_phase phase)
 {
     return phaseNames[static_cast<std::size_t>(phase)];
@@ -63,23 +38,15 @@
     return found == phaseNames.end() ? std::nullopt : std::optional<job_phase>(static_cast<job_phase>(found - phaseNames.begin()));
 }
 
-run_pace task_record::paceAt(time_ms listedAt) const
-{
-    run_pace pace;
-    pace.percent = resumed ? 0 : percent;
-    pace.ranMs = static_cast<double>(progressAt - confirmedAt);
-    pace.sinceProgressMs = static_cast<double>(listedAt - progressAt);
-    pace.initialPercent = resumed ? 0 : confirmedPercent;
-    return pace;
-}
-
-bool task_record::countFailure(int failedRun)
+void step_record::keepDuration(const task_record &task)
 {
-    if (std::find(failedRuns.begin(), failedRuns.end(), failedRun) != failedRuns.end()) {
-        return false;
+    if (task.runDurationMs <= 0) {
+        return;
+    }
+    if (doneDurations.size() == maxDurationsPerStep) {
+        doneDurations.erase(doneDurations.begin());
     }
-    failedRuns.push_back(failedRun);
-    return true;
+    doneDurations.push_back({task.completedOn, task.runDurationMs});
 }
 
 bool occurrence_record::finished() const
@@ -122,14 +89,35 @@
 
 void job_record::openDueOccurrences(time_ms unixMs)
 {
-    const std::size_t maxOpen = std::max<std::size_t>(1, maxTasksPerJob / std::max<std::size_t>(1, taskCountOf(spec.steps)));
     const int next = occurrences.empty() ? firstOpen : occurrences.rbegin()->first + 1;
-    for (int number = next; number < occurrenceCount() && occurrences.size() < maxOpen; ++number) {
+    std::size_t ready = readyTasks();
+    for (int number = next; number < occurrenceCount() && ready < occurrenceWindowTasks; ++number) {
         if (spec.repeatCount > 0 && dueUnixMs(number) > unixMs) {
             return;
         }
         openNextOccurrence(number);
+        ready += readyTasksOf(occurrences.at(number));
+    }
+}
+
+std::size_t job_record::readyTasks() const
+{
+    std::size_t ready = 0;
+    for (const std::pair<const int, occurrence_record> &occurrence : occurrences) {
+        ready += readyTasksOf(occurrence.second);
+    }
+    return ready;
+}
+
+std::size_t job_record::readyTasksOf(const occurrence_record &occurrence) const
+{
+    std::size_t ready = 0;
+    for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+        if (isStepReady(occurrence, static_cast<int>(step))) {
+            ready += static_cast<std::size_t>(occurrence.steps[step].waiting);
+        }
     }
+    return ready;
 }
 
 void job_record::openOccurrencesUpTo(int last)
@@ -146,7 +134,7 @@
     occurrence.dueUnixMs = spec.repeatCount > 0 ? dueUnixMs(number) : spec.acceptedUnixMs;
     for (const step_spec &step : spec.steps) {
         step_record record;
-        record.tasks.resize(static_cast<std::size_t>(step.taskCount));
+        record.tasks = task_table(static_cast<std::size_t>(step.taskCount));
         record.waiting = step.taskCount;
         occurrence.steps.push_back(std::move(record));
     }
@@ -173,11 +161,11 @@
     if (occurrence == occurrences.end() || id.step < 0 || id.step >= static_cast<int>(occurrence->second.steps.size())) {
         return nullptr;
     }
-    std::vector<task_record> &tasks = occurrence->second.steps[static_cast<std::size_t>(id.step)].tasks;
+    task_table &tasks = occurrence->second.steps[static_cast<std::size_t>(id.step)].tasks;
     if (id.index < 0 || id.index >= static_cast<int>(tasks.size())) {
         return nullptr;
     }
-    return &tasks[static_cast<std::size_t>(id.index)];
+    return &tasks.record(static_cast<std::size_t>(id.index));
 }
 
 bool job_record::anyOccupying() const
--- a/src/sched/job_state.cpp
+++ b/src/sched/job_state.cpp
@@ -175,7 +175,7 @@
     // Former versions stored a long-running task as done when a run had ended so. It is still to be run.
     const bool lasts = job.spec.steps[static_cast<std::size_t>(row[1].get<int>())].longRunning;
     if (kind == kindDone && !lasts) {
-        task->phase = task_phase::Done;
+        step.tasks.finish(static_cast<std::size_t>(row[2].get<int>() + offset));
         ++step.done;
         --step.waiting;
         job.stepFinished();
@@ -312,7 +312,7 @@
     task_lists lists;
     for (const std::pair<const int, occurrence_record> &occurrence : job.occurrences) {
         for (std::size_t step = 0; step < occurrence.second.steps.size(); ++step) {
-            const std::vector<task_record> &records = occurrence.second.steps[step].tasks;
+            const task_table &records = occurrence.second.steps[step].tasks;
             for (std::size_t index = 0; index < records.size(); ++index) {
                 if (isNeeded(job, records[index])) {
                     appendTask(lists.tasks, occurrence.first, step, index, records[index]);
@@ -340,7 +340,7 @@
     const std::vector<step_record> &steps = job.occurrences.at(occurrence).steps;
     std::size_t before = 0;
     for (std::size_t step = 0; step < steps.size() && before < end; ++step) {
-        const std::vector<task_record> &records = steps[step].tasks;
+        const task_table &records = steps[step].tasks;
         const std::size_t stop = std::min(records.size(), end - before);
         std::size_t index = first > before ? first - before : 0;
         while (index < stop) {
--- a/src/sched/placement_choice.cpp
+++ b/src/sched/placement_choice.cpp
@@ -27,9 +27,9 @@
     if (stepSpec.maxTasksPerExecutor == 0) {
         return count;
     }
-    for (const task_record &task : ready.occurrence->steps[static_cast<std::size_t>(ready.step)].tasks) {
-        if (task.occupies()) {
-            ++count[task.executor];
+    for (const std::pair<const std::size_t, task_record> &task : ready.occurrence->steps[static_cast<std::size_t>(ready.step)].tasks.records()) {
+        if (task.second.occupies()) {
+            ++count[task.second.executor];
         }
     }
     return count;
--- a/src/sched/placement_gang.cpp
+++ b/src/sched/placement_gang.cpp
@@ -12,7 +12,8 @@
 {
     step_record &record = ready.occurrence->steps[static_cast<std::size_t>(ready.step)];
     int run = 0;
-    for (const task_record &task : record.tasks) {
+    for (std::size_t index = 0; index < record.tasks.size(); ++index) {
+        const task_record &task = record.tasks[index];
         if (task.phase != task_phase::Waiting || task.notBefore > now || !owner.mayRetry(*ready.job, task)) {
             return;
         }
@@ -39,8 +40,8 @@
     std::vector<executor_record *> chosen;
     std::map<std::string, int> here;
     const resources demand = stepSpec.countedDemand();
-    for (const task_record &task : record.tasks) {
-        executor_record *candidate = choose(stepSpec, task, candidates, here);
+    for (std::size_t index = 0; index < record.tasks.size(); ++index) {
+        executor_record *candidate = choose(stepSpec, record.tasks[index], candidates, here);
         if (candidate == nullptr) {
             break;
         }
@@ -64,17 +65,18 @@
 }
 
 // The checkpoint of any member is valid for the gang, and all must start from the same one.
-void scheduler::placement_pass::shareCheckpoint(std::vector<task_record> &members)
+void scheduler::placement_pass::shareCheckpoint(task_table &members)
 {
-    const auto known = std::find_if(members.begin(), members.end(), [](const task_record &member) {
-        return !member.checkpoint.empty();
+    const std::map<std::size_t, task_record> &records = members.records();
+    const auto known = std::find_if(records.begin(), records.end(), [](const std::pair<const std::size_t, task_record> &member) {
+        return !member.second.checkpoint.empty();
     });
-    if (known == members.end()) {
+    if (known == records.end()) {
         return;
     }
-    const std::string checkpoint = known->checkpoint;
-    for (task_record &member : members) {
-        member.checkpoint = checkpoint;
+    const std::string checkpoint = known->second.checkpoint;
+    for (std::size_t index = 0; index < members.size(); ++index) {
+        members.record(index).checkpoint = checkpoint;
     }
 }
 
--- a/src/sched/placement_pass.h
+++ b/src/sched/placement_pass.h
@@ -139,7 +139,7 @@
     // Steps whose tasks start together or not at all.
     void placeGang(ready_step &ready, const step_spec &stepSpec, placement_candidates &candidates);
     bool placeMembers(ready_step &ready, const step_spec &stepSpec, placement_candidates &candidates, int run);
-    static void shareCheckpoint(std::vector<task_record> &members);
+    static void shareCheckpoint(task_table &members);
 };
 
 } // namespace daisypass::sched
--- a/src/sched/placement_suspects.cpp
+++ b/src/sched/placement_suspects.cpp
@@ -15,15 +15,16 @@
     if (step.proven || step.done > 0 || spec.gang || !crashesExpected(job.spec.queue)) {
         return false;
     }
-    const bool tried = std::any_of(step.tasks.begin(), step.tasks.end(), [](const task_record &task) {
-        return task.occupies() || task.isSuspect();
+    const std::map<std::size_t, task_record> &records = step.tasks.records();
+    const bool tried = std::any_of(records.begin(), records.end(), [](const std::pair<const std::size_t, task_record> &task) {
+        return task.second.occupies() || task.second.isSuspect();
     });
-    const auto first = std::find_if(step.tasks.begin(), step.tasks.end(), [this](const task_record &task) {
-        return task.phase == task_phase::Waiting && task.notBefore <= now;
-    });
-    if (!tried && first != step.tasks.end()) {
-        const int index = static_cast<int>(first - step.tasks.begin());
-        addSuspect(job, {job.spec.id, occurrence.number, number, index}, suspicion::Untried, job.acceptedAt);
+    std::size_t first = 0;
+    while (first < step.tasks.size() && (step.tasks[first].phase != task_phase::Waiting || step.tasks[first].notBefore > now)) {
+        ++first;
+    }
+    if (!tried && first < step.tasks.size()) {
+        addSuspect(job, {job.spec.id, occurrence.number, number, static_cast<int>(first)}, suspicion::Untried, job.acceptedAt);
     }
     return true;
 }
--- a/src/sched/scheduler.cpp
+++ b/src/sched/scheduler.cpp
@@ -209,7 +209,7 @@
             failed.push_back(id);
         }
     };
-    job.forEachIn(task_phase::Waiting, collect);
+    job.forEachPlacedIn(task_phase::Waiting, collect);
     job.forEachOccupying(collect);
     for (const task_id &id : failed) {
         failIfOutOfAttempts(job, id, *job.find(id), now);
@@ -459,7 +459,7 @@
 
 void scheduler::emitStarts(job_record &job, std::int64_t batch, time_ms now)
 {
-    job.forEachIn(task_phase::Placing, [&](const task_id &id, task_record &task) {
+    job.forEachPlacedIn(task_phase::Placing, [&](const task_id &id, task_record &task) {
         if (task.batch == 0 || task.batch > batch) {
             return;
         }
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -355,7 +355,7 @@
     /** Gives up the task's current run, because another run has done the task, and sends a stop for it. */
     void abandonRun(const task_id &id, const task_record &task, const step_spec &step, time_ms now);
     void endRun(job_record &job, const task_id &id, task_record &task, run_end how, const std::string &checkpoint, time_ms now);
-    void completeTask(job_record &job, const task_id &id, task_record &task, time_ms now);
+    void completeTask(job_record &job, const task_id &id, time_ms now);
     void failTask(job_record &job, const task_id &id, task_record &task, time_ms now);
     void failIfOutOfAttempts(job_record &job, const task_id &id, const task_record &task, time_ms now);
     /** Returns the task to its waiting state because its run can't be alive any more and has no known end. */
--- a/src/sched/scheduler_drain.cpp
+++ b/src/sched/scheduler_drain.cpp
@@ -121,7 +121,7 @@
 
     void claimForWaiting(const job_record &job, const occurrence_record &occurrence, int step)
     {
-        const std::vector<task_record> &tasks = occurrence.steps[static_cast<std::size_t>(step)].tasks;
+        const task_table &tasks = occurrence.steps[static_cast<std::size_t>(step)].tasks;
         for (std::size_t index = 0; index < tasks.size(); ++index) {
             if (tasks[index].phase == task_phase::Waiting || tasks[index].phase == task_phase::Stopping) {
                 claim(job, {job.spec.id, occurrence.number, step, static_cast<int>(index)});
@@ -210,7 +210,7 @@
     // task may be unavailable even if the budget is 0.
     bool mayInterrupt(const job_record &job, const task_id &id, const executor_record *together) const
     {
-        const std::vector<task_record> &tasks = job.occurrences.at(id.occurrence).steps[static_cast<std::size_t>(id.step)].tasks;
+        const task_table &tasks = job.occurrences.at(id.occurrence).steps[static_cast<std::size_t>(id.step)].tasks;
         int away = 0;
         for (std::size_t index = 0; index < tasks.size(); ++index) {
             const task_record &other = tasks[index];
--- a/src/sched/scheduler_place.cpp
+++ b/src/sched/scheduler_place.cpp
@@ -189,13 +189,13 @@
     const bool constrained = requiresAdvice || stepSpec.maxTasksPerExecutor > 0 || !stepSpec.requiredLabel.empty();
     std::map<std::string, int> here = tasksByExecutor(ready, stepSpec);
     step_record &record = ready.occurrence->steps[static_cast<std::size_t>(ready.step)];
-    for (std::size_t index = 0; index < record.tasks.size() && record.waiting > 0; ++index) {
-        task_record &task = record.tasks[index];
+    for (std::size_t index = record.tasks.firstUnfinished(); index < record.tasks.size() && record.waiting > 0; ++index) {
+        const task_record &task = record.tasks[index];
         if (task.phase != task_phase::Waiting || task.notBefore > now) {
             continue;
         }
         if (!owner.mayRetry(*ready.job, task)) {
-            task.waitCause = wait_cause::AttemptsUnknown;
+            record.tasks.record(index).waitCause = wait_cause::AttemptsUnknown;
             continue;
         }
         if (task.isSuspect()) {
@@ -219,7 +219,7 @@
             if (!constrained) {
                 refused.push_back(demand);
             }
-            task.waitCause = wait_cause::NoExecutor;
+            record.tasks.record(index).waitCause = wait_cause::NoExecutor;
             record.leaveOutFrom(index + 1);
             return;
         }
@@ -235,7 +235,7 @@
     job_record &job = *ready.job;
     const task_id id{job.spec.id, ready.occurrence->number, ready.step, index};
     step_record &record = ready.occurrence->steps[static_cast<std::size_t>(ready.step)];
-    task_record &task = record.tasks[static_cast<std::size_t>(index)];
+    task_record &task = record.tasks.record(static_cast<std::size_t>(index));
     task.phase = task_phase::Placing;
     task.run = run;
     task.executor = executor.entry.id;
@@ -293,7 +293,7 @@
 void scheduler::logLongWaits(time_ms now)
 {
     for (job_record *job : m_backlog) {
-        job->forEachIn(task_phase::Waiting, [&](const task_id &id, task_record &task) {
+        job->forEachPlacedIn(task_phase::Waiting, [&](const task_id &id, task_record &task) {
             if (task.waitLogged || task.waitingSince == 0 || now - task.waitingSince < longWaitMs) {
                 return;
             }
--- a/src/sched/scheduler_progress.cpp
+++ b/src/sched/scheduler_progress.cpp
@@ -80,12 +80,14 @@
 std::vector<double> scheduler::siblingDurations(const step_record &step, const std::string &executor) const
 {
     std::vector<double> durations;
-    for (const task_record &task : step.tasks) {
-        if (task.phase == task_phase::Done && task.runDurationMs > 0 && task.completedOn != executor) {
-            durations.push_back(static_cast<double>(task.runDurationMs));
+    for (const run_duration &done : step.doneDurations) {
+        if (done.executor != executor) {
+            durations.push_back(static_cast<double>(done.durationMs));
         }
-        if (task.phase == task_phase::Running && task.executor != executor) {
-            const std::optional<double> total = task.paceAt(task.progressAt).totalMs();
+    }
+    for (const std::pair<const std::size_t, task_record> &task : step.tasks.records()) {
+        if (task.second.phase == task_phase::Running && task.second.executor != executor) {
+            const std::optional<double> total = task.second.paceAt(task.second.progressAt).totalMs();
             if (total) {
                 durations.push_back(*total);
             }
--- a/src/sched/scheduler_runs.cpp
+++ b/src/sched/scheduler_runs.cpp
@@ -113,7 +113,7 @@
             updateSlowness(executor, stepSpec, *task, now);
             learnDuration(job, end.task, *task, executor);
         }
-        completeTask(job, end.task, *task, now);
+        completeTask(job, end.task, now);
         return;
     }
     if (current) {
@@ -176,27 +176,27 @@
     markDirty(job);
 }
 
-void scheduler::completeTask(job_record &job, const task_id &id, task_record &task, time_ms now)
+void scheduler::completeTask(job_record &job, const task_id &id, time_ms now)
 {
     const step_spec &stepSpec = job.spec.steps[static_cast<std::size_t>(id.step)];
     step_record &step = job.occurrences.at(id.occurrence).steps[static_cast<std::size_t>(id.step)];
     const int first = stepSpec.gang ? 0 : id.index;
     const int last = stepSpec.gang ? stepSpec.taskCount - 1 : id.index;
     for (int index = first; index <= last; ++index) {
-        task_record &member = step.tasks[static_cast<std::size_t>(index)];
-        if (member.phase == task_phase::Done) {
+        if (step.tasks[static_cast<std::size_t>(index)].phase == task_phase::Done) {
             continue;
         }
+        task_record &member = step.tasks.record(static_cast<std::size_t>(index));
         if (member.occupies()) {
             release({id.job, id.occurrence, id.step, index}, stepSpec, member, now);
         }
         --step.waiting;
         ++step.done;
-        member.phase = task_phase::Done;
-        member.executor.clear();
-        member.checkpoint.clear();
+        step.keepDuration(member);
+        step.tasks.finish(static_cast<std::size_t>(index));
     }
     if (step.finished()) {
+        step.doneDurations.clear();
         job.stepFinished();
     }
     markDirty(job);
