Jobs: an account of the lease holder's memory, and refusals of what doesn't fit

Cause: nothing bounded the memory of all accepted jobs together, neither where they are accepted nor where they are restored.

A node refuses what doesn't fit with 429 and a Retry-After, unless the store has an earlier submission of the job. Ended jobs drop their text and tasks once their state is stored.

--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -204,6 +204,8 @@
     m_scheduler.handle(sched::tick{unixMillis()}, now);
     m_relays->setExecutors(m_scheduler.executors().size());
     m_dependencies.metrics.findGauge("daisypass_holder_jobs_waiting_for_store").set(static_cast<double>(m_scheduler.jobsWaitingForStore()));
+    m_dependencies.metrics.findGauge("daisypass_holder_job_bytes").set(static_cast<double>(m_scheduler.jobAccount().usedBytes()));
+    m_dependencies.metrics.findGauge("daisypass_holder_job_bytes_free").set(static_cast<double>(m_scheduler.jobAccount().room(now).bytes));
     m_dependencies.metrics.findGauge("daisypass_holder_corrected_queues").set(static_cast<double>(m_scheduler.correctedQueues()));
     m_dependencies.metrics.findGauge("daisypass_holder_advice_calls").set(static_cast<double>(m_scheduler.adviceCalls().underWay()));
     m_dependencies.metrics.findGauge("daisypass_holder_advice_window").set(static_cast<double>(m_scheduler.adviceCalls().window()));
@@ -245,7 +247,12 @@
 
 std::string dispatcher::encodeLease(bool released, bool stopping) const
 {
-    return sched::writeLease({m_term.node, m_term.incarnation, m_term.term, released, stopping, m_term.times.earlierGrantsLeft(steadyMillis())});
+    const sched::time_ms now = steadyMillis();
+    sched::lease_row row{m_term.node, m_term.incarnation, m_term.term, released, stopping, m_term.times.earlierGrantsLeft(now), std::nullopt};
+    if (m_recovered && !released) {
+        row.jobRoom = m_scheduler.jobAccount().room(now);
+    }
+    return sched::writeLease(row);
 }
 
 void dispatcher::release(bool stopping, std::function<void()> done)
--- a/src/node/front_service.cpp
+++ b/src/node/front_service.cpp
@@ -336,12 +336,42 @@
         respond(finalAnswer(jsonTextResponse(statusUnavailable, R"({"Reason":"job_too_long"})")));
         return;
     }
+    if (const std::optional<job_refusal> noRoom = m_admission.decide(sched::openJobSize(*job), steadyMillis())) {
+        refuseUnlessStored(job->id, row, *noRoom, std::move(respond));
+        return;
+    }
     m_writer->add(
         key, row, writeDeadline(request, call.mayForward), [this, row, id = job->id, respond = std::move(respond)](const submission_outcome &written) {
             finishSubmission(id, row, written, respond);
         });
 }
 
+// A job whose submission is stored was accepted, and this is a repetition. Only a job that isn't stored may be told not to run.
+void front_service::refuseUnlessStored(const std::string &job, const std::string &row, const job_refusal &noRoom, front_responder respond)
+{
+    const row_key key = tables::jobRow(job);
+    m_store.get({key.table, key.part, job, job + '!'}, readTimeout, [this, job, row, noRoom, respond = std::move(respond)](const rows_result &result) {
+        if (result.status != store_status::Ok) {
+            logEvent("job_refused", {{"request", job}, {"reason", "store_refused"}});
+            respond(storeUnavailable());
+            return;
+        }
+        if (!result.rows.empty()) {
+            finishSubmission(job, row, {submission_result::Exists, result.rows.front().value}, respond);
+            return;
+        }
+        m_metrics.findCounter("daisypass_jobs_refused_total", {{"reason", "no_room"}}).add();
+        logEvent("job_refused",
+                 {{"request", job},
+                  {"reason", "no_room"},
+                  {"needed_bytes", noRoom.neededBytes},
+                  {"free_bytes", noRoom.freeBytes},
+                  {"room_age_ms", noRoom.ageMs},
+                  {"retry_after_s", noRoom.retryAfterSeconds}});
+        respond(finalAnswer(refusal(statusTooMany, noRoom.retryAfterSeconds)));
+    });
+}
+
 void front_service::finishSubmission(const std::string &job, const std::string &row, const submission_outcome &written, const front_responder &respond)
 {
     switch (written.result) {
--- a/src/node/front_service.h
+++ b/src/node/front_service.h
@@ -10,6 +10,7 @@
 #include "base/metrics.h"
 #include "http/http_server.h"
 #include "node/job_access.h"
+#include "node/job_admission.h"
 #include "node/key_check.h"
 #include "node/key_lease.h"
 #include "node/submission_writer.h"
@@ -81,6 +82,10 @@
     /** Sets the rules of keys, and the lease by which the node's knowledge of them is judged. Called before the first request. */
     void useKeys(const key_rules &rules, std::shared_ptr<const key_lease> lease);
     void configure(std::shared_ptr<const sched::configuration_view> view);
+    job_admission &admission()
+    {
+        return m_admission;
+    }
     void handle(http_request request, http_responder respond);
     /** Serves a request that another node has forwarded; it isn't forwarded again. */
     void handleForwarded(http_request request, http_responder respond);
@@ -130,6 +135,8 @@
     void submit(const http_request &request, const admitted_call &call, front_responder respond);
     void answerJobState(const std::string &job, front_responder respond);
     void answerUnplacedJobState(const std::string &job, front_responder respond);
+    /** Refuses a job for which the lease holder has no room, unless an earlier submission of it was stored. */
+    void refuseUnlessStored(const std::string &job, const std::string &row, const job_refusal &noRoom, front_responder respond);
     void finishSubmission(const std::string &job, const std::string &row, const submission_outcome &written, const front_responder &respond);
     void cancel(const admitted_call &call, sched::time_ms deadline, front_responder respond);
     /** Cancels the job of a stored submission if the caller may cancel it. */
@@ -145,6 +152,7 @@
     metrics_registry &m_metrics;
     request_forwarder m_forward;
     stored_row_listener m_onRowStored;
+    job_admission m_admission;
     std::size_t m_maxRowBytes = sched::bounds{}.rowBytes;
     std::atomic<sched::time_ms> m_storeFailedAt{0};
     std::mutex m_lock;
--- a/src/node/leadership.cpp
+++ b/src/node/leadership.cpp
@@ -64,6 +64,7 @@
 void leadership::onRow(const store_row &row)
 {
     bool superseded = false;
+    std::optional<sched::job_room> room;
     {
         const std::lock_guard<std::mutex> guard(m_lock);
         if (row.key == tables::termRow()) {
@@ -76,6 +77,7 @@
             m_rules.onRowRead(lease, row.deleted ? 0 : row.version, steadyMillis());
             if (lease) {
                 m_highestTerm = std::max(m_highestTerm, lease->term);
+                room = lease->jobRoom;
             }
             superseded = m_heldTerm != 0 && lease && lease->term > m_heldTerm;
             if (superseded) {
@@ -83,6 +85,9 @@
             }
         }
     }
+    if (room) {
+        m_handlers.jobRoomRead(*room);
+    }
     if (superseded) {
         m_handlers.termLost();
     }
@@ -159,7 +164,7 @@
     m_acquiring = true;
     const sched::time_ms now = steadyMillis();
     const sched::term_times times{now, m_rules.earlierGrantsUntil(now)};
-    const sched::lease_row requested{m_self.node, m_self.incarnation, sched::nextTerm(m_highestTerm), false, false, times.earlierGrantsLeft(now)};
+    const sched::lease_row requested{m_self.node, m_self.incarnation, sched::nextTerm(m_highestTerm), false, false, times.earlierGrantsLeft(now), std::nullopt};
     row_transaction transaction;
     transaction.preconditions = {{tables::holderRow(), std::max<std::int64_t>(0, m_rules.version())}, {tables::termRow(), m_termVersion}};
     transaction.puts = {{tables::holderRow(), sched::writeLease(requested)}, {tables::termRow(), std::to_string(requested.term)}};
--- a/src/node/leadership.h
+++ b/src/node/leadership.h
@@ -34,6 +34,8 @@
     std::function<void(const held_term &)> termGained;
     /** Called when the lease row shows a higher term than the one that this process holds. */
     std::function<void()> termLost;
+    /** Called with what the lease holder can still take, as often as its row tells. */
+    std::function<void(const sched::job_room &)> jobRoomRead;
     /** Called after each read of the lease, with whether the store was reached. */
     std::function<void(bool reached)> storeReached;
     /** Must try to connect to a node and report whether the connection was refused. */
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -362,6 +362,9 @@
         leaseHandlers.termLost = [this] {
             onTermLost();
         };
+        leaseHandlers.jobRoomRead = [this](const sched::job_room &room) {
+            front.admission().onRoom(room, steadyMillis());
+        };
         leaseHandlers.storeReached = [this](bool reached) {
             recordStoreResult(reached);
         };
--- a/src/sched/job_record.cpp
+++ b/src/sched/job_record.cpp
@@ -6,6 +6,10 @@
 namespace daisypass::sched {
 namespace {
 
+// Open occurrences of a job have this many steps together, unless fewer than minOpenOccurrences would be open.
+constexpr std::size_t maxOpenSteps = 1'024;
+constexpr std::size_t minOpenOccurrences = 16;
+
 constexpr std::array<std::string_view, 5> phaseNames{"pending", "running", "completed", "failed", "cancelled"};
 
 // Length of the critical path through the steps; with an occurrence, finished steps count as 0.
@@ -27,6 +31,11 @@
 
 } // namespace
 
+std::size_t maxOpenOccurrences(const job_spec &spec)
+{
+    return std::max(minOpenOccurrences, maxOpenSteps / std::max<std::size_t>(1, spec.steps.size()));
+}
+
 std::string_view nameOf(job_phase phase)
 {
     return phaseNames[static_cast<std::size_t>(phase)];
@@ -91,7 +100,7 @@
 {
     const int next = occurrences.empty() ? firstOpen : occurrences.rbegin()->first + 1;
     std::size_t ready = readyTasks();
-    for (int number = next; number < occurrenceCount() && ready < occurrenceWindowTasks; ++number) {
+    for (int number = next; number < occurrenceCount() && ready < occurrenceWindowTasks && occurrences.size() < maxOpenOccurrences(spec); ++number) {
         if (spec.repeatCount > 0 && dueUnixMs(number) > unixMs) {
             return;
         }
@@ -214,6 +223,12 @@
     return *m_remainingPathMs;
 }
 
+void job_record::trim()
+{
+    spec.payload = {};
+    occurrences.clear();
+}
+
 bool job_record::hasLongRunning() const
 {
     return std::any_of(spec.steps.begin(), spec.steps.end(), [](const step_spec &step) {
--- a/src/sched/job_record.h
+++ b/src/sched/job_record.h
@@ -7,6 +7,7 @@
 //     if (task_record *task = job.find(id)) { ... }
 
 #include "sched/model.h"
+#include "sched/job_account.h"
 #include "sched/task_record.h"
 #include "sched/task_table.h"
 
@@ -98,6 +99,8 @@
 inline constexpr std::size_t maxTasksPerJob = 50'000;
 /** Occurrences that are due are opened while fewer tasks than this wait in steps whose turn has come. A placement pass needs no more. */
 inline constexpr std::size_t occurrenceWindowTasks = 512;
+/** The most occurrences of a job that are open at a time. */
+std::size_t maxOpenOccurrences(const job_spec &spec);
 
 enum class job_phase { Pending, Running, Completed, Failed, Cancelled };
 
@@ -137,6 +140,8 @@
     std::int64_t criticalPathMs = 0;
     /** The estimates of the steps as the caller gave them; those in `spec` may have been replaced. */
     std::vector<std::int64_t> callerEstimatesMs;
+    /** What the job is charged for in the account of the lease holder's memory. */
+    job_size charged;
     /** Number of the batch that stores the job's latest change. */
     std::int64_t batch = 0;
 
@@ -145,7 +150,7 @@
         return phase == job_phase::Completed || phase == job_phase::Failed || phase == job_phase::Cancelled;
     }
 
-    /** Creates the occurrences that are due at this time, as far as occurrenceWindowTasks allows. */
+    /** Creates the occurrences that are due at this time, as far as occurrenceWindowTasks and maxOpenOccurrences allow. */
     void openDueOccurrences(time_ms unixMs);
     /** Creates all occurrences up to this number that aren't finished: a former lease holder had them open. */
     void openOccurrencesUpTo(int last);
@@ -183,6 +188,8 @@
         m_remainingPathMs.reset();
     }
     bool hasLongRunning() const;
+    /** Drops what an ended job without runs doesn't need any more. */
+    void trim();
 
 private:
     void openNextOccurrence(int number);
--- a/src/sched/lease_rules.cpp
+++ b/src/sched/lease_rules.cpp
@@ -21,6 +21,19 @@
 // Consecutive refused connections after which the holder's process counts as gone.
 constexpr int refusalsNeeded = 2;
 
+// [free bytes, free bytes for large jobs, bytes freed per second]
+std::optional<job_room> readJobRoom(const json &value)
+{
+    constexpr std::size_t fields = 3;
+    const bool readable = value.is_array() && value.size() == fields && std::all_of(value.begin(), value.end(), [](const json &field) {
+                              return field.is_number_integer();
+                          });
+    if (!readable) {
+        return std::nullopt;
+    }
+    return job_room{value[0].get<std::int64_t>(), value[1].get<std::int64_t>(), value[2].get<std::int64_t>()};
+}
+
 std::uint64_t hashOf(std::string_view text)
 {
     // FNV-1a.
@@ -35,13 +48,16 @@
 
 std::string writeLease(const lease_row &row)
 {
-    return json{{"node", row.node},
-                {"incarnation", row.incarnation},
-                {"term", row.term},
-                {"released", row.released},
-                {"stopped", row.stopped},
-                {"earlier_grants_ms", row.earlierGrantsMs}}
-        .dump();
+    json value{{"node", row.node},
+               {"incarnation", row.incarnation},
+               {"term", row.term},
+               {"released", row.released},
+               {"stopped", row.stopped},
+               {"earlier_grants_ms", row.earlierGrantsMs}};
+    if (row.jobRoom) {
+        value["job_room"] = {row.jobRoom->bytes, row.jobRoom->largeJobBytes, row.jobRoom->freedBytesPerSecond};
+    }
+    return value.dump();
 }
 
 std::optional<lease_row> readLease(std::string_view text)
@@ -58,6 +74,7 @@
     row.stopped = value.value("stopped", false);
     // A row without this field may be of a holder that took over from a holder that is still alive.
     row.earlierGrantsMs = value.value("earlier_grants_ms", grantsWithoutRenewalMs);
+    row.jobRoom = readJobRoom(value.value("job_room", json()));
     return row;
 }
 
--- a/src/sched/lease_rules.h
+++ b/src/sched/lease_rules.h
@@ -11,6 +11,7 @@
 // process has ended refuses connections, so after refusals the lease can be acquired before it expires. A holder that doesn't answer
 // may be alive behind a broken link, so its lease has to expire first.
 
+#include "sched/job_account.h"
 #include "sched/model.h"
 
 #include <algorithm>
@@ -72,6 +73,8 @@
     bool stopped = false;
     /** How long after this row was written earlier holders may still extend leases of executors. */
     time_ms earlierGrantsMs = 0;
+    /** What the holder can still take; empty before it has read the stored jobs. */
+    std::optional<job_room> jobRoom{};
 };
 
 std::string writeLease(const lease_row &row);
--- a/src/sched/model.h
+++ b/src/sched/model.h
@@ -311,6 +311,8 @@
     double fleetOrdersPerSecond = 64;
     /** Largest row that the store takes. */
     std::size_t rowBytes = 65'536;
+    /** Memory that a lease holder may use for jobs that it has accepted and not deleted. */
+    std::size_t jobBytes = 33'554'432;
 };
 
 } // namespace daisypass::sched
--- a/src/sched/scheduler.cpp
+++ b/src/sched/scheduler.cpp
@@ -65,6 +65,7 @@
     : m_bounds(withCappedLease(limits))
     , m_term(term)
     , m_renewedAt(term.acquiredAt)
+    , m_jobAccount(limits.jobBytes)
     , m_fleetPlanner(limits)
     , m_fleetOrders(limits.leaseMs + fleetOrderMarginMs, limits.rowBytes)
     , m_placementPacer(placementLimits)
@@ -130,6 +131,7 @@
     job_record &restored = *job;
     m_jobs[spec.id] = std::move(job);
     addToTenant(restored);
+    charge(restored, openJobSize(spec), now);
     job_rows rows;
     rows.restore(row, taskRows);
     if (rows.isInUse()) {
@@ -151,6 +153,7 @@
     } else {
         restored.endedAt = now;
         m_endedJobs.push_back(spec.id);
+        m_untrimmedJobs.push_back(spec.id);
         if (restored.anyOccupying()) {
             m_stoppingJobs.insert(spec.id);
         }
@@ -274,6 +277,7 @@
     }
     job_record &added = *m_jobs.emplace(what.job.id, std::move(job)).first->second;
     addToTenant(added);
+    charge(added, openJobSize(added.spec), now);
     // The work of a tenant that is at its cap needs no executors when it arrives.
     if (what.job.repeatCount == 0 && !m_capHolds.wasHeld(added.tenant, now, capHoldMs)) {
         m_arrivals[poolOf(added)].add(workOf(added.spec), now);
@@ -314,6 +318,7 @@
     m_activeJobs.erase(job.spec.id);
     m_repeatingJobs.erase(job.spec.id);
     m_endedJobs.push_back(job.spec.id);
+    m_untrimmedJobs.push_back(job.spec.id);
     job.forEachOccupying([&](const task_id &id, task_record &task) {
         if (task.phase == task_phase::Placing) {
             // The start order was not sent, and won't be.
@@ -547,6 +552,7 @@
         logLongWaits(now);
         logEndedHolds(now);
         m_crashWatch.forgetOld(now);
+        trimEndedJobs(now);
         deleteOldSubmissions(now);
         m_entryVersions.forgetGone(
             [this](const std::string &executor) {
@@ -556,6 +562,35 @@
     }
 }
 
+void scheduler::charge(job_record &job, const job_size &size, time_ms now)
+{
+    m_jobAccount.remove(job.charged, now);
+    m_jobAccount.add(size);
+    job.charged = size;
+}
+
+bool scheduler::isSettled(const job_record &job) const
+{
+    return !job.dirty && job.batch <= m_lastCommittedBatch && !m_stoppingJobs.contains(job.spec.id);
+}
+
+void scheduler::trimEndedJobs(time_ms now)
+{
+    std::erase_if(m_untrimmedJobs, [&](const std::string &id) {
+        const auto found = m_jobs.find(id);
+        if (found == m_jobs.end()) {
+            return true;
+        }
+        job_record &job = *found->second;
+        if (!isSettled(job) || job.anyOccupying()) {
+            return false;
+        }
+        job.trim();
+        charge(job, endedJobSize, now);
+        return true;
+    });
+}
+
 // A submission without a state row would be read as a job that has not started, so the state row is deleted only after the submission.
 void scheduler::deleteOldSubmissions(time_ms now)
 {
@@ -573,8 +608,7 @@
         if (job.endedAt + keep >= now || order.jobs.size() >= maxSubmissionsPerDelete) {
             break;
         }
-        const bool settled = !job.dirty && job.batch <= m_lastCommittedBatch && !m_stoppingJobs.contains(id);
-        if (settled && mayRequest(job.deletionRequestedAt)) {
+        if (isSettled(job) && mayRequest(job.deletionRequestedAt)) {
             job.deletionRequestedAt = now;
             order.jobs.push_back(id);
         }
@@ -609,6 +643,7 @@
         m_jobRows.erase(id);
         m_storeQueue.remove(id);
         m_unratedJobs.erase({found->second->spec.acceptedUnixMs, id});
+        charge(*found->second, {}, now);
         std::erase(m_backlog, found->second.get());
         m_jobs.erase(found);
     }
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -31,6 +31,7 @@
 #include "sched/fleet_orders.h"
 #include "sched/fleet_planner.h"
 #include "sched/interference.h"
+#include "sched/job_account.h"
 #include "sched/job_rate.h"
 #include "sched/job_record.h"
 #include "sched/job_rows.h"
@@ -168,6 +169,10 @@
     {
         return m_durations.correctedQueues();
     }
+    const job_account &jobAccount() const
+    {
+        return m_jobAccount;
+    }
     const interference_model &interference() const
     {
         return m_interference;
@@ -230,6 +235,12 @@
     /** Whether one more job may get placements, which hold capacity until the job's row is stored. */
     bool mayQueuePlacements(const job_record &job) const;
     void addToBacklog(job_record &job);
+    /** Charges the job's memory to the account of jobs, in place of what it was charged before. */
+    void charge(job_record &job, const job_size &size, time_ms now);
+    /** Drops what the ended jobs whose state is stored don't need any more. */
+    void trimEndedJobs(time_ms now);
+    /** Whether the ended job's state is stored and none of its runs may go on. */
+    bool isSettled(const job_record &job) const;
     void deleteOldSubmissions(time_ms now);
     const queue_config *queueOf(const job_record &job) const;
     /** The terms of the job's queue, or those kept with the job if the configuration doesn't have the queue; null if none are known. */
@@ -451,6 +462,9 @@
     std::set<std::string> m_stoppingJobs;
     /** Ended jobs in the order in which they ended, for the clean-up. */
     std::vector<std::string> m_endedJobs;
+    /** Ended jobs that still have all that an open job has. */
+    std::vector<std::string> m_untrimmedJobs;
+    job_account m_jobAccount;
     store_queue m_storeQueue;
     /** The rows of jobs whose state is divided. */
     std::unordered_map<std::string, job_rows> m_jobRows;
