Waves: a VM whose order waits or has no answer keeps its place under the cap

Cause: the planner took a VM that was listed as up 4.5 s after the decision for maintained. The order is sent only when its row is stored, so during an outage of 5 s the next VMs were decided, and all orders left together.

Change: the planner knows whether an order waits, was sent, or was confirmed. The wave's row names ordered VMs, so a successor counts them.

--- a/src/sched/fleet_planner.cpp
+++ b/src/sched/fleet_planner.cpp
@@ -1,6 +1,7 @@
 #include "sched/fleet_planner.h"
 
 #include "base/saturating_cast.h"
+#include "sched/abandoned_runs.h"
 
 #include <nlohmann/json.hpp>
 
@@ -34,8 +35,11 @@
 constexpr double moveShareOfRateLimit = 0.8;
 // More VMs than any fleet has, so that a few such numbers can be added.
 constexpr double maxVms = 1e6;
-// If a VM is listed as up this long after its maintenance should have ended, the maintenance is over or its order was never carried out.
+// If a list that was requested this long after the maintenance of a VM should have ended shows the VM as up, the maintenance is over or its
+// order was never carried out.
 constexpr time_ms maintenanceSlackMs = 2'500;
+// An order for maintenance that got no answer is sent again after this time. If it was carried out, the repeated one has no effect.
+constexpr time_ms maintenanceRetryMs = 1'000;
 // Time that the order, and the wait for the list that shows the VM as up, add to the maintenance of each VM.
 constexpr time_ms maintenanceOverheadMs = 900;
 // A wave is planned to end this long before its due time.
@@ -107,7 +111,10 @@
     if (stored != m_stored.end()) {
         found->second.done = stored->second.done;
         found->second.draining = stored->second.draining;
-        found->second.down = stored->second.down;
+        for (const std::string &vm : stored->second.ordered) {
+            // The order may have been sent until now.
+            found->second.down[vm] = {now, found->second.done.contains(vm)};
+        }
         if (stored->second.dueUnixMs != 0) {
             found->second.dueUnixMs = stored->second.dueUnixMs;
         }
@@ -119,20 +126,45 @@
     found->second.dueAt = now + (found->second.dueUnixMs - unixMs);
 }
 
+std::optional<time_ms> fleet_planner::down_vm::startsBy() const
+{
+    if (!orderedAt) {
+        return std::nullopt;
+    }
+    return confirmed ? *orderedAt : *orderedAt + maxOrderDelayMs;
+}
+
+bool fleet_planner::down_vm::mayRepeat(time_ms now) const
+{
+    return !confirmed && orderedAt && now - *orderedAt >= maintenanceRetryMs;
+}
+
+void fleet_planner::maintenanceSent(std::int64_t wave, const std::string &vm, time_ms now)
+{
+    const auto found = m_waves.find(wave);
+    if (found == m_waves.end()) {
+        return;
+    }
+    const auto down = found->second.down.find(vm);
+    if (down != found->second.down.end()) {
+        down->second.orderedAt = now;
+    }
+}
+
 void fleet_planner::maintenanceStarted(std::int64_t wave, const std::string &vm, time_ms now)
 {
     const auto found = m_waves.find(wave);
     if (found != m_waves.end()) {
         found->second.done.insert(vm);
         found->second.draining.erase(vm);
-        found->second.down[vm] = now;
+        found->second.down[vm] = {now, true};
         m_changedWaves.insert(wave);
     }
 }
 
-void fleet_planner::predecessorMaintenance(std::int64_t wave, const std::string &vm, time_ms now)
+void fleet_planner::predecessorMaintenance(std::int64_t wave, const std::string &vm)
 {
-    m_stored[wave].down[vm] = now;
+    m_stored[wave].ordered.insert(vm);
 }
 
 void fleet_planner::maintenanceRefused(std::int64_t wave, const std::string &vm, bool permanent)
@@ -142,24 +174,42 @@
         return;
     }
     found->second.down.erase(vm);
+    m_changedWaves.insert(wave);
     if (permanent) {
         found->second.done.insert(vm);
         found->second.draining.erase(vm);
-        m_changedWaves.insert(wave);
     }
 }
 
-void fleet_planner::vmIsBack(const std::string &vm, time_ms now)
+void fleet_planner::vmIsBack(const std::string &vm, time_ms askedAt, bool fromMaintenance)
 {
     for (std::pair<const std::int64_t, wave_state> &wave : m_waves) {
         const auto down = wave.second.down.find(vm);
+        if (down == wave.second.down.end() || !down->second.orderedAt) {
+            continue;
+        }
+        const bool hasStarted = down->second.confirmed || fromMaintenance;
         // A list that was read before the maintenance started still shows the VM as up.
-        if (down != wave.second.down.end() && now - down->second >= m_bounds.maintenanceMs) {
+        if (hasStarted && askedAt - *down->second.orderedAt >= m_bounds.maintenanceMs) {
             wave.second.down.erase(down);
+            m_changedWaves.insert(wave.first);
         }
     }
 }
 
+void fleet_planner::releaseMaintained(wave_state &wave, const std::map<std::string, const fleet_vm *> &listedVms, time_ms listAskedAt)
+{
+    const std::size_t released = std::erase_if(wave.down, [&](const std::pair<const std::string, down_vm> &down) {
+        const auto vm = listedVms.find(down.first);
+        const bool up = vm != listedVms.end() && vm->second->state == vm_state::Up;
+        const std::optional<time_ms> startsBy = down.second.startsBy();
+        return up && startsBy && *startsBy + m_bounds.maintenanceMs + maintenanceSlackMs < listAskedAt;
+    });
+    if (released > 0) {
+        m_changedWaves.insert(wave.request.wave);
+    }
+}
+
 bool fleet_planner::wave_state::awaits(const std::string &vm) const
 {
     return !completed && vms.contains(vm) && !done.contains(vm);
@@ -218,11 +268,7 @@
     for (const fleet_vm &vm : view.vms) {
         listedVms[vm.vm] = &vm;
     }
-    for (auto down = wave.down.begin(); down != wave.down.end();) {
-        const auto vm = listedVms.find(down->first);
-        const bool up = vm != listedVms.end() && vm->second->state == vm_state::Up;
-        down = up && down->second + m_bounds.maintenanceMs + maintenanceSlackMs < now ? wave.down.erase(down) : std::next(down);
-    }
+    releaseMaintained(wave, listedVms, view.listAskedAt.value_or(now));
     std::vector<const fleet_vm *> pendingVms;
     bool allStarted = true;
     for (const std::string &name : wave.request.vms) {
@@ -270,14 +316,19 @@
         return vm->reserved && vm->runs > 0;
     }));
     for (const fleet_vm *vm : pendingVms) {
-        if (vm->state != vm_state::Up || vm->executorDraining || vm->hasPendingOrder || m_plannedVms.contains(vm->vm) || wave.down.contains(vm->vm)) {
+        const auto ordered = wave.down.find(vm->vm);
+        const bool repeats = ordered != wave.down.end();
+        if (vm->state != vm_state::Up || vm->executorDraining || vm->hasPendingOrder || m_plannedVms.contains(vm->vm)
+            || (repeats && !ordered->second.mayRepeat(now))) {
             continue;
         }
         if (vm->runs == 0) {
-            if (started < freeSlots) {
-                ++started;
+            // A VM whose order got no answer has its place under the cap.
+            if (repeats || started < freeSlots) {
+                started += repeats ? 0 : 1;
                 m_plannedVms.insert(vm->vm);
-                wave.down[vm->vm] = now;
+                wave.down[vm->vm] = {};
+                m_changedWaves.insert(wave.request.wave);
                 decisions.push_back(maintenance_decision{vm->vm, wave.request.wave});
             }
         } else if (started + draining < std::max(1, maxDown) && !vm->reserved) {
@@ -456,7 +507,15 @@
     if (wave.completed) {
         return json{{"completed", true}}.dump();
     }
-    return json{{"done", wave.done}, {"drain", wave.draining}, {"due", wave.dueUnixMs}}.dump();
+    std::set<std::string> ordered;
+    std::set<std::string> draining = wave.draining;
+    for (const std::pair<const std::string, down_vm> &down : wave.down) {
+        if (!wave.done.contains(down.first)) {
+            ordered.insert(down.first);
+            draining.erase(down.first);
+        }
+    }
+    return json{{"done", wave.done}, {"drain", draining}, {"ordered", ordered}, {"due", wave.dueUnixMs}}.dump();
 }
 
 void fleet_planner::readRow(std::string_view key, std::string_view row)
@@ -477,6 +536,9 @@
     stored.dueUnixMs = value.value("due", std::int64_t{0});
     insertNames(value, "done", stored.done);
     insertNames(value, "drain", stored.draining);
+    // No runs are placed on a VM whose maintenance may be on its way.
+    insertNames(value, "ordered", stored.draining);
+    insertNames(value, "ordered", stored.ordered);
 }
 
 void fleet_planner::readFormerRow(std::string_view row)
--- a/src/sched/fleet_planner.h
+++ b/src/sched/fleet_planner.h
@@ -77,6 +77,8 @@
 {
     std::vector<fleet_vm> vms;
     std::vector<fleet_pool> pools;
+    /** When the list of VMs was requested; empty if that isn't known. */
+    std::optional<time_ms> listAskedAt{};
     /** Number of moves that may be ordered until earlier orders have expired. */
     std::size_t roomForMoves = std::numeric_limits<std::size_t>::max();
 };
@@ -119,13 +121,18 @@
 
     /** Adds a wave; a wave that was added before isn't changed. */
     void addWave(const wave_request &wave, time_ms now, std::int64_t unixMs);
+    /** The order for the maintenance, which waited for its row to be stored, is sent. */
+    void maintenanceSent(std::int64_t wave, const std::string &vm, time_ms now);
     void maintenanceStarted(std::int64_t wave, const std::string &vm, time_ms now);
     /** An earlier lease holder may have started the maintenance: it counts against the wave's cap until the VM is listed as up again. */
-    void predecessorMaintenance(std::int64_t wave, const std::string &vm, time_ms now);
+    void predecessorMaintenance(std::int64_t wave, const std::string &vm);
     /** The fleet service refused the maintenance; if `permanent`, the wave leaves the VM out. */
     void maintenanceRefused(std::int64_t wave, const std::string &vm, bool permanent);
-    /** The fleet service lists the VM as up again; ignored for maintenance that can't be over yet. */
-    void vmIsBack(const std::string &vm, time_ms now);
+    /**
+     * A list that was requested at `askedAt` shows the VM as up, which the one before it didn't; `fromMaintenance` if that one showed it in
+     * maintenance. Ignored for maintenance that can't be over yet.
+     */
+    void vmIsBack(const std::string &vm, time_ms askedAt, bool fromMaintenance = false);
 
     std::vector<fleet_decision> plan(const fleet_view &view, time_ms now);
 
@@ -146,6 +153,20 @@
     void readRow(std::string_view key, std::string_view row);
 
 private:
+    /** A VM that counts against the cap of its wave: its maintenance was decided, and isn't known to be over. */
+    struct down_vm
+    {
+        /** When the latest order was sent, or its answer came; empty while the order waits for its row to be stored. */
+        std::optional<time_ms> orderedAt{};
+        /** The fleet service has confirmed that the maintenance has started. */
+        bool confirmed = false;
+
+        /** The latest time at which the maintenance can start; empty while that isn't known. */
+        std::optional<time_ms> startsBy() const;
+        /** Whether the order, which has had no answer, may be sent again. */
+        bool mayRepeat(time_ms now) const;
+    };
+
     struct wave_state
     {
         wave_request request;
@@ -157,8 +178,7 @@
         std::set<std::string> done;
         /** VMs that are drained for their maintenance. */
         std::set<std::string> draining;
-        /** VMs that count against the cap, with the time of their latest order or its answer. */
-        std::map<std::string, time_ms> down;
+        std::map<std::string, down_vm> down;
         bool announced = false;
         bool completed = false;
 
@@ -179,11 +199,14 @@
     {
         std::set<std::string> done;
         std::set<std::string> draining;
-        std::map<std::string, time_ms> down;
+        /** VMs for which an earlier lease holder decided maintenance whose start wasn't confirmed. */
+        std::set<std::string> ordered;
         std::int64_t dueUnixMs = 0;
         bool completed = false;
     };
 
+    /** Ends the count of VMs whose maintenance is over by the latest list of VMs. */
+    void releaseMaintained(wave_state &wave, const std::map<std::string, const fleet_vm *> &listedVms, time_ms listAskedAt);
     static std::string writeRow(const wave_state &wave);
     /** Restores all waves from the only row that former versions wrote for them. */
     void readFormerRow(std::string_view row);
--- a/src/sched/job_record.h
+++ b/src/sched/job_record.h
@@ -6,8 +6,8 @@
 //     job.openDueOccurrences(unixMs);
 //     if (task_record *task = job.find(id)) { ... }
 
-#include "sched/model.h"
 #include "sched/job_account.h"
+#include "sched/model.h"
 #include "sched/task_record.h"
 #include "sched/task_table.h"
 
--- a/src/sched/scheduler.cpp
+++ b/src/sched/scheduler.cpp
@@ -172,7 +172,7 @@
         return false;
     }
     for (const maintain_vm &maintenance : m_fleetOrders.predecessorMaintenance()) {
-        m_fleetPlanner.predecessorMaintenance(maintenance.wave, maintenance.vm, now);
+        m_fleetPlanner.predecessorMaintenance(maintenance.wave, maintenance.vm);
     }
     return true;
 }
@@ -453,7 +453,7 @@
     // Refused fleet orders stay unsent; they go into the next row, which is due when one of them expires or is added.
     if (std::find(what.refusedKeys.begin(), what.refusedKeys.end(), fleetOrdersRowKey) == what.refusedKeys.end()) {
         m_fleetOrders.rowStored();
-        sendFleetOrders();
+        sendFleetOrders(now);
     }
 }
 
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -425,7 +425,7 @@
     void resendUnansweredMoves(time_ms now);
     fleet_view viewOfFleet(time_ms now) const;
     void carryOut(const fleet_decision &decision, time_ms now);
-    void sendFleetOrders();
+    void sendFleetOrders(time_ms now);
     void addFleetOrder(const fleet_order &order, time_ms now);
     executor_incarnation currentOccupant(const vm_entry &vm) const;
     /** Reserves the VM's executor for maintenance, so that it gets no new runs. */
@@ -538,6 +538,8 @@
     /** The last placement left tasks waiting because enough placements wait for the store. */
     bool m_placementsHeldBack = false;
     std::map<std::string, vm_entry> m_vms;
+    /** When the list of VMs was requested; empty if that isn't known. */
+    std::optional<time_ms> m_vmsAskedAt;
     fleet_planner m_fleetPlanner;
     fleet_orders m_fleetOrders;
     order_ledger m_orderLedger;
--- a/src/sched/scheduler_fleet.cpp
+++ b/src/sched/scheduler_fleet.cpp
@@ -24,7 +24,8 @@
         const auto before = m_vms.find(vm.vm);
         const bool back = vm.state == vm_state::Up && (before == m_vms.end() || before->second.state != vm_state::Up);
         if (back) {
-            m_fleetPlanner.vmIsBack(vm.vm, now);
+            const bool fromMaintenance = before != m_vms.end() && before->second.state == vm_state::Maintenance;
+            m_fleetPlanner.vmIsBack(vm.vm, what.askedAt.value_or(now), fromMaintenance);
         }
         if (before != m_vms.end()) {
             markReplacedDead(before->second, vm, what.askedAt.value_or(now), now);
@@ -35,6 +36,7 @@
         listed[vm.vm] = vm;
     }
     m_vms = std::move(listed);
+    m_vmsAskedAt = what.askedAt;
 }
 
 // If a later list names another executor, or shows that the VM was taken down, the previous executor no longer runs, even if its start
@@ -95,6 +97,7 @@
 fleet_view scheduler::viewOfFleet(time_ms now) const
 {
     fleet_view view;
+    view.listAskedAt = m_vmsAskedAt;
     view.roomForMoves = m_fleetOrders.roomForMoves();
     std::map<std::string, fleet_pool> pools;
     for (const std::pair<const std::string, pool_config> &pool : m_pools) {
@@ -177,7 +180,7 @@
     for (const fleet_decision &decision : m_fleetPlanner.plan(viewOfFleet(now), now)) {
         carryOut(decision, now);
     }
-    sendFleetOrders();
+    sendFleetOrders(now);
     drainReservedExecutors(now);
 }
 
@@ -221,9 +224,12 @@
     updateReservation(occupantOf(order).executor, now);
 }
 
-void scheduler::sendFleetOrders()
+void scheduler::sendFleetOrders(time_ms now)
 {
     for (const fleet_order &order : m_fleetOrders.takeDue()) {
+        if (const maintain_vm *maintenance = std::get_if<maintain_vm>(&order)) {
+            m_fleetPlanner.maintenanceSent(maintenance->wave, maintenance->vm, now);
+        }
         std::visit(
             [this](const auto &one) {
                 m_actions.push_back(one);
--- a/tests/sched/fleet_orders_test.cpp
+++ b/tests/sched/fleet_orders_test.cpp
@@ -152,7 +152,7 @@
 TEST_CASE("maintenance that an earlier holder ordered counts against the cap")
 {
     fleet_planner planner(bounds{});
-    planner.predecessorMaintenance(1, "vm-a", 1'000);
+    planner.predecessorMaintenance(1, "vm-a");
     wave_request wave;
     wave.wave = 1;
     wave.vms = {"vm-a", "vm-b"};
--- a/tests/sched/wave_rows_test.cpp
+++ b/tests/sched/wave_rows_test.cpp
@@ -123,7 +123,7 @@
     }
     SUBCASE("which is written anew if only an order of the former lease holder is known")
     {
-        successor.predecessorMaintenance(7, wave.vms[1], now);
+        successor.predecessorMaintenance(7, wave.vms[1]);
         successor.addWave(wave, now, unixMs);
         CHECK(successor.hasChangedWaves());
     }
