Late starts: the next lease holder knows those for which ends are deferred

A successor acknowledged an end that its predecessor had deferred, as the start without an answer isn't in the rows. A recovery frees what it has read of a job before it restores the next one.

Test: 'the next lease holder doesn't acknowledge it either' in late_start_after_done_test.cpp; without the row there is nothing to restore and the end is acknowledged at once. The takeover model restores the row.

--- a/src/node/dispatcher.h
+++ b/src/node/dispatcher.h
@@ -78,6 +78,7 @@
     void logReadFailure(std::string_view table, store_status status) const;
     void onReadDone(std::unique_lock<std::mutex> &guard);
     void finishRecovery();
+    void restoreNextJob(sched::time_ms now);
     void startFeeds(std::int64_t recoveredVersion);
     void onJobRow(const store_row &row);
     void onExecutorRow(const store_row &row);
--- a/src/node/dispatcher_recovery.cpp
+++ b/src/node/dispatcher_recovery.cpp
@@ -71,6 +71,8 @@
         m_scheduler.restoreWave(key, row.value);
     } else if (key == sched::fleetOrdersRowKey) {
         restoreFleetOrders(row);
+    } else if (key == sched::lateStartsRowKey) {
+        m_scheduler.restoreLateStarts(row.value, steadyMillis());
     } else if (owner != key) {
         m_recovery->taskRows[owner][key] = row.value;
     } else {
@@ -99,12 +101,22 @@
     }
 }
 
+// What was read of a job is freed before the next one is restored, as all jobs together may take much of the machine's memory.
+void dispatcher::restoreNextJob(sched::time_ms now)
+{
+    const auto job = m_recovery->jobs.extract(m_recovery->jobs.begin());
+    const auto state = m_recovery->stateRows.extract(job.key());
+    const auto taskRows = m_recovery->taskRows.extract(job.key());
+    m_scheduler.restore(job.mapped(), state ? state.mapped() : std::string(), now, taskRows ? taskRows.mapped() : std::map<std::string, std::string>());
+}
+
 void dispatcher::finishRecovery()
 {
     const sched::time_ms now = steadyMillis();
-    for (const std::pair<const std::string, sched::job_spec> &job : m_recovery->jobs) {
-        const auto state = m_recovery->stateRows.find(job.first);
-        m_scheduler.restore(job.second, state == m_recovery->stateRows.end() ? std::string() : state->second, now, m_recovery->taskRows[job.first]);
+    const std::size_t jobs = m_recovery->jobs.size();
+    const std::size_t stateRows = m_recovery->stateRows.size();
+    while (!m_recovery->jobs.empty()) {
+        restoreNextJob(now);
     }
     m_recovered = true;
     for (const std::string &job : m_recovery->cancelledJobs) {
@@ -112,7 +124,7 @@
     }
     logEvent(
         "term_recovered",
-        {{"term", m_term.term}, {"jobs", m_recovery->jobs.size()}, {"state_rows", m_recovery->stateRows.size()}, {"took_ms", now - m_recovery->startedAt}});
+        {{"term", m_term.term}, {"jobs", jobs}, {"state_rows", stateRows}, {"took_ms", now - m_recovery->startedAt}});
     const std::int64_t recoveredVersion = m_recovery->version;
     m_recovery.reset();
     for (const sched::event &event : m_eventsBeforeRecovery) {
--- a/src/sched/deferred_ends.cpp
+++ b/src/sched/deferred_ends.cpp
@@ -32,6 +32,13 @@
     });
 }
 
+void deferred_ends::addTasksTo(std::set<task_id> &tasks) const
+{
+    for (const std::pair<const std::int64_t, deferred_end> &end : m_ends) {
+        tasks.insert(end.second.run.first);
+    }
+}
+
 std::int64_t deferred_ends::acknowledgeable(std::int64_t processed) const
 {
     return m_ends.empty() ? processed : std::min(processed, m_ends.begin()->first - 1);
--- a/src/sched/deferred_ends.h
+++ b/src/sched/deferred_ends.h
@@ -16,6 +16,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 
 namespace daisypass::sched {
 
@@ -40,6 +41,8 @@
     }
     /** Whether an end stays deferred until the executor's leases have ended. */
     bool awaitsLeaseEnd() const;
+    /** Adds the tasks of these ends. */
+    void addTasksTo(std::set<task_id> &tasks) const;
     /** The number up to which ends may be acknowledged if those up to `processed` have been applied. */
     std::int64_t acknowledgeable(std::int64_t processed) const;
 
--- a/src/sched/job_state.cpp
+++ b/src/sched/job_state.cpp
@@ -154,7 +154,8 @@
     if (!row[5].is_array() || !row[6].is_string() || !row[7].is_string()) {
         return false;
     }
-    task_record *task = job.find({job.spec.id, row[0].get<int>(), row[1].get<int>(), row[2].get<int>() + offset});
+    const int index = row[2].get<int>() + offset;
+    task_record *task = job.find({job.spec.id, row[0].get<int>(), row[1].get<int>(), index});
     if (task == nullptr) {
         // The occurrence is finished and was dropped.
         return true;
@@ -175,7 +176,7 @@
     // Former versions stored a long-running task as done when a run had ended so. It is still to be run.
     const bool lasts = job.spec.steps[static_cast<std::size_t>(row[1].get<int>())].longRunning;
     if (kind == kindDone && !lasts) {
-        step.tasks.finish(static_cast<std::size_t>(row[2].get<int>() + offset));
+        step.tasks.finish(static_cast<std::size_t>(index));
         ++step.done;
         --step.waiting;
         job.stepFinished();
--- a/src/sched/scheduler.cpp
+++ b/src/sched/scheduler.cpp
@@ -346,7 +346,7 @@
 
 bool scheduler::hasUnstoredChanges() const
 {
-    return !m_storeQueue.empty() || m_fleetPlanner.hasChangedWaves() || m_fleetOrders.isDirty() || !m_rowsToDelete.empty();
+    return !m_storeQueue.empty() || m_fleetPlanner.hasChangedWaves() || m_fleetOrders.isDirty() || m_lateStartsDirty || !m_rowsToDelete.empty();
 }
 
 std::optional<commit_batch> scheduler::takeBatch(time_ms now)
@@ -377,6 +377,9 @@
     if (m_fleetOrders.isDirty()) {
         batch.rows.emplace_back(fleetOrdersRowKey, m_fleetOrders.writeRow());
     }
+    if (m_lateStartsDirty) {
+        batch.rows.emplace_back(lateStartsRowKey, writeLateStarts(now));
+    }
     const std::size_t deletes = std::min(m_rowsToDelete.size(), maxDeletesPerBatch);
     batch.deletedKeys.insert(batch.deletedKeys.end(), m_rowsToDelete.end() - static_cast<std::ptrdiff_t>(deletes), m_rowsToDelete.end());
     m_rowsToDelete.resize(m_rowsToDelete.size() - deletes);
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -118,6 +118,9 @@
 /** Key of the row in the scheduler's table that has the fleet orders. */
 inline constexpr const char *fleetOrdersRowKey = "~orders";
 
+/** Key of the row with the starts without an answer for which ends are deferred. */
+inline constexpr const char *lateStartsRowKey = "~late-starts";
+
 /** Returns the time in microseconds on any monotonic clock. */
 using processing_clock = std::function<std::int64_t()>;
 
@@ -138,6 +141,9 @@
     /** Adds the fleet orders that earlier lease holders may have sent; false if the row is malformed. */
     bool restoreFleetOrders(std::string_view row, time_ms now);
 
+    /** Adds the start orders of earlier lease holders that may still be carried out. */
+    void restoreLateStarts(std::string_view row, time_ms now);
+
     void handle(const event &what, time_ms now);
     /** Places waiting tasks and sends polls that are due. Called after each group of events. */
     void plan(time_ms now);
@@ -353,6 +359,8 @@
     bool mayDeferOn(const executor_record &executor) const;
     /** A run has begun. If its start had no answer, and another run of the task was done, that run's end stays unacknowledged. */
     void applyLateStart(const run_id &run);
+    /** The row with the starts for which ends are deferred. */
+    std::string writeLateStarts(time_ms now);
     /** Ends the deferral of ends for which no start can come any more. */
     void settleDeferredEnds(time_ms now);
 
@@ -508,6 +516,8 @@
     /** Executors whose next poll may be due. */
     std::set<std::string> m_pollDue;
     late_starts m_lateStarts;
+    /** The row of late starts has changed. */
+    bool m_lateStartsDirty = false;
     /** Executors with ends whose acknowledgement is deferred. */
     std::set<std::string> m_deferringExecutors;
     /** Executors with ends that can't be acknowledged until a job's row is stored. */
--- a/src/sched/scheduler_acknowledgements.cpp
+++ b/src/sched/scheduler_acknowledgements.cpp
@@ -46,7 +46,27 @@
 void scheduler::addUnansweredStart(executor_record &executor, const run_id &run, time_ms now)
 {
     executor.unansweredStarts.push_back({run.first, run.second, now});
-    m_lateStarts.add(run, now);
+    m_lateStarts.add(run, executor.entry.id, now);
+}
+
+void scheduler::restoreLateStarts(std::string_view row, time_ms now)
+{
+    for (const late_start &start : readLateStarts(row)) {
+        addUnansweredStart(executorFor(start.executor, now), start.run, now + start.remainingMs - maxOrderDelayMs);
+    }
+}
+
+std::string scheduler::writeLateStarts(time_ms now)
+{
+    m_lateStartsDirty = false;
+    std::set<task_id> tasks;
+    for (const std::string &id : m_deferringExecutors) {
+        const auto executor = m_executors.find(id);
+        if (executor != m_executors.end()) {
+            executor->second.deferredEnds.addTasksTo(tasks);
+        }
+    }
+    return m_lateStarts.writeRow(tasks, now);
 }
 
 bool scheduler::mayDeferOn(const executor_record &executor) const
@@ -74,6 +94,7 @@
               {"for_ms", std::to_string(*until - now)}});
     executor.deferredEnds.defer(end.number, {end.task, end.run}, *until);
     m_deferringExecutors.insert(executor.entry.id);
+    m_lateStartsDirty = true;
 }
 
 void scheduler::applyLateStart(const run_id &run)
@@ -92,7 +113,7 @@
 void scheduler::settleDeferredEnds(time_ms now)
 {
     m_lateStarts.expire(now);
-    std::erase_if(m_deferringExecutors, [&](const std::string &id) {
+    const std::size_t settled = std::erase_if(m_deferringExecutors, [&](const std::string &id) {
         const auto found = m_executors.find(id);
         if (found == m_executors.end()) {
             return true;
@@ -107,6 +128,7 @@
         }
         return executor.deferredEnds.empty();
     });
+    m_lateStartsDirty = m_lateStartsDirty || settled > 0;
 }
 
 } // namespace daisypass::sched
--- a/src/sched/scheduler_runs.cpp
+++ b/src/sched/scheduler_runs.cpp
@@ -90,7 +90,7 @@
     executor.unstoredJobs.insert(job.spec.id);
     m_executorsToAcknowledge.insert(executor.entry.id);
     task_record *task = job.find(end.task);
-    if (task != nullptr) {
+    if (end.task.step >= 0 && end.task.step < static_cast<int>(job.spec.steps.size())) {
         deferIfStartMayCome(executor, end, job.spec.steps[static_cast<std::size_t>(end.task.step)], now);
     }
     if (end.how == run_end::Done) {
@@ -145,7 +145,7 @@
     executor_record &executor = executorFor(task.executor, now);
     const run_id run{id, task.run};
     if (task.phase == task_phase::Starting || task.phase == task_phase::Unconfirmed) {
-        m_lateStarts.add(run, now);
+        m_lateStarts.add(run, task.executor, now);
     }
     executor.abandoned.add(run, step.countedDemand(), task.startSentAt == 0 ? now : task.startSentAt);
     executor.abandoned.stopSent(run, now);
--- a/tests/sched/late_start_after_done_test.cpp
+++ b/tests/sched/late_start_after_done_test.cpp
@@ -105,6 +105,24 @@
             CHECK(world.taskScheduler.executors().at("e2").takesNewRuns(world.now));
         }
     }
+    SUBCASE("the next lease holder doesn't acknowledge it either")
+    {
+        scheduler_fixture next;
+        REQUIRE(next.taskScheduler.restore(scheduler_fixture::job("j1", {scheduler_fixture::step(1)}), world.rows.at("j1"), next.now));
+        next.taskScheduler.restoreLateStarts(world.rows.at(lateStartsRowKey), next.now);
+        next.addExecutor("e1");
+        next.taskScheduler.handle(executor_entry_changed{scheduler_fixture::entry("e2")}, next.now);
+        next.planAndCommit();
+        next.take<poll_executor>();
+        next.answerPoll("e2", {}, ends);
+        next.advance(300);
+        next.answerPoll("e2", {}, ends);
+        std::int64_t acknowledged = 0;
+        for (const poll_executor &poll : next.take<poll_executor>()) {
+            acknowledged = std::max(acknowledged, poll.acknowledged);
+        }
+        CHECK(acknowledged == 0);
+    }
     SUBCASE("the executor isn't polled without a break meanwhile")
     {
         std::size_t polls = 0;
--- a/tests/sched/takeover_holders.cpp
+++ b/tests/sched/takeover_holders.cpp
@@ -40,6 +40,10 @@
 
 void takeover_world::recover(const holder_ptr &owner)
 {
+    const auto lateStarts = m_rows.find(lateStartsRowKey);
+    if (lateStarts != m_rows.end()) {
+        owner->taskScheduler.restoreLateStarts(lateStarts->second, m_now);
+    }
     const auto orders = m_rows.find(fleetOrdersRowKey);
     if (orders != m_rows.end()) {
         owner->taskScheduler.restoreFleetOrders(orders->second, m_now);
