--- a/src/node/dispatcher_recovery.cpp
+++ b/src/node/dispatcher_recovery.cpp
@@ -17,6 +17,14 @@
 // The counts of waiting jobs are as old as the job feed's latest answer, and should be at most two seconds old.
 constexpr std::chrono::milliseconds jobFeedWait{800};
 
+// Removes the key's value from the map and returns it; a default one if there is none.
+template<typename Value>
+Value take(std::map<std::string, Value> &values, const std::string &key)
+{
+    typename std::map<std::string, Value>::node_type found = values.extract(key);
+    return found ? std::move(found.mapped()) : Value{};
+}
+
 } // namespace
 
 void dispatcher::start()
@@ -104,10 +112,10 @@
 // What was read of a job is freed before the next one is restored, as all jobs together may take much of the machine's memory.
 void dispatcher::restoreNextJob(sched::time_ms now)
 {
-    const auto job = m_recovery->jobs.extract(m_recovery->jobs.begin());
-    const auto state = m_recovery->stateRows.extract(job.key());
-    const auto taskRows = m_recovery->taskRows.extract(job.key());
-    m_scheduler.restore(job.mapped(), state ? state.mapped() : std::string(), now, taskRows ? taskRows.mapped() : std::map<std::string, std::string>());
+    const std::map<std::string, sched::job_spec>::node_type job = m_recovery->jobs.extract(m_recovery->jobs.begin());
+    const std::string state = take(m_recovery->stateRows, job.key());
+    const std::map<std::string, std::string> taskRows = take(m_recovery->taskRows, job.key());
+    m_scheduler.restore(job.mapped(), state, now, taskRows);
 }
 
 void dispatcher::finishRecovery()
@@ -122,9 +130,7 @@
     for (const std::string &job : m_recovery->cancelledJobs) {
         m_scheduler.handle(sched::job_cancelled{job}, now);
     }
-    logEvent(
-        "term_recovered",
-        {{"term", m_term.term}, {"jobs", jobs}, {"state_rows", stateRows}, {"took_ms", now - m_recovery->startedAt}});
+    logEvent("term_recovered", {{"term", m_term.term}, {"jobs", jobs}, {"state_rows", stateRows}, {"took_ms", now - m_recovery->startedAt}});
     const std::int64_t recoveredVersion = m_recovery->version;
     m_recovery.reset();
     for (const sched::event &event : m_eventsBeforeRecovery) {
