Placement: a late job doesn't wait for all tasks of an oversized one

Cause: among late jobs those that have started come first, and a restored job is late soon, so it waited for all tasks of a large job that had started. Change: a job whose waiting tasks would keep the whole fleet busy for 10 s counts as a late one that hasn't started; these are ordered by their work.

--- a/src/sched/scheduler_place.cpp
+++ b/src/sched/scheduler_place.cpp
@@ -2,7 +2,8 @@
 //
 // Bursts of a queue can demand several times the capacity of its pool, so the order of the jobs matters. Within a priority, long-running
 // steps come first, then jobs that can still meet their objective: those that have started, then the others, each group by remaining
-// work, so that many small jobs don't wait behind a large one. Jobs that can no longer meet their objective follow.
+// work, so that many small jobs don't wait behind a large one. Jobs that can no longer meet their objective follow, in the same order. An
+// oversized job counts as one of these that hasn't started: others that are late, after a takeover for example, would wait for all its tasks.
 
 #include "sched/placement_pass.h"
 
@@ -13,6 +14,20 @@
 namespace daisypass::sched {
 namespace {
 
+// A job is oversized while its waiting tasks would keep a pool of all the fleet's VMs busy for longer than this.
+constexpr double oversizedMs = 10'000;
+constexpr double thousandthsPerCore = 1'000;
+
+// Whether this work, in core-milliseconds, is oversized, if the fleet's VMs are like the pool's first executor.
+bool isOversized(double work, std::size_t fleetVms, std::span<executor_record *const> poolExecutors)
+{
+    if (poolExecutors.empty()) {
+        return false;
+    }
+    const double coresPerVm = static_cast<double>(poolExecutors.front()->entry.capacity.cpu) / thousandthsPerCore;
+    return work > oversizedMs * coresPerVm * static_cast<double>(std::max(fleetVms, poolExecutors.size()));
+}
+
 // A task that has waited this long for its next run is logged.
 constexpr time_ms longWaitMs = 2'000;
 
@@ -80,8 +95,9 @@
                 measured = true;
                 entry.priority = objective == nullptr ? std::numeric_limits<int>::max() : objective->priority;
                 entry.work = job.waitingWork();
-                entry.late = isLate(job, objective);
-                entry.notStarted = job.phase == job_phase::Pending;
+                const bool oversized = isOversized(entry.work, owner.m_vms.size(), owner.m_poolExecutors[pool]);
+                entry.late = oversized || isLate(job, objective);
+                entry.notStarted = oversized || job.phase == job_phase::Pending;
                 entry.overRate = owner.m_tenants.isInUse() && job.overRate;
             }
             entry.occurrence = &occurrence.second;
