Waves and rows: no row is written for a change that doesn't show in it, and a group's batch is set in its range only

The row names a VM whose maintenance has started as done either way, so each VM's return wrote the same row once more. And setBatch() looked at all records of a step for each of its groups. Change: only VMs that the row names as ordered mark it; the search begins at the group's first task. The rows' content is the same.

--- a/src/sched/fleet_planner.cpp
+++ b/src/sched/fleet_planner.cpp
@@ -192,22 +192,31 @@
         // A list that was read before the maintenance started still shows the VM as up.
         if (hasStarted && askedAt - *down->second.orderedAt >= m_bounds.maintenanceMs) {
             wave.second.down.erase(down);
-            m_changedWaves.insert(wave.first);
+            markReleased(wave.second, vm);
         }
     }
 }
 
+// The row names a VM whose maintenance has started as done, whether it still counts against the cap or not.
+void fleet_planner::markReleased(const wave_state &wave, const std::string &vm)
+{
+    if (!wave.done.contains(vm)) {
+        m_changedWaves.insert(wave.request.wave);
+    }
+}
+
 void fleet_planner::releaseMaintained(wave_state &wave, const std::map<std::string, const fleet_vm *> &listedVms, time_ms listAskedAt)
 {
-    const std::size_t released = std::erase_if(wave.down, [&](const std::pair<const std::string, down_vm> &down) {
+    std::erase_if(wave.down, [&](const std::pair<const std::string, down_vm> &down) {
         const auto vm = listedVms.find(down.first);
         const bool up = vm != listedVms.end() && vm->second->state == vm_state::Up;
         const std::optional<time_ms> startsBy = down.second.startsBy();
-        return up && startsBy && *startsBy + m_bounds.maintenanceMs + maintenanceSlackMs < listAskedAt;
+        const bool released = up && startsBy && *startsBy + m_bounds.maintenanceMs + maintenanceSlackMs < listAskedAt;
+        if (released) {
+            markReleased(wave, down.first);
+        }
+        return released;
     });
-    if (released > 0) {
-        m_changedWaves.insert(wave.request.wave);
-    }
 }
 
 bool fleet_planner::wave_state::awaits(const std::string &vm) const
--- a/src/sched/fleet_planner.h
+++ b/src/sched/fleet_planner.h
@@ -205,6 +205,8 @@
         bool completed = false;
     };
 
+    /** A VM of the wave counts no more; marks the wave's row as changed if that shows in it. */
+    void markReleased(const wave_state &wave, const std::string &vm);
     /** Ends the count of VMs whose maintenance is over by the latest list of VMs. */
     void releaseMaintained(wave_state &wave, const std::map<std::string, const fleet_vm *> &listedVms, time_ms listAskedAt);
     static std::string writeRow(const wave_state &wave);
--- a/src/sched/job_rows.cpp
+++ b/src/sched/job_rows.cpp
@@ -56,10 +56,10 @@
 {
     std::size_t before = 0;
     for (step_record &step : occurrence.steps) {
-        for (std::pair<const std::size_t, task_record> &task : step.tasks.records()) {
-            const bool inRange = before + task.first >= first && before + task.first < end;
-            if (inRange && task.second.phase == task_phase::Placing && task.second.batch == 0) {
-                task.second.batch = batch;
+        std::map<std::size_t, task_record> &records = step.tasks.records();
+        for (auto task = records.lower_bound(std::max(first, before) - before); task != records.end() && before + task->first < end; ++task) {
+            if (task->second.phase == task_phase::Placing && task->second.batch == 0) {
+                task->second.batch = batch;
             }
         }
         before += step.tasks.size();
