Jobs: reading a task makes no record, and one check says whether a job has a step

Cause: find() makes a record for each task that it is asked for, so the end of a gang's member, listed after the gang was done, gave a done task a record again, and the search for waiting tasks began there for good. The range check of a step stood in two places and was missing in a third, which read past the steps if a row of late starts named one that the job doesn't have.

Change: find() of a constant job reads without a record; applyEnd() uses it first. stepOf() has the check for all three places. readyTasks() had one caller and stands there.

New cases: 'none for a task that is only looked at', and 'a late start of an unknown step is stopped like any other'; the read past the steps was found by reading, not by a run.

--- a/src/sched/job_record.cpp
+++ b/src/sched/job_record.cpp
@@ -99,7 +99,10 @@
 void job_record::openDueOccurrences(time_ms unixMs)
 {
     const int next = occurrences.empty() ? firstOpen : occurrences.rbegin()->first + 1;
-    std::size_t ready = readyTasks();
+    std::size_t ready = 0;
+    for (const std::pair<const int, occurrence_record> &occurrence : occurrences) {
+        ready += readyTasksOf(occurrence.second);
+    }
     for (int number = next; number < occurrenceCount() && ready < occurrenceWindowTasks && occurrences.size() < maxOpenOccurrences(spec); ++number) {
         if (spec.repeatCount > 0 && dueUnixMs(number) > unixMs) {
             return;
@@ -109,15 +112,6 @@
     }
 }
 
-std::size_t job_record::readyTasks() const
-{
-    std::size_t ready = 0;
-    for (const std::pair<const int, occurrence_record> &occurrence : occurrences) {
-        ready += readyTasksOf(occurrence.second);
-    }
-    return ready;
-}
-
 std::size_t job_record::readyTasksOf(const occurrence_record &occurrence) const
 {
     std::size_t ready = 0;
@@ -164,17 +158,32 @@
     });
 }
 
+const step_spec *job_record::stepOf(const task_id &id) const
+{
+    const bool inRange = id.step >= 0 && id.step < static_cast<int>(spec.steps.size());
+    return inRange ? &spec.steps[static_cast<std::size_t>(id.step)] : nullptr;
+}
+
+bool job_record::isOpen(const task_id &id) const
+{
+    const step_spec *step = stepOf(id);
+    return step != nullptr && id.index >= 0 && id.index < step->taskCount && occurrences.contains(id.occurrence);
+}
+
 task_record *job_record::find(const task_id &id)
 {
-    const auto occurrence = occurrences.find(id.occurrence);
-    if (occurrence == occurrences.end() || id.step < 0 || id.step >= static_cast<int>(occurrence->second.steps.size())) {
+    if (!isOpen(id)) {
         return nullptr;
     }
-    task_table &tasks = occurrence->second.steps[static_cast<std::size_t>(id.step)].tasks;
-    if (id.index < 0 || id.index >= static_cast<int>(tasks.size())) {
+    return &occurrences.at(id.occurrence).steps[static_cast<std::size_t>(id.step)].tasks.record(static_cast<std::size_t>(id.index));
+}
+
+const task_record *job_record::find(const task_id &id) const
+{
+    if (!isOpen(id)) {
         return nullptr;
     }
-    return &tasks.record(static_cast<std::size_t>(id.index));
+    return &occurrences.at(id.occurrence).steps[static_cast<std::size_t>(id.step)].tasks[static_cast<std::size_t>(id.index)];
 }
 
 bool job_record::anyOccupying() const
--- a/src/sched/job_record.h
+++ b/src/sched/job_record.h
@@ -154,14 +154,16 @@
     void openDueOccurrences(time_ms unixMs);
     /** Creates all occurrences up to this number that aren't finished: a former lease holder had them open. */
     void openOccurrencesUpTo(int last);
-    /** Number of tasks of open occurrences that wait, in steps whose turn has come. */
-    std::size_t readyTasks() const;
     /** Total number of occurrences; 1 for a job that isn't repeated. */
     int occurrenceCount() const;
     /** True if all steps that must be done before this one are finished. */
     bool isStepReady(const occurrence_record &occurrence, int step) const;
-    /** The task's record; null if the occurrence isn't open or the id is out of range. */
+    /** The step of the task; null if the id is out of range. */
+    const step_spec *stepOf(const task_id &id) const;
+    /** The task's own record; null if the occurrence isn't open or the id is out of range. */
     task_record *find(const task_id &id);
+    /** The same to read only: a task without a record of its own gets none. */
+    const task_record *find(const task_id &id) const;
     /** Calls `visit(id, task)` for every task that occupies an executor. `visit` must not finish tasks. */
     template<typename Visit>
     void forEachOccupying(Visit visit);
@@ -193,6 +195,9 @@
 
 private:
     void openNextOccurrence(int number);
+    /** Whether the occurrence is open and has the task. */
+    bool isOpen(const task_id &id) const;
+    /** Number of tasks of the occurrence that wait, in steps whose turn has come. */
     std::size_t readyTasksOf(const occurrence_record &occurrence) const;
     time_ms dueUnixMs(int number) const;
     template<typename Wanted, typename Visit>
--- a/src/sched/scheduler_executors.cpp
+++ b/src/sched/scheduler_executors.cpp
@@ -367,8 +367,8 @@
         const task_record *task = job == m_jobs.end() ? nullptr : job->second->find(start.task);
         const bool current = task != nullptr && task->occupies() && task->run == start.run;
         if (!current) {
-            const resources demand = job == m_jobs.end() ? resources{} : job->second->spec.steps[static_cast<std::size_t>(start.task.step)].countedDemand();
-            executor.abandoned.add({start.task, start.run}, demand, start.at);
+            const step_spec *step = job == m_jobs.end() ? nullptr : job->second->stepOf(start.task);
+            executor.abandoned.add({start.task, start.run}, step == nullptr ? resources{} : step->countedDemand(), start.at);
         }
     }
     if (!incarnation.address.empty()) {
--- a/src/sched/scheduler_polls.cpp
+++ b/src/sched/scheduler_polls.cpp
@@ -225,8 +225,8 @@
             logEvent("unexpected_run", {{"task", run.task.text()}, {"run", std::to_string(run.run)}, {"executor", executor.entry.id}});
             if (executor.abandoned.contains({run.task, run.run})) {
                 listedAbandoned.insert({run.task, run.run});
-            } else if (found != m_jobs.end() && run.task.step >= 0 && run.task.step < static_cast<int>(found->second->spec.steps.size())) {
-                executor.untracked += found->second->spec.steps[static_cast<std::size_t>(run.task.step)].countedDemand();
+            } else if (const step_spec *step = found == m_jobs.end() ? nullptr : found->second->stepOf(run.task)) {
+                executor.untracked += step->countedDemand();
                 executor.untrackedRuns.push_back(run.task);
             }
             sendStop(run.task, run.run, executor);
--- a/src/sched/scheduler_runs.cpp
+++ b/src/sched/scheduler_runs.cpp
@@ -3,6 +3,7 @@
 #include "sched/scheduler.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace daisypass::sched {
 namespace {
@@ -89,19 +90,21 @@
     job.begun = true;
     executor.unstoredJobs.insert(job.spec.id);
     m_executorsToAcknowledge.insert(executor.entry.id);
-    task_record *task = job.find(end.task);
-    if (end.task.step >= 0 && end.task.step < static_cast<int>(job.spec.steps.size())) {
-        deferIfStartMayCome(executor, end, job.spec.steps[static_cast<std::size_t>(end.task.step)], now);
+    const step_spec *step = job.stepOf(end.task);
+    if (step != nullptr) {
+        deferIfStartMayCome(executor, end, *step, now);
     }
     if (end.how == run_end::Done) {
         executor.failedJobs.clear();
     } else if (end.how == run_end::Failed) {
         backOffIfFailing(executor, job.spec.id, now);
     }
-    if (task == nullptr || task->phase == task_phase::Done) {
+    const task_record *known = std::as_const(job).find(end.task);
+    if (known == nullptr || known->phase == task_phase::Done) {
         return;
     }
-    const step_spec &stepSpec = job.spec.steps[static_cast<std::size_t>(end.task.step)];
+    task_record *task = job.find(end.task);
+    const step_spec &stepSpec = *step;
     const bool current = task->occupies() && task->run == end.run && task->executor == executor.entry.id;
     if (end.how == run_end::Done && !stepSpec.longRunning) {
         // A completed run completes the task, even if it isn't the task's current run.
--- a/tests/sched/late_start_after_done_test.cpp
+++ b/tests/sched/late_start_after_done_test.cpp
@@ -144,6 +144,23 @@
     CHECK(world.acknowledgedWithin(maxOrderDelayMs - 2'000, ends) == 0);
 }
 
+// Guards against a lease holder that fails on a row with a step that its job doesn't have.
+TEST_CASE("a late start of an unknown step is stopped like any other")
+{
+    scheduler_fixture world;
+    world.addExecutor("e1");
+    world.runTask("j1");
+    world.taskScheduler.restoreLateStarts(R"([["j1.0.7.0",1,"e1",5000]])", world.now);
+    executor_entry next = scheduler_fixture::entry("e1");
+    next.startedUnixMs = nextStartUnixMs;
+    world.taskScheduler.handle(executor_entry_changed{next}, world.now);
+    world.planAndCommit();
+    const std::vector<stop_run> stops = world.take<stop_run>();
+    CHECK(std::any_of(stops.begin(), stops.end(), [](const stop_run &stop) {
+        return stop.task.step == 7;
+    }));
+}
+
 // Guards against ends that are acknowledged late, or not at all, on many executors while many orders have no answer.
 TEST_CASE("few ends are deferred at a time")
 {
--- a/tests/sched/task_table_test.cpp
+++ b/tests/sched/task_table_test.cpp
@@ -1,7 +1,11 @@
 #include "sched/task_table.h"
 
+#include "scheduler_fixture.h"
+
 #include <doctest/doctest.h>
 
+#include <utility>
+
 using namespace daisypass::sched;
 
 // Guards against a lease holder that exceeds its memory because it keeps a record of each task of each accepted job.
@@ -44,6 +48,19 @@
             CHECK(tasks.firstUnfinished() == count);
         }
     }
+    SUBCASE("none for a task that is only looked at, such as a gang's member whose end comes after the gang is done")
+    {
+        job_record job(scheduler_fixture::job("j1", {scheduler_fixture::step(4)}));
+        job.openDueOccurrences(0);
+        task_table &members = job.occurrences.at(0).steps.at(0).tasks;
+        members.finish(2);
+        const task_record *done = std::as_const(job).find({"j1", 0, 0, 2});
+        REQUIRE(done != nullptr);
+        CHECK(done->phase == task_phase::Done);
+        CHECK(members.records().empty());
+        CHECK(std::as_const(job).find({"j1", 0, 0, 4}) == nullptr);
+        CHECK(std::as_const(job).find({"j1", 0, 1, 0}) == nullptr);
+    }
     SUBCASE("a done task that a newer row shows as waiting is to be run again")
     {
         tasks.finish(0);
