Front: one way to read a job's only row, and to answer that the store refused

Cause: the refusal for want of room wrote the range of one row a third time, and finishSubmission()'s answer for a row that wasn't stored once more. Change: onlyRow() has the range for all three reads; the refusal ends in finishSubmission(). The answers and log lines are the same.

--- a/src/node/front_service.cpp
+++ b/src/node/front_service.cpp
@@ -48,6 +48,12 @@
     return {refusal(statusUnavailable, 1), answer_scope::NodeUnavailable};
 }
 
+// The range ends right after the key of a job, so it contains this one row only.
+row_range onlyRow(const row_key &key)
+{
+    return {key.table, key.part, key.key, key.key + '!'};
+}
+
 // The write may have been stored.
 front_answer outcomeUnknown()
 {
@@ -349,11 +355,9 @@
 // A job whose submission is stored was accepted, and this is a repetition. Only a job that isn't stored may be told not to run.
 void front_service::refuseUnlessStored(const std::string &job, const std::string &row, const job_refusal &noRoom, front_responder respond)
 {
-    const row_key key = tables::jobRow(job);
-    m_store.get({key.table, key.part, job, job + '!'}, readTimeout, [this, job, row, noRoom, respond = std::move(respond)](const rows_result &result) {
+    m_store.get(onlyRow(tables::jobRow(job)), readTimeout, [this, job, row, noRoom, respond = std::move(respond)](const rows_result &result) {
         if (result.status != store_status::Ok) {
-            logEvent("job_refused", {{"request", job}, {"reason", "store_refused"}});
-            respond(storeUnavailable());
+            finishSubmission(job, row, {submission_result::NotStored, {}}, respond);
             return;
         }
         if (!result.rows.empty()) {
@@ -401,8 +405,7 @@
 
 void front_service::answerJobState(const std::string &job, front_responder respond)
 {
-    // The range ends right after the key, so it contains this one row only.
-    m_store.get({tables::state, tables::holderPart, job, job + '!'}, readTimeout, [this, job, respond = std::move(respond)](const rows_result &result) {
+    m_store.get(onlyRow({tables::state, tables::holderPart, job}), readTimeout, [this, job, respond = std::move(respond)](const rows_result &result) {
         if (result.status != store_status::Ok) {
             respond(storeUnavailable());
             return;
@@ -443,20 +446,17 @@
 void front_service::cancel(const admitted_call &call, sched::time_ms deadline, front_responder respond)
 {
     const std::string &job = call.match.pathSuffix;
-    const row_key submissionKey = tables::jobRow(job);
-    m_store.get({submissionKey.table, submissionKey.part, job, job + '!'},
-                readTimeout,
-                [this, call, deadline, respond = std::move(respond)](const rows_result &result) {
-                    if (result.status != store_status::Ok) {
-                        respond(storeUnavailable());
-                    } else if (result.rows.empty()) {
-                        barSubmission(call, deadline, respond);
-                    } else if (result.rows.front().value == tables::barredSubmission) {
-                        respond(finalAnswer(emptyResponse(statusGone)));
-                    } else {
-                        cancelIfAllowed(call, result.rows.front().value, deadline, respond);
-                    }
-                });
+    m_store.get(onlyRow(tables::jobRow(job)), readTimeout, [this, call, deadline, respond = std::move(respond)](const rows_result &result) {
+        if (result.status != store_status::Ok) {
+            respond(storeUnavailable());
+        } else if (result.rows.empty()) {
+            barSubmission(call, deadline, respond);
+        } else if (result.rows.front().value == tables::barredSubmission) {
+            respond(finalAnswer(emptyResponse(statusGone)));
+        } else {
+            cancelIfAllowed(call, result.rows.front().value, deadline, respond);
+        }
+    });
 }
 
 void front_service::cancelIfAllowed(const admitted_call &call, const std::string &row, sched::time_ms deadline, const front_responder &respond)
