Node: the shares of the machine's memory in one place

Cause: the share for accepted jobs was decided in src/platform, which decides nothing, with a constant that client_limits.cpp has, too. Change: memory_shares.h has the shares for clients and for jobs; the dispatcher gives the scheduler its part.

--- a/src/node/client_limits.cpp
+++ b/src/node/client_limits.cpp
@@ -1,6 +1,7 @@
 #include "node/client_limits.h"
 
 #include "base/log.h"
+#include "node/memory_shares.h"
 
 #include <algorithm>
 #include <string>
@@ -8,9 +9,6 @@
 namespace daisypass {
 namespace {
 
-constexpr std::int64_t bytesPerMegabyte = 1 << 20;
-// Part of the machine's memory for clients. The rest is for the program, the jobs that the scheduler holds, and buffers of the operating system.
-constexpr std::int64_t memoryDivisor = 4;
 // The platform reserves this many of a machine's descriptors for files.
 constexpr std::int64_t fileDescriptors = 200;
 // Half of the other descriptors are kept for connections to executors, the store and other nodes.
@@ -25,7 +23,7 @@
 
 account_limits clientLimits(const node_settings &settings)
 {
-    const std::int64_t bytes = settings.memoryMb * bytesPerMegabyte / memoryDivisor;
+    const std::int64_t bytes = clientMemoryBytes(settings.memoryMb);
     const std::int64_t byDescriptors = (settings.maxDescriptors - fileDescriptors) / descriptorDivisor;
     const std::int64_t byMemory = bytes / idleDivisor / static_cast<std::int64_t>(connectionBytes);
     account_limits limits;
--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "base/time.h"
+#include "node/memory_shares.h"
 #include "node/tables.h"
 #include "platform/records.h"
 
@@ -14,6 +15,13 @@
 constexpr std::chrono::milliseconds releaseTimeout{1'500};
 constexpr sched::time_ms vmListIntervalMs = 900;
 
+sched::bounds schedulerBounds(const node_settings &settings)
+{
+    sched::bounds bounds = settings.bounds;
+    bounds.jobBytes = jobMemoryBytes(settings.memoryMb);
+    return bounds;
+}
+
 } // namespace
 
 dispatcher::dispatcher(dispatcher_dependencies dependencies, const node_settings &settings, held_term term, std::function<void()> onTermLost)
@@ -21,7 +29,7 @@
     , m_settings(settings)
     , m_term(std::move(term))
     , m_onTermLost(std::move(onTermLost))
-    , m_scheduler(settings.bounds,
+    , m_scheduler(schedulerBounds(settings),
                   m_term.times,
                   [] {
                       return steadyNow().count();
--- a/src/platform/node_settings.cpp
+++ b/src/platform/node_settings.cpp
@@ -204,10 +204,6 @@
     return bounds;
 }
 
-// Part of the machine's memory for accepted jobs. A machine with less memory may have to take them over.
-constexpr std::int64_t jobMemoryDivisor = 8;
-constexpr std::int64_t bytesPerMegabyte = 1 << 20;
-
 std::uint16_t firstPort(const std::string &list)
 {
     std::uint16_t port = 0;
@@ -246,7 +242,6 @@
     settings.revocationMs = reader.millisOr("Bounds.RevokeMs", settings.revocationMs);
     settings.configurationApplyMs = reader.millisOr("Bounds.ConfigApplyMs", settings.configurationApplyMs);
     settings.bounds = readBounds(reader);
-    settings.bounds.jobBytes = static_cast<std::size_t>(std::max<std::int64_t>(0, settings.memoryMb) * bytesPerMegabyte / jobMemoryDivisor);
     if (!reader.ok()) {
         return std::nullopt;
     }
